--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,202 @@
+"""A tier of separate processes on separate loopback addresses, from example settings.
+
+Only bench and tests start processes; gradepoint's own programs start none.
+"""
+
+from __future__ import annotations
+
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import IO, Any
+
+import msgspec
+
+ROOT = Path(__file__).resolve().parent.parent
+BIN = Path(sys.executable).parent
+READY_TIMEOUT_S = 60.0
+PROGRAMS = ("store", "control", "entry", "batch")
+
+
+@dataclass
+class Process:
+    """One started process."""
+
+    name: str
+    command: list[str]
+    log: IO[bytes]
+    popen: subprocess.Popen[bytes]
+
+    def kill(self) -> None:
+        """End it at once, as a crash would."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(signal.SIGCONT)
+            self.popen.kill()
+            self.popen.wait()
+
+    def pause(self) -> None:
+        """Freeze it."""
+        self.popen.send_signal(signal.SIGSTOP)
+
+    def go_on(self) -> None:
+        """Let a frozen process go on."""
+        self.popen.send_signal(signal.SIGCONT)
+
+
+@dataclass
+class ProcessTier:
+    """Stand-ins and programs of one example as processes."""
+
+    example: str
+    run_folder: Path
+    processes: dict[str, Process] = field(default_factory=dict)
+    overrides: dict[str, Any] = field(default_factory=dict)
+
+    @property
+    def folder(self) -> Path:
+        """The example's folder."""
+        return ROOT / "examples" / self.example
+
+    @property
+    def standins(self) -> dict[str, Any]:
+        """Addresses of the stand-ins."""
+        decoded: dict[str, Any] = msgspec.json.decode((self.folder / "standins.json").read_bytes())
+        return decoded
+
+    def hosts(self) -> list[dict[str, Any]]:
+        """Return the settings of every host."""
+        count = len(list((self.folder / "hosts").glob("*.json")))
+        paths = [self.folder / "hosts" / f"host-{n + 1}.json" for n in range(count)]
+        return [msgspec.json.decode(path.read_bytes()) for path in paths]
+
+    def start(self) -> None:
+        """Start everything, apply the example's configuration and wait until ready."""
+        shutil.rmtree(self.run_folder, ignore_errors=True)
+        self.run_folder.mkdir(parents=True)
+        standins = self.standins
+        for kind in ("kv", "host-list", "service"):
+            place = standins[kind]
+            self.spawn(kind, ["gradepoint", "standin", kind, *_place(place)])
+        for number, engine in enumerate(standins["engines"], 1):
+            extra = ["--models", engine["models"]]
+            if engine.get("ignore_fencing"):
+                extra.append("--ignore-fencing")
+            self.spawn(
+                f"engine-{number}", ["gradepoint", "standin", "engine", *_place(engine), *extra]
+            )
+        for number in range(1, len(self.hosts()) + 1):
+            self.start_host(number)
+        self.wait_healthy()
+        self.apply(self.folder / "config.json")
+        self.wait_ready()
+
+    def settings_path(self, number: int) -> Path:
+        """Write the settings of a host with this tier's folder and overrides."""
+        settings = self.hosts()[number - 1] | self.overrides
+        if settings["data_folder"]:
+            settings["data_folder"] = str(self.run_folder / f"data-{number}")
+        path = self.run_folder / f"host-{number}.json"
+        path.write_bytes(msgspec.json.encode(settings))
+        return path
+
+    def start_host(self, number: int) -> None:
+        """Start the programs of one host."""
+        path = self.settings_path(number)
+        for program in PROGRAMS:
+            if program == "store" and not self.hosts()[number - 1]["data_folder"]:
+                continue
+            self.spawn(f"{program}-{number}", [f"gradepoint-{program}", "--settings", str(path)])
+
+    def spawn(self, name: str, command: list[str]) -> Process:
+        """Start one process; its output goes to a log file."""
+        log = (self.run_folder / f"{name}.log").open("ab")
+        full = [str(BIN / command[0]), *command[1:]]
+        popen = subprocess.Popen(
+            full, stdout=log, stderr=log, cwd=ROOT, env={**os.environ, "PYTHONUNBUFFERED": "1"}
+        )
+        process = Process(name, full, log, popen)
+        self.processes[name] = process
+        return process
+
+    def kill_host(self, number: int) -> None:
+        """End all programs of a host at once."""
+        for program in PROGRAMS:
+            process = self.processes.get(f"{program}-{number}")
+            if process is not None:
+                process.kill()
+
+    def entry_urls(self) -> list[str]:
+        """Return the base URLs of all entries."""
+        return [f"http://{host['address']}:8400" for host in self.hosts()]
+
+    def admin_url(self, number: int = 1) -> str:
+        """Return the base URL of one administration API."""
+        return f"http://{self.hosts()[number - 1]['address']}:8402"
+
+    def standin_url(self, name: str) -> str:
+        """Return a stand-in's base URL."""
+        place = self.standins[name]
+        return f"http://{place['address']}:{place['port']}"
+
+    def apply(self, path: Path) -> None:
+        """Apply a configuration file with the operator's command line."""
+        subprocess.run(
+            [
+                str(BIN / "gradepoint"),
+                "apply",
+                str(path),
+                "--admin",
+                self.admin_url(),
+                "--key",
+                self.standins["operator_key"],
+            ],
+            check=True,
+            stdout=subprocess.DEVNULL,
+        )
+
+    def wait_healthy(self) -> None:
+        """Wait until every control program answers."""
+        for number in range(1, len(self.hosts()) + 1):
+            _wait(f"{self.admin_url(number)}/healthz")
+
+    def wait_ready(self) -> None:
+        """Wait until every entry and batch program has a configuration."""
+        for host in self.hosts():
+            _wait(f"http://{host['address']}:8400/readyz")
+            _wait(f"http://{host['address']}:8401/readyz")
+
+    def stop(self) -> None:
+        """End every process that this tier started."""
+        for process in self.processes.values():
+            process.go_on()
+            process.popen.terminate()
+        deadline = time.monotonic() + 15
+        for process in self.processes.values():
+            try:
+                process.popen.wait(max(0.1, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+            process.log.close()
+
+
+def _place(place: dict[str, Any]) -> list[str]:
+    return ["--address", place["address"], "--port", str(place["port"])]
+
+
+def _wait(url: str) -> None:
+    deadline = time.monotonic() + READY_TIMEOUT_S
+    while True:
+        try:
+            with urllib.request.urlopen(url, timeout=2):
+                return
+        except (urllib.error.URLError, OSError):
+            if time.monotonic() > deadline:
+                raise
+            time.sleep(0.1)
--- /dev/null
+++ b/gradepoint/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API."""
--- /dev/null
+++ b/gradepoint/admin/api.py
@@ -0,0 +1,219 @@
+"""The administration API: read, check and apply the configuration; state of the fleet."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from result import Err
+
+from .. import events
+from ..batch.records import JOBS_PREFIX, JobRecord
+from ..batch.views import show_job
+from ..config.access import KeyRing, bearer_key
+from ..config.check import check_document
+from ..config.diff import compare
+from ..config.document import OperatorRole
+from ..config.keys import key_matches, key_owner
+from ..config.versions import AUDIT_PREFIX, AuditRecord, apply_document, read_current
+from ..errors import GradepointError, KvError
+from ..fleet.messages import StatusAnswer
+from ..telemetry import metrics
+from ..telemetry.logs import emit
+from ..util.clock import wall_seconds
+from ..wire.http_server import HttpServer, ServerLimits
+from ..wire.http_types import Response, error_response, json_response
+from ..wire.pages import answer_common_page
+
+if TYPE_CHECKING:
+    from ..config.check import Problem
+    from ..config.document import Document, Operator
+    from ..fleet.control import ControlNode
+    from ..wire.http_types import Request
+
+MOST_DOCUMENT_BYTES = 700 << 10
+"""Below the platform's megabyte a value, with room for the record around it."""
+
+
+class AdminApi:
+    """Administration HTTP of one control program."""
+
+    def __init__(self, control: ControlNode) -> None:
+        self.control = control
+        self.keys = KeyRing(control.config)
+        limits = ServerLimits(max_body_bytes=MOST_DOCUMENT_BYTES)
+        self.server = HttpServer(self.handle, limits)
+
+    async def start(self) -> None:
+        """Listen for operators."""
+        settings = self.control.settings
+        await self.server.start(settings.address, settings.control_port)
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request."""
+        page = answer_common_page(request, lambda: self.control.ready)
+        if page is not None:
+            return page
+        try:
+            return await self._route(request)
+        except GradepointError as error:
+            metrics.shared().refusals.add(1, {"reason": error.code})
+            return error_response(error)
+        except KvError as error:
+            return error_response(GradepointError("service_unavailable", str(error)))
+
+    async def _route(self, request: Request) -> Response:
+        match (request.method, request.path):
+            case ("POST", "/admin/config"):
+                return await self._apply(request)
+            case ("POST", "/admin/check"):
+                return await self._check(request)
+            case ("GET", "/admin/config"):
+                self.keys.operator(request.headers, OperatorRole.READ)
+                return self._config()
+            case ("GET", "/admin/status"):
+                self.keys.operator(request.headers, OperatorRole.READ)
+                return json_response(await self.status())
+            case ("GET", "/admin/audit"):
+                self.keys.operator(request.headers, OperatorRole.READ)
+                return await self._audit()
+            case ("GET", "/admin/jobs"):
+                self.keys.operator(request.headers, OperatorRole.READ)
+                return await self._jobs()
+        raise GradepointError("not_found", f"There is no {request.method} {request.path!r}.")
+
+    def _config(self) -> Response:
+        record = self.control.config.record
+        assert record is not None
+        return json_response(
+            {
+                "version": record.version,
+                "applied_by": record.applied_by,
+                "applied_at": record.applied_at,
+                "document": msgspec.to_builtins(record.document),
+            }
+        )
+
+    async def _check(self, request: Request) -> Response:
+        self.keys.operator(request.headers, OperatorRole.READ)
+        checked = check_document(await request.read_body())
+        if isinstance(checked, Err):
+            return _invalid(checked.err_value)
+        record = self.control.config.record
+        differences = compare(record.document if record else None, checked.ok_value)
+        return json_response(
+            {
+                "valid": True,
+                "version": self.control.config.version,
+                "differences": [row.render() for row in differences],
+            }
+        )
+
+    async def _apply(self, request: Request) -> Response:
+        raw = await request.read_body()
+        checked = check_document(raw)
+        if isinstance(checked, Err):
+            self._authorise_invalid(request)
+            return _invalid(checked.err_value)
+        document = checked.ok_value
+        operator = await self._authorise(request, document)
+        base = request.query.get("base")
+        if base is not None and not base.isdigit():
+            raise GradepointError("bad_request", "'base' must be a version number.", param="base")
+        try:
+            applied = await apply_document(
+                self.control.kv,
+                document,
+                operator.name,
+                int(base) if base else None,
+                request.query.get("note", "")[:500],
+            )
+        except GradepointError as error:
+            if error.code == "config_conflict":
+                emit(events.CONFIG_CONFLICT, operator=operator.name)
+            raise
+        if applied.changed:
+            emit(events.CONFIG_APPLIED, version=applied.version, operator=operator.name)
+        record, _ = await read_current(self.control.kv)
+        if record is not None:
+            self.control.take_config(record)
+        return json_response({"version": applied.version, "changed": applied.changed})
+
+    def _authorise_invalid(self, request: Request) -> None:
+        if self.control.ready:
+            self.keys.operator(request.headers, OperatorRole.APPLY)
+
+    async def _authorise(self, request: Request, document: Document) -> Operator:
+        """Return the applying operator.
+
+        The very first document has no version before it to name operators, so there the
+        key must be one that the document itself grants the role.
+        """
+        if self.control.ready:
+            return self.keys.operator(request.headers, OperatorRole.APPLY)
+        record, _ = await read_current(self.control.kv)
+        if record is not None:
+            self.control.take_config(record)
+            return self.keys.operator(request.headers, OperatorRole.APPLY)
+        key = bearer_key(request.headers)
+        for operator in document.operators:
+            if operator.name == key_owner(key) and operator.role is OperatorRole.APPLY:
+                if key_matches(key, operator.keys, wall_seconds()):
+                    return operator
+        raise GradepointError("unauthenticated", "The document does not grant this key apply.")
+
+    async def status(self) -> dict[str, Any]:
+        """Return the fleet's state, host by host."""
+        rows: list[dict[str, Any]] = []
+        version = self.control.config.version
+        for answer in await self.control.fleet_status():
+            if isinstance(answer, StatusAnswer):
+                row = msgspec.to_builtins(answer)
+                row.pop("v", None)
+                row["behind"] = _why_behind(answer, version)
+                rows.append(row)
+            else:
+                rows.append({"host": answer, "behind": "does not answer"})
+        members = [
+            {
+                "host": member.host,
+                "state": member.state.value,
+                "failure_domain": member.failure_domain,
+            }
+            for member in self.control.membership.everyone()
+        ]
+        return {"version": version, "hosts": rows, "members": members}
+
+    async def _audit(self) -> Response:
+        found = await self.control.kv.range(AUDIT_PREFIX)
+        rows = [
+            msgspec.to_builtins(msgspec.json.decode(item.value, type=AuditRecord))
+            for item in found.items
+        ]
+        return json_response({"audit": rows})
+
+    async def _jobs(self) -> Response:
+        found = await self.control.kv.range(JOBS_PREFIX, limit=1000)
+        jobs = [msgspec.json.decode(item.value, type=JobRecord) for item in found.items]
+        return json_response(
+            {"jobs": [show_job(job) | {"organisation": job.organisation} for job in jobs]}
+        )
+
+
+def _why_behind(answer: StatusAnswer, version: int) -> str:
+    if answer.config_version >= version:
+        return ""
+    late = [name for name, known in answer.programs.items() if known < version]
+    if late:
+        return f"its {', '.join(late)} has not taken version {version} yet"
+    return f"its control has not heard of version {version} yet"
+
+
+def _invalid(problems: list[Problem]) -> Response:
+    rows = [{"path": row.path, "message": row.message, "remedy": row.remedy} for row in problems]
+    error = GradepointError("config_invalid", f"{len(problems)} problems.")
+    response = error_response(error)
+    body = msgspec.json.decode(response.body)
+    body["problems"] = rows
+    response.body = msgspec.json.encode(body)
+    return response
--- /dev/null
+++ b/gradepoint/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Batch jobs: files, chunks, claims, results."""
--- /dev/null
+++ b/gradepoint/batch/calls.py
@@ -0,0 +1,137 @@
+"""One batch item at a target: a stream whose text survives a cancellation."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import aclosing
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from ..errors import TargetFailure
+from ..online.requests import CHAT_PATH
+from ..util.clock import wall_seconds
+from ..wire.target_client import TargetAnswer, TargetClient
+
+if TYPE_CHECKING:
+    from .items import Item
+
+JSON_HEADERS = {"content-type": "application/json"}
+SILENCE_S = 60.0
+"""Seconds without a token after which a target is given up on."""
+WHOLE_ONLY = ("tools", "logprobs", "n", "best_of", "functions")
+"""Fields whose answers are not put together from a stream's pieces."""
+
+
+@dataclass
+class ItemAnswer:
+    """Status and body of a finished item."""
+
+    status: int
+    body: Any
+
+
+@dataclass
+class PartialText:
+    """What an item has so far; kept when its stream is cancelled."""
+
+    text: str = ""
+    finish_reason: str | None = None
+    usage: dict[str, Any] | None = None
+
+
+async def run_item(
+    client: TargetClient,
+    base_url: str,
+    item: Item,
+    engine_model: str,
+    priority: int,
+    partial: PartialText,
+) -> ItemAnswer:
+    """Run one item and return its answer.
+
+    :param partial: text of an earlier, cancelled try; filled as tokens come.
+    :raises TargetFailure: no full answer came.
+    """
+    body = dict(item.body)
+    body.update(model=engine_model, priority=priority)
+    if any(body.get(name) not in (None, 1, False) for name in WHOLE_ONLY):
+        return await _run_whole(client, base_url, item, body)
+    body.update(stream=True, stream_options={"include_usage": True})
+    if partial.text:
+        body["continue_text"] = partial.text
+    opened = await client.open_stream(
+        base_url + item.url,
+        msgspec.json.encode(body),
+        JSON_HEADERS,
+        SILENCE_S,
+        fresh=not item.repeatable,
+    )
+    if isinstance(opened, TargetAnswer):
+        return ItemAnswer(opened.status, _decode(opened.body))
+    finished = False
+    try:
+        async with aclosing(opened.payloads()) as payloads:
+            while True:
+                try:
+                    payload = await asyncio.wait_for(anext(payloads), SILENCE_S)
+                except StopAsyncIteration:
+                    break
+                _take(payload, partial)
+        finished = True
+    except TimeoutError as error:
+        raise TargetFailure("target_lost", "the stream fell silent", not_run=False) from error
+    finally:
+        opened.response.close()
+        if not finished and opened.stream_id:
+            asyncio.ensure_future(client.cancel_stream(base_url, opened.stream_id))
+    return ItemAnswer(200, _whole_body(item, partial))
+
+
+async def _run_whole(
+    client: TargetClient, base_url: str, item: Item, body: dict[str, Any]
+) -> ItemAnswer:
+    answer = await client.complete(
+        base_url + item.url,
+        msgspec.json.encode(body),
+        JSON_HEADERS,
+        SILENCE_S * 5,
+        fresh=not item.repeatable,
+    )
+    return ItemAnswer(answer.status, _decode(answer.body))
+
+
+def _decode(raw: bytes) -> Any:
+    try:
+        return msgspec.json.decode(raw)
+    except msgspec.DecodeError:
+        return {"error": {"message": raw[:500].decode(errors="replace")}}
+
+
+def _take(payload: bytes, partial: PartialText) -> None:
+    event = msgspec.json.decode(payload)
+    if event.get("usage"):
+        partial.usage = event["usage"]
+    for choice in event.get("choices", ()):
+        text = choice.get("text") or (choice.get("delta") or {}).get("content")
+        partial.text += text or ""
+        partial.finish_reason = choice.get("finish_reason") or partial.finish_reason
+
+
+def _whole_body(item: Item, partial: PartialText) -> dict[str, Any]:
+    chat = item.url == CHAT_PATH
+    choice: dict[str, Any] = {"index": 0, "finish_reason": partial.finish_reason, "logprobs": None}
+    if chat:
+        choice["message"] = {"role": "assistant", "content": partial.text}
+    else:
+        choice["text"] = partial.text
+    body: dict[str, Any] = {
+        "object": "chat.completion" if chat else "text_completion",
+        "created": wall_seconds(),
+        "model": item.body["model"],
+        "choices": [choice],
+    }
+    if partial.usage is not None:
+        body["usage"] = partial.usage
+    return body
--- /dev/null
+++ b/gradepoint/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""Console programs; each module parses its arguments and calls in."""
--- /dev/null
+++ b/gradepoint/cmd/runner.py
@@ -0,0 +1,66 @@
+"""Runs one program: settings, logs, signals and a clean end."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated, Protocol
+
+import typer
+from result import Err
+
+from .. import events
+from ..settings import load_settings
+from ..telemetry import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..settings import Settings
+
+EXIT_SETTINGS = 2
+
+SettingsOption = Annotated[Path, typer.Option("--settings", help="Settings file of this host.")]
+
+
+class App(Protocol):
+    """What every program offers to its runner."""
+
+    async def start(self) -> None:
+        """Start to serve."""
+
+    async def stop(self) -> None:
+        """End work in progress and stop."""
+
+
+def run_program(name: str, settings_path: Path, create: Callable[[Settings], App]) -> None:
+    """Run a program until it is asked to stop."""
+    loaded = load_settings(settings_path)
+    if isinstance(loaded, Err):
+        for problem in loaded.err_value:
+            print(problem, file=sys.stderr)
+        raise typer.Exit(EXIT_SETTINGS)
+    settings = loaded.ok_value
+    logs.configure(name, settings.host, settings.log_level, settings.log_style)
+    asyncio.run(_serve(name, settings, create))
+
+
+async def _serve(name: str, settings: Settings, create: Callable[[Settings], App]) -> None:
+    stopped = stop_event()
+    app = create(settings)
+    await app.start()
+    logs.emit(events.PROGRAM_STARTED, address=settings.address)
+    await stopped.wait()
+    logs.emit(events.PROGRAM_STOPPING)
+    await app.stop()
+
+
+def stop_event() -> asyncio.Event:
+    """Return an event that SIGTERM and SIGINT set."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    return stopped
--- /dev/null
+++ b/gradepoint/config/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration document: its types, checks, differences and schema."""
--- /dev/null
+++ b/gradepoint/config/versions.py
@@ -0,0 +1,170 @@
+"""The configuration in force: versions only rise.
+
+The record under :data:`CURRENT_KEY` is the one truth. Each apply replaces it by
+compare-and-swap and writes one audit record in the same transaction, by which an
+apply whose answer was lost is recognised.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ..errors import GradepointError
+from ..ids import ConfigVersion, WriterToken
+from ..platform.kv import ABSENT, Expect, Put, Transaction
+from ..platform.settle import Settled, Unsettled, settle
+from ..util.clock import wall_seconds
+from ..util.hashing import new_token
+from .document import Document, Organisation, Service, Target
+
+if TYPE_CHECKING:
+    from ..platform.kv import KeyValueService
+
+CURRENT_KEY = "/gradepoint/config/current"
+AUDIT_PREFIX = "/gradepoint/config/audit/"
+
+
+class ConfigRecord(msgspec.Struct, frozen=True):
+    """The record of one version.
+
+    :param writer: token of the apply that wrote it.
+    :param applied_at: Unix seconds, for people.
+    """
+
+    version: int
+    document: Document
+    writer: str
+    applied_by: str
+    applied_at: int
+
+
+class AuditRecord(msgspec.Struct, frozen=True):
+    """Who applied which version."""
+
+    version: int
+    writer: str
+    applied_by: str
+    applied_at: int
+    note: str = ""
+
+
+@dataclass
+class InForce:
+    """The newest version this process has seen; never goes back.
+
+    The indexes are rebuilt once a version, so that a call costs no search.
+    """
+
+    version: ConfigVersion = ConfigVersion(0)
+    record: ConfigRecord | None = None
+    organisations: dict[str, Organisation] = field(default_factory=dict)
+    services: dict[str, Service] = field(default_factory=dict)
+    targets: dict[str, Target] = field(default_factory=dict)
+
+    def take(self, record: ConfigRecord) -> bool:
+        """Put *record* in force if it is newer; return whether it was."""
+        if record.version <= self.version:
+            return False
+        self.version = ConfigVersion(record.version)
+        self.record = record
+        document = record.document
+        self.organisations = {row.name: row for row in document.organisations}
+        self.services = {row.name: row for row in document.services}
+        self.targets = {row.name: row for row in document.targets}
+        return True
+
+    @property
+    def document(self) -> Document:
+        """The document in force.
+
+        :raises GradepointError: ``not_ready`` before the first version.
+        """
+        if self.record is None:
+            raise GradepointError("not_ready")
+        return self.record.document
+
+
+@dataclass(frozen=True)
+class Applied:
+    """Answer to an apply; *changed* is False if the document was in force already."""
+
+    version: ConfigVersion
+    changed: bool
+
+
+async def read_current(service: KeyValueService) -> tuple[ConfigRecord | None, int]:
+    """Return the current record and its revision."""
+    item = await service.get(CURRENT_KEY)
+    if item is None:
+        return None, ABSENT
+    return msgspec.json.decode(item.value, type=ConfigRecord), item.revision
+
+
+async def apply_document(
+    service: KeyValueService,
+    document: Document,
+    applied_by: str,
+    base_version: int | None,
+    note: str = "",
+    token: WriterToken | None = None,
+) -> Applied:
+    """Make *document* the current version.
+
+    :param base_version: version that the operator's change started from; None takes
+        whatever is current when the call arrives.
+    :raises GradepointError: ``config_conflict``, ``service_unavailable`` or
+        ``service_uncertain``.
+    """
+    current, revision = await read_current(service)
+    version = current.version if current else 0
+    if current is not None and msgspec.to_builtins(current.document) == msgspec.to_builtins(
+        document
+    ):
+        return Applied(ConfigVersion(version), False)
+    if base_version is not None and base_version != version:
+        raise _conflict(base_version, version)
+    record = ConfigRecord(version + 1, document, token or new_token(), applied_by, wall_seconds())
+    try:
+        settled, _ = await settle(
+            service, _transaction(record, revision, note), lambda: _was_applied(service, record)
+        )
+    except Unsettled as error:
+        code = "service_uncertain" if error.sent else "service_unavailable"
+        raise GradepointError(code, f"The apply was not confirmed: {error}.") from error
+    if settled is Settled.LOST_RACE:
+        newest, _ = await read_current(service)
+        raise _conflict(version, newest.version if newest else 0)
+    return Applied(ConfigVersion(record.version), True)
+
+
+def audit_key(version: int) -> str:
+    """Return the key of a version's audit record; sorts by version."""
+    return f"{AUDIT_PREFIX}{version:012d}"
+
+
+def _transaction(record: ConfigRecord, revision: int, note: str) -> Transaction:
+    audit = AuditRecord(record.version, record.writer, record.applied_by, record.applied_at, note)
+    return Transaction(
+        (Expect(CURRENT_KEY, revision), Expect(audit_key(record.version), ABSENT)),
+        (
+            Put(CURRENT_KEY, msgspec.json.encode(record)),
+            Put(audit_key(record.version), msgspec.json.encode(audit)),
+        ),
+    )
+
+
+async def _was_applied(service: KeyValueService, record: ConfigRecord) -> bool:
+    item = await service.get(audit_key(record.version))
+    if item is None:
+        return False
+    return msgspec.json.decode(item.value, type=AuditRecord).writer == record.writer
+
+
+def _conflict(base: int, current: int) -> GradepointError:
+    return GradepointError(
+        "config_conflict",
+        f"The change started from version {base}, but version {current} is in force.",
+    )
--- /dev/null
+++ b/gradepoint/errors.py
@@ -0,0 +1,402 @@
+"""The exception hierarchy and the catalogue of error codes.
+
+Each code has one row in :data:`CATALOGUE`: its HTTP status, its category, the
+outcome it stands for and a remedy. ``gradepoint explain CODE`` prints a row and
+``docs/reference/errors.md`` is generated from the table.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Outcome(Enum):
+    """What became of a call: the only three answers a caller can get."""
+
+    COMPLETE = "complete"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Category(Enum):
+    """Who has to act on an error."""
+
+    CALLER = "caller"
+    LIMIT = "limit"
+    TARGET = "target"
+    PLATFORM = "platform"
+    OPERATOR = "operator"
+
+
+@dataclass(frozen=True)
+class ErrorKind:
+    """One row of the error catalogue.
+
+    :param code: stable name, sent to callers as ``error.code``.
+    :param status: HTTP status.
+    :param outcome: outcome that the error stands for.
+    :param retry_after: seconds after which to come back; None when a retry does not help.
+    :param remedy: what the reader can do about it.
+    """
+
+    code: str
+    status: int
+    category: Category
+    outcome: Outcome
+    retry_after: float | None
+    remedy: str
+
+
+_C = Category
+_N = Outcome.NOT_RUN
+_U = Outcome.UNKNOWN
+
+CATALOGUE: dict[str, ErrorKind] = {
+    kind.code: kind
+    for kind in (
+        # requests that the caller has to change
+        ErrorKind("bad_http", 400, _C.CALLER, _N, None, "Send a well-formed HTTP/1.1 request."),
+        ErrorKind("bad_json", 400, _C.CALLER, _N, None, "Send a body that is valid JSON."),
+        ErrorKind("bad_request", 400, _C.CALLER, _N, None, "Correct the named field."),
+        ErrorKind(
+            "bad_deadline",
+            400,
+            _C.CALLER,
+            _N,
+            None,
+            "Give gradepoint-deadline-ms as a positive number of milliseconds.",
+        ),
+        ErrorKind(
+            "bad_idempotency_key",
+            400,
+            _C.CALLER,
+            _N,
+            None,
+            "Give an Idempotency-Key of 1 to 255 printable characters.",
+        ),
+        ErrorKind(
+            "bad_multipart",
+            400,
+            _C.CALLER,
+            _N,
+            None,
+            "Send multipart/form-data with the parts 'purpose' and 'file'.",
+        ),
+        ErrorKind(
+            "bad_batch_line",
+            400,
+            _C.CALLER,
+            _N,
+            None,
+            "Correct the named line of the file and upload it again.",
+        ),
+        ErrorKind(
+            "duplicate_custom_id",
+            400,
+            _C.CALLER,
+            _N,
+            None,
+            "Give every line of the file a custom_id of its own.",
+        ),
+        ErrorKind("header_too_large", 431, _C.CALLER, _N, None, "Send fewer or shorter headers."),
+        ErrorKind("body_too_large", 413, _C.CALLER, _N, None, "Send a smaller body."),
+        ErrorKind("too_many_items", 413, _C.CALLER, _N, None, "Split the file into several jobs."),
+        ErrorKind(
+            "request_timeout",
+            408,
+            _C.CALLER,
+            _N,
+            None,
+            "Send the whole request without long pauses.",
+        ),
+        ErrorKind(
+            "unauthenticated",
+            401,
+            _C.CALLER,
+            _N,
+            None,
+            "Send a valid key as 'Authorization: Bearer KEY'.",
+        ),
+        ErrorKind("forbidden", 403, _C.CALLER, _N, None, "Use a key whose role allows this call."),
+        ErrorKind("not_found", 404, _C.CALLER, _N, None, "Check the path and the identifier."),
+        ErrorKind(
+            "method_not_allowed", 405, _C.CALLER, _N, None, "Use a method that the path supports."
+        ),
+        ErrorKind(
+            "unknown_model", 404, _C.CALLER, _N, None, "Use a model listed by GET /v1/models."
+        ),
+        ErrorKind(
+            "unknown_service", 404, _C.CALLER, _N, None, "Use a service named in the configuration."
+        ),
+        ErrorKind(
+            "idempotency_mismatch",
+            409,
+            _C.CALLER,
+            _N,
+            None,
+            "Use a new Idempotency-Key for a different request.",
+        ),
+        ErrorKind(
+            "job_finished", 409, _C.CALLER, _N, None, "The job has ended already; read its results."
+        ),
+        # limits: come back later
+        ErrorKind(
+            "organisation_rate",
+            429,
+            _C.LIMIT,
+            _N,
+            1.0,
+            "Slow down, or ask the operator for a higher organisation limit.",
+        ),
+        ErrorKind(
+            "organisation_in_flight",
+            429,
+            _C.LIMIT,
+            _N,
+            1.0,
+            "Wait for running calls to end, or ask for a higher limit.",
+        ),
+        ErrorKind(
+            "model_saturated",
+            429,
+            _C.LIMIT,
+            _N,
+            1.0,
+            "Come back after the given time; add targets if this lasts.",
+        ),
+        ErrorKind(
+            "queue_deadline",
+            429,
+            _C.LIMIT,
+            _N,
+            1.0,
+            "The call could not have started in time; come back or allow more time.",
+        ),
+        ErrorKind(
+            "too_many_connections",
+            503,
+            _C.LIMIT,
+            _N,
+            1.0,
+            "Reuse connections, or try another host.",
+        ),
+        ErrorKind("stopping", 503, _C.LIMIT, _N, 0.5, "This host is leaving; send the call again."),
+        # targets
+        ErrorKind(
+            "no_target",
+            503,
+            _C.TARGET,
+            _N,
+            2.0,
+            "No target serves this model now; check 'gradepoint status'.",
+        ),
+        ErrorKind(
+            "target_unreachable",
+            503,
+            _C.TARGET,
+            _N,
+            1.0,
+            "No target could be reached; come back after the given time.",
+        ),
+        ErrorKind(
+            "target_refused",
+            503,
+            _C.TARGET,
+            _N,
+            1.0,
+            "The targets refused the call before running it; come back.",
+        ),
+        ErrorKind(
+            "retry_budget",
+            503,
+            _C.TARGET,
+            _N,
+            2.0,
+            "Too many calls are being retried now; come back after the given time.",
+        ),
+        ErrorKind(
+            "target_lost",
+            502,
+            _C.TARGET,
+            _U,
+            1.0,
+            "The target failed after the call was sent; it may have run.",
+        ),
+        ErrorKind(
+            "target_error",
+            502,
+            _C.TARGET,
+            _U,
+            1.0,
+            "The target answered with an error; it may have run.",
+        ),
+        ErrorKind(
+            "deadline_exceeded",
+            504,
+            _C.TARGET,
+            _U,
+            1.0,
+            "The deadline passed while the call ran; allow more time.",
+        ),
+        ErrorKind(
+            "in_progress",
+            409,
+            _C.TARGET,
+            _U,
+            1.0,
+            "The same Idempotency-Key is running elsewhere; send it again later.",
+        ),
+        ErrorKind(
+            "holder_lost",
+            409,
+            _C.TARGET,
+            _U,
+            None,
+            "The host that ran this key was lost; check the effect before a new key.",
+        ),
+        ErrorKind(
+            "answer_not_kept",
+            409,
+            _C.PLATFORM,
+            _U,
+            None,
+            "The call ran but its answer was not kept; check the effect.",
+        ),
+        # platform
+        ErrorKind(
+            "service_unavailable",
+            503,
+            _C.PLATFORM,
+            _N,
+            5.0,
+            "The key-value service is down; come back after the given time.",
+        ),
+        ErrorKind(
+            "service_uncertain",
+            503,
+            _C.PLATFORM,
+            _U,
+            5.0,
+            "The key-value service gave no answer; send the same request again.",
+        ),
+        ErrorKind(
+            "not_ready",
+            503,
+            _C.PLATFORM,
+            _N,
+            2.0,
+            "The host has no configuration yet; come back after the given time.",
+        ),
+        ErrorKind(
+            "storage_insufficient",
+            503,
+            _C.PLATFORM,
+            _N,
+            10.0,
+            "Fewer than two failure domains have a live data host; start one.",
+        ),
+        ErrorKind(
+            "storage_read",
+            503,
+            _C.PLATFORM,
+            _N,
+            5.0,
+            "No good copy of the data could be read now; come back.",
+        ),
+        # operators
+        ErrorKind(
+            "config_invalid",
+            400,
+            _C.OPERATOR,
+            _N,
+            None,
+            "Correct every listed problem and apply the file again.",
+        ),
+        ErrorKind(
+            "config_conflict",
+            409,
+            _C.OPERATOR,
+            _N,
+            None,
+            "Read the version in force, merge, and apply on top of it.",
+        ),
+        ErrorKind("settings_invalid", 400, _C.OPERATOR, _N, None, "Correct the named settings."),
+        ErrorKind(
+            "not_leader", 503, _C.OPERATOR, _N, 2.0, "Another host gives the orders; ask again."
+        ),
+        ErrorKind(
+            "internal",
+            500,
+            _C.OPERATOR,
+            _U,
+            None,
+            "A fault in gradepoint; report it with the request id.",
+        ),
+    )
+}
+
+
+class GradepointError(Exception):
+    """Base of every error that gradepoint raises on purpose.
+
+    :param code: a code of :data:`CATALOGUE`.
+    :param message: what happened, in one sentence.
+    :param param: the field at fault, where there is one.
+    :param retry_after: seconds; overrides the catalogue's value.
+    :param outcome: overrides the catalogue's outcome.
+    """
+
+    def __init__(
+        self,
+        code: str,
+        message: str = "",
+        *,
+        param: str | None = None,
+        retry_after: float | None = None,
+        outcome: Outcome | None = None,
+    ) -> None:
+        self.kind = CATALOGUE[code]
+        self.message = message or self.kind.remedy
+        self.param = param
+        self.retry_after = retry_after if retry_after is not None else self.kind.retry_after
+        self.outcome = outcome or self.kind.outcome
+        super().__init__(f"{code}: {self.message} Remedy: {self.kind.remedy}")
+
+    @property
+    def code(self) -> str:
+        """The catalogue code."""
+        return self.kind.code
+
+
+class KvError(Exception):
+    """Base of the key-value port's failures."""
+
+
+class KvUnavailable(KvError):
+    """The service could not be reached; the call did not take effect."""
+
+
+class KvUncertain(KvError):
+    """No answer came; the call may have taken effect or may still do so."""
+
+
+class TargetFailure(Exception):
+    """A try at a target that ended without a full answer.
+
+    :param not_run: True only if no byte of the request can have reached the target,
+        or the target itself said that it did not run it.
+    """
+
+    def __init__(
+        self, code: str, message: str, *, not_run: bool, retry_after: float | None = None
+    ) -> None:
+        self.code = code
+        self.message = message
+        self.not_run = not_run
+        self.retry_after = retry_after
+        super().__init__(f"{code}: {message}")
+
+
+class StoreError(Exception):
+    """A bulk object could not be written or read."""
--- /dev/null
+++ b/gradepoint/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts, membership, configuration distribution and orders to targets."""
--- /dev/null
+++ b/gradepoint/fleet/control.py
@@ -0,0 +1,333 @@
+"""The control program of one host: membership, configuration in force, local programs."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from .. import events
+from ..config.versions import CURRENT_KEY, ConfigRecord, InForce, read_current
+from ..errors import KvError
+from ..platform.etcd import EtcdClient
+from ..platform.hosts import HostListClient, HostState
+from ..telemetry.logs import emit
+from ..util.clock import monotonic
+from ..util.tasks import TaskGroup
+from ..wire.rpc import Failed, Message, RpcError, RpcPool, RpcServer
+from .distribution import ANNOUNCE_FANOUT, watchers
+from .membership import Membership
+from .messages import (
+    ConfigAnswer,
+    ControlReply,
+    ControlRequest,
+    FetchConfig,
+    FetchMembers,
+    FetchStatus,
+    Gossip,
+    Member,
+    MembersAnswer,
+    StatusAnswer,
+    Sync,
+    SyncAnswer,
+)
+from .transport import GossipTransport
+
+if TYPE_CHECKING:
+    from ..settings import Settings
+    from .membership import Send
+
+TICKS_PER_ROUND = 5
+HOST_LIST_PERIOD_S = 2.0
+REPORT_LIFETIME_S = 5.0
+WATCH_RETRY_S = 1.0
+WATCH_RETRY_MOST_S = 15.0
+
+
+@dataclass
+class ProgramReport:
+    """What a program of this host said last."""
+
+    config_version: int
+    in_flight: dict[str, int]
+    at: float
+
+
+@dataclass
+class KvHealth:
+    """Whether the key-value service answered last time, and since when it has not."""
+
+    failing_since: float | None = None
+
+    def note(self, good: bool) -> None:
+        """Take the end of one call."""
+        if good and self.failing_since is not None:
+            emit(events.KV_RECOVERED, after_s=round(monotonic() - self.failing_since, 1))
+            self.failing_since = None
+        elif not good and self.failing_since is None:
+            self.failing_since = monotonic()
+            emit(events.KV_FAILING)
+
+
+@dataclass
+class ControlCounts:
+    """Work done, for the capacity figures."""
+
+    config_fetches: int = 0
+    ticks: int = 0
+    changes: dict[int, float] = field(default_factory=dict)
+
+
+class ControlNode:
+    """State and edges of the control program."""
+
+    def __init__(self, settings: Settings, seed: int | None = None) -> None:
+        self.settings = settings
+        self.random = random.Random(seed)
+        self.kv = EtcdClient(settings.kv_url, settings.kv_timeout_s)
+        self.kv_health = KvHealth()
+        self.config = InForce()
+        self.in_force_at = monotonic()
+        self.host_list = HostListClient(settings.host_list_url)
+        self.programs: dict[str, ProgramReport] = {}
+        self.pool = RpcPool(ControlReply)
+        self.rpc = RpcServer(ControlRequest, self.handle)
+        self.transport = GossipTransport(self._receive)
+        self.tasks = TaskGroup()
+        self.counts = ControlCounts()
+        self.config_changed = asyncio.Event()
+        self.membership = Membership(
+            _own_member(settings), settings.heartbeat_s, settings.member_timeout_s, self.random
+        )
+        self.fetching = False
+
+    @property
+    def ready(self) -> bool:
+        """Whether a configuration is in force here."""
+        return self.config.record is not None
+
+    async def start(self) -> None:
+        """Join the fleet and start the loops."""
+        settings = self.settings
+        await self.transport.start(settings.address, settings.gossip_port)
+        self.rpc.start(settings.address, settings.gossip_port)
+        await self._join()
+        for loop in (self._tick_loop, self._watch_loop, self._host_list_loop, self._join_loop):
+            self.tasks.start(loop())
+
+    async def stop(self) -> None:
+        """Tell others, then stop."""
+        for send in self.membership.leave():
+            self._send(send)
+        await self.abort()
+
+    async def abort(self) -> None:
+        """Stop without a word, as a killed process would."""
+        await self.tasks.stop()
+        self.transport.stop()
+        self.pool.close()
+        await self.rpc.stop()
+
+    # Joining and gossip
+
+    async def _join(self) -> None:
+        for seed in self.settings.seeds:
+            address, _, port = seed.rpartition(":")
+            if (address, int(port)) != (self.settings.address, self.settings.gossip_port):
+                await self._join_through(address, int(port))
+
+    async def _join_through(self, address: str, port: int) -> None:
+        try:
+            reply, _ = await self.pool.client(address, port).call(
+                FetchMembers(self.membership.own), timeout_s=1.0
+            )
+        except RpcError:
+            return
+        if not isinstance(reply, MembersAnswer):
+            return
+        for member in reply.members:
+            self.membership.learn(member, monotonic())
+        if reply.config_version > self.config.version:
+            await self._fetch_from(address, port)
+
+    async def _join_loop(self) -> None:
+        """Ask the seeds again while this host knows nobody."""
+        while True:
+            await asyncio.sleep(self.settings.heartbeat_s * 2)
+            if len(self.membership.live()) <= 1:
+                await self._join()
+
+    async def _tick_loop(self) -> None:
+        while True:
+            self.counts.ticks += 1
+            for send in self.membership.tick(monotonic()):
+                self._send(send)
+            await asyncio.sleep(self.settings.heartbeat_s / TICKS_PER_ROUND)
+
+    def _send(self, send: Send) -> None:
+        self.transport.send(send.member.address, send.member.gossip_port, send.message)
+
+    def _receive(self, message: Gossip) -> None:
+        for send in self.membership.receive(message, monotonic()):
+            self._send(send)
+        if message.config_version > self.config.version and not self.fetching:
+            sender = self.membership.members.get(message.sender)
+            if sender is not None:
+                self.tasks.start(self._fetch_from(sender.address, sender.gossip_port))
+
+    # Configuration
+
+    async def _fetch_from(self, address: str, port: int) -> None:
+        self.fetching = True
+        try:
+            reply, _ = await self.pool.client(address, port).call(FetchConfig())
+            self.counts.config_fetches += 1
+            if isinstance(reply, ConfigAnswer) and reply.record is not None:
+                self.take_config(reply.record)
+        except RpcError:
+            pass
+        finally:
+            self.fetching = False
+
+    def take_config(self, record: ConfigRecord) -> None:
+        """Put a version in force if it is newer, and tell some peers at once."""
+        if not self.config.take(record):
+            return
+        self.in_force_at = monotonic()
+        self.membership.config_version = record.version
+        self.config_changed.set()
+        self.config_changed = asyncio.Event()
+        self.counts.changes[record.version] = self.in_force_at
+        emit(events.CONFIG_IN_FORCE, version=record.version, applied_by=record.applied_by)
+        for send in self.membership.announce(ANNOUNCE_FANOUT):
+            self._send(send)
+
+    def is_watcher(self) -> bool:
+        """Whether this host is one of the few that watch the service."""
+        return self.settings.host in watchers(self.membership.live())
+
+    async def _watch_loop(self) -> None:
+        pause = WATCH_RETRY_S
+        while True:
+            try:
+                if self.is_watcher() or not self.ready:
+                    await self._watch()
+                    pause = WATCH_RETRY_S
+            except (KvError, OSError):
+                self.kv_health.note(False)
+                pause = min(WATCH_RETRY_MOST_S, pause * 2)
+            # Spread over the pause, so that a returning service meets no storm.
+            await asyncio.sleep(pause * self.random.uniform(0.5, 1.0))
+
+    async def _watch(self) -> None:
+        record, revision = await read_current(self.kv)
+        self.kv_health.note(True)
+        if record is not None:
+            self.take_config(record)
+        if not self.is_watcher():
+            return
+        start = revision + 1 if revision else 1
+        async for event in self.kv.watch(CURRENT_KEY, start):
+            if event.value is not None:
+                self.take_config(_decode_record(event.value))
+            if not self.is_watcher():
+                return
+
+    # Hosts
+
+    async def _host_list_loop(self) -> None:
+        while True:
+            listed = await self.host_list.refresh()
+            for host, state in listed.items():
+                if state is HostState.LEAVING:
+                    self.membership.mark_leaving(host, monotonic())
+            await asyncio.sleep(HOST_LIST_PERIOD_S)
+
+    # Requests
+
+    async def handle(self, message: Message, data: bytes) -> tuple[Message, bytes]:
+        """Answer a peer or a program of this host."""
+        if isinstance(message, Sync):
+            return self._sync(message), b""
+        if isinstance(message, FetchConfig):
+            return ConfigAnswer(self.config.record), b""
+        if isinstance(message, FetchMembers):
+            if message.joining is not None:
+                self.membership.learn(message.joining, monotonic())
+            return MembersAnswer(self.membership.everyone(), self.config.version), b""
+        if isinstance(message, FetchStatus):
+            return self.status(), b""
+        return Failed("unknown request"), b""
+
+    def _sync(self, message: Sync) -> SyncAnswer:
+        self.programs[message.program] = ProgramReport(
+            message.config_version, message.in_flight, monotonic()
+        )
+        newer = self.config.version > message.config_version
+        moved = self.membership.version != message.members_version
+        return SyncAnswer(
+            self.config.record if newer else None,
+            self.membership.live() if moved else None,
+            self.membership.version,
+        )
+
+    def status(self) -> StatusAnswer:
+        """Return this host's state; a version counts once every program has it."""
+        now = monotonic()
+        reports = {
+            name: report
+            for name, report in self.programs.items()
+            if now - report.at < REPORT_LIFETIME_S
+        }
+        in_flight: dict[str, int] = {}
+        for report in reports.values():
+            for target, count in report.in_flight.items():
+                in_flight[target] = in_flight.get(target, 0) + count
+        versions = {name: report.config_version for name, report in reports.items()}
+        lowest = min([self.config.version, *versions.values()])
+        return StatusAnswer(
+            self.settings.host,
+            lowest,
+            round(now - self.in_force_at, 3),
+            versions,
+            in_flight,
+            self.kv_health.failing_since is None,
+        )
+
+    async def fleet_status(self) -> list[StatusAnswer | str]:
+        """Ask every live host; a host that does not answer is given by name."""
+        members = self.membership.live()
+        return list(await asyncio.gather(*(self._ask_status(member) for member in members)))
+
+    async def _ask_status(self, member: Member) -> StatusAnswer | str:
+        if member.host == self.settings.host:
+            return self.status()
+        try:
+            client = self.pool.client(member.address, member.gossip_port)
+            reply, _ = await client.call(FetchStatus(), timeout_s=1.0)
+        except RpcError:
+            return member.host
+        return reply if isinstance(reply, StatusAnswer) else member.host
+
+
+def _own_member(settings: Settings) -> Member:
+    return Member(
+        settings.host,
+        settings.address,
+        settings.gossip_port,
+        settings.control_port,
+        settings.batch_port,
+        settings.store_port if settings.data_folder else 0,
+        settings.failure_domain,
+        settings.region,
+        # Rises with each start, so that a restarted host outruns word of its old self.
+        time.time_ns() // 1_000_000,
+    )
+
+
+def _decode_record(raw: bytes) -> ConfigRecord:
+    return msgspec.json.decode(raw, type=ConfigRecord)
--- /dev/null
+++ b/gradepoint/fleet/local.py
@@ -0,0 +1,92 @@
+"""How a program hears from the control program of its own host."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from ..config.versions import InForce
+from ..store.replicas import DataHost
+from ..util.tasks import TaskGroup
+from ..wire.rpc import RpcClient, RpcError
+from .messages import ControlReply, Member, Sync, SyncAnswer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..settings import Settings
+
+SYNC_PERIOD_S = 0.2
+
+
+class FleetView:
+    """The configuration in force and the live hosts, as this program last heard.
+
+    When control is silent, the program goes on with what it heard last.
+
+    :param in_flight: returns calls in progress at targets that take no new work.
+    """
+
+    def __init__(
+        self, settings: Settings, program: str, in_flight: Callable[[], dict[str, int]] = dict
+    ) -> None:
+        self.settings = settings
+        self.program = program
+        self.in_flight = in_flight
+        self.config = InForce()
+        self.members: list[Member] = []
+        self.members_version = -1
+        self.tasks = TaskGroup()
+        self.listeners: list[Callable[[], None]] = []
+        self.client: RpcClient | None = None
+
+    async def start(self) -> None:
+        """Start to ask control for news."""
+        settings = self.settings
+        self.client = RpcClient(settings.address, settings.gossip_port, ControlReply)
+        self.tasks.start(self._loop())
+
+    async def stop(self) -> None:
+        """Stop asking."""
+        await self.tasks.stop()
+        if self.client is not None:
+            self.client.close()
+
+    @property
+    def ready(self) -> bool:
+        """Whether a configuration is in force here."""
+        return self.config.record is not None
+
+    def hosts(self) -> list[str]:
+        """Return the names of the live hosts, this one included."""
+        names = {member.host for member in self.members}
+        return sorted(names | {self.settings.host})
+
+    def data_hosts(self) -> list[DataHost]:
+        """Return the live hosts that have a data folder."""
+        return [
+            DataHost(member.host, member.failure_domain, member.address, member.store_port)
+            for member in self.members
+            if member.store_port
+        ]
+
+    async def _loop(self) -> None:
+        while True:
+            try:
+                await self._sync()
+            except RpcError:
+                pass
+            await asyncio.sleep(SYNC_PERIOD_S)
+
+    async def _sync(self) -> None:
+        assert self.client is not None
+        message = Sync(self.program, self.config.version, self.members_version, self.in_flight())
+        reply, _ = await self.client.call(message, timeout_s=1.0)
+        if not isinstance(reply, SyncAnswer):
+            return
+        if reply.members is not None:
+            self.members = reply.members
+            self.members_version = reply.members_version
+        if reply.record is not None and self.config.take(reply.record):
+            for listener in self.listeners:
+                listener()
--- /dev/null
+++ b/gradepoint/online/__init__.py
@@ -0,0 +1,1 @@
+"""The life of one online call."""
--- /dev/null
+++ b/gradepoint/platform/etcd.py
@@ -0,0 +1,217 @@
+"""Client of the key-value service over the published etcd v3 HTTP/JSON gateway.
+
+Keys and values are base64 and 64-bit numbers are strings, as the gateway's
+protocol-buffer JSON mapping has it.
+"""
+
+from __future__ import annotations
+
+import base64
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from ..errors import KvUnavailable, KvUncertain
+from ..telemetry import metrics
+from ..wire.http_client import ConnectFailed, HttpClient, ResponseBroken
+from .kv import (
+    ABSENT,
+    CallCounts,
+    KeyValue,
+    RangeResult,
+    Transaction,
+    TransactionResult,
+    WatchEvent,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from ..wire.http_client import ClientResponse
+    from .kv import Expect
+
+# A rejected request never took effect. Of any other failure, 503 included, the gateway
+# cannot tell whether the write was proposed before it, so it stays uncertain.
+REJECTED = range(400, 500)
+
+
+class EtcdClient:
+    """Implements :class:`~gradepoint.platform.kv.KeyValueService`."""
+
+    def __init__(self, base_url: str, timeout_s: float = 2.0) -> None:
+        self.base_url = base_url.rstrip("/")
+        self.timeout_s = timeout_s
+        self.http = HttpClient()
+        self.counts = CallCounts()
+
+    async def get(self, key: str) -> KeyValue | None:
+        """See :meth:`KeyValueService.get`."""
+        answer = await self._call("range", "/v3/kv/range", {"key": _encode(key)})
+        self.counts.reads += 1
+        items = answer.get("kvs", [])
+        return _read_item(items[0]) if items else None
+
+    async def range(self, prefix: str, limit: int = 0) -> RangeResult:
+        """See :meth:`KeyValueService.range`."""
+        body = {
+            "key": _encode(prefix),
+            "range_end": _encode_bytes(prefix_end(prefix)),
+            "limit": str(limit),
+        }
+        answer = await self._call("range", "/v3/kv/range", body)
+        self.counts.reads += 1
+        items = tuple(_read_item(item) for item in answer.get("kvs", []))
+        return RangeResult(items, _header_revision(answer))
+
+    async def transact(self, transaction: Transaction) -> TransactionResult:
+        """See :meth:`KeyValueService.transact`."""
+        operations: list[dict[str, Any]] = []
+        for put in transaction.puts:
+            request = {"key": _encode(put.key), "value": _encode_bytes(put.value)}
+            if put.lease:
+                request["lease"] = str(put.lease)
+            operations.append({"requestPut": request})
+        for delete in transaction.deletes:
+            operations.append({"requestDeleteRange": {"key": _encode(delete.key)}})
+        body = {
+            "compare": [_compare(expect) for expect in transaction.expects],
+            "success": operations,
+            "failure": [],
+        }
+        self.counts.writes += 1
+        answer = await self._call("txn", "/v3/kv/txn", body)
+        return TransactionResult(bool(answer.get("succeeded", False)), _header_revision(answer))
+
+    async def grant_lease(self, ttl_s: int) -> int:
+        """See :meth:`KeyValueService.grant_lease`."""
+        self.counts.leases += 1
+        answer = await self._call("lease", "/v3/lease/grant", {"TTL": str(ttl_s), "ID": "0"})
+        return int(answer["ID"])
+
+    async def keep_lease(self, lease: int) -> bool:
+        """See :meth:`KeyValueService.keep_lease`."""
+        self.counts.leases += 1
+        answer = await self._call("lease", "/v3/lease/keepalive", {"ID": str(lease)})
+        result = answer.get("result", answer)
+        return int(result.get("TTL", "0")) > 0
+
+    async def revoke_lease(self, lease: int) -> None:
+        """See :meth:`KeyValueService.revoke_lease`."""
+        self.counts.leases += 1
+        await self._call("lease", "/v3/lease/revoke", {"ID": str(lease)})
+
+    async def watch(self, prefix: str, start_revision: int) -> AsyncIterator[WatchEvent]:
+        """See :meth:`KeyValueService.watch`; ends with an error when the stream breaks."""
+        create = {
+            "create_request": {
+                "key": _encode(prefix),
+                "range_end": _encode_bytes(prefix_end(prefix)),
+                "start_revision": str(start_revision),
+            }
+        }
+        self.counts.watches += 1
+        response = await self._send("watch", "/v3/watch", create)
+        rest = b""
+        try:
+            async for piece in response.stream():
+                rest += piece
+                *lines, rest = rest.split(b"\n")
+                for line in lines:
+                    if line.strip():
+                        for event in _read_watch_line(line):
+                            yield event
+        except ResponseBroken as error:
+            raise KvUnavailable(f"the watch broke: {error}") from error
+        finally:
+            response.close()
+
+    async def _call(self, kind: str, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        response = await self._send(kind, path, body)
+        try:
+            raw = await response.read()
+        except ResponseBroken as error:
+            raise self._failed(kind, KvUncertain(f"answer broken: {error}")) from error
+        self.counts.bytes_received += len(raw)
+        if response.status in REJECTED:
+            raise self._failed(kind, KvUnavailable(f"answered {response.status}"))
+        if response.status != 200:
+            raise self._failed(kind, KvUncertain(f"answered {response.status}"))
+        decoded: dict[str, Any] = msgspec.json.decode(raw)
+        return decoded
+
+    async def _send(self, kind: str, path: str, body: dict[str, Any]) -> ClientResponse:
+        raw = msgspec.json.encode(body)
+        self.counts.bytes_sent += len(raw)
+        metrics.shared().kv_calls.add(1, {"kind": kind})
+        try:
+            return await self.http.request(
+                "POST",
+                self.base_url + path,
+                raw,
+                {"content-type": "application/json"},
+                timeout_s=self.timeout_s,
+            )
+        except ConnectFailed as error:
+            raise self._failed(kind, KvUnavailable(str(error))) from error
+        except ResponseBroken as error:
+            raise self._failed(kind, KvUncertain(str(error))) from error
+
+    def _failed(self, kind: str, error: Exception) -> Exception:
+        self.counts.failures[kind] = self.counts.failures.get(kind, 0) + 1
+        metrics.shared().kv_failures.add(1, {"kind": kind})
+        return error
+
+
+def prefix_end(prefix: str) -> bytes:
+    """Return the key right after every key that starts with *prefix*."""
+    raw = bytearray(prefix.encode())
+    raw[-1] += 1
+    return bytes(raw)
+
+
+def _encode(key: str) -> str:
+    return base64.b64encode(key.encode()).decode()
+
+
+def _encode_bytes(value: bytes) -> str:
+    return base64.b64encode(value).decode()
+
+
+def _compare(expect: Expect) -> dict[str, Any]:
+    if expect.revision == ABSENT:
+        return {
+            "key": _encode(expect.key),
+            "target": "CREATE",
+            "result": "EQUAL",
+            "create_revision": "0",
+        }
+    return {
+        "key": _encode(expect.key),
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": str(expect.revision),
+    }
+
+
+def _read_item(item: dict[str, Any]) -> KeyValue:
+    return KeyValue(
+        base64.b64decode(item["key"]).decode(),
+        base64.b64decode(item.get("value", "")),
+        int(item.get("mod_revision", "0")),
+        int(item.get("create_revision", "0")),
+        int(item.get("lease", "0")),
+    )
+
+
+def _header_revision(answer: dict[str, Any]) -> int:
+    return int(answer.get("header", {}).get("revision", "0"))
+
+
+def _read_watch_line(line: bytes) -> list[WatchEvent]:
+    result = msgspec.json.decode(line).get("result", {})
+    events = []
+    for event in result.get("events", []):
+        item = _read_item(event["kv"])
+        deleted = event.get("type") == "DELETE"
+        events.append(WatchEvent(item.key, None if deleted else item.value, item.revision))
+    return events
--- /dev/null
+++ b/gradepoint/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: choice of target, limits, retries and batch windows."""
--- /dev/null
+++ b/gradepoint/settings.py
@@ -0,0 +1,169 @@
+"""Settings of one process: one table with name, default, type and meaning.
+
+Settings say who and where a process is. What the fleet serves is said by the
+configuration document (:mod:`gradepoint.config`) instead.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from result import Err, Ok, Result
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+@dataclass(frozen=True)
+class Setting:
+    """One row of the settings table."""
+
+    name: str
+    kind: type
+    default: Any
+    meaning: str
+
+
+REQUIRED = object()
+
+TABLE: tuple[Setting, ...] = (
+    Setting("host", str, REQUIRED, "Name of this host, unique in the fleet."),
+    Setting("failure_domain", str, REQUIRED, "Failure domain this host is in."),
+    Setting("region", str, "region-1", "Region this host is in."),
+    Setting("address", str, "127.0.0.1", "IP number this host listens on."),
+    Setting("entry_port", int, 8400, "Port of callers' HTTP."),
+    Setting("batch_port", int, 8401, "Port of the batch program's HTTP."),
+    Setting("control_port", int, 8402, "Port of the administration API."),
+    Setting(
+        "gossip_port",
+        int,
+        8403,
+        "UDP and zmq port of the control program.",
+    ),
+    Setting("store_port", int, 8405, "Zmq port of the store program."),
+    Setting("store_http_port", int, 8406, "Port of the store program's health and metrics."),
+    Setting("data_folder", str, "", "Folder for bulk objects; empty on hosts without one."),
+    Setting("kv_url", str, REQUIRED, "Base URL of the key-value service."),
+    Setting("host_list_url", str, "", "Base URL of the platform's host list."),
+    Setting("seeds", list, [], "Addresses IP:GOSSIP_PORT of hosts to join through."),
+    Setting("log_level", str, "INFO", "Lowest level that is logged."),
+    Setting("log_style", str, "json", "'json' or 'text'."),
+    Setting("kv_timeout_s", float, 2.0, "Seconds after which a key-value call is uncertain."),
+    Setting("heartbeat_s", float, 1.0, "Seconds between gossip rounds."),
+    Setting("member_timeout_s", float, 8.0, "Seconds of silence after which a host is lost."),
+    Setting("max_connections", int, 4096, "Callers' connections one program holds."),
+    Setting("max_header_bytes", int, 32768, "Bytes of request line and headers."),
+    Setting("max_body_bytes", int, 8 << 20, "Bytes of an online request body."),
+    Setting("max_file_bytes", int, 512 << 20, "Bytes of an uploaded file."),
+    Setting("max_items", int, 130000, "Items in one batch file."),
+    Setting("max_line_bytes", int, 1 << 20, "Bytes of one line of a batch file."),
+    Setting("chunk_items", int, 256, "Items in one chunk, the unit of claim."),
+    Setting("bundle_items", int, 128, "Results after which a commit is made."),
+    Setting("bundle_age_s", float, 2.0, "Seconds after which results are committed anyway."),
+    Setting("batch_poll_s", float, 1.0, "Least seconds between looks for work."),
+    Setting("max_open_chunks", int, 8, "Chunks one batch program holds for each model."),
+    Setting("max_attempts", int, 3, "Tries of one batch item."),
+    Setting("in_flight_per_target", int, 64, "Online calls one entry has at one target."),
+    Setting("subset_size", int, 8, "Targets of one model that one entry uses."),
+    Setting("idle_timeout_s", float, 30.0, "Seconds a caller may pause within a request."),
+    Setting("default_deadline_s", float, 120.0, "Deadline of a call that names none."),
+)
+
+
+class Settings:
+    """Checked settings; one attribute for each row of :data:`TABLE`."""
+
+    host: str
+    failure_domain: str
+    region: str
+    address: str
+    entry_port: int
+    batch_port: int
+    control_port: int
+    gossip_port: int
+    store_port: int
+    store_http_port: int
+    data_folder: str
+    kv_url: str
+    host_list_url: str
+    seeds: list[str]
+    log_level: str
+    log_style: str
+    kv_timeout_s: float
+    heartbeat_s: float
+    member_timeout_s: float
+    max_connections: int
+    max_header_bytes: int
+    max_body_bytes: int
+    max_file_bytes: int
+    max_items: int
+    max_line_bytes: int
+    chunk_items: int
+    bundle_items: int
+    bundle_age_s: float
+    batch_poll_s: float
+    max_open_chunks: int
+    max_attempts: int
+    in_flight_per_target: int
+    subset_size: int
+    idle_timeout_s: float
+    default_deadline_s: float
+
+    def __init__(self, values: dict[str, Any]) -> None:
+        for row in TABLE:
+            setattr(self, row.name, values.get(row.name, row.default))
+
+
+def check_settings(raw: object) -> Result[Settings, list[str]]:
+    """Check decoded JSON against the table.
+
+    :returns: the settings, or every problem found with its remedy.
+    """
+    if not isinstance(raw, dict):
+        return Err(['settings: expected a JSON object. Remedy: write {"host": ...}.'])
+    known = {row.name: row for row in TABLE}
+    problems = [
+        f"{name}: unknown setting. Remedy: remove it or correct its name."
+        for name in raw
+        if name not in known
+    ]
+    for row in TABLE:
+        problems.extend(_check_row(row, raw))
+    if problems:
+        return Err(problems)
+    return Ok(Settings(_widen(raw)))
+
+
+def _check_row(row: Setting, raw: dict[str, Any]) -> list[str]:
+    if row.name not in raw:
+        if row.default is REQUIRED:
+            return [f"{row.name}: missing. Remedy: set it. {row.meaning}"]
+        return []
+    value = raw[row.name]
+    accepted = (int, float) if row.kind is float else (row.kind,)
+    if isinstance(value, bool) or not isinstance(value, accepted):
+        wanted = row.kind.__name__
+        return [f"{row.name}: expected {wanted}, got {value!r}. Remedy: {row.meaning}"]
+    if isinstance(value, (int, float)) and value <= 0:
+        return [f"{row.name}: must be above 0, got {value!r}. Remedy: {row.meaning}"]
+    if row.name == "log_style" and value not in ("json", "text"):
+        return [f"log_style: got {value!r}. Remedy: use 'json' or 'text'."]
+    return []
+
+
+def _widen(raw: dict[str, Any]) -> dict[str, Any]:
+    floats = {row.name for row in TABLE if row.kind is float}
+    return {name: float(value) if name in floats else value for name, value in raw.items()}
+
+
+def load_settings(path: Path) -> Result[Settings, list[str]]:
+    """Read and check a settings file."""
+    try:
+        raw = msgspec.json.decode(path.read_bytes())
+    except OSError as error:
+        return Err([f"{path}: {error.strerror}. Remedy: name a readable file."])
+    except msgspec.DecodeError as error:
+        return Err([f"{path}: not JSON ({error}). Remedy: correct the syntax."])
+    return check_settings(raw).map_err(lambda rows: [f"{path}: {row}" for row in rows])
--- /dev/null
+++ b/gradepoint/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, used by demo, tests and bench."""
--- /dev/null
+++ b/gradepoint/standins/faults.py
@@ -0,0 +1,34 @@
+"""Faults of the stand-ins, set over HTTP with ``PUT /_faults``."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class KvFaults(msgspec.Struct):
+    """Faults of the key-value stand-in.
+
+    :param down: refuse every call before it takes effect.
+    :param delay_s: wait before each answer.
+    :param lose_answers: drop the answers of this many writes after they took effect.
+    """
+
+    down: bool = False
+    delay_s: float = 0.0
+    lose_answers: int = 0
+
+
+class EngineFaults(msgspec.Struct):
+    """Faults of the model-engine stand-in.
+
+    :param refuse: refuse calls, saying that they did not run.
+    :param cut_after_tokens: cut the next streams after this many tokens (0: never).
+    :param slow_factor: factor on the time of each step.
+    :param killer_text: a prompt with this text cuts every stream of the engine.
+    """
+
+    refuse: bool = False
+    cut_after_tokens: int = 0
+    slow_factor: float = 1.0
+    killer_text: str = ""
+    silent: bool = False
--- /dev/null
+++ b/gradepoint/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics."""
--- /dev/null
+++ b/gradepoint/util/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without a domain of their own."""
--- /dev/null
+++ b/gradepoint/wire/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP over h11 and messages over zmq."""
--- /dev/null
+++ b/gradepoint/wire/http_client.py
@@ -0,0 +1,229 @@
+"""An HTTP/1.1 client with pooled connections, built on h11.
+
+Errors say whether any byte of the request can have reached the other side, since
+the outcome rule (docs/design/outcomes.md) turns on just that.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from urllib.parse import urlsplit
+
+import h11
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Mapping
+
+READ_SIZE = 65536
+MAX_IDLE_PER_ORIGIN = 256
+MAX_INCOMPLETE = 1 << 20
+
+
+class ConnectFailed(Exception):
+    """No connection could be made: no byte of the request left."""
+
+
+class ResponseBroken(Exception):
+    """The connection failed after bytes of the request may have left."""
+
+
+class PooledConnection:
+    """One connection to an origin."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_INCOMPLETE)
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self.writer.transport.abort()
+
+    @property
+    def usable(self) -> bool:
+        """Whether the connection still looks open."""
+        return not self.reader.at_eof() and not self.writer.is_closing()
+
+
+class ClientResponse:
+    """A response whose head has been read; read or close it."""
+
+    def __init__(
+        self,
+        client: HttpClient,
+        origin: tuple[str, int],
+        connection: PooledConnection,
+        head: h11.Response,
+    ) -> None:
+        self.client = client
+        self.origin = origin
+        self.connection = connection
+        self.status = head.status_code
+        self.headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1") for name, value in head.headers
+        }
+        self.trailers: dict[str, str] = {}
+        self.finished = False
+
+    async def stream(self) -> AsyncIterator[bytes]:
+        """Yield the body's pieces.
+
+        :raises ResponseBroken: the connection failed before the body's end.
+        """
+        while True:
+            event = await _next_event(self.connection)
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self.trailers = {
+                    name.decode("latin-1").lower(): value.decode("latin-1")
+                    for name, value in event.headers
+                }
+                self._finish()
+                return
+            else:
+                raise ResponseBroken("connection closed within the body")
+
+    async def read(self) -> bytes:
+        """Return the whole body."""
+        return b"".join([piece async for piece in self.stream()])
+
+    def _finish(self) -> None:
+        self.finished = True
+        connection = self.connection
+        if connection.h11.our_state is h11.DONE and connection.h11.their_state is h11.DONE:
+            connection.h11.start_next_cycle()
+            self.client.release(self.origin, connection)
+        else:
+            connection.close()
+
+    def close(self) -> None:
+        """Drop the response; the connection is not used again."""
+        if not self.finished:
+            self.finished = True
+            self.connection.close()
+
+
+class HttpClient:
+    """Sends requests and keeps idle connections for each origin."""
+
+    def __init__(self, connect_timeout_s: float = 1.0) -> None:
+        self.connect_timeout_s = connect_timeout_s
+        self.idle: dict[tuple[str, int], list[PooledConnection]] = {}
+
+    async def request(
+        self,
+        method: str,
+        url: str,
+        body: bytes | AsyncIterator[bytes] = b"",
+        headers: Mapping[str, str] | None = None,
+        *,
+        timeout_s: float | None = None,
+        fresh: bool = False,
+    ) -> ClientResponse:
+        """Send a request and return once the response's head is read.
+
+        :param timeout_s: seconds until the head must be here.
+        :param fresh: use a new connection; an idle one may be closed unseen by the other
+            side, which would make the outcome of a not-repeatable call unknown needlessly.
+        :raises ConnectFailed: nothing was sent.
+        :raises ResponseBroken: something may have been sent.
+        """
+        parts = urlsplit(url)
+        origin = (parts.hostname or "", parts.port or 80)
+        connection = await self._connect(origin, fresh)
+        path = parts.path or "/"
+        if parts.query:
+            path = f"{path}?{parts.query}"
+        try:
+            async with asyncio.timeout(timeout_s):
+                await _send(connection, method, path, parts.netloc, body, headers or {})
+                head = await _next_event(connection)
+                while isinstance(head, h11.InformationalResponse):
+                    head = await _next_event(connection)
+        except TimeoutError as error:
+            connection.close()
+            raise ResponseBroken(f"no answer within {timeout_s} s") from error
+        except BaseException:
+            connection.close()
+            raise
+        if not isinstance(head, h11.Response):
+            connection.close()
+            raise ResponseBroken("connection closed before the response")
+        return ClientResponse(self, origin, connection, head)
+
+    async def _connect(self, origin: tuple[str, int], fresh: bool) -> PooledConnection:
+        idle = self.idle.get(origin, [])
+        while idle and not fresh:
+            connection = idle.pop()
+            if connection.usable:
+                return connection
+            connection.close()
+        try:
+            async with asyncio.timeout(self.connect_timeout_s):
+                reader, writer = await asyncio.open_connection(*origin, limit=READ_SIZE * 4)
+        except (OSError, TimeoutError) as error:
+            raise ConnectFailed(f"{origin[0]}:{origin[1]}: {error!r}") from error
+        return PooledConnection(reader, writer)
+
+    def release(self, origin: tuple[str, int], connection: PooledConnection) -> None:
+        """Keep a connection for later use."""
+        idle = self.idle.setdefault(origin, [])
+        if len(idle) < MAX_IDLE_PER_ORIGIN and connection.usable:
+            idle.append(connection)
+        else:
+            connection.close()
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for connections in self.idle.values():
+            for connection in connections:
+                connection.close()
+        self.idle.clear()
+
+
+async def _send(
+    connection: PooledConnection,
+    method: str,
+    path: str,
+    host: str,
+    body: bytes | AsyncIterator[bytes],
+    headers: Mapping[str, str],
+) -> None:
+    fields = {"host": host, **headers}
+    if isinstance(body, bytes):
+        fields["content-length"] = str(len(body))
+    elif "content-length" not in fields:
+        fields["transfer-encoding"] = "chunked"
+    request = h11.Request(method=method, target=path, headers=list(fields.items()))
+    out = connection.h11.send(request) or b""
+    try:
+        if isinstance(body, bytes):
+            out += connection.h11.send(h11.Data(data=body)) or b""
+        else:
+            connection.writer.write(out)
+            async for piece in body:
+                connection.writer.write(connection.h11.send(h11.Data(data=piece)) or b"")
+                await connection.writer.drain()
+            out = b""
+        out += connection.h11.send(h11.EndOfMessage()) or b""
+        connection.writer.write(out)
+        await connection.writer.drain()
+    except OSError as error:
+        raise ResponseBroken(f"sending failed: {error!r}") from error
+
+
+async def _next_event(connection: PooledConnection) -> object:
+    try:
+        while True:
+            event = connection.h11.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            connection.h11.receive_data(await connection.reader.read(READ_SIZE))
+    except OSError as error:
+        connection.close()
+        raise ResponseBroken(f"connection failed: {error!r}") from error
+    except h11.RemoteProtocolError as error:
+        connection.close()
+        raise ResponseBroken(f"not well-formed HTTP: {error}") from error
--- /dev/null
+++ b/gradepoint/wire/http_server.py
@@ -0,0 +1,272 @@
+"""An HTTP/1.1 server: asyncio sockets, h11 for the protocol."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import aclosing
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+import h11
+
+from .. import events
+from ..errors import GradepointError
+from ..telemetry import metrics
+from ..telemetry.logs import emit
+from .http_types import Request, Response, error_response
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from .http_types import Handler
+
+READ_SIZE = 65536
+KEEP_ALIVE_S = 75.0
+
+
+@dataclass(frozen=True)
+class ServerLimits:
+    """Bounds that keep one caller from harming the others.
+
+    :param idle_timeout_s: seconds a caller may pause within a request or a response.
+    """
+
+    max_connections: int = 4096
+    max_header_bytes: int = 32768
+    max_body_bytes: int = 8 << 20
+    idle_timeout_s: float = 30.0
+
+
+class HttpServer:
+    """Listens on one address and hands each request to one handler."""
+
+    def __init__(self, handler: Handler, limits: ServerLimits | None = None) -> None:
+        self.handler = handler
+        self.limits = limits or ServerLimits()
+        self.server: asyncio.Server | None = None
+        self.connections: set[Connection] = set()
+        self.stopping = False
+        self.port = 0
+
+    async def start(self, address: str, port: int) -> None:
+        """Listen; with port 0 the system picks one (see :attr:`port`)."""
+        self.server = await asyncio.start_server(
+            self._serve, address, port, backlog=1024, limit=READ_SIZE * 4
+        )
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        connection = Connection(self, reader, writer)
+        if len(self.connections) >= self.limits.max_connections:
+            await connection.refuse(GradepointError("too_many_connections"))
+            return
+        self.connections.add(connection)
+        try:
+            await connection.run()
+        except (asyncio.CancelledError, OSError):
+            pass
+        finally:
+            self.connections.discard(connection)
+            writer.close()
+
+    async def stop(self, grace_s: float = 5.0) -> None:
+        """Stop listening, let requests in progress end, then close the rest."""
+        self.stopping = True
+        if self.server is None:
+            return
+        self.server.close()
+        for connection in list(self.connections):
+            if not connection.busy:
+                connection.writer.close()
+        waited = 0.0
+        while any(connection.busy for connection in self.connections) and waited < grace_s:
+            await asyncio.sleep(0.02)
+            waited += 0.02
+        self.abort()
+
+    def abort(self) -> None:
+        """Cut every connection at once."""
+        if self.server is not None:
+            self.server.close()
+        for connection in list(self.connections):
+            if connection.task is not None:
+                connection.task.cancel()
+            if connection.writer.transport is not None:
+                connection.writer.transport.abort()
+
+
+class Connection:
+    """One caller's connection."""
+
+    def __init__(
+        self, server: HttpServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.server = server
+        self.limits = server.limits
+        self.reader = reader
+        self.writer = writer
+        self.busy = False
+        self.task = asyncio.current_task()
+        self.h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self.limits.max_header_bytes
+        )
+
+    async def run(self) -> None:
+        """Serve requests until the connection ends."""
+        while True:
+            try:
+                request = await self._next_request()
+            except h11.RemoteProtocolError as error:
+                await self.refuse(_protocol_error(error))
+                return
+            except TimeoutError:
+                if self.h11.trailing_data[0]:
+                    await self.refuse(GradepointError("request_timeout"))
+                return
+            except OSError:
+                return
+            if request is None:
+                return
+            self.busy = True
+            try:
+                keep = await self._answer(request)
+            finally:
+                self.busy = False
+            if not keep or self.server.stopping:
+                return
+            self.h11.start_next_cycle()
+
+    async def _next_request(self) -> Request | None:
+        timeout = KEEP_ALIVE_S
+        event = self.h11.next_event()
+        while event is h11.NEED_DATA:
+            if self.h11.trailing_data[0]:
+                timeout = self.limits.idle_timeout_s
+            async with asyncio.timeout(timeout):
+                data = await self.reader.read(READ_SIZE)
+            self.h11.receive_data(data)
+            event = self.h11.next_event()
+        if not isinstance(event, h11.Request):
+            return None
+        return Request(
+            event.method.decode("ascii"),
+            event.target.decode("latin-1"),
+            _join_headers(event.headers),
+            self._read_body,
+            self.limits.max_body_bytes,
+        )
+
+    async def _read_body(self) -> AsyncIterator[bytes]:
+        while True:
+            if self.h11.they_are_waiting_for_100_continue:
+                go_on = h11.InformationalResponse(status_code=100, headers=[])
+                self.writer.write(self.h11.send(go_on) or b"")
+            try:
+                event = self.h11.next_event()
+                if event is h11.NEED_DATA:
+                    async with asyncio.timeout(self.limits.idle_timeout_s):
+                        self.h11.receive_data(await self.reader.read(READ_SIZE))
+                    continue
+            except TimeoutError as error:
+                raise GradepointError("request_timeout") from error
+            except h11.RemoteProtocolError as error:
+                raise _protocol_error(error) from error
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+                continue
+            return
+
+    async def _answer(self, request: Request) -> bool:
+        """Run the handler and send its response; return whether to keep the connection."""
+        try:
+            response = await self.server.handler(request)
+        except GradepointError as error:
+            metrics.shared().refusals.add(1, {"reason": error.code})
+            response = error_response(error)
+        except (ConnectionError, asyncio.CancelledError):
+            raise
+        except Exception as error:
+            emit(events.HANDLER_FAILED, path=request.path, error=repr(error))
+            response = error_response(GradepointError("internal", "An internal fault occurred."))
+        try:
+            return await self._send(response)
+        except (OSError, TimeoutError, h11.LocalProtocolError):
+            return False
+        finally:
+            if response.stream is not None and hasattr(response.stream, "aclose"):
+                await response.stream.aclose()
+
+    async def _send(self, response: Response) -> bool:
+        # A body that was not read would be taken for the next request.
+        drained = self.h11.their_state in (h11.DONE, h11.MUST_CLOSE)
+        if not drained:
+            response.headers["connection"] = "close"
+        if response.stream is None:
+            response.headers["content-length"] = str(len(response.body))
+        elif "content-length" not in response.headers:
+            response.headers["transfer-encoding"] = "chunked"
+        head = h11.Response(
+            status_code=response.status,
+            headers=list(response.headers.items()),
+            reason=_reason(response.status),
+        )
+        out = self.h11.send(head) or b""
+        if response.stream is None:
+            out += self.h11.send(h11.Data(data=response.body)) or b""
+            out += self.h11.send(h11.EndOfMessage()) or b""
+            await self._write(out)
+        else:
+            await self._write(out)
+            await self._send_stream(response)
+        return self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE
+
+    async def _send_stream(self, response: Response) -> None:
+        assert response.stream is not None
+        async with aclosing(response.stream) as stream:  # type: ignore[type-var]
+            async for piece in stream:
+                if piece:
+                    await self._write(self.h11.send(h11.Data(data=piece)) or b"")
+        trailers = response.trailers() if response.trailers else {}
+        end = h11.EndOfMessage(headers=list(trailers.items()))
+        await self._write(self.h11.send(end) or b"")
+
+    async def _write(self, data: bytes) -> None:
+        self.writer.write(data)
+        async with asyncio.timeout(self.limits.idle_timeout_s):
+            await self.writer.drain()
+
+    async def refuse(self, error: GradepointError) -> None:
+        """Answer with *error* and close; used where no request can be read."""
+        metrics.shared().refusals.add(1, {"reason": error.code})
+        try:
+            if self.h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                response = error_response(error)
+                response.headers["connection"] = "close"
+                await self._send(response)
+        except (OSError, TimeoutError, h11.LocalProtocolError):
+            pass
+        finally:
+            self.writer.close()
+
+
+def _protocol_error(error: h11.RemoteProtocolError) -> GradepointError:
+    if error.error_status_hint == 431:
+        return GradepointError("header_too_large")
+    return GradepointError("bad_http", f"Not well-formed HTTP: {error}.")
+
+
+def _join_headers(headers: h11.Headers) -> dict[str, str]:  # type: ignore[name-defined]
+    joined: dict[str, str] = {}
+    for raw_name, raw_value in headers:
+        name = raw_name.decode("latin-1").lower()
+        value = raw_value.decode("latin-1")
+        joined[name] = f"{joined[name]}, {value}" if name in joined else value
+    return joined
+
+
+def _reason(status: int) -> bytes:
+    try:
+        return HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b""
--- /dev/null
+++ b/gradepoint/wire/rpc.py
@@ -0,0 +1,202 @@
+"""Request and reply between our own processes over zmq.
+
+Frames: request id (8 bytes), a msgpack message tagged with its type, and one frame of
+bulk data. Requests are answered in any order. Queues are bounded by high-water marks,
+and a request that waited past its time is dropped by its sender.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import struct
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import zmq
+import zmq.asyncio
+
+from ..util.tasks import TaskGroup
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    Reply = tuple["Message", bytes]
+    Handler = Callable[["Message", bytes], Awaitable[Reply]]
+
+PROTOCOL_VERSION = 1
+HIGH_WATER_MARK = 1000
+MAX_RUNNING = 256
+CONNECT_TIMEOUT_MS = 2000
+
+
+class Message(msgspec.Struct, tag=True, array_like=True):
+    """Base of all messages; the version lets later releases tell old senders apart."""
+
+
+class Failed(Message, tag="failed"):
+    """Reply to a request that could not be carried out."""
+
+    reason: str
+    v: int = PROTOCOL_VERSION
+
+
+class RpcError(Exception):
+    """No reply came, or the other side could not carry the request out.
+
+    :param answered: True if the other side said that it failed.
+    """
+
+    def __init__(self, message: str, *, answered: bool = False) -> None:
+        super().__init__(message)
+        self.answered = answered
+
+
+def context() -> zmq.asyncio.Context:
+    """Return the process's zmq context."""
+    return zmq.asyncio.Context.instance()
+
+
+class RpcServer:
+    """Answers requests on one TCP address.
+
+    :param message_type: union of the messages understood.
+    """
+
+    def __init__(self, message_type: Any, handler: Handler) -> None:
+        self.decoder = msgspec.msgpack.Decoder(message_type)
+        self.handler = handler
+        self.tasks = TaskGroup()
+        self.running = asyncio.Semaphore(MAX_RUNNING)
+        self.socket = context().socket(zmq.ROUTER)
+        self.socket.set(zmq.LINGER, 0)
+        self.socket.set_hwm(HIGH_WATER_MARK)
+        self.bytes_received = 0
+        self.bytes_sent = 0
+
+    def start(self, address: str, port: int) -> int:
+        """Listen; return the port (port 0 picks a free one)."""
+        if port == 0:
+            port = self.socket.bind_to_random_port(f"tcp://{address}")
+        else:
+            self.socket.bind(f"tcp://{address}:{port}")
+        self.tasks.start(self._receive())
+        return port
+
+    async def _receive(self) -> None:
+        while True:
+            frames = await self.socket.recv_multipart()
+            if len(frames) == 4:
+                await self.running.acquire()
+                self.tasks.start(self._answer(*frames))
+
+    async def _answer(self, peer: bytes, request_id: bytes, raw: bytes, data: bytes) -> None:
+        self.bytes_received += len(raw) + len(data)
+        try:
+            reply, reply_data = await self.handler(self.decoder.decode(raw), data)
+        except msgspec.MsgspecError as error:
+            reply, reply_data = Failed(f"message not understood: {error}"), b""
+        except Exception as error:
+            reply, reply_data = Failed(repr(error)), b""
+        finally:
+            self.running.release()
+        encoded = msgspec.msgpack.encode(reply)
+        self.bytes_sent += len(encoded) + len(reply_data)
+        await self.socket.send_multipart([peer, request_id, encoded, reply_data])
+
+    async def stop(self) -> None:
+        """Stop answering."""
+        await self.tasks.stop()
+        self.socket.close()
+
+
+class RpcClient:
+    """Sends requests to one address.
+
+    :param reply_type: union of the replies understood; :class:`Failed` is added.
+    """
+
+    def __init__(self, address: str, port: int, reply_type: Any) -> None:
+        self.name = f"{address}:{port}"
+        self.decoder = msgspec.msgpack.Decoder(reply_type | Failed)
+        self.ids = itertools.count(1)
+        self.waiting: dict[bytes, asyncio.Future[Reply]] = {}
+        self.socket = context().socket(zmq.DEALER)
+        self.socket.set(zmq.LINGER, 0)
+        self.socket.set(zmq.IMMEDIATE, 1)
+        self.socket.set(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
+        self.socket.set_hwm(HIGH_WATER_MARK)
+        self.socket.connect(f"tcp://{address}:{port}")
+        self.reader = asyncio.ensure_future(self._receive())
+        self.bytes_received = 0
+        self.bytes_sent = 0
+
+    async def call(self, message: Message, data: bytes = b"", timeout_s: float = 2.0) -> Reply:
+        """Send a request and return its reply.
+
+        :raises RpcError: no reply within *timeout_s*, or a reply that says it failed.
+        """
+        request_id = struct.pack(">Q", next(self.ids))
+        future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
+        self.waiting[request_id] = future
+        raw = msgspec.msgpack.encode(message)
+        self.bytes_sent += len(raw) + len(data)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.socket.send_multipart([request_id, raw, data])
+                reply, reply_data = await future
+        except TimeoutError as error:
+            raise RpcError(f"{self.name}: no reply within {timeout_s} s") from error
+        except zmq.ZMQError as error:
+            raise RpcError(f"{self.name}: {error}") from error
+        finally:
+            self.waiting.pop(request_id, None)
+        if isinstance(reply, Failed):
+            raise RpcError(f"{self.name}: {reply.reason}", answered=True)
+        return reply, reply_data
+
+    async def _receive(self) -> None:
+        while True:
+            frames = await self.socket.recv_multipart()
+            if len(frames) != 3:
+                continue
+            request_id, raw, data = frames
+            self.bytes_received += len(raw) + len(data)
+            future = self.waiting.get(request_id)
+            if future is None or future.done():
+                continue
+            try:
+                future.set_result((self.decoder.decode(raw), data))
+            except msgspec.MsgspecError as error:
+                future.set_exception(RpcError(f"{self.name}: bad reply: {error}"))
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.reader.cancel()
+        self.socket.close()
+
+
+class RpcPool:
+    """Clients by address, the longest unused closed first."""
+
+    def __init__(self, reply_type: Any, most: int = 64) -> None:
+        self.reply_type = reply_type
+        self.most = most
+        self.clients: dict[tuple[str, int], RpcClient] = {}
+
+    def client(self, address: str, port: int) -> RpcClient:
+        """Return the client of an address."""
+        key = (address, port)
+        client = self.clients.pop(key, None) or RpcClient(address, port, self.reply_type)
+        self.clients[key] = client
+        if len(self.clients) > self.most:
+            idle = [name for name, kept in self.clients.items() if not kept.waiting]
+            for name in idle[: len(self.clients) - self.most]:
+                self.clients.pop(name).close()
+        return client
+
+    def close(self) -> None:
+        """Close every client."""
+        for client in self.clients.values():
+            client.close()
+        self.clients.clear()
--- /dev/null
+++ b/gradepoint/wire/sse.py
@@ -0,0 +1,42 @@
+"""Server-sent events: encoding and incremental decoding of ``data:`` events."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator, AsyncIterator
+
+DONE = b"[DONE]"
+
+
+def encode(value: Any) -> bytes:
+    """Return *value* as one event with a JSON payload."""
+    return b"data: " + msgspec.json.encode(value) + b"\n\n"
+
+
+def encode_raw(payload: bytes) -> bytes:
+    """Return *payload* as one event."""
+    return b"data: " + payload + b"\n\n"
+
+
+async def decode(pieces: AsyncIterator[bytes]) -> AsyncGenerator[bytes, None]:
+    """Yield the payload of each event in a body, comments left out."""
+    rest = b""
+    async for piece in pieces:
+        rest += piece.replace(b"\r\n", b"\n")
+        while True:
+            event, separator, tail = rest.partition(b"\n\n")
+            if not separator:
+                break
+            rest = tail
+            payload = _payload(event)
+            if payload is not None:
+                yield payload
+
+
+def _payload(event: bytes) -> bytes | None:
+    lines = [line[5:].lstrip(b" ") for line in event.split(b"\n") if line.startswith(b"data:")]
+    return b"\n".join(lines) if lines else None
--- /dev/null
+++ b/gradepoint/wire/target_client.py
@@ -0,0 +1,174 @@
+"""Calls to targets: sorts every ending into a full answer, "not run" or "unknown"."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..errors import TargetFailure
+from . import sse
+from .http_client import ClientResponse, ConnectFailed, HttpClient, ResponseBroken
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator, Mapping
+
+HEADER_NOT_RUN = "x-not-run"
+HEADER_STREAM_ID = "x-stream-id"
+REJECTED = frozenset({400, 404, 413, 422, 429})
+"""Statuses by which an OpenAI-compatible engine says that it did not take a request."""
+PASSED_ON = frozenset({400, 413, 422})
+"""Those among them that are the caller's to mend: another target would say the same."""
+
+
+@dataclass
+class TargetAnswer:
+    """A full answer of a target."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@dataclass
+class TargetStream:
+    """A stream whose head has been read."""
+
+    stream_id: str
+    response: ClientResponse
+
+    async def payloads(self) -> AsyncGenerator[bytes, None]:
+        """Yield event payloads up to and without the final ``[DONE]``.
+
+        :raises TargetFailure: the stream ended before its end.
+        """
+        try:
+            async for payload in sse.decode(self.response.stream()):
+                if payload == sse.DONE:
+                    return
+                yield payload
+        except ResponseBroken as error:
+            raise TargetFailure("target_lost", str(error), not_run=False) from error
+        finally:
+            self.response.close()
+        raise TargetFailure("target_lost", "the stream ended early", not_run=False)
+
+
+class TargetClient:
+    """Sends requests to targets."""
+
+    def __init__(self) -> None:
+        self.http = HttpClient()
+
+    async def call(
+        self,
+        method: str,
+        url: str,
+        body: bytes,
+        headers: Mapping[str, str],
+        timeout_s: float,
+        *,
+        fresh: bool = False,
+    ) -> TargetAnswer:
+        """Send a request and return the whole answer, whatever its status.
+
+        :raises TargetFailure: no full answer came.
+        """
+        response = await self._send(method, url, body, headers, timeout_s, fresh=fresh)
+        try:
+            return TargetAnswer(response.status, response.headers, await response.read())
+        except ResponseBroken as error:
+            raise TargetFailure("target_lost", str(error), not_run=False) from error
+        finally:
+            response.close()
+
+    async def complete(
+        self,
+        url: str,
+        body: bytes,
+        headers: Mapping[str, str],
+        timeout_s: float,
+        *,
+        fresh: bool = False,
+    ) -> TargetAnswer:
+        """Ask an engine for a whole completion.
+
+        :raises TargetFailure: the engine refused, failed or was lost.
+        """
+        answer = await self.call("POST", url, body, headers, timeout_s, fresh=fresh)
+        if answer.status == 200 or answer.status in PASSED_ON:
+            return answer
+        raise _failure(answer.status, answer.headers)
+
+    async def open_stream(
+        self,
+        url: str,
+        body: bytes,
+        headers: Mapping[str, str],
+        timeout_s: float,
+        *,
+        fresh: bool = False,
+    ) -> TargetStream | TargetAnswer:
+        """Ask an engine for a streamed completion.
+
+        :returns: the stream, or the engine's answer that the request is at fault.
+        :raises TargetFailure: the engine refused, failed or was lost.
+        """
+        response = await self._send("POST", url, body, headers, timeout_s, fresh=fresh)
+        if response.status in PASSED_ON:
+            return TargetAnswer(response.status, response.headers, await _read(response))
+        if response.status != 200:
+            response.close()
+            raise _failure(response.status, response.headers)
+        return TargetStream(response.headers.get(HEADER_STREAM_ID, ""), response)
+
+    async def resume_stream(
+        self, base_url: str, stream_id: str, offset: int, *, chat: bool, timeout_s: float
+    ) -> TargetStream:
+        """Go on reading a stream at the target that makes it.
+
+        :raises TargetFailure: the target no longer has it.
+        """
+        url = f"{base_url}/v1/streams/{stream_id}?offset={offset}&chat={int(chat)}"
+        response = await self._send("GET", url, b"", {}, timeout_s, fresh=True)
+        if response.status != 200:
+            response.close()
+            raise TargetFailure("target_lost", "the stream cannot be resumed", not_run=False)
+        return TargetStream(stream_id, response)
+
+    async def cancel_stream(self, base_url: str, stream_id: str) -> None:
+        """Ask a target to stop making a stream; a failure does no harm."""
+        with suppress(TargetFailure):
+            await self.call("DELETE", f"{base_url}/v1/streams/{stream_id}", b"", {}, 1.0)
+
+    async def _send(
+        self,
+        method: str,
+        url: str,
+        body: bytes,
+        headers: Mapping[str, str],
+        timeout_s: float,
+        *,
+        fresh: bool,
+    ) -> ClientResponse:
+        try:
+            return await self.http.request(
+                method, url, body, headers, timeout_s=timeout_s, fresh=fresh
+            )
+        except ConnectFailed as error:
+            raise TargetFailure("target_unreachable", str(error), not_run=True) from error
+        except ResponseBroken as error:
+            raise TargetFailure("target_lost", str(error), not_run=False) from error
+
+
+async def _read(response: ClientResponse) -> bytes:
+    try:
+        return await response.read()
+    except ResponseBroken as error:
+        raise TargetFailure("target_lost", str(error), not_run=False) from error
+
+
+def _failure(status: int, headers: Mapping[str, str]) -> TargetFailure:
+    not_run = status in REJECTED or headers.get(HEADER_NOT_RUN) == "true"
+    code = "target_refused" if not_run else "target_error"
+    return TargetFailure(code, f"the target answered {status}", not_run=not_run)
