Prove exactly-once, outcomes, membership and orders in virtual time

Cause: the promises stood only in the code; nothing attacked them. Change: a virtual-time asyncio loop, an in-memory key-value port with lost, late and failed writes, a fleet of the real batch workers under kills, pauses, outages and target deaths, a hypothesis model check of the chunk transitions, outcome tests of online calls, claims from several hosts, SWIM membership on a simulated network, and order-givers under two holders. `python -m bench.mutations` makes 32 seeded mistakes and names the test that kills each.

--- /dev/null
+++ b/bench/mutations.py
@@ -0,0 +1,319 @@
+"""Seeded mistakes and the tests that catch them: ``python -m bench.mutations``.
+
+Each mistake is made in a copy of the tree; the named tests must fail there. Prints a
+line for each and ends with 1 if one survives.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import shutil
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+from .processes import ROOT
+
+AT_ONCE = 4
+
+
+@dataclass(frozen=True)
+class Mutation:
+    """One mistake: *old* is replaced by *new* in a module."""
+
+    name: str
+    module: str
+    old: str
+    new: str
+    tests: str
+
+
+BATCH = "tests/test_batch"
+PLATFORM = "tests/test_platform"
+FLEET = "tests/test_fleet"
+ONLINE = "tests/test_online"
+
+MUTATIONS: tuple[Mutation, ...] = (
+    Mutation(
+        "chunk written without comparison",
+        "batch/repository.py",
+        "expects = [Expect(key, revision)]",
+        "expects: list[Expect] = []",
+        BATCH,
+    ),
+    Mutation(
+        "result counts after the job has ended",
+        "batch/repository.py",
+        "expects.append(Expect(*job))",
+        "pass",
+        BATCH,
+    ),
+    Mutation(
+        "commit without epoch check",
+        "batch/transitions.py",
+        "    if chunk.epoch != epoch:\n        return Err(Refusal.EPOCH_PASSED)\n"
+        "    if not chunk.done.isdisjoint(bundle.items)",
+        "    if not chunk.done.isdisjoint(bundle.items)",
+        BATCH,
+    ),
+    Mutation(
+        "claim does not raise the epoch",
+        "batch/transitions.py",
+        "epoch=chunk.epoch + 1",
+        "epoch=chunk.epoch",
+        BATCH,
+    ),
+    Mutation(
+        "lost answer taken for failure",
+        "platform/settle.py",
+        "            uncertain = True",
+        "            return Settled.LOST_RACE, 0",
+        PLATFORM,
+    ),
+    Mutation(
+        "lost answer taken for success",
+        "platform/settle.py",
+        "            uncertain = True",
+        "            return Settled.TOOK_EFFECT, 0",
+        PLATFORM,
+    ),
+    Mutation(
+        "failed comparison after a lost answer taken for failure",
+        "platform/settle.py",
+        "if uncertain and await is_ours():",
+        "if False:",
+        PLATFORM,
+    ),
+    Mutation(
+        "no intent before a not-repeatable item",
+        "batch/worker.py",
+        "if not item.repeatable and not await self._record_intent(chunk, index):",
+        "if False:",
+        BATCH,
+    ),
+    Mutation(
+        "intents of a lost holder ignored",
+        "batch/worker.py",
+        "if item.index in record.intents:",
+        "if False:",
+        BATCH,
+    ),
+    Mutation(
+        "not-repeatable item sent again after unknown",
+        "batch/worker.py",
+        "        if not item.repeatable:\n            result = self._fail",
+        "        if False:\n            result = self._fail",
+        BATCH,
+    ),
+    Mutation(
+        "item done is run again after a claim",
+        "batch/worker.py",
+        "if item.index in done:",
+        "if False:",
+        BATCH,
+    ),
+    Mutation(
+        "item given up on never",
+        "batch/worker.py",
+        "if count >= self.settings.max_attempts:",
+        "if False:",
+        BATCH,
+    ),
+    Mutation(
+        "tokens kept are not skipped",
+        "batch/calls.py",
+        'body["continue_text"] = partial.text',
+        "pass",
+        BATCH,
+    ),
+    Mutation(
+        "retry after unknown",
+        "routing/retries.py",
+        "if progress.sent and not progress.repeatable:",
+        "if False:",
+        ONLINE,
+    ),
+    Mutation(
+        "unknown told as not run",
+        "routing/retries.py",
+        "    if not not_run:\n        progress.sent = True",
+        "    pass",
+        ONLINE,
+    ),
+    Mutation(
+        "stream resumed without its offset",
+        "online/execute.py",
+        "state.passed += 1",
+        "state.passed += 0",
+        ONLINE,
+    ),
+    Mutation(
+        "stream goes on elsewhere from its start",
+        "online/execute.py",
+        "state.text += text",
+        "state.text += ''",
+        ONLINE,
+    ),
+    Mutation(
+        "a started stream is told as not run",
+        "online/execute.py",
+        "call.progress.sent = True",
+        "pass",
+        ONLINE,
+    ),
+    Mutation(
+        "claim without comparison",
+        "online/claims.py",
+        "Transaction((Expect(name, revision),), (put,))",
+        "Transaction((), (put,))",
+        ONLINE,
+    ),
+    Mutation(
+        "a lower configuration version is taken",
+        "config/versions.py",
+        "if record.version <= self.version:",
+        "if record.version == self.version:",
+        PLATFORM,
+    ),
+    Mutation(
+        "two applies win one version",
+        "config/versions.py",
+        "(Expect(CURRENT_KEY, revision), Expect(audit_key(record.version), ABSENT)),",
+        "(),",
+        PLATFORM,
+    ),
+    Mutation(
+        "claim of a live holder taken over",
+        "online/claims.py",
+        "if found.host in live_hosts:",
+        "if False:",
+        ONLINE,
+    ),
+    Mutation(
+        "claim of a lost holder runs again",
+        "online/claims.py",
+        '    raise GradepointError("holder_lost")',
+        "    return None",
+        ONLINE,
+    ),
+    Mutation(
+        "key used for another request",
+        "online/claims.py",
+        "if found.digest != digest:",
+        "if False:",
+        ONLINE,
+    ),
+    Mutation(
+        "order sent after the lease has lapsed",
+        "fleet/orders.py",
+        "    if lease is None or lease.time_left(now) <= 0:\n        return False",
+        "    if lease is None:\n        return False",
+        FLEET,
+    ),
+    Mutation(
+        "new order-giver does not wait out the old one",
+        "fleet/orders.py",
+        "return now - lease.acquired_at >= ttl_s + target.longest_order_s",
+        "return True",
+        FLEET,
+    ),
+    Mutation(
+        "order may outlive its lease",
+        "fleet/orders.py",
+        "if lease.time_left(now) < target.longest_order_s:",
+        "if False:",
+        FLEET,
+    ),
+    Mutation(
+        "stop while calls are in progress",
+        "fleet/orders.py",
+        "word.out_of_choice and word.in_flight == 0 and seen.in_progress == 0",
+        "True",
+        FLEET,
+    ),
+    Mutation(
+        "drain before every host has the version",
+        "fleet/orders.py",
+        "return Order(OrderKind.DRAIN, fencing) if word.out_of_choice else None",
+        "return Order(OrderKind.DRAIN, fencing)",
+        FLEET,
+    ),
+    Mutation(
+        "suspicion is never refuted",
+        "fleet/membership.py",
+        "            return self._refute(update)",
+        "            return False",
+        FLEET,
+    ),
+    Mutation(
+        "lost hosts are never pinged again",
+        "fleet/membership.py",
+        "if lost and self.round % LOST_PING_EVERY == 0:",
+        "if False:",
+        FLEET,
+    ),
+    Mutation(
+        "a new version is not told to peers",
+        "fleet/membership.py",
+        "        return [self._make(member, GossipKind.PING, 0) for member in chosen]",
+        "        return []",
+        FLEET,
+    ),
+)
+
+
+async def main() -> int:
+    """Try every mutation; return how many survive."""
+    slots = asyncio.Semaphore(AT_ONCE)
+    results = await asyncio.gather(*(_try(mutation, slots) for mutation in MUTATIONS))
+    survivors = 0
+    for mutation, killer in zip(MUTATIONS, results, strict=True):
+        survivors += not killer
+        print(
+            f"{'killed  ' if killer else 'SURVIVED'} {mutation.name} ({mutation.module}): "
+            f"{killer or '-'}"
+        )
+    print(f"{len(MUTATIONS) - survivors} killed, {survivors} survived")
+    return survivors
+
+
+async def _try(mutation: Mutation, slots: asyncio.Semaphore) -> str:
+    """Return the first test that fails with the mutation, or an empty string."""
+    async with slots:
+        with tempfile.TemporaryDirectory(prefix="gradepoint-mutation-") as temporary:
+            copy = Path(temporary)
+            for name in ("gradepoint", "tests", "bench"):
+                shutil.copytree(
+                    ROOT / name, copy / name, ignore=shutil.ignore_patterns("__pycache__")
+                )
+            shutil.copy(ROOT / "pyproject.toml", copy)
+            module = copy / "gradepoint" / mutation.module
+            source = module.read_text()
+            if mutation.old not in source:
+                raise SystemExit(f"{mutation.name}: not found in {mutation.module}")
+            module.write_text(source.replace(mutation.old, mutation.new))
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "pytest",
+                "-x",
+                "-q",
+                "--no-header",
+                "--tb=no",
+                *mutation.tests.split(),
+                cwd=copy,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=asyncio.subprocess.STDOUT,
+                env={**os.environ, "PYTHONPATH": str(copy)},
+            )
+            output, _ = await process.communicate()
+            for line in output.decode().splitlines():
+                if line.startswith(("FAILED", "ERROR")):
+                    return line.split(" - ")[0].split("::")[-1]
+            return ""
+
+
+if __name__ == "__main__":
+    sys.exit(1 if asyncio.run(main()) else 0)
--- a/gradepoint/platform/settle.py
+++ b/gradepoint/platform/settle.py
@@ -47,7 +47,6 @@
     is_ours: Callable[[], Awaitable[bool]],
     *,
     tries: int = 3,
-    pause: Callable[[float], Awaitable[None]] = asyncio.sleep,
 ) -> tuple[Settled, int]:
     """Apply *transaction* and find out what became of it.
 
@@ -70,6 +69,6 @@
         except KvUnavailable:
             pass
         if attempt + 1 < tries:
-            await pause(wait)
+            await asyncio.sleep(wait)
             wait = min(LONGEST_PAUSE_S, wait * 2)
     raise Unsettled("the key-value service gave no definite answer", sent=uncertain)
--- a/gradepoint/util/clock.py
+++ b/gradepoint/util/clock.py
@@ -1,15 +1,34 @@
-"""Clocks: the monotonic one for durations, the wall clock for time stamps only."""
+"""Clocks: the monotonic one for durations, the wall clock for time stamps only.
+
+Both read :data:`SOURCES`, so that tests and the replay bench can put virtual time in.
+"""
 
 from __future__ import annotations
 
 import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+@dataclass
+class ClockSources:
+    """Where the two clocks come from."""
+
+    monotonic: Callable[[], float] = time.monotonic
+    wall: Callable[[], float] = time.time
+
+
+SOURCES = ClockSources()
 
 
 def monotonic() -> float:
     """Return monotonic seconds; use for every duration and deadline."""
-    return time.monotonic()
+    return SOURCES.monotonic()
 
 
 def wall_seconds() -> int:
     """Return Unix seconds; use only for stamps that people read."""
-    return int(time.time())
+    return int(SOURCES.wall())
--- /dev/null
+++ b/tests/test_fleet/test_fleet_membership.py
@@ -0,0 +1,108 @@
+"""Membership and configuration spread: losses, pauses, cuts and restarts."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from gradepoint.fleet.distribution import WATCHERS_PER_DOMAIN, watchers
+from gradepoint.fleet.messages import MemberState
+from gradepoint.standins.gossip_fleet import GossipFleet
+
+
+@pytest.mark.parametrize(("hosts", "domains"), [(6, 3), (9, 3), (60, 5), (400, 5)])
+def test_version_is_in_force_everywhere_within_five_seconds(hosts: int, domains: int) -> None:
+    fleet = GossipFleet(hosts, domains, seed=1, loss=0.05)
+    fleet.run(5.0)
+    for version in range(1, 6 if hosts < 100 else 2):
+        start = fleet.now
+        watching = fleet.publish(version)
+        assert watching <= WATCHERS_PER_DOMAIN * domains
+        fleet.run(5.0)
+        times = [host.in_force_at[version] - start for host in fleet.living()]
+        # Without the announcements the last of 400 hosts needs 3.3 s (docs/design).
+        assert max(times) < (5.0 if hosts < 400 else 2.0)
+
+
+def test_lost_host_is_noticed_and_a_restarted_one_returns() -> None:
+    fleet = GossipFleet(12, 3, seed=2)
+    fleet.run(3.0)
+    lost = fleet.hosts["host-4"]
+    lost.alive = False
+    fleet.run(25.0)
+    assert fleet.seen_states("host-4") == {MemberState.LOST}
+    member = msgspec.structs.replace(lost.membership.own, incarnation=99)
+    back = fleet.add(member, [host.membership.own for host in fleet.living()])
+    back.membership._spread(member)
+    fleet.run(25.0)
+    assert fleet.seen_states("host-4") == {MemberState.LIVE}
+
+
+def test_failure_domain_lost_at_once_leaves_the_rest_whole() -> None:
+    fleet = GossipFleet(15, 3, seed=3)
+    fleet.run(3.0)
+    for host in fleet.living():
+        if host.membership.own.failure_domain == "domain-0":
+            host.alive = False
+    fleet.run(40.0)
+    for host in fleet.living():
+        live = host.membership.live()
+        assert len(live) == 10
+        assert len(watchers(live)) == 2 * WATCHERS_PER_DOMAIN
+    start = fleet.now
+    fleet.publish(1)
+    fleet.run(5.0)
+    assert max(host.in_force_at[1] for host in fleet.living()) - start < 5.0
+
+
+def test_paused_host_blames_nobody_and_is_taken_back() -> None:
+    fleet = GossipFleet(9, 3, seed=4)
+    fleet.run(3.0)
+    paused = fleet.hosts["host-2"]
+    paused.paused_until = fleet.now + 20.0
+    fleet.run(18.0)
+    assert MemberState.LOST in fleet.seen_states("host-2")
+    fleet.run(30.0)
+    assert fleet.seen_states("host-2") == {MemberState.LIVE}
+    assert len(paused.membership.live()) == 9
+
+
+def test_regions_cut_for_an_hour_go_on_and_converge() -> None:
+    fleet = GossipFleet(12, 4, seed=5, regions=2)
+    fleet.run(3.0)
+    fleet.publish(1)
+    fleet.run(5.0)
+    fleet.cut = lambda a, b: a.region != b.region
+    fleet.run(600.0)
+    # The service is in region 0: only its hosts hear of the new version.
+    fleet.publish(2, reachable=lambda member: member.region == "region-0")
+    fleet.run(3000.0)
+    for host in fleet.living():
+        region = host.membership.own.region
+        assert host.membership.config_version == (2 if region == "region-0" else 1)
+        assert len(host.membership.live()) == 6
+    fleet.cut = lambda a, b: False
+    fleet.run(90.0)
+    for host in fleet.living():
+        assert host.membership.config_version == 2
+        assert len(host.membership.live()) == 12
+
+
+def test_leaving_host_gets_out_of_the_live_list_at_once() -> None:
+    fleet = GossipFleet(9, 3, seed=6)
+    fleet.run(3.0)
+    host = fleet.hosts["host-3"]
+    fleet.send_all(host, host.membership.leave())
+    fleet.run(4.0)
+    assert fleet.seen_states("host-3") <= {MemberState.LEAVING, MemberState.LOST}
+
+
+def test_cost_of_a_host_does_not_grow_with_the_fleet() -> None:
+    rates = []
+    for hosts in (10, 80):
+        fleet = GossipFleet(hosts, 5, seed=7)
+        fleet.run(60.0)
+        sent = [host.bytes_sent + host.bytes_received for host in fleet.living()]
+        rates.append(sum(sent) / len(sent) / 60.0)
+    assert rates[1] < 1.5 * rates[0]
+    assert rates[1] < 4096
--- /dev/null
+++ b/tests/test_online/test_online_outcomes.py
@@ -0,0 +1,129 @@
+"""The outcome rule: what a caller is told is true, whatever the targets do."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import msgspec
+import pytest
+
+from gradepoint.errors import GradepointError, Outcome
+from gradepoint.online.execute import CallContext, CallExecutor, StreamState
+from gradepoint.online.requests import check_completion
+from gradepoint.online.targets import TargetPool
+from gradepoint.routing.retries import CallProgress, RetryBudget
+from gradepoint.standins.virtual_time import run_virtual
+from gradepoint.util.clock import monotonic
+from tests.support.calls import CallTargets, answer_text, config_in_force
+
+CALLS = 40
+
+
+def make_executor(seed: int) -> tuple[CallExecutor, CallTargets]:
+    """Return an executor over fake targets."""
+    rng = random.Random(seed)
+    targets = CallTargets(rng)
+    pool = TargetPool(config_in_force(), "daemon", 8, 8, rng)
+    executor = CallExecutor(pool, rng)
+    executor.client = targets  # type: ignore[assignment]
+    executor.budget = RetryBudget(ratio=1.0, burst=50.0)
+    return executor, targets
+
+
+def make_call(executor: CallExecutor, prompt: str, *, repeatable: bool) -> CallContext:
+    """Return a call with five seconds to its deadline."""
+    body = {"model": "m", "prompt": prompt, "stream": True}
+    request = check_completion("/v1/completions", body, executor.pool.config.document)
+    return CallContext(request, "org", CallProgress(repeatable, monotonic() + 5.0), 0)
+
+
+async def run_whole(executor: CallExecutor, call: CallContext) -> Outcome:
+    """Run a whole call and check its answer."""
+    try:
+        answer = await executor.run_whole(call)
+    except GradepointError as error:
+        return error.outcome
+    assert answer.body.decode() == answer_text(call.request.body["prompt"])
+    return Outcome.COMPLETE
+
+
+async def run_stream(executor: CallExecutor, call: CallContext) -> Outcome:
+    """Run a streamed call and check that each token came once and in order."""
+    text = ""
+    prompt = call.request.body["prompt"]
+    try:
+        async for piece in executor.run_stream(call, StreamState("id")):
+            assert isinstance(piece, bytes)
+            text += msgspec.json.decode(piece)["choices"][0]["text"]
+    except GradepointError as error:
+        assert answer_text(prompt).startswith(text.strip())
+        return error.outcome
+    assert text.strip() == answer_text(prompt)
+    return Outcome.COMPLETE
+
+
+@pytest.mark.parametrize("seed", range(30))
+@pytest.mark.parametrize("stream", [False, True])
+def test_outcomes_tell_the_truth(seed: int, stream: bool) -> None:
+    async def main() -> None:
+        executor, targets = make_executor(seed)
+        run = run_stream if stream else run_whole
+        outcomes: dict[str, tuple[bool, Outcome]] = {}
+
+        async def one(number: int) -> None:
+            repeatable = number % 2 == 0
+            prompt = f"p{number}"
+            call = make_call(executor, prompt, repeatable=repeatable)
+            outcomes[prompt] = repeatable, await run(executor, call)
+
+        await asyncio.gather(*(one(number) for number in range(CALLS)))
+        for prompt, (repeatable, outcome) in outcomes.items():
+            ran = targets.ran[prompt]
+            if outcome is Outcome.NOT_RUN:
+                assert ran == 0, f"{prompt} ran, but was refused as not run"
+            if outcome is Outcome.COMPLETE:
+                assert ran >= 1
+            if not repeatable:
+                assert ran <= 1, f"not-repeatable {prompt} ran {ran} times"
+        done = [outcome for _, outcome in outcomes.values() if outcome is Outcome.COMPLETE]
+        assert len(done) >= CALLS // 8
+        assert all(view.in_flight == 0 for view in executor.pool.views.values())
+
+    run_virtual(main())
+
+
+def test_retries_stay_within_a_tenth_of_the_load() -> None:
+    async def main() -> None:
+        executor, targets = make_executor(1)
+        targets.failure_rate = 1.0
+        executor.budget = RetryBudget()
+        calls = 600
+        for number in range(calls):
+            call = make_call(executor, f"p{number}", repeatable=True)
+            assert await run_whole(executor, call) is not Outcome.COMPLETE
+            for view in executor.pool.views.values():
+                view.circuit.succeeded()
+            assert call.progress.tries <= 4
+        spent = calls * 0.1 + 10.0 - executor.budget.tokens
+        assert spent <= calls * 0.1 + 10.0
+
+    run_virtual(main())
+
+
+def test_call_that_cannot_start_is_refused_at_once_with_a_time_to_come_back() -> None:
+    async def main() -> None:
+        executor, _ = make_executor(2)
+        for view in executor.pool.candidates(
+            make_call(executor, "p", repeatable=True).request.model
+        ):
+            for _ in range(3):
+                view.circuit.failed(monotonic())
+        started = monotonic()
+        with pytest.raises(GradepointError) as refused:
+            await executor.run_whole(make_call(executor, "p", repeatable=True))
+        assert refused.value.outcome is Outcome.NOT_RUN
+        assert refused.value.retry_after is not None
+        assert monotonic() == started
+
+    run_virtual(main())
--- /dev/null
+++ b/tests/test_platform/test_platform_settle.py
@@ -0,0 +1,169 @@
+"""Writes whose answers are lost are settled by reading."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+import pytest
+
+from gradepoint.config.document import Document, Model, ModelVersion
+from gradepoint.config.versions import (
+    CURRENT_KEY,
+    ConfigRecord,
+    InForce,
+    apply_document,
+    read_current,
+)
+from gradepoint.errors import GradepointError
+from gradepoint.platform.kv import Expect, Put, Transaction
+from gradepoint.platform.settle import Settled, Unsettled, settle
+from gradepoint.standins.memory_kv import KvFault, MemoryKv, MemoryKvClient
+from gradepoint.standins.virtual_time import run_virtual
+
+
+def scripted(store: MemoryKv, *faults: KvFault) -> MemoryKvClient:
+    """Return a client whose first transactions fail as given."""
+    left = list(faults)
+
+    def fault(kind: str) -> KvFault:
+        return left.pop(0) if kind == "txn" and left else KvFault.NONE
+
+    return MemoryKvClient(store, fault)
+
+
+def make_document(name: str) -> Document:
+    """Return a small document."""
+    return Document(1, name, [Model("m", [ModelVersion("v1", "w")], "v1")], [], [])
+
+
+@pytest.mark.parametrize(
+    ("faults", "wanted"),
+    [
+        ((KvFault.NONE,), Settled.TOOK_EFFECT),
+        ((KvFault.LOST_AFTER,), Settled.TOOK_EFFECT),
+        ((KvFault.LOST_BEFORE,), Settled.TOOK_EFFECT),
+        ((KvFault.DOWN, KvFault.LOST_AFTER), Settled.TOOK_EFFECT),
+        ((KvFault.LOST_BEFORE, KvFault.LOST_AFTER), Settled.TOOK_EFFECT),
+    ],
+)
+def test_own_write_is_recognised(faults: tuple[KvFault, ...], wanted: Settled) -> None:
+    async def main() -> None:
+        store = MemoryKv()
+        client = scripted(store, *faults)
+
+        async def is_ours() -> bool:
+            item = await client.get("k")
+            return item is not None and item.value == b"ours"
+
+        transaction = Transaction((Expect("k", 0),), (Put("k", b"ours"),))
+        settled, _ = await settle(client, transaction, is_ours)
+        assert settled is wanted
+        assert store.keys["k"].value == b"ours"
+
+    run_virtual(main())
+
+
+def test_another_writer_first_is_a_lost_race() -> None:
+    async def main() -> None:
+        store = MemoryKv()
+        store.apply(Transaction((), (Put("k", b"theirs"),)))
+        client = scripted(store, KvFault.LOST_BEFORE)
+
+        async def is_ours() -> bool:
+            item = await client.get("k")
+            return item is not None and item.value == b"ours"
+
+        transaction = Transaction((Expect("k", 0),), (Put("k", b"ours"),))
+        settled, _ = await settle(client, transaction, is_ours)
+        assert settled is Settled.LOST_RACE
+
+    run_virtual(main())
+
+
+def test_no_definite_answer_is_said_so() -> None:
+    async def main() -> None:
+        client = scripted(MemoryKv(), *[KvFault.LATE] * 3)
+        with pytest.raises(Unsettled) as unsettled:
+            await settle(client, Transaction((), (Put("k", b""),)), lambda: None)  # type: ignore[arg-type, return-value]
+        assert unsettled.value.sent
+
+    run_virtual(main())
+
+
+def test_apply_whose_answer_is_lost_is_reported_as_applied() -> None:
+    async def main() -> None:
+        store = MemoryKv()
+        applied = await apply_document(
+            scripted(store, KvFault.LOST_AFTER), make_document("a"), "op", None
+        )
+        assert (applied.version, applied.changed) == (1, True)
+        again = await apply_document(scripted(store), make_document("a"), "op", None)
+        assert (again.version, again.changed) == (1, False)
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_conflicting_applies_have_one_winner_a_version(seed: int) -> None:
+    async def main() -> None:
+        import asyncio
+
+        rng = random.Random(seed)
+        store = MemoryKv()
+
+        def fault(kind: str) -> KvFault:
+            if kind != "txn" or rng.random() > 0.4:
+                return KvFault.NONE
+            return rng.choice([KvFault.LOST_AFTER, KvFault.LOST_BEFORE, KvFault.DOWN])
+
+        winners: dict[int, list[str]] = {}
+        seen: list[int] = []
+        follower = InForce()
+
+        async def operator(name: str) -> None:
+            client = MemoryKvClient(store, fault)
+            for number in range(5):
+                try:
+                    current, _ = await read_current(client)
+                    base = current.version if current else 0
+                    applied = await apply_document(
+                        client, make_document(f"{name}-{number}"), name, base
+                    )
+                    winners.setdefault(applied.version, []).append(f"{name}-{number}")
+                except GradepointError as error:
+                    assert error.code in (
+                        "config_conflict",
+                        "service_uncertain",
+                        "service_unavailable",
+                    )
+                await asyncio.sleep(rng.uniform(0, 0.01))
+
+        async def watch() -> None:
+            async for event in MemoryKvClient(store).watch(CURRENT_KEY, 1):
+                assert event.value is not None
+                follower.take(msgspec.json.decode(event.value, type=ConfigRecord))
+                seen.append(follower.version)
+
+        watcher = asyncio.ensure_future(watch())
+        await asyncio.gather(*(operator(name) for name in "abc"))
+        await asyncio.sleep(0.1)
+        watcher.cancel()
+        assert all(len(names) == 1 for names in winners.values())
+        assert seen == sorted(seen)
+        for version, names in winners.items():
+            for event in store.history:
+                if event.key == CURRENT_KEY and event.value is not None:
+                    record = msgspec.json.decode(event.value, type=ConfigRecord)
+                    if record.version == version:
+                        assert record.document.name == names[0]
+
+    run_virtual(main())
+
+
+def test_a_lower_version_is_never_taken() -> None:
+    config = InForce()
+    assert config.take(ConfigRecord(5, make_document("five"), "w", "op", 0))
+    assert not config.take(ConfigRecord(4, make_document("four"), "w", "op", 0))
+    assert not config.take(ConfigRecord(5, make_document("other"), "w", "op", 0))
+    assert config.document.name == "five"
