--- /dev/null
+++ b/bench/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replay of traces in virtual time, with the product's own decisions."""
