Cut the batch window only when the target is full

Cause: nearly every load report shows an online call waiting, since a call is admitted at the next step; the window was halved at each of them. Ruled out: growth (24 a second reaches the room in 2 s) and the reserve (at most a few slots). Change: waiting online calls cut the window only if all slots run.

--- a/gradepoint/routing/slack.py
+++ b/gradepoint/routing/slack.py
@@ -59,7 +59,7 @@
         online = report.online_running + report.online_waiting
         self.online_peak = max(online, self.online_peak * math.exp(-elapsed / PEAK_MEMORY_S))
         room = self.slots - online - self.reserve(online)
-        if report.online_waiting > 0:
+        if report.online_waiting > 0 and report.running >= self.slots:
             room = min(room, self.limit / 2)
         if report.kv_share > KV_SHARE:
             room = min(room, in_flight - 1)
