Cancel batch only for slots that online calls need; pace its starts

Change: the reserve only holds back new starts, cancellation waits until online calls need the slots, and one look starts one to four items, by the knob. The first-token tail is next.

--- a/bench/replay/policies.py
+++ b/bench/replay/policies.py
@@ -20,7 +20,7 @@
 
     def observe(self, report: LoadReport, in_flight: int, now: float) -> WindowDecision:
         """Return the fixed window."""
-        return WindowDecision(self.size, 0)
+        return WindowDecision(self.size, 0, self.size)
 
 
 @dataclass(frozen=True)
--- a/bench/replay/simulation.py
+++ b/bench/replay/simulation.py
@@ -254,7 +254,8 @@
         for item in self.running[len(self.running) - decision.cancel :]:
             self.cancel(item)
         del self.running[len(self.running) - decision.cancel :]
-        while len(self.running) < decision.limit and self.sim.backlog:
+        most = min(decision.limit, len(self.running) + decision.starts)
+        while len(self.running) < most and self.sim.backlog:
             item = self.sim.next_item()
             self.running.append(item)
             sequence = Sequence(
--- a/gradepoint/batch/worker.py
+++ b/gradepoint/batch/worker.py
@@ -318,7 +318,8 @@
         decision = feeder.window.observe(report, len(feeder.running), now)
         if decision.cancel:
             feeder.cancel_newest(decision.cancel)
-        while len(feeder.running) < decision.limit and self._start_next(feeder):
+        most = min(decision.limit, len(feeder.running) + decision.starts)
+        while len(feeder.running) < most and self._start_next(feeder):
             pass
         if not any(chunk.pending for chunk in self.chunks.values()):
             self.wake.set()
--- a/gradepoint/routing/slack.py
+++ b/gradepoint/routing/slack.py
@@ -11,6 +11,9 @@
 
 GROWTH_PER_S = 24.0
 """Sequences by which the window may grow in a second: slack lasts only seconds."""
+MOST_STARTS = 4
+LEAST_STARTS = 1
+"""Sequences started at one look at most, for throughput first and for the tail first."""
 PEAK_MEMORY_S = 4.0
 """Time constant with which a past online peak is forgotten."""
 KV_SHARE = 0.9
@@ -33,10 +36,17 @@
 
 @dataclass(frozen=True)
 class WindowDecision:
-    """Batch sequences the target may have now, and how many to cancel at once."""
+    """Batch sequences the target may have now.
+
+    :param limit: sequences up to which new ones may be started.
+    :param cancel: newest sequences to cancel at once.
+    :param starts: sequences that may be started now; each costs a prefill, which delays
+        whatever else the target runs.
+    """
 
     limit: int
     cancel: int
+    starts: int
 
 
 @dataclass
@@ -53,23 +63,23 @@
     seen_at: float | None = None
 
     def observe(self, report: LoadReport, in_flight: int, now: float) -> WindowDecision:
-        """Take a load report; return the window that follows."""
+        """Take a load report; return the window that follows.
+
+        Sequences are cancelled only for slots that online calls need now. The reserve
+        for calls that may come only keeps new ones from starting: a cancellation wastes
+        the prefill of its sequence, and the next report often takes the need back.
+        """
         elapsed = 0.0 if self.seen_at is None else max(0.0, now - self.seen_at)
         self.seen_at = now
         online = report.online_running + report.online_waiting
         self.online_peak = max(online, self.online_peak * math.exp(-elapsed / PEAK_MEMORY_S))
-        room = self.slots - online - self.reserve(online)
-        if report.online_waiting > 0 and report.running >= self.slots:
-            room = min(room, self.limit / 2)
+        free = max(0.0, float(self.slots - online))
         if report.kv_share > KV_SHARE:
-            room = min(room, in_flight - 1)
-        room = max(0.0, room)
-        if room < self.limit:
-            self.limit = room
-        else:
-            self.limit = min(room, self.limit + GROWTH_PER_S * elapsed)
-        limit = int(self.limit)
-        return WindowDecision(limit, max(0, in_flight - limit))
+            free = min(free, max(0.0, in_flight - 1.0))
+        room = max(0.0, free - self.reserve(online))
+        self.limit = min(room, max(self.limit, in_flight) + GROWTH_PER_S * elapsed)
+        starts = round(MOST_STARTS + (LEAST_STARTS - MOST_STARTS) * self.tail_preference)
+        return WindowDecision(int(self.limit), max(0, in_flight - int(free)), starts)
 
     def reserve(self, online: float) -> float:
         """Return the slots kept free for online calls that may come any moment."""
