Size the batch reserve by the spread of online calls; refill faster

Cause: a reserve by the knob alone left 0 to 2 slots, so that nearly every online arrival preempted a batch sequence, whose prefill is then done again. Change: the reserve is at least one standard deviation of a Poisson count around the mean of online calls in progress; growth 60 a second, at least 2 starts a look.

--- a/gradepoint/routing/slack.py
+++ b/gradepoint/routing/slack.py
@@ -9,11 +9,13 @@
 import math
 from dataclasses import dataclass
 
-GROWTH_PER_S = 24.0
+GROWTH_PER_S = 60.0
 """Sequences by which the window may grow in a second: slack lasts only seconds."""
 MOST_STARTS = 4
-LEAST_STARTS = 1
+LEAST_STARTS = 2
 """Sequences started at one look at most, for throughput first and for the tail first."""
+RESERVE_SPREADS = 1.0
+"""Standard deviations of the online calls in progress that are kept free."""
 PEAK_MEMORY_S = 4.0
 """Time constant with which a past online peak is forgotten."""
 KV_SHARE = 0.9
@@ -60,6 +62,7 @@
     tail_preference: float
     limit: float = 1.0
     online_peak: float = 0.0
+    online_mean: float = 0.0
     seen_at: float | None = None
 
     def observe(self, report: LoadReport, in_flight: int, now: float) -> WindowDecision:
@@ -72,7 +75,9 @@
         elapsed = 0.0 if self.seen_at is None else max(0.0, now - self.seen_at)
         self.seen_at = now
         online = report.online_running + report.online_waiting
-        self.online_peak = max(online, self.online_peak * math.exp(-elapsed / PEAK_MEMORY_S))
+        fading = math.exp(-elapsed / PEAK_MEMORY_S)
+        self.online_peak = max(online, self.online_peak * fading)
+        self.online_mean = online + (self.online_mean - online) * fading
         free = max(0.0, float(self.slots - online))
         if report.kv_share > KV_SHARE:
             free = min(free, max(0.0, in_flight - 1.0))
@@ -82,6 +87,11 @@
         return WindowDecision(int(self.limit), max(0, in_flight - int(free)), starts)
 
     def reserve(self, online: float) -> float:
-        """Return the slots kept free for online calls that may come any moment."""
-        expected_rise = self.online_peak - online
-        return self.tail_preference * (1.0 + expected_rise)
+        """Return the slots kept free for online calls that may come any moment.
+
+        Arrivals are taken for Poisson, so that their number in progress varies by the
+        root of its mean; on top comes a share of the way back to the last peak.
+        """
+        spread = RESERVE_SPREADS * math.sqrt(self.online_mean + 1.0)
+        rise = self.online_peak - online
+        return max(spread, self.tail_preference * rise)
