Choose by own calls in flight; give up published load and two random choices

Change: a prefix holds while its target has at most 1.25 times this daemon's mean calls and at most twice the mean first-token time; else the least of own calls times first-token time. Load hints are removed. A half-open circuit counts its probes: it let every call through.

--- a/bench/replay/simulation.py
+++ b/bench/replay/simulation.py
@@ -17,7 +17,7 @@
 from bench.traces import Kind, TraceLine
 from gradepoint.config.document import Target
 from gradepoint.errors import GradepointError
-from gradepoint.routing.choice import LoadHint, TargetView, choose_subset
+from gradepoint.routing.choice import TargetView, choose_subset
 from gradepoint.routing.limits import OrganisationLimits
 from gradepoint.routing.queue import FairQueue
 from gradepoint.routing.retries import CallProgress, RetryBudget, Verdict, decide_after_failure
@@ -357,24 +357,9 @@
     def run(self, until: float) -> Metrics:
         """Run the trace."""
         self.env.process(self._arrivals())
-        self.env.process(self._hints())
         self.env.run(until=until)
         return self.metrics
 
-    def _hints(self) -> Generator[Any, Any, None]:
-        """Load reports reach the entries now and then, as hints."""
-        while True:
-            yield self.env.timeout(1.0)
-            for views in self.views:
-                for rows in views.values():
-                    for view in rows:
-                        load = self.engines[view.name].load()
-                        view.hint = LoadHint(
-                            load.online_waiting,
-                            load.online_running,
-                            self.env.now - self.report_lag_s,
-                        )
-
     def _arrivals(self) -> Generator[Any, Any, None]:
         for line in self.lines:
             yield self.env.timeout(max(0.0, line.t - self.env.now))
@@ -457,6 +442,7 @@
     def send(self, call: Call, view: TargetView) -> None:
         """Put a call on its way to a target."""
         view.in_flight += 1
+        view.circuit.begin(self.env.now)
         self.env.process(self._notice(view.name, 1))
         call.view = view
         call.progress.tries += 1
@@ -516,6 +502,7 @@
         if view is None:
             return
         view.in_flight -= 1
+        view.circuit.end()
         self.env.process(self._notice(view.name, -1))
         queue = self.queues[call.entry].get(call.line.model)
         if queue is not None and queue.size:
--- a/gradepoint/online/services.py
+++ b/gradepoint/online/services.py
@@ -67,12 +67,15 @@
             tried.add(url)
             progress.tries += 1
             circuit = self.circuits.setdefault(url, Circuit())
+            circuit.begin(monotonic())
             try:
                 answer = await self._try(url + target, method, passed, body, service, progress)
             except TargetFailure as failure:
                 circuit.failed(monotonic())
                 await self._after_failure(progress, failure)
                 continue
+            finally:
+                circuit.end()
             circuit.succeeded()
             return answer
 
--- a/gradepoint/online/targets.py
+++ b/gradepoint/online/targets.py
@@ -118,6 +118,10 @@
     def _count(self, view: TargetView, change: int) -> None:
         view.in_flight += change
         self.changed.add(view.name)
+        if change > 0:
+            view.circuit.begin(self.clock())
+        else:
+            view.circuit.end()
 
     def _choose(
         self, candidates: list[TargetView], prefix: str, excluded: frozenset[str]
--- a/gradepoint/routing/choice.py
+++ b/gradepoint/routing/choice.py
@@ -2,7 +2,9 @@
 
 The candidates of a model are a stable subset of its targets, spread over failure
 domains. Among them a prompt prefix prefers one target (its prefix cache) unless that
-one is loaded beyond its fair share; else the better of two random ones is taken.
+one is loaded beyond its fair share or slow; else the least expected wait is taken.
+Published load reports are not used: read a second late by all daemons alike, they sent
+every daemon to the same target (docs/design/sharing-rounds.md, round 5).
 """
 
 from __future__ import annotations
@@ -23,7 +25,10 @@
 """Load of the preferred target against the mean, beyond which it is passed over
 (consistent hashing with bounded loads, Mirrokni, Thorup and Zadimoghaddam, 2018)."""
 
-HINT_LIFETIME_S = 10.0
+SLOW_FACTOR = 2.0
+"""First-token time against the mean, beyond which a target loses its prefixes."""
+
+UNKNOWN_FIRST_TOKEN_S = 0.05
 EWMA_WEIGHT = 0.2
 FAILURES_TO_EJECT = 3
 FIRST_EJECTION_S = 1.0
@@ -61,6 +66,15 @@
             return self.probes < PROBE_CALLS
         return state is CircuitState.CLOSED
 
+    def begin(self, now: float) -> None:
+        """Note that a call goes to the target."""
+        if self.state(now) is CircuitState.HALF_OPEN:
+            self.probes += 1
+
+    def end(self) -> None:
+        """Note that a call is over, however it ended."""
+        self.probes = max(0, self.probes - 1)
+
     def failed(self, now: float) -> bool:
         """Note a failure; return whether the target is ejected by it."""
         self.failures += 1
@@ -78,25 +92,12 @@
         self.ejection_s = FIRST_EJECTION_S
 
 
-@dataclass
-class LoadHint:
-    """A load figure that the target published, which may be old.
-
-    :param waiting: online calls in the target's queue.
-    :param running: sequences it ran.
-    :param seen_at: monotonic seconds at which the hint was made.
-    """
-
-    waiting: int = 0
-    running: int = 0
-    seen_at: float = float("-inf")
-
-
 @dataclass
 class TargetView:
-    """What one daemon knows of one target.
+    """What one daemon knows of one target, all of it seen by itself.
 
-    :param first_token_s: smoothed time to the first token.
+    :param in_flight: this daemon's calls at the target.
+    :param first_token_s: smoothed time to the first token; 0 before the first.
     """
 
     name: str
@@ -104,7 +105,6 @@
     failure_domain: str
     in_flight: int = 0
     first_token_s: float = 0.0
-    hint: LoadHint = field(default_factory=LoadHint)
     circuit: Circuit = field(default_factory=Circuit)
 
     def observe_first_token(self, seconds: float) -> None:
@@ -114,19 +114,10 @@
         else:
             self.first_token_s += EWMA_WEIGHT * (seconds - self.first_token_s)
 
-    def load(self, now: float) -> float:
-        """Return the expected share of the target that is taken, from 0 up.
-
-        Our own calls in flight count in full. A hint counts for what it shows beyond
-        them, and the less the older it is.
-        """
-        freshness = max(0.0, 1.0 - (now - self.hint.seen_at) / HINT_LIFETIME_S)
-        others = max(0, self.hint.running + self.hint.waiting - self.in_flight)
-        return (self.in_flight + others * freshness) / self.slots
-
-    def expected_wait(self, now: float) -> float:
-        """Return the expected seconds to a first token, for comparisons."""
-        return (self.first_token_s or 0.05) * (1.0 + self.load(now) ** 2)
+    @property
+    def expected_wait(self) -> float:
+        """A measure of the wait for a first token, for comparisons."""
+        return (self.in_flight + 1) * (self.first_token_s or UNKNOWN_FIRST_TOKEN_S)
 
 
 def choose_subset(daemon: str, targets: Sequence[Target], size: int) -> list[Target]:
@@ -171,9 +162,15 @@
         return able[0] if able else None
     if prefix:
         preferred = max(able, key=lambda view: score(prefix, view.name))
-        mean = sum(view.load(now) for view in able) / len(able)
-        # A lightly loaded target is never passed over: rounding would dominate.
-        if preferred.load(now) <= max(LOAD_BOUND * mean, 0.5) + 1.0 / preferred.slots:
+        if _has_room(preferred, able):
             return preferred
-    first, second = rng.sample(able, 2)
-    return min((first, second), key=lambda view: view.expected_wait(now))
+    return min(able, key=lambda view: (view.expected_wait, rng.random()))
+
+
+def _has_room(preferred: TargetView, able: Sequence[TargetView]) -> bool:
+    """Return whether a target is neither loaded beyond its share nor slow."""
+    mean_load = sum(view.in_flight for view in able) / len(able)
+    mean_first_token = sum(view.first_token_s for view in able) / len(able)
+    loaded = preferred.in_flight > LOAD_BOUND * mean_load
+    slow = preferred.first_token_s > SLOW_FACTOR * mean_first_token
+    return not loaded and not slow
