Share a target's slots between the daemons, so that calls wait in fair queues

Cause: each daemon might have twice a target's slots in flight; a flood filled the engines' own queues, where turns between organisations do not exist. Change: a daemon's calls at a target are bounded by its share of 1.25 times the slots; the rest waits in the daemon's queue, in turns between organisations.

--- a/gradepoint/online/entry.py
+++ b/gradepoint/online/entry.py
@@ -70,6 +70,7 @@
             settings.in_flight_per_target,
             rng,
         )
+        self.pool.daemons = lambda: len(self.fleet.hosts())
         self.executor = CallExecutor(self.pool, rng)
         self.services = ServiceCaller(rng)
         self.relay = BatchRelay(settings, self.fleet)
--- a/gradepoint/online/targets.py
+++ b/gradepoint/online/targets.py
@@ -10,7 +10,7 @@
 from ..config.document import TargetState
 from ..config.resolve import targets_for
 from ..errors import GradepointError, TargetFailure
-from ..routing.choice import TargetView, choose_subset, choose_target
+from ..routing.choice import TargetView, choose_subset, choose_target, share_of_target
 from ..routing.queue import FairQueue
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
@@ -37,7 +37,8 @@
 class TargetPool:
     """Targets and waiting calls of all models at one entry.
 
-    :param most_in_flight: calls this entry may have at one target.
+    :param most_in_flight: calls this entry may have at one target at the very most.
+    :param daemons: live entries that share the targets.
     """
 
     config: InForce
@@ -49,9 +50,11 @@
     urls: dict[str, str] = field(default_factory=dict)
     queues: dict[str, FairQueue[Waiter]] = field(default_factory=dict)
     by_model: dict[str, list[TargetView]] = field(default_factory=dict)
+    totals: dict[str, int] = field(default_factory=dict)
     changed: set[str] = field(default_factory=set)
     version: int = 0
     clock: Callable[[], float] = monotonic
+    daemons: Callable[[], int] = lambda: 1
 
     def candidates(self, model: ResolvedModel) -> list[TargetView]:
         """Return the views of the targets that this entry uses for *model*."""
@@ -62,6 +65,7 @@
         if name not in self.by_model:
             targets = targets_for(document, model, batch=False)
             subset = choose_subset(self.daemon, targets, self.subset_size)
+            self.totals[name] = len(targets)
             self.by_model[name] = [self.views[target.name] for target in subset]
         return self.by_model[name]
 
@@ -95,7 +99,7 @@
             raise GradepointError("no_target", f"No target serves {model.engine_name!r}.")
         queue = self.queues.setdefault(model.engine_name, FairQueue())
         if not queue.size:
-            view = self._choose(candidates, prefix, excluded)
+            view = self._choose(model, prefix, excluded)
             if view is not None:
                 self._count(view, 1)
                 return view
@@ -124,18 +128,22 @@
             view.circuit.end()
 
     def _choose(
-        self, candidates: list[TargetView], prefix: str, excluded: frozenset[str]
+        self, model: ResolvedModel, prefix: str, excluded: frozenset[str]
     ) -> TargetView | None:
-        now = self.clock()
+        candidates = self.candidates(model)
         fresh = [view for view in candidates if view.name not in excluded] or candidates
-        return choose_target(fresh, prefix, now, self.rng, self.most_in_flight)
+        slots = min(view.slots for view in candidates)
+        total = self.totals[model.engine_name]
+        share = share_of_target(slots, total, self.subset_size, self.daemons())
+        most = min(self.most_in_flight, share)
+        return choose_target(fresh, prefix, self.clock(), self.rng, most)
 
     def release(self, view: TargetView, model: ResolvedModel) -> None:
         """Note the end of a call at a target and let the next one go."""
         self._count(view, -1)
         queue = self.queues.get(model.engine_name)
         while queue is not None and queue.size:
-            chosen = self._choose(self.candidates(model), "", frozenset())
+            chosen = self._choose(model, "", frozenset())
             if chosen is None:
                 return
             waiter = queue.take(self.clock())
--- a/gradepoint/routing/choice.py
+++ b/gradepoint/routing/choice.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -28,6 +29,10 @@
 SLOW_FACTOR = 2.0
 """First-token time against the mean, beyond which a target loses its prefixes."""
 
+HEADROOM = 1.25
+"""Calls in flight against slots; daemons are never quite evenly loaded."""
+
+LEAST_SHARE = 2
 UNKNOWN_FIRST_TOKEN_S = 0.05
 EWMA_WEIGHT = 0.2
 FAILURES_TO_EJECT = 3
@@ -143,6 +148,18 @@
     return chosen
 
 
+def share_of_target(slots: int, targets: int, subset: int, daemons: int) -> int:
+    """Return the calls that one daemon may have in flight at a target.
+
+    All daemons together fill the slots and a little more, so that what waits does so in
+    the daemons' queues, which are fair between organisations, and not in the engine's.
+
+    :param targets: targets of the model, of which each daemon uses *subset*.
+    """
+    users = max(1.0, daemons * min(1.0, subset / targets))
+    return max(LEAST_SHARE, math.ceil(slots * HEADROOM / users))
+
+
 def choose_target(
     candidates: Iterable[TargetView],
     prefix: str,
