Send configuration changes between hosts as deltas, and pack them in the service

Change: hosts answer each other with the entries that changed, checked by hash of the result and replaced by the whole record where it does not fit; the service keeps it compressed.

--- a/gradepoint/config/versions.py
+++ b/gradepoint/config/versions.py
@@ -18,6 +18,7 @@
 from ..platform.settle import Settled, Unsettled, settle
 from ..util.clock import wall_seconds
 from ..util.hashing import new_token
+from .delta import compress, decompress
 from .document import Document, Organisation, Service, Target
 
 if TYPE_CHECKING:
@@ -95,12 +96,22 @@
     changed: bool
 
 
+def encode_record(record: ConfigRecord) -> bytes:
+    """Return a record as the service keeps it: packed, as its values are bounded."""
+    return compress(msgspec.json.encode(record))
+
+
+def decode_record(raw: bytes) -> ConfigRecord:
+    """Return the record of a value of the service."""
+    return msgspec.json.decode(decompress(raw), type=ConfigRecord)
+
+
 async def read_current(service: KeyValueService) -> tuple[ConfigRecord | None, int]:
     """Return the current record and its revision."""
     item = await service.get(CURRENT_KEY)
     if item is None:
         return None, ABSENT
-    return msgspec.json.decode(item.value, type=ConfigRecord), item.revision
+    return decode_record(item.value), item.revision
 
 
 async def apply_document(
@@ -150,7 +161,7 @@
     return Transaction(
         (Expect(CURRENT_KEY, revision), Expect(audit_key(record.version), ABSENT)),
         (
-            Put(CURRENT_KEY, msgspec.json.encode(record)),
+            Put(CURRENT_KEY, encode_record(record)),
             Put(audit_key(record.version), msgspec.json.encode(audit)),
         ),
     )
--- /dev/null
+++ b/gradepoint/fleet/config_history.py
@@ -0,0 +1,54 @@
+"""The last versions of the configuration, from which a host answers its peers by delta."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..config.delta import DocumentDelta, apply_delta, make_delta
+from ..config.versions import ConfigRecord
+from .messages import ConfigAnswer, RecordHead
+
+if TYPE_CHECKING:
+    from ..wire.rpc import Message
+
+VERSIONS_KEPT = 4
+
+
+class ConfigHistory:
+    """Recent records by version; deltas are made once and kept."""
+
+    def __init__(self) -> None:
+        self.records: dict[int, ConfigRecord] = {}
+        self.deltas: dict[tuple[int, int], DocumentDelta] = {}
+
+    def add(self, record: ConfigRecord) -> None:
+        """Keep a record that came in force."""
+        self.records[record.version] = record
+        self.deltas.clear()
+        while len(self.records) > VERSIONS_KEPT:
+            del self.records[min(self.records)]
+
+    def answer(self, current: ConfigRecord | None, have: int) -> ConfigAnswer:
+        """Return what brings a peer that has version *have* to the current one."""
+        old = self.records.get(have)
+        if current is None or old is None or have >= current.version:
+            return ConfigAnswer(current)
+        key = (have, current.version)
+        if key not in self.deltas:
+            self.deltas[key] = make_delta(have, old.document, current.document)
+        head = RecordHead(current.version, current.writer, current.applied_by, current.applied_at)
+        return ConfigAnswer(None, head, self.deltas[key])
+
+    def open(self, current: ConfigRecord | None, answer: Message) -> ConfigRecord | None:
+        """Return the record that an answer carries, or None if its delta does not fit."""
+        if not isinstance(answer, ConfigAnswer):
+            return None
+        head, delta = answer.head, answer.delta
+        if head is None or delta is None:
+            return answer.record
+        if current is None or current.version != delta.base:
+            return None
+        document = apply_delta(current.document, delta)
+        if document is None:
+            return None
+        return ConfigRecord(head.version, document, head.writer, head.applied_by, head.applied_at)
--- a/gradepoint/fleet/control.py
+++ b/gradepoint/fleet/control.py
@@ -8,10 +8,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from .. import events
-from ..config.versions import CURRENT_KEY, ConfigRecord, InForce, read_current
+from ..config.versions import CURRENT_KEY, ConfigRecord, InForce, decode_record, read_current
 from ..errors import KvError
 from ..platform.etcd import EtcdClient
 from ..platform.hosts import HostListClient, HostState
@@ -19,10 +17,10 @@
 from ..util.clock import monotonic
 from ..util.tasks import TaskGroup
 from ..wire.rpc import Failed, Message, RpcError, RpcPool, RpcServer
+from .config_history import ConfigHistory
 from .distribution import ANNOUNCE_FANOUT, watchers
 from .membership import Membership
 from .messages import (
-    ConfigAnswer,
     ControlReply,
     ControlRequest,
     FetchConfig,
@@ -92,6 +90,7 @@
         self.kv_health = KvHealth()
         self.config = InForce()
         self.in_force_at = monotonic()
+        self.history = ConfigHistory()
         self.host_list = HostListClient(settings.host_list_url)
         self.programs: dict[str, ProgramReport] = {}
         self.pool = RpcPool(ControlReply)
@@ -184,10 +183,16 @@
     async def _fetch_from(self, address: str, port: int) -> None:
         self.fetching = True
         try:
-            reply, _ = await self.pool.client(address, port).call(FetchConfig())
+            client = self.pool.client(address, port)
+            reply, _ = await client.call(FetchConfig(self.config.version))
+            record = self.history.open(self.config.record, reply)
+            if record is None:
+                # The delta does not fit what is here: fetch the whole record.
+                reply, _ = await client.call(FetchConfig())
+                record = self.history.open(None, reply)
             self.counts.config_fetches += 1
-            if isinstance(reply, ConfigAnswer) and reply.record is not None:
-                self.take_config(reply.record)
+            if record is not None:
+                self.take_config(record)
         except RpcError:
             pass
         finally:
@@ -197,6 +202,7 @@
         """Put a version in force if it is newer, and tell some peers at once."""
         if not self.config.take(record):
             return
+        self.history.add(record)
         self.in_force_at = monotonic()
         self.membership.config_version = record.version
         self.config_changed.set()
@@ -233,7 +239,7 @@
         start = revision + 1 if revision else 1
         async for event in self.kv.watch(CURRENT_KEY, start):
             if event.value is not None:
-                self.take_config(_decode_record(event.value))
+                self.take_config(decode_record(event.value))
             if not self.is_watcher():
                 return
 
@@ -254,7 +260,7 @@
         if isinstance(message, Sync):
             return self._sync(message), b""
         if isinstance(message, FetchConfig):
-            return ConfigAnswer(self.config.record), b""
+            return self.history.answer(self.config.record, message.have), b""
         if isinstance(message, FetchMembers):
             if message.joining is not None:
                 self.membership.learn(message.joining, monotonic())
@@ -328,7 +334,3 @@
         # Rises with each start, so that a restarted host outruns word of its old self.
         time.time_ns() // 1_000_000,
     )
-
-
-def _decode_record(raw: bytes) -> ConfigRecord:
-    return msgspec.json.decode(raw, type=ConfigRecord)
--- a/gradepoint/fleet/messages.py
+++ b/gradepoint/fleet/messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ..config.delta import DocumentDelta
 from ..config.versions import ConfigRecord
 from ..wire.rpc import PROTOCOL_VERSION, Message
 
@@ -66,8 +67,12 @@
 
 
 class FetchConfig(Message, tag="fetch_config"):
-    """Ask a control program for the record in force."""
+    """Ask a control program for the record in force.
 
+    :param have: version that the asker has, to be answered by a delta if possible.
+    """
+
+    have: int = 0
     v: int = PROTOCOL_VERSION
 
 
@@ -97,10 +102,21 @@
     v: int = PROTOCOL_VERSION
 
 
+class RecordHead(msgspec.Struct, frozen=True):
+    """A configuration record without its document."""
+
+    version: int
+    writer: str
+    applied_by: str
+    applied_at: int
+
+
 class ConfigAnswer(Message, tag="config_answer"):
-    """The record in force, or None before the first."""
+    """The record in force, or None before the first; or its head with a delta."""
 
     record: ConfigRecord | None
+    head: RecordHead | None = None
+    delta: DocumentDelta | None = None
     v: int = PROTOCOL_VERSION
 
 
--- a/tests/test_platform/test_platform_settle.py
+++ b/tests/test_platform/test_platform_settle.py
@@ -4,7 +4,6 @@
 
 import random
 
-import msgspec
 import pytest
 
 from gradepoint.config.document import Document, Model, ModelVersion
@@ -13,6 +12,7 @@
     ConfigRecord,
     InForce,
     apply_document,
+    decode_record,
     read_current,
 )
 from gradepoint.errors import GradepointError
@@ -142,7 +142,7 @@
         async def watch() -> None:
             async for event in MemoryKvClient(store).watch(CURRENT_KEY, 1):
                 assert event.value is not None
-                follower.take(msgspec.json.decode(event.value, type=ConfigRecord))
+                follower.take(decode_record(event.value))
                 seen.append(follower.version)
 
         watcher = asyncio.ensure_future(watch())
@@ -154,7 +154,7 @@
         for version, names in winners.items():
             for event in store.history:
                 if event.key == CURRENT_KEY and event.value is not None:
-                    record = msgspec.json.decode(event.value, type=ConfigRecord)
+                    record = decode_record(event.value)
                     if record.version == version:
                         assert record.document.name == names[0]
 
