--- a/bench/process_costs.py
+++ b/bench/process_costs.py
@@ -117,7 +117,7 @@
         elapsed = time.monotonic() - meter.started
         rows.append([calls, calls * tokens])
         costs.append(meter.spent() - idle_share * elapsed)
-    slopes, residuals, _, _ = numpy.linalg.lstsq(numpy.array(rows), numpy.array(costs), rcond=None)
+    slopes, *_ = numpy.linalg.lstsq(numpy.array(rows), numpy.array(costs), rcond=None)
     predicted = numpy.array(rows) @ slopes
     meter = Meter(tier, "entry-1")
     _, rate = await call_many(url, headers, "maker-lm", 1500, 1, stream=False)
@@ -134,12 +134,11 @@
 async def overhead(tier: ProcessTier) -> dict[str, Any]:
     """Compare first-token and call times through the entry with the engine's own."""
     headers = {"authorization": f"Bearer {tier.standins['caller_key']}"}
-    engine = tier.standins["engines"][0]
-    direct_url = f"http://{engine['address']}:{engine['port']}"
+    engines = [f"http://{row['address']}:{row['port']}" for row in tier.standins["engines"]]
     figures: dict[str, Any] = {}
-    for name, url, model in (
-        ("direct", direct_url, "maker-lm@v1"),
-        ("entry", tier.entry_urls()[0], "maker-lm"),
+    for name, urls, model in (
+        ("direct", engines, "maker-lm@v1"),
+        ("entry", tier.entry_urls()[:1], "maker-lm"),
     ):
         http = HttpClient()
         first: list[float] = []
@@ -153,6 +152,7 @@
                     "stream": True,
                 }
             )
+            url = urls[number % len(urls)]
             started = time.monotonic()
             response = await http.request("POST", f"{url}/v1/completions", body, headers)
             seen = False
@@ -170,7 +170,15 @@
 
 
 async def stream_memory(tier: ProcessTier) -> dict[str, Any]:
-    """Measure the entry's memory with 1,000 open streams."""
+    """Measure the entry's memory with 1,000 calls that wait for or read their stream."""
+    document = msgspec.json.decode((tier.folder / "config.json").read_bytes())
+    for target in document["targets"]:
+        target["slots"] = 2000
+    document["organisations"][0]["in_flight"] = 100000
+    path = tier.run_folder / "many-slots.json"
+    path.write_bytes(msgspec.json.encode(document))
+    tier.apply(path)
+    await asyncio.sleep(2.0)
     pid = tier.processes["entry-2"].popen.pid
     url = tier.entry_urls()[1]
     headers = {"authorization": f"Bearer {tier.standins['caller_key']}"}
@@ -198,6 +206,7 @@
     return {
         "start_mb": round(before, 1),
         "with_1000_calls_mb": round(after, 1),
+        "kb_per_call": round((after - before) * 1024 / 1000, 1),
         "streaming": opened,
         "refused": refused,
     }
@@ -271,15 +280,19 @@
         "idle_on_6_hosts": idle,
         "overhead": await overhead(tier),
         "entry": await entry_costs(tier),
-        "memory": await stream_memory(tier),
         "batch": await batch_costs(tier),
+        "memory": await stream_memory(tier),
     }
 
 
 def main() -> int:
     """Start a tier, measure, write the figures."""
     with tempfile.TemporaryDirectory(prefix="gradepoint-costs-") as folder:
-        tier = ProcessTier("kasitoo-turg", Path(folder) / "run", overrides={"log_level": "WARNING"})
+        tier = ProcessTier(
+            "kasitoo-turg",
+            Path(folder) / "run",
+            overrides={"log_level": "WARNING", "in_flight_per_target": 2000},
+        )
         try:
             tier.start()
             time.sleep(3.0)
--- a/gradepoint/admin/api.py
+++ b/gradepoint/admin/api.py
@@ -168,7 +168,7 @@
         version = self.control.config.version
         for answer in await self.control.fleet_status():
             if isinstance(answer, StatusAnswer):
-                row = msgspec.to_builtins(answer)
+                row = msgspec.structs.asdict(answer)
                 row.pop("v", None)
                 row["behind"] = _why_behind(answer, version)
                 rows.append(row)
--- a/gradepoint/batch/worker.py
+++ b/gradepoint/batch/worker.py
@@ -44,6 +44,8 @@
 """Seconds by which each further host stretches the time between two looks for work, so
 that the fleet's reads stay at 1 / POLL_PER_HOST_S a second whatever its size."""
 JOBS_LOOKED_INTO = 4
+WAKE_PER_HOST_S = 0.0125
+"""The same for looks that are asked for, when a host runs out of items."""
 UNCOMMITTED_FACTOR = 4
 """Results held uncommitted, in bundles, beyond which no more items are started."""
 REFUSED_PAUSE_S = 0.2
@@ -112,6 +114,7 @@
             await self._look()
         hosts = len(self.fleet.hosts())
         pause = max(self.settings.batch_poll_s, hosts * POLL_PER_HOST_S)
+        await asyncio.sleep(hosts * WAKE_PER_HOST_S)
         try:
             async with asyncio.timeout(pause):
                 await self.wake.wait()
--- a/gradepoint/config/check.py
+++ b/gradepoint/config/check.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
-from jsonschema import Draft202012Validator
 from result import Err, Ok, Result
 
 from .document import Document
@@ -41,6 +40,9 @@
         value = msgspec.json.decode(raw)
     except (msgspec.DecodeError, RecursionError) as error:
         return Err([Problem("(file)", f"not JSON: {error}.", "Correct the syntax.")])
+    # Imported here: it takes 4 MB, which only those programs pay that check files.
+    from jsonschema import Draft202012Validator
+
     validator = Draft202012Validator(document_schema())
     problems = [_schema_problem(error) for error in validator.iter_errors(value)]
     if problems:
--- a/gradepoint/config/delta.py
+++ b/gradepoint/config/delta.py
@@ -13,9 +13,16 @@
 import msgspec
 
 from ..util.hashing import sha256_hex
-from .document import Document
+from .document import Document, Model, Operator, Organisation, Service, Target
 
-NAMED_FIELDS = ("models", "targets", "organisations", "operators", "services")
+NAMED_FIELDS: dict[str, type] = {
+    "models": Model,
+    "targets": Target,
+    "organisations": Organisation,
+    "operators": Operator,
+    "services": Service,
+}
+"""The lists of named entries, with their types."""
 
 
 class CollectionDelta(msgspec.Struct, frozen=True):
@@ -67,11 +74,11 @@
         for name, value in new.items()
         if name not in NAMED_FIELDS and old.get(name) != value
     }
-    absent = [name for name in old if name not in new]
+    absent = [name for name in old if name not in new and name not in NAMED_FIELDS]
     collections = {
-        name: _collection_delta(old.get(name, []), new[name])
+        name: _collection_delta(old.get(name, []), new.get(name, []))
         for name in NAMED_FIELDS
-        if name in new and old.get(name) != new[name]
+        if old.get(name, []) != new.get(name, [])
     }
     return DocumentDelta(base, sha256_hex(encode_document(after)), plain, absent, collections)
 
@@ -95,23 +102,44 @@
 
 
 def apply_delta(before: Document, delta: DocumentDelta) -> Document | None:
-    """Return the document that *delta* leads to, or None if it does not fit *before*."""
-    value = msgspec.to_builtins(before)
-    for name in delta.absent:
-        value.pop(name, None)
-    value.update(delta.plain)
-    for name, change in delta.collections.items():
-        rows = {row["name"]: row for row in value.get(name, [])}
-        merged = _merge(rows, change.put, change.removed)
-        if change.order is not None:
-            if set(change.order) != set(merged):
-                return None
-            merged = {key: merged[key] for key in change.order}
-        value[name] = list(merged.values())
+    """Return the document that *delta* leads to, or None if it does not fit *before*.
+
+    Entries that did not change are shared by both documents, so that the versions kept
+    cost little memory.
+    """
     try:
-        document = msgspec.convert(value, Document)
-    except msgspec.ValidationError:
+        document = _replace_plain(before, delta)
+        changes = {
+            name: _apply_collection(getattr(before, name), change, NAMED_FIELDS[name])
+            for name, change in delta.collections.items()
+        }
+    except (msgspec.ValidationError, KeyError):
         return None
+    document = msgspec.structs.replace(document, **changes)
     if sha256_hex(encode_document(document)) != delta.digest:
         return None
     return document
+
+
+def _replace_plain(before: Document, delta: DocumentDelta) -> Document:
+    """Return *before* with the fields changed that are no collections."""
+    kept = {name: getattr(before, name) for name in NAMED_FIELDS}
+    empty = {key: [] for key in NAMED_FIELDS}
+    skeleton = msgspec.to_builtins(msgspec.structs.replace(before, **empty))
+    for name in delta.absent:
+        skeleton.pop(name, None)
+    skeleton.update(delta.plain)
+    # The type asks for at least one model; the real ones are put back below.
+    skeleton["models"] = msgspec.to_builtins(before.models[:1])
+    return msgspec.structs.replace(msgspec.convert(skeleton, Document), **kept)
+
+
+def _apply_collection(rows: list[Any], change: CollectionDelta, kind: type) -> list[Any]:
+    merged = {row.name: row for row in rows}
+    for name in change.removed:
+        merged.pop(name, None)
+    for raw in change.put:
+        merged[raw["name"]] = msgspec.convert(raw, kind)
+    if change.order is None:
+        return list(merged.values())
+    return [merged[name] for name in change.order]
--- a/gradepoint/fleet/transport.py
+++ b/gradepoint/fleet/transport.py
@@ -49,7 +49,9 @@
 
     def send(self, address: str, port: int, message: Gossip) -> None:
         """Send one datagram; it may be lost."""
-        if self.transport is None or (address, port) in self.blocked:
+        if self.transport is None or self.transport.is_closing():
+            return
+        if (address, port) in self.blocked:
             return
         data = msgspec.msgpack.encode(message)
         self.bytes_sent += len(data)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,4 +4,4 @@
 
 from gradepoint.telemetry import logs
 
-logs.configure("tests", "tests", level="CRITICAL")
+logs.configure("tests", "tests", level="ERROR")
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -169,7 +169,8 @@
 class Fleet:
     """Hosts, targets and the service, driven by a seed."""
 
-    def __init__(self, seed: int, hosts: int = 3, targets: int = 3) -> None:
+    def __init__(self, seed: int, hosts: int = 3, targets: int = 3, chunk_items: int = 8) -> None:
+        self.chunk_items = chunk_items
         self.rng = random.Random(seed)
         self.store = MemoryKv()
         self.objects: dict[str, bytes] = {}
@@ -198,7 +199,7 @@
                 "host": name,
                 "failure_domain": "d",
                 "kv_url": "",
-                "chunk_items": 8,
+                "chunk_items": self.chunk_items,
                 "bundle_items": 4,
                 "bundle_age_s": 0.5,
                 "batch_poll_s": 0.5,
@@ -264,10 +265,12 @@
             )
             parse_line(rows[-1], index + 1)
         segments = []
-        for start in range(0, items, 8):
-            data = b"\n".join(rows[start : start + 8]) + b"\n"
+        for start in range(0, items, self.chunk_items):
+            data = b"\n".join(rows[start : start + self.chunk_items]) + b"\n"
             self.objects[sha256_hex(data)] = data
-            segments.append(Segment(sha256_hex(data), len(data), len(rows[start : start + 8])))
+            segments.append(
+                Segment(sha256_hex(data), len(data), len(rows[start : start + self.chunk_items]))
+            )
         file = FileRecord(f"file-{job_id}", "org", "f", "batch", 0, items, 0, tuple(segments))
         job = JobRecord(
             job_id,
@@ -307,7 +310,7 @@
         for number, state in (await repository.chunks(job_id)).items():
             for bundle in state.record.bundles:
                 for result in decode_bundle(self.objects[bundle.hash]):
-                    index = number * 8 + result.index
+                    index = number * self.chunk_items + result.index
                     assert index not in found, f"item {index} has two results"
                     found[index] = msgspec.json.decode(result.line)
         return found
