--- a/gradepoint/batch/app.py
+++ b/gradepoint/batch/app.py
@@ -32,7 +32,7 @@
 from ..wire.push import PullSocket
 from .items import ENDPOINTS
 from .output import parse_output_file_id, read_output
-from .records import JobRecord
+from .records import JobRecord, JobState
 from .repository import Repository
 from .upload import BATCH_PURPOSE, UploadLimits, read_upload
 from .views import WINDOWS, show_file, show_job, show_output_file
@@ -246,6 +246,8 @@
 
     async def _cancel(self, organisation: str, job_id: str) -> Response:
         job = await self.repository.cancel(organisation, job_id)
+        if job.state is not JobState.CANCELLED:
+            raise GradepointError("job_finished", f"Job {job_id!r} is {job.state.value}.")
         emit(events.JOB_CANCELLED, job=job_id, state=job.state.value)
         self.worker.wake.set()
         return json_response(show_job(await self.repository.counted(job)), headers=OK)
--- a/gradepoint/batch/housekeeping.py
+++ b/gradepoint/batch/housekeeping.py
@@ -118,7 +118,7 @@
                 if name in referenced:
                     continue
                 if await self.store.delete(host, name, least_age_s):
-                    emit(events.OBJECT_COLLECTED, object=name, host=host.name)
+                    emit(events.OBJECT_COLLECTED, object=name, data_host=host.name)
                     deleted += 1
         return deleted
 
--- a/gradepoint/cmd/main.py
+++ b/gradepoint/cmd/main.py
@@ -24,6 +24,7 @@
 from ..config.schema import document_schema
 from ..errors import CATALOGUE
 from .local import run_local
+from .reference import write_reference
 from .render import print_jobs, print_json, print_status
 from .standin import run_standin
 
@@ -216,6 +217,12 @@
     print_json(document_schema())
 
 
+@app.command()
+def reference(folder: Annotated[Path, typer.Argument(help="Folder to write into.")]) -> None:
+    """Write the reference pages that are generated from the code."""
+    write_reference(folder)
+
+
 @app.command("key")
 def new_key(
     name: Annotated[str, typer.Argument(help="Organisation or operator.")],
--- /dev/null
+++ b/gradepoint/cmd/reference.py
@@ -0,0 +1,88 @@
+"""Writes the reference pages that are generated from tables in the code."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+
+from ..config.schema import document_schema
+from ..errors import CATALOGUE as ERRORS
+from ..events import CATALOGUE as EVENTS
+from ..settings import REQUIRED, TABLE
+
+NOTE = "<!-- written by `gradepoint reference docs/reference`; do not edit -->"
+
+
+def reference_pages() -> dict[str, str]:
+    """Return the generated pages by file name."""
+    schema = msgspec.json.format(msgspec.json.encode(document_schema()), indent=2).decode()
+    return {
+        "errors.md": _errors_page(),
+        "events.md": _events_page(),
+        "settings.md": _settings_page(),
+        "config.schema.json": schema + "\n",
+    }
+
+
+def write_reference(folder: Path) -> None:
+    """Write all generated pages."""
+    folder.mkdir(parents=True, exist_ok=True)
+    for name, text in reference_pages().items():
+        (folder / name).write_text(text)
+
+
+def _errors_page() -> str:
+    rows = [
+        f"| `{kind.code}` | {kind.status} | {kind.category.value} | {kind.outcome.value} | "
+        f"{'-' if kind.retry_after is None else kind.retry_after} | {kind.remedy} |"
+        for kind in ERRORS.values()
+    ]
+    head = [
+        "# Error codes",
+        "",
+        NOTE,
+        "",
+        "Every refusal and failure carries one of these codes in `error.code` and, for calls,",
+        "in the `gradepoint-reason` header. `gradepoint explain CODE` prints a row.",
+        "",
+        "| code | status | who acts | outcome | come back after (s) | remedy |",
+        "|---|---|---|---|---|---|",
+    ]
+    return "\n".join([*head, *rows]) + "\n"
+
+
+def _events_page() -> str:
+    rows = [
+        f"| {event.number} | `{event.name}` | {event.level} | {event.meaning} |"
+        for event in sorted(EVENTS.values(), key=lambda event: event.number)
+    ]
+    head = [
+        "# Log events",
+        "",
+        NOTE,
+        "",
+        "Every log line carries `event` and `event_name`. Numbers are never reused.",
+        "",
+        "| number | name | level | meaning |",
+        "|---|---|---|---|",
+    ]
+    return "\n".join([*head, *rows]) + "\n"
+
+
+def _settings_page() -> str:
+    rows = []
+    for row in TABLE:
+        default = "required" if row.default is REQUIRED else f"`{row.default!r}`"
+        rows.append(f"| `{row.name}` | {row.kind.__name__} | {default} | {row.meaning} |")
+    head = [
+        "# Settings of a process",
+        "",
+        NOTE,
+        "",
+        "A JSON object, named with `--settings`; all programs of a host share one file.",
+        "",
+        "| name | type | default | meaning |",
+        "|---|---|---|---|",
+    ]
+    return "\n".join([*head, *rows]) + "\n"
--- a/gradepoint/errors.py
+++ b/gradepoint/errors.py
@@ -322,9 +322,6 @@
             "Read the version in force, merge, and apply on top of it.",
         ),
         ErrorKind("settings_invalid", 400, _C.OPERATOR, _N, None, "Correct the named settings."),
-        ErrorKind(
-            "not_leader", 503, _C.OPERATOR, _N, 2.0, "Another host gives the orders; ask again."
-        ),
         ErrorKind(
             "internal",
             500,
--- a/gradepoint/fleet/app.py
+++ b/gradepoint/fleet/app.py
@@ -37,6 +37,7 @@
             self.node.config,
             lambda: self.housekeeping.current() is not None,
         )
+        self.node.on_pause.append(self.housekeeping.drop)
         self.order_givers: dict[str, OrderGiver] = {}
         self.tasks = TaskGroup()
 
@@ -97,4 +98,5 @@
             node.fleet_status,
         )
         self.order_givers[domain] = giver
+        node.on_pause.append(giver.lease.drop)
         self.tasks.start(giver.run())
--- a/gradepoint/fleet/control.py
+++ b/gradepoint/fleet/control.py
@@ -36,12 +36,17 @@
 from .transport import GossipTransport
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..settings import Settings
     from .membership import Send
 
 TICKS_PER_ROUND = 5
 HOST_LIST_PERIOD_S = 2.0
 REPORT_LIFETIME_S = 5.0
+PAUSE_ROUNDS = 3.0
+"""Rounds of standing still after which a loop is taken for paused."""
+
 WATCH_RETRY_S = 1.0
 WATCH_RETRY_MOST_S = 15.0
 
@@ -103,6 +108,9 @@
             _own_member(settings), settings.heartbeat_s, settings.member_timeout_s, self.random
         )
         self.fetching = False
+        self.on_pause: list[Callable[[], None]] = []
+        self.logged_version = -1
+        self.logged_live: set[str] = set()
 
     @property
     def ready(self) -> bool:
@@ -161,12 +169,31 @@
                 await self._join()
 
     async def _tick_loop(self) -> None:
+        last = monotonic()
         while True:
+            gap, last = monotonic() - last, monotonic()
+            if gap > PAUSE_ROUNDS * self.settings.heartbeat_s:
+                emit(events.LOOP_PAUSED, seconds=round(gap, 1))
+                for drop in self.on_pause:
+                    drop()
             self.counts.ticks += 1
+            self._log_members()
             for send in self.membership.tick(monotonic()):
                 self._send(send)
             await asyncio.sleep(self.settings.heartbeat_s / TICKS_PER_ROUND)
 
+    def _log_members(self) -> None:
+        """Log hosts that came or went since the last look."""
+        if self.logged_version == self.membership.version:
+            return
+        self.logged_version = self.membership.version
+        live = {member.host for member in self.membership.live()}
+        for host in sorted(live - self.logged_live):
+            emit(events.MEMBER_JOINED, member=host)
+        for host in sorted(self.logged_live - live):
+            emit(events.MEMBER_LOST, member=host)
+        self.logged_live = live
+
     def _send(self, send: Send) -> None:
         self.transport.send(send.member.address, send.member.gossip_port, send.message)
 
--- a/gradepoint/fleet/leases.py
+++ b/gradepoint/fleet/leases.py
@@ -124,6 +124,10 @@
         if held is not None:
             await self.service.revoke_lease(held.lease)
 
+    def drop(self) -> None:
+        """Stop to rely on the lease, as after a pause; the service ends it by itself."""
+        self._lost()
+
     def _lost(self) -> None:
         if self.held is not None:
             emit(events.LEADER_RESIGNED, lease=self.key)
--- a/gradepoint/store/replicas.py
+++ b/gradepoint/store/replicas.py
@@ -112,7 +112,7 @@
                 continue
             if sha256_hex(data) == name:
                 return data
-            emit(events.OBJECT_CORRUPT, object=name, host=host.name)
+            emit(events.OBJECT_CORRUPT, object=name, data_host=host.name)
         raise GradepointError("storage_read", f"No copy of object {name[:12]} could be read.")
 
     async def holders(self, names: list[ObjectHash]) -> dict[ObjectHash, list[DataHost]]:
@@ -134,7 +134,7 @@
         data = await self.get(name)
         for host in place(name, self.data_hosts()):
             if host.failure_domain not in domains and await self._put_at(host, name, data):
-                emit(events.OBJECT_REPAIRED, object=name, host=host.name)
+                emit(events.OBJECT_REPAIRED, object=name, data_host=host.name)
                 return True
         return False
 
--- a/gradepoint/wire/http_server.py
+++ b/gradepoint/wire/http_server.py
@@ -120,6 +120,9 @@
             except h11.RemoteProtocolError as error:
                 await self.refuse(_protocol_error(error))
                 return
+            except GradepointError as error:
+                await self.refuse(error)
+                return
             except TimeoutError:
                 if self.h11.trailing_data[0]:
                     await self.refuse(GradepointError("request_timeout"))
@@ -149,6 +152,10 @@
             event = self.h11.next_event()
         if not isinstance(event, h11.Request):
             return None
+        # h11 bounds only what is incomplete; a whole head may arrive in one piece.
+        size = sum(len(name) + len(value) for name, value in event.headers)
+        if size + len(event.target) > self.limits.max_header_bytes:
+            raise GradepointError("header_too_large")
         return Request(
             event.method.decode("ascii"),
             event.target.decode("latin-1"),
@@ -180,6 +187,8 @@
     async def _answer(self, request: Request) -> bool:
         """Run the handler and send its response; return whether to keep the connection."""
         try:
+            if self.server.stopping:
+                raise GradepointError("stopping")
             response = await self.server.handler(request)
         except GradepointError as error:
             metrics.shared().refusals.add(1, {"reason": error.code})
