--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -253,14 +253,14 @@
     largest = rows[-1]
     slope, _ = fit([row.hosts for row in rows], [row.cpu_percent for row in rows])
     change_s = CHANGES_DAY / DAY_S
+    state_mb = (largest.state_kb + document["two_versions_kb"]) / 1024
     delta_cpu = (document["make_delta_ms"] + document["open_delta_ms"]) / 1000 * change_s * 100
     fetch_bytes = document["delta_bytes"] * largest.fetches * 2 * change_s
     watch_bytes = document["packed_bytes"] * change_s
     return {
         "cpu_percent": round(idle["cpu_percent"] + slope * (DAEMONS - 6) + delta_cpu, 2),
-        "memory_mb": round(
-            idle["rss_mb"] + (largest.state_kb + document["two_versions_kb"]) / 1024, 1
-        ),
+        "memory_mb": round(idle["rss_mb"] + state_mb, 1),
+        "private_memory_mb": round(idle["anonymous_mb"] + state_mb, 1),
         "bytes_per_s": round(largest.bytes_s + fetch_bytes + watch_bytes),
         "kv_calls_per_s": round(sum(row["reads_s"] + row["writes_s"] for row in budget[:4]), 2),
         "in_force_max_s": round(largest.in_force_max_s, 2),
--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -33,6 +33,8 @@
 BATCH = "tests/test_batch"
 PLATFORM = "tests/test_platform"
 FLEET = "tests/test_fleet"
+STORE = "tests/test_store"
+ROUTING = "tests/test_routing"
 ONLINE = "tests/test_online"
 
 MUTATIONS: tuple[Mutation, ...] = (
@@ -261,6 +263,55 @@
         "        return []",
         FLEET,
     ),
+    Mutation(
+        "referenced objects are collected",
+        "batch/housekeeping.py",
+        "                if name in referenced:\n                    continue",
+        "                pass",
+        STORE,
+    ),
+    Mutation(
+        "young objects are collected",
+        "store/disk.py",
+        "if time.time() - path.stat().st_mtime < least_age_s:",
+        "if False:",
+        STORE,
+    ),
+    Mutation(
+        "lost copies are not restored",
+        "batch/housekeeping.py",
+        "if holders and len(domains) < COPIES and await self.store.copy(name, holders):",
+        "if False:",
+        STORE,
+    ),
+    Mutation(
+        "corrupt copies are believed",
+        "store/disk.py",
+        "return data if sha256_hex(data) == name else None",
+        "return data",
+        STORE,
+    ),
+    Mutation(
+        "both copies in one failure domain",
+        "store/replicas.py",
+        "    return first + rest",
+        "    return ordered",
+        STORE,
+    ),
+    Mutation(
+        "batch keeps slots that online calls need",
+        "routing/slack.py",
+        "max(0, in_flight - int(free))",
+        "0",
+        ROUTING,
+    ),
+    Mutation(
+        "half-open circuit lets every call through",
+        "routing/choice.py",
+        "            self.probes += 1",
+        "            pass",
+        ROUTING,
+    ),
 )
 
 
--- a/gradepoint/config/delta.py
+++ b/gradepoint/config/delta.py
@@ -124,7 +124,7 @@
 def _replace_plain(before: Document, delta: DocumentDelta) -> Document:
     """Return *before* with the fields changed that are no collections."""
     kept = {name: getattr(before, name) for name in NAMED_FIELDS}
-    empty = {key: [] for key in NAMED_FIELDS}
+    empty: dict[str, Any] = {key: [] for key in NAMED_FIELDS}
     skeleton = msgspec.to_builtins(msgspec.structs.replace(before, **empty))
     for name in delta.absent:
         skeleton.pop(name, None)
--- a/gradepoint/store/disk.py
+++ b/gradepoint/store/disk.py
@@ -27,6 +27,7 @@
         self.folder = folder
         self.objects = folder / "objects"
         self.temporary = folder / "temporary"
+        self.corrupt = folder / "corrupt"
         self.objects.mkdir(parents=True, exist_ok=True)
         self.temporary.mkdir(parents=True, exist_ok=True)
         for left_over in self.temporary.iterdir():
@@ -75,6 +76,11 @@
         """Return whether a file of that name is there; its content is not checked."""
         return self.path(name).exists()
 
+    def set_aside(self, name: ObjectHash) -> None:
+        """Move a corrupt file away, so that the next repair restores the copy."""
+        self.corrupt.mkdir(exist_ok=True)
+        self.path(name).rename(self.corrupt / name)
+
     def delete(self, name: ObjectHash, least_age_s: float) -> bool:
         """Delete an object that was last put at least *least_age_s* ago."""
         path = self.path(name)
--- a/gradepoint/store/server.py
+++ b/gradepoint/store/server.py
@@ -54,5 +54,6 @@
         if data is None:
             if self.disk.has(name):
                 emit(events.OBJECT_CORRUPT, object=name)
+                self.disk.set_aside(name)
             return Done(False), b""
         return Done(), data
