Judge copies by their bytes in the repair test

Cause: the seeded mistake 'corrupt copies are believed' survived, since the test asked the mutated code itself. Change: the test hashes the files.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -291,6 +291,13 @@
         "return data",
         STORE,
     ),
+    Mutation(
+        "a corrupt copy stays in place",
+        "store/server.py",
+        "                self.disk.set_aside(name)",
+        "                pass",
+        STORE,
+    ),
     Mutation(
         "both copies in one failure domain",
         "store/replicas.py",
--- a/tests/test_store/test_store_repair.py
+++ b/tests/test_store/test_store_repair.py
@@ -13,6 +13,7 @@
 from gradepoint.standins.tier import HostPrograms, LocalTier
 from gradepoint.store.disk import DiskStore
 from gradepoint.store.replicas import DataHost, place
+from gradepoint.util.hashing import sha256_hex
 from tests.support.tier import Caller, run_tier
 from tests.test_tier.test_tier_failures import check_all, results, submit
 
@@ -27,8 +28,9 @@
 
 
 def copies(tier: LocalTier, name: str) -> int:
-    """Return how many hosts have a good copy."""
-    return sum(disk_of(host).read(ObjectHash(name)) is not None for host in tier.hosts)
+    """Return how many hosts have a good copy, judged by the file's own bytes."""
+    paths = [disk_of(host).path(ObjectHash(name)) for host in tier.hosts]
+    return sum(path.exists() and sha256_hex(path.read_bytes()) == name for path in paths)
 
 
 def test_copies_stand_in_different_domains() -> None:
