--- a/gradepoint/wire/http_server.py
+++ b/gradepoint/wire/http_server.py
@@ -23,6 +23,8 @@
 
 READ_SIZE = 65536
 KEEP_ALIVE_S = 75.0
+WRITE_BUFFER_BYTES = 65536
+"""Bytes that a caller may leave unread before its answer waits for it."""
 
 
 @dataclass(frozen=True)
@@ -241,9 +243,18 @@
         await self._write(self.h11.send(end) or b"")
 
     async def _write(self, data: bytes) -> None:
+        """Write *data*; wait only where the caller reads too slowly.
+
+        A wait with its timeout for each token cost 0.07 of 0.30 ms on the way from engine
+        stand-in to caller (docs/measurements/README.md).
+        """
+        transport = self.writer.transport
+        if transport.is_closing():
+            raise ConnectionResetError("the caller has gone")
         self.writer.write(data)
-        async with asyncio.timeout(self.limits.idle_timeout_s):
-            await self.writer.drain()
+        if transport.get_write_buffer_size() > WRITE_BUFFER_BYTES:
+            async with asyncio.timeout(self.limits.idle_timeout_s):
+                await self.writer.drain()
 
     async def refuse(self, error: GradepointError) -> None:
         """Answer with *error* and close; used where no request can be read."""
