Bound the configuration by its packed size

Change: the body may have 4 MB, the packed record 900,000 bytes, refused as config_invalid before anything is written.

--- a/gradepoint/admin/api.py
+++ b/gradepoint/admin/api.py
@@ -31,8 +31,8 @@
     from ..fleet.control import ControlNode
     from ..wire.http_types import Request
 
-MOST_DOCUMENT_BYTES = 700 << 10
-"""Below the platform's megabyte a value, with room for the record around it."""
+MOST_DOCUMENT_BYTES = 4 << 20
+"""Bytes of an applied file; what the service keeps is packed and bounded on its own."""
 
 
 class AdminApi:
--- a/gradepoint/config/delta.py
+++ b/gradepoint/config/delta.py
@@ -1,6 +1,6 @@
 """Differences between two versions as they travel between hosts.
 
-At the size of letter 1 a document is some 900 KB and changes 960 times a day; sent whole
+At the size of letter 1 a document is some 700 KB and changes 960 times a day; sent whole
 to every host that alone would be more than the 4 KB a second a daemon may spend. A change
 usually touches a few entries, so hosts send each other those, and check the result by hash.
 """
--- a/gradepoint/config/versions.py
+++ b/gradepoint/config/versions.py
@@ -26,6 +26,8 @@
 
 CURRENT_KEY = "/gradepoint/config/current"
 AUDIT_PREFIX = "/gradepoint/config/audit/"
+MOST_PACKED_BYTES = 900_000
+"""Packed size that fits into a value of the platform's service, with room to spare."""
 
 
 class ConfigRecord(msgspec.Struct, frozen=True):
@@ -138,6 +140,11 @@
     if base_version is not None and base_version != version:
         raise _conflict(base_version, version)
     record = ConfigRecord(version + 1, document, token or new_token(), applied_by, wall_seconds())
+    size = len(encode_record(record))
+    if size > MOST_PACKED_BYTES:
+        raise GradepointError(
+            "config_invalid", f"The file is {size} bytes when packed, over {MOST_PACKED_BYTES}."
+        )
     try:
         settled, _ = await settle(
             service, _transaction(record, revision, note), lambda: _was_applied(service, record)
--- a/tests/test_platform/test_platform_settle.py
+++ b/tests/test_platform/test_platform_settle.py
@@ -4,9 +4,10 @@
 
 import random
 
+import msgspec
 import pytest
 
-from gradepoint.config.document import Document, Model, ModelVersion
+from gradepoint.config.document import Document, KeyHash, Model, ModelVersion, Organisation
 from gradepoint.config.versions import (
     CURRENT_KEY,
     ConfigRecord,
@@ -20,6 +21,7 @@
 from gradepoint.platform.settle import Settled, Unsettled, settle
 from gradepoint.standins.memory_kv import KvFault, MemoryKv, MemoryKvClient
 from gradepoint.standins.virtual_time import run_virtual
+from gradepoint.util.hashing import sha256_hex
 
 
 def scripted(store: MemoryKv, *faults: KvFault) -> MemoryKvClient:
@@ -161,6 +163,21 @@
     run_virtual(main())
 
 
+def test_document_that_cannot_be_kept_is_refused() -> None:
+    async def main() -> None:
+        keys = [KeyHash(f"{n:032x}", sha256_hex(str(n).encode())) for n in range(30000)]
+        document = msgspec.structs.replace(
+            make_document("large"), organisations=[Organisation("org", keys)]
+        )
+        store = MemoryKv()
+        with pytest.raises(GradepointError) as refused:
+            await apply_document(MemoryKvClient(store), document, "op", None)
+        assert refused.value.code == "config_invalid"
+        assert not store.keys
+
+    run_virtual(main())
+
+
 def test_a_lower_version_is_never_taken() -> None:
     config = InForce()
     assert config.take(ConfigRecord(5, make_document("five"), "w", "op", 0))
