--- a/gradepoint/batch/app.py
+++ b/gradepoint/batch/app.py
@@ -241,7 +241,7 @@
         kept, created = await self.repository.create_job(job)
         if created:
             emit(events.JOB_ACCEPTED, job=kept.job_id, items=kept.items)
-            self.worker.wake.set()
+            self.worker.book.wake.set()
         return json_response(show_job(await self.repository.counted(kept)), headers=OK)
 
     async def _cancel(self, organisation: str, job_id: str) -> Response:
@@ -249,7 +249,7 @@
         if job.state is not JobState.CANCELLED:
             raise GradepointError("job_finished", f"Job {job_id!r} is {job.state.value}.")
         emit(events.JOB_CANCELLED, job=job_id, state=job.state.value)
-        self.worker.wake.set()
+        self.worker.book.wake.set()
         return json_response(show_job(await self.repository.counted(job)), headers=OK)
 
 
--- a/gradepoint/batch/open_chunk.py
+++ b/gradepoint/batch/open_chunk.py
@@ -7,6 +7,10 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ..telemetry import metrics
+from ..util.clock import monotonic
+from .items import failure_result
+
 if TYPE_CHECKING:
     from .calls import PartialText
     from .items import Item
@@ -58,6 +62,22 @@
         if self.oldest_result_at is None:
             self.oldest_result_at = now
 
+    def fail(self, item: Item, code: str, message: str) -> None:
+        """End an item as failed, with its reason."""
+        metrics.shared().items.add(1, {"result": code})
+        self.add_result(failure_result(self.job.job_id, item, code, message), monotonic())
+
+    def retry_or_fail(self, item: Item, max_attempts: int) -> None:
+        """Queue an item that failed again, alone if it is suspected, or give it up."""
+        count = self.suspects.get(item.index, 0) + self.attempts.get(item.index, 0)
+        if count >= max_attempts:
+            message = f"given up after {count} tries, each ended by a failing target"
+            self.fail(item, "target_lost", message)
+        elif self.suspects.get(item.index, 0):
+            self.alone.append(item.index)
+        else:
+            self.pending.append(item.index)
+
     def due(self, bundle_items: int, bundle_age_s: float, now: float) -> bool:
         """Return whether the results should be committed now."""
         if not self.results or self.oldest_result_at is None:
@@ -75,3 +95,23 @@
                 return index
             self.pending.append(index)
         return None
+
+
+@dataclass
+class WorkBook:
+    """What the parts of a batch worker share.
+
+    :param complete: numbers of the chunks known to be complete, by job.
+    :param served: items started, by organisation.
+    :param wake: set to look for work at once.
+    """
+
+    chunks: dict[tuple[str, int], OpenChunk] = field(default_factory=dict)
+    complete: dict[str, set[int]] = field(default_factory=dict)
+    served: dict[str, float] = field(default_factory=dict)
+    wake: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @property
+    def waiting(self) -> int:
+        """Items that wait for a target."""
+        return sum(len(chunk.pending) + len(chunk.alone) for chunk in self.chunks.values())
--- a/gradepoint/online/execute.py
+++ b/gradepoint/online/execute.py
@@ -12,17 +12,13 @@
 
 from .. import events
 from ..errors import GradepointError, Outcome, TargetFailure
-from ..routing.retries import (
-    CallProgress,
-    RetryBudget,
-    Verdict,
-    decide_after_failure,
-)
+from ..routing.retries import CallProgress, RetryBudget
 from ..telemetry import metrics
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..wire.http_types import HEADER_DEADLINE
 from ..wire.target_client import TargetAnswer, TargetClient
+from .attempts import pause_or_give_up
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
@@ -94,7 +90,7 @@
                 answer = await self._try_whole(call, view)
             except TargetFailure as failure:
                 self.pool.note_failure(view, failure)
-                await self._after_failure(call, failure)
+                await pause_or_give_up(call.progress, failure, self.budget, self.rng)
                 continue
             finally:
                 self.pool.release(view, call.request.model)
@@ -133,27 +129,6 @@
         except TimeoutError as error:
             raise TargetFailure("deadline_exceeded", "deadline passed", not_run=False) from error
 
-    async def _after_failure(self, call: CallContext, failure: TargetFailure) -> None:
-        """Pause before another try, or give the call up at once."""
-        decision = decide_after_failure(
-            call.progress,
-            failure.code,
-            not_run=failure.not_run,
-            now=monotonic(),
-            budget=self.budget,
-            rng=self.rng,
-        )
-        if decision.verdict is Verdict.RETRY:
-            metrics.shared().retries.add(1, {"reason": decision.reason})
-            emit(events.CALL_RETRIED, reason=decision.reason, tries=call.progress.tries)
-            await asyncio.sleep(decision.pause_s)
-            return
-        outcome = Outcome.NOT_RUN
-        if decision.verdict is Verdict.ANSWER_UNKNOWN:
-            outcome = Outcome.UNKNOWN
-            emit(events.CALL_UNKNOWN, reason=decision.reason)
-        raise GradepointError(decision.reason, failure.message, outcome=outcome)
-
     async def run_stream(
         self, call: CallContext, state: StreamState
     ) -> AsyncGenerator[bytes | TargetAnswer, None]:
@@ -173,7 +148,7 @@
                         yield piece
             except TargetFailure as failure:
                 self.pool.note_failure(view, failure)
-                await self._after_failure(call, failure)
+                await pause_or_give_up(call.progress, failure, self.budget, self.rng)
                 emit(events.STREAM_RESUMED, call=state.call_id, passed=state.passed)
             else:
                 view.circuit.succeeded()
--- a/gradepoint/online/services.py
+++ b/gradepoint/online/services.py
@@ -6,17 +6,12 @@
 import random
 from typing import TYPE_CHECKING
 
-from ..errors import GradepointError, Outcome, TargetFailure
+from ..errors import GradepointError, TargetFailure
 from ..routing.choice import Circuit
-from ..routing.retries import (
-    CallProgress,
-    RetryBudget,
-    Verdict,
-    decide_after_failure,
-)
-from ..telemetry import metrics
+from ..routing.retries import CallProgress, RetryBudget
 from ..util.clock import monotonic
 from ..wire.target_client import HEADER_NOT_RUN, TargetAnswer, TargetClient
+from .attempts import pause_or_give_up
 
 if TYPE_CHECKING:
     from ..config.document import Service
@@ -72,7 +67,7 @@
                 answer = await self._try(url + target, method, passed, body, service, progress)
             except TargetFailure as failure:
                 circuit.failed(monotonic())
-                await self._after_failure(progress, failure)
+                await pause_or_give_up(progress, failure, self.budget, self.rng)
                 continue
             finally:
                 circuit.end()
@@ -107,20 +102,3 @@
         if answer.headers.get(HEADER_NOT_RUN) == "true":
             raise TargetFailure("target_refused", f"answered {answer.status}", not_run=True)
         return answer
-
-    async def _after_failure(self, progress: CallProgress, failure: TargetFailure) -> None:
-        decision = decide_after_failure(
-            progress,
-            failure.code,
-            not_run=failure.not_run,
-            now=monotonic(),
-            budget=self.budget,
-            rng=self.rng,
-        )
-        if decision.verdict is Verdict.RETRY:
-            metrics.shared().retries.add(1, {"reason": decision.reason})
-            await asyncio.sleep(decision.pause_s)
-            return
-        unknown = decision.verdict is Verdict.ANSWER_UNKNOWN
-        outcome = Outcome.UNKNOWN if unknown else Outcome.NOT_RUN
-        raise GradepointError(decision.reason, failure.message, outcome=outcome)
--- a/tests/test_tier/test_tier_failures.py
+++ b/tests/test_tier/test_tier_failures.py
@@ -251,7 +251,7 @@
 
         async def idle() -> bool:
             busy = any(engine.model.running or engine.model.waiting for engine in tier.engines)
-            return not busy and not any(host.batch.worker.chunks for host in tier.hosts)
+            return not busy and not any(host.batch.worker.book.chunks for host in tier.hosts)
 
         await until(idle)
         ran = sum(sum(engine.ran.values()) for engine in tier.engines)
