--- a/gradepoint/routing/slack.py
+++ b/gradepoint/routing/slack.py
@@ -11,13 +11,16 @@
 
 GROWTH_PER_S = 60.0
 """Sequences by which the window may grow in a second: slack lasts only seconds."""
+TAIL_SHARE = 0.7
+"""Share of the slots that batch leaves alone where the online tail comes first. Harm to
+the first token grows with the prefill of batch items, so with their number at work."""
 MOST_STARTS = 4
 LEAST_STARTS = 2
 """Sequences started at one look at most, for throughput first and for the tail first."""
 RESERVE_SPREADS = 1.0
 """Standard deviations of the online calls in progress that are kept free."""
-PEAK_MEMORY_S = 4.0
-"""Time constant with which a past online peak is forgotten."""
+MEAN_MEMORY_S = 4.0
+"""Time constant of the mean of online calls in progress."""
 KV_SHARE = 0.9
 """Share of KV-cache memory beyond which no batch sequence is added."""
 
@@ -72,7 +75,6 @@
     slots: int
     tail_preference: float
     limit: float = 1.0
-    online_peak: float = 0.0
     online_mean: float = 0.0
     seen_at: float | None = None
 
@@ -86,23 +88,21 @@
         elapsed = 0.0 if self.seen_at is None else max(0.0, now - self.seen_at)
         self.seen_at = now
         online = report.online_running + report.online_waiting
-        fading = math.exp(-elapsed / PEAK_MEMORY_S)
-        self.online_peak = max(online, self.online_peak * fading)
+        fading = math.exp(-elapsed / MEAN_MEMORY_S)
         self.online_mean = online + (self.online_mean - online) * fading
         free = max(0.0, float(self.slots - online))
         if report.kv_share > KV_SHARE:
             free = min(free, max(0.0, in_flight - 1.0))
-        room = max(0.0, free - self.reserve(online))
+        most = self.slots * (1.0 - TAIL_SHARE * self.tail_preference)
+        room = min(most, max(0.0, free - self.reserve()))
         self.limit = min(room, max(self.limit, in_flight) + GROWTH_PER_S * elapsed)
         starts = round(MOST_STARTS + (LEAST_STARTS - MOST_STARTS) * self.tail_preference)
         return WindowDecision(int(self.limit), max(0, in_flight - int(free)), starts)
 
-    def reserve(self, online: float) -> float:
+    def reserve(self) -> float:
         """Return the slots kept free for online calls that may come any moment.
 
         Arrivals are taken for Poisson, so that their number in progress varies by the
-        root of its mean; on top comes a share of the way back to the last peak.
+        root of its mean.
         """
-        spread = RESERVE_SPREADS * math.sqrt(self.online_mean + 1.0)
-        rise = self.online_peak - online
-        return max(spread, self.tail_preference * rise)
+        return RESERVE_SPREADS * math.sqrt(self.online_mean + 1.0)
