Tell every batch program at once that a job was cancelled

Cause: workers found out at their next look for work, which at 400 hosts is 20 s apart; running streams went on until then (no result counted). Change: the host that cancels pushes a hint to every live host's batch program, which drops the job's chunks and cancels their streams. A lost hint costs only the wait.

--- a/gradepoint/batch/app.py
+++ b/gradepoint/batch/app.py
@@ -30,6 +30,7 @@
 )
 from ..wire.pages import answer_common_page
 from ..wire.push import PullSocket
+from .hints import HintSender, JobEnded
 from .items import ENDPOINTS
 from .output import parse_output_file_id, read_output
 from .records import JobRecord, JobState
@@ -63,9 +64,8 @@
         self.repository = Repository(self.kv)
         self.store = ReplicatedStore(self.fleet.data_hosts)
         self.worker = BatchWorker(settings, self.fleet, self.repository, self.store)
-        self.notices = PullSocket(
-            InFlightNotice, lambda notice: self.worker.notices.take(notice, monotonic())
-        )
+        self.notices = PullSocket(InFlightNotice | JobEnded, self._take_notice)
+        self.hints = HintSender()
         self.server = HttpServer(
             self.handle,
             ServerLimits(
@@ -94,9 +94,16 @@
         self.server.abort()
         await self.worker.abort()
         await self.notices.stop()
+        self.hints.close()
         await self.fleet.stop()
         self.store.close()
 
+    def _take_notice(self, notice: InFlightNotice | JobEnded) -> None:
+        if isinstance(notice, JobEnded):
+            self.worker.job_ended(notice.job_id)
+        else:
+            self.worker.notices.take(notice, monotonic())
+
     def _leaving_in_flight(self) -> dict[str, int]:
         known = self.fleet.config.targets
         feeders = self.worker.feeders.items()
@@ -249,6 +256,7 @@
         if job.state is not JobState.CANCELLED:
             raise GradepointError("job_finished", f"Job {job_id!r} is {job.state.value}.")
         emit(events.JOB_CANCELLED, job=job_id, state=job.state.value)
+        self.hints.job_ended(job_id, self.fleet.members)
         self.worker.book.wake.set()
         return json_response(show_job(await self.repository.counted(job)), headers=OK)
 
--- a/gradepoint/batch/worker.py
+++ b/gradepoint/batch/worker.py
@@ -217,6 +217,12 @@
             return True
         return False
 
+    def job_ended(self, job_id: str) -> None:
+        """Stop work on a job that another host says has ended."""
+        for chunk in list(self.book.chunks.values()):
+            if chunk.job.job_id == job_id:
+                self.committer.drop(chunk)
+
     def _stop_items(self, chunk: OpenChunk) -> None:
         for feeder in self.feeders.values():
             feeder.cancel_chunk(chunk)
--- a/gradepoint/routing/notices.py
+++ b/gradepoint/routing/notices.py
@@ -24,7 +24,7 @@
 LIFETIME_S = 7.0
 
 
-class InFlightNotice(msgspec.Struct, frozen=True, array_like=True):
+class InFlightNotice(msgspec.Struct, frozen=True, array_like=True, tag="in_flight"):
     """Calls that one entry has in flight at some targets."""
 
     entry: str
--- a/gradepoint/wire/push.py
+++ b/gradepoint/wire/push.py
@@ -48,12 +48,15 @@
 
 
 class PushSocket:
-    """Sends messages to one TCP address; a full queue drops them."""
+    """Sends messages to one TCP address; a full queue drops them.
 
-    def __init__(self, address: str, port: int) -> None:
+    :param immediate: drop also what is sent before the connection stands.
+    """
+
+    def __init__(self, address: str, port: int, *, immediate: bool = True) -> None:
         self.socket: zmq.Socket[bytes] = zmq.Context.instance().socket(zmq.PUSH)
         self.socket.set(zmq.LINGER, 0)
-        self.socket.set(zmq.IMMEDIATE, 1)
+        self.socket.set(zmq.IMMEDIATE, int(immediate))
         self.socket.set_hwm(HIGH_WATER_MARK)
         self.socket.connect(f"tcp://{address}:{port}")
 
--- a/tests/test_tier/test_tier_failures.py
+++ b/tests/test_tier/test_tier_failures.py
@@ -262,6 +262,36 @@
     run_tier(tmp_path, work)
 
 
+def test_cancelled_job_stops_everywhere_before_the_next_look(tmp_path: Path) -> None:
+    async def work(tier: LocalTier, caller: Caller) -> None:
+        url = tier.hosts[0].entry_url
+        job_id = await submit(caller, url, 2000, "hint")
+
+        async def working() -> bool:
+            return bool(any(host.batch.worker.book.chunks for host in tier.hosts))
+
+        await until(working)
+
+        async def nothing() -> None:
+            """Stand for a look or a commit that comes too late."""
+
+        for host in tier.hosts:
+            host.batch.worker.finder.look = nothing  # type: ignore[method-assign]
+            host.batch.settings.bundle_items = 100000
+            host.batch.settings.bundle_age_s = 3600.0
+        await caller.send(f"{url}/v1/batches/{job_id}/cancel", "POST")
+
+        async def stopped() -> bool:
+            busy = any(engine.model.running for engine in tier.engines)
+            return not busy and not await working()
+
+        await until(stopped)
+        ran = sum(sum(engine.ran.values()) for engine in tier.engines)
+        assert ran < 256, "a claimed chunk ran on to its end"
+
+    run_tier(tmp_path, work)
+
+
 def test_planned_stop_under_load_cuts_off_nobody(tmp_path: Path) -> None:
     async def work(tier: LocalTier, caller: Caller) -> None:
         assert tier.document is not None
