Remove configuration values, ids and constants that nothing reads

Cause: reading as a newcomer with an unused-code search: three configuration fields (first_token_s, between_tokens_s, context_tokens, and a version's size_gb), one transition and some ids and constants had no effect; a value that does nothing misleads. Change: removed. Measured: 0 unused of these after; tests of configuration, platform and commands pass.

--- a/gradepoint/batch/transitions.py
+++ b/gradepoint/batch/transitions.py
@@ -89,15 +89,6 @@
     return Ok(msgspec.structs.replace(chunk, intents=tuple(sorted(wanted))))
 
 
-def note_suspects(
-    chunk: ChunkRecord, epoch: int, suspects: dict[int, int]
-) -> Result[ChunkRecord, Refusal]:
-    """Note items that ran when a target was lost."""
-    if chunk.epoch != epoch:
-        return Err(Refusal.EPOCH_PASSED)
-    return Ok(msgspec.structs.replace(chunk, suspects={**chunk.suspects, **suspects}))
-
-
 def cancel_job(job: JobRecord, now_s: int) -> Result[JobRecord, Refusal]:
     """Cancel a job in progress."""
     return _end(job, JobState.CANCELLED, now_s)
--- a/gradepoint/config/document.py
+++ b/gradepoint/config/document.py
@@ -69,7 +69,6 @@
 
     name: Name
     weights: str
-    size_gb: Positive = 10.0
 
 
 class Model(Strict):
@@ -82,7 +81,6 @@
     versions: Annotated[list[ModelVersion], Meta(min_length=1)]
     default_version: Name
     adapters: list[Adapter] = []
-    context_tokens: PositiveInt = 8192
 
 
 class Target(Strict):
@@ -158,8 +156,6 @@
     tail_preference: Share = 0.5
     online_priority: int = 0
     batch_priority: int = 10
-    first_token_s: Positive = 0.58
-    between_tokens_s: Positive = 0.079
 
 
 class Retention(Strict):
--- a/gradepoint/platform/kv.py
+++ b/gradepoint/platform/kv.py
@@ -13,9 +13,6 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-MAX_VALUE_BYTES = 1 << 20
-"""Largest value the platform holds (brief: "up to a megabyte")."""
-
 ABSENT = 0
 """Revision that stands for "the key does not exist" in a comparison."""
 
--- a/gradepoint/standins/virtual_time.py
+++ b/gradepoint/standins/virtual_time.py
@@ -19,7 +19,6 @@
 T = TypeVar("T")
 
 WALL_START = 1_700_000_000.0
-MOST_IDLE_SELECTS = 100
 
 
 class Deadlock(Exception):
