--- a/gradepoint/admin/api.py
+++ b/gradepoint/admin/api.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Any
 
 import msgspec
 from result import Err
 
 from .. import events
-from ..batch.records import JOBS_PREFIX, JobRecord
+from ..batch.records import JOBS_PREFIX, JobRecord, JobState
+from ..batch.repository import Repository
 from ..batch.views import show_job
 from ..config.access import KeyRing, bearer_key
 from ..config.check import check_document
@@ -34,6 +36,10 @@
 MOST_DOCUMENT_BYTES = 4 << 20
 """Bytes of an applied file; what the service keeps is packed and bounded on its own."""
 
+MOST_JOBS = 1000
+MOST_COUNTED = 50
+"""Running jobs whose progress a listing reads; each costs a range of its chunks."""
+
 
 class AdminApi:
     """Administration HTTP of one control program."""
@@ -193,8 +199,13 @@
         return json_response({"audit": rows})
 
     async def _jobs(self) -> Response:
-        found = await self.control.kv.range(JOBS_PREFIX, limit=1000)
+        found = await self.control.kv.range(JOBS_PREFIX, limit=MOST_JOBS)
         jobs = [msgspec.json.decode(item.value, type=JobRecord) for item in found.items]
+        repository = Repository(self.control.kv)
+        running = [job for job in jobs if job.state is JobState.IN_PROGRESS][:MOST_COUNTED]
+        counted = await asyncio.gather(*(repository.counted(job) for job in running))
+        progress = {job.job_id: job for job in counted}
+        jobs = [progress.get(job.job_id, job) for job in jobs]
         return json_response(
             {"jobs": [show_job(job) | {"organisation": job.organisation} for job in jobs]}
         )
--- a/tests/test_tier/test_tier_failures.py
+++ b/tests/test_tier/test_tier_failures.py
@@ -246,6 +246,12 @@
             return any(engine.model.running for engine in tier.engines)
 
         await until(running)
+
+        async def progress_shown() -> bool:
+            listed = (await caller.operate(tier.hosts[1], "GET", "/admin/jobs")).json["jobs"]
+            return bool(listed[0]["request_counts"]["completed"] > 0)
+
+        await until(progress_shown)
         answer = await caller.send(f"{url}/v1/batches/{job_id}/cancel", "POST")
         assert answer.json["status"] == "cancelled"
 
