Name shared state and reports by the field's terms

Cause: WorkBook, FleetWord and NoticeBoard were our own pictures. Change: WorkerState, FleetReport, InFlightTable; comments follow.

--- a/gradepoint/batch/app.py
+++ b/gradepoint/batch/app.py
@@ -248,7 +248,7 @@
         kept, created = await self.repository.create_job(job)
         if created:
             emit(events.JOB_ACCEPTED, job=kept.job_id, items=kept.items)
-            self.worker.book.wake.set()
+            self.worker.shared.wake.set()
         return json_response(show_job(await self.repository.counted(kept)), headers=OK)
 
     async def _cancel(self, organisation: str, job_id: str) -> Response:
@@ -257,7 +257,7 @@
             raise GradepointError("job_finished", f"Job {job_id!r} is {job.state.value}.")
         emit(events.JOB_CANCELLED, job=job_id, state=job.state.value)
         self.hints.job_ended(job_id, self.fleet.members)
-        self.worker.book.wake.set()
+        self.worker.shared.wake.set()
         return json_response(show_job(await self.repository.counted(job)), headers=OK)
 
 
--- a/gradepoint/batch/claiming.py
+++ b/gradepoint/batch/claiming.py
@@ -27,7 +27,7 @@
     from ..store.replicas import ReplicatedStore
     from .committing import Committer
     from .items import Item
-    from .open_chunk import WorkBook
+    from .open_chunk import WorkerState
     from .records import ActiveJob, FileRecord
     from .repository import ChunkState, Repository
 
@@ -48,7 +48,7 @@
         repository: Repository,
         store: ReplicatedStore,
         committer: Committer,
-        book: WorkBook,
+        shared: WorkerState,
         wants_chunks: Callable[[], int],
     ) -> None:
         self.settings = settings
@@ -56,7 +56,7 @@
         self.repository = repository
         self.store = store
         self.committer = committer
-        self.book = book
+        self.shared = shared
         self.wants_chunks = wants_chunks
         self.files: dict[str, FileRecord] = {}
 
@@ -67,13 +67,13 @@
         """
         active = await self.repository.active_jobs()
         names = {job.job_id for job in active}
-        for chunk in list(self.book.chunks.values()):
+        for chunk in list(self.shared.chunks.values()):
             if chunk.job.job_id not in names:
                 self.committer.drop(chunk)
         for job in [job for job in active if job.deadline_at <= wall_seconds()]:
             await self.repository.expire(job.organisation, job.job_id)
-        for gone in set(self.book.complete) - names:
-            del self.book.complete[gone]
+        for gone in set(self.shared.complete) - names:
+            del self.shared.complete[gone]
         open_jobs = [job for job in active if job.deadline_at > wall_seconds()]
         for job in sorted(open_jobs, key=self.job_order)[:JOBS_LOOKED_INTO]:
             await self._look_into(job)
@@ -85,10 +85,10 @@
     def _served_share(self, organisation: str) -> float:
         known = self.fleet.config.organisations.get(organisation)
         weight = known.batch_weight if known else 1.0
-        return self.book.served.get(organisation, 0.0) / weight
+        return self.shared.served.get(organisation, 0.0) / weight
 
     async def _look_into(self, job: ActiveJob) -> None:
-        known = self.book.complete.setdefault(job.job_id, set())
+        known = self.shared.complete.setdefault(job.job_id, set())
         if self.wants_chunks() == 0 and len(known) < job.chunks:
             return
         states = await self.repository.chunks(job.job_id)
@@ -100,7 +100,7 @@
         start = score(self.settings.host, job.job_id) % job.chunks
         for offset in range(job.chunks):
             number = (start + offset) % job.chunks
-            if number in known or (job.job_id, number) in self.book.chunks:
+            if number in known or (job.job_id, number) in self.shared.chunks:
                 continue
             if self.wants_chunks() == 0:
                 return
@@ -144,7 +144,7 @@
             metrics.shared().commits.add(1, {"result": "claim-lost"})
             return
         chunk = self._open(job, job_expect, written.ok_value, items)
-        self.book.chunks[chunk.key] = chunk
+        self.shared.chunks[chunk.key] = chunk
         emit(events.CHUNK_CLAIMED, job=job.job_id, chunk=number, epoch=chunk.epoch)
 
     def _open(
--- a/gradepoint/batch/committing.py
+++ b/gradepoint/batch/committing.py
@@ -17,7 +17,7 @@
     from collections.abc import Callable
 
     from ..store.replicas import ReplicatedStore
-    from .open_chunk import OpenChunk, WorkBook
+    from .open_chunk import OpenChunk, WorkerState
     from .records import ActiveJob, ChunkRecord
     from .repository import ChunkState, Repository
 
@@ -35,12 +35,12 @@
         self,
         repository: Repository,
         store: ReplicatedStore,
-        book: WorkBook,
+        shared: WorkerState,
         on_drop: Callable[[OpenChunk], None],
     ) -> None:
         self.repository = repository
         self.store = store
-        self.book = book
+        self.shared = shared
         self.on_drop = on_drop
 
     async def record_intent(self, chunk: OpenChunk, index: int) -> bool:
@@ -117,7 +117,7 @@
         if chunk.dropped:
             return
         chunk.dropped = True
-        self.book.chunks.pop(chunk.key, None)
+        self.shared.chunks.pop(chunk.key, None)
         chunk.pending.clear()
         chunk.alone.clear()
         self.on_drop(chunk)
@@ -132,10 +132,10 @@
             await self._write(chunk, moved.ok_value, lambda record: record.holder == "")
 
     async def _chunk_complete(self, chunk: OpenChunk) -> None:
-        self.book.chunks.pop(chunk.key, None)
-        known = self.book.complete.setdefault(chunk.job.job_id, set())
+        self.shared.chunks.pop(chunk.key, None)
+        known = self.shared.complete.setdefault(chunk.job.job_id, set())
         known.add(chunk.key[1])
-        self.book.wake.set()
+        self.shared.wake.set()
         if len(known) >= chunk.job.chunks:
             states = await self.repository.chunks(chunk.job.job_id)
             await self.finish(chunk.job, list(states.values()))
--- a/gradepoint/batch/open_chunk.py
+++ b/gradepoint/batch/open_chunk.py
@@ -98,7 +98,7 @@
 
 
 @dataclass
-class WorkBook:
+class WorkerState:
     """What the parts of a batch worker share.
 
     :param complete: numbers of the chunks known to be complete, by job.
--- a/gradepoint/batch/worker.py
+++ b/gradepoint/batch/worker.py
@@ -9,7 +9,7 @@
 from ..config.document import TargetRole, TargetState
 from ..config.resolve import wanted_loads
 from ..errors import GradepointError, KvError, TargetFailure
-from ..routing.notices import NoticeBoard, feeder_host
+from ..routing.notices import InFlightTable, feeder_host
 from ..routing.slack import SlackWindow
 from ..telemetry import metrics
 from ..telemetry.logs import emit
@@ -22,7 +22,7 @@
 from .committing import Committer
 from .feeder import Feeder, read_load
 from .items import success_result
-from .open_chunk import WorkBook
+from .open_chunk import WorkerState
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -59,12 +59,12 @@
         self.store = store
         self.client = TargetClient()
         self.feeders: dict[str, Feeder] = {}
-        self.book = WorkBook()
-        self.committer = Committer(repository, store, self.book, self._stop_items)
+        self.shared = WorkerState()
+        self.committer = Committer(repository, store, self.shared, self._stop_items)
         self.finder = ChunkFinder(
-            settings, fleet, repository, store, self.committer, self.book, self._wants_chunks
+            settings, fleet, repository, store, self.committer, self.shared, self._wants_chunks
         )
-        self.notices = NoticeBoard()
+        self.notices = InFlightTable()
         self.tasks = TaskGroup()
         self.stopping = False
 
@@ -79,7 +79,7 @@
         for feeder in self.feeders.values():
             feeder.cancel_all()
         await asyncio.sleep(0)
-        for chunk in list(self.book.chunks.values()):
+        for chunk in list(self.shared.chunks.values()):
             try:
                 if chunk.results:
                     await self.committer.commit(chunk)
@@ -104,7 +104,7 @@
     # Looking for work
 
     async def _look_loop(self) -> None:
-        self.book.wake.clear()
+        self.shared.wake.clear()
         if self.fleet.ready:
             self._choose_feeders()
             await self.finder.look()
@@ -113,7 +113,7 @@
         await asyncio.sleep(hosts * WAKE_PER_HOST_S)
         try:
             async with asyncio.timeout(pause):
-                await self.book.wake.wait()
+                await self.shared.wake.wait()
         except TimeoutError:
             pass
 
@@ -122,9 +122,9 @@
         if self.stopping or not self.feeders:
             return 0
         room = sum(feeder.slots for feeder in self.feeders.values())
-        if self.book.waiting >= 2 * room:
+        if self.shared.waiting >= 2 * room:
             return 0
-        return max(0, self.settings.max_open_chunks - len(self.book.chunks))
+        return max(0, self.settings.max_open_chunks - len(self.shared.chunks))
 
     # Feeding
 
@@ -155,7 +155,7 @@
         document = self.fleet.config.document
         needed = {
             chunk.models[index]
-            for chunk in self.book.chunks.values()
+            for chunk in self.shared.chunks.values()
             for index in (*chunk.pending, *chunk.alone)
         }
         for target in mine.values():
@@ -180,7 +180,7 @@
 
     async def _feed(self, feeder: Feeder) -> None:
         now = monotonic()
-        if not feeder.running and not self.book.chunks:
+        if not feeder.running and not self.shared.chunks:
             return
         report = await read_load(self.client, feeder.url)
         if report is None or not feeder.circuit.admits(now):
@@ -192,15 +192,15 @@
         most = min(decision.limit, len(feeder.running) + decision.starts)
         while len(feeder.running) < most and self._start_next(feeder):
             pass
-        if not any(chunk.pending for chunk in self.book.chunks.values()):
-            self.book.wake.set()
+        if not any(chunk.pending for chunk in self.shared.chunks.values()):
+            self.shared.wake.set()
 
     def _start_next(self, feeder: Feeder) -> bool:
         """Start the next item at a target; return whether there was one."""
         if feeder.exclusive or self.stopping:
             return False
         for chunk in sorted(
-            self.book.chunks.values(), key=lambda chunk: self.finder.job_order(chunk.job)
+            self.shared.chunks.values(), key=lambda chunk: self.finder.job_order(chunk.job)
         ):
             held = len(chunk.results)
             if chunk.dropped or held >= UNCOMMITTED_FACTOR * self.settings.bundle_items:
@@ -210,7 +210,7 @@
                 continue
             chunk.running.add(index)
             organisation = chunk.job.organisation
-            self.book.served[organisation] = self.book.served.get(organisation, 0.0) + 1.0
+            self.shared.served[organisation] = self.shared.served.get(organisation, 0.0) + 1.0
             feeder.exclusive = index in chunk.suspects
             task = self.tasks.start(self._run(feeder, chunk, index))
             feeder.add(task, chunk, cancellable=chunk.items[index].repeatable)
@@ -219,7 +219,7 @@
 
     def job_ended(self, job_id: str) -> None:
         """Stop work on a job that another host says has ended."""
-        for chunk in list(self.book.chunks.values()):
+        for chunk in list(self.shared.chunks.values()):
             if chunk.job.job_id == job_id:
                 self.committer.drop(chunk)
 
@@ -284,7 +284,7 @@
         settings = self.settings
         due = [
             chunk
-            for chunk in self.book.chunks.values()
+            for chunk in self.shared.chunks.values()
             if chunk.due(settings.bundle_items, settings.bundle_age_s, now)
         ]
         await asyncio.gather(*(self.committer.commit(chunk) for chunk in due))
--- a/gradepoint/fleet/control.py
+++ b/gradepoint/fleet/control.py
@@ -358,6 +358,6 @@
         settings.store_port if settings.data_folder else 0,
         settings.failure_domain,
         settings.region,
-        # Rises with each start, so that a restarted host outruns word of its old self.
+        # Rises with each start, so that updates about the old self are outdated.
         time.time_ns() // 1_000_000,
     )
--- a/gradepoint/fleet/membership.py
+++ b/gradepoint/fleet/membership.py
@@ -139,7 +139,7 @@
         return [self._make(member, GossipKind.PING, 0) for member in chosen]
 
     def learn(self, update: Member, now: float) -> bool:
-        """Take a word about a member if it is later than what is known."""
+        """Take an update about a member if it is later than what is known."""
         if update.host == self.own.host:
             return self._refute(update)
         known = self.members.get(update.host)
--- a/gradepoint/fleet/messages.py
+++ b/gradepoint/fleet/messages.py
@@ -24,7 +24,7 @@
     """One host as its fellow hosts know it.
 
     :param incarnation: rises at each restart and each refuted suspicion; the higher
-        number is the later word.
+        number is the later update.
     :param store_port: 0 on hosts without a data folder.
     """
 
--- a/gradepoint/fleet/orders.py
+++ b/gradepoint/fleet/orders.py
@@ -54,7 +54,7 @@
 
 
 @dataclass(frozen=True)
-class FleetWord:
+class FleetReport:
     """What the hosts say of a target.
 
     :param out_of_choice: every live host has the version that takes the target out.
@@ -84,7 +84,7 @@
     document: Document,
     target: Target,
     seen: SeenState,
-    word: FleetWord,
+    report: FleetReport,
     loaded: Mapping[str, int],
     fencing: int,
 ) -> Order | None:
@@ -98,8 +98,8 @@
         return None
     if not seen.draining:
         # Only once no host chooses it any more, a drain refuses nobody.
-        return Order(OrderKind.DRAIN, fencing) if word.out_of_choice else None
-    quiet = word.out_of_choice and word.in_flight == 0 and seen.in_progress == 0
+        return Order(OrderKind.DRAIN, fencing) if report.out_of_choice else None
+    quiet = report.out_of_choice and report.in_flight == 0 and seen.in_progress == 0
     if target.state is TargetState.STOPPED and quiet:
         return Order(OrderKind.STOP, fencing)
     return None
--- a/gradepoint/fleet/reconcile.py
+++ b/gradepoint/fleet/reconcile.py
@@ -17,7 +17,7 @@
 from .leases import TTL_S, LeaseKeeper
 from .messages import StatusAnswer
 from .orders import (
-    FleetWord,
+    FleetReport,
     LoadPacer,
     Order,
     OrderKind,
@@ -143,7 +143,7 @@
         seen = {target.name: state for target, state in zip(due, states, strict=True) if state}
         if not seen:
             return
-        words = await self._fleet_words(document)
+        reports = await self._fleet_reports(document)
         loaded = count_loaded(list(seen.values()))
         for target in due:
             if target.name in seen:
@@ -151,7 +151,7 @@
                     document,
                     target,
                     seen[target.name],
-                    words.get(target.name, FleetWord(False, 0)),
+                    reports.get(target.name, FleetReport(False, 0)),
                     loaded,
                 )
 
@@ -159,7 +159,7 @@
         version, until = self.settled.get(target.name, (0, 0.0))
         return version != self.config.version or monotonic() >= until
 
-    async def _fleet_words(self, document: Document) -> dict[str, FleetWord]:
+    async def _fleet_reports(self, document: Document) -> dict[str, FleetReport]:
         leaving = [target.name for target in document.targets if target.state.value != "active"]
         if not leaving:
             return {}
@@ -173,20 +173,20 @@
             if isinstance(answer, StatusAnswer):
                 for name, count in answer.in_flight.items():
                     counts[name] = counts.get(name, 0) + count
-        return {name: FleetWord(confirmed, counts[name]) for name in leaving}
+        return {name: FleetReport(confirmed, counts[name]) for name in leaving}
 
     async def _bring(
         self,
         document: Document,
         target: Target,
         seen: SeenState,
-        word: FleetWord,
+        report: FleetReport,
         loaded: dict[str, int],
     ) -> None:
         lease = self.lease.current()
         if lease is None:
             return
-        order = plan_order(document, target, seen, word, loaded, lease.fencing)
+        order = plan_order(document, target, seen, report, loaded, lease.fencing)
         if order is None:
             self._note_settled(target, seen)
             return
--- a/gradepoint/routing/notices.py
+++ b/gradepoint/routing/notices.py
@@ -38,7 +38,7 @@
 
 
 @dataclass
-class NoticeBoard:
+class InFlightTable:
     """What the entries said last, at a feeder."""
 
     counts: dict[str, dict[str, tuple[int, float]]] = field(default_factory=dict)
--- a/tests/test_batch/test_batch_exactly_once.py
+++ b/tests/test_batch/test_batch_exactly_once.py
@@ -67,7 +67,7 @@
         assert await fleet.results("job") == before, "a result counted after the cancel"
         job, _ = await repository.job("org", "job")
         assert job is not None and job.state is ended.state
-        assert all(not host.worker.book.chunks for host in fleet.hosts)
+        assert all(not host.worker.shared.chunks for host in fleet.hosts)
         await fleet.stop()
 
     run_virtual(main())
--- a/tests/test_fleet/test_fleet_orders.py
+++ b/tests/test_fleet/test_fleet_orders.py
@@ -13,7 +13,7 @@
 from gradepoint.config.versions import ConfigRecord, InForce
 from gradepoint.fleet.leases import TTL_S, HeldLease
 from gradepoint.fleet.messages import Member, StatusAnswer
-from gradepoint.fleet.orders import FleetWord, Order, OrderKind, SeenState, may_send, plan_order
+from gradepoint.fleet.orders import FleetReport, Order, OrderKind, SeenState, may_send, plan_order
 from gradepoint.fleet.reconcile import OrderGiver
 from gradepoint.ids import FencingNumber
 from gradepoint.standins.memory_kv import KvFault, MemoryKv, MemoryKvClient
@@ -189,15 +189,15 @@
     target = document.targets[0]
     busy = SeenState(("m@v1",), "both", False, False, 3)
 
-    def plan(seen: SeenState, word: FleetWord) -> OrderKind | None:
-        order = plan_order(document, target, seen, word, {}, 1)
+    def plan(seen: SeenState, report: FleetReport) -> OrderKind | None:
+        order = plan_order(document, target, seen, report, {}, 1)
         return order.kind if order else None
 
-    assert plan(busy, FleetWord(False, 3)) is None
-    assert plan(busy, FleetWord(True, 3)) is OrderKind.DRAIN
+    assert plan(busy, FleetReport(False, 3)) is None
+    assert plan(busy, FleetReport(True, 3)) is OrderKind.DRAIN
     draining = msgspec.structs.replace(busy, draining=True)
-    assert plan(draining, FleetWord(True, 3)) is None
-    assert plan(msgspec.structs.replace(draining, in_progress=0), FleetWord(True, 1)) is None
-    assert plan(msgspec.structs.replace(draining, in_progress=0), FleetWord(False, 0)) is None
+    assert plan(draining, FleetReport(True, 3)) is None
+    assert plan(msgspec.structs.replace(draining, in_progress=0), FleetReport(True, 1)) is None
+    assert plan(msgspec.structs.replace(draining, in_progress=0), FleetReport(False, 0)) is None
     quiet = msgspec.structs.replace(draining, in_progress=0)
-    assert plan(quiet, FleetWord(True, 0)) is OrderKind.STOP
+    assert plan(quiet, FleetReport(True, 0)) is OrderKind.STOP
--- a/tests/test_routing/test_routing_slack.py
+++ b/tests/test_routing/test_routing_slack.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from gradepoint.routing.notices import LIFETIME_S, InFlightNotice, NoticeBoard
+from gradepoint.routing.notices import LIFETIME_S, InFlightNotice, InFlightTable
 from gradepoint.routing.slack import LoadReport, SlackWindow
 
 SLOTS = 48
@@ -54,7 +54,7 @@
 
 
 def test_entries_word_counts_before_a_late_report() -> None:
-    board = NoticeBoard()
+    board = InFlightTable()
     late = idle(0)
     assert board.merge("t", late, 0.0) == late
     board.take(InFlightNotice("e1", {"t": 5}), 0.0)
--- a/tests/test_tier/test_tier_failures.py
+++ b/tests/test_tier/test_tier_failures.py
@@ -257,7 +257,7 @@
 
         async def idle() -> bool:
             busy = any(engine.model.running or engine.model.waiting for engine in tier.engines)
-            return not busy and not any(host.batch.worker.book.chunks for host in tier.hosts)
+            return not busy and not any(host.batch.worker.shared.chunks for host in tier.hosts)
 
         await until(idle)
         ran = sum(sum(engine.ran.values()) for engine in tier.engines)
@@ -274,7 +274,7 @@
         job_id = await submit(caller, url, 2000, "hint")
 
         async def working() -> bool:
-            return bool(any(host.batch.worker.book.chunks for host in tier.hosts))
+            return bool(any(host.batch.worker.shared.chunks for host in tier.hosts))
 
         await until(working)
 
