--- a/gradepoint/standins/engine.py
+++ b/gradepoint/standins/engine.py
@@ -219,7 +219,7 @@
             return json_response(self.reports[0][1] if self.reports else {})
         if path == "/cache_events":
             since = int(request.query.get("since", "0"))
-            return json_response([row for row in self.cache_events if row["number"] > since])
+            return json_response(self._visible_cache_events(since))
         if path == "/state":
             return json_response(self.state())
         if path == "/orders":
@@ -304,7 +304,14 @@
         number = len(self.cache_events) + 1
         # Every seventh event is lost.
         if number % 7:
-            self.cache_events.append({"number": number, "stored": prefix})
+            self.cache_events.append({"number": number, "stored": prefix, "at": monotonic()})
+        else:
+            self.cache_events.append({"number": number, "stored": "", "at": float("inf")})
+
+    def _visible_cache_events(self, since: int) -> list[Json]:
+        """Return the events after *since* that are old enough to be published."""
+        latest = monotonic() - self.report_lag_s
+        return [row for row in self.cache_events if row["number"] > since and row["at"] <= latest]
 
     async def _tokens(self, stream: EngineStream, offset: int) -> AsyncIterator[str]:
         stream.readers += 1
