Move the key-value port and its clients out of platform/

Cause: platform/ is to hold only the adapter to the users' platform, while it held the product's port, the settlement of uncertain writes, the etcd client and the host list. Ruled out: leaving them and adding the adapter beside them, since then nothing tells which names are the platform's. Change: gradepoint/kv/ has the port (service.py), settle.py and etcd.py; the host list is fleet's. Conclusion: platform/ is free for the adapter.

--- a/gradepoint/batch/app.py
+++ b/gradepoint/batch/app.py
@@ -11,8 +11,8 @@
 from ..errors import GradepointError
 from ..fleet.local import FleetView
 from ..ids import JobId, ObjectHash
+from ..kv.etcd import EtcdClient
 from ..online.requests import check_key
-from ..platform.etcd import EtcdClient
 from ..routing.notices import InFlightNotice
 from ..store.replicas import ReplicatedStore
 from ..telemetry import metrics
--- a/gradepoint/batch/housekeeping.py
+++ b/gradepoint/batch/housekeeping.py
@@ -14,8 +14,8 @@
 from .. import events
 from ..errors import GradepointError, KvError
 from ..ids import ObjectHash
+from ..kv.service import Delete, Expect, Transaction
 from ..online import claims
-from ..platform.kv import Delete, Expect, Transaction
 from ..store.replicas import COPIES
 from ..telemetry.logs import emit
 from ..util.clock import wall_seconds
@@ -35,7 +35,7 @@
     from collections.abc import Callable
 
     from ..config.versions import InForce
-    from ..platform.kv import KeyValue, KeyValueService
+    from ..kv.service import KeyValue, KeyValueService
     from ..store.replicas import ReplicatedStore
 
 PERIOD_S = 60.0
--- a/gradepoint/batch/repository.py
+++ b/gradepoint/batch/repository.py
@@ -8,8 +8,8 @@
 from result import Err, Ok, Result
 
 from ..errors import GradepointError, KvError
-from ..platform.kv import ABSENT, Delete, Expect, Put, Transaction
-from ..platform.settle import Settled, Unsettled, settle
+from ..kv.service import ABSENT, Delete, Expect, Put, Transaction
+from ..kv.settle import Settled, Unsettled, settle
 from ..util.clock import wall_seconds
 from .records import (
     ACTIVE_PREFIX,
@@ -31,7 +31,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..platform.kv import KeyValue, KeyValueService
+    from ..kv.service import KeyValue, KeyValueService
 
     Transition = Callable[[JobRecord], Result[JobRecord, Refusal]]
 
--- a/gradepoint/config/versions.py
+++ b/gradepoint/config/versions.py
@@ -14,15 +14,15 @@
 
 from ..errors import GradepointError
 from ..ids import ConfigVersion, WriterToken
-from ..platform.kv import ABSENT, Expect, Put, Transaction
-from ..platform.settle import Settled, Unsettled, settle
+from ..kv.service import ABSENT, Expect, Put, Transaction
+from ..kv.settle import Settled, Unsettled, settle
 from ..util.clock import wall_seconds
 from ..util.hashing import new_token
 from .delta import compress, decompress
 from .document import Document, Organisation, Service, Target
 
 if TYPE_CHECKING:
-    from ..platform.kv import KeyValueService
+    from ..kv.service import KeyValueService
 
 CURRENT_KEY = "/gradepoint/config/current"
 AUDIT_PREFIX = "/gradepoint/config/audit/"
--- a/gradepoint/fleet/control.py
+++ b/gradepoint/fleet/control.py
@@ -11,14 +11,14 @@
 from .. import events
 from ..config.versions import CURRENT_KEY, ConfigRecord, InForce, decode_record, read_current
 from ..errors import KvError
-from ..platform.etcd import EtcdClient
-from ..platform.hosts import HostListClient, HostState
+from ..kv.etcd import EtcdClient
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.tasks import TaskGroup
 from ..wire.rpc import Failed, Message, RpcError, RpcPool, RpcServer
 from .config_history import ConfigHistory
 from .distribution import ANNOUNCE_FANOUT, watchers
+from .host_list import HostListClient, HostState
 from .membership import Membership
 from .messages import (
     ControlReply,
--- a/gradepoint/fleet/leases.py
+++ b/gradepoint/fleet/leases.py
@@ -14,14 +14,14 @@
 from .. import events
 from ..errors import KvError
 from ..ids import FencingNumber
-from ..platform.kv import ABSENT, Expect, Put, Transaction
+from ..kv.service import ABSENT, Expect, Put, Transaction
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from ..platform.kv import KeyValueService
+    from ..kv.service import KeyValueService
 
 PREFIX = "/gradepoint/leases/"
 TTL_S = 15
--- a/gradepoint/fleet/reconcile.py
+++ b/gradepoint/fleet/reconcile.py
@@ -32,7 +32,7 @@
 
     from ..config.document import Document, Target
     from ..config.versions import InForce
-    from ..platform.kv import KeyValueService
+    from ..kv.service import KeyValueService
     from .messages import Member
 
 STEP_S = 1.0
--- a/gradepoint/platform/etcd.py
+++ b/gradepoint/kv/etcd.py
@@ -14,7 +14,7 @@
 from ..errors import KvUnavailable, KvUncertain
 from ..telemetry import metrics
 from ..wire.http_client import ConnectFailed, HttpClient, ResponseBroken
-from .kv import (
+from .service import (
     ABSENT,
     CallCounts,
     KeyValue,
@@ -28,7 +28,7 @@
     from collections.abc import AsyncIterator
 
     from ..wire.http_client import ClientResponse
-    from .kv import Expect
+    from .service import Expect
 
 # A rejected request never took effect. Of any other failure, 503 included, the gateway
 # cannot tell whether the write was proposed before it, so it stays uncertain.
@@ -36,7 +36,7 @@
 
 
 class EtcdClient:
-    """Implements :class:`~gradepoint.platform.kv.KeyValueService`."""
+    """Implements :class:`~gradepoint.kv.service.KeyValueService`."""
 
     def __init__(self, base_url: str, timeout_s: float = 2.0) -> None:
         self.base_url = base_url.rstrip("/")
--- a/gradepoint/platform/settle.py
+++ b/gradepoint/kv/settle.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from .kv import KeyValueService, Transaction
+    from .service import KeyValueService, Transaction
 
 FIRST_PAUSE_S = 0.05
 LONGEST_PAUSE_S = 2.0
--- a/gradepoint/online/claims.py
+++ b/gradepoint/online/claims.py
@@ -16,8 +16,8 @@
 
 from .. import events
 from ..errors import GradepointError, KvError, Outcome
-from ..platform.kv import ABSENT, Delete, Expect, Put, Transaction
-from ..platform.settle import Settled, Unsettled, settle
+from ..kv.service import ABSENT, Delete, Expect, Put, Transaction
+from ..kv.settle import Settled, Unsettled, settle
 from ..telemetry.logs import emit
 from ..util.clock import wall_seconds
 from ..util.hashing import new_token, sha256_hex
@@ -26,7 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..platform.kv import KeyValueService
+    from ..kv.service import KeyValueService
 
 PREFIX = "/gradepoint/claims/"
 LARGEST_ANSWER = 512 << 10
--- a/gradepoint/online/entry.py
+++ b/gradepoint/online/entry.py
@@ -10,7 +10,7 @@
 from ..config.resolve import public_names
 from ..errors import GradepointError, Outcome
 from ..fleet.local import FleetView
-from ..platform.etcd import EtcdClient
+from ..kv.etcd import EtcdClient
 from ..routing.limits import OrganisationLimits
 from ..routing.retries import CallProgress
 from ..telemetry import metrics
--- a/gradepoint/standins/memory_kv.py
+++ b/gradepoint/standins/memory_kv.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 
 from ..errors import KvUnavailable, KvUncertain
-from ..platform.kv import (
+from ..kv.service import (
     CallCounts,
     KeyValue,
     RangeResult,
--- a/tests/test_platform/test_platform_settle.py
+++ b/tests/test_kv/test_kv_settle.py
@@ -17,8 +17,8 @@
     read_current,
 )
 from gradepoint.errors import GradepointError
-from gradepoint.platform.kv import Expect, Put, Transaction
-from gradepoint.platform.settle import Settled, Unsettled, settle
+from gradepoint.kv.service import Expect, Put, Transaction
+from gradepoint.kv.settle import Settled, Unsettled, settle
 from gradepoint.standins.memory_kv import KvFault, MemoryKv, MemoryKvClient
 from gradepoint.standins.virtual_time import run_virtual
 from gradepoint.util.hashing import sha256_hex
--- a/tests/test_store/test_store_repair.py
+++ b/tests/test_store/test_store_repair.py
@@ -9,7 +9,7 @@
 
 from gradepoint.batch.records import FILES_PREFIX, FileRecord
 from gradepoint.ids import ObjectHash
-from gradepoint.platform.kv import Put, Transaction
+from gradepoint.kv.service import Put, Transaction
 from gradepoint.standins.tier import HostPrograms, LocalTier
 from gradepoint.store.disk import DiskStore
 from gradepoint.store.replicas import DataHost, place
