Feed batch and choose targets by what other hosts have in flight now

Ruled out: targets refusing by themselves (no ejection and no 429 in the logs), the store (97 commits). Change: a target gets one item a host at a time, in an order of each host's own; one host, agreed by hash, gives way; datagrams leave when something changed, 20 ms apart at least; a watch waits 0.7 of the store's history, since one that outlives it is refused and costs a full read.

--- a/gradepoint/cmd/gateway.py
+++ b/gradepoint/cmd/gateway.py
@@ -49,7 +49,9 @@
 async def serve(settings: GatewaySettings) -> None:
     """Run until the stop signal."""
     stopped = stop_event()
-    kv = store.PlatformStore(settings.store_address, settings.store_timeout_s)
+    kv = store.PlatformStore(
+        settings.store_address, settings.store_timeout_s, settings.store_history_s
+    )
     gateway = Gateway(settings, kv, PLATFORM)
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, gateway.reload)
     await gateway.start()
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -120,6 +120,7 @@
             self.forwarder,
             self.own.incarnation,
             lambda: self.configuration.current,
+            self.beats.items_by_host,
         )
         self.jobs = JobApi(
             self.repository,
@@ -286,6 +287,7 @@
         while True:
             await asyncio.sleep(SWEEP_S)
             self.targets.sweep(monotonic())
+            self.beats.forget_silent()
             if self.ready and not was_ready:
                 emit(events.HOST_READY, targets=len(self.targets.by_id))
             was_ready = self.ready
--- a/gradepoint/gateway/settings.py
+++ b/gradepoint/gateway/settings.py
@@ -23,6 +23,7 @@
     Setting("store_address", str, REQUIRED, "IP:PORT of the platform's metadata store."),
     Setting("store_value_bytes", int, 1 << 20, "Largest value the store takes."),
     Setting("store_timeout_s", float, 1.5, "Seconds after which a store call is uncertain."),
+    Setting("store_history_s", float, 20.0, "Seconds for which the store remembers changes."),
     Setting("drain_ms", float, 2000.0, "Milliseconds after which a gone target gets no call."),
     Setting("grace_s", float, 8.0, "Seconds from the stop signal to the kill."),
     Setting("log_level", str, "INFO", "Lowest level that is logged."),
@@ -43,6 +44,7 @@
     store_address: str
     store_value_bytes: int
     store_timeout_s: float
+    store_history_s: float
     drain_ms: float
     grace_s: float
     log_level: str
--- a/gradepoint/jobs/feeding.py
+++ b/gradepoint/jobs/feeding.py
@@ -1,15 +1,16 @@
-"""Which target takes one more batch item, and when one must give way: pure decisions."""
+"""Which target takes one more batch item, and which host's item gives way: pure decisions."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from ..util.hashing import score
+
 if TYPE_CHECKING:
-    import random
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection, Mapping
 
     from ..gateway.targets import Target
-    from ..ids import TargetId
+    from ..ids import Incarnation, TargetId
 
 RESERVED_SHARE = 0.25
 """Share of a target's slots that batch leaves free for callers who arrive within one beat of
@@ -24,25 +25,42 @@
 def choose_batch_target(
     candidates: list[Target],
     elsewhere: Callable[[TargetId], int],
-    rng: random.Random,
+    just_fed: Collection[TargetId],
+    own: Incarnation,
 ) -> Target | None:
-    """Return the emptiest target with a slot to spare, or None."""
+    """Return the emptiest target with a slot to spare, or None.
+
+    Every host sees the same free slots. So that they do not all fill the same one before
+    they hear of each other, equally empty targets come in an order of each host's own, and a
+    target gets one item of a host at a time.
+
+    :param just_fed: targets that got an item of this host since the others last heard of it.
+    """
     best: Target | None = None
-    best_cost = (0.0, 0.0)
+    best_cost = (0.0, 0)
     for target in candidates:
         slots = max(1, target.listed.slots)
         load = target.in_flight + elsewhere(target.id)
-        if load >= batch_slots(slots):
+        if target.id in just_fed or load >= batch_slots(slots):
             continue
-        cost = (load / slots, rng.random())
+        cost = (load / slots, score(own, target.id))
         if best is None or cost < best_cost:
             best, best_cost = target, cost
     return best
 
 
-def count_to_preempt(load: int, slots: int, own_items: int) -> int:
-    """Return how many of this host's items at a target give way.
+def must_give_way(
+    load: int, slots: int, own: Incarnation, target: TargetId, items: Mapping[Incarnation, int]
+) -> bool:
+    """Whether one of this host's items at a target gives way.
+
+    One host at a time is picked, in an order that all hosts agree on; the others look again
+    when they have heard of it.
 
     :param load: everything in flight at the target, over all hosts.
+    :param items: items that each host has there.
     """
-    return min(own_items, max(0, load - slots))
+    if load <= slots:
+        return False
+    holders = [host for host, count in items.items() if count]
+    return bool(holders) and max(holders, key=lambda host: score(host, target)) == own
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -17,7 +17,7 @@
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..wire.http_client import ConnectFailed, ResponseBroken
-from .feeding import choose_batch_target, count_to_preempt
+from .feeding import choose_batch_target, must_give_way
 from .owned import OwnedJob, PartialText
 from .records import ItemEnd, Result
 from .repository import Superseded
@@ -32,8 +32,11 @@
     from .records import Item
     from .repository import JobRepository, StoredJob
 
-TICK_S = 0.05
-"""Seconds between looks for free slots: half a beat of the hosts' datagrams."""
+TICK_S = 0.03
+"""Seconds between looks for free slots: about the gap between the hosts' datagrams."""
+HEARD_S = 0.05
+"""Seconds after which the other hosts have heard what this one started or stopped: the gap
+between datagrams, and some for the way and for a busy host."""
 COMMIT_AGE_S = 0.6
 """Seconds that a finished item waits for others, so that one write lists several. A lost
 host's items of that time run again; a reader sees them that much later."""
@@ -75,12 +78,18 @@
     """The jobs of this host and their items under way.
 
     :param in_force: returns the configuration in force.
+    :param items_elsewhere: returns the items that other hosts have at a target, by host.
+    :ivar fed_at: when each target last got an item of this host.
+    :ivar gave_way_at: when an item of this host last gave way at each target.
     """
 
     repository: JobRepository
     forwarder: Forwarder
     own: Incarnation
     in_force: Callable[[], Configuration | None]
+    items_elsewhere: Callable[[TargetId], dict[Incarnation, int]]
+    fed_at: dict[TargetId, float] = field(default_factory=dict)
+    gave_way_at: dict[TargetId, float] = field(default_factory=dict)
     jobs: dict[JobId, OwnedJob] = field(default_factory=dict)
     running: list[RunningItem] = field(default_factory=list)
     rng: random.Random = field(default_factory=random.Random)
@@ -194,7 +203,8 @@
             self.drop(job.id, "its results are not known here")
 
     def _give_way(self) -> None:
-        """Cancel the newest items at targets that have more in flight than slots."""
+        """Cancel the newest item at each target that has more in flight than slots."""
+        now = monotonic()
         by_target: dict[TargetId, list[RunningItem]] = {}
         for item in self.running:
             by_target.setdefault(item.target, []).append(item)
@@ -203,11 +213,26 @@
             if target is None:
                 continue
             load = target.in_flight + self.forwarder.elsewhere(target_id)
-            count = count_to_preempt(load, max(1, target.listed.slots), len(items))
-            for item in sorted(items, key=lambda item: item.started)[len(items) - count :]:
-                emit(events.ITEM_GAVE_WAY, job=item.job.id, index=item.index, target=target_id)
-                if item.task is not None:
-                    item.task.cancel()
+            if now - self.gave_way_at.get(target_id, -HEARD_S) < HEARD_S:
+                continue
+            by_host = {**self.items_elsewhere(target_id), self.own: len(items)}
+            if must_give_way(load, max(1, target.listed.slots), self.own, target_id, by_host):
+                self.gave_way_at[target_id] = now
+                self._cancel(max(items, key=lambda item: item.started), load)
+
+    def _cancel(self, item: RunningItem, load: int) -> None:
+        """Take an item's slot away; it goes on later after its last event."""
+        emit(
+            events.ITEM_GAVE_WAY,
+            job=item.job.id,
+            index=item.index,
+            target=item.target,
+            load=load,
+        )
+        metrics.shared().retries.add(1, {"reason": "gave-way"})
+        item.job.not_before[item.index] = monotonic() + RETRY_S
+        if item.task is not None:
+            item.task.cancel()
 
     def _start_items(self) -> None:
         if self.stopping:
@@ -227,9 +252,13 @@
                     continue
                 service = route.pick_service(self.rng)
                 candidates = self.forwarder.targets.candidates(service, now)
-                target = choose_batch_target(candidates, self.forwarder.elsewhere, self.rng)
+                just_fed = {name for name, at in self.fed_at.items() if now - at < HEARD_S}
+                target = choose_batch_target(
+                    candidates, self.forwarder.elsewhere, just_fed, self.own
+                )
                 if target is None:
                     break
+                self.fed_at[target.id] = now
                 self._start(job, index, target, route.max_attempts)
 
     def _start(self, job: OwnedJob, index: int, target: Target, max_failures: int) -> None:
--- a/gradepoint/peers/beats.py
+++ b/gradepoint/peers/beats.py
@@ -20,11 +20,13 @@
 
 BEAT_FORMAT = 1
 """Version of the datagram; others are dropped."""
-BEAT_S = 0.1
-"""Seconds between datagrams: below the time of one short answer, so that a call seldom goes
-to a target that another host has just filled."""
-STALE_S = 0.5
-"""Seconds after which what a host said is not counted: five of its datagrams are missing."""
+LEAST_GAP_S = 0.02
+"""Least seconds between datagrams of one host: a call's choice looks this far back at most,
+in which a whole burst brings each host one call or two."""
+LONGEST_GAP_S = 0.2
+"""Seconds after which a datagram is sent though nothing changed, to show that the host lives."""
+STALE_S = 0.7
+"""Seconds after which what a host said is not counted: three of its datagrams are missing."""
 
 
 class Beat(msgspec.Struct, frozen=True, array_like=True):
@@ -58,8 +60,7 @@
 
     own: Callable[[], Beat]
     heard: dict[Incarnation, HeardBeat] = field(default_factory=dict)
-    calls: dict[TargetId, int] = field(default_factory=dict)
-    items: dict[TargetId, int] = field(default_factory=dict)
+    elsewhere: dict[TargetId, int] = field(default_factory=dict)
     transport: asyncio.DatagramTransport | None = None
 
     async def start(self, address: str, port: int) -> None:
@@ -75,15 +76,19 @@
             self.transport.close()
 
     async def run(self, peers: Callable[[], Iterable[HostPresence]]) -> None:
-        """Send this host's datagram to every peer for ever."""
+        """Send this host's datagram to every peer, whenever it changed, for ever."""
+        sent: Beat | None = None
+        sent_at = 0.0
         while True:
-            self.send(peers())
-            self.count()
-            await asyncio.sleep(BEAT_S)
-
-    def send(self, peers: Iterable[HostPresence]) -> None:
-        """Send this host's datagram once."""
-        beat = self.own()
+            beat = self.own()
+            now = monotonic()
+            if beat != sent or now - sent_at >= LONGEST_GAP_S:
+                self.send(beat, peers())
+                sent, sent_at = beat, now
+            await asyncio.sleep(LEAST_GAP_S)
+
+    def send(self, beat: Beat, peers: Iterable[HostPresence]) -> None:
+        """Send a datagram of this host once."""
         raw = msgspec.msgpack.encode(beat)
         for peer in peers:
             if self.transport is not None and peer.incarnation != beat.incarnation:
@@ -97,26 +102,34 @@
         except msgspec.DecodeError as error:
             emit(events.BEAT_DROPPED, reason=str(error))
             return
-        if beat.format == BEAT_FORMAT:
-            self.heard[beat.incarnation] = HeardBeat(beat, monotonic())
-
-    def count(self) -> None:
-        """Add up what is in flight elsewhere."""
+        if beat.format != BEAT_FORMAT:
+            return
+        former = self.heard.get(beat.incarnation)
+        if former is not None:
+            self._add(former.beat, -1)
+        self._add(beat, 1)
+        self.heard[beat.incarnation] = HeardBeat(beat, monotonic())
+
+    def forget_silent(self) -> None:
+        """Leave out what hosts said that are not heard any more."""
         now = monotonic()
-        self.calls = {}
-        self.items = {}
-        for incarnation, heard in list(self.heard.items()):
-            if now - heard.at > STALE_S:
-                del self.heard[incarnation]
-                continue
-            for target, number in heard.beat.calls.items():
-                self.calls[target] = self.calls.get(target, 0) + number
-            for target, number in heard.beat.items.items():
-                self.items[target] = self.items.get(target, 0) + number
+        for name in [name for name, heard in self.heard.items() if now - heard.at > STALE_S]:
+            self._add(self.heard.pop(name).beat, -1)
+
+    def _add(self, beat: Beat, sign: int) -> None:
+        for counts in (beat.calls, beat.items):
+            for target, number in counts.items():
+                self.elsewhere[target] = self.elsewhere.get(target, 0) + sign * number
+                if not self.elsewhere[target]:
+                    del self.elsewhere[target]
 
     def in_flight(self, target: TargetId) -> int:
         """Return calls and items that other hosts have at a target."""
-        return self.calls.get(target, 0) + self.items.get(target, 0)
+        return self.elsewhere.get(target, 0)
+
+    def items_by_host(self, target: TargetId) -> dict[Incarnation, int]:
+        """Return the items that other hosts have at a target."""
+        return {name: heard.beat.items.get(target, 0) for name, heard in self.heard.items()}
 
     def newest_config(self) -> tuple[ConfigVersion, Incarnation] | None:
         """Return the highest configuration version that a peer has, and the peer."""
--- a/gradepoint/platform/store.py
+++ b/gradepoint/platform/store.py
@@ -23,8 +23,11 @@
 
 NOTHING_DONE = frozenset((*range(400, 500), 503))
 """Statuses by which the store states that a call did nothing."""
-WATCH_WAIT_MS = 30_000
-"""Milliseconds that a watch waits for a change: the most that the store allows."""
+LONGEST_WATCH_S = 30.0
+"""Seconds that a watch may wait for a change: the most that the store allows."""
+WATCH_SHARE_OF_HISTORY = 0.7
+"""Share of the store's history that a watch waits: one that waits longer is refused, since
+the changes after its revision are forgotten meanwhile, and all keys must be read anew."""
 WATCH_SLACK_S = 3.0
 """Seconds after the wait's end until the store counts as silent."""
 CONNECT_TIMEOUT_S = 1.0
@@ -97,11 +100,13 @@
 
     :param address: ``IP:PORT`` of the store.
     :param timeout_s: seconds after which a call's outcome is uncertain.
+    :param history_s: seconds for which the store remembers changes.
     """
 
-    def __init__(self, address: str, timeout_s: float) -> None:
+    def __init__(self, address: str, timeout_s: float, history_s: float) -> None:
         self.base_url = f"http://{address}"
         self.timeout_s = timeout_s
+        self.watch_s = min(LONGEST_WATCH_S, history_s * WATCH_SHARE_OF_HISTORY)
         self.http = HttpClient(CONNECT_TIMEOUT_S, UNACKNOWLEDGED_MS)
         self.counts = CallCounts()
 
@@ -155,12 +160,13 @@
         revision = start_revision - 1
         while True:
             self.counts.watches += 1
-            query = {"path_prefix": prefix, "after_rev": revision, "wait_ms": WATCH_WAIT_MS}
+            wait_ms = round(self.watch_s * 1000)
+            query = {"path_prefix": prefix, "after_rev": revision, "wait_ms": wait_ms}
             status, body = await self._call(
                 "watch",
                 "GET",
                 f"/api/kv-watch?{urlencode(query)}",
-                timeout_s=WATCH_WAIT_MS / 1000 + WATCH_SLACK_S,
+                timeout_s=self.watch_s + WATCH_SLACK_S,
             )
             if status == 410:
                 raise KvHistoryLost(f"changes after revision {revision} are forgotten")
