Test the gateway and its jobs over loopback, with a stand-in store and targets

Ruled out: tests of parts only, since what matters is what callers and targets see. Change: bench/platform/ (store with lost and late answers, 503, 429, silence, forgotten history, leases; targets that fail in eight ways), tests over real sockets. Conclusion: parts that need virtual time next.

--- /dev/null
+++ b/bench/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform's outside: its metadata store and its targets."""
--- /dev/null
+++ b/bench/platform/store.py
@@ -0,0 +1,200 @@
+"""Stand-in for the platform's metadata store: its HTTP calls over a store in memory.
+
+Faults are set by attributes, for all callers or for some by their IP number.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+import msgspec
+
+from gradepoint.kv.service import Delete, Expect, Put, Transaction, WatchEvent
+from gradepoint.standins.memory_kv import MemoryKv
+from gradepoint.util.clock import monotonic
+from gradepoint.wire.http_server import HttpServer
+from gradepoint.wire.http_types import Request, Response, json_response
+
+WATCH_LOOK_S = 0.01
+PAGE_ITEMS = 50
+LEASE_LOOK_S = 0.05
+
+
+class StoreFault(Enum):
+    """How the store treats a call."""
+
+    NONE = "none"
+    BUSY = "busy"
+    MANY = "many"
+    SILENT = "silent"
+    LOSE_ANSWER = "lose-answer"
+    LATE = "late"
+
+
+@dataclass
+class PlatformStoreStandin:
+    """The store.
+
+    :ivar fault: what happens to calls now.
+    :ivar forgotten: changes up to this revision are not told any more.
+    :ivar calls: calls by path, refused ones too.
+    """
+
+    keys: MemoryKv = field(default_factory=MemoryKv)
+    fault: StoreFault = StoreFault.NONE
+    only_writes: bool = False
+    delay_s: float = 0.0
+    late_s: float = 1.0
+    forgotten: int = 0
+    calls: dict[str, int] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.server = HttpServer(self.handle)
+
+    async def start(self, address: str = "127.0.0.1", port: int = 0) -> str:
+        """Listen; return ``IP:PORT``."""
+        await self.server.start(address, port)
+        return f"{address}:{self.server.port}"
+
+    def put(self, key: str, value: bytes) -> None:
+        """Write as the operator or a target does."""
+        self.keys.apply(Transaction((), (Put(key, value),)))
+
+    def delete(self, key: str) -> None:
+        """Delete as the operator or a target does."""
+        self.keys.revision += 1
+        self.keys.remove(key)
+
+    def read(self, key: str) -> bytes | None:
+        """Return a key's value."""
+        item = self.keys.keys.get(key)
+        return None if item is None else item.value
+
+    def forget_history(self) -> None:
+        """Forget every change so far."""
+        self.forgotten = self.keys.revision
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one call."""
+        path = request.path
+        self.calls[path] = self.calls.get(path, 0) + 1
+        body = await request.read_body()
+        await asyncio.sleep(self.delay_s)
+        fault = self.fault
+        if self.only_writes and path != "/api/kv-txn":
+            fault = StoreFault.NONE
+        if fault is StoreFault.BUSY:
+            return Response(503)
+        if fault is StoreFault.MANY:
+            return Response(429)
+        if fault is StoreFault.SILENT:
+            await asyncio.Event().wait()
+        if fault is StoreFault.LATE:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.late_s, self._apply_late, request, body)
+            raise ConnectionResetError
+        answer = await self._answer(request, body)
+        if fault is StoreFault.LOSE_ANSWER:
+            raise ConnectionResetError
+        return answer
+
+    def _apply_late(self, request: Request, body: bytes) -> None:
+        if request.path == "/api/kv-txn":
+            self._transact(body)
+
+    async def _answer(self, request: Request, body: bytes) -> Response:
+        self.keys.expire()
+        path, query = request.path, request.query
+        if path == "/api/kv-key":
+            return self._get(query["key_path"])
+        if path == "/api/kv-range":
+            return self._range(query["path_prefix"], query.get("after_rev", ""))
+        if path == "/api/kv-watch":
+            return await self._watch(query)
+        if path == "/api/kv-txn":
+            return self._transact(body)
+        if path == "/api/kv-lease":
+            return self._grant(msgspec.json.decode(body)["ttl_ms"])
+        if path.startswith("/api/kv-keep/"):
+            return self._keep(int(path.rpartition("/")[2]))
+        if path.startswith("/api/kv-lease-end/"):
+            self.keys.drop_lease(int(path.rpartition("/")[2]))
+            return json_response({})
+        return Response(404)
+
+    def _get(self, key: str) -> Response:
+        item = self.keys.keys.get(key)
+        if item is None:
+            return Response(404)
+        return json_response({**_row(item), "timestamp": self.keys.revision})
+
+    def _range(self, prefix: str, after: str) -> Response:
+        names = sorted(name for name in self.keys.keys if name.startswith(prefix) and name > after)
+        rows = [_row(self.keys.keys[name]) for name in names[:PAGE_ITEMS]]
+        more = len(names) > PAGE_ITEMS
+        return json_response({"items": rows, "has_more": more, "timestamp": self.keys.revision})
+
+    async def _watch(self, query: dict[str, str]) -> Response:
+        after = int(query["after_rev"])
+        until = monotonic() + int(query["wait_ms"]) / 1000
+        while True:
+            self.keys.expire()
+            if after < self.forgotten:
+                return Response(410)
+            found = [
+                event
+                for event in self.keys.history
+                if event.revision > after and event.key.startswith(query["path_prefix"])
+            ]
+            if found or monotonic() >= until:
+                rows = [_event_row(event) for event in found]
+                return json_response({"events": rows, "timestamp": self.keys.revision})
+            await asyncio.sleep(WATCH_LOOK_S)
+
+    def _transact(self, body: bytes) -> Response:
+        call = msgspec.json.decode(body)
+        puts = tuple(
+            Put(row["key_path"], base64.b64decode(row["value"]), row.get("lease", 0))
+            for row in call["puts"]
+        )
+        if any(put.lease and put.lease not in self.keys.leases for put in puts):
+            return Response(404)
+        expects = tuple(Expect(row["key_path"], row["rev"]) for row in call["expect_rev"])
+        deletes = tuple(Delete(key) for key in call["remove"])
+        result = self.keys.apply(Transaction(expects, puts, deletes))
+        if result.succeeded:
+            return json_response({"rev": result.revision})
+        return json_response({"items": [_row(item) for item in result.current]}, 412)
+
+    def _grant(self, ttl_ms: int) -> Response:
+        self.keys.next_lease += 1
+        self.keys.leases[self.keys.next_lease] = (ttl_ms / 1000, monotonic() + ttl_ms / 1000)
+        return json_response({"lease": self.keys.next_lease, "ttl_ms": ttl_ms})
+
+    def _keep(self, lease: int) -> Response:
+        if lease not in self.keys.leases:
+            return Response(404)
+        ttl = self.keys.leases[lease][0]
+        self.keys.leases[lease] = (ttl, monotonic() + ttl)
+        return json_response({"ttl_ms": int(ttl * 1000)})
+
+
+def _row(item: Any) -> dict[str, Any]:
+    return {
+        "key_path": item.key,
+        "value": base64.b64encode(item.value).decode(),
+        "rev": item.revision,
+        "created": item.created,
+        "lease": item.lease,
+    }
+
+
+def _event_row(event: WatchEvent) -> dict[str, Any]:
+    if event.value is None:
+        return {"key_path": event.key, "rev": event.revision, "is_deleted": True}
+    value = base64.b64encode(event.value).decode()
+    return {"key_path": event.key, "value": value, "rev": event.revision, "created": 0, "lease": 0}
--- /dev/null
+++ b/tests/support/platform.py
@@ -0,0 +1,269 @@
+"""A small deployment on loopback: store and target stand-ins, and real gateways."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import itertools
+from collections.abc import Awaitable, Callable
+from contextlib import closing
+from dataclasses import dataclass, field
+from socket import AF_INET, SOCK_DGRAM, SOCK_STREAM, socket
+from typing import Any
+
+import msgspec
+
+from bench.platform.store import PlatformStoreStandin
+from bench.platform.target import TargetStandin, event_data
+from gradepoint.cmd.gateway import PLATFORM
+from gradepoint.gateway.app import Gateway
+from gradepoint.gateway.settings import GatewaySettings, check_gateway_settings
+from gradepoint.platform.store import PlatformStore
+from gradepoint.wire.http_client import HttpClient, ResponseBroken
+
+HOST = "calls.example"
+ITEM_TOKENS = 100
+LOOPBACK = "127.0.0.1"
+WAIT_S = 20.0
+"""Seconds until something that has to come counts as missing."""
+
+
+def free_port() -> int:
+    """Return a port that is free for TCP and UDP."""
+    while True:
+        with (
+            closing(socket(AF_INET, SOCK_STREAM)) as tcp,
+            closing(socket(AF_INET, SOCK_DGRAM)) as udp,
+        ):
+            tcp.bind((LOOPBACK, 0))
+            port = int(tcp.getsockname()[1])
+            try:
+                udp.bind((LOOPBACK, port))
+            except OSError:
+                continue
+            return port
+
+
+def route(name: str, kind: str, **more: Any) -> dict[str, Any]:
+    """Return a route as the operator writes it."""
+    row = {
+        "name": name,
+        "host": HOST,
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 5000,
+        "goal_ms": 400,
+        "priority": 0,
+        "service": "model",
+        "max_attempts": 2,
+        "resumable": False,
+        "gap_goal_ms": 200,
+    }
+    return {**row, **more}
+
+
+ROUTES = [
+    route("single", "unsafe", max_attempts=1),
+    route("plain", "safe", max_attempts=3),
+    route("stream", "streaming", max_attempts=1),
+    route("resume", "streaming", max_attempts=3, resumable=True),
+    route(
+        "night",
+        "batch",
+        due_ms=18000,
+        retention_s=60,
+        max_queued_tokens=5000,
+        max_attempts=2,
+    ),
+]
+
+
+def configuration(version: int, routes: list[dict[str, Any]] | None = None) -> bytes:
+    """Return a configuration as the operator writes it."""
+    return msgspec.json.encode(
+        {
+            "version": version,
+            "routes": ROUTES if routes is None else routes,
+            "services": [{"name": "model", "health_path": "/health", "max_conns": 100}],
+            "limits": {
+                "header_bytes": 4096,
+                "body_bytes": 100_000,
+                "header_timeout_ms": 3000,
+                "idle_timeout_ms": 15000,
+            },
+        }
+    )
+
+
+def make_settings(host: str, store_address: str) -> GatewaySettings:
+    """Return the settings of a gateway on loopback."""
+    values = {
+        "host": host,
+        "failure_domain": "zone-a",
+        "address": LOOPBACK,
+        "callers_address": f"{LOOPBACK}:{free_port()}",
+        "ready_address": f"{LOOPBACK}:{free_port()}",
+        "peer_ports": str(free_port()),
+        "store_address": store_address,
+    }
+    return check_gateway_settings(values).unwrap()
+
+
+@dataclass
+class Deployment:
+    """Stand-ins and gateways of one test."""
+
+    store: PlatformStoreStandin = field(default_factory=PlatformStoreStandin)
+    targets: list[TargetStandin] = field(default_factory=list)
+    gateways: list[Gateway] = field(default_factory=list)
+    http: HttpClient = field(default_factory=HttpClient)
+    ids: Any = field(default_factory=lambda: itertools.count(1))
+
+    async def start(self, gateways: int = 1, targets: int = 2, **target: Any) -> None:
+        """Start everything and wait until the gateways are ready."""
+        self.store_address = await self.store.start()
+        self.store.put("op/config", configuration(1))
+        for number in range(targets):
+            await self.add_target(TargetStandin(f"t{number}", **target))
+        for number in range(gateways):
+            await self.add_gateway(f"host-{number}")
+
+    async def add_target(self, target: TargetStandin) -> None:
+        """Start a target and list it."""
+        await target.start()
+        self.targets.append(target)
+        self.store.put(f"servers/{target.name}", target.entry())
+
+    async def add_gateway(self, host: str) -> Gateway:
+        """Start a gateway and wait until it is ready."""
+        settings = make_settings(host, self.store_address)
+        kv = PlatformStore(self.store_address, settings.store_timeout_s, settings.store_history_s)
+        gateway = Gateway(settings, kv, PLATFORM)
+        await gateway.start()
+        self.gateways.append(gateway)
+        await until(lambda: gateway.ready and gateway.presence.holds_lease)
+        await until(lambda: len(gateway.hosts.hosts) >= len(self.gateways))
+        return gateway
+
+    async def kill(self, gateway: Gateway) -> None:
+        """End a gateway as a kill does: nothing is handed over, every socket closes."""
+        self.gateways.remove(gateway)
+        await gateway.tasks.stop()
+        for server in (gateway.callers, gateway.readiness, gateway.peer_server):
+            server.abort()
+        gateway.beats.stop()
+        for job_id in list(gateway.worker.jobs):
+            gateway.worker.drop(job_id, "killed")
+        gateway.forwarder.http.close()
+        gateway.kv.http.close()  # type: ignore[attr-defined]
+
+    async def stop(self) -> None:
+        """End everything."""
+        for gateway in list(self.gateways):
+            await self.kill(gateway)
+        for target in self.targets:
+            target.server.abort()
+        self.store.server.abort()
+        self.http.close()
+
+    async def call(
+        self,
+        path: str,
+        *,
+        method: str = "POST",
+        body: bytes = b"prompt",
+        request_id: str = "",
+        gateway: int = 0,
+        **headers: str,
+    ) -> CallAnswer:
+        """Send one request to a gateway and read its answer, whole or broken."""
+        request_id = request_id or f"id-{next(self.ids)}"
+        fields = [("host", HOST), ("x-attempt-id", request_id), ("x-time-left-ms", "4000")]
+        fields += [(name.replace("_", "-"), value) for name, value in headers.items()]
+        ip, _, port = self.gateways[gateway].settings.callers_address.rpartition(":")
+        response = await self.http.send((ip, int(port)), method, path, body, fields, fresh=True)
+        pieces: list[bytes] = []
+        broken = False
+        try:
+            async for piece in response.stream():
+                pieces.append(piece)
+        except ResponseBroken:
+            broken = True
+        return CallAnswer(request_id, response.status, response.headers, b"".join(pieces), broken)
+
+    async def submit(self, job_id: str, items: int, *, gateway: int = 0) -> CallAnswer:
+        """Submit a job of *items* items."""
+        body = msgspec.json.encode({"items": [job_item(job_id, index) for index in range(items)]})
+        return await self.call(f"/night/{job_id}", body=body, request_id=job_id, gateway=gateway)
+
+    async def read_results(
+        self, job_id: str, position: int = 0, *, gateway: int = 0
+    ) -> dict[str, Any]:
+        """Read a page of results."""
+        answer = await self.call(
+            f"/api/lots/{job_id}?after_rev={position}",
+            method="GET",
+            body=b"",
+            gateway=gateway,
+            x_wait_ms="1000",
+        )
+        assert answer.status == 200, answer
+        page: dict[str, Any] = msgspec.json.decode(answer.body)
+        return page
+
+    async def read_whole(self, job_id: str, *, gateway: int = 0) -> list[dict[str, Any]]:
+        """Read until every item is listed."""
+        rows: list[dict[str, Any]] = []
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                page = await self.read_results(job_id, len(rows), gateway=gateway)
+                rows += page["results"]
+                if len(rows) == page["total_count"]:
+                    return rows
+
+
+@dataclass(frozen=True)
+class CallAnswer:
+    """What a caller got."""
+
+    request_id: str
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    broken: bool
+
+
+def job_item(job_id: str, index: int) -> dict[str, Any]:
+    """Return one item as a client writes it."""
+    return {
+        "id": f"{job_id}-{index}",
+        "path": f"/night/{index}",
+        "headers": {"X-Model": "m"},
+        "body": base64.b64encode(f"body {index}".encode()).decode(),
+        "tokens": ITEM_TOKENS,
+    }
+
+
+def item_text(item_id: str, events: int) -> str:
+    """Return the whole text of an item."""
+    return "\n".join(event_data(item_id, number) for number in range(events))
+
+
+async def until(holds: Callable[[], bool]) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(WAIT_S):
+        while not holds():
+            await asyncio.sleep(0.005)
+
+
+def run_deployment(work: Callable[[Deployment], Awaitable[None]]) -> None:
+    """Run *work* with a deployment and end the deployment."""
+
+    async def main() -> None:
+        deployment = Deployment()
+        try:
+            await work(deployment)
+        finally:
+            await deployment.stop()
+
+    asyncio.run(main())
--- /dev/null
+++ b/tests/test_gateway/test_gateway_calls.py
@@ -0,0 +1,257 @@
+"""Callers' calls through a real gateway over loopback, with every way a target can fail."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from bench.platform.target import TargetFault, TargetStandin, plain_answer, whole_stream
+from tests.support.platform import HOST, Deployment, configuration, route, run_deployment, until
+
+EVENTS = 6
+
+
+def test_a_stream_is_passed_on_whole_with_its_seal() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(targets=1)
+        answer = await deployment.call("/stream/1?x=%20a&y", x_model="m")
+        assert (answer.status, answer.broken) == (200, False)
+        assert answer.body == whole_stream(answer.request_id, EVENTS)
+        assert answer.headers["x-server-seal"] == f"t0.{answer.request_id}"
+        seen = deployment.targets[0].seen[0]
+        assert seen.target == "/stream/1?x=%20a&y"
+        assert seen.headers["host"] == HOST
+        assert seen.headers["x-model"] == "m"
+        assert seen.headers["x-target-instance"] == "t0"
+        assert 0 < int(seen.headers["x-time-left-ms"]) <= 4000
+        assert deployment.targets[0].bodies == [b"prompt"]
+
+    run_deployment(work)
+
+
+@pytest.mark.parametrize(
+    ("path", "faults", "status", "runs"),
+    [
+        ("/single/1", [TargetFault.BUSY], 503, 0),
+        ("/single/1", [TargetFault.LOSE_ANSWER], 502, 1),
+        ("/single/1", [TargetFault.OTHER_ID], 502, 1),
+        ("/single/1", [TargetFault.ERROR], 500, 1),
+        ("/stream/1", [TargetFault.LOSE_ANSWER], 502, 1),
+        ("/plain/1", [TargetFault.LOSE_ANSWER, TargetFault.NONE], 200, 2),
+        ("/plain/1", [TargetFault.BUSY, TargetFault.BUSY, TargetFault.NONE], 200, 1),
+        ("/plain/1", [TargetFault.BUSY], 503, 0),
+        ("/plain/1", [TargetFault.LOSE_ANSWER, TargetFault.BUSY], 502, 1),
+        ("/resume/1", [TargetFault.LOSE_ANSWER, TargetFault.NONE], 200, 2),
+        ("/resume/1", [TargetFault.OTHER_ID, TargetFault.NONE], 200, 2),
+    ],
+)
+def test_what_a_caller_gets_when_targets_fail(
+    path: str, faults: list[TargetFault], status: int, runs: int
+) -> None:
+    """A promise that nothing ran is given only where nothing did; a single call runs once."""
+
+    async def work(deployment: Deployment) -> None:
+        shared = list(faults)
+        await deployment.start(targets=3)
+        for target in deployment.targets:
+            target.faults = shared
+        answer = await deployment.call(path)
+        assert answer.status == status
+        assert sum(target.ran[answer.request_id] for target in deployment.targets) == runs
+        if status == 503:
+            assert 0 < float(answer.headers["retry-after"]) < 1
+
+    run_deployment(work)
+
+
+def test_a_broken_stream_that_may_be_resumed_goes_on_elsewhere() -> None:
+    async def work(deployment: Deployment) -> None:
+        shared = [TargetFault.CUT, TargetFault.NONE]
+        await deployment.start(targets=2)
+        for target in deployment.targets:
+            target.faults = shared
+        answer = await deployment.call("/resume/1")
+        assert (answer.status, answer.broken) == (200, False)
+        assert answer.body == whole_stream(answer.request_id, EVENTS)
+        second = next(t for t in deployment.targets if t.whole[answer.request_id])
+        assert second.seen[-1].headers["last-event-id"] == "1"
+        assert not answer.headers["x-server-seal"].startswith(second.name)
+
+    run_deployment(work)
+
+
+def test_a_broken_stream_that_may_not_be_resumed_is_visibly_cut() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(targets=2)
+        for target in deployment.targets:
+            target.faults = [TargetFault.CUT]
+        answer = await deployment.call("/stream/1")
+        assert (answer.status, answer.broken) == (200, True)
+        assert sum(target.ran[answer.request_id] for target in deployment.targets) == 1
+
+    run_deployment(work)
+
+
+def test_a_target_at_a_reused_address_is_not_taken_for_the_listed_one() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(targets=2)
+        deployment.targets[0].name = "another"
+        for _ in range(6):
+            answer = await deployment.call("/single/1")
+            assert answer.status == 200
+        assert not deployment.targets[0].ran
+
+    run_deployment(work)
+
+
+def test_a_target_that_drains_or_is_gone_gets_no_call() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(targets=3)
+        first, second, third = deployment.targets
+        deployment.store.put("servers/t0", first.entry("draining"))
+        deployment.store.delete("servers/t1")
+        gateway = deployment.gateways[0]
+        await until(lambda: len(gateway.targets.candidates("model", 0.0)) == 1)  # type: ignore[arg-type]
+        for _ in range(8):
+            assert (await deployment.call("/plain/1")).status == 200
+        assert (len(first.seen), len(second.seen), len(third.seen)) == (0, 0, 8)
+
+    run_deployment(work)
+
+
+def test_a_target_stops_when_its_caller_leaves() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(targets=1, event_s=0.02, events=100_000)
+        target = deployment.targets[0]
+        calls = [
+            asyncio.ensure_future(deployment.call(path)) for path in ("/stream/1", "/resume/1")
+        ]
+        await until(lambda: target.working == 2)
+        for call in calls:
+            call.cancel()
+        deployment.http.close()
+        await asyncio.wait(calls)
+        await until(lambda: target.working == 0)
+        await until(lambda: deployment.gateways[0].targets.by_id["t0"].in_flight == 0)  # type: ignore[index]
+
+    run_deployment(work)
+
+
+def test_a_call_gets_its_final_answer_at_the_timeout_of_its_route() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(targets=1)
+        deployment.targets[0].faults = [TargetFault.SILENT]
+        routes = [route("single", "unsafe", timeout_ms=200)]
+        deployment.store.put("op/config", configuration(2, routes))
+        await until(lambda: deployment.gateways[0].configuration.current.version == 2)  # type: ignore[union-attr]
+        assert (await deployment.call("/single/1")).status == 504
+
+    run_deployment(work)
+
+
+def test_bad_input_gets_its_own_status_and_is_not_passed_on() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(targets=1)
+        assert (await deployment.call("/nowhere/1")).status == 404
+        assert (await deployment.call("/single/1", body=b"x" * 100_001)).status == 413
+        assert (await deployment.call("/single/1", x_large="y" * 5000)).status == 431
+        ip, _, port = deployment.gateways[0].settings.callers_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(
+            b"POST /single/1 HTTP/1.1\r\nhost: calls.example\r\ncontent-length: 3\r\n"
+            b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n"
+        )
+        assert (await reader.readline()).split()[1] == b"400"
+        writer.close()
+        assert not deployment.targets[0].seen
+
+    run_deployment(work)
+
+
+def test_no_configuration_means_not_ready_and_503() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(targets=1)
+        deployment.store.delete("op/config")
+        await deployment.kill(deployment.gateways[0])
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.3):
+                await deployment.add_gateway("late")
+        assert (await deployment.call("/single/1")).status == 503
+        assert not deployment.gateways[0].ready
+
+    run_deployment(work)
+
+
+def test_versions_only_rise() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(targets=1)
+        deployment.store.put("op/config", configuration(9, [route("single", "unsafe")]))
+        belief = deployment.gateways[0].configuration
+        await until(lambda: belief.current is not None and belief.current.version == 9)
+        deployment.store.put("op/config", configuration(3))
+        belief.offer(configuration(4), "test")
+        assert belief.current is not None and belief.current.version == 9
+        assert (await deployment.call("/plain/1")).status == 404
+
+    run_deployment(work)
+
+
+def test_a_host_that_the_store_turns_away_hears_of_a_version_from_its_peers() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2, targets=1)
+        cut = deployment.gateways[1]
+        cut.kv.base_url = "http://127.0.0.1:1"  # type: ignore[attr-defined]
+        cut.kv.http.close()  # type: ignore[attr-defined]
+        deployment.store.put("op/config", configuration(5))
+        for gateway in deployment.gateways:
+            await until(
+                lambda gateway=gateway: gateway.configuration.current.version == 5  # type: ignore[misc]
+            )
+
+    run_deployment(work)
+
+
+def test_calls_go_where_the_other_host_has_none() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2, targets=2, event_s=0.02, events=100_000)
+        first = asyncio.ensure_future(deployment.call("/stream/1", gateway=0))
+        await until(lambda: sum(target.working for target in deployment.targets) == 1)
+        busy = next(target for target in deployment.targets if target.working)
+        other = deployment.gateways[1]
+        await until(lambda: other.beats.in_flight(busy.name) == 1)  # type: ignore[arg-type]
+        second = asyncio.ensure_future(deployment.call("/stream/2", gateway=1))
+        await until(lambda: [target.working for target in deployment.targets] == [1, 1])
+        for call in (first, second):
+            call.cancel()
+
+    run_deployment(work)
+
+
+def test_a_planned_stop_answers_what_runs() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(targets=1, event_s=0.02, events=20)
+        gateway = deployment.gateways[0]
+        call = asyncio.ensure_future(deployment.call("/stream/1"))
+        await until(lambda: deployment.targets[0].working == 1)
+        stopping = asyncio.ensure_future(gateway.stop())
+        await until(lambda: gateway.stopping)
+        answer = await call
+        assert (answer.broken, answer.body) == (False, whole_stream(answer.request_id, 20))
+        late = await deployment.call("/stream/2")
+        assert (late.status, late.headers.get("connection")) == (200, "close")
+        await stopping
+
+    run_deployment(work)
+
+
+def test_a_new_target_is_used() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(targets=0)
+        assert (await deployment.call("/single/1")).status == 503
+        await deployment.add_target(TargetStandin("new"))
+        await until(lambda: "new" in deployment.gateways[0].targets.by_id)
+        answer = await deployment.call("/plain/1")
+        assert answer.body == plain_answer(answer.request_id)
+
+    run_deployment(work)
--- /dev/null
+++ b/tests/test_jobs/test_jobs_path.py
@@ -0,0 +1,195 @@
+"""Batch jobs through real gateways over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from bench.platform.store import StoreFault
+from bench.platform.target import TargetFault
+from gradepoint.ids import JobId
+from tests.support.platform import (
+    ITEM_TOKENS,
+    Deployment,
+    item_text,
+    run_deployment,
+    until,
+)
+
+EVENTS = 6
+
+
+def check_rows(job_id: str, rows: list[dict[str, str]], items: int) -> None:
+    """Check that every item is listed once, whole."""
+    assert sorted(row["id"] for row in rows) == sorted(f"{job_id}-{n}" for n in range(items))
+    for row in rows:
+        assert row["state"] == "complete"
+        assert row["message"] == item_text(row["id"], EVENTS)
+
+
+def test_a_job_is_run_and_read_at_any_host() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=3)
+        assert (await deployment.submit("job", 7)).status == 202
+        for gateway in range(3):
+            rows = await deployment.read_whole("job", gateway=gateway)
+            check_rows("job", rows, 7)
+            again = await deployment.read_results("job", 2, gateway=gateway)
+            assert again["results"] == rows[2:]
+            assert again["next_token"] == 7
+        body = await deployment.call("/api/items/job?id=job-3", method="GET", body=b"", gateway=2)
+        assert (body.status, body.body) == (200, b"body 3")
+
+    run_deployment(work)
+
+
+def test_a_job_is_taken_once() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2)
+        answers = await asyncio.gather(
+            *(deployment.submit("job", 5, gateway=number % 2) for number in range(6))
+        )
+        assert {answer.status for answer in answers} == {202}
+        check_rows("job", await deployment.read_whole("job"), 5)
+        runs = sum(
+            (target.ran for target in deployment.targets), start=type(deployment.targets[0].ran)()
+        )
+        assert set(runs.values()) == {1}
+
+    run_deployment(work)
+
+
+def test_an_unknown_job_is_404_and_an_unsure_host_says_503() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start()
+        read = {"method": "GET", "body": b""}
+        assert (await deployment.call("/api/lots/none", **read)).status == 404  # type: ignore[arg-type]
+        deployment.store.fault = StoreFault.BUSY
+        assert (await deployment.call("/api/lots/none", **read)).status == 503  # type: ignore[arg-type]
+        assert (await deployment.submit("job", 2)).status == 503
+        deployment.store.fault = StoreFault.NONE
+        assert (await deployment.call("/api/lots/job", **read)).status == 404  # type: ignore[arg-type]
+
+    run_deployment(work)
+
+
+@pytest.mark.parametrize("fault", [StoreFault.LOSE_ANSWER, StoreFault.LATE])
+def test_a_write_without_an_answer_promises_nothing_and_its_job_runs(fault: StoreFault) -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start()
+        deployment.store.only_writes = True
+        deployment.store.late_s = 0.5
+        deployment.store.fault = fault
+        answer = await deployment.submit("job", 3)
+        deployment.store.fault = StoreFault.NONE
+        assert answer.status == 504
+        await until(lambda: deployment.store.read("gp/job/job") is not None)
+        assert (await deployment.submit("job", 3)).status == 202
+        check_rows("job", await deployment.read_whole("job"), 3)
+
+    run_deployment(work)
+
+
+def test_tokens_that_do_not_fit_are_refused_and_fit_once_others_ended() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2)
+        for target in deployment.targets:
+            target.faults = [TargetFault.SILENT]
+        fitting = 5000 // ITEM_TOKENS
+        assert (await deployment.submit("full", fitting)).status == 202
+        refused = await deployment.submit("more", 1, gateway=1)
+        assert refused.status == 429
+        assert float(refused.headers["retry-after"]) > 0
+        ended = await deployment.call("/api/lots/full", method="DELETE", body=b"", gateway=1)
+        assert ended.status == 200
+        assert (await deployment.submit("more", 1, gateway=1)).status == 202
+
+    run_deployment(work)
+
+
+def test_an_ended_job_is_run_no_more_anywhere() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2, event_s=0.02, events=100_000)
+        assert (await deployment.submit("job", 30)).status == 202
+        await until(lambda: sum(target.working for target in deployment.targets) > 2)
+        end = await deployment.call("/api/lots/job", method="DELETE", body=b"", gateway=1)
+        assert end.status == 200
+        await until(lambda: sum(target.working for target in deployment.targets) == 0)
+        assert JobId("job") not in deployment.gateways[0].worker.jobs
+        again = await deployment.call("/api/lots/job", method="DELETE", body=b"")
+        assert again.status == 200
+        assert (await deployment.read_results("job"))["total_count"] == 30
+
+    run_deployment(work)
+
+
+def test_another_host_goes_on_with_a_lost_host_s_job() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2, event_s=0.01)
+        assert (await deployment.submit("job", 20)).status == 202
+        early = (await deployment.read_results("job"))["results"]
+        lost = deployment.gateways[0]
+        await deployment.kill(lost)
+        deployment.store.keys.drop_lease(lost.presence.lease)
+        rows = await deployment.read_whole("job")
+        check_rows("job", rows, 20)
+        assert rows[: len(early)] == early
+
+    run_deployment(work)
+
+
+def test_a_planned_stop_hands_jobs_over() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2, event_s=0.02)
+        assert (await deployment.submit("job", 20)).status == 202
+        leaving = deployment.gateways[0]
+        stopping = asyncio.ensure_future(leaving.stop())
+        rows = await deployment.read_whole("job", gateway=1)
+        check_rows("job", rows, 20)
+        await stopping
+
+    run_deployment(work)
+
+
+def test_an_item_goes_on_after_its_last_event() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start()
+        for target in deployment.targets:
+            target.faults = [TargetFault.CUT]
+        assert (await deployment.submit("job", 2)).status == 202
+        check_rows("job", await deployment.read_whole("job"), 2)
+        starts = [
+            request.headers.get("last-event-id")
+            for target in deployment.targets
+            for request in target.seen
+            if request.headers["x-attempt-id"] == "job-0"
+        ]
+        assert sorted(starts, key=str) == ["1", "3", None]
+
+    run_deployment(work)
+
+
+def test_items_that_can_not_be_done_are_listed_dead() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(targets=1)
+        deployment.targets[0].faults = [TargetFault.IMPOSSIBLE]
+        assert (await deployment.submit("never", 1)).status == 202
+        assert (await deployment.read_whole("never"))[0]["state"] == "dead"
+        deployment.targets[0].faults = [TargetFault.ERROR]
+        assert (await deployment.submit("fails", 1)).status == 202
+        assert (await deployment.read_whole("fails"))[0]["state"] == "dead"
+        assert deployment.targets[0].ran["never-0"] == 1
+        assert deployment.targets[0].ran["fails-0"] == 2
+
+    run_deployment(work)
+
+
+def test_an_order_to_empty_a_data_host_is_answered_once() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2)
+        deployment.store.put("op/retire/storage-1", b'{"deadline_s":10}')
+        await until(lambda: deployment.store.read("status/retire/storage-1") is not None)
+        assert deployment.store.read("status/retire/storage-1") == b'{"state":"complete"}'
+
+    run_deployment(work)
