--- /dev/null
+++ b/tests/test_gateway/test_gateway_decisions.py
@@ -0,0 +1,162 @@
+"""Pure decisions of the gateway: routes, targets, choice, events."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gradepoint.gateway.choice import choose_target
+from gradepoint.gateway.configuration import Configuration
+from gradepoint.gateway.event_stream import EventSplitter, parse_event
+from gradepoint.gateway.targets import (
+    FAILURES_TO_EJECT,
+    FIRST_EJECTION_S,
+    LONGEST_EJECTION_S,
+    ListedState,
+    ListedTarget,
+    Target,
+    TargetSet,
+)
+from gradepoint.ids import ServiceName, TargetId
+from gradepoint.platform.configuration import decode_configuration
+from tests.support.platform import HOST, configuration, route
+
+SERVICE = ServiceName("model")
+
+
+def listed(name: str, state: ListedState = ListedState.READY, domain: str = "a") -> ListedTarget:
+    """Return one row."""
+    return ListedTarget(TargetId(name), SERVICE, f"{name}:1", domain, 8, state)
+
+
+def make_configuration(*prefixes: str) -> Configuration:
+    """Return a configuration with one route a prefix."""
+    routes = [route(prefix.strip("/") or "root", "safe", path_prefix=prefix) for prefix in prefixes]
+    return decode_configuration(configuration(1, routes))
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "wanted"),
+    [
+        (HOST, "/a/b/c", "a/b"),
+        (HOST.upper() + ":80", "/a/x", "a"),
+        (HOST, "/a", None),
+        (HOST, "/ab/", None),
+        ("other.example", "/a/", None),
+        ("", "/a/", None),
+    ],
+)
+def test_the_longest_prefix_of_the_host_wins(host: str, path: str, wanted: str | None) -> None:
+    found = make_configuration("/a/", "/a/b/").find_route(host, path)
+    assert (found.name if found else None) == wanted
+
+
+def test_shares_are_picked_by_weight() -> None:
+    shares = [{"service": "x", "weight": 90}, {"service": "y", "weight": 10}]
+    routes = [route("r", "safe", service=None, traffic_split=shares)]
+    found = decode_configuration(configuration(1, routes)).routes[0]
+    rng = random.Random(1)
+    counts = Counter(found.pick_service(rng) for _ in range(2000))
+    assert 1700 < counts[ServiceName("x")] < 1900
+
+
+def test_an_unknown_kind_is_not_repeated() -> None:
+    found = decode_configuration(configuration(1, [route("r", "strange")])).routes[0]
+    assert not found.repeatable
+
+
+def test_vanished_targets_are_a_last_resort_for_a_while() -> None:
+    targets = TargetSet(linger_s=1.5)
+    targets.replace([listed("t0"), listed("t1")], 0.0)
+    targets.vanish(TargetId("t0"), 1.0)
+    assert [t.id for t in targets.candidates(SERVICE, 1.0)] == ["t1"]
+    targets.replace([], 2.0)
+    assert {t.id for t in targets.candidates(SERVICE, 2.4)} == {"t0", "t1"}
+    assert {t.id for t in targets.candidates(SERVICE, 2.6)} == {"t1"}
+    targets.sweep(4.0)
+    assert not targets.by_id and not targets.by_service[SERVICE]
+
+
+def test_a_listed_target_that_drains_is_never_a_candidate() -> None:
+    targets = TargetSet(linger_s=1.5)
+    targets.put(listed("t0"))
+    targets.put(listed("t0", ListedState.DRAINING))
+    assert not targets.candidates(SERVICE, 0.0)
+    targets.vanish(TargetId("t0"), 0.0)
+    assert not targets.candidates(SERVICE, 0.1)
+
+
+def test_a_target_that_is_back_in_the_list_is_used_again() -> None:
+    targets = TargetSet(linger_s=1.5)
+    targets.put(listed("t0"))
+    targets.vanish(TargetId("t0"), 0.0)
+    targets.put(listed("t0"))
+    targets.sweep(9.0)
+    assert [t.id for t in targets.candidates(SERVICE, 9.0)] == ["t0"]
+
+
+def test_a_target_out_of_reach_is_left_out_longer_each_time() -> None:
+    target = Target(listed("t0"))
+    now = 0.0
+    lengths = []
+    for _ in range(6):
+        target.record_failure(now, "reset", certain=True)
+        lengths.append(target.ejected_until - now)
+        now = target.ejected_until
+    assert lengths[0] == FIRST_EJECTION_S
+    assert lengths == sorted(lengths) and lengths[-1] == LONGEST_EJECTION_S
+    target.record_success()
+    assert target.ejected_until <= now
+
+
+def test_single_broken_answers_do_not_eject() -> None:
+    target = Target(listed("t0"))
+    for _ in range(FAILURES_TO_EJECT - 1):
+        target.record_failure(0.0, "broken", certain=False)
+    assert target.ejected_until == 0.0
+    target.record_failure(0.0, "broken", certain=False)
+    assert target.ejected_until > 0.0
+
+
+def test_ejection_cannot_empty_a_service() -> None:
+    targets = TargetSet(linger_s=1.5)
+    targets.replace([listed("t0"), listed("t1")], 0.0)
+    for target in targets.by_id.values():
+        target.record_failure(0.0, "reset", certain=True)
+    assert len(targets.candidates(SERVICE, 0.1)) == 2
+
+
+def test_the_least_loaded_target_is_chosen_and_home_goes_first_among_equals() -> None:
+    rng = random.Random(1)
+    home, away = Target(listed("home")), Target(listed("away", domain="b"))
+    for _ in range(20):
+        assert choose_target([away, home], "a", (), lambda _: 0, rng) is home
+    home.in_flight = 1
+    assert choose_target([away, home], "a", (), lambda _: 0, rng) is away
+    assert choose_target([away, home], "a", (), lambda t: 2 * (t == "away"), rng) is home
+    assert choose_target([away, home], "a", {TargetId("home")}, lambda _: 9, rng) is away
+    assert choose_target([home], "a", {TargetId("home")}, lambda _: 0, rng) is None
+
+
+@given(st.lists(st.integers(1, 30), max_size=12), st.integers(1, 12))
+def test_events_are_whole_however_the_bytes_are_cut(sizes: list[int], events: int) -> None:
+    raw = b"".join(f"id: {n}\ndata: word {n}\n\n".encode() for n in range(events))
+    splitter = EventSplitter()
+    found = []
+    start = 0
+    for size in [*sizes, len(raw)]:
+        found += splitter.feed(raw[start : start + size])
+        start += size
+    assert b"".join(event.raw for event in found) == raw
+    assert [event.number for event in found] == list(range(events))
+    assert [event.data for event in found] == [f"word {n}".encode() for n in range(events)]
+    assert not splitter.rest
+
+
+def test_an_event_may_have_no_number_and_several_lines() -> None:
+    event = parse_event(b"weights: 3\ndata: a\ndata:b\n\n")
+    assert (event.number, event.data) == (None, b"a\nb")
--- /dev/null
+++ b/tests/test_jobs/test_jobs_decisions.py
@@ -0,0 +1,110 @@
+"""Pure decisions of the batch worker: where an item goes, whose gives way, who takes over."""
+
+from __future__ import annotations
+
+import pytest
+
+from gradepoint.gateway.targets import ListedState, ListedTarget, Target
+from gradepoint.ids import Incarnation, ItemId, JobId, ServiceName, TargetId
+from gradepoint.jobs.adoption import choose_orphans
+from gradepoint.jobs.api import PAGE_BYTES, cut_page
+from gradepoint.jobs.feeding import batch_slots, choose_batch_target, must_give_way
+from gradepoint.jobs.records import (
+    NO_OWNER,
+    Item,
+    ItemEnd,
+    JobState,
+    Result,
+    join_items,
+    name_job,
+    split_items,
+)
+from gradepoint.jobs.repository import StoredJob
+
+HOSTS = [Incarnation(f"h{number}") for number in range(4)]
+
+
+def make_targets(count: int, slots: int = 8) -> list[Target]:
+    """Return idle targets."""
+    service = ServiceName("model")
+    return [
+        Target(ListedTarget(TargetId(f"t{n}"), service, f"t{n}:1", "a", slots, ListedState.READY))
+        for n in range(count)
+    ]
+
+
+@pytest.mark.parametrize(("slots", "most"), [(1, 1), (2, 1), (4, 3), (8, 6), (16, 12)])
+def test_batch_leaves_slots_free_and_never_queues(slots: int, most: int) -> None:
+    assert batch_slots(slots) == most
+    (target,) = make_targets(1, slots)
+    placed = 0
+    while choose_batch_target([target], lambda _: 0, (), HOSTS[0]) is not None:
+        target.in_flight += 1
+        placed += 1
+    assert placed == most
+
+
+def test_hosts_that_see_the_same_free_slots_fill_different_targets() -> None:
+    targets = make_targets(9)
+    first = {
+        found.id
+        for host in HOSTS
+        if (found := choose_batch_target(targets, lambda _: 0, (), host)) is not None
+    }
+    assert len(first) >= 3
+
+
+def test_a_target_gets_one_item_of_a_host_until_the_others_heard_of_it() -> None:
+    targets = make_targets(3)
+    fed: set[TargetId] = set()
+    for _ in range(3):
+        found = choose_batch_target(targets, lambda _: 0, fed, HOSTS[0])
+        assert found is not None
+        fed.add(found.id)
+    assert choose_batch_target(targets, lambda _: 0, fed, HOSTS[0]) is None
+
+
+def test_one_host_at_a_time_gives_way_and_only_where_calls_wait() -> None:
+    items = dict.fromkeys(HOSTS, 2)
+    target = TargetId("t0")
+    giving = [host for host in HOSTS if must_give_way(9, 8, host, target, items)]
+    assert len(giving) == 1
+    assert not any(must_give_way(8, 8, host, target, items) for host in HOSTS)
+    items[giving[0]] = 0
+    assert not must_give_way(9, 8, giving[0], target, items)
+
+
+def make_job(name: str, owner: Incarnation, *, ended: bool = False) -> StoredJob:
+    """Return a job with one item."""
+    state = JobState("r", "h", owner, 1, [ItemId("i")], [10], ended=ended)
+    return StoredJob(JobId(name), state, 1)
+
+
+def test_each_job_without_a_host_goes_to_one_live_host() -> None:
+    live = set(HOSTS[:3])
+    jobs = [make_job(f"j{n}", HOSTS[3]) for n in range(30)]
+    jobs += [make_job("released", NO_OWNER), make_job("kept", HOSTS[0])]
+    jobs += [make_job("ended", HOSTS[3], ended=True)]
+    taken = [job.id for host in live for job in choose_orphans(jobs, host, live, HOSTS[3].__eq__)]
+    assert sorted(taken) == sorted([f"j{n}" for n in range(30)] + ["released"])
+
+
+def test_items_survive_their_parts() -> None:
+    items = [Item(ItemId(f"i{n}"), "/p", [("a", "b")], bytes([n]) * 100, n) for n in range(50)]
+    parts = split_items(items, 1000)
+    assert len(parts) > 4 and max(map(len, parts)) < 1200
+    assert join_items(parts) == items
+
+
+def test_a_page_has_one_result_at_least_and_stays_small() -> None:
+    rows = [Result(n, ItemEnd.COMPLETE, "x" * (PAGE_BYTES // 2)) for n in range(5)]
+    assert len(cut_page(rows)) == 2
+    assert len(cut_page([Result(0, ItemEnd.COMPLETE, "x" * (PAGE_BYTES * 2))])) == 1
+    assert cut_page([]) == []
+
+
+def test_job_names_fit_a_key() -> None:
+    assert name_job("9c41-d0_7") == "9c41-d0_7"
+    strange = [name_job(text) for text in ("a/b", "ä", "x" * 500, "", "a b")]
+    assert len(set(strange)) == len(strange)
+    assert all(len(name) < 110 and "/" not in name for name in strange)
--- /dev/null
+++ b/tests/test_platform/test_platform_names.py
@@ -0,0 +1,103 @@
+"""The platform's names stay in the adapter, in deploy/ and in the stand-ins."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+from gradepoint.gateway.settings import TABLE, check_gateway_settings
+
+ROOT = Path(__file__).resolve().parents[2]
+
+# "x-not-run" is left out: the product's own targets have used that header since before.
+WIRE_NAMES = (
+    "kv-key",
+    "kv-range",
+    "kv-watch",
+    "kv-txn",
+    "kv-lease",
+    "kv-keep",
+    "api/lots",
+    "api/items",
+    "api/ready",
+    "api/report",
+    "x-attempt-id",
+    "x-time-left-ms",
+    "x-target-instance",
+    "x-server-seal",
+    "x-wait-ms",
+    "x-instance-id",
+    "expect_rev",
+    "key_path",
+    "path_prefix=",
+    "call_seq",
+    "slot_count",
+    "traffic_split",
+    "gap_goal_ms",
+    "max_queued_tokens",
+    "total_count",
+    "next_token",
+    "node_name",
+    "port_range",
+    "seed_addrs",
+    "front_addr",
+    "op/config",
+    "servers/",
+    "status/retire",
+)
+FOREIGN_WORDS = re.compile(r"\b(tenant|backend|back end|machine|zone)s?\b", re.IGNORECASE)
+
+
+def sources(folder: str) -> list[Path]:
+    """Return the modules of the package below *folder*."""
+    return sorted((ROOT / "gradepoint" / folder).rglob("*.py"))
+
+
+def test_no_name_of_the_wire_stands_outside_the_adapter() -> None:
+    adapter = ROOT / "gradepoint" / "platform"
+    found = [
+        f"{path.relative_to(ROOT)}: {name}"
+        for path in sources("")
+        if adapter not in path.parents
+        for name in WIRE_NAMES
+        if name in path.read_text().lower()
+    ]
+    assert not found
+
+
+def test_only_programs_import_the_adapter() -> None:
+    found = [
+        str(path.relative_to(ROOT))
+        for path in sources("")
+        if path.parent.name not in ("platform", "cmd")
+        and re.search(r"from \.+platform", path.read_text())
+    ]
+    assert not found
+
+
+def test_the_new_packages_use_the_project_s_words() -> None:
+    found = [
+        f"{path.relative_to(ROOT)}: {match.group()}"
+        for folder in ("gateway", "jobs", "peers", "kv")
+        for path in sources(folder)
+        if (match := FOREIGN_WORDS.search(path.read_text()))
+    ]
+    assert not found
+
+
+def test_the_settings_template_names_settings_of_the_table() -> None:
+    template = (ROOT / "deploy" / "gateway-settings.json").read_text()
+    filled = re.sub(r"\{\{[a-z_.]+\|json\}\}", "1", template)
+    named = set(re.findall(r'^  "([a-z_]+)":', filled, re.MULTILINE))
+    known = {row.name for row in TABLE}
+    assert named <= known
+    assert {row.name for row in TABLE if row.name.endswith("_address")} <= named
+
+
+def test_settings_problems_name_their_remedy() -> None:
+    problems = check_gateway_settings({"host": 3, "strange": 1, "drain_ms": -1}).unwrap_err()
+    text = "\n".join(problems)
+    assert "host: expected str" in text
+    assert "strange: unknown setting" in text
+    assert "drain_ms: must be above 0" in text
+    assert all("Remedy:" in problem for problem in problems)
--- /dev/null
+++ b/tests/test_platform/test_platform_store.py
@@ -0,0 +1,170 @@
+"""The store's client against the stand-in: what is certain, what is not, and watches."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from bench.platform.store import PAGE_ITEMS, PlatformStoreStandin, StoreFault
+from gradepoint.errors import KvHistoryLost, KvUnavailable, KvUncertain
+from gradepoint.kv.follow import follow
+from gradepoint.kv.service import ABSENT, Delete, Expect, Put, RangeResult, Transaction, WatchEvent
+from gradepoint.platform.store import PlatformStore
+from tests.support.platform import until
+
+Work = Callable[[PlatformStoreStandin, PlatformStore], Awaitable[None]]
+
+
+def with_store(work: Work, timeout_s: float = 0.3) -> None:
+    """Run *work* with a stand-in and its client."""
+
+    async def main() -> None:
+        store = PlatformStoreStandin()
+        client = PlatformStore(await store.start(), timeout_s, 20.0)
+        try:
+            await work(store, client)
+        finally:
+            client.http.close()
+            store.server.abort()
+
+    asyncio.run(main())
+
+
+def write(key: str, value: bytes, revision: int = ABSENT, lease: int = 0) -> Transaction:
+    """Return a conditional write."""
+    return Transaction((Expect(key, revision),), (Put(key, value, lease),))
+
+
+def test_keys_are_written_compared_read_and_deleted() -> None:
+    async def work(_: PlatformStoreStandin, client: PlatformStore) -> None:
+        first = await client.transact(write("a/ü", b"\x00one"))
+        assert first.succeeded
+        again = await client.transact(write("a/ü", b"two"))
+        assert not again.succeeded
+        assert [(row.key, row.value) for row in again.current] == [("a/ü", b"\x00one")]
+        found = await client.get("a/ü")
+        assert found is not None and found.revision == first.revision
+        assert await client.get("none") is None
+        gone = Transaction((Expect("a/ü", first.revision),), (), (Delete("a/ü"),))
+        assert (await client.transact(gone)).succeeded
+        assert await client.get("a/ü") is None
+
+    with_store(work)
+
+
+def test_a_range_reads_every_page() -> None:
+    async def work(store: PlatformStoreStandin, client: PlatformStore) -> None:
+        for number in range(PAGE_ITEMS * 2 + 3):
+            store.put(f"p/{number:04d}", b"x")
+        store.put("q/other", b"x")
+        found = await client.range("p/")
+        assert [item.key for item in found.items] == [f"p/{n:04d}" for n in range(103)]
+        assert len((await client.range("p/", 7)).items) == 7
+
+    with_store(work)
+
+
+@pytest.mark.parametrize(
+    ("fault", "error"),
+    [
+        (StoreFault.BUSY, KvUnavailable),
+        (StoreFault.MANY, KvUnavailable),
+        (StoreFault.LOSE_ANSWER, KvUncertain),
+        (StoreFault.LATE, KvUncertain),
+        (StoreFault.SILENT, KvUncertain),
+    ],
+)
+def test_done_nothing_and_perhaps_done_are_told_apart(
+    fault: StoreFault, error: type[Exception]
+) -> None:
+    async def work(store: PlatformStoreStandin, client: PlatformStore) -> None:
+        store.fault = fault
+        with pytest.raises(error):
+            await client.transact(write("k", b"v"))
+        with pytest.raises((KvUnavailable, KvUncertain)):
+            await client.get("k")
+
+    with_store(work)
+
+
+def test_a_store_out_of_reach_did_nothing() -> None:
+    async def work(store: PlatformStoreStandin, client: PlatformStore) -> None:
+        store.server.abort()
+        with pytest.raises(KvUnavailable):
+            await client.transact(write("k", b"v"))
+
+    with_store(work)
+
+
+def test_leases_take_their_keys_along() -> None:
+    async def work(store: PlatformStoreStandin, client: PlatformStore) -> None:
+        lease = await client.grant_lease(5)
+        await client.transact(write("k", b"v", lease=lease))
+        assert await client.keep_lease(lease)
+        await client.revoke_lease(lease)
+        assert await client.get("k") is None
+        assert not await client.keep_lease(lease)
+        with pytest.raises(KvUnavailable):
+            await client.transact(write("k", b"v", lease=lease))
+
+    with_store(work)
+
+
+def test_a_watch_tells_changes_and_says_when_history_is_lost() -> None:
+    async def work(store: PlatformStoreStandin, client: PlatformStore) -> None:
+        store.put("w/a", b"1")
+        start = store.keys.revision
+        store.put("w/b", b"2")
+        store.delete("w/a")
+        watch = client.watch("w/", start + 1)
+        events = [await anext(watch), await anext(watch)]
+        assert [(event.key, event.value) for event in events] == [("w/b", b"2"), ("w/a", None)]
+        store.put("w/c", b"3")
+        assert (await anext(watch)).key == "w/c"
+        store.forget_history()
+        with pytest.raises(KvHistoryLost):
+            await anext(client.watch("w/", start))
+
+    with_store(work)
+
+
+class Seen:
+    """Keeps what a follower is told."""
+
+    def __init__(self) -> None:
+        self.resets: list[set[str]] = []
+        self.keys: set[str] = set()
+
+    def reset(self, found: RangeResult) -> None:
+        """Take all keys."""
+        self.keys = {item.key for item in found.items}
+        self.resets.append(self.keys)
+
+    def change(self, event: WatchEvent) -> None:
+        """Take one change."""
+        if event.value is None:
+            self.keys.discard(event.key)
+        else:
+            self.keys.add(event.key)
+
+
+def test_following_goes_on_after_an_outage_and_after_lost_history() -> None:
+    async def work(store: PlatformStoreStandin, client: PlatformStore) -> None:
+        seen = Seen()
+        store.fault = StoreFault.BUSY
+        task = asyncio.ensure_future(follow(client, "f/", seen))
+        await until(lambda: sum(store.calls.values()) > 1)
+        store.put("f/a", b"1")
+        store.fault = StoreFault.NONE
+        await until(lambda: seen.keys == {"f/a"})
+        store.put("f/b", b"1")
+        await until(lambda: seen.keys == {"f/a", "f/b"})
+        store.delete("f/a")
+        store.put("f/c", b"1")
+        store.forget_history()
+        await until(lambda: seen.keys == {"f/b", "f/c"})
+        task.cancel()
+
+    with_store(work)
