Take jobs over at once, oldest first, with the texts under way; relay store calls

Traced by job: (a) hosts that the store turned away could neither keep nor commit jobs for 9 s; (b) after the closing fault jobs waited 2.5 s for their lost hosts though these had begun new lives; (c) the order of jobs began anew at a takeover; (d) items under way were made again from the start; (e) two of eight slots stayed empty in the quiet phases. Change: calls of a host that the store refuses go through a peer that reaches it; lives carry their host's name, so that a new life proves the old one ended; jobs are ordered by the revision that created them; commits keep texts under way; one reserved slot; a host that starts waits 0.8 s.

--- a/gradepoint/errors.py
+++ b/gradepoint/errors.py
@@ -390,6 +390,10 @@
     """The service could not be reached; the call did not take effect."""
 
 
+class KvLeaseLapsed(KvError):
+    """A write named a lease that has ended; it did not take effect."""
+
+
 class KvHistoryLost(KvError):
     """A watch cannot go on because the service forgot the changes; read anew."""
 
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -8,20 +8,21 @@
 
 from .. import events
 from ..errors import GradepointError, KvError
-from ..ids import Incarnation, TargetId
+from ..ids import HostName, TargetId
 from ..jobs.adoption import Adoption
 from ..jobs.api import JobApi, read_owned
 from ..jobs.records import END_PREFIX
 from ..jobs.repository import JobRepository
 from ..jobs.worker import Worker
 from ..kv.follow import follow
+from ..kv.relay import RelayedKv
 from ..kv.service import ABSENT, Expect, Put, Transaction
 from ..peers.beats import BEAT_FORMAT, Beat, Beats
-from ..peers.presence import HostPresence, HostTable, Presence
+from ..peers.presence import HostPresence, HostTable, Presence, make_incarnation
 from ..telemetry import metrics
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
-from ..util.hashing import new_token, rank
+from ..util.hashing import rank
 from ..util.tasks import TaskGroup
 from ..wire.http_client import ConnectFailed, HttpClient, ResponseBroken
 from ..wire.http_server import HttpServer, ServerLimits
@@ -35,9 +36,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..ids import HostName
     from ..jobs.calls import JobDialect
-    from ..kv.service import KeyValueService
+    from ..kv.relay import WaitingService
     from ..wire.http_types import Request
     from .configuration import Configuration
     from .dialect import Dialect
@@ -88,22 +88,23 @@
     """Everything that one host runs."""
 
     def __init__(
-        self, settings: GatewaySettings, kv: KeyValueService, platform: PlatformParts
+        self, settings: GatewaySettings, store: WaitingService, platform: PlatformParts
     ) -> None:
         self.settings = settings
-        self.kv = kv
+        self.beats = Beats(self.make_beat)
+        self.peer_http = HttpClient(CONNECT_TIMEOUT_S, UNACKNOWLEDGED_MS)
+        self.kv = kv = RelayedKv(store, self.peer_http, self.beats.helpers)
         self.platform = platform
         self.tasks = TaskGroup()
         self.stopping = False
         self.own = HostPresence(
-            host=settings.host,  # type: ignore[arg-type]
-            incarnation=Incarnation(new_token()),
+            host=HostName(settings.host),
+            incarnation=make_incarnation(HostName(settings.host)),
             failure_domain=settings.failure_domain,
             peer_address=f"{settings.address}:{settings.peer_port}",
         )
         self.hosts = HostTable()
         self.presence = Presence(kv, self.own)
-        self.beats = Beats(self.make_beat)
         self.targets = TargetSet(settings.drain_ms / 1000 * LINGER_SHARE)
         self.forwarder = Forwarder(
             self.targets,
@@ -112,7 +113,6 @@
             settings.failure_domain,
             self.beats.in_flight,
         )
-        self.peer_http = HttpClient(CONNECT_TIMEOUT_S, UNACKNOWLEDGED_MS)
         self.configuration = ConfigurationBelief(platform.decode_configuration, self.apply_limits)
         self.repository = JobRepository(kv, settings.store_value_bytes)
         self.worker = Worker(
@@ -134,7 +134,7 @@
             self.repository,
             self.worker,
             self.own.incarnation,
-            lambda: self.hosts.incarnations | {self.own.incarnation},
+            self.hosts,
             lambda: set(self.beats.heard),
             lambda: self.presence.holds_lease,
         )
@@ -163,7 +163,7 @@
         live = LiveFollower(
             self.hosts,
             END_PREFIX,
-            self.adoption.wanted.set,
+            self.adoption.note_lost,
             lambda job_id: self.worker.drop(job_id, "ended"),
         )
         self.tasks.start(follow(self.kv, platform.operator_prefix, operator))
@@ -191,7 +191,7 @@
         }
         current = self.configuration.current
         version = current.version if current else NO_VERSION
-        return Beat(BEAT_FORMAT, self.own.incarnation, version, calls, items)
+        return Beat(BEAT_FORMAT, self.own.incarnation, version, self.kv.reaches_store, calls, items)
 
     def apply_limits(self, configuration: Configuration) -> None:
         """Put the callers' limits of a configuration in force."""
@@ -247,6 +247,8 @@
             return Response(body=self.configuration.raw)
         if request.path == "/metrics":
             return Response(200, {"content-type": "text/plain; version=0.0.4"}, metrics.render())
+        if request.path == "/kv":
+            return await self.kv.answer_peer(request)
         if request.path.startswith("/jobs/"):
             return await self._answer_peer_read(request)
         return Response(404)
--- a/gradepoint/gateway/beliefs.py
+++ b/gradepoint/gateway/beliefs.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..ids import HostName, JobId, TargetId
+    from ..ids import HostName, Incarnation, JobId, TargetId
     from ..kv.service import RangeResult, WatchEvent
     from .configuration import Configuration
     from .targets import ListedTarget, TargetSet
@@ -131,7 +131,7 @@
 
     hosts: HostTable
     end_prefix: str
-    on_host_lost: Callable[[], None]
+    on_host_lost: Callable[[Incarnation], None]
     on_job_ended: Callable[[JobId], None]
     known: set[str] = field(default_factory=set)
 
@@ -161,5 +161,5 @@
         else:
             self.known.add(key)
             self.hosts.put(key, value)
-        if not lives <= self.hosts.incarnations:
-            self.on_host_lost()
+        for life in lives - self.hosts.incarnations:
+            self.on_host_lost(life)
--- a/gradepoint/jobs/adoption.py
+++ b/gradepoint/jobs/adoption.py
@@ -1,4 +1,4 @@
-"""Jobs whose host was lost are taken over by a live one."""
+"""Jobs whose host was lost are taken over by live ones."""
 
 from __future__ import annotations
 
@@ -8,16 +8,17 @@
 
 from .. import events
 from ..errors import KvError
+from ..peers.presence import read_host
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.hashing import rank
-from .records import NO_OWNER
 from .repository import Superseded
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..ids import Incarnation
+    from ..ids import Incarnation, JobId
+    from ..peers.presence import HostTable
     from .repository import JobRepository, StoredJob
     from .worker import Worker
 
@@ -27,43 +28,43 @@
 SILENT_PRESENCE_S = 4.0
 """Seconds instead, where the host still sends datagrams: it cannot reach the service, so its
 results would not be listed, but it often is back soon."""
-RETRY_S = 1.0
+RETRY_S = 0.5
 """Seconds until jobs are looked at again while some have no host."""
+ADOPTERS = 3
+"""Hosts that share the jobs of a lost one. More would read all jobs for each loss."""
+ANYONE_S = 4.0
+"""Seconds without a host after which whoever looks takes a job: its adopters are lost too."""
 
 
-def choose_orphans(
-    jobs: list[StoredJob],
-    own: Incarnation,
-    live: set[Incarnation],
-    is_lost: Callable[[Incarnation], bool],
-) -> list[StoredJob]:
-    """Return the jobs without a host that this one takes over: each goes to one live host."""
-    return [job for job in jobs if is_orphan(job, is_lost) and rank(job.id, live)[:1] == [own]]
-
-
-def is_orphan(job: StoredJob, is_lost: Callable[[Incarnation], bool]) -> bool:
-    """Whether nobody runs a job that has something to run."""
-    owner = job.state.owner
-    return not job.state.done and (owner == NO_OWNER or is_lost(owner))
+def choose_adopter(job_id: JobId, owner: Incarnation, live: set[Incarnation]) -> Incarnation:
+    """Return the live host that takes over a job of *owner*: every host says the same."""
+    return rank(job_id, rank(owner, live)[:ADOPTERS])[0]
 
 
 @dataclass
 class Adoption:
     """Takes over the jobs of lost hosts.
 
-    :param live: returns the lives of listed hosts, this one included.
+    :param hosts: the listed hosts.
     :param heard: returns the lives whose datagrams came lately.
-    :ivar wanted: set when a host was lost.
+    :ivar wanted: set when this host has to look for jobs without a host.
+    :ivar orphan_since: when each job was first seen without a host.
     """
 
     repository: JobRepository
     worker: Worker
     own: Incarnation
-    live: Callable[[], set[Incarnation]]
+    hosts: HostTable
     heard: Callable[[], set[Incarnation]]
     holds_lease: Callable[[], bool]
     wanted: asyncio.Event = field(default_factory=asyncio.Event)
     missing_since: dict[Incarnation, float] = field(default_factory=dict)
+    orphan_since: dict[JobId, float] = field(default_factory=dict)
+
+    def note_lost(self, life: Incarnation) -> None:
+        """Look for the jobs of a host that is not listed any more, if it falls to this one."""
+        if self.own in rank(life, self.live)[:ADOPTERS]:
+            self.wanted.set()
 
     async def run(self) -> None:
         """Look for jobs without a host at the start and after each loss."""
@@ -71,46 +72,61 @@
         while True:
             await self.wanted.wait()
             self.wanted.clear()
-            if not self.holds_lease():
-                self.wanted.set()
-                await asyncio.sleep(RETRY_S)
-                continue
-            try:
-                again = await self.sweep()
-            except KvError as error:
-                emit(events.ADOPTION_FAILED, reason=str(error))
-                again = True
+            again = True
+            if self.holds_lease():
+                try:
+                    again = await self.sweep()
+                except KvError as error:
+                    emit(events.ADOPTION_FAILED, reason=str(error))
             if again:
                 self.wanted.set()
                 await asyncio.sleep(RETRY_S)
 
     async def sweep(self) -> bool:
         """Take over what falls to this host; return whether jobs without a host remain."""
-        jobs = await self.repository.list_jobs()
+        jobs = [job for job in await self.repository.list_jobs() if not job.state.done]
         self._note_missing(jobs)
-        live = self.live()
-        for job in choose_orphans(jobs, self.own, live, self.is_lost):
-            try:
-                adopted = await self.repository.adopt(job, self.own)
-            except Superseded:
-                continue
-            emit(events.JOB_ADOPTED, job=job.id, former=job.state.owner)
-            await self.worker.take(adopted)
         for job in jobs:
-            if job.state.owner == self.own and not job.state.done:
+            if job.state.owner == self.own and not job.state.released:
                 await self.worker.take(job)
-        owners = {job.state.owner for job in jobs if not job.state.done}
-        return not owners <= live
+            elif self.is_orphan(job) and self._falls_to_this_host(job):
+                await self._adopt(job)
+        return any(job.state.released or job.state.owner not in self.live for job in jobs)
+
+    async def _adopt(self, job: StoredJob) -> None:
+        try:
+            adopted = await self.repository.adopt(job, self.own)
+        except Superseded:
+            return
+        emit(events.JOB_ADOPTED, job=job.id, former=job.state.owner)
+        await self.worker.take(adopted)
+
+    def _falls_to_this_host(self, job: StoredJob) -> bool:
+        if choose_adopter(job.id, job.state.owner, self.live) == self.own:
+            return True
+        return monotonic() - self.orphan_since[job.id] >= ANYONE_S
 
     def _note_missing(self, jobs: list[StoredJob]) -> None:
         now = monotonic()
-        live = self.live()
-        missing = {job.state.owner for job in jobs if not job.state.done} - live
-        known = self.missing_since
-        self.missing_since = {owner: known.get(owner, now) for owner in missing}
+        live = self.live
+        missing = {job.state.owner for job in jobs} - live
+        self.missing_since = {owner: self.missing_since.get(owner, now) for owner in missing}
+        orphans = [job.id for job in jobs if self.is_orphan(job)]
+        self.orphan_since = {job_id: self.orphan_since.get(job_id, now) for job_id in orphans}
+
+    @property
+    def live(self) -> set[Incarnation]:
+        """The lives of listed hosts, this one's included."""
+        return self.hosts.incarnations | {self.own}
+
+    def is_orphan(self, job: StoredJob) -> bool:
+        """Whether nobody runs a job that has something to run."""
+        return not job.state.done and (job.state.released or self.is_lost(job.state.owner))
 
     def is_lost(self, owner: Incarnation) -> bool:
-        """Whether a host has been missing for long enough."""
+        """Whether a host has been missing for long enough, or has begun a new life."""
+        if read_host(owner) == read_host(self.own) or self.hosts.is_replaced(owner):
+            return owner != self.own
         since = self.missing_since.get(owner)
         if since is None:
             return False
--- a/gradepoint/jobs/feeding.py
+++ b/gradepoint/jobs/feeding.py
@@ -12,14 +12,14 @@
     from ..gateway.targets import Target
     from ..ids import Incarnation, TargetId
 
-RESERVED_SHARE = 0.25
-"""Share of a target's slots that batch leaves free for callers who arrive within one beat of
-the hosts' datagrams."""
+RESERVED_SLOTS = 1
+"""Slots of a target that batch leaves free: the next caller finds one, and an item gives way
+for the one after it within a beat of the hosts' datagrams."""
 
 
 def batch_slots(slots: int) -> int:
-    """Return how many of a target's slots may be in use for batch to add one more."""
-    return max(1, slots - max(1, round(slots * RESERVED_SHARE)))
+    """Return how many of a target's slots may be in use at the most beside a batch item."""
+    return max(1, slots - RESERVED_SLOTS)
 
 
 def choose_batch_target(
@@ -60,7 +60,7 @@
     :param load: everything in flight at the target, over all hosts.
     :param items: items that each host has there.
     """
-    if load <= slots:
+    if load <= batch_slots(slots):
         return False
     holders = [host for host, count in items.items() if count]
     return bool(holders) and max(holders, key=lambda host: score(host, target)) == own
--- a/gradepoint/jobs/owned.py
+++ b/gradepoint/jobs/owned.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from ..util.clock import monotonic
-from .records import ItemEnd, Result
+from .records import ItemEnd, PartialText, Result
 
 if TYPE_CHECKING:
     from ..ids import JobId
@@ -15,27 +15,16 @@
     from .repository import StoredJob
 
 
-@dataclass
-class PartialText:
-    """What has come of an item so far; a later run goes on after it.
-
-    :ivar last_event: number of the last whole event; None before the first.
-    """
-
-    last_event: int | None = None
-    data: list[str] = field(default_factory=list)
-
-
 @dataclass
 class OwnedJob:
     """One job and its work on this host.
 
     :param results: listed results with their texts, by position.
-    :param due_at: monotonic time at which its results are due.
     :ivar pending: ended items that no commit lists yet.
     :ivar running: tasks of the items under way, by index.
     :ivar not_before: monotonic time before which a failed item is not tried again.
     :ivar pending_since: monotonic time at which the oldest of them ended.
+    :ivar committed_at: monotonic time of the last commit.
     :ivar commit_after: monotonic time before which no commit is tried.
     :ivar changed: set and replaced whenever results are listed.
     """
@@ -44,7 +33,6 @@
     items: list[Item]
     results: list[Result]
     accepted_at: float
-    due_at: float
     pending: list[Result] = field(default_factory=list)
     failures: dict[int, int] = field(default_factory=dict)
     partial: dict[int, PartialText] = field(default_factory=dict)
@@ -54,6 +42,7 @@
     dropped: bool = False
     pending_since: float = 0.0
     commit_after: float = 0.0
+    committed_at: float = field(default_factory=monotonic)
     committing: bool = False
     commit_task: asyncio.Task[None] | None = None
 
@@ -62,6 +51,11 @@
         """Its name."""
         return self.stored.id
 
+    @property
+    def order(self) -> int:
+        """Its place among all jobs by age: the revision that created it, the same at any host."""
+        return self.stored.created
+
     @property
     def done(self) -> bool:
         """Whether nothing is left to run or commit."""
@@ -79,6 +73,14 @@
             and self.not_before.get(index, 0.0) <= now
         ]
 
+    def copy_partial(self) -> dict[int, PartialText]:
+        """Return the texts of items under way as they are now."""
+        return {
+            index: PartialText(text.last_event, list(text.data))
+            for index, text in self.partial.items()
+            if text.data
+        }
+
     def finish(self, result: Result) -> None:
         """Take an item's end; it counts once it is committed."""
         if any(row.index == result.index for row in (*self.pending, *self.stored.state.listed)):
@@ -92,6 +94,7 @@
     def take_committed(self, stored: StoredJob, committed: list[Result]) -> None:
         """Take note that *committed* are listed now."""
         self.stored = stored
+        self.committed_at = monotonic()
         self.results += committed
         listed = {row.index for row in committed}
         self.pending = [row for row in self.pending if row.index not in listed]
--- a/gradepoint/jobs/records.py
+++ b/gradepoint/jobs/records.py
@@ -4,7 +4,8 @@
 
 - ``gp/job/ID``: the job's state, changed only by compare-and-swap;
 - ``gp/input/ID/N``: its items, written once with the state;
-- ``gp/result/ID/N``: results of the Nth commit, written once with the state they belong to.
+- ``gp/result/ID/N``: results of the Nth commit, written once with the state they belong to;
+- ``gp/partial/ID``: texts of items under way, overwritten with the state.
 """
 
 from __future__ import annotations
@@ -20,11 +21,11 @@
 JOB_PREFIX = "gp/job/"
 INPUT_PREFIX = "gp/input/"
 RESULT_PREFIX = "gp/result/"
+PARTIAL_PREFIX = "gp/partial/"
 QUOTA_PREFIX = "gp/quota/"
 END_PREFIX = "gp/live/end/"
 
 PLAIN_ID = re.compile(r"[A-Za-z0-9_-]{1,100}")
-NO_OWNER = Incarnation("")
 
 
 class ItemEnd(Enum):
@@ -60,13 +61,15 @@
     """The state of a job.
 
     :param host: value of the Host header of the job's requests.
-    :param owner: life of the host that runs the items; :data:`NO_OWNER` where none does.
+    :param owner: life of the host that runs the items.
     :param item_ids: ids by index.
     :param item_tokens: tokens by index.
     :param listed: results in the order of their positions, without their texts.
     :param commits: result keys written so far.
     :param failures: failed attempts by index, for items that are not listed.
     :param ended: the client asked for the job's end.
+    :param released: the owner stops; any other host may take the job at once.
+    :param partial: texts of items under way are kept beside the state.
     """
 
     route: str
@@ -79,6 +82,8 @@
     commits: int = 0
     failures: dict[int, int] = {}
     ended: bool = False
+    released: bool = False
+    partial: bool = False
 
     @property
     def done(self) -> bool:
@@ -93,6 +98,16 @@
         return sum(self.item_tokens) - sum(self.item_tokens[row.index] for row in self.listed)
 
 
+class PartialText(msgspec.Struct, array_like=True):
+    """What has come of an item so far; a later run goes on after it.
+
+    :ivar last_event: number of the last whole event; None before the first.
+    """
+
+    last_event: int | None = None
+    data: list[str] = []
+
+
 class Quota(msgspec.Struct, frozen=True, array_like=True):
     """Upper bound of the tokens that wait on one route, over all hosts."""
 
@@ -121,6 +136,11 @@
     return f"{RESULT_PREFIX}{job_id}/"
 
 
+def partial_key(job_id: JobId) -> str:
+    """Return the key of the texts of a job's items under way."""
+    return PARTIAL_PREFIX + job_id
+
+
 def end_key(job_id: JobId) -> str:
     """Return the key that tells every host of a job's end."""
     return END_PREFIX + job_id
--- a/gradepoint/jobs/repository.py
+++ b/gradepoint/jobs/repository.py
@@ -16,9 +16,9 @@
 from ..telemetry.logs import emit
 from .records import (
     JOB_PREFIX,
-    NO_OWNER,
     Item,
     JobState,
+    PartialText,
     Quota,
     Result,
     decode_state,
@@ -29,6 +29,7 @@
     join_items,
     join_results,
     part_key,
+    partial_key,
     quota_key,
     result_prefix,
     split_items,
@@ -62,11 +63,15 @@
 
 @dataclass(frozen=True)
 class StoredJob:
-    """A job's state and the revision it was read at."""
+    """A job's state and the revision it was read at.
+
+    :param created: the revision at which the job was accepted.
+    """
 
     id: JobId
     state: JobState
     revision: int
+    created: int
 
 
 @dataclass(frozen=True)
@@ -77,6 +82,20 @@
     job: StoredJob | None
 
 
+@dataclass(frozen=True)
+class CommittedWork:
+    """What one commit keeps.
+
+    :param results: items that ended, with their texts.
+    :param failures: failed attempts by index.
+    :param partial: texts of items under way by index.
+    """
+
+    results: list[Result]
+    failures: dict[int, int] = field(default_factory=dict)
+    partial: dict[int, PartialText] = field(default_factory=dict)
+
+
 class Superseded(Exception):
     """Another writer changed the job; *job* is what stands now, None if it is gone."""
 
@@ -119,7 +138,7 @@
         absent = Expect(job_key(job_id), ABSENT)
         result = await self._write_surely(Transaction((absent,), tuple(puts)))
         if result.succeeded:
-            return Submission(Admission.NEW, StoredJob(job_id, state, result.revision))
+            return Submission(Admission.NEW, _new_job(job_id, state, result.revision))
         return Submission(Admission.KNOWN, await self.load(job_id))
 
     async def _create_within_quota(
@@ -145,7 +164,7 @@
             result = await self._write_surely(transaction)
             if result.succeeded:
                 self._remember_quota(key, KeyValue(key, raw, result.revision))
-                return Submission(Admission.NEW, StoredJob(job_id, state, result.revision))
+                return Submission(Admission.NEW, _new_job(job_id, state, result.revision))
             current = {item.key: item for item in result.current}
             if job_key(job_id) in current:
                 return Submission(Admission.KNOWN, _read_stored(current[job_key(job_id)]))
@@ -208,6 +227,15 @@
         parts = await self._load_parts(result_prefix(job.id), job.state.commits)
         return join_results(parts)[: len(job.state.listed)]
 
+    async def load_partial(self, job: StoredJob) -> dict[int, PartialText]:
+        """Return the texts of items that were under way at the last commit."""
+        if not job.state.partial:
+            return {}
+        item = await self.kv.get(partial_key(job.id))
+        if item is None:
+            return {}
+        return msgspec.msgpack.decode(item.value, type=dict[int, PartialText])
+
     async def _load_parts(self, prefix: str, count: int) -> list[bytes]:
         if count == 1:
             item = await self.kv.get(part_key(prefix, 0))
@@ -224,32 +252,41 @@
         return [_read_stored(item) for item in found.items]
 
     async def commit(
-        self, job: StoredJob, results: list[Result], failures: dict[int, int]
+        self, job: StoredJob, work: CommittedWork, *, released: bool = False
     ) -> StoredJob:
-        """List *results* after those listed before.
+        """List results after those listed before, and keep what is under way.
+
+        :param released: leave the job to whichever host takes it.
 
         :raises Superseded: another writer changed the job; nothing was listed.
         :raises KvError: no definite answer.
         """
         state = job.state
-        listed = state.listed + [Result(row.index, row.end) for row in results]
-        left = {index: count for index, count in failures.items() if count}
+        puts: list[Put] = []
+        if work.results:
+            key = part_key(result_prefix(job.id), state.commits)
+            puts.append(Put(key, msgspec.msgpack.encode(work.results)))
+        raw = msgspec.msgpack.encode(work.partial)
+        keep_partial = bool(work.partial) and len(raw) <= self.value_bytes * PART_SHARE
+        if keep_partial:
+            puts.append(Put(partial_key(job.id), raw))
         changed = msgspec.structs.replace(
-            state, listed=listed, commits=state.commits + 1, failures=left
+            state,
+            listed=state.listed + [Result(row.index, row.end) for row in work.results],
+            commits=state.commits + bool(work.results),
+            failures={index: count for index, count in work.failures.items() if count},
+            released=released,
+            partial=keep_partial,
         )
-        key = part_key(result_prefix(job.id), state.commits)
-        return await self._change(job, changed, Put(key, msgspec.msgpack.encode(results)))
+        return await self._change(job, changed, *puts)
 
     async def adopt(self, job: StoredJob, owner: Incarnation) -> StoredJob:
         """Make *owner* run the job.
 
         :raises Superseded: another host was first.
         """
-        return await self._change(job, msgspec.structs.replace(job.state, owner=owner))
-
-    async def release(self, job: StoredJob) -> StoredJob:
-        """Leave a job to whichever host takes it."""
-        return await self._change(job, msgspec.structs.replace(job.state, owner=NO_OWNER))
+        state = msgspec.structs.replace(job.state, owner=owner, released=False)
+        return await self._change(job, state)
 
     async def end(self, job_id: JobId) -> bool:
         """End a job at its client's wish; return False if there is no such job.
@@ -281,7 +318,7 @@
         transaction = Transaction((Expect(key, job.revision),), (Put(key, raw), *puts))
         result = await self.kv.transact(transaction)
         if result.succeeded:
-            return StoredJob(job.id, state, result.revision)
+            return StoredJob(job.id, state, result.revision, job.created)
         current = await self.load(job.id)
         changed = current is not None and current.revision != job.revision
         if current is not None and changed and encode_state(current.state) == raw:
@@ -294,6 +331,10 @@
     return 0 if item is None else msgspec.msgpack.decode(item.value, type=Quota).tokens
 
 
+def _new_job(job_id: JobId, state: JobState, revision: int) -> StoredJob:
+    return StoredJob(job_id, state, revision, created=revision)
+
+
 def _read_stored(item: KeyValue) -> StoredJob:
     job_id = JobId(item.key.removeprefix(JOB_PREFIX))
-    return StoredJob(job_id, decode_state(item.value), item.revision)
+    return StoredJob(job_id, decode_state(item.value), item.revision, item.created)
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -18,9 +18,9 @@
 from ..util.clock import monotonic
 from ..wire.http_client import ConnectFailed, ResponseBroken
 from .feeding import choose_batch_target, must_give_way
-from .owned import OwnedJob, PartialText
-from .records import ItemEnd, Result
-from .repository import Superseded
+from .owned import OwnedJob
+from .records import ItemEnd, PartialText, Result
+from .repository import CommittedWork, Superseded
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,6 +37,10 @@
 HEARD_S = 0.05
 """Seconds after which the other hosts have heard what this one started or stopped: the gap
 between datagrams, and some for the way and for a busy host."""
+SETTLING_S = 0.8
+"""Seconds after its start in which a host starts no item: until then it has not heard from
+every other host what is in flight, and hosts that restart together would all fill the same
+slots. A few gaps between datagrams, after the list of hosts was read."""
 COMMIT_AGE_S = 0.6
 """Seconds that a finished item waits for others, so that one write lists several. A lost
 host's items of that time run again; a reader sees them that much later."""
@@ -47,8 +51,9 @@
 a preempted request, and far below the time in which a job is due."""
 RETRY_S = 0.3
 """Seconds until an item whose run failed is tried again."""
-DEFAULT_DUE_S = 3600.0
-"""Seconds until a job is due whose route does not say."""
+CHECKPOINT_S = 2.5
+"""Seconds after which the texts of items under way are kept although no item ended: what a
+lost host has made since is made again."""
 COMMIT_RETRY_S = 0.5
 """Seconds until a commit that got no answer is tried again."""
 CANNOT_BE_DONE = 422
@@ -94,6 +99,7 @@
     running: list[RunningItem] = field(default_factory=list)
     rng: random.Random = field(default_factory=random.Random)
     stopping: bool = False
+    started_at: float = field(default_factory=monotonic)
 
     def in_flight(self) -> dict[TargetId, int]:
         """Return how many items each target has of this host."""
@@ -112,16 +118,12 @@
         if items is None:
             items = await self.repository.load_items(stored)
         results = await self.repository.load_results(stored)
+        partial = await self.repository.load_partial(stored)
         if stored.id in self.jobs:
             return
-        now = monotonic()
-        due_s = DEFAULT_DUE_S
-        config = self.in_force()
-        route = config.find_route_by_name(stored.state.route) if config else None
-        if route is not None and route.due_s:
-            due_s = route.due_s
-        job = OwnedJob(stored, items, results, now, now + due_s)
+        job = OwnedJob(stored, items, results, monotonic())
         job.failures = dict(stored.state.failures)
+        job.partial = partial
         self.jobs[job.id] = job
         emit(events.JOB_TAKEN, job=job.id, items=len(items), listed=len(results))
 
@@ -138,13 +140,8 @@
         for job in list(self.jobs.values()):
             if job.commit_task is not None:
                 await asyncio.wait([job.commit_task])
-            if job.pending and not job.dropped:
-                await self._commit(job)
             if not job.done and job.id in self.jobs:
-                try:
-                    await self.repository.release(job.stored)
-                except (KvError, Superseded) as error:
-                    emit(events.COMMIT_FAILED, job=job.id, items=0, reason=repr(error))
+                await self._commit(job, released=True)
             self.drop(job.id, "this host stops")
 
     async def run(self) -> None:
@@ -167,16 +164,23 @@
             route is not None and route.retention_s and now > job.accepted_at + route.retention_s
         ):
             job.give_up_rest()
-        if job.pending and not job.committing and now >= job.commit_after:
-            oldest = now - job.pending_since
-            if oldest >= COMMIT_AGE_S or len(job.pending) + len(job.results) == len(job.items):
-                job.committing = True
-                job.commit_task = asyncio.ensure_future(self._commit(job))
-
-    async def _commit(self, job: OwnedJob) -> None:
+        if not job.committing and now >= job.commit_after and self._wants_commit(job, now):
+            job.committing = True
+            job.commit_task = asyncio.ensure_future(self._commit(job))
+
+    def _wants_commit(self, job: OwnedJob, now: float) -> bool:
+        if job.dropped or job.done:
+            return False
+        if job.pending:
+            whole = len(job.pending) + len(job.results) == len(job.items)
+            return whole or now - job.pending_since >= COMMIT_AGE_S
+        return bool(job.running) and now - job.committed_at >= CHECKPOINT_S
+
+    async def _commit(self, job: OwnedJob, *, released: bool = False) -> None:
         pending = list(job.pending)
         try:
-            stored = await self.repository.commit(job.stored, pending, job.failures)
+            work = CommittedWork(pending, job.failures, job.copy_partial())
+            stored = await self.repository.commit(job.stored, work, released=released)
             job.take_committed(stored, pending)
             metrics.shared().commits.add(1, {"result": "listed"})
             emit(events.ITEMS_LISTED, job=job.id, items=len(pending), listed=len(job.results))
@@ -203,7 +207,7 @@
             self.drop(job.id, "its results are not known here")
 
     def _give_way(self) -> None:
-        """Cancel the newest item at each target that has more in flight than slots."""
+        """Cancel the least urgent item at each target that has no slot left for a caller."""
         now = monotonic()
         by_target: dict[TargetId, list[RunningItem]] = {}
         for item in self.running:
@@ -218,7 +222,7 @@
             by_host = {**self.items_elsewhere(target_id), self.own: len(items)}
             if must_give_way(load, max(1, target.listed.slots), self.own, target_id, by_host):
                 self.gave_way_at[target_id] = now
-                self._cancel(max(items, key=lambda item: item.started), load)
+                self._cancel(max(items, key=lambda item: (item.job.order, item.started)), load)
 
     def _cancel(self, item: RunningItem, load: int) -> None:
         """Take an item's slot away; it goes on later after its last event."""
@@ -235,13 +239,13 @@
             item.task.cancel()
 
     def _start_items(self) -> None:
-        if self.stopping:
-            return
         now = monotonic()
+        if self.stopping or now - self.started_at < SETTLING_S:
+            return
         config = self.in_force()
         if config is None:
             return
-        for job in sorted(self.jobs.values(), key=lambda job: job.due_at):
+        for job in sorted(self.jobs.values(), key=lambda job: job.order):
             if job.dropped or job.done:
                 continue
             for index in job.open_indices(now):
@@ -269,6 +273,15 @@
         job.running[index] = task
         self.running.append(running)
         target.in_flight += 1
+        emit(
+            events.ITEM_STARTED,
+            job=job.id,
+            index=index,
+            item=job.items[index].id,
+            target=target.id,
+            load=target.in_flight + self.forwarder.elsewhere(target.id),
+            after_event=job.partial[index].last_event if index in job.partial else None,
+        )
 
     async def _run_item(self, running: RunningItem, target: Target, max_failures: int) -> None:
         job, index = running.job, running.index
@@ -278,6 +291,8 @@
             job.finish(Result(index, ItemEnd.COMPLETE, text))
             target.record_success()
             metrics.shared().items.add(1, {"result": "complete"})
+            took_ms = round((monotonic() - running.started) * 1000)
+            emit(events.ITEM_ENDED, job=job.id, index=index, target=target.id, took_ms=took_ms)
         except ItemImpossible:
             job.finish(Result(index, ItemEnd.DEAD))
             emit(events.ITEM_DEAD, job=job.id, index=index, reason="impossible")
--- a/gradepoint/kv/service.py
+++ b/gradepoint/kv/service.py
@@ -96,6 +96,17 @@
     revision: int
 
 
+@dataclass(frozen=True)
+class WatchPage:
+    """Changes found by one waiting call.
+
+    :param revision: the store's; a next call goes on after it.
+    """
+
+    events: tuple[WatchEvent, ...]
+    revision: int
+
+
 @dataclass
 class CallCounts:
     """Calls made on the service, a waiting watch counted as one."""
@@ -117,7 +128,9 @@
 class KeyValueService(Protocol):
     """What gradepoint asks of the key-value service."""
 
-    counts: CallCounts
+    @property
+    def counts(self) -> CallCounts:
+        """Calls made so far."""
 
     async def get(self, key: str) -> KeyValue | None:
         """Return one key, or None."""
--- a/gradepoint/peers/beats.py
+++ b/gradepoint/peers/beats.py
@@ -32,6 +32,7 @@
 class Beat(msgspec.Struct, frozen=True, array_like=True):
     """One datagram.
 
+    :param reaches_store: the host's own calls to the key-value service are answered.
     :param calls: callers' calls in flight, by target.
     :param items: batch items in flight, by target.
     """
@@ -39,16 +40,18 @@
     format: int
     incarnation: Incarnation
     config_version: ConfigVersion
+    reaches_store: bool
     calls: dict[TargetId, int]
     items: dict[TargetId, int]
 
 
 @dataclass
 class HeardBeat:
-    """The newest datagram of a host, and when it came."""
+    """The newest datagram of a host, when it came and from which ``IP:PORT``."""
 
     beat: Beat
     at: float
+    address: str
 
 
 @dataclass
@@ -95,7 +98,7 @@
                 address, _, port = peer.peer_address.rpartition(":")
                 self.transport.sendto(raw, (address, int(port)))
 
-    def hear(self, raw: bytes) -> None:
+    def hear(self, raw: bytes, address: str = "") -> None:
         """Take a datagram."""
         try:
             beat = msgspec.msgpack.decode(raw, type=Beat)
@@ -108,7 +111,7 @@
         if former is not None:
             self._add(former.beat, -1)
         self._add(beat, 1)
-        self.heard[beat.incarnation] = HeardBeat(beat, monotonic())
+        self.heard[beat.incarnation] = HeardBeat(beat, monotonic(), address)
 
     def forget_silent(self) -> None:
         """Leave out what hosts said that are not heard any more."""
@@ -131,6 +134,10 @@
         """Return the items that other hosts have at a target."""
         return {name: heard.beat.items.get(target, 0) for name, heard in self.heard.items()}
 
+    def helpers(self) -> list[str]:
+        """Return ``IP:PORT`` of the hosts that reach the key-value service."""
+        return [heard.address for heard in self.heard.values() if heard.beat.reaches_store]
+
     def newest_config(self) -> tuple[ConfigVersion, Incarnation] | None:
         """Return the highest configuration version that a peer has, and the peer."""
         rows = [(heard.beat.config_version, name) for name, heard in self.heard.items()]
@@ -141,5 +148,6 @@
     def __init__(self, beats: Beats) -> None:
         self.beats = beats
 
-    def datagram_received(self, data: bytes, addr: object) -> None:
-        self.beats.hear(data)
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        ip, port = addr
+        self.beats.hear(data, f"{ip}:{port}")
--- a/gradepoint/peers/presence.py
+++ b/gradepoint/peers/presence.py
@@ -14,6 +14,7 @@
 from ..kv.service import Put, Transaction
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
+from ..util.hashing import new_token
 
 if TYPE_CHECKING:
     from ..kv.service import KeyValueService
@@ -42,6 +43,16 @@
     peer_address: str
 
 
+def make_incarnation(host: HostName) -> Incarnation:
+    """Return a new name for a life of *host*'s process."""
+    return Incarnation(f"{host}:{new_token()}")
+
+
+def read_host(incarnation: Incarnation) -> HostName:
+    """Return the host that a life belongs to."""
+    return HostName(incarnation.rpartition(":")[0])
+
+
 @dataclass
 class Presence:
     """Keeps this host's key alive.
@@ -105,6 +116,11 @@
         """The lives that are listed now."""
         return {row.incarnation for row in self.hosts.values()}
 
+    def is_replaced(self, incarnation: Incarnation) -> bool:
+        """Whether a newer life of the same host is listed, so that this one has ended."""
+        row = self.hosts.get(read_host(incarnation))
+        return row is not None and row.incarnation != incarnation
+
     def put(self, key: str, value: bytes) -> None:
         """Take a host's key."""
         row = msgspec.json.decode(value, type=HostPresence)
--- a/gradepoint/platform/store.py
+++ b/gradepoint/platform/store.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from ..errors import KvHistoryLost, KvUnavailable, KvUncertain
-from ..kv.service import CallCounts, KeyValue, RangeResult, TransactionResult, WatchEvent
+from ..errors import KvHistoryLost, KvLeaseLapsed, KvUnavailable, KvUncertain
+from ..kv.service import CallCounts, KeyValue, RangeResult, TransactionResult, WatchEvent, WatchPage
 from ..telemetry import metrics
 from ..wire.http_client import ConnectFailed, HttpClient, ResponseBroken
 
@@ -151,7 +151,7 @@
             current = tuple(_read_item(row) for row in rows if not row.is_deleted and row.rev)
             return TransactionResult(False, 0, current)
         if status == 404:
-            raise KvUnavailable("the lease of a write has lapsed")
+            raise KvLeaseLapsed("the lease of a write has lapsed")
         self._require(status, 200, "txn")
         return TransactionResult(True, _decode(body, _TransactionAnswer).rev)
 
@@ -159,23 +159,29 @@
         """See :meth:`KeyValueService.watch`; waits at the store, call after call."""
         revision = start_revision - 1
         while True:
-            self.counts.watches += 1
-            wait_ms = round(self.watch_s * 1000)
-            query = {"path_prefix": prefix, "after_rev": revision, "wait_ms": wait_ms}
-            status, body = await self._call(
-                "watch",
-                "GET",
-                f"/api/kv-watch?{urlencode(query)}",
-                timeout_s=self.watch_s + WATCH_SLACK_S,
-            )
-            if status == 410:
-                raise KvHistoryLost(f"changes after revision {revision} are forgotten")
-            self._require(status, 200, "watch")
-            answer = _decode(body, _WatchAnswer)
-            for row in answer.events:
-                value = None if row.is_deleted else base64.b64decode(row.value)
-                yield WatchEvent(row.key_path, value, row.rev)
-            revision = max(revision, answer.timestamp)
+            page = await self.wait_for_changes(prefix, revision, self.watch_s)
+            for event in page.events:
+                yield event
+            revision = max(revision, page.revision)
+
+    async def wait_for_changes(self, prefix: str, revision: int, wait_s: float) -> WatchPage:
+        """Return changes below *prefix* after *revision* as soon as there are any.
+
+        :param wait_s: seconds after which no change is an answer too.
+        """
+        self.counts.watches += 1
+        query = {"path_prefix": prefix, "after_rev": revision, "wait_ms": round(wait_s * 1000)}
+        status, body = await self._call(
+            "watch",
+            "GET",
+            f"/api/kv-watch?{urlencode(query)}",
+            timeout_s=wait_s + WATCH_SLACK_S,
+        )
+        if status == 410:
+            raise KvHistoryLost(f"changes after revision {revision} are forgotten")
+        self._require(status, 200, "watch")
+        answer = _decode(body, _WatchAnswer)
+        return WatchPage(tuple(_read_event(row) for row in answer.events), answer.timestamp)
 
     async def grant_lease(self, ttl_s: int) -> int:
         """See :meth:`KeyValueService.grant_lease`."""
@@ -243,6 +249,11 @@
     return base64.b64encode(value).decode()
 
 
+def _read_event(row: _Item) -> WatchEvent:
+    value = None if row.is_deleted else base64.b64decode(row.value)
+    return WatchEvent(row.key_path, value, row.rev)
+
+
 def _read_item(item: Any) -> KeyValue:
     value = base64.b64decode(item.value)
     return KeyValue(item.key_path, value, item.rev, item.created, item.lease)
