--- a/gradepoint/jobs/feeding.py
+++ b/gradepoint/jobs/feeding.py
@@ -60,7 +60,7 @@
     :param load: everything in flight at the target, over all hosts.
     :param items: items that each host has there.
     """
-    if load <= batch_slots(slots):
+    if load <= slots:
         return False
     holders = [host for host, count in items.items() if count]
     return bool(holders) and max(holders, key=lambda host: score(host, target)) == own
