Let few hosts watch the store and tell the others; draw targets by free slots

Ruled out: leases (a tenth of a call each) and commits (a few a job) as the main share. Change: three hosts, agreed by hash over the hosts heard, watch; the rest fetch what they lack from them; datagrams name the jobs a host runs; the gap between datagrams grows with the peers; targets are drawn by the square of their free slots; commits wait 1.2 s for more items. Machines and, at 53 hosts, bytes between failure domains are what is left.

--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -10,15 +10,22 @@
 from ..errors import GradepointError, KvError
 from ..ids import HostName, TargetId
 from ..jobs.adoption import Adoption
-from ..jobs.api import JobApi, read_owned
+from ..jobs.api import JobApi
 from ..jobs.records import END_PREFIX
 from ..jobs.repository import JobRepository
 from ..jobs.worker import Worker
-from ..kv.follow import follow
 from ..kv.relay import RelayedKv
 from ..kv.service import ABSENT, Expect, Put, Transaction
+from ..kv.view import PrefixView
 from ..peers.beats import BEAT_FORMAT, Beat, Beats
-from ..peers.presence import HostPresence, HostTable, Presence, make_incarnation
+from ..peers.presence import (
+    LIVE_PREFIX,
+    HostPresence,
+    HostTable,
+    Presence,
+    make_incarnation,
+)
+from ..peers.watchers import Watchers
 from ..telemetry import metrics
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
@@ -121,6 +128,7 @@
             self.own.incarnation,
             lambda: self.configuration.current,
             self.beats.items_by_host,
+            lambda: self.beats.gap_s,
         )
         self.jobs = JobApi(
             self.repository,
@@ -128,7 +136,7 @@
             self.presence,
             platform.job_dialect,
             self.peer_http,
-            lambda: {row.incarnation: row for row in self.hosts.hosts.values()},
+            self.beats.find_owner,
         )
         self.adoption = Adoption(
             self.repository,
@@ -141,6 +149,7 @@
         self.target_follower = TargetFollower(
             self.targets, platform.decode_target, platform.read_target_id
         )
+        self.watchers = self.make_watchers()
         limits = ServerLimits(max_connections=CALLER_CONNECTIONS, cancel_when_gone=True)
         self.callers = HttpServer(self.handle, limits)
         self.readiness = HttpServer(self.answer_ready)
@@ -153,6 +162,15 @@
         await self.beats.start(settings.address, settings.peer_port)
         await self.callers.start(*split_address(settings.callers_address))
         await self.readiness.start(*split_address(settings.ready_address))
+        self.tasks.start(self.watchers.run())
+        self.tasks.start(self.presence.run())
+        self.tasks.start(self.beats.run(lambda: list(self.hosts.hosts.values())))
+        self.tasks.start(self.worker.run())
+        self.tasks.start(self.adoption.run())
+        self.tasks.start(self.sweep())
+
+    def make_watchers(self) -> Watchers:
+        """Return what keeps configuration, targets and live hosts up to date."""
         platform = self.platform
         operator = OperatorFollower(
             self.configuration,
@@ -166,14 +184,23 @@
             self.adoption.note_lost,
             lambda job_id: self.worker.drop(job_id, "ended"),
         )
-        self.tasks.start(follow(self.kv, platform.operator_prefix, operator))
-        self.tasks.start(follow(self.kv, platform.targets_prefix, self.target_follower))
-        self.tasks.start(follow(self.kv, "gp/live/", live))
-        self.tasks.start(self.presence.run())
-        self.tasks.start(self.beats.run(lambda: list(self.hosts.hosts.values())))
-        self.tasks.start(self.worker.run())
-        self.tasks.start(self.adoption.run())
-        self.tasks.start(self.sweep())
+        return Watchers(
+            self.kv,
+            self.own.incarnation,
+            self.beats,
+            self.peer_http,
+            {
+                "operator": platform.operator_prefix,
+                "targets": platform.targets_prefix,
+                "live": LIVE_PREFIX,
+            },
+            {
+                "operator": PrefixView(operator),
+                "targets": PrefixView(self.target_follower),
+                "live": PrefixView(live),
+            },
+            lambda: self.kv.reaches_store,
+        )
 
     @property
     def ready(self) -> bool:
@@ -191,7 +218,17 @@
         }
         current = self.configuration.current
         version = current.version if current else NO_VERSION
-        return Beat(BEAT_FORMAT, self.own.incarnation, version, self.kv.reaches_store, calls, items)
+        return Beat(
+            format=BEAT_FORMAT,
+            incarnation=self.own.incarnation,
+            config_version=version,
+            reaches_store=self.kv.reaches_store,
+            watching=self.watchers.watching,
+            views=self.watchers.revisions(),
+            jobs=self.worker.job_numbers(),
+            calls=calls,
+            items=items,
+        )
 
     def apply_limits(self, configuration: Configuration) -> None:
         """Put the callers' limits of a configuration in force."""
@@ -247,21 +284,11 @@
             return Response(body=self.configuration.raw)
         if request.path == "/metrics":
             return Response(200, {"content-type": "text/plain; version=0.0.4"}, metrics.render())
+        if request.path == "/news":
+            return self.watchers.answer_news(request)
         if request.path == "/kv":
             return await self.kv.answer_peer(request)
-        if request.path.startswith("/jobs/"):
-            return await self._answer_peer_read(request)
-        return Response(404)
-
-    async def _answer_peer_read(self, request: Request) -> Response:
-        import msgspec
-
-        job = self.worker.jobs.get(request.path.removeprefix("/jobs/"))  # type: ignore[call-overload]
-        if job is None or not self.jobs.may_answer_for(job):
-            return Response(404)
-        wait_s = int(request.query.get("wait_ms", "0")) / 1000
-        found = await read_owned(job, int(request.query.get("position", "0")), wait_s)
-        return Response(body=msgspec.msgpack.encode(found))
+        return await self.jobs.answer_peer(request)
 
     def answer_retirement(self, host: HostName) -> None:
         """Tell the operator that a data host is empty: nothing that must last is on disks."""
@@ -301,21 +328,17 @@
         current = self.configuration.current
         if newest is None or newest[0] <= (current.version if current else NO_VERSION):
             return
-        peer = next(
-            (row for row in self.hosts.hosts.values() if row.incarnation == newest[1]), None
-        )
-        if peer is None:
-            return
+        address = newest[1]
         try:
             response = await self.peer_http.send(
-                split_address(peer.peer_address), "GET", "/config", timeout_s=CONNECT_TIMEOUT_S
+                split_address(address), "GET", "/config", timeout_s=CONNECT_TIMEOUT_S
             )
             raw = await response.read()
         except (ConnectFailed, ResponseBroken) as error:
-            emit(events.PEER_SILENT, member=peer.host, reason=repr(error))
+            emit(events.PEER_SILENT, member=address, reason=repr(error))
             return
         if response.status == 200:
-            self.configuration.offer(raw, f"peer {peer.host}")
+            self.configuration.offer(raw, f"peer {address}")
 
     def reload(self) -> None:
         """Take note of a changed settings file; none of these settings changes in a life."""
@@ -338,6 +361,7 @@
         self.readiness.abort()
         self.peer_server.abort()
         self.beats.stop()
+        await self.watchers.tasks.stop()
         await self.tasks.stop()
 
     async def _hand_over(self) -> None:
--- a/gradepoint/gateway/choice.py
+++ b/gradepoint/gateway/choice.py
@@ -1,4 +1,4 @@
-"""Choice of a target for one call: pure, from what this host knows."""
+"""Choice of a target for one call or item: pure, from what this host knows."""
 
 from __future__ import annotations
 
@@ -11,9 +11,9 @@
     from ..ids import TargetId
     from .targets import Target
 
-OTHER_DOMAIN_COST = 0.5
-"""What a target in another failure domain costs, in calls in flight: less than one, so that
-an idle target elsewhere goes before a busy one nearby, and bytes stay at home otherwise."""
+HOME_WEIGHT = 3.0
+"""How much rather a target in this host's failure domain is chosen than one elsewhere that is
+as empty: bytes stay at home mostly, while a burst at home still spreads."""
 
 
 def choose_target(
@@ -23,20 +23,28 @@
     elsewhere: Callable[[TargetId], int],
     rng: random.Random,
 ) -> Target | None:
-    """Return the target with the least work in flight, or None if there is none left.
+    """Return a target for a caller's call, or None if there is none left.
+
+    Targets with free slots are drawn by the square of how many they have. The emptiest would
+    be the better choice for one host; but all hosts see the same loads some milliseconds late
+    and would send a whole burst there. Without a free slot, the least loaded is taken.
 
     :param tried: targets that this call has been sent to.
-    :param elsewhere: calls that other hosts say they have in flight at a target.
+    :param elsewhere: what other hosts say they have in flight at a target.
     """
-    best: Target | None = None
-    best_cost = (0.0, 0.0)
-    for target in candidates:
-        if target.id in tried:
-            continue
-        slots = max(1, target.listed.slots)
-        load = target.in_flight + elsewhere(target.id)
-        distance = 0.0 if target.listed.failure_domain == failure_domain else OTHER_DOMAIN_COST
-        cost = ((load + distance) / slots, rng.random())
-        if best is None or cost < best_cost:
-            best, best_cost = target, cost
-    return best
+    left = [target for target in candidates if target.id not in tried]
+    if not left:
+        return None
+    weights = [
+        max(0, target.listed.slots - target.in_flight - elsewhere(target.id)) ** 2
+        * (HOME_WEIGHT if target.listed.failure_domain == failure_domain else 1.0)
+        for target in left
+    ]
+    if any(weights):
+        return rng.choices(left, weights)[0]
+    return min(left, key=lambda target: (get_load(target, elsewhere), rng.random()))
+
+
+def get_load(target: Target, elsewhere: Callable[[TargetId], int]) -> float:
+    """Return what is in flight at a target over all hosts, by slot."""
+    return (target.in_flight + elsewhere(target.id)) / max(1, target.listed.slots)
--- a/gradepoint/jobs/api.py
+++ b/gradepoint/jobs/api.py
@@ -5,14 +5,16 @@
 import asyncio
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
+from urllib.parse import urlencode
 
 import msgspec
 
 from .. import events
 from ..errors import GradepointError, KvError, KvUnavailable, KvUncertain
-from ..ids import ItemId
+from ..ids import ItemId, JobId
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
+from ..util.hashing import short_number
 from ..util.tasks import TaskGroup
 from ..wire.http_client import ConnectFailed, ResponseBroken
 from ..wire.http_types import JSON_TYPE, Response
@@ -25,9 +27,10 @@
 
     from ..gateway.configuration import Route
     from ..gateway.dialect import CallHead
-    from ..ids import Incarnation, JobId
-    from ..peers.presence import HostPresence, Presence
+    from ..ids import Incarnation
+    from ..peers.presence import Presence
     from ..wire.http_client import HttpClient
+    from ..wire.http_types import Request
     from .calls import JobDialect
     from .owned import OwnedJob
     from .records import Item
@@ -59,7 +62,8 @@
 class JobApi:
     """Answers batch clients.
 
-    :param peers: returns the live hosts by the life of their process.
+    :param find_owner: returns life and ``IP:PORT`` of the host that runs a job, by its
+        short number, as far as it is heard.
     """
 
     repository: JobRepository
@@ -67,8 +71,7 @@
     presence: Presence
     dialect: JobDialect
     http: HttpClient
-    peers: Callable[[], dict[Incarnation, HostPresence]]
-    owners: dict[JobId, Incarnation] = field(default_factory=dict)
+    find_owner: Callable[[int], tuple[Incarnation, str] | None]
     finished: dict[JobId, JobRead] = field(default_factory=dict)
     tasks: TaskGroup = field(default_factory=TaskGroup)
 
@@ -99,11 +102,9 @@
             emit(events.JOB_REFUSED, job=job_id, reason="quota")
             raise GradepointError("job_quota", retry_after=RETRY_AFTER_S)
         stored = submission.job
-        if stored is not None:
-            self.owners[job_id] = stored.state.owner
-            if stored.state.owner == self.presence.own.incarnation:
-                new = submission.admission is Admission.NEW
-                await self._take(stored, items if new else None)
+        if stored is not None and stored.state.owner == self.presence.own.incarnation:
+            new = submission.admission is Admission.NEW
+            await self._take(stored, items if new else None)
         emit(events.JOB_ACCEPTED, job=job_id, items=len(items), known=submission.admission.value)
         return Response(202, {"content-type": JSON_TYPE}, b"{}")
 
@@ -167,11 +168,7 @@
             known, stored = await self._load(job_id)
             if known is None or stored is None:
                 return None
-            self.owners[job_id] = stored.state.owner
             if len(known.results) <= position and not stored.state.done:
-                told = await self._ask_owner(job_id, position, wait_s)
-                if told is not None:
-                    return told
                 await asyncio.sleep(wait_s)
         return JobRead(known.total, known.item_ids, cut_page(known.results[position:]))
 
@@ -198,39 +195,66 @@
         return None if raw is None else msgspec.msgpack.decode(raw, type=JobRead)
 
     async def _ask(self, job_id: JobId, target: str, timeout_s: float) -> bytes | None:
-        peer = self.peers().get(self.owners.get(job_id, self.presence.own.incarnation))
-        if peer is None or peer.incarnation == self.presence.own.incarnation:
+        owner = self.find_owner(short_number(job_id))
+        if owner is None:
             return None
-        address, _, port = peer.peer_address.rpartition(":")
+        life, address = owner
+        ip, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(timeout_s):
-                response = await self.http.send((address, int(port)), "GET", target)
+                response = await self.http.send((ip, int(port)), "GET", target)
                 raw = await response.read()
         except (ConnectFailed, ResponseBroken, TimeoutError) as error:
-            emit(events.PEER_SILENT, member=peer.host, job=job_id, reason=repr(error))
+            emit(events.PEER_SILENT, member=life, job=job_id, reason=repr(error))
             return None
         return raw if response.status == 200 else None
 
+    async def answer_peer(self, request: Request) -> Response:
+        """Tell another host of a job that this one runs; 404 if it does not."""
+        kind, _, name = request.path.lstrip("/").partition("/")
+        job = self.worker.jobs.get(JobId(name))
+        if job is None:
+            return Response(404)
+        if kind == "ended":
+            self.worker.drop(job.id, "ended")
+            return Response(200)
+        if kind == "items":
+            body = job.find_body(ItemId(request.query.get("id", "")))
+            return Response(404) if body is None else Response(200, body=body)
+        if kind != "jobs" or not self.may_answer_for(job):
+            return Response(404)
+        wait_s = int(request.query.get("wait_ms", "0")) / 1000
+        found = await read_owned(job, int(request.query.get("position", "0")), wait_s)
+        return Response(200, body=msgspec.msgpack.encode(found))
+
     async def _answer_item(self, call: ReadItem) -> Response:
         job_id = name_job(call.client_id)
+        body = await self._find_body(job_id, call.item_id)
+        if body is None:
+            raise GradepointError("not_found", "There is no such job or item.")
+        return Response(200, {"content-type": "application/octet-stream"}, body)
+
+    async def _find_body(self, job_id: JobId, item_id: ItemId) -> bytes | None:
+        """Return an item's body; what a job's items are never changes."""
         own = self.worker.jobs.get(job_id)
         if own is not None:
-            items = own.items
-        else:
-            stored = await self.repository.load(job_id)
-            if stored is None:
-                raise GradepointError("not_found", "There is no such job.")
-            items = await self.repository.load_items(stored)
-        for item in items:
-            if item.id == call.item_id:
-                return Response(200, {"content-type": "application/octet-stream"}, item.body)
-        raise GradepointError("not_found", "The job has no such item.")
+            return own.find_body(item_id)
+        query = f"/items/{job_id}?{urlencode({'id': item_id})}"
+        told = await self._ask(job_id, query, PEER_TIMEOUT_S)
+        if told is not None:
+            return told
+        stored = await self.repository.load(job_id)
+        if stored is None:
+            return None
+        items = await self.repository.load_items(stored)
+        return next((item.body for item in items if item.id == item_id), None)
 
     async def _answer_end(self, call: EndJob) -> Response:
         job_id = name_job(call.client_id)
         if not await self.repository.end(job_id):
             raise GradepointError("not_found", "There is no such job.")
         self.worker.drop(job_id, "ended")
+        await self._ask(job_id, f"/ended/{job_id}", PEER_TIMEOUT_S)
         emit(events.JOB_ENDED, job=job_id)
         return Response(200, {"content-type": JSON_TYPE}, b"{}")
 
--- a/gradepoint/jobs/feeding.py
+++ b/gradepoint/jobs/feeding.py
@@ -7,6 +7,7 @@
 from ..util.hashing import score
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Callable, Collection, Mapping
 
     from ..gateway.targets import Target
@@ -26,27 +27,23 @@
     candidates: list[Target],
     elsewhere: Callable[[TargetId], int],
     just_fed: Collection[TargetId],
-    own: Incarnation,
+    rng: random.Random,
 ) -> Target | None:
-    """Return the emptiest target with a slot to spare, or None.
+    """Return a target with a slot to spare, or None.
 
-    Every host sees the same free slots. So that they do not all fill the same one before
-    they hear of each other, equally empty targets come in an order of each host's own, and a
+    Every host sees the same free slots. So that they do not all fill the same ones before
+    they hear of each other, targets are drawn by the square of their spare slots, and a
     target gets one item of a host at a time.
 
     :param just_fed: targets that got an item of this host since the others last heard of it.
     """
-    best: Target | None = None
-    best_cost = (0.0, 0)
-    for target in candidates:
-        slots = max(1, target.listed.slots)
-        load = target.in_flight + elsewhere(target.id)
-        if target.id in just_fed or load >= batch_slots(slots):
-            continue
-        cost = (load / slots, score(own, target.id))
-        if best is None or cost < best_cost:
-            best, best_cost = target, cost
-    return best
+    left = [target for target in candidates if target.id not in just_fed]
+    weights = [
+        max(0, batch_slots(max(1, target.listed.slots)) - target.in_flight - elsewhere(target.id))
+        ** 2
+        for target in left
+    ]
+    return rng.choices(left, weights)[0] if any(weights) else None
 
 
 def must_give_way(
--- a/gradepoint/jobs/owned.py
+++ b/gradepoint/jobs/owned.py
@@ -10,7 +10,7 @@
 from .records import ItemEnd, PartialText, Result
 
 if TYPE_CHECKING:
-    from ..ids import JobId
+    from ..ids import ItemId, JobId
     from .records import Item
     from .repository import StoredJob
 
@@ -73,6 +73,10 @@
             and self.not_before.get(index, 0.0) <= now
         ]
 
+    def find_body(self, item_id: ItemId) -> bytes | None:
+        """Return the body of an item, None if the job has no such item."""
+        return next((item.body for item in self.items if item.id == item_id), None)
+
     def copy_partial(self) -> dict[int, PartialText]:
         """Return the texts of items under way as they are now."""
         return {
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -16,6 +16,7 @@
 from ..telemetry import metrics
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
+from ..util.hashing import short_number
 from ..wire.http_client import ConnectFailed, ResponseBroken
 from .feeding import choose_batch_target, must_give_way
 from .owned import OwnedJob
@@ -34,16 +35,21 @@
 
 TICK_S = 0.03
 """Seconds between looks for free slots: about the gap between the hosts' datagrams."""
-HEARD_S = 0.05
-"""Seconds after which the other hosts have heard what this one started or stopped: the gap
-between datagrams, and some for the way and for a busy host."""
+HEARD_S = 0.03
+"""Seconds beside the gap between datagrams after which the other hosts have heard what this
+one started or stopped: for the way and for a busy host."""
 SETTLING_S = 0.8
 """Seconds after its start in which a host starts no item: until then it has not heard from
 every other host what is in flight, and hosts that restart together would all fill the same
 slots. A few gaps between datagrams, after the list of hosts was read."""
-COMMIT_AGE_S = 0.6
-"""Seconds that a finished item waits for others, so that one write lists several. A lost
-host's items of that time run again; a reader sees them that much later."""
+COMMIT_AGE_S = 1.2
+"""Seconds that a finished item waits for others, so that one write lists several; a reader
+sees it that much later."""
+KEPT_DONE_S = 60.0
+"""Seconds that a finished job stays in memory for its readers; after that they are answered
+from the service."""
+TOLD_JOBS = 32
+"""Jobs that other hosts hear of; readers of older ones are answered from the service."""
 RUN_LIMIT_S = 15.0
 """Seconds after which a target drops an item that nobody reads any more."""
 SILENCE_S = 1.5
@@ -84,6 +90,7 @@
 
     :param in_force: returns the configuration in force.
     :param items_elsewhere: returns the items that other hosts have at a target, by host.
+    :param beat_gap_s: returns the seconds between this host's datagrams.
     :ivar fed_at: when each target last got an item of this host.
     :ivar gave_way_at: when an item of this host last gave way at each target.
     """
@@ -93,6 +100,7 @@
     own: Incarnation
     in_force: Callable[[], Configuration | None]
     items_elsewhere: Callable[[TargetId], dict[Incarnation, int]]
+    beat_gap_s: Callable[[], float]
     fed_at: dict[TargetId, float] = field(default_factory=dict)
     gave_way_at: dict[TargetId, float] = field(default_factory=dict)
     jobs: dict[JobId, OwnedJob] = field(default_factory=dict)
@@ -101,6 +109,10 @@
     stopping: bool = False
     started_at: float = field(default_factory=monotonic)
 
+    def job_numbers(self) -> list[int]:
+        """Return the short numbers of the jobs that other hosts may ask this one about."""
+        return [short_number(job_id) for job_id in list(self.jobs)[-TOLD_JOBS:]]
+
     def in_flight(self) -> dict[TargetId, int]:
         """Return how many items each target has of this host."""
         counts: dict[TargetId, int] = {}
@@ -153,7 +165,10 @@
             self._give_way()
             self._start_items()
             for job in list(self.jobs.values()):
-                self._look_after(job)
+                if job.done and monotonic() - job.committed_at > KEPT_DONE_S:
+                    del self.jobs[job.id]
+                else:
+                    self._look_after(job)
 
     def _look_after(self, job: OwnedJob) -> None:
         """Give up what may be given up, and commit what has waited long enough."""
@@ -209,6 +224,7 @@
     def _give_way(self) -> None:
         """Cancel the least urgent item at each target that has no slot left for a caller."""
         now = monotonic()
+        heard_s = HEARD_S + self.beat_gap_s()
         by_target: dict[TargetId, list[RunningItem]] = {}
         for item in self.running:
             by_target.setdefault(item.target, []).append(item)
@@ -217,7 +233,7 @@
             if target is None:
                 continue
             load = target.in_flight + self.forwarder.elsewhere(target_id)
-            if now - self.gave_way_at.get(target_id, -HEARD_S) < HEARD_S:
+            if now - self.gave_way_at.get(target_id, -heard_s) < heard_s:
                 continue
             by_host = {**self.items_elsewhere(target_id), self.own: len(items)}
             if must_give_way(load, max(1, target.listed.slots), self.own, target_id, by_host):
@@ -243,6 +259,7 @@
         if self.stopping or now - self.started_at < SETTLING_S:
             return
         config = self.in_force()
+        heard_s = HEARD_S + self.beat_gap_s()
         if config is None:
             return
         for job in sorted(self.jobs.values(), key=lambda job: job.order):
@@ -256,9 +273,9 @@
                     continue
                 service = route.pick_service(self.rng)
                 candidates = self.forwarder.targets.candidates(service, now)
-                just_fed = {name for name, at in self.fed_at.items() if now - at < HEARD_S}
+                just_fed = {name for name, at in self.fed_at.items() if now - at < heard_s}
                 target = choose_batch_target(
-                    candidates, self.forwarder.elsewhere, just_fed, self.own
+                    candidates, self.forwarder.elsewhere, just_fed, self.rng
                 )
                 if target is None:
                     break
--- a/gradepoint/kv/relay.py
+++ b/gradepoint/kv/relay.py
@@ -41,6 +41,9 @@
 noticed within them, and one that is away is asked little."""
 PEER_TIMEOUT_S = 1.0
 """Seconds that another host has for a relayed call, beside the time it may wait for a change."""
+GATHERING_S = 0.05
+"""Seconds after a change until the next watch begins: changes often come in groups, each
+call is priced, and the shortest bound on news is many times longer."""
 RELAYED_WATCH_S = 5.0
 """Seconds that a relayed watch waits: short, so that it ends soon after the direct way works."""
 PEERS_TRIED = 2
@@ -155,6 +158,8 @@
             for event in page.events:
                 yield event
             revision = max(revision, page.revision)
+            if page.events:
+                await asyncio.sleep(GATHERING_S)
 
     async def grant_lease(self, ttl_s: int) -> int:
         """See :meth:`KeyValueService.grant_lease`."""
--- a/gradepoint/peers/beats.py
+++ b/gradepoint/peers/beats.py
@@ -23,16 +23,24 @@
 LEAST_GAP_S = 0.02
 """Least seconds between datagrams of one host: a call's choice looks this far back at most,
 in which a whole burst brings each host one call or two."""
+GAP_PER_PEER_S = 0.001
+"""Seconds that each peer adds to that gap: a host gets a thousand datagrams a second at the
+most, some hundredths of a core, whatever the size of the fleet."""
 LONGEST_GAP_S = 0.2
 """Seconds after which a datagram is sent though nothing changed, to show that the host lives."""
-STALE_S = 0.7
-"""Seconds after which what a host said is not counted: three of its datagrams are missing."""
+LONGEST_GAP_PER_PEER_S = 0.004
+"""Seconds that each peer adds to that gap."""
+STALE_GAPS = 3.5
+"""Longest gaps after which what a host said is not counted: three datagrams are missing."""
 
 
 class Beat(msgspec.Struct, frozen=True, array_like=True):
     """One datagram.
 
     :param reaches_store: the host's own calls to the key-value service are answered.
+    :param watching: it watches the service and tells others the news.
+    :param views: revision of each of its views.
+    :param jobs: short hashes of the jobs that it runs or ran last.
     :param calls: callers' calls in flight, by target.
     :param items: batch items in flight, by target.
     """
@@ -41,6 +49,9 @@
     incarnation: Incarnation
     config_version: ConfigVersion
     reaches_store: bool
+    watching: bool
+    views: dict[str, int]
+    jobs: list[int]
     calls: dict[TargetId, int]
     items: dict[TargetId, int]
 
@@ -65,6 +76,8 @@
     heard: dict[Incarnation, HeardBeat] = field(default_factory=dict)
     elsewhere: dict[TargetId, int] = field(default_factory=dict)
     transport: asyncio.DatagramTransport | None = None
+    gap_s: float = LEAST_GAP_S
+    longest_gap_s: float = LONGEST_GAP_S
 
     async def start(self, address: str, port: int) -> None:
         """Listen for datagrams."""
@@ -85,10 +98,13 @@
         while True:
             beat = self.own()
             now = monotonic()
-            if beat != sent or now - sent_at >= LONGEST_GAP_S:
-                self.send(beat, peers())
+            others = list(peers())
+            self.longest_gap_s = LONGEST_GAP_S + LONGEST_GAP_PER_PEER_S * len(others)
+            if beat != sent or now - sent_at >= self.longest_gap_s:
+                self.send(beat, others)
                 sent, sent_at = beat, now
-            await asyncio.sleep(LEAST_GAP_S)
+            self.gap_s = LEAST_GAP_S + GAP_PER_PEER_S * len(others)
+            await asyncio.sleep(self.gap_s)
 
     def send(self, beat: Beat, peers: Iterable[HostPresence]) -> None:
         """Send a datagram of this host once."""
@@ -116,7 +132,8 @@
     def forget_silent(self) -> None:
         """Leave out what hosts said that are not heard any more."""
         now = monotonic()
-        for name in [name for name, heard in self.heard.items() if now - heard.at > STALE_S]:
+        stale_s = self.longest_gap_s * STALE_GAPS
+        for name in [name for name, heard in self.heard.items() if now - heard.at > stale_s]:
             self._add(self.heard.pop(name).beat, -1)
 
     def _add(self, beat: Beat, sign: int) -> None:
@@ -138,9 +155,16 @@
         """Return ``IP:PORT`` of the hosts that reach the key-value service."""
         return [heard.address for heard in self.heard.values() if heard.beat.reaches_store]
 
-    def newest_config(self) -> tuple[ConfigVersion, Incarnation] | None:
-        """Return the highest configuration version that a peer has, and the peer."""
-        rows = [(heard.beat.config_version, name) for name, heard in self.heard.items()]
+    def find_owner(self, job: int) -> tuple[Incarnation, str] | None:
+        """Return the life and ``IP:PORT`` of the host that runs a job, by its short hash."""
+        for life, heard in self.heard.items():
+            if job in heard.beat.jobs:
+                return life, heard.address
+        return None
+
+    def newest_config(self) -> tuple[ConfigVersion, str] | None:
+        """Return the highest configuration version that a peer has, and the peer's address."""
+        rows = [(heard.beat.config_version, heard.address) for heard in self.heard.values()]
         return max(rows, default=None)
 
 
--- a/gradepoint/peers/presence.py
+++ b/gradepoint/peers/presence.py
@@ -19,14 +19,16 @@
 if TYPE_CHECKING:
     from ..kv.service import KeyValueService
 
-PRESENCE_PREFIX = "gp/live/host/"
-LEASE_TTL_S = 5
+LIVE_PREFIX = "gp/live/"
+"""Prefix of what every host follows: presence of hosts and notices of ended jobs."""
+PRESENCE_PREFIX = LIVE_PREFIX + "host/"
+LEASE_TTL_S = 6
 """Seconds after its last renewal until a host counts as lost. Its jobs rest that long, so it
 is a fraction of the shortest time in which jobs are due; half of it bridges a store that is
 slow or refuses calls for a moment."""
-RENEWAL_S = LEASE_TTL_S / 3
-"""Seconds between renewals: two may fail before the lease lapses."""
-RETRY_S = 0.4
+RENEWAL_S = LEASE_TTL_S * 0.4
+"""Seconds between renewals: one may fail for longer than a second before the lease lapses."""
+RETRY_S = 0.5
 """Seconds until a failed renewal is tried again."""
 
 
--- /dev/null
+++ b/gradepoint/peers/watchers.py
@@ -0,0 +1,141 @@
+"""Few hosts watch the key-value service; the others are told by them.
+
+A watch on every host would cost a call a host for each change. Every host works out from the
+datagrams it hears which hosts watch; one that hears of none watches by itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from .. import events
+from ..kv.follow import follow
+from ..kv.view import PrefixView, ViewPart
+from ..telemetry.logs import emit
+from ..util.clock import monotonic
+from ..util.hashing import rank
+from ..util.tasks import TaskGroup
+from ..wire.http_client import ConnectFailed, ResponseBroken
+from ..wire.http_types import Response
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..ids import Incarnation
+    from ..kv.service import KeyValueService
+    from ..wire.http_client import HttpClient
+    from ..wire.http_types import Request
+    from .beats import Beats, HeardBeat
+
+WATCHERS = 3
+"""Hosts that watch: any two may be lost or cut off at once without a pause in the news."""
+LOOK_S = 0.03
+"""Seconds between looks at what watchers said: about the gap between their datagrams."""
+FETCH_TIMEOUT_S = 0.5
+"""Seconds a watcher has to tell the news: many times the way, well below the shortest bound."""
+DISTRUST_S = 3.0
+"""Seconds for which a host watches by itself after a watcher's news could not be fetched."""
+
+
+class News(msgspec.Struct, frozen=True):
+    """What a watcher tells a host that is behind, by name of the view."""
+
+    parts: dict[str, ViewPart]
+
+
+def choose_watchers(lives: set[Incarnation]) -> list[Incarnation]:
+    """Return the lives that watch; every host that hears the same ones says the same."""
+    return rank("watchers", lives)[:WATCHERS]
+
+
+@dataclass
+class Watchers:
+    """Keeps this host's views up to date, by watches of its own or by others' news.
+
+    :param views: views by name; *prefixes* has the prefix of each.
+    :param reaches_store: whether this host's own calls to the service are answered.
+    """
+
+    kv: KeyValueService
+    own: Incarnation
+    beats: Beats
+    http: HttpClient
+    prefixes: dict[str, str]
+    views: dict[str, PrefixView]
+    reaches_store: Callable[[], bool]
+    tasks: TaskGroup = field(default_factory=TaskGroup)
+    watching: bool = False
+    distrusted_until: float = 0.0
+
+    def revisions(self) -> dict[str, int]:
+        """Return the revision of each view, as other hosts hear of it."""
+        return {name: view.revision for name, view in self.views.items()}
+
+    async def run(self) -> None:
+        """Watch or listen, whichever falls to this host, for ever."""
+        while True:
+            if self.must_watch() != self.watching:
+                await self._change_role()
+            if not self.watching:
+                await self._catch_up()
+            await asyncio.sleep(LOOK_S)
+
+    def must_watch(self) -> bool:
+        """Whether this host watches: it is one of the chosen, or hears of nobody who does."""
+        if monotonic() < self.distrusted_until or not all(self.revisions().values()):
+            return True
+        heard = self.beats.heard.items()
+        lives = {life for life, beat in heard if beat.beat.reaches_store}
+        if self.reaches_store():
+            lives.add(self.own)
+        if self.own in choose_watchers(lives):
+            return True
+        return not any(self._may_tell(beat) for _, beat in heard)
+
+    def _may_tell(self, heard: HeardBeat) -> bool:
+        return heard.beat.watching and heard.beat.reaches_store
+
+    async def _change_role(self) -> None:
+        self.watching = not self.watching
+        emit(events.WATCH_ROLE, watching=self.watching, heard=len(self.beats.heard))
+        if self.watching:
+            for name, view in self.views.items():
+                self.tasks.start(follow(self.kv, self.prefixes[name], view))
+        else:
+            await self.tasks.stop()
+
+    async def _catch_up(self) -> None:
+        """Fetch what a watcher knows and this host does not."""
+        own = self.revisions()
+        for heard in list(self.beats.heard.values()):
+            newer = any(revision > own.get(name, 0) for name, revision in heard.beat.views.items())
+            if newer and self._may_tell(heard):
+                await self._fetch(heard.address)
+                return
+
+    async def _fetch(self, address: str) -> None:
+        query = "&".join(f"{name}={revision}" for name, revision in self.revisions().items())
+        ip, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(FETCH_TIMEOUT_S):
+                response = await self.http.send((ip, int(port)), "GET", f"/news?{query}")
+                raw = await response.read()
+        except (ConnectFailed, ResponseBroken, TimeoutError) as error:
+            emit(events.PEER_SILENT, member=address, reason=repr(error))
+            self.distrusted_until = monotonic() + DISTRUST_S
+            return
+        for name, part in msgspec.msgpack.decode(raw, type=News).parts.items():
+            self.views[name].take(part)
+
+    def answer_news(self, request: Request) -> Response:
+        """Tell another host what it lacks."""
+        parts = {}
+        for name, view in self.views.items():
+            part = view.tell(int(request.query.get(name, "0")))
+            if part is not None:
+                parts[name] = part
+        return Response(200, body=msgspec.msgpack.encode(News(parts)))
--- a/gradepoint/util/hashing.py
+++ b/gradepoint/util/hashing.py
@@ -29,6 +29,11 @@
     return int.from_bytes(digest, "big")
 
 
+def short_number(text: str) -> int:
+    """Return 32 bits that stand for *text* where a rare mistake costs only a detour."""
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=4).digest(), "big")
+
+
 def rank(key: str, members: Iterable[T]) -> list[T]:
     """Return *members* by falling rendezvous score (Thaler and Ravishankar, 1998)."""
     return sorted(members, key=lambda member: (score(key, member), member), reverse=True)
