Look after jobs that turn up without a live host; let a stopping host take none

Its client's resend was answered 202 at another host, which did not run it. Second: a stopping host went on to adopt and accept jobs, and renewed the lease that it had just ended. Ruled out: the runners (none had the items), commits (none was tried). Change: a host that sees a job whose owner is not listed looks for jobs without a host; the hosts that watch look every 10 s; a stopping host adopts nothing, renews nothing, and hands on what it accepts; handing over does not delay the stop.

--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -66,6 +66,8 @@
 STOP_LISTENING_S = 3.0
 """Seconds from the stop signal until no new connection comes: the platform asks for readiness
 every second and takes a host out after two misses."""
+STOP_LOOK_S = 0.05
+"""Seconds between looks whether everything is answered."""
 STOP_RESERVE_S = 1.0
 """Seconds before the kill in which what still runs is cut and the process ends."""
 RETIRE_STEP_S = 0.5
@@ -137,6 +139,9 @@
             platform.job_dialect,
             self.peer_http,
             self.beats.find_owner,
+            self.beats.find_address,
+            self.hosts,
+            lambda: self.adoption.wanted.set(),
         )
         self.adoption = Adoption(
             self.repository,
@@ -145,6 +150,7 @@
             self.hosts,
             lambda: set(self.beats.heard),
             lambda: self.presence.holds_lease,
+            lambda: self.watchers.watching,
         )
         self.target_follower = TargetFollower(
             self.targets, platform.decode_target, platform.read_target_id
@@ -163,10 +169,10 @@
         await self.callers.start(*split_address(settings.callers_address))
         await self.readiness.start(*split_address(settings.ready_address))
         self.tasks.start(self.watchers.run())
-        self.tasks.start(self.presence.run())
+        self.renewing = self.tasks.start(self.presence.run())
         self.tasks.start(self.beats.run(lambda: list(self.hosts.hosts.values())))
         self.tasks.start(self.worker.run())
-        self.tasks.start(self.adoption.run())
+        self.adopting = self.tasks.start(self.adoption.run())
         self.tasks.start(self.sweep())
 
     def make_watchers(self) -> Watchers:
@@ -349,14 +355,21 @@
         begun = monotonic()
         self.stopping = True
         self.callers.draining = True
-        self.worker.stopping = True
-        await self._hand_over()
+        self.jobs.leaving = True
+        handing_over = self.tasks.start(self._hand_over())
         last = begun + self.settings.grace_s - STOP_RESERVE_S
         while monotonic() < last:
-            if monotonic() > begun + STOP_LISTENING_S and not self.callers.busy_count:
+            quiet = not self.callers.busy_count and handing_over.done()
+            if quiet and monotonic() > begun + STOP_LISTENING_S:
                 break
             self.callers.close_idle()
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(STOP_LOOK_S)
+        emit(
+            events.PROGRAM_STOPPED,
+            busy=self.callers.busy_count,
+            handed_over=handing_over.done(),
+            took_s=round(monotonic() - begun, 2),
+        )
         self.callers.abort()
         self.readiness.abort()
         self.peer_server.abort()
@@ -366,7 +379,9 @@
 
     async def _hand_over(self) -> None:
         """Leave every job to other hosts and take this one out of the list."""
+        self.adopting.cancel()
         await self.worker.release_all()
+        self.renewing.cancel()
         await self.presence.withdraw()
 
 
--- a/gradepoint/jobs/adoption.py
+++ b/gradepoint/jobs/adoption.py
@@ -30,6 +30,9 @@
 results would not be listed, but it often is back soon."""
 RETRY_S = 0.5
 """Seconds until jobs are looked at again while some have no host."""
+PATROL_S = 10.0
+"""Seconds after which the hosts that watch look for jobs without a host though no loss was
+seen: a notice may have been lost, and jobs are due in about twice that time."""
 ADOPTERS = 3
 """Hosts that share the jobs of a lost one. More would read all jobs for each loss."""
 ANYONE_S = 4.0
@@ -46,6 +49,7 @@
     """Takes over the jobs of lost hosts.
 
     :param hosts: the listed hosts.
+    :param patrols: whether this host looks now and then without a reason.
     :param heard: returns the lives whose datagrams came lately.
     :ivar wanted: set when this host has to look for jobs without a host.
     :ivar orphan_since: when each job was first seen without a host.
@@ -57,6 +61,7 @@
     hosts: HostTable
     heard: Callable[[], set[Incarnation]]
     holds_lease: Callable[[], bool]
+    patrols: Callable[[], bool]
     wanted: asyncio.Event = field(default_factory=asyncio.Event)
     missing_since: dict[Incarnation, float] = field(default_factory=dict)
     orphan_since: dict[JobId, float] = field(default_factory=dict)
@@ -67,10 +72,15 @@
             self.wanted.set()
 
     async def run(self) -> None:
-        """Look for jobs without a host at the start and after each loss."""
+        """Look for jobs without a host at the start, after each loss and now and then."""
         self.wanted.set()
         while True:
-            await self.wanted.wait()
+            try:
+                async with asyncio.timeout(PATROL_S):
+                    await self.wanted.wait()
+            except TimeoutError:
+                if not self.patrols():
+                    continue
             self.wanted.clear()
             again = True
             if self.holds_lease():
--- a/gradepoint/jobs/api.py
+++ b/gradepoint/jobs/api.py
@@ -14,13 +14,13 @@
 from ..ids import ItemId, JobId
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
-from ..util.hashing import short_number
+from ..util.hashing import rank, short_number
 from ..util.tasks import TaskGroup
 from ..wire.http_client import ConnectFailed, ResponseBroken
 from ..wire.http_types import JSON_TYPE, Response
 from .calls import EndJob, JobCall, ReadItem, ReadResults, ResultPage
 from .records import JobState, Result, name_job
-from .repository import Admission
+from .repository import Admission, Superseded
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,7 +28,7 @@
     from ..gateway.configuration import Route
     from ..gateway.dialect import CallHead
     from ..ids import Incarnation
-    from ..peers.presence import Presence
+    from ..peers.presence import HostTable, Presence
     from ..wire.http_client import HttpClient
     from ..wire.http_types import Request
     from .calls import JobDialect
@@ -46,6 +46,8 @@
 LATE_WRITE_CHECKS_S = (1.0, 3.0, 7.0)
 """Seconds after a write without an answer at which its job is looked for: such writes may
 be carried out seconds later."""
+HOSTS_ASKED = 3
+"""Hosts that a stopping one asks to take a job, until one does."""
 CACHED_JOBS = 64
 """Finished jobs whose results are kept in memory for reads."""
 
@@ -64,6 +66,9 @@
 
     :param find_owner: returns life and ``IP:PORT`` of the host that runs a job, by its
         short number, as far as it is heard.
+    :param find_address: returns ``IP:PORT`` of a host that is heard.
+    :param look_for_orphans: has this host look for jobs without a host.
+    :ivar leaving: this host stops; what it accepts is run by another.
     """
 
     repository: JobRepository
@@ -72,8 +77,18 @@
     dialect: JobDialect
     http: HttpClient
     find_owner: Callable[[int], tuple[Incarnation, str] | None]
+    find_address: Callable[[Incarnation], str | None]
+    hosts: HostTable
+    look_for_orphans: Callable[[], None]
     finished: dict[JobId, JobRead] = field(default_factory=dict)
     tasks: TaskGroup = field(default_factory=TaskGroup)
+    leaving: bool = False
+
+    def note_owner(self, stored: StoredJob) -> None:
+        """Have a job looked after whose host is not listed: its creation may have been carried
+        out after the looks that followed the loss of its host."""
+        if not stored.state.done and stored.state.owner not in self.hosts.incarnations:
+            self.look_for_orphans()
 
     async def submit(self, route: Route, head: CallHead, body: bytes) -> Response:
         """Take a job; the answer says whether it is kept."""
@@ -86,6 +101,7 @@
             input_parts=0,
             item_ids=[item.id for item in items],
             item_tokens=[item.tokens for item in items],
+            released=self.leaving,
         )
         try:
             submission = await self.repository.accept(
@@ -102,12 +118,30 @@
             emit(events.JOB_REFUSED, job=job_id, reason="quota")
             raise GradepointError("job_quota", retry_after=RETRY_AFTER_S)
         stored = submission.job
-        if stored is not None and stored.state.owner == self.presence.own.incarnation:
+        if stored is not None and stored.state.released:
+            await self._hand_on(job_id)
+        elif stored is not None and stored.state.owner == self.presence.own.incarnation:
             new = submission.admission is Admission.NEW
             await self._take(stored, items if new else None)
+        elif stored is not None:
+            self.note_owner(stored)
         emit(events.JOB_ACCEPTED, job=job_id, items=len(items), known=submission.admission.value)
         return Response(202, {"content-type": JSON_TYPE}, b"{}")
 
+    async def _hand_on(self, job_id: JobId) -> None:
+        """Find another host for a job that was accepted while this one stops.
+
+        Without one, whoever next looks for jobs without a host finds it.
+        """
+        others = self.hosts.incarnations - {self.presence.own.incarnation}
+        for life in rank(job_id, others)[:HOSTS_ASKED]:
+            address = self.find_address(life)
+            if address is None:
+                continue
+            if await self._ask_host(address, f"/take/{job_id}", PEER_TIMEOUT_S) is not None:
+                return
+        emit(events.JOB_DROPPED, job=job_id, reason="no other host takes it now", running=0)
+
     async def _take(self, stored: StoredJob, items: list[Item] | None) -> None:
         try:
             await self.worker.take(stored, items)
@@ -115,18 +149,24 @@
             emit(events.JOB_UNREADABLE, job=stored.id, reason=str(error))
             self.tasks.start(self._look_for_late_write(stored.id))
 
-    async def _look_for_late_write(self, job_id: JobId) -> None:
-        """Run a job of this host whose creation got no answer, if it is there after all."""
+    async def _look_for_late_write(
+        self, job_id: JobId, checks_s: tuple[float, ...] = LATE_WRITE_CHECKS_S
+    ) -> None:
+        """Run a job of this host whose creation got no answer here, if it is there after all."""
         begun = monotonic()
-        for after_s in LATE_WRITE_CHECKS_S:
+        for after_s in checks_s:
             await asyncio.sleep(max(0.0, begun + after_s - monotonic()))
             try:
                 stored = await self.repository.load(job_id)
                 if stored is None:
                     continue
+                if stored.state.released and not self.leaving:
+                    stored = await self.repository.adopt(stored, self.presence.own.incarnation)
                 if stored.state.owner == self.presence.own.incarnation:
                     await self.worker.take(stored)
                 return
+            except Superseded:
+                return
             except KvError as error:
                 emit(events.JOB_UNREADABLE, job=job_id, reason=str(error))
 
@@ -180,6 +220,7 @@
         stored = await self.repository.load(job_id)
         if stored is None:
             return None, None
+        self.note_owner(stored)
         results = await self.repository.load_results(stored)
         found = JobRead(len(stored.state.item_ids), stored.state.item_ids, results)
         if stored.state.done:
@@ -198,21 +239,27 @@
         owner = self.find_owner(short_number(job_id))
         if owner is None:
             return None
-        life, address = owner
+        return await self._ask_host(owner[1], target, timeout_s)
+
+    async def _ask_host(self, address: str, target: str, timeout_s: float) -> bytes | None:
         ip, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(timeout_s):
                 response = await self.http.send((ip, int(port)), "GET", target)
                 raw = await response.read()
         except (ConnectFailed, ResponseBroken, TimeoutError) as error:
-            emit(events.PEER_SILENT, member=life, job=job_id, reason=repr(error))
+            emit(events.PEER_SILENT, member=address, asked=target, reason=repr(error))
             return None
         return raw if response.status == 200 else None
 
     async def answer_peer(self, request: Request) -> Response:
         """Tell another host of a job that this one runs; 404 if it does not."""
         kind, _, name = request.path.lstrip("/").partition("/")
-        job = self.worker.jobs.get(JobId(name))
+        job_id = JobId(name)
+        if kind == "take" and not self.leaving:
+            self.tasks.start(self._look_for_late_write(job_id, (0.0, *LATE_WRITE_CHECKS_S)))
+            return Response(200)
+        job = self.worker.jobs.get(job_id)
         if job is None:
             return Response(404)
         if kind == "ended":
--- a/gradepoint/peers/beats.py
+++ b/gradepoint/peers/beats.py
@@ -162,6 +162,11 @@
                 return life, heard.address
         return None
 
+    def find_address(self, life: Incarnation) -> str | None:
+        """Return ``IP:PORT`` of a host that is heard."""
+        heard = self.heard.get(life)
+        return None if heard is None else heard.address
+
     def newest_config(self) -> tuple[ConfigVersion, str] | None:
         """Return the highest configuration version that a peer has, and the peer's address."""
         rows = [(heard.beat.config_version, heard.address) for heard in self.heard.values()]
--- a/tests/test_gateway/test_gateway_calls.py
+++ b/tests/test_gateway/test_gateway_calls.py
@@ -214,7 +214,7 @@
 
 def test_calls_go_where_the_other_host_has_none() -> None:
     async def work(deployment: Deployment) -> None:
-        await deployment.start(gateways=2, targets=2, event_s=0.02, events=100_000)
+        await deployment.start(gateways=2, targets=2, slots=1, event_s=0.02, events=100_000)
         first = asyncio.ensure_future(deployment.call("/stream/1", gateway=0))
         await until(lambda: sum(target.working for target in deployment.targets) == 1)
         busy = next(target for target in deployment.targets if target.working)
--- a/tests/test_jobs/test_jobs_path.py
+++ b/tests/test_jobs/test_jobs_path.py
@@ -4,15 +4,20 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from bench.platform.store import StoreFault
 from bench.platform.target import TargetFault
-from gradepoint.ids import JobId
+from gradepoint.cmd.gateway import PLATFORM
+from gradepoint.ids import Incarnation, JobId
+from gradepoint.jobs.records import JobState
 from tests.support.platform import (
+    HOST,
     ITEM_TOKENS,
     Deployment,
     item_text,
+    job_item,
     run_deployment,
     until,
 )
@@ -209,3 +214,40 @@
         assert cut.presence.holds_lease
 
     run_deployment(work)
+
+
+def test_a_stopping_host_takes_jobs_for_others_and_adopts_none() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2, event_s=0.01)
+        leaving, other = deployment.gateways
+        await until(lambda: len(leaving.beats.heard) == 1)
+        stopping = asyncio.ensure_future(leaving.stop())
+        await until(lambda: not leaving.presence.holds_lease)
+        assert (await deployment.submit("late", 4, gateway=0)).status == 202
+        check_rows("late", await deployment.read_whole("late", gateway=1), 4)
+        assert JobId("late") in other.worker.jobs
+        await stopping
+        assert leaving.presence.lease == 0
+        assert "gp/live/host/host-0" not in deployment.store.keys.keys
+
+    run_deployment(work)
+
+
+@pytest.mark.parametrize("resubmitted", [True, False])
+def test_a_job_whose_creation_came_after_the_loss_of_its_host_is_run(resubmitted: bool) -> None:
+    """Its host's jobs were looked for before the write was carried out."""
+
+    async def work(deployment: Deployment) -> None:
+        await deployment.start()
+        repository = deployment.gateways[0].repository
+        items = PLATFORM.job_dialect.decode_submission(
+            msgspec.json.encode({"items": [job_item("late", index) for index in range(3)]})
+        )
+        ids = [item.id for item in items]
+        state = JobState("night", HOST, Incarnation("gone:x"), 0, ids, [ITEM_TOKENS] * 3)
+        await repository.accept(JobId("late"), state, items, 0)
+        if resubmitted:
+            assert (await deployment.submit("late", 3)).status == 202
+        check_rows("late", await deployment.read_whole("late"), 3)
+
+    run_deployment(work)
