Make the test of a late creation wait for the first look

Ruled out: a fault of the change itself; on a scratch copy without it the mended test fails. Change: the test waits for the first look; the number of looks is an attribute. Conclusion: the test fails first now.

--- a/gradepoint/jobs/adoption.py
+++ b/gradepoint/jobs/adoption.py
@@ -52,6 +52,7 @@
     :param patrols: whether this host looks now and then without a reason.
     :param heard: returns the lives whose datagrams came lately.
     :ivar wanted: set when this host has to look for jobs without a host.
+    :ivar sweeps: looks at all jobs so far.
     :ivar orphan_since: when each job was first seen without a host.
     """
 
@@ -65,6 +66,7 @@
     wanted: asyncio.Event = field(default_factory=asyncio.Event)
     missing_since: dict[Incarnation, float] = field(default_factory=dict)
     orphan_since: dict[JobId, float] = field(default_factory=dict)
+    sweeps: int = 0
 
     def note_lost(self, life: Incarnation) -> None:
         """Look for the jobs of a host that is not listed any more, if it falls to this one."""
@@ -95,6 +97,7 @@
     async def sweep(self) -> bool:
         """Take over what falls to this host; return whether jobs without a host remain."""
         jobs = [job for job in await self.repository.list_jobs() if not job.state.done]
+        self.sweeps += 1
         self._note_missing(jobs)
         for job in jobs:
             if job.state.owner == self.own and not job.state.released:
--- a/tests/test_jobs/test_jobs_path.py
+++ b/tests/test_jobs/test_jobs_path.py
@@ -239,6 +239,8 @@
 
     async def work(deployment: Deployment) -> None:
         await deployment.start()
+        adoption = deployment.gateways[0].adoption
+        await until(lambda: adoption.sweeps > 0 and not adoption.wanted.is_set())
         repository = deployment.gateways[0].repository
         items = PLATFORM.job_dialect.decode_submission(
             msgspec.json.encode({"items": [job_item("late", index) for index in range(3)]})
