Write logs to standard output within bounds; tell a request's story; serve metrics

Cause: on-call engineers have logs and metrics alone; lines went to standard error without bound, and a reader that stood still would have blocked the loop. Ruled out: a thread that writes (one loop on one thread), a queue of loguru's (enqueue starts one). Conclusion: kept; cost per request is to be measured.

--- a/gradepoint/cmd/main.py
+++ b/gradepoint/cmd/main.py
@@ -23,6 +23,7 @@
 from ..config.keys import hash_key, make_key
 from ..config.schema import document_schema
 from ..errors import CATALOGUE
+from .explain import explain_request
 from .local import run_local
 from .reference import write_reference
 from .render import print_jobs, print_json, print_status
@@ -211,6 +212,17 @@
         print(f"{name:>14}: {value}")
 
 
+@app.command("explain-request")
+def explain_one_request(
+    wanted: Annotated[str, typer.Argument(metavar="ID", help="Id of a request, job or item.")],
+    files: Annotated[list[Path], typer.Argument(help="Logs of the hosts.", exists=True)],
+    as_json: JsonOption = False,
+) -> None:
+    """Print what the hosts' logs tell of one request, in order, and its cause."""
+    if not explain_request(wanted, files, as_json):
+        raise typer.Exit(EXIT_NO)
+
+
 @app.command()
 def schema() -> None:
     """Print the JSON Schema of configuration files, for editors."""
--- a/gradepoint/cmd/reference.py
+++ b/gradepoint/cmd/reference.py
@@ -9,7 +9,8 @@
 from ..config.schema import document_schema
 from ..errors import CATALOGUE as ERRORS
 from ..events import CATALOGUE as EVENTS
-from ..settings import REQUIRED, TABLE
+from ..gateway.settings import TABLE as GATEWAY_TABLE
+from ..settings import REQUIRED, TABLE, Setting
 
 NOTE = "<!-- written by `gradepoint reference docs/reference`; do not edit -->"
 
@@ -70,11 +71,15 @@
     return "\n".join([*head, *rows]) + "\n"
 
 
-def _settings_page() -> str:
-    rows = []
-    for row in TABLE:
+def _settings_table(table: tuple[Setting, ...]) -> list[str]:
+    rows = ["| name | type | default | meaning |", "|---|---|---|---|"]
+    for row in table:
         default = "required" if row.default is REQUIRED else f"`{row.default!r}`"
         rows.append(f"| `{row.name}` | {row.kind.__name__} | {default} | {row.meaning} |")
+    return rows
+
+
+def _settings_page() -> str:
     head = [
         "# Settings of a process",
         "",
@@ -82,7 +87,13 @@
         "",
         "A JSON object, named with `--settings`; all programs of a host share one file.",
         "",
-        "| name | type | default | meaning |",
-        "|---|---|---|---|",
     ]
-    return "\n".join([*head, *rows]) + "\n"
+    gateway = [
+        "",
+        "## Settings of the gateway",
+        "",
+        "The platform writes this file from the template `deploy/gateway-settings.json`.",
+        "",
+    ]
+    rows = [*head, *_settings_table(TABLE), *gateway, *_settings_table(GATEWAY_TABLE)]
+    return "\n".join(rows) + "\n"
--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -39,6 +39,7 @@
 PROGRAM_STARTED = _declare(101, "program_started", "INFO", "A program is ready to serve.")
 PROGRAM_STOPPING = _declare(102, "program_stopping", "INFO", "A program was asked to stop.")
 PROGRAM_STOPPED = _declare(105, "program_stopped", "INFO", "A program ends; what was cut is told.")
+LINES_LEFT_OUT = _declare(106, "lines_left_out", "WARNING", "More lines than allowed; see counts.")
 HANDLER_FAILED = _declare(103, "handler_failed", "ERROR", "A fault in gradepoint; report it.")
 LOOP_PAUSED = _declare(104, "loop_paused", "WARNING", "The event loop stood still; leases dropped.")
 CALL_REFUSED = _declare(201, "call_refused", "INFO", "A call was refused; see the code.")
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -27,7 +27,7 @@
 )
 from ..peers.watchers import Watchers
 from ..telemetry import metrics
-from ..telemetry.logs import emit
+from ..telemetry.logs import emit, report_left_out
 from ..util.clock import monotonic
 from ..util.hashing import rank
 from ..util.tasks import TaskGroup
@@ -160,6 +160,7 @@
         self.callers = HttpServer(self.handle, limits)
         self.readiness = HttpServer(self.answer_ready)
         self.peer_server = HttpServer(self.answer_peer)
+        self.metrics_server = HttpServer(self.answer_metrics)
 
     async def start(self) -> None:
         """Listen, and begin to follow the store."""
@@ -168,6 +169,8 @@
         await self.beats.start(settings.address, settings.peer_port)
         await self.callers.start(*split_address(settings.callers_address))
         await self.readiness.start(*split_address(settings.ready_address))
+        await self.metrics_server.start(settings.address, settings.metrics_port)
+        self.tasks.start(report_left_out(events.LINES_LEFT_OUT))
         self.tasks.start(self.watchers.run())
         self.renewing = self.tasks.start(self.presence.run())
         self.tasks.start(self.beats.run(lambda: list(self.hosts.hosts.values())))
@@ -284,12 +287,14 @@
         """Answer the platform's readiness check."""
         return Response(200 if self.ready else 503)
 
+    async def answer_metrics(self, _request: Request) -> Response:
+        """Answer with this process's counters and histograms."""
+        return Response(200, {"content-type": "text/plain; version=0.0.4"}, metrics.render())
+
     async def answer_peer(self, request: Request) -> Response:
         """Answer another host."""
         if request.path == "/config" and self.configuration.raw:
             return Response(body=self.configuration.raw)
-        if request.path == "/metrics":
-            return Response(200, {"content-type": "text/plain; version=0.0.4"}, metrics.render())
         if request.path == "/news":
             return self.watchers.answer_news(request)
         if request.path == "/kv":
@@ -370,13 +375,16 @@
             handed_over=handing_over.done(),
             took_s=round(monotonic() - begun, 2),
         )
-        self.callers.abort()
-        self.readiness.abort()
-        self.peer_server.abort()
-        self.beats.stop()
+        self.abort()
         await self.watchers.tasks.stop()
         await self.tasks.stop()
 
+    def abort(self) -> None:
+        """Close every socket that others use."""
+        for server in (self.callers, self.readiness, self.peer_server, self.metrics_server):
+            server.abort()
+        self.beats.stop()
+
     async def _hand_over(self) -> None:
         """Leave every job to other hosts and take this one out of the list."""
         self.adopting.cancel()
--- a/gradepoint/gateway/settings.py
+++ b/gradepoint/gateway/settings.py
@@ -26,6 +26,7 @@
     Setting("store_history_s", float, 20.0, "Seconds for which the store remembers changes."),
     Setting("drain_ms", float, 2000.0, "Milliseconds after which a gone target gets no call."),
     Setting("grace_s", float, 8.0, "Seconds from the stop signal to the kill."),
+    Setting("metrics_port", int, 9464, "Port of the metrics page."),
     Setting("log_level", str, "INFO", "Lowest level that is logged."),
     Setting("log_style", str, "json", "'json' or 'text'."),
 )
@@ -47,6 +48,7 @@
     store_history_s: float
     drain_ms: float
     grace_s: float
+    metrics_port: int
     log_level: str
     log_style: str
 
--- /dev/null
+++ b/gradepoint/telemetry/story.py
@@ -0,0 +1,132 @@
+"""Puts the lines of several hosts' logs about one request together, and names the cause."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from ..events import CATALOGUE
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+ID_FIELDS = ("request", "job", "item")
+COMMON_FIELDS = frozenset(("time", "level", "program", "host", "event", "event_name", "message"))
+CONTEXT_EVENTS = frozenset(
+    (
+        "target_ejected",
+        "target_vanished",
+        "target_state",
+        "store_lost",
+        "store_regained",
+        "config_in_force",
+        "program_started",
+        "program_stopping",
+        "program_stopped",
+        "member_lost",
+    )
+)
+"""Changes of what a host believed; those about a target or host in the story belong to it."""
+
+
+@dataclass(frozen=True)
+class LogLine:
+    """One line of a log."""
+
+    time: str
+    host: str
+    level: str
+    event: str
+    fields: dict[str, Any]
+
+    @property
+    def meaning(self) -> str:
+        """What the catalogue says of its event."""
+        return next((row.meaning for row in CATALOGUE.values() if row.name == self.event), "")
+
+
+@dataclass
+class Story:
+    """What logs tell of one request, job or item.
+
+    :ivar lines: lines that name it, by time.
+    :ivar context: changes of belief about the targets and hosts that those lines name.
+    :ivar bad_lines: lines that could not be read.
+    """
+
+    id: str
+    lines: list[LogLine] = field(default_factory=list)
+    context: list[LogLine] = field(default_factory=list)
+    bad_lines: int = 0
+
+    @property
+    def cause(self) -> LogLine | None:
+        """The last line that tells of a failure, or the last of all."""
+        failures = [line for line in self.lines if _is_failure(line)]
+        found = failures or self.lines
+        return found[-1] if found else None
+
+
+def tell_story(wanted: str, lines: Iterable[str]) -> Story:
+    """Return what *lines* tell of the request, job or item *wanted*.
+
+    Lines may come from several hosts, in any order, and may be cut.
+    """
+    story = Story(wanted)
+    others: list[LogLine] = []
+    for text in lines:
+        line = _read_line(text)
+        if line is None:
+            story.bad_lines += bool(text.strip())
+        elif any(line.fields.get(name) == wanted for name in ID_FIELDS):
+            story.lines.append(line)
+        elif line.event in CONTEXT_EVENTS:
+            others.append(line)
+    story.lines.sort(key=lambda line: line.time)
+    story.context = _choose_context(story.lines, others)
+    return story
+
+
+def _choose_context(lines: list[LogLine], others: list[LogLine]) -> list[LogLine]:
+    if not lines:
+        return []
+    targets = {line.fields.get("target") for line in lines} - {None}
+    hosts = {line.host for line in lines}
+    first, last = lines[0].time, lines[-1].time
+    found = [
+        line
+        for line in others
+        if first <= line.time <= last
+        and (
+            line.fields.get("target") in targets
+            or (line.fields.get("target") is None and line.host in hosts)
+        )
+    ]
+    return sorted(found, key=lambda line: line.time)
+
+
+def _is_failure(line: LogLine) -> bool:
+    status = line.fields.get("status", 200)
+    return line.level in ("WARNING", "ERROR") or (isinstance(status, int) and status >= 300)
+
+
+def _read_line(text: str) -> LogLine | None:
+    """Decode a line; whatever stands before its first brace is left out."""
+    start = text.find("{")
+    if start < 0:
+        return None
+    try:
+        row = msgspec.json.decode(text[start:].strip())
+    except msgspec.DecodeError:
+        return None
+    if not isinstance(row, dict) or "event_name" not in row:
+        return None
+    return LogLine(
+        time=str(row.get("time", "")),
+        host=str(row.get("host", "")),
+        level=str(row.get("level", "")),
+        event=str(row["event_name"]),
+        fields={name: value for name, value in row.items() if name not in COMMON_FIELDS},
+    )
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -104,6 +104,7 @@
         "callers_address": f"{LOOPBACK}:{free_port()}",
         "ready_address": f"{LOOPBACK}:{free_port()}",
         "peer_ports": str(free_port()),
+        "metrics_port": free_port(),
         "store_address": store_address,
     }
     return check_gateway_settings(values).unwrap()
@@ -149,9 +150,7 @@
         """End a gateway as a kill does: nothing is handed over, every socket closes."""
         self.gateways.remove(gateway)
         await gateway.tasks.stop()
-        for server in (gateway.callers, gateway.readiness, gateway.peer_server):
-            server.abort()
-        gateway.beats.stop()
+        gateway.abort()
         for job_id in list(gateway.worker.jobs):
             gateway.worker.drop(job_id, "killed")
         gateway.forwarder.http.close()
