--- a/bench/platform/target.py
+++ b/bench/platform/target.py
@@ -115,7 +115,7 @@
             raise ConnectionResetError
         if fault is TargetFault.SILENT:
             await asyncio.Event().wait()
-        if request.path.startswith("/plain/"):
+        if "/plain/" in request.path:
             return Response(200, headers, plain_answer(request_id))
         headers["content-type"] = EVENT_STREAM_TYPE
         first = int(request.headers.get("last-event-id", "-1")) + 1
--- /dev/null
+++ b/bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real gateway processes, stand-ins, and faults from outside them."""
--- /dev/null
+++ b/bench/soak/run.py
@@ -0,0 +1,389 @@
+"""One seeded soak: traffic, faults in series and overlapping, then a calm end and the ledger."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import random
+import signal
+from collections import Counter
+from contextlib import closing
+from dataclasses import dataclass, field
+from pathlib import Path as FilePath
+
+import msgspec
+
+from gradepoint.util.tasks import TaskGroup
+from gradepoint.wire.http_client import ConnectFailed, HttpClient, ResponseBroken
+
+from ..platform.store import PlatformStoreStandin, StoreFault
+from ..platform.target import TargetStandin
+from .fleet import GatewayProcess
+from .ledger import Ledger
+from .proxy import Path, Proxy
+
+HOST = "soak.example"
+CALL_KINDS = {"single": "unsafe", "plain": "safe", "stream": "streaming", "resume": "streaming"}
+CALM_LIMIT_S = 60.0
+"""Seconds after the last fault within which every accepted item has to be listed."""
+
+
+@dataclass
+class Soak:
+    """One run.
+
+    :param faults_s: seconds of faults.
+    :param gateways: gateway processes.
+    """
+
+    seed: int
+    folder: FilePath
+    faults_s: float = 8.0
+    gateways: int = 3
+    target_count: int = 4
+    callers: int = 6
+    events: int = 8
+
+    store: PlatformStoreStandin = field(default_factory=PlatformStoreStandin)
+    tasks: TaskGroup = field(default_factory=TaskGroup)
+    fleet: list[GatewayProcess] = field(default_factory=list)
+    targets: list[TargetStandin] = field(default_factory=list)
+    proxies: list[Proxy] = field(default_factory=list)
+    done: Counter[str] = field(default_factory=Counter)
+    version: int = 1
+    calm: bool = False
+    ids: int = 0
+
+    def __post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+        self.ledger = Ledger(self.targets, self.events)
+        self.folder.mkdir(parents=True, exist_ok=True)
+
+    async def run(self) -> list[str]:
+        """Play the run; return every broken promise."""
+        try:
+            await self._start()
+            loads = [self.tasks.start(self._call_for_ever()) for _ in range(self.callers)]
+            loads.append(self.tasks.start(self._submit_for_ever()))
+            troubles = [self.tasks.start(self._trouble(kind)) for kind in self._troubles()]
+            await asyncio.sleep(self.faults_s)
+            for task in troubles:
+                task.cancel()
+            await asyncio.wait(troubles)
+            self._end_faults()
+            await asyncio.sleep(1.0)
+            for task in loads:
+                task.cancel()
+            await self._check_jobs()
+            return self.ledger.close()
+        finally:
+            await self._stop()
+
+    async def _start(self) -> None:
+        address = await self.store.start()
+        store = address.rpartition(":")
+        self._write_configuration()
+        for number in range(self.target_count):
+            await self._add_target(f"t{number}")
+        for number in range(self.gateways):
+            proxy = Proxy((store[0], int(store[2])))
+            host_address = f"127.0.1.{number + 1}"
+            await proxy.start(host_address)
+            self.proxies.append(proxy)
+            gateway = GatewayProcess(f"host-{number}", host_address, self.folder, proxy)
+            gateway.start()
+            self.fleet.append(gateway)
+        await self._wait_ready()
+
+    async def _add_target(self, name: str) -> None:
+        target = TargetStandin(name, events=self.events, event_s=0.01)
+        target.rng = random.Random(f"{self.seed} {name}")
+        ip, _, port = (await target.start()).rpartition(":")
+        proxy = Proxy((ip, int(port)))
+        await proxy.start(ip)
+        self.proxies.append(proxy)
+        self.targets.append(target)
+        self._list_target(target, proxy.port)
+
+    def _list_target(self, target: TargetStandin, port: int, state: str = "ready") -> None:
+        entry = msgspec.json.decode(target.entry(state))
+        entry["addr"] = f"127.0.0.1:{port}"
+        self.store.put(f"servers/{target.name}", msgspec.json.encode(entry))
+
+    def _write_configuration(self) -> None:
+        routes = [self._route(name, kind) for name, kind in CALL_KINDS.items()]
+        routes += [self._route("night", "batch")]
+        routes += [self._route(f"v{number}", "safe") for number in range(2, self.version + 1)]
+        limits = {
+            "header_bytes": 8192,
+            "body_bytes": 1 << 20,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        }
+        services = [{"name": "model", "max_conns": 200}]
+        document = {
+            "version": self.version,
+            "routes": routes,
+            "services": services,
+            "limits": limits,
+        }
+        self.store.put("op/config", msgspec.json.encode(document))
+
+    def _route(self, name: str, kind: str) -> dict[str, object]:
+        return {
+            "name": name,
+            "host": HOST,
+            "path_prefix": f"/{name}/",
+            "kind": kind,
+            "timeout_ms": 4000,
+            "goal_ms": 400,
+            "service": "model",
+            "max_attempts": 1 if name in ("single", "stream") else 3,
+            "resumable": name == "resume",
+            "gap_goal_ms": 200,
+            "due_ms": 10000,
+            "retention_s": 600,
+            "max_queued_tokens": 1_000_000,
+        }
+
+    async def _wait_ready(self) -> None:
+        with closing(HttpClient()) as http:
+            for gateway in self.fleet:
+                while not await self._is_ready(http, gateway):
+                    await asyncio.sleep(0.05)
+
+    async def _is_ready(self, http: HttpClient, gateway: GatewayProcess) -> bool:
+        address = (gateway.address, gateway.ports[1])
+        try:
+            response = await http.send(address, "GET", "/", fresh=True, timeout_s=1.0)
+            await response.read()
+        except (ConnectFailed, ResponseBroken):
+            return False
+        return response.status == 200
+
+    def _next_id(self) -> str:
+        self.ids += 1
+        return f"s{self.seed}-{self.ids}"
+
+    async def _call_for_ever(self) -> None:
+        """Call, mostly on one connection that is used until its process is gone."""
+        with closing(HttpClient()) as http:
+            while True:
+                gateway = self.rng.choice(self.fleet)
+                if self.version > 1 and self.rng.random() < 0.2:
+                    await self._probe_version(http, gateway)
+                    continue
+                kind = self.rng.choice(list(CALL_KINDS))
+                await self._call(http, gateway, kind)
+                await asyncio.sleep(self.rng.random() * 0.02)
+
+    async def _call(self, http: HttpClient, gateway: GatewayProcess, kind: str) -> None:
+        request_id = self._next_id()
+        # Plain answers are told by the path.
+        path = f"/{kind}/{request_id}" if kind != "single" else f"/single/plain/{request_id}"
+        pieces: list[bytes] = []
+        status, cut = 0, True
+        headers = self._headers(request_id)
+        try:
+            async with asyncio.timeout(6.0):
+                response = await http.send(
+                    gateway.callers, "POST", path, b"prompt", headers, timeout_s=6.0
+                )
+                status = response.status
+                async for piece in response.stream():
+                    pieces.append(piece)
+                cut = False
+        except (ConnectFailed, ResponseBroken, TimeoutError):
+            pass
+        self.ledger.note_call(kind, request_id, status, b"".join(pieces), cut)
+
+    def _headers(self, request_id: str) -> list[tuple[str, str]]:
+        return [("host", HOST), ("x-attempt-id", request_id), ("x-time-left-ms", "3000")]
+
+    async def _probe_version(self, http: HttpClient, gateway: GatewayProcess) -> None:
+        """Ask for a route that exists from a version on; it may not go away within a life."""
+        version, life = self.rng.randint(2, self.version), f"{gateway.name}.{gateway.life}"
+        request_id = self._next_id()
+        try:
+            response = await http.send(
+                gateway.callers,
+                "POST",
+                f"/v{version}/plain/{request_id}",
+                b"",
+                self._headers(request_id),
+                timeout_s=6.0,
+                fresh=True,
+            )
+            await response.read()
+        except (ConnectFailed, ResponseBroken):
+            return
+        if life == f"{gateway.name}.{gateway.life}":
+            self.ledger.note_version(life, version, response.status)
+
+    async def _submit_for_ever(self) -> None:
+        with closing(HttpClient()) as http:
+            while True:
+                job = f"job-{self._next_id()}"
+                items = self.rng.randint(1, 6)
+                if await self._submit(http, job, items):
+                    self.ledger.accepted[job] = items
+                    self.tasks.start(self._read_some(job))
+                await asyncio.sleep(self.rng.uniform(0.1, 0.4))
+
+    async def _submit(self, http: HttpClient, job: str, items: int) -> bool:
+        rows = [
+            {
+                "id": f"{job}.{index}",
+                "path": f"/night/{index}",
+                "headers": {},
+                "body": base64.b64encode(b"item").decode(),
+                "tokens": 10,
+            }
+            for index in range(items)
+        ]
+        body = msgspec.json.encode({"items": rows})
+        for _ in range(3):
+            gateway = self.rng.choice(self.fleet)
+            try:
+                response = await http.send(
+                    gateway.callers,
+                    "POST",
+                    f"/night/{job}",
+                    body,
+                    self._headers(job),
+                    timeout_s=5.0,
+                    fresh=True,
+                )
+                await response.read()
+            except (ConnectFailed, ResponseBroken):
+                continue
+            self.ledger.outcomes[f"submit {response.status}"] += 1
+            if response.status == 202:
+                return True
+        return False
+
+    async def _read(self, http: HttpClient, job: str) -> int | None:
+        """Read results from a random known position on; return how many are known."""
+        known = self.ledger.listed.get(job, {})
+        position = self.rng.randint(0, len(known))
+        gateway = self.rng.choice(self.fleet)
+        headers = [*self._headers(job), ("x-wait-ms", "500")]
+        target = f"/api/lots/{job}?after_rev={position}"
+        try:
+            response = await http.send(
+                gateway.callers, "GET", target, b"", headers, timeout_s=5.0, fresh=True
+            )
+            raw = await response.read()
+        except (ConnectFailed, ResponseBroken):
+            return None
+        if response.status == 404:
+            self.ledger.note_missing(job, "an accepted job is not known")
+        if response.status != 200:
+            return None
+        self.ledger.note_results(job, position, msgspec.json.decode(raw)["results"])
+        return len(self.ledger.listed.get(job, {}))
+
+    async def _read_some(self, job: str) -> None:
+        with closing(HttpClient()) as http:
+            for _ in range(8):
+                await asyncio.sleep(self.rng.uniform(0.2, 0.8))
+                await self._read(http, job)
+
+    async def _check_jobs(self) -> None:
+        """Read every accepted job until all its items are listed."""
+        until = asyncio.get_running_loop().time() + CALM_LIMIT_S
+        with closing(HttpClient()) as http:
+            for job, items in self.ledger.accepted.items():
+                await self._check_job(http, job, items, until)
+
+    async def _check_job(self, http: HttpClient, job: str, items: int, until: float) -> None:
+        while (await self._read(http, job) or 0) < items:
+            if asyncio.get_running_loop().time() > until:
+                listed = len(self.ledger.listed.get(job, {}))
+                self.ledger.note_missing(job, f"{items - listed} of {items} items not listed")
+                return
+            await asyncio.sleep(0.05)
+
+    def _troubles(self) -> list[str]:
+        kinds = ["kill", "pause", "term", "hup", "store", "store-path", "target-path"]
+        kinds += ["target-fault", "target-leaves", "configuration", "history", "clock"]
+        return self.rng.sample(kinds, self.rng.randint(4, len(kinds)))
+
+    async def _trouble(self, kind: str) -> None:
+        """Cause one kind of trouble again and again."""
+        while True:
+            await asyncio.sleep(self.rng.uniform(0.2, 2.0))
+            self.done[kind] += 1
+            await self._cause(kind)
+
+    async def _cause(self, kind: str) -> None:
+        gateway = self.rng.choice(self.fleet)
+        lasting_s = self.rng.uniform(0.2, 2.0)
+        if kind == "kill":
+            gateway.reap()
+            await asyncio.sleep(lasting_s)
+            gateway.start()
+        elif kind == "term":
+            gateway.send(signal.SIGTERM)
+            await asyncio.sleep(lasting_s + 3.0)
+            gateway.reap()
+            gateway.start()
+        elif kind == "pause":
+            gateway.send(signal.SIGSTOP)
+            await asyncio.sleep(lasting_s)
+            gateway.send(signal.SIGCONT)
+        elif kind == "hup":
+            gateway.send(signal.SIGHUP)
+        elif kind == "store":
+            self.store.fault = self.rng.choice(list(StoreFault)[1:])
+            self.store.only_writes = self.rng.random() < 0.5
+            await asyncio.sleep(lasting_s)
+            self.store.fault = StoreFault.NONE
+        elif kind in ("store-path", "target-path"):
+            count = self.target_count
+            some = self.proxies[:count] if kind == "target-path" else self.proxies[count:]
+            proxy = self.rng.choice(some)
+            proxy.set_path(self.rng.choice(list(Path)[1:]))
+            await asyncio.sleep(lasting_s)
+            proxy.set_path(Path.PASS)
+        elif kind == "target-fault":
+            target = self.rng.choice(self.targets)
+            target.fault_rate = 0.3
+            await asyncio.sleep(lasting_s)
+            target.fault_rate = 0.0
+        elif kind == "target-leaves":
+            number = self.rng.randrange(self.target_count)
+            self._list_target(self.targets[number], self.proxies[number].port, "draining")
+            await asyncio.sleep(lasting_s)
+            self._list_target(self.targets[number], self.proxies[number].port)
+        elif kind == "configuration":
+            self.version += 1
+            self._write_configuration()
+        elif kind == "history":
+            self.store.forget_history()
+        elif kind == "clock":
+            self.store.keys.expire()
+
+    def _end_faults(self) -> None:
+        self.store.fault = StoreFault.NONE
+        for target in self.targets:
+            target.fault_rate = 0.0
+        for number, target in enumerate(self.targets):
+            self._list_target(target, self.proxies[number].port)
+        for proxy in self.proxies:
+            proxy.set_path(Path.PASS)
+        for gateway in self.fleet:
+            gateway.send(signal.SIGCONT)
+            if not gateway.alive:
+                gateway.reap()
+                gateway.start()
+
+    async def _stop(self) -> None:
+        await self.tasks.stop()
+        for gateway in self.fleet:
+            gateway.reap()
+        for proxy in self.proxies:
+            await proxy.stop()
+        for target in self.targets:
+            target.server.abort()
+        self.store.server.abort()
--- /dev/null
+++ b/tests/test_bench/test_bench_soak.py
@@ -0,0 +1,94 @@
+"""The fault soak: a short seeded run, the seeds that once failed, and its own parts."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path as FilePath
+
+import pytest
+
+from bench.platform.target import TargetStandin, whole_stream
+from bench.soak.ledger import Ledger
+from bench.soak.proxy import Path, Proxy
+from bench.soak.run import Soak
+
+FAILED_SEEDS: tuple[int, ...] = ()
+"""Seeds that once broke a promise; each with its cause in docs/findings.md."""
+
+
+@pytest.mark.parametrize("seed", [5, *FAILED_SEEDS])
+def test_a_short_soak_breaks_no_promise(seed: int, tmp_path: FilePath) -> None:
+    soak = Soak(seed, tmp_path, faults_s=4.0, gateways=2, callers=4)
+    broken = asyncio.run(soak.run())
+    assert not broken
+    assert sum(soak.done.values()) > 0
+    assert soak.ledger.accepted
+
+
+def make_ledger() -> Ledger:
+    """Return a ledger of one target."""
+    return Ledger([TargetStandin("t0")], events=3)
+
+
+def test_the_ledger_finds_what_breaks_a_promise() -> None:
+    ledger = make_ledger()
+    whole = whole_stream("r", 3)
+    ledger.note_call("stream", "r", 200, whole, cut=False)
+    ledger.note_call("resume", "r", 200, whole[:20], cut=True)
+    assert not ledger.broken
+    ledger.note_call("stream", "r", 200, whole[:-30], cut=False)
+    ledger.note_call("resume", "r", 200, whole[5:], cut=True)
+    ledger.note_call("plain", "r", 404, b"", cut=False)
+    assert len(ledger.broken) == 3
+
+
+def test_the_ledger_compares_promises_with_runs() -> None:
+    ledger = make_ledger()
+    ledger.note_call("single", "refused", 503, b"", cut=False)
+    ledger.note_call("single", "twice", 502, b"", cut=False)
+    assert not ledger.close()
+    ledger.targets[0].ran.update({"refused": 1, "twice": 2})
+    assert len(ledger.close()) == 2
+
+
+def test_the_ledger_keeps_results_and_versions() -> None:
+    ledger = make_ledger()
+    row = {"id": "i", "state": "dead", "message": ""}
+    ledger.note_results("job", 0, [row])
+    ledger.note_results("job", 0, [row])
+    ledger.note_version("life", 4, 200)
+    ledger.note_version("other life", 3, 404)
+    assert not ledger.broken
+    ledger.note_results("job", 1, [row])
+    ledger.note_results("job", 0, [{**row, "id": "j"}])
+    ledger.note_version("life", 3, 404)
+    assert len(set(ledger.broken)) == 3
+
+
+def test_the_proxy_passes_holds_back_and_resets() -> None:
+    async def main() -> None:
+        async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while data := await reader.read(100):
+                writer.write(data)
+
+        server = await asyncio.start_server(echo, "127.0.0.1", 0)
+        proxy = Proxy(server.sockets[0].getsockname())
+        await proxy.start("127.0.0.1")
+        reader, writer = await asyncio.open_connection("127.0.0.1", proxy.port)
+        writer.write(b"one")
+        assert await reader.readexactly(3) == b"one"
+        for path in (Path.SILENCE, Path.ONE_WAY):
+            proxy.set_path(path)
+            writer.write(b"two")
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.1):
+                    await reader.readexactly(3)
+            proxy.set_path(Path.PASS)
+            assert await reader.readexactly(3) == b"two"
+        proxy.set_path(Path.RESET)
+        with pytest.raises((ConnectionResetError, asyncio.IncompleteReadError)):
+            await reader.readexactly(1)
+        await proxy.stop()
+        server.close()
+
+    asyncio.run(main())
