Bound pauses within a request's headers as well as the whole of them

Cause: test_bad_input_gets_a_typed_error (408 for a head that stops) timed out: the new bound on the whole head had replaced the one on a pause. Ruled out: the test; it is right. Change: both bounds hold.

--- a/gradepoint/wire/http_server.py
+++ b/gradepoint/wire/http_server.py
@@ -185,7 +185,8 @@
             event = self.h11.next_event()
         async with asyncio.timeout(self.limits.head_timeout_s):
             while event is h11.NEED_DATA:
-                self.h11.receive_data(await self.reader.read(READ_SIZE))
+                async with asyncio.timeout(self.limits.idle_timeout_s):
+                    self.h11.receive_data(await self.reader.read(READ_SIZE))
                 event = self.h11.next_event()
         if not isinstance(event, h11.Request):
             return None
