Judge targets by the whole fleet's results; leave a late target for one with room

Cause: at 53 hosts each sees a target about once in ten seconds, so three failures in a row of a host's own calls never came together for a target that fails part of its requests; and a call to a silent target waited half a second where its goal is 0.3 s. Change: datagrams tell recent successes and failures by target; a moving average of both ejects from 0.3 on; half of a service always stays in choice, the healthiest; refusals by a target with free slots and slow first events count; a repeatable call leaves a target after 0.6 of the goal if another has room.

--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -100,7 +100,7 @@
         self, settings: GatewaySettings, store: WaitingService, platform: PlatformParts
     ) -> None:
         self.settings = settings
-        self.beats = Beats(self.make_beat)
+        self.beats = Beats(self.make_beat, self.record_results)
         self.peer_http = HttpClient(CONNECT_TIMEOUT_S, UNACKNOWLEDGED_MS)
         self.kv = kv = RelayedKv(store, self.peer_http, self.beats.helpers)
         self.platform = platform
@@ -237,8 +237,13 @@
             jobs=self.worker.job_numbers(),
             calls=calls,
             items=items,
+            results=self.targets.recent_results(),
         )
 
+    def record_results(self, target: TargetId, good: int, bad: int) -> None:
+        """Take results of other hosts' calls."""
+        self.targets.record_elsewhere(target, good, bad)
+
     def apply_limits(self, configuration: Configuration) -> None:
         """Put the callers' limits of a configuration in force."""
         limits = configuration.limits
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -14,7 +14,7 @@
 from ..util.clock import monotonic
 from ..wire.http_client import ConnectFailed, HttpClient, ResponseBroken
 from ..wire.http_types import Response
-from .choice import choose_target
+from .choice import choose_target, get_load
 from .configuration import RouteKind
 from .event_stream import EventSplitter
 
@@ -44,6 +44,13 @@
 anyway after one, and a preempted request's pause lies below four."""
 LEAST_SILENCE_S = 0.5
 """Least seconds of silence before that."""
+FIRST_WAIT_SHARE = 0.6
+"""Share of the goal after which a call that may run twice goes to another target with room: an
+answer in time is still likely there, and nine in ten come in a third of the goal."""
+LOOK_AGAIN_S = 0.05
+"""Seconds between looks for room elsewhere after that."""
+SLOW_GOALS = 2.0
+"""Goals after which an answer's first event tells that its target is slow."""
 
 
 class OtherInstance(Exception):
@@ -130,11 +137,11 @@
             )
         except ConnectFailed as error:
             target.in_flight -= 1
-            target.record_failure(monotonic(), str(error), certain=True)
+            target.record_failure(str(error), unreachable=True)
             raise
         except ResponseBroken as error:
             target.in_flight -= 1
-            target.record_failure(monotonic(), str(error), certain=False)
+            target.record_failure(str(error))
             raise TargetFailed(str(error)) from error
         except BaseException:
             target.in_flight -= 1
@@ -147,11 +154,14 @@
         answer = exchange.head
         if answer.request_id is not None and answer.request_id != head.request_id:
             exchange.close()
+            exchange.target.record_failure("an answer to another call")
             raise TargetFailed("an answer to another call")
         if answer.other_instance:
             exchange.close()
             raise OtherInstance
         if answer.not_run and answer.status in (429, 503):
+            if get_load(exchange.target, self.elsewhere) <= 1.0:
+                exchange.target.record_failure("refuses calls though it has room")
             exchange.close()
             raise TargetBusy
 
@@ -240,26 +250,50 @@
         remaining = self.remaining_s
         if remaining <= 0:
             raise GradepointError("deadline_exceeded")
-        last = self.sent + 1 >= self.route.max_attempts or not self.route.repeatable
-        exchange = await self.forwarder.send(
-            target,
-            self.method,
-            self.request_target,
-            self.body,
-            self.head,
-            remaining,
-            resume_after=resume_after,
-            head_timeout_s=remaining if last else min(remaining, self._first_wait_s()),
-            # The one send of a call that must not run twice is not risked on a connection
-            # that the target may be closing, or may still owe another call's answer on.
-            fresh=not self.route.repeatable,
+        sending = asyncio.ensure_future(
+            self.forwarder.send(
+                target,
+                self.method,
+                self.request_target,
+                self.body,
+                self.head,
+                remaining,
+                resume_after=resume_after,
+                # The one send of a call that must not run twice is not risked on a connection
+                # that the target may be closing, or may still owe another call's answer on.
+                fresh=not self.route.repeatable,
+            )
         )
+        try:
+            exchange = await self._wait_for_head(target, sending)
+        finally:
+            sending.cancel()
         self.sent += 1
         self.may_have_run = True
         return exchange
 
+    async def _wait_for_head(self, target: Target, sending: asyncio.Task[Exchange]) -> Exchange:
+        """Wait for an answer's head, unless it is late and another target has room.
+
+        :raises TargetFailed: the call is better sent elsewhere.
+        """
+        if not self.route.repeatable or self.sent + 1 >= self.route.max_attempts:
+            return await sending
+        wait_s = self._first_wait_s()
+        while not sending.done():
+            await asyncio.wait([sending], timeout=wait_s)
+            if not sending.done() and self._has_room_elsewhere():
+                target.record_failure("no answer in time")
+                raise TargetFailed("no answer in time")
+            wait_s = LOOK_AGAIN_S
+        return await sending
+
+    def _has_room_elsewhere(self) -> bool:
+        other = self.forwarder.choose(self.service, self.tried)
+        return other is not None and get_load(other, self.forwarder.elsewhere) < 1.0
+
     def _first_wait_s(self) -> float:
-        return max(self.route.goal_s, LEAST_SILENCE_S)
+        return self.route.goal_s * FIRST_WAIT_SHARE
 
     async def _next_target(self) -> Target:
         """Return the next target to try; wait a little for one to appear."""
@@ -297,7 +331,10 @@
         headers = exchange.head.passed_on
         pieces = exchange.response.stream()
         if self.route.kind is RouteKind.STREAM and exchange.head.status < 300:
-            first = await self._next_piece(exchange, pieces)
+            wait_s = LEAST_SILENCE_S if self.may_try_again else None
+            first = await self._next_piece(exchange, pieces, wait_s)
+            if monotonic() - self.arrived > self.route.goal_s * SLOW_GOALS:
+                exchange.target.record_failure("slow")
             stream = self._pass_events if self.route.resumable else self._pass_pieces
             return Response(
                 exchange.head.status,
@@ -332,9 +369,10 @@
             async with asyncio.timeout(wait):
                 return await anext(pieces, None)
         except TimeoutError as error:
+            exchange.target.record_failure("silent")
             raise TargetFailed("silent") from error
         except ResponseBroken as error:
-            exchange.target.record_failure(monotonic(), str(error), certain=False)
+            exchange.target.record_failure(str(error))
             raise TargetFailed(str(error)) from error
 
     async def _pass_pieces(
--- a/gradepoint/gateway/targets.py
+++ b/gradepoint/gateway/targets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from dataclasses import dataclass, field
 from enum import Enum
@@ -9,18 +10,18 @@
 
 from .. import events
 from ..telemetry.logs import emit
+from ..util.clock import monotonic
+from .health import TargetHealth
 
 if TYPE_CHECKING:
     from ..ids import ServiceName, TargetId
 
-FIRST_EJECTION_S = 0.5
-"""Seconds a target is left out after it failed; about the time a crashed one takes to be
-listed as gone is two heartbeats, which the doubling reaches at the second failure."""
-LONGEST_EJECTION_S = 4.0
-"""Seconds of the longest ejection: a target that is back is tried again within this time."""
-FAILURES_TO_EJECT = 3
-"""Broken or failed answers in a row before a target is left out. A target that spoils a few
-per cent of its answers shows three in a row less than once in ten thousand calls."""
+LEAST_WORKING_SHARE = 0.5
+"""Share of a service's targets that stay in choice whatever their health says: a bad signal,
+or an overload that makes all answers late, must not empty a service."""
+TOLD_S = 2.0
+"""Seconds for which a target's results are told to other hosts after they changed: several
+datagrams, of which some may be lost."""
 
 
 class ListedState(Enum):
@@ -51,14 +52,16 @@
     """A listed target and what this host's calls showed of it.
 
     :ivar in_flight: calls of this host that it has now.
+    :ivar good: whole answers to this host's calls, and *bad* failures, in this life.
     :ivar vanished_at: when its row vanished without notice; None while it is listed.
     """
 
     listed: ListedTarget
     in_flight: int = 0
-    failures: int = 0
-    ejection_s: float = 0.0
-    ejected_until: float = 0.0
+    health: TargetHealth = field(default_factory=TargetHealth)
+    good: int = 0
+    bad: int = 0
+    changed_at: float = 0.0
     vanished_at: float | None = None
 
     @property
@@ -72,29 +75,38 @@
         return self.listed.address
 
     def record_success(self) -> None:
-        """Take a whole answer as proof that the target works."""
-        self.failures = 0
-        self.ejection_s = 0.0
-        self.ejected_until = 0.0
+        """Count a whole answer of this host's calls."""
+        self.good += 1
+        self.changed_at = monotonic()
+        self.health.record_success()
 
-    def record_failure(self, now: float, reason: str, *, certain: bool) -> None:
-        """Count a failed call.
+    def record_failure(self, reason: str, *, unreachable: bool = False) -> None:
+        """Count a failed call of this host.
 
-        :param certain: the target could not be reached at all, so one failure is enough.
+        :param unreachable: no connection was made, so one failure is enough.
         """
-        self.failures += 1
-        if not certain and self.failures < FAILURES_TO_EJECT:
-            return
-        if now < self.ejected_until:
-            return
-        self.ejection_s = min(LONGEST_EJECTION_S, max(FIRST_EJECTION_S, self.ejection_s * 2))
-        self.ejected_until = now + self.ejection_s
+        now = monotonic()
+        self.bad += 1
+        self.changed_at = now
+        record = self.health.record_unreachable if unreachable else self.health.record_failure
+        if record(now):
+            self._log_ejection(reason)
+
+    def record_elsewhere(self, good: int, bad: int) -> None:
+        """Count results of other hosts' calls."""
+        for _ in range(good):
+            self.health.record_success()
+        for _ in range(bad):
+            if self.health.record_failure(monotonic()):
+                self._log_ejection("other hosts' calls")
+
+    def _log_ejection(self, reason: str) -> None:
         emit(
             events.TARGET_EJECTED,
             target=self.id,
             reason=reason,
-            failures=self.failures,
-            for_s=self.ejection_s,
+            failing=round(self.health.failing, 2),
+            for_s=self.health.ejection_s,
         )
 
 
@@ -155,15 +167,29 @@
     def candidates(self, service: ServiceName, now: float) -> list[Target]:
         """Return the targets of *service* that may get a call, the best kind there is.
 
-        Listed and working ones first; else, so that a wrong sign cannot empty a service,
-        ejected ones; else ones whose row has just vanished.
+        Listed ones that are not ejected, and the healthiest of the others where these are
+        less than half; else ones whose row has just vanished.
         """
         ready = [t for t in self.by_service[service] if t.listed.state is ListedState.READY]
         listed = [t for t in ready if t.vanished_at is None]
-        working = [t for t in listed if t.ejected_until <= now]
-        if working or listed:
-            return working or listed
+        working = [t for t in listed if t.health.ejected_until <= now]
+        least = math.ceil(len(listed) * LEAST_WORKING_SHARE)
+        if len(working) < least:
+            working = sorted(listed, key=lambda t: t.health.failing)[:least]
+        if working:
+            return working
         return [t for t in ready if t.vanished_at is not None and self._lingers(t, now)]
 
+    def recent_results(self) -> dict[TargetId, tuple[int, int]]:
+        """Return successes and failures of this host's calls where they changed lately."""
+        since = monotonic() - TOLD_S
+        return {t.id: (t.good, t.bad) for t in self.by_id.values() if t.changed_at >= since}
+
+    def record_elsewhere(self, target_id: TargetId, good: int, bad: int) -> None:
+        """Count results of other hosts' calls."""
+        target = self.by_id.get(target_id)
+        if target is not None:
+            target.record_elsewhere(good, bad)
+
     def _lingers(self, target: Target, now: float) -> bool:
         return target.vanished_at is not None and now <= target.vanished_at + self.linger_s
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -390,7 +390,7 @@
             async with asyncio.timeout(SILENCE_S):
                 piece = await anext(pieces, None)
         except (ResponseBroken, TimeoutError) as error:
-            exchange.target.record_failure(monotonic(), repr(error), certain=False)
+            exchange.target.record_failure(repr(error))
             raise TargetFailed(repr(error)) from error
         if piece is None:
             break
--- a/gradepoint/peers/beats.py
+++ b/gradepoint/peers/beats.py
@@ -43,6 +43,8 @@
     :param jobs: short hashes of the jobs that it runs or ran last.
     :param calls: callers' calls in flight, by target.
     :param items: batch items in flight, by target.
+    :param results: successes and failures of the host's calls in this life, by target, where
+        they changed lately.
     """
 
     format: int
@@ -54,6 +56,7 @@
     jobs: list[int]
     calls: dict[TargetId, int]
     items: dict[TargetId, int]
+    results: dict[TargetId, tuple[int, int]]
 
 
 @dataclass
@@ -70,9 +73,11 @@
     """What other hosts say, and how this one says it.
 
     :param own: makes this host's datagram.
+    :param on_results: told of new successes and failures at a target.
     """
 
     own: Callable[[], Beat]
+    on_results: Callable[[TargetId, int, int], None] = lambda *_: None
     heard: dict[Incarnation, HeardBeat] = field(default_factory=dict)
     elsewhere: dict[TargetId, int] = field(default_factory=dict)
     transport: asyncio.DatagramTransport | None = None
@@ -127,8 +132,16 @@
         if former is not None:
             self._add(former.beat, -1)
         self._add(beat, 1)
+        self._compare_results(beat, former.beat if former else None)
         self.heard[beat.incarnation] = HeardBeat(beat, monotonic(), address)
 
+    def _compare_results(self, beat: Beat, former: Beat | None) -> None:
+        """Tell what is new; results that were not told just before are not compared."""
+        for target, (good, bad) in beat.results.items():
+            known = former.results.get(target) if former else None
+            if known is not None:
+                self.on_results(target, max(0, good - known[0]), max(0, bad - known[1]))
+
     def forget_silent(self) -> None:
         """Leave out what hosts said that are not heard any more."""
         now = monotonic()
--- a/tests/test_gateway/test_gateway_calls.py
+++ b/tests/test_gateway/test_gateway_calls.py
@@ -255,3 +255,15 @@
         assert answer.body == plain_answer(answer.request_id)
 
     run_deployment(work)
+
+
+def test_a_silent_target_is_left_for_another_with_room() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(targets=2)
+        shared = [TargetFault.SILENT, TargetFault.NONE]
+        for target in deployment.targets:
+            target.faults = shared
+        answer = await deployment.call("/resume/1")
+        assert (answer.status, answer.body) == (200, whole_stream(answer.request_id, EVENTS))
+
+    run_deployment(work)
--- a/tests/test_gateway/test_gateway_decisions.py
+++ b/tests/test_gateway/test_gateway_decisions.py
@@ -12,15 +12,8 @@
 from gradepoint.gateway.choice import choose_target
 from gradepoint.gateway.configuration import Configuration
 from gradepoint.gateway.event_stream import EventSplitter, parse_event
-from gradepoint.gateway.targets import (
-    FAILURES_TO_EJECT,
-    FIRST_EJECTION_S,
-    LONGEST_EJECTION_S,
-    ListedState,
-    ListedTarget,
-    Target,
-    TargetSet,
-)
+from gradepoint.gateway.health import FIRST_EJECTION_S, LONGEST_EJECTION_S, TargetHealth
+from gradepoint.gateway.targets import ListedState, ListedTarget, Target, TargetSet
 from gradepoint.ids import ServiceName, TargetId
 from gradepoint.platform.configuration import decode_configuration
 from tests.support.platform import HOST, configuration, route
@@ -100,34 +93,61 @@
 
 
 def test_a_target_out_of_reach_is_left_out_longer_each_time() -> None:
-    target = Target(listed("t0"))
+    health = TargetHealth()
     now = 0.0
     lengths = []
     for _ in range(6):
-        target.record_failure(now, "reset", certain=True)
-        lengths.append(target.ejected_until - now)
-        now = target.ejected_until
+        assert health.record_unreachable(now)
+        lengths.append(health.ejected_until - now)
+        now = health.ejected_until
     assert lengths[0] == FIRST_EJECTION_S
     assert lengths == sorted(lengths) and lengths[-1] == LONGEST_EJECTION_S
-    target.record_success()
-    assert target.ejected_until <= now
+    for _ in range(20):
+        health.record_success()
+    assert health.record_unreachable(now) and health.ejection_s == FIRST_EJECTION_S
+
+
+@pytest.mark.parametrize(("share", "ejected"), [(0.0, False), (0.03, False), (0.4, True)])
+def test_targets_that_fail_part_of_their_calls_are_left_out(share: float, ejected: bool) -> None:
+    rng = random.Random(3)
+    health = TargetHealth()
+    seen = False
+    for _ in range(60):
+        if rng.random() < share:
+            seen |= health.record_failure(0.0)
+        else:
+            health.record_success()
+    assert seen is ejected
 
 
-def test_single_broken_answers_do_not_eject() -> None:
-    target = Target(listed("t0"))
-    for _ in range(FAILURES_TO_EJECT - 1):
-        target.record_failure(0.0, "broken", certain=False)
-    assert target.ejected_until == 0.0
-    target.record_failure(0.0, "broken", certain=False)
-    assert target.ejected_until > 0.0
+def test_three_failures_in_a_row_eject_and_two_do_not() -> None:
+    health = TargetHealth()
+    assert not health.record_failure(0.0)
+    assert not health.record_failure(0.0)
+    assert health.record_failure(0.0)
+    assert not health.record_failure(0.1)
+
+
+def test_ejection_leaves_half_of_a_service_and_the_healthiest_half() -> None:
+    targets = TargetSet(linger_s=1.5)
+    targets.replace([listed(f"t{n}") for n in range(4)], 0.0)
+    for number, target in enumerate(targets.by_id.values()):
+        for _ in range(3 + number):
+            target.record_failure("broken")
+    found = targets.candidates(SERVICE, 0.0)
+    assert [target.id for target in found] == ["t0", "t1"]
 
 
-def test_ejection_cannot_empty_a_service() -> None:
+def test_results_of_other_hosts_count_too() -> None:
     targets = TargetSet(linger_s=1.5)
     targets.replace([listed("t0"), listed("t1")], 0.0)
-    for target in targets.by_id.values():
-        target.record_failure(0.0, "reset", certain=True)
-    assert len(targets.candidates(SERVICE, 0.1)) == 2
+    for _ in range(3):
+        targets.record_elsewhere(TargetId("t0"), 0, 1)
+    targets.record_elsewhere(TargetId("gone"), 1, 1)
+    assert [target.id for target in targets.candidates(SERVICE, 0.0)] == ["t1"]
+    assert not targets.recent_results()
+    targets.by_id[TargetId("t1")].record_success()
+    assert targets.recent_results() == {"t1": (1, 0)}
 
 
 def draw(targets: list[Target], elsewhere: dict[str, int] | None = None) -> Counter[str]:
--- a/tests/test_peers/test_peers_beats.py
+++ b/tests/test_peers/test_peers_beats.py
@@ -34,6 +34,7 @@
         [],
         {TARGET: calls},
         {TARGET: items},
+        {},
     )
 
 
@@ -108,3 +109,12 @@
     table.remove(key)
     table.remove(key)
     assert not table.hosts
+
+
+def test_new_results_are_told_once() -> None:
+    told: list[tuple[str, int, int]] = []
+    beats = Beats(lambda: make_beat("own"), lambda *row: told.append(row))
+    for good, bad in ((5, 1), (7, 1), (7, 1), (8, 4)):
+        results = {TARGET: (good, bad)}
+        hear(beats, msgspec.structs.replace(make_beat("a"), results=results))
+    assert told == [(TARGET, 2, 0), (TARGET, 0, 0), (TARGET, 1, 3)]
