Finish taking a job when its client leaves; remind owners that do not run theirs

Clients give an attempt up after a second of the store's slow answers; the server then cancelled the handler in the middle of the write, the write took effect, and the live owner never ran the job. The resend at another host was answered 202. Ruled out: adoption (the owner was live), commits (none), a lost take-over (no host was lost then).

--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -79,6 +79,7 @@
 ADOPTION_FAILED = _declare(323, "adoption_failed", "WARNING", "Jobs could not be looked at.")
 ITEM_STARTED = _declare(324, "item_started", "INFO", "An item was sent to a target.")
 ITEM_ENDED = _declare(325, "item_ended", "INFO", "A target gave the whole text of an item.")
+JOB_IDLE = _declare(326, "job_idle", "WARNING", "A live host does not run a job that it owns.")
 OBJECT_CORRUPT = _declare(401, "object_corrupt", "ERROR", "A copy failed its hash; see repair.")
 OBJECT_REPAIRED = _declare(402, "object_repaired", "INFO", "An object has two copies again.")
 OBJECT_COLLECTED = _declare(403, "object_collected", "DEBUG", "An unreferenced object is gone.")
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -151,6 +151,7 @@
             lambda: set(self.beats.heard),
             lambda: self.presence.holds_lease,
             lambda: self.watchers.watching,
+            self.jobs.remind_idle_owners,
         )
         self.target_follower = TargetFollower(
             self.targets, platform.decode_target, platform.read_target_id
--- a/gradepoint/jobs/adoption.py
+++ b/gradepoint/jobs/adoption.py
@@ -15,7 +15,7 @@
 from .repository import Superseded
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from ..ids import Incarnation, JobId
     from ..peers.presence import HostTable
@@ -51,6 +51,7 @@
     :param hosts: the listed hosts.
     :param patrols: whether this host looks now and then without a reason.
     :param heard: returns the lives whose datagrams came lately.
+    :param remind: reminds live hosts of jobs that they own and do not run.
     :ivar wanted: set when this host has to look for jobs without a host.
     :ivar sweeps: looks at all jobs so far.
     :ivar orphan_since: when each job was first seen without a host.
@@ -63,6 +64,7 @@
     heard: Callable[[], set[Incarnation]]
     holds_lease: Callable[[], bool]
     patrols: Callable[[], bool]
+    remind: Callable[[list[StoredJob]], Awaitable[None]]
     wanted: asyncio.Event = field(default_factory=asyncio.Event)
     missing_since: dict[Incarnation, float] = field(default_factory=dict)
     orphan_since: dict[JobId, float] = field(default_factory=dict)
@@ -104,6 +106,7 @@
                 await self.worker.take(job)
             elif self.is_orphan(job) and self._falls_to_this_host(job):
                 await self._adopt(job)
+        await self.remind(jobs)
         return any(job.state.released or job.state.owner not in self.live for job in jobs)
 
     async def _adopt(self, job: StoredJob) -> None:
--- a/gradepoint/jobs/api.py
+++ b/gradepoint/jobs/api.py
@@ -91,7 +91,13 @@
             self.look_for_orphans()
 
     async def submit(self, route: Route, head: CallHead, body: bytes) -> Response:
-        """Take a job; the answer says whether it is kept."""
+        """Take a job; the answer says whether it is kept.
+
+        It goes on when its client leaves: what is written has to be run.
+        """
+        return await asyncio.shield(self.tasks.start(self._submit(route, head, body)))
+
+    async def _submit(self, route: Route, head: CallHead, body: bytes) -> Response:
         items = self.dialect.decode_submission(body)
         job_id = name_job(head.request_id)
         state = JobState(
@@ -124,10 +130,26 @@
             new = submission.admission is Admission.NEW
             await self._take(stored, items if new else None)
         elif stored is not None:
-            self.note_owner(stored)
+            await self._remind_owner(stored)
         emit(events.JOB_ACCEPTED, job=job_id, items=len(items), known=submission.admission.value)
         return Response(202, {"content-type": JSON_TYPE}, b"{}")
 
+    async def _remind_owner(self, stored: StoredJob) -> None:
+        """Have the owner of a job that was sent again make sure that it runs it."""
+        self.note_owner(stored)
+        address = self.find_address(stored.state.owner)
+        if address is not None and not stored.state.done:
+            await self._ask_host(address, f"/take/{stored.id}", PEER_TIMEOUT_S)
+
+    async def remind_idle_owners(self, jobs: list[StoredJob]) -> None:
+        """Remind live owners that do not tell of running their jobs."""
+        for job in jobs:
+            life = job.state.owner
+            told = self.find_owner(short_number(job.id))
+            if told is None and life != self.presence.own.incarnation and self.find_address(life):
+                emit(events.JOB_IDLE, job=job.id, owner=life)
+                await self._remind_owner(job)
+
     async def _hand_on(self, job_id: JobId) -> None:
         """Find another host for a job that was accepted while this one stops.
 
@@ -297,6 +319,9 @@
         return next((item.body for item in items if item.id == item_id), None)
 
     async def _answer_end(self, call: EndJob) -> Response:
+        return await asyncio.shield(self.tasks.start(self._end(call)))
+
+    async def _end(self, call: EndJob) -> Response:
         job_id = name_job(call.client_id)
         if not await self.repository.end(job_id):
             raise GradepointError("not_found", "There is no such job.")
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -106,6 +106,7 @@
     jobs: dict[JobId, OwnedJob] = field(default_factory=dict)
     running: list[RunningItem] = field(default_factory=list)
     rng: random.Random = field(default_factory=random.Random)
+    to_take: list[StoredJob] = field(default_factory=list)
     stopping: bool = False
     started_at: float = field(default_factory=monotonic)
 
@@ -160,6 +161,7 @@
         """Start items and commit results for ever."""
         while True:
             await asyncio.sleep(TICK_S)
+            await self._take_again()
             if not self.jobs:
                 continue
             self._give_way()
@@ -170,6 +172,16 @@
                 else:
                     self._look_after(job)
 
+    async def _take_again(self) -> None:
+        """Read jobs of this host anew whose state it had lost track of."""
+        waiting, self.to_take = self.to_take, []
+        for stored in waiting:
+            try:
+                await self.take(stored)
+            except KvError as error:
+                emit(events.JOB_UNREADABLE, job=stored.id, reason=str(error))
+                self.to_take.append(stored)
+
     def _look_after(self, job: OwnedJob) -> None:
         """Give up what may be given up, and commit what has waited long enough."""
         now = monotonic()
@@ -220,6 +232,7 @@
             job.take_state(stored)
         else:
             self.drop(job.id, "its results are not known here")
+            self.to_take.append(stored)
 
     def _give_way(self) -> None:
         """Cancel the least urgent item at each target that has no slot left for a caller."""
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -144,6 +144,8 @@
         self.gateways.append(gateway)
         await until(lambda: gateway.ready and gateway.presence.holds_lease)
         await until(lambda: len(gateway.hosts.hosts) >= len(self.gateways))
+        # Its first look for jobs without a host would hide faults of later ones.
+        await until(lambda: gateway.adoption.sweeps > 0 and not gateway.adoption.wanted.is_set())
         return gateway
 
     async def kill(self, gateway: Gateway) -> None:
--- a/tests/test_jobs/test_jobs_decisions.py
+++ b/tests/test_jobs/test_jobs_decisions.py
@@ -106,7 +106,7 @@
         row = HostPresence(HostName(host), Incarnation(life), "a", "127.0.0.1:1")
         table.put(PRESENCE_PREFIX + host, msgspec.json.encode(row))
     nothing: Any = None
-    return Adoption(nothing, nothing, Incarnation("h0:now"), table, set, bool, bool)
+    return Adoption(nothing, nothing, Incarnation("h0:now"), table, set, bool, bool, nothing)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_jobs/test_jobs_path.py
+++ b/tests/test_jobs/test_jobs_path.py
@@ -12,6 +12,7 @@
 from gradepoint.cmd.gateway import PLATFORM
 from gradepoint.ids import Incarnation, JobId
 from gradepoint.jobs.records import JobState
+from gradepoint.util.hashing import short_number
 from tests.support.platform import (
     HOST,
     ITEM_TOKENS,
@@ -239,8 +240,6 @@
 
     async def work(deployment: Deployment) -> None:
         await deployment.start()
-        adoption = deployment.gateways[0].adoption
-        await until(lambda: adoption.sweeps > 0 and not adoption.wanted.is_set())
         repository = deployment.gateways[0].repository
         items = PLATFORM.job_dialect.decode_submission(
             msgspec.json.encode({"items": [job_item("late", index) for index in range(3)]})
@@ -253,3 +252,36 @@
         check_rows("late", await deployment.read_whole("late"), 3)
 
     run_deployment(work)
+
+
+def test_a_job_runs_though_its_client_left_while_it_was_written() -> None:
+    """The client then sends it again, to another host."""
+
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2)
+        deployment.store.delay_s = 0.2
+        before = deployment.store.calls["/api/kv-txn"]
+        first = asyncio.ensure_future(deployment.submit("job", 3))
+        await until(lambda: deployment.store.calls["/api/kv-txn"] > before)
+        first.cancel()
+        await asyncio.wait([first])
+        await until(lambda: deployment.store.read("gp/job/job") is not None)
+        deployment.store.delay_s = 0.0
+        assert (await deployment.submit("job", 3, gateway=1)).status == 202
+        check_rows("job", await deployment.read_whole("job", gateway=1), 3)
+
+    run_deployment(work)
+
+
+def test_a_live_owner_that_does_not_run_its_job_is_reminded() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2)
+        owner, other = deployment.gateways
+        await until(lambda: len(other.beats.heard) == 1 and len(owner.beats.heard) == 1)
+        assert (await deployment.submit("job", 3)).status == 202
+        owner.worker.drop(JobId("job"), "test")
+        await until(lambda: other.beats.find_owner(short_number("job")) is None)
+        assert (await deployment.submit("job", 3, gateway=1)).status == 202
+        check_rows("job", await deployment.read_whole("job", gateway=1), 3)
+
+    run_deployment(work)
