Ask a store that is away less: keep the watchers, back off, look for orphans with a reason

Change: while nobody reaches the store the watchers stay the same three; renewals back off to 1 s; a host that only lapsed has a second to come back before its adopters look; shorter names of lives.

--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -141,7 +141,7 @@
             self.beats.find_owner,
             self.beats.find_address,
             self.hosts,
-            lambda: self.adoption.wanted.set(),
+            lambda: self.adoption.look(),
         )
         self.adoption = Adoption(
             self.repository,
--- a/gradepoint/jobs/adoption.py
+++ b/gradepoint/jobs/adoption.py
@@ -53,6 +53,8 @@
     :param heard: returns the lives whose datagrams came lately.
     :param remind: reminds live hosts of jobs that they own and do not run.
     :ivar wanted: set when this host has to look for jobs without a host.
+    :ivar forced: there is a reason to look beside a loss.
+    :ivar lost: lives that vanished from the list since the last look.
     :ivar sweeps: looks at all jobs so far.
     :ivar orphan_since: when each job was first seen without a host.
     """
@@ -68,16 +70,35 @@
     wanted: asyncio.Event = field(default_factory=asyncio.Event)
     missing_since: dict[Incarnation, float] = field(default_factory=dict)
     orphan_since: dict[JobId, float] = field(default_factory=dict)
+    lost: set[Incarnation] = field(default_factory=set)
+    forced: bool = False
     sweeps: int = 0
 
     def note_lost(self, life: Incarnation) -> None:
         """Look for the jobs of a host that is not listed any more, if it falls to this one."""
-        if self.own in rank(life, self.live)[:ADOPTERS]:
-            self.wanted.set()
+        self.lost.add(life)
+        self.wanted.set()
+
+    def look(self) -> None:
+        """Look for jobs without a host soon, whoever they fall to."""
+        self.forced = True
+        self.wanted.set()
+
+    async def _has_reason(self) -> bool:
+        """Whether this host has to look, once hosts that only lapsed had time to come back."""
+        if self.forced or not self.lost:
+            self.forced = False
+            self.lost.clear()
+            return True
+        if any(not self.hosts.is_replaced(life) for life in self.lost):
+            await asyncio.sleep(LOST_S)
+        lost = self.lost - self.hosts.incarnations
+        self.lost.clear()
+        return any(self.own in rank(life, self.live)[:ADOPTERS] for life in lost)
 
     async def run(self) -> None:
         """Look for jobs without a host at the start, after each loss and now and then."""
-        self.wanted.set()
+        self.look()
         while True:
             try:
                 async with asyncio.timeout(PATROL_S):
@@ -86,6 +107,8 @@
                 if not self.patrols():
                     continue
             self.wanted.clear()
+            if not await self._has_reason():
+                continue
             again = True
             if self.holds_lease():
                 try:
@@ -93,7 +116,7 @@
                 except KvError as error:
                     emit(events.ADOPTION_FAILED, reason=str(error))
             if again:
-                self.wanted.set()
+                self.look()
                 await asyncio.sleep(RETRY_S)
 
     async def sweep(self) -> bool:
--- a/gradepoint/peers/presence.py
+++ b/gradepoint/peers/presence.py
@@ -19,6 +19,8 @@
 if TYPE_CHECKING:
     from ..kv.service import KeyValueService
 
+LIFE_DIGITS = 10
+"""Hexadecimal digits that name a life of one host: 40 bits, in every datagram."""
 LIVE_PREFIX = "gp/live/"
 """Prefix of what every host follows: presence of hosts and notices of ended jobs."""
 PRESENCE_PREFIX = LIVE_PREFIX + "host/"
@@ -28,8 +30,11 @@
 slow or refuses calls for a moment."""
 RENEWAL_S = LEASE_TTL_S * 0.4
 """Seconds between renewals: one may fail for longer than a second before the lease lapses."""
-RETRY_S = 0.5
-"""Seconds until a failed renewal is tried again."""
+RETRY_S = 0.4
+"""Seconds until a failed renewal is tried again, doubled each time."""
+LONGEST_RETRY_S = 1.0
+"""Seconds of the longest pause between tries: a host is listed again well within two seconds
+of the service's return, and a service that is away is asked little."""
 
 
 class HostPresence(msgspec.Struct, frozen=True):
@@ -47,7 +52,7 @@
 
 def make_incarnation(host: HostName) -> Incarnation:
     """Return a new name for a life of *host*'s process."""
-    return Incarnation(f"{host}:{new_token()}")
+    return Incarnation(f"{host}:{new_token()[:LIFE_DIGITS]}")
 
 
 def read_host(incarnation: Incarnation) -> HostName:
@@ -75,13 +80,16 @@
 
     async def run(self) -> None:
         """Renew the lease for ever; take a new one where it lapsed."""
+        pause_s = RETRY_S
         while True:
             try:
                 await self._renew()
+                pause_s = RETRY_S
                 await asyncio.sleep(RENEWAL_S)
             except KvError as error:
                 emit(events.PRESENCE_FAILING, reason=str(error), lease=self.lease)
-                await asyncio.sleep(RETRY_S)
+                await asyncio.sleep(pause_s)
+                pause_s = min(LONGEST_RETRY_S, pause_s * 2)
 
     async def _renew(self) -> None:
         asked_at = monotonic()
--- a/gradepoint/peers/watchers.py
+++ b/gradepoint/peers/watchers.py
@@ -88,13 +88,16 @@
         """Whether this host watches: it is one of the chosen, or hears of nobody who does."""
         if monotonic() < self.distrusted_until or not all(self.revisions().values()):
             return True
-        heard = self.beats.heard.items()
-        lives = {life for life, beat in heard if beat.beat.reaches_store}
+        heard = self.beats.heard
+        lives = {life for life, row in heard.items() if row.beat.reaches_store}
         if self.reaches_store():
             lives.add(self.own)
+        if not lives:
+            # The service is away for all: more hosts that ask would bring no news.
+            lives = {*heard, self.own}
         if self.own in choose_watchers(lives):
             return True
-        return not any(self._may_tell(beat) for _, beat in heard)
+        return not any(row.beat.watching for row in heard.values())
 
     def _may_tell(self, heard: HeardBeat) -> bool:
         return heard.beat.watching and heard.beat.reaches_store
--- a/tests/test_jobs/test_jobs_decisions.py
+++ b/tests/test_jobs/test_jobs_decisions.py
@@ -25,6 +25,7 @@
 )
 from gradepoint.jobs.repository import StoredJob
 from gradepoint.peers.presence import PRESENCE_PREFIX, HostPresence, HostTable
+from gradepoint.standins.virtual_time import run_virtual
 
 RNG = random.Random(1)
 HOSTS = [Incarnation(f"h{number}") for number in range(4)]
@@ -148,3 +149,20 @@
     strange = [name_job(text) for text in ("a/b", "ä", "x" * 500, "", "a b")]
     assert len(set(strange)) == len(strange)
     assert all(len(name) < 110 and "/" not in name for name in strange)
+
+
+def test_hosts_that_only_lapsed_are_waited_for_before_anyone_looks() -> None:
+    async def main() -> None:
+        adoption = make_adoption("h1:now")
+        lost = Incarnation("h2:now")
+        adoption.note_lost(lost)
+        row = HostPresence(HostName("h2"), lost, "a", "127.0.0.1:1")
+        adoption.hosts.put(PRESENCE_PREFIX + "h2", msgspec.json.encode(row))
+        assert not await adoption._has_reason()
+        adoption.note_lost(lost)
+        adoption.hosts.remove(PRESENCE_PREFIX + "h2")
+        assert await adoption._has_reason()
+        adoption.look()
+        assert await adoption._has_reason()
+
+    run_virtual(main())
