Log each send, so that a call lost with its host can be explained

Cause: in both sites' incidents the calls that failed left no line: they were under way when their host lost power, and only ends were logged. A reminder of jobs was also sent for jobs already released. Ruled out: lost lines (lines_left_out never came). Change: call_sent with target, load, health and time left; explain-request takes the host's new start after the last line as the cause where no answer was told; released jobs are not reminded of.

--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -50,6 +50,7 @@
 TARGET_LISTED = _declare(207, "target_listed", "INFO", "A target is listed.")
 TARGET_STATE = _declare(208, "target_state", "INFO", "A listed target changed its state.")
 TARGET_VANISHED = _declare(209, "target_vanished", "INFO", "A target's row is gone.")
+CALL_SENT = _declare(213, "call_sent", "INFO", "A call was sent to the chosen target.")
 CALL_ANSWERED = _declare(210, "call_answered", "INFO", "A call got its answer; see the status.")
 CALL_CUT = _declare(211, "call_cut", "WARNING", "An answer broke off; the caller was cut.")
 CALL_LEFT = _declare(212, "call_left", "INFO", "The caller left before its answer ended.")
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -250,6 +250,16 @@
         remaining = self.remaining_s
         if remaining <= 0:
             raise GradepointError("deadline_exceeded")
+        emit(
+            events.CALL_SENT,
+            request=self.head.request_id,
+            route=self.route.name,
+            target=target.id,
+            load=round(get_load(target, self.forwarder.elsewhere), 2),
+            failing=round(target.health.failing, 2),
+            remaining_ms=round(remaining * 1000),
+            after_event=resume_after,
+        )
         sending = asyncio.ensure_future(
             self.forwarder.send(
                 target,
--- a/gradepoint/jobs/api.py
+++ b/gradepoint/jobs/api.py
@@ -144,6 +144,8 @@
     async def remind_idle_owners(self, jobs: list[StoredJob]) -> None:
         """Remind live owners that do not tell of running their jobs."""
         for job in jobs:
+            if job.state.released:
+                continue
             life = job.state.owner
             told = self.find_owner(short_number(job.id))
             if told is None and life != self.presence.own.incarnation and self.find_address(life):
--- a/gradepoint/telemetry/story.py
+++ b/gradepoint/telemetry/story.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from datetime import datetime, timedelta
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -13,7 +14,12 @@
     from collections.abc import Iterable
 
 ID_FIELDS = ("request", "job", "item")
+AFTERMATH_S = 5.0
+"""Seconds after the last line in which a change of belief still belongs to a story: a host that
+was lost says so by starting again."""
 COMMON_FIELDS = frozenset(("time", "level", "program", "host", "event", "event_name", "message"))
+ANSWERS = frozenset(("call_answered", "call_refused", "items_listed", "job_ended"))
+"""Events after which a request or job owes nothing more."""
 CONTEXT_EVENTS = frozenset(
     (
         "target_ejected",
@@ -63,10 +69,20 @@
 
     @property
     def cause(self) -> LogLine | None:
-        """The last line that tells of a failure, or the last of all."""
+        """The last line that tells of a failure; a host's new start after the last line, where
+        no answer was told; or the last line."""
         failures = [line for line in self.lines if _is_failure(line)]
-        found = failures or self.lines
-        return found[-1] if found else None
+        if failures or not self.lines:
+            return failures[-1] if failures else None
+        last = self.lines[-1]
+        restarts = [
+            line
+            for line in self.context
+            if line.event == "program_started" and line.host == last.host and line.time > last.time
+        ]
+        if restarts and last.event not in ANSWERS:
+            return restarts[0]
+        return last
 
 
 def tell_story(wanted: str, lines: Iterable[str]) -> Story:
@@ -94,7 +110,7 @@
         return []
     targets = {line.fields.get("target") for line in lines} - {None}
     hosts = {line.host for line in lines}
-    first, last = lines[0].time, lines[-1].time
+    first, last = lines[0].time, _add_seconds(lines[-1].time, AFTERMATH_S)
     found = [
         line
         for line in others
@@ -107,6 +123,13 @@
     return sorted(found, key=lambda line: line.time)
 
 
+def _add_seconds(time: str, seconds: float) -> str:
+    try:
+        return (datetime.fromisoformat(time) + timedelta(seconds=seconds)).isoformat()
+    except ValueError:
+        return time
+
+
 def _is_failure(line: LogLine) -> bool:
     status = line.fields.get("status", 200)
     return line.level in ("WARNING", "ERROR") or (isinstance(status, int) and status >= 300)
--- a/tests/test_telemetry/test_telemetry_lines.py
+++ b/tests/test_telemetry/test_telemetry_lines.py
@@ -125,3 +125,22 @@
         assert "gradepoint_kv_calls_total" in text
 
     run_deployment(work)
+
+
+def make_line(second: float, event: str, host: str = "h", **fields: object) -> str:
+    """Return a line of a log."""
+    time = f"2026-01-01T00:00:{second:09.6f}+00:00"
+    row = {"time": time, "level": "INFO", "host": host, "event_name": event, **fields}
+    return msgspec.json.encode(row).decode()
+
+
+def test_a_host_that_was_lost_is_the_cause_of_a_call_without_an_answer() -> None:
+    lines = [
+        make_line(3.0, "program_started"),
+        make_line(1.0, "call_sent", request="r", target="t0"),
+        make_line(2.0, "program_started", host="another"),
+    ]
+    cause = tell_story("r", lines).cause
+    assert cause is not None and (cause.event, cause.host) == ("program_started", "h")
+    answered = tell_story("r", [*lines, make_line(1.5, "call_answered", request="r")]).cause
+    assert answered is not None and answered.event == "call_answered"
