Split forwarding from one call's life, and one item's run from the worker

Ruled out: changes of behaviour; code is moved only. Change: gateway/forwarding.py, jobs/item_run.py. Before and after: the tests of gateway, jobs and platform pass before and after.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -359,7 +359,7 @@
     ),
     Mutation(
         "item goes on one event too late",
-        "jobs/worker.py",
+        "jobs/item_run.py",
         "resume_after=partial.last_event,",
         "resume_after=partial.last_event and partial.last_event + 1,",
         JOBS,
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -37,7 +37,8 @@
 from .answers import refuse
 from .beliefs import ConfigurationBelief, LiveFollower, OperatorFollower, TargetFollower
 from .configuration import NO_VERSION, RouteKind
-from .live import Forwarder, create_call
+from .forwarding import Forwarder
+from .live import create_call
 from .targets import TargetSet
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/gradepoint/gateway/forwarding.py
@@ -0,0 +1,132 @@
+"""Sends calls to targets and reads the heads of their answers."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..util.clock import monotonic
+from ..wire.http_client import ConnectFailed, HttpClient, ResponseBroken
+from .choice import choose_target, get_load
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..ids import ServiceName, TargetId
+    from ..wire.http_client import ClientResponse
+    from .dialect import AnswerHead, CallHead, Dialect
+    from .targets import Target, TargetSet
+
+
+class OtherInstance(Exception):
+    """Another target has the address now; nothing was run."""
+
+
+class TargetBusy(Exception):
+    """The target states that it did not run the call."""
+
+
+class TargetFailed(Exception):
+    """The target's answer broke, or was no answer to this call; it may have run."""
+
+
+@dataclass
+class Exchange:
+    """An open answer of one target."""
+
+    target: Target
+    response: ClientResponse
+    head: AnswerHead
+    closed: bool = False
+
+    def close(self) -> None:
+        """End the exchange; a target that still works on it stops."""
+        if not self.closed:
+            self.closed = True
+            self.target.in_flight -= 1
+            self.response.close()
+
+
+@dataclass
+class Forwarder:
+    """Sends calls to targets.
+
+    :param failure_domain: that of this host.
+    :param elsewhere: calls that other hosts have in flight at a target.
+    """
+
+    targets: TargetSet
+    dialect: Dialect
+    http: HttpClient
+    failure_domain: str
+    elsewhere: Callable[[TargetId], int]
+    rng: random.Random = field(default_factory=random.Random)
+
+    def choose(self, service: ServiceName, tried: set[TargetId]) -> Target | None:
+        """Return a target for a call, or None."""
+        candidates = self.targets.candidates(service, monotonic())
+        return choose_target(candidates, self.failure_domain, tried, self.elsewhere, self.rng)
+
+    async def send(
+        self,
+        target: Target,
+        method: str,
+        request_target: str,
+        body: bytes,
+        head: CallHead,
+        remaining_s: float,
+        *,
+        resume_after: int | None = None,
+        head_timeout_s: float | None = None,
+        fresh: bool = False,
+    ) -> Exchange:
+        """Send a call to *target* and read the head of its answer.
+
+        :raises ConnectFailed: nothing was sent.
+        :raises OtherInstance: nothing was run.
+        :raises TargetBusy: nothing was run.
+        :raises TargetFailed: it may have run.
+        """
+        address, _, port = target.address.rpartition(":")
+        headers = self.dialect.write_call(head, target.id, remaining_s, resume_after)
+        target.in_flight += 1
+        try:
+            response = await self.http.send(
+                (address, int(port)),
+                method,
+                request_target,
+                body,
+                headers,
+                timeout_s=head_timeout_s if head_timeout_s is not None else remaining_s,
+                fresh=fresh,
+            )
+        except ConnectFailed as error:
+            target.in_flight -= 1
+            target.record_failure(str(error), unreachable=True)
+            raise
+        except ResponseBroken as error:
+            target.in_flight -= 1
+            target.record_failure(str(error))
+            raise TargetFailed(str(error)) from error
+        except BaseException:
+            target.in_flight -= 1
+            raise
+        exchange = Exchange(target, response, self.dialect.read_answer(response))
+        self._check(exchange, head)
+        return exchange
+
+    def _check(self, exchange: Exchange, head: CallHead) -> None:
+        answer = exchange.head
+        if answer.request_id is not None and answer.request_id != head.request_id:
+            exchange.close()
+            exchange.target.record_failure("an answer to another call")
+            raise TargetFailed("an answer to another call")
+        if answer.other_instance:
+            exchange.close()
+            raise OtherInstance
+        if answer.not_run and answer.status in (429, 503):
+            if get_load(exchange.target, self.elsewhere) <= 1.0:
+                exchange.target.record_failure("refuses calls though it has room")
+            exchange.close()
+            raise TargetBusy
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -9,16 +9,14 @@
 
 from .. import events
 from ..errors import KvError
-from ..gateway.dialect import CallHead
-from ..gateway.event_stream import EventSplitter
-from ..gateway.live import OtherInstance, TargetBusy, TargetFailed
-from ..ids import RequestId
+from ..gateway.forwarding import OtherInstance, TargetBusy, TargetFailed
 from ..telemetry import metrics
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.hashing import short_number
-from ..wire.http_client import ConnectFailed, ResponseBroken
+from ..wire.http_client import ConnectFailed
 from .feeding import choose_batch_target, must_give_way
+from .item_run import ItemFailed, ItemImpossible, read_item
 from .owned import OwnedJob
 from .records import ItemEnd, PartialText, Result
 from .repository import CommittedWork, Superseded
@@ -27,7 +25,7 @@
     from collections.abc import Callable
 
     from ..gateway.configuration import Configuration
-    from ..gateway.live import Exchange, Forwarder
+    from ..gateway.forwarding import Forwarder
     from ..gateway.targets import Target
     from ..ids import Incarnation, JobId, TargetId
     from .records import Item
@@ -50,11 +48,6 @@
 from the service."""
 TOLD_JOBS = 32
 """Jobs that other hosts hear of; readers of older ones are answered from the service."""
-RUN_LIMIT_S = 15.0
-"""Seconds after which a target drops an item that nobody reads any more."""
-SILENCE_S = 1.5
-"""Seconds without an event until an item goes on at another target: far above the pause of
-a preempted request, and far below the time in which a job is due."""
 RETRY_S = 0.3
 """Seconds until an item whose run failed is tried again."""
 CHECKPOINT_S = 2.5
@@ -62,15 +55,6 @@
 lost host has made since is made again."""
 COMMIT_RETRY_S = 0.5
 """Seconds until a commit that got no answer is tried again."""
-CANNOT_BE_DONE = 422
-
-
-class ItemImpossible(Exception):
-    """The target states that the item can never be done."""
-
-
-class ItemFailed(Exception):
-    """The target ran the item and failed."""
 
 
 @dataclass
@@ -317,7 +301,10 @@
         job, index = running.job, running.index
         target.in_flight -= 1
         try:
-            text = await self._read_text(job, index, target)
+            partial = job.partial.setdefault(index, PartialText())
+            text = await read_item(
+                self.forwarder, target, job.items[index], job.stored.state.host, partial
+            )
             job.finish(Result(index, ItemEnd.COMPLETE, text))
             target.record_success()
             metrics.shared().items.add(1, {"result": "complete"})
@@ -351,72 +338,3 @@
         if count >= most:
             job.finish(Result(index, ItemEnd.DEAD))
             metrics.shared().items.add(1, {"result": "dead"})
-
-    async def _read_text(self, job: OwnedJob, index: int, target: Target) -> str:
-        """Run an item and return its whole text."""
-        item = job.items[index]
-        partial = job.partial.setdefault(index, PartialText())
-        head = CallHead(
-            request_id=RequestId(item.id),
-            host=job.stored.state.host,
-            remaining_s=None,
-            resume_after=None,
-            passed_on=[
-                (name.lower().encode("latin-1"), value.encode("latin-1"))
-                for name, value in item.headers
-            ],
-        )
-        exchange = await self.forwarder.send(
-            target,
-            "POST",
-            item.path,
-            item.body,
-            head,
-            RUN_LIMIT_S,
-            resume_after=partial.last_event,
-            head_timeout_s=SILENCE_S * 2,
-        )
-        try:
-            _check_status(exchange)
-            await _read_events(exchange, partial)
-        finally:
-            exchange.close()
-        return "\n".join(partial.data)
-
-
-def _check_status(exchange: Exchange) -> None:
-    status = exchange.head.status
-    if status == CANNOT_BE_DONE:
-        raise ItemImpossible
-    if status == 500:
-        raise ItemFailed("answered 500")
-    if status >= 300:
-        raise TargetFailed(f"answered {status}")
-
-
-async def _read_events(exchange: Exchange, partial: PartialText) -> None:
-    """Append every event of an answer to *partial*; return at its end."""
-    splitter = EventSplitter()
-    pieces = exchange.response.stream()
-    while True:
-        try:
-            async with asyncio.timeout(SILENCE_S):
-                piece = await anext(pieces, None)
-        except (ResponseBroken, TimeoutError) as error:
-            exchange.target.record_failure(repr(error))
-            raise TargetFailed(repr(error)) from error
-        if piece is None:
-            break
-        for event in splitter.feed(piece):
-            _append(partial, event.number, event.data)
-    if splitter.rest:
-        raise TargetFailed("ended within an event")
-
-
-def _append(partial: PartialText, number: int | None, data: bytes | None) -> None:
-    if number is not None:
-        if partial.last_event is not None and number != partial.last_event + 1:
-            raise TargetFailed(f"event {number} came after event {partial.last_event}")
-        partial.last_event = number
-    if data is not None:
-        partial.data.append(data.decode())
