Aim the short soak and two mutations at what they are to catch

Cause: three seeded mistakes survived the soak: its calls had one attempt only, so that the rule on repeating was never reached, and targets failed too seldom in a short run; the mutation of a client that leaves was mended by the look every 10 s; that of adoption is equivalent, since a host without a lease adopts nothing. Ruled out: faults of the product.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -365,9 +365,9 @@
         JOBS,
     ),
     Mutation(
-        "stopping host adopts on",
+        "stopping host renews its lease",
         "gateway/app.py",
-        "        self.adopting.cancel()\n",
+        "        self.renewing.cancel()\n",
         "",
         JOBS,
     ),
@@ -429,10 +429,10 @@
         SOAK,
     ),
     Mutation(
-        "soak: configuration of any version is taken",
-        "gateway/beliefs.py",
-        "found.version <= self.current.version",
-        "False",
+        "soak: an item skips an event",
+        "jobs/item_run.py",
+        "resume_after=partial.last_event,",
+        "resume_after=partial.last_event and partial.last_event + 1,",
         SOAK,
     ),
 )
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -138,7 +138,7 @@
             "timeout_ms": 4000,
             "goal_ms": 400,
             "service": "model",
-            "max_attempts": 1 if name in ("single", "stream") else 3,
+            "max_attempts": 3,
             "resumable": name == "resume",
             "gap_goal_ms": 200,
             "due_ms": 10000,
@@ -348,7 +348,7 @@
             proxy.set_path(Path.PASS)
         elif kind == "target-fault":
             target = self.rng.choice(self.targets)
-            target.fault_rate = 0.3
+            target.fault_rate = 0.5
             await asyncio.sleep(lasting_s)
             target.fault_rate = 0.0
         elif kind == "target-leaves":
--- a/tests/test_jobs/test_jobs_path.py
+++ b/tests/test_jobs/test_jobs_path.py
@@ -266,6 +266,8 @@
         first.cancel()
         await asyncio.wait([first])
         owner = deployment.gateways[0].worker
+        for gateway in deployment.gateways:
+            gateway.adoption.patrols = bool
         await until(lambda: JobId("job") in owner.jobs)
         deployment.store.delay_s = 0.0
         assert (await deployment.submit("job", 3, gateway=1)).status == 202
