Read settings files in one place

Ruled out: one table for all programs; their fields differ. Change: load_checked, require_settings. Before and after: tests of commands and settings pass; a missing file still ends with code 2.

--- a/gradepoint/cmd/gateway.py
+++ b/gradepoint/cmd/gateway.py
@@ -4,17 +4,15 @@
 
 import asyncio
 import signal
-import sys
 
 import typer
-from result import Err
 
 from .. import events
 from ..gateway.app import Gateway, PlatformParts
 from ..gateway.settings import GatewaySettings, load_gateway_settings
 from ..platform import configuration, headers, jobs, retirement, store, targets
 from ..telemetry import logs
-from .runner import EXIT_SETTINGS, SettingsOption, stop_event
+from .runner import SettingsOption, require_settings, stop_event
 
 app = typer.Typer(add_completion=False)
 
@@ -36,12 +34,7 @@
 @app.command()
 def main(settings: SettingsOption) -> None:
     """Serve callers and batch clients for this host."""
-    loaded = load_gateway_settings(settings)
-    if isinstance(loaded, Err):
-        for problem in loaded.err_value:
-            print(problem, file=sys.stderr)
-        raise typer.Exit(EXIT_SETTINGS)
-    checked = loaded.ok_value
+    checked = require_settings(load_gateway_settings(settings))
     logs.configure("gateway", checked.host, checked.log_level, checked.log_style)
     asyncio.run(serve(checked))
 
--- a/gradepoint/cmd/runner.py
+++ b/gradepoint/cmd/runner.py
@@ -6,10 +6,10 @@
 import signal
 import sys
 from pathlib import Path
-from typing import TYPE_CHECKING, Annotated, Protocol
+from typing import TYPE_CHECKING, Annotated, Protocol, TypeVar
 
 import typer
-from result import Err
+from result import Err, Result
 
 from .. import events
 from ..settings import load_settings
@@ -20,6 +20,8 @@
 
     from ..settings import Settings
 
+T = TypeVar("T")
+
 EXIT_SETTINGS = 2
 
 SettingsOption = Annotated[Path, typer.Option("--settings", help="Settings file of this host.")]
@@ -37,14 +39,18 @@
 
 def run_program(name: str, settings_path: Path, create: Callable[[Settings], App]) -> None:
     """Run a program until it is asked to stop."""
-    loaded = load_settings(settings_path)
+    settings = require_settings(load_settings(settings_path))
+    logs.configure(name, settings.host, settings.log_level, settings.log_style)
+    asyncio.run(_serve(name, settings, create))
+
+
+def require_settings(loaded: Result[T, list[str]]) -> T:
+    """Return checked settings, or end the program with every problem."""
     if isinstance(loaded, Err):
         for problem in loaded.err_value:
             print(problem, file=sys.stderr)
         raise typer.Exit(EXIT_SETTINGS)
-    settings = loaded.ok_value
-    logs.configure(name, settings.host, settings.log_level, settings.log_style)
-    asyncio.run(_serve(name, settings, create))
+    return loaded.ok_value
 
 
 async def _serve(name: str, settings: Settings, create: Callable[[Settings], App]) -> None:
--- a/gradepoint/gateway/settings.py
+++ b/gradepoint/gateway/settings.py
@@ -5,10 +5,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-import msgspec
-from result import Err, Ok, Result
+from result import Err, Result
 
-from ..settings import REQUIRED, Setting, check_rows
+from ..settings import REQUIRED, Setting, check_rows, load_checked
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -68,13 +67,4 @@
 
 def load_gateway_settings(path: Path) -> Result[GatewaySettings, list[str]]:
     """Read and check a settings file."""
-    try:
-        raw = msgspec.json.decode(path.read_bytes())
-    except OSError as error:
-        return Err([f"{path}: {error.strerror}. Remedy: name a readable file."])
-    except msgspec.DecodeError as error:
-        return Err([f"{path}: not JSON ({error}). Remedy: correct the syntax."])
-    checked = check_gateway_settings(raw)
-    if isinstance(checked, Err):
-        return Err([f"{path}: {row}" for row in checked.err_value])
-    return Ok(checked.ok_value)
+    return load_checked(path, check_gateway_settings)
--- a/gradepoint/settings.py
+++ b/gradepoint/settings.py
@@ -7,14 +7,17 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import msgspec
 from result import Err, Ok, Result
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from pathlib import Path
 
+T = TypeVar("T")
+
 
 @dataclass(frozen=True)
 class Setting:
@@ -172,10 +175,17 @@
 
 def load_settings(path: Path) -> Result[Settings, list[str]]:
     """Read and check a settings file."""
+    return load_checked(path, check_settings)
+
+
+def load_checked(
+    path: Path, check: Callable[[object], Result[T, list[str]]]
+) -> Result[T, list[str]]:
+    """Read a JSON file and check it; every problem is told with the file's name."""
     try:
         raw = msgspec.json.decode(path.read_bytes())
     except OSError as error:
         return Err([f"{path}: {error.strerror}. Remedy: name a readable file."])
     except msgspec.DecodeError as error:
         return Err([f"{path}: not JSON ({error}). Remedy: correct the syntax."])
-    return check_settings(raw).map_err(lambda rows: [f"{path}: {row}" for row in rows])
+    return check(raw).map_err(lambda rows: [f"{path}: {row}" for row in rows])
