Give no item up by a configuration older than its job

Ruled out: adoption that waits for the configuration; a job may rest on a host that is merely behind. Change: a job's record says under which version it was accepted; below it the host neither runs nor gives up. Before and after: the new test fails on a copy without the change and passes with it.

--- a/gradepoint/jobs/api.py
+++ b/gradepoint/jobs/api.py
@@ -11,6 +11,7 @@
 
 from .. import events
 from ..errors import GradepointError, KvError, KvUnavailable, KvUncertain
+from ..gateway.configuration import NO_VERSION
 from ..ids import ItemId, JobId
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
@@ -100,6 +101,7 @@
     async def _submit(self, route: Route, head: CallHead, body: bytes) -> Response:
         items = self.dialect.decode_submission(body)
         job_id = name_job(head.request_id)
+        config = self.worker.in_force()
         state = JobState(
             route=route.name,
             host=head.host,
@@ -108,6 +110,7 @@
             item_ids=[item.id for item in items],
             item_tokens=[item.tokens for item in items],
             released=self.leaving,
+            config_version=config.version if config else NO_VERSION,
         )
         try:
             submission = await self.repository.accept(
--- a/gradepoint/jobs/records.py
+++ b/gradepoint/jobs/records.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from ..ids import Incarnation, ItemId, JobId
+from ..ids import ConfigVersion, Incarnation, ItemId, JobId
 
 JOB_PREFIX = "gp/job/"
 INPUT_PREFIX = "gp/input/"
@@ -70,6 +70,8 @@
     :param ended: the client asked for the job's end.
     :param released: the owner stops; any other host may take the job at once.
     :param partial: texts of items under way are kept beside the state.
+    :param config_version: configuration under which the job was accepted; one below it says
+        nothing about the job's route.
     """
 
     route: str
@@ -84,6 +86,7 @@
     ended: bool = False
     released: bool = False
     partial: bool = False
+    config_version: ConfigVersion = ConfigVersion(0)
 
     @property
     def done(self) -> bool:
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -169,7 +169,7 @@
     def _look_after(self, job: OwnedJob) -> None:
         """Give up what may be given up, and commit what has waited long enough."""
         now = monotonic()
-        config = self.in_force()
+        config = self._configuration_for(job)
         route = config.find_route_by_name(job.stored.state.route) if config else None
         if (route is None and config is not None) or (
             route is not None and route.retention_s and now > job.accepted_at + route.retention_s
@@ -179,6 +179,14 @@
             job.committing = True
             job.commit_task = asyncio.ensure_future(self._commit(job))
 
+    def _configuration_for(self, job: OwnedJob) -> Configuration | None:
+        """Return the configuration in force, None while it is older than the job: a job that
+        was taken over may know a route that this host has not heard of yet."""
+        config = self.in_force()
+        if config is None or config.version < job.stored.state.config_version:
+            return None
+        return config
+
     def _wants_commit(self, job: OwnedJob, now: float) -> bool:
         if job.dropped or job.done:
             return False
@@ -255,12 +263,10 @@
         now = monotonic()
         if self.stopping or now - self.started_at < SETTLING_S:
             return
-        config = self.in_force()
         heard_s = HEARD_S + self.beat_gap_s()
-        if config is None:
-            return
         for job in sorted(self.jobs.values(), key=lambda job: job.order):
-            if job.dropped or job.done:
+            config = self._configuration_for(job)
+            if job.dropped or job.done or config is None:
                 continue
             for index in job.open_indices(now):
                 item = job.items[index]
--- a/tests/test_jobs/test_jobs_path.py
+++ b/tests/test_jobs/test_jobs_path.py
@@ -10,13 +10,15 @@
 from bench.platform.store import StoreFault
 from bench.platform.target import TargetFault
 from gradepoint.cmd.gateway import PLATFORM
-from gradepoint.ids import Incarnation, JobId
+from gradepoint.ids import ConfigVersion, Incarnation, JobId
 from gradepoint.jobs.records import JobState
 from gradepoint.util.hashing import short_number
 from tests.support.platform import (
     HOST,
     ITEM_TOKENS,
+    ROUTES,
     Deployment,
+    configuration,
     item_text,
     job_item,
     run_deployment,
@@ -288,3 +290,31 @@
         check_rows("job", await deployment.read_whole("job", gateway=1), 3)
 
     run_deployment(work)
+
+
+def test_a_host_behind_in_configuration_gives_no_item_up() -> None:
+    """It took over a job on a route that it has not heard of yet."""
+
+    async def work(deployment: Deployment) -> None:
+        await deployment.start()
+        gateway = deployment.gateways[0]
+        items = PLATFORM.job_dialect.decode_submission(
+            msgspec.json.encode({"items": [job_item("new", index) for index in range(3)]})
+        )
+        later = [*ROUTES, {**ROUTES[-1], "name": "later", "path_prefix": "/later/"}]
+        items = [msgspec.structs.replace(row, path="/later/1") for row in items]
+        ids = [item.id for item in items]
+        state = JobState("later", HOST, gateway.own.incarnation, 0, ids, [ITEM_TOKENS] * 3)
+        state = msgspec.structs.replace(state, config_version=ConfigVersion(2))
+        taken = await gateway.repository.accept(JobId("new"), state, items, 0)
+        assert taken.job is not None
+        await gateway.worker.take(taken.job, items)
+        job = gateway.worker.jobs[JobId("new")]
+        gateway.worker.started_at = 0.0
+        gateway.worker._look_after(job)
+        gateway.worker._start_items()
+        assert not job.pending and not job.running
+        deployment.store.put("op/config", configuration(2, later))
+        check_rows("new", await deployment.read_whole("new"), 3)
+
+    run_deployment(work)
