Charge quotas on routes without a limit too

Ruled out: a count at each acceptance (a read of all jobs). Change: the bound is kept in any case; the recount brings it down when a limit is set. Before and after: the new test; jobs' tests pass.

--- a/gradepoint/jobs/repository.py
+++ b/gradepoint/jobs/repository.py
@@ -44,6 +44,8 @@
 adds a little."""
 MAX_INPUT_PARTS = 24
 """Parts of a job's items: a transaction takes 32 entries, and the state needs some too."""
+NO_LIMIT = 1 << 62
+"""Tokens that may wait on a route without a limit."""
 CONFLICT_TRIES = 20
 """Tries of a write that other hosts' writes overtake. A try takes two answers of the
 service, so more of them than this would outlast the time in which an accept is in time."""
@@ -130,16 +132,8 @@
         prefix = input_prefix(job_id)
         puts = [Put(job_key(job_id), encode_state(state))]
         puts += [Put(part_key(prefix, number), part) for number, part in enumerate(parts)]
-        if not max_tokens:
-            return await self._create(job_id, state, puts)
-        return await self._create_within_quota(job_id, state, puts, max_tokens)
-
-    async def _create(self, job_id: JobId, state: JobState, puts: list[Put]) -> Submission:
-        absent = Expect(job_key(job_id), ABSENT)
-        result = await self._write_surely(Transaction((absent,), tuple(puts)))
-        if result.succeeded:
-            return Submission(Admission.NEW, _new_job(job_id, state, result.revision))
-        return Submission(Admission.KNOWN, await self.load(job_id))
+        # Charged without a limit too, so that a limit set later finds the right count.
+        return await self._create_within_quota(job_id, state, puts, max_tokens or NO_LIMIT)
 
     async def _create_within_quota(
         self, job_id: JobId, state: JobState, puts: list[Put], max_tokens: int
--- a/tests/test_jobs/test_jobs_path.py
+++ b/tests/test_jobs/test_jobs_path.py
@@ -318,3 +318,20 @@
         check_rows("new", await deployment.read_whole("new"), 3)
 
     run_deployment(work)
+
+
+def test_a_limit_set_later_counts_the_jobs_accepted_before_it() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start()
+        for target in deployment.targets:
+            target.faults = [TargetFault.SILENT]
+        unlimited = [*ROUTES[:-1], {**ROUTES[-1], "max_queued_tokens": 0}]
+        deployment.store.put("op/config", configuration(2, unlimited))
+        belief = deployment.gateways[0].configuration
+        await until(lambda: belief.current is not None and belief.current.version == 2)
+        assert (await deployment.submit("many", 5000 // ITEM_TOKENS)).status == 202
+        deployment.store.put("op/config", configuration(3))
+        await until(lambda: belief.current is not None and belief.current.version == 3)
+        assert (await deployment.submit("more", 1)).status == 429
+
+    run_deployment(work)
