Close an answer that comes as its caller leaves

Ruled out: the connection's own cancellation, which covers the time before the head. Change: an abandoned send closes the answer it may already have. Before and after: new test (both orders); gateway's tests pass (51).

--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -162,8 +162,9 @@
         )
         try:
             exchange = await self._wait_for_head(target, sending)
-        finally:
-            sending.cancel()
+        except BaseException:
+            abandon(sending)
+            raise
         self.sent += 1
         self.may_have_run = True
         return exchange
@@ -367,6 +368,17 @@
             emit(events.CALL_LEFT, request=self.head.request_id, target=exchange.target.id)
 
 
+def abandon(sending: asyncio.Task[Exchange]) -> None:
+    """Cancel a send, and close its answer if it came at the same moment."""
+    sending.add_done_callback(_close_unused)
+    sending.cancel()
+
+
+def _close_unused(sending: asyncio.Task[Exchange]) -> None:
+    if not sending.cancelled() and sending.exception() is None:
+        sending.result().close()
+
+
 def create_call(
     forwarder: Forwarder, route: Route, head: CallHead, request: Request, body: bytes
 ) -> LiveCall:
--- a/tests/test_gateway/test_gateway_calls.py
+++ b/tests/test_gateway/test_gateway_calls.py
@@ -7,6 +7,8 @@
 import pytest
 
 from bench.platform.target import TargetFault, TargetStandin, plain_answer, whole_stream
+from gradepoint.gateway.live import abandon
+from gradepoint.ids import TargetId
 from tests.support.platform import HOST, Deployment, configuration, route, run_deployment, until
 
 EVENTS = 6
@@ -267,3 +269,26 @@
         assert (answer.status, answer.body) == (200, whole_stream(answer.request_id, EVENTS))
 
     run_deployment(work)
+
+
+@pytest.mark.parametrize("finished", [True, False])
+def test_an_answer_that_comes_as_its_caller_leaves_is_closed(finished: bool) -> None:
+    """Else the target works on, and its slot counts as taken for ever."""
+
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(targets=1, event_s=0.02, events=100_000)
+        gateway = deployment.gateways[0]
+        target = gateway.targets.by_id[TargetId("t0")]
+        head = gateway.platform.dialect.read_call([(b"x-attempt-id", b"r")])
+        sending = asyncio.ensure_future(
+            gateway.forwarder.send(target, "POST", "/stream/1", b"", head, 4.0)
+        )
+        await asyncio.sleep(0)
+        if finished:
+            await asyncio.wait([sending])
+            assert target.in_flight == 1
+        abandon(sending)
+        await until(lambda: target.in_flight == 0)
+        await until(lambda: deployment.targets[0].working == 0)
+
+    run_deployment(work)
