End a host's former process before the soak starts it again

Ruled out: the gateway's own stop (each got no signal). Change: a start ends the former process first. The product's code is unchanged.

--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -65,7 +65,9 @@
         return self.process is not None and self.process.poll() is None
 
     def start(self) -> None:
-        """Start the program with settings for this host."""
+        """Start the program with settings for this host; a former process ends first, since two
+        troubles may restart one host at the same time."""
+        self.reap()
         callers, ready, peers, metrics = self.ports
         settings = {
             "host": self.name,
--- a/tests/test_bench/test_bench_soak.py
+++ b/tests/test_bench/test_bench_soak.py
@@ -8,6 +8,7 @@
 import pytest
 
 from bench.platform.target import TargetStandin, whole_stream
+from bench.soak.fleet import GatewayProcess
 from bench.soak.ledger import Ledger
 from bench.soak.proxy import Path, Proxy
 from bench.soak.run import Soak
@@ -92,3 +93,13 @@
         server.close()
 
     asyncio.run(main())
+
+
+def test_a_host_that_is_started_twice_leaves_no_process_behind(tmp_path: FilePath) -> None:
+    gateway = GatewayProcess("host", "127.0.0.1", tmp_path, Proxy(("127.0.0.1", 1)))
+    gateway.start()
+    first = gateway.process
+    gateway.start()
+    assert first is not None and first.poll() is not None
+    gateway.reap()
+    assert not gateway.alive
