Answer an end without the store's word as unknown

Ruled out: submissions (504 since the start) and reads (nothing is done by them). Change: 504 where an end is uncertain; 503 stays where the store did nothing. Before and after: the new test fails with the former code and passes with the change; tests/test_jobs/test_jobs_path.py passes (22).

--- a/gradepoint/jobs/api.py
+++ b/gradepoint/jobs/api.py
@@ -207,6 +207,9 @@
             return await self._answer_end(call)
         except KvError as error:
             emit(events.JOB_UNREADABLE, job=call.client_id, reason=str(error))
+            if isinstance(call, EndJob) and isinstance(error, KvUncertain):
+                # The end may take effect yet, so it may not be told as not done.
+                raise GradepointError("job_uncertain") from error
             raise GradepointError("service_unavailable", retry_after=RETRY_AFTER_S) from error
 
     async def _answer_results(self, call: ReadResults) -> Response:
--- a/tests/test_jobs/test_jobs_path.py
+++ b/tests/test_jobs/test_jobs_path.py
@@ -335,3 +335,21 @@
         assert (await deployment.submit("more", 1)).status == 429
 
     run_deployment(work)
+
+
+@pytest.mark.parametrize(
+    ("fault", "status"), [(StoreFault.LOSE_ANSWER, 504), (StoreFault.BUSY, 503)]
+)
+def test_an_end_without_an_answer_is_not_told_as_not_done(fault: StoreFault, status: int) -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start()
+        for target in deployment.targets:
+            target.faults = [TargetFault.SILENT]
+        assert (await deployment.submit("job", 2)).status == 202
+        deployment.store.only_writes = True
+        deployment.store.fault = fault
+        ended = await deployment.call("/api/lots/job", method="DELETE", body=b"")
+        deployment.store.fault = StoreFault.NONE
+        assert ended.status == status
+
+    run_deployment(work)
