--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -17,7 +17,9 @@
 from ..kv.relay import RelayedKv
 from ..kv.service import ABSENT, Expect, Put, Transaction
 from ..kv.view import PrefixView
-from ..peers.beats import BEAT_FORMAT, Beat, Beats
+from ..peers.beats import Beats
+from ..peers.datagrams import DATAGRAM_FORMAT, Beat, DatagramSocket, Digest, Message, Report
+from ..peers.occupancy import Aggregation, Occupancy
 from ..peers.presence import (
     LIVE_PREFIX,
     HostPresence,
@@ -101,7 +103,8 @@
         self, settings: GatewaySettings, store: WaitingService, platform: PlatformParts
     ) -> None:
         self.settings = settings
-        self.beats = Beats(self.make_beat, self.record_results)
+        self.socket = DatagramSocket(self.take_message)
+        self.beats = Beats(self.socket, self.make_beat, lambda beat: self.watchers.take_beat(beat))
         self.peer_http = HttpClient(CONNECT_TIMEOUT_S, UNACKNOWLEDGED_MS)
         self.kv = kv = RelayedKv(store, self.peer_http, self.beats.helpers)
         self.platform = platform
@@ -115,13 +118,22 @@
         )
         self.hosts = HostTable()
         self.presence = Presence(kv, self.own)
-        self.targets = TargetSet(settings.drain_ms / 1000 * LINGER_SHARE)
+        self.targets = TargetSet(
+            settings.drain_ms / 1000 * LINGER_SHARE, lambda: self.occupancy.changed.set()
+        )
+        self.occupancy = Occupancy(
+            self.socket,
+            self.own.incarnation,
+            self.make_report,
+            self.targets.record_elsewhere,
+            Aggregation(self.targets.find_slots),
+        )
         self.forwarder = Forwarder(
             self.targets,
             platform.dialect,
             HttpClient(CONNECT_TIMEOUT_S, UNACKNOWLEDGED_MS),
             settings.failure_domain,
-            self.beats.in_flight,
+            self.occupancy.in_flight,
         )
         self.configuration = ConfigurationBelief(platform.decode_configuration, self.apply_limits)
         self.repository = JobRepository(kv, settings.store_value_bytes)
@@ -130,8 +142,9 @@
             self.forwarder,
             self.own.incarnation,
             lambda: self.configuration.current,
-            self.beats.items_by_host,
-            lambda: self.beats.gap_s,
+            self.occupancy.must_give_way,
+            lambda: self.occupancy.delay_s,
+            self.occupancy.waiting_elsewhere,
         )
         self.jobs = JobApi(
             self.repository,
@@ -168,7 +181,7 @@
         """Listen, and begin to follow the store."""
         settings = self.settings
         await self.peer_server.start(settings.address, settings.peer_port)
-        await self.beats.start(settings.address, settings.peer_port)
+        await self.socket.start(settings.address, settings.peer_port)
         await self.callers.start(*split_address(settings.callers_address))
         await self.readiness.start(*split_address(settings.ready_address))
         await self.metrics_server.start(settings.address, settings.metrics_port)
@@ -176,6 +189,8 @@
         self.tasks.start(self.watchers.run())
         self.renewing = self.tasks.start(self.presence.run())
         self.tasks.start(self.beats.run(lambda: list(self.hosts.hosts.values())))
+        self.tasks.start(self.occupancy.run_reports(self.beats.addresses))
+        self.tasks.start(self.occupancy.run_digests())
         self.tasks.start(self.worker.run())
         self.adopting = self.tasks.start(self.adoption.run())
         self.tasks.start(self.sweep())
@@ -221,30 +236,44 @@
 
     def make_beat(self) -> Beat:
         """Return what other hosts hear of this one."""
+        current = self.configuration.current
+        watching = self.watchers.watching
+        return Beat(
+            format=DATAGRAM_FORMAT,
+            incarnation=self.own.incarnation,
+            config_version=current.version if current else NO_VERSION,
+            reaches_store=self.kv.reaches_store,
+            watching=watching,
+            views=self.watchers.revisions() if watching else {},
+            jobs=self.worker.job_numbers(),
+        )
+
+    def make_report(self, number: int) -> Report:
+        """Return what this host has in flight."""
         items = self.worker.in_flight()
         calls = {
             target.id: target.in_flight - items.get(target.id, 0)
             for target in self.targets.by_id.values()
             if target.in_flight
         }
-        current = self.configuration.current
-        version = current.version if current else NO_VERSION
-        return Beat(
-            format=BEAT_FORMAT,
+        return Report(
+            format=DATAGRAM_FORMAT,
             incarnation=self.own.incarnation,
-            config_version=version,
-            reaches_store=self.kv.reaches_store,
-            watching=self.watchers.watching,
-            views=self.watchers.revisions(),
-            jobs=self.worker.job_numbers(),
+            number=number,
             calls=calls,
             items=items,
+            waiting=self.worker.count_waiting(),
             results=self.targets.recent_results(),
         )
 
-    def record_results(self, target: TargetId, good: int, bad: int) -> None:
-        """Take results of other hosts' calls."""
-        self.targets.record_elsewhere(target, good, bad)
+    def take_message(self, message: Message, address: str) -> None:
+        """Take another host's datagram."""
+        if isinstance(message, Digest):
+            self.occupancy.hear(message)
+        elif isinstance(message, Report):
+            self.occupancy.aggregation.take(message, address)
+        else:
+            self.beats.hear(message, address)
 
     def apply_limits(self, configuration: Configuration) -> None:
         """Put the callers' limits of a configuration in force."""
@@ -335,6 +364,7 @@
             await asyncio.sleep(SWEEP_S)
             self.targets.sweep(monotonic())
             self.beats.forget_silent()
+            self.occupancy.forget_silent()
             if self.ready and not was_ready:
                 emit(events.HOST_READY, targets=len(self.targets.by_id))
             was_ready = self.ready
@@ -390,7 +420,7 @@
         """Close every socket that others use."""
         for server in (self.callers, self.readiness, self.peer_server, self.metrics_server):
             server.abort()
-        self.beats.stop()
+        self.socket.stop()
 
     async def _hand_over(self) -> None:
         """Leave every job to other hosts and take this one out of the list."""
--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -44,7 +44,7 @@
         """End the exchange; a target that still works on it stops."""
         if not self.closed:
             self.closed = True
-            self.target.in_flight -= 1
+            self.target.end()
             self.response.close()
 
 
@@ -90,7 +90,7 @@
         """
         address, _, port = target.address.rpartition(":")
         headers = self.dialect.write_call(head, target.id, remaining_s, resume_after)
-        target.in_flight += 1
+        target.begin()
         try:
             response = await self.http.send(
                 (address, int(port)),
@@ -102,15 +102,15 @@
                 fresh=fresh,
             )
         except ConnectFailed as error:
-            target.in_flight -= 1
+            target.end()
             target.record_failure(str(error), unreachable=True)
             raise
         except ResponseBroken as error:
-            target.in_flight -= 1
+            target.end()
             target.record_failure(str(error))
             raise TargetFailed(str(error)) from error
         except BaseException:
-            target.in_flight -= 1
+            target.end()
             raise
         exchange = Exchange(target, response, self.dialect.read_answer(response))
         self._check(exchange, head)
--- a/gradepoint/gateway/targets.py
+++ b/gradepoint/gateway/targets.py
@@ -9,19 +9,20 @@
 from typing import TYPE_CHECKING
 
 from .. import events
+from ..peers.results import ResultCount
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from .health import TargetHealth
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..ids import ServiceName, TargetId
+    from ..peers.results import ToldResults
 
 LEAST_WORKING_SHARE = 0.5
 """Share of a service's targets that stay in choice whatever their health says: a bad signal,
 or an overload that makes all answers late, must not empty a service."""
-TOLD_S = 2.0
-"""Seconds for which a target's results are told to other hosts after they changed: several
-datagrams, of which some may be lost."""
 
 
 class ListedState(Enum):
@@ -51,17 +52,17 @@
 class Target:
     """A listed target and what this host's calls showed of it.
 
+    :param on_change: called when what this host has in flight changes.
     :ivar in_flight: calls of this host that it has now.
-    :ivar good: whole answers to this host's calls, and *bad* failures, in this life.
+    :ivar results: of this host's calls, in this life.
     :ivar vanished_at: when its row vanished without notice; None while it is listed.
     """
 
     listed: ListedTarget
     in_flight: int = 0
     health: TargetHealth = field(default_factory=TargetHealth)
-    good: int = 0
-    bad: int = 0
-    changed_at: float = 0.0
+    results: ResultCount = field(default_factory=ResultCount)
+    on_change: Callable[[], None] = lambda: None
     vanished_at: float | None = None
 
     @property
@@ -74,10 +75,19 @@
         """``IP:PORT``."""
         return self.listed.address
 
+    def begin(self) -> None:
+        """Count a call or item of this host that is sent now."""
+        self.in_flight += 1
+        self.on_change()
+
+    def end(self) -> None:
+        """Take note that a call or item of this host is not at the target any more."""
+        self.in_flight -= 1
+        self.on_change()
+
     def record_success(self) -> None:
         """Count a whole answer of this host's calls."""
-        self.good += 1
-        self.changed_at = monotonic()
+        self.results.add(1, 0)
         self.health.record_success()
 
     def record_failure(self, reason: str, *, unreachable: bool = False) -> None:
@@ -86,8 +96,7 @@
         :param unreachable: no connection was made, so one failure is enough.
         """
         now = monotonic()
-        self.bad += 1
-        self.changed_at = now
+        self.results.add(0, 1)
         record = self.health.record_unreachable if unreachable else self.health.record_failure
         if record(now):
             self._log_ejection(reason)
@@ -117,9 +126,11 @@
     :param linger_s: seconds that a target whose row vanished stays a last resort. The list
         may lose rows while its store is away, and no target may get a call later than the
         deployment's drain time after its row went.
+    :param on_change: called when what this host has in flight at a target changes.
     """
 
     linger_s: float
+    on_change: Callable[[], None] = lambda: None
     by_id: dict[TargetId, Target] = field(default_factory=dict)
     by_service: dict[ServiceName, list[Target]] = field(default_factory=lambda: defaultdict(list))
 
@@ -134,7 +145,7 @@
             return
         if known is not None:
             self._forget(known)
-        target = Target(listed)
+        target = Target(listed, on_change=self.on_change)
         self.by_id[listed.id] = target
         self.by_service[listed.service].append(target)
         emit(events.TARGET_LISTED, target=listed.id, address=listed.address)
@@ -180,10 +191,19 @@
             return working
         return [t for t in ready if t.vanished_at is not None and self._lingers(t, now)]
 
-    def recent_results(self) -> dict[TargetId, tuple[int, int]]:
-        """Return successes and failures of this host's calls where they changed lately."""
-        since = monotonic() - TOLD_S
-        return {t.id: (t.good, t.bad) for t in self.by_id.values() if t.changed_at >= since}
+    def working(self, now: float) -> list[Target]:
+        """Return the targets of all services that may get a call."""
+        return [target for service in self.by_service for target in self.candidates(service, now)]
+
+    def find_slots(self, target_id: TargetId) -> int | None:
+        """Return how many calls a target works on at once, None if it is not known."""
+        target = self.by_id.get(target_id)
+        return None if target is None else max(1, target.listed.slots)
+
+    def recent_results(self) -> dict[TargetId, ToldResults]:
+        """Return the results of this host's calls where they changed lately."""
+        told = ((target.id, target.results.tell()) for target in self.by_id.values())
+        return {target_id: results for target_id, results in told if results is not None}
 
     def record_elsewhere(self, target_id: TargetId, good: int, bad: int) -> None:
         """Count results of other hosts' calls."""
--- a/gradepoint/jobs/feeding.py
+++ b/gradepoint/jobs/feeding.py
@@ -1,17 +1,15 @@
-"""Which target takes one more batch item, and which host's item gives way: pure decisions."""
+"""Which target takes one more batch item: a pure decision."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from ..util.hashing import score
-
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Collection, Mapping
+    from collections.abc import Callable, Collection
 
     from ..gateway.targets import Target
-    from ..ids import Incarnation, TargetId
+    from ..ids import TargetId
 
 RESERVED_SLOTS = 1
 """Slots of a target that batch leaves free: the next caller finds one, and an item gives way
@@ -23,6 +21,29 @@
     return max(1, slots - RESERVED_SLOTS)
 
 
+def count_spare_slots(targets: list[Target], elsewhere: Callable[[TargetId], int]) -> int:
+    """Return how many items could start at *targets* without keeping a caller waiting."""
+    return sum(
+        max(0, batch_slots(max(1, target.listed.slots)) - target.in_flight - elsewhere(target.id))
+        for target in targets
+    )
+
+
+def share_of_slots(spare: int, own: int, others: int, rng: random.Random) -> int:
+    """Return how many of *spare* slots fall to a host.
+
+    A part of a slot falls to it as often as that part says, so that all hosts together fill
+    the spare slots however small their shares are.
+
+    :param own: items that wait on this host, and *others* on all other hosts.
+    """
+    if not own:
+        return 0
+    share = spare * own / (own + others)
+    whole = int(share)
+    return whole + (rng.random() < share - whole)
+
+
 def choose_batch_target(
     candidates: list[Target],
     elsewhere: Callable[[TargetId], int],
@@ -44,20 +65,3 @@
         for target in left
     ]
     return rng.choices(left, weights)[0] if any(weights) else None
-
-
-def must_give_way(
-    load: int, slots: int, own: Incarnation, target: TargetId, items: Mapping[Incarnation, int]
-) -> bool:
-    """Whether one of this host's items at a target gives way.
-
-    One host at a time is picked, in an order that all hosts agree on; the others look again
-    when they have heard of it.
-
-    :param load: everything in flight at the target, over all hosts.
-    :param items: items that each host has there.
-    """
-    if load <= slots:
-        return False
-    holders = [host for host, count in items.items() if count]
-    return bool(holders) and max(holders, key=lambda host: score(host, target)) == own
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -15,7 +15,7 @@
 from ..util.clock import monotonic
 from ..util.hashing import short_number
 from ..wire.http_client import ConnectFailed
-from .feeding import choose_batch_target, must_give_way
+from .feeding import choose_batch_target, count_spare_slots, share_of_slots
 from .item_run import ItemFailed, ItemImpossible, read_item
 from .owned import OwnedJob
 from .records import ItemEnd, PartialText, Result
@@ -34,7 +34,7 @@
 TICK_S = 0.03
 """Seconds between looks for free slots: about the gap between the hosts' datagrams."""
 HEARD_S = 0.03
-"""Seconds beside the gap between datagrams after which the other hosts have heard what this
+"""Seconds beside the delay of reports and digests after which the other hosts have heard what this
 one started or stopped: for the way and for a busy host."""
 SETTLING_S = 0.8
 """Seconds after its start in which a host starts no item: until then it has not heard from
@@ -73,8 +73,12 @@
     """The jobs of this host and their items under way.
 
     :param in_force: returns the configuration in force.
-    :param items_elsewhere: returns the items that other hosts have at a target, by host.
-    :param beat_gap_s: returns the seconds between this host's datagrams.
+    :param must_give_way: whether an item of this host gives way at a target.
+    :param news_delay_s: returns the seconds until other hosts know what this one has in flight.
+    :param waiting_elsewhere: returns how many items wait on other hosts.
+    :ivar may_start: items that this host may start until the other hosts have heard of them.
+    :ivar shared_at: when the spare slots were last shared.
+    :ivar wanted: set when there is a job to run.
     :ivar fed_at: when each target last got an item of this host.
     :ivar gave_way_at: when an item of this host last gave way at each target.
     """
@@ -83,14 +87,18 @@
     forwarder: Forwarder
     own: Incarnation
     in_force: Callable[[], Configuration | None]
-    items_elsewhere: Callable[[TargetId], dict[Incarnation, int]]
-    beat_gap_s: Callable[[], float]
+    must_give_way: Callable[[TargetId], bool]
+    news_delay_s: Callable[[], float]
+    waiting_elsewhere: Callable[[], int]
     fed_at: dict[TargetId, float] = field(default_factory=dict)
     gave_way_at: dict[TargetId, float] = field(default_factory=dict)
     jobs: dict[JobId, OwnedJob] = field(default_factory=dict)
     running: list[RunningItem] = field(default_factory=list)
     rng: random.Random = field(default_factory=random.Random)
     to_take: list[StoredJob] = field(default_factory=list)
+    may_start: int = 0
+    shared_at: float = float("-inf")
+    wanted: asyncio.Event = field(default_factory=asyncio.Event)
     stopping: bool = False
     started_at: float = field(default_factory=monotonic)
 
@@ -105,6 +113,11 @@
             counts[item.target] = counts.get(item.target, 0) + 1
         return counts
 
+    def count_waiting(self) -> int:
+        """Return how many items of this host could start now."""
+        now = monotonic()
+        return sum(len(job.open_indices(now)) for job in self.jobs.values() if not job.done)
+
     async def take(self, stored: StoredJob, items: list[Item] | None = None) -> None:
         """Run a job that this host owns.
 
@@ -122,6 +135,7 @@
         job.failures = dict(stored.state.failures)
         job.partial = partial
         self.jobs[job.id] = job
+        self.wanted.set()
         emit(events.JOB_TAKEN, job=job.id, items=len(items), listed=len(results))
 
     def drop(self, job_id: JobId, reason: str) -> None:
@@ -144,10 +158,11 @@
     async def run(self) -> None:
         """Start items and commit results for ever."""
         while True:
+            if not self.jobs and not self.to_take:
+                self.wanted.clear()
+                await self.wanted.wait()
             await asyncio.sleep(TICK_S)
             await self._take_again()
-            if not self.jobs:
-                continue
             self._give_way()
             self._start_items()
             for job in list(self.jobs.values()):
@@ -229,30 +244,27 @@
     def _give_way(self) -> None:
         """Cancel the least urgent item at each target that has no slot left for a caller."""
         now = monotonic()
-        heard_s = HEARD_S + self.beat_gap_s()
+        heard_s = HEARD_S + self.news_delay_s()
         by_target: dict[TargetId, list[RunningItem]] = {}
         for item in self.running:
             by_target.setdefault(item.target, []).append(item)
         for target_id, items in by_target.items():
-            target = self.forwarder.targets.by_id.get(target_id)
-            if target is None:
-                continue
-            load = target.in_flight + self.forwarder.elsewhere(target_id)
             if now - self.gave_way_at.get(target_id, -heard_s) < heard_s:
                 continue
-            by_host = {**self.items_elsewhere(target_id), self.own: len(items)}
-            if must_give_way(load, max(1, target.listed.slots), self.own, target_id, by_host):
+            if self.must_give_way(target_id):
                 self.gave_way_at[target_id] = now
-                self._cancel(max(items, key=lambda item: (item.job.order, item.started)), load)
+                self._cancel(max(items, key=lambda item: (item.job.order, item.started)))
 
-    def _cancel(self, item: RunningItem, load: int) -> None:
+    def _cancel(self, item: RunningItem) -> None:
         """Take an item's slot away; it goes on later after its last event."""
+        target = self.forwarder.targets.by_id.get(item.target)
+        own = 0 if target is None else target.in_flight
         emit(
             events.ITEM_GAVE_WAY,
             job=item.job.id,
             index=item.index,
             target=item.target,
-            load=load,
+            load=own + self.forwarder.elsewhere(item.target),
         )
         metrics.shared().retries.add(1, {"reason": "gave-way"})
         item.job.not_before[item.index] = monotonic() + RETRY_S
@@ -263,12 +275,15 @@
         now = monotonic()
         if self.stopping or now - self.started_at < SETTLING_S:
             return
-        heard_s = HEARD_S + self.beat_gap_s()
+        heard_s = HEARD_S + self.news_delay_s()
+        self._share_slots(now, heard_s)
         for job in sorted(self.jobs.values(), key=lambda job: job.order):
             config = self._configuration_for(job)
             if job.dropped or job.done or config is None:
                 continue
             for index in job.open_indices(now):
+                if not self.may_start:
+                    return
                 item = job.items[index]
                 route = config.find_route(job.stored.state.host, item.path.partition("?")[0])
                 if route is None:
@@ -283,8 +298,23 @@
                 if target is None:
                     break
                 self.fed_at[target.id] = now
+                self.may_start -= 1
                 self._start(job, index, target, route.max_attempts)
 
+    def _share_slots(self, now: float, heard_s: float) -> None:
+        """Work out how many of the fleet's spare slots fall to this host.
+
+        Every host sees the same ones. If each filled them all, most items would give way at
+        once.
+        """
+        if now - self.shared_at < heard_s:
+            return
+        self.shared_at = now
+        targets = self.forwarder.targets.working(now)
+        spare = count_spare_slots(targets, self.forwarder.elsewhere)
+        own = self.count_waiting()
+        self.may_start = share_of_slots(spare, own, self.waiting_elsewhere(), self.rng)
+
     def _start(self, job: OwnedJob, index: int, target: Target, max_failures: int) -> None:
         running = RunningItem(job, index, target.id, monotonic())
         # Counted at once: the send itself counts only when its task first runs.
@@ -292,7 +322,7 @@
         running.task = task
         job.running[index] = task
         self.running.append(running)
-        target.in_flight += 1
+        target.begin()
         emit(
             events.ITEM_STARTED,
             job=job.id,
@@ -305,7 +335,7 @@
 
     async def _run_item(self, running: RunningItem, target: Target, max_failures: int) -> None:
         job, index = running.job, running.index
-        target.in_flight -= 1
+        target.end()
         try:
             partial = job.partial.setdefault(index, PartialText())
             text = await read_item(
--- a/gradepoint/peers/beats.py
+++ b/gradepoint/peers/beats.py
@@ -1,4 +1,4 @@
-"""Datagrams between hosts: calls in flight at each target, and the configuration's version."""
+"""Which hosts are heard, and what each of them can be asked for."""
 
 from __future__ import annotations
 
@@ -8,60 +8,33 @@
 
 import msgspec
 
-from .. import events
-from ..ids import ConfigVersion, Incarnation, TargetId
-from ..telemetry.logs import emit
 from ..util.clock import monotonic
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from ..ids import ConfigVersion, Incarnation
+    from .datagrams import Beat, DatagramSocket
     from .presence import HostPresence
 
-BEAT_FORMAT = 1
-"""Version of the datagram; others are dropped."""
-LEAST_GAP_S = 0.02
-"""Least seconds between datagrams of one host: a call's choice looks this far back at most,
-in which a whole burst brings each host one call or two."""
-GAP_PER_PEER_S = 0.001
-"""Seconds that each peer adds to that gap: a host gets a thousand datagrams a second at the
-most, some hundredths of a core, whatever the size of the fleet."""
+LOOK_S = 0.1
+"""Seconds between looks whether this host's beat changed: far below the time in which other
+hosts miss a job's owner or a way to the key-value service."""
+NEWS_LOOK_S = 0.03
+"""Seconds between looks on a host that watches: news of the service is announced that much
+later, a hundredth of the shortest bound on it."""
 LONGEST_GAP_S = 0.2
-"""Seconds after which a datagram is sent though nothing changed, to show that the host lives."""
-LONGEST_GAP_PER_PEER_S = 0.004
-"""Seconds that each peer adds to that gap."""
-STALE_GAPS = 3.5
-"""Longest gaps after which what a host said is not counted: three datagrams are missing."""
-
-
-class Beat(msgspec.Struct, frozen=True, array_like=True):
-    """One datagram.
-
-    :param reaches_store: the host's own calls to the key-value service are answered.
-    :param watching: it watches the service and tells others the news.
-    :param views: revision of each of its views.
-    :param jobs: short hashes of the jobs that it runs or ran last.
-    :param calls: callers' calls in flight, by target.
-    :param items: batch items in flight, by target.
-    :param results: successes and failures of the host's calls in this life, by target, where
-        they changed lately.
-    """
-
-    format: int
-    incarnation: Incarnation
-    config_version: ConfigVersion
-    reaches_store: bool
-    watching: bool
-    views: dict[str, int]
-    jobs: list[int]
-    calls: dict[TargetId, int]
-    items: dict[TargetId, int]
-    results: dict[TargetId, tuple[int, int]]
+"""Seconds after which a beat is sent though nothing changed, to show that the host lives."""
+LONGEST_GAP_PER_PEER_S = 0.02
+"""Seconds that each peer adds to that gap, so that a host hears fifty beats a second at the
+most while nothing changes, whatever the size of the fleet."""
+STALE_GAPS = 2.5
+"""Longest gaps after which a host is not heard any more: two beats are missing."""
 
 
 @dataclass
 class HeardBeat:
-    """The newest datagram of a host, when it came and from which ``IP:PORT``."""
+    """The newest beat of a host, when it came and from which ``IP:PORT``."""
 
     beat: Beat
     at: float
@@ -70,34 +43,20 @@
 
 @dataclass
 class Beats:
-    """What other hosts say, and how this one says it.
+    """What other hosts say of themselves, and how this one says it.
 
-    :param own: makes this host's datagram.
-    :param on_results: told of new successes and failures at a target.
+    :param own: makes this host's beat.
+    :param on_beat: called after each beat that was heard.
     """
 
+    socket: DatagramSocket
     own: Callable[[], Beat]
-    on_results: Callable[[TargetId, int, int], None] = lambda *_: None
+    on_beat: Callable[[Beat], None] = lambda _: None
     heard: dict[Incarnation, HeardBeat] = field(default_factory=dict)
-    elsewhere: dict[TargetId, int] = field(default_factory=dict)
-    transport: asyncio.DatagramTransport | None = None
-    gap_s: float = LEAST_GAP_S
     longest_gap_s: float = LONGEST_GAP_S
 
-    async def start(self, address: str, port: int) -> None:
-        """Listen for datagrams."""
-        loop = asyncio.get_running_loop()
-        self.transport, _ = await loop.create_datagram_endpoint(
-            lambda: _Receiver(self), local_addr=(address, port)
-        )
-
-    def stop(self) -> None:
-        """Stop to listen."""
-        if self.transport is not None:
-            self.transport.close()
-
     async def run(self, peers: Callable[[], Iterable[HostPresence]]) -> None:
-        """Send this host's datagram to every peer, whenever it changed, for ever."""
+        """Send this host's beat to every peer, whenever it changed and now and then, for ever."""
         sent: Beat | None = None
         sent_at = 0.0
         while True:
@@ -105,64 +64,31 @@
             now = monotonic()
             others = list(peers())
             self.longest_gap_s = LONGEST_GAP_S + LONGEST_GAP_PER_PEER_S * len(others)
-            if beat != sent or now - sent_at >= self.longest_gap_s:
+            if needs_telling(beat, sent) or now - sent_at >= self.longest_gap_s:
                 self.send(beat, others)
                 sent, sent_at = beat, now
-            self.gap_s = LEAST_GAP_S + GAP_PER_PEER_S * len(others)
-            await asyncio.sleep(self.gap_s)
+            await asyncio.sleep(NEWS_LOOK_S if beat.watching else LOOK_S)
 
     def send(self, beat: Beat, peers: Iterable[HostPresence]) -> None:
-        """Send a datagram of this host once."""
+        """Send a beat of this host once."""
         raw = msgspec.msgpack.encode(beat)
         for peer in peers:
-            if self.transport is not None and peer.incarnation != beat.incarnation:
-                address, _, port = peer.peer_address.rpartition(":")
-                self.transport.sendto(raw, (address, int(port)))
-
-    def hear(self, raw: bytes, address: str = "") -> None:
-        """Take a datagram."""
-        try:
-            beat = msgspec.msgpack.decode(raw, type=Beat)
-        except msgspec.DecodeError as error:
-            emit(events.BEAT_DROPPED, reason=str(error))
-            return
-        if beat.format != BEAT_FORMAT:
-            return
-        former = self.heard.get(beat.incarnation)
-        if former is not None:
-            self._add(former.beat, -1)
-        self._add(beat, 1)
-        self._compare_results(beat, former.beat if former else None)
-        self.heard[beat.incarnation] = HeardBeat(beat, monotonic(), address)
+            if peer.incarnation != beat.incarnation:
+                self.socket.send(raw, peer.peer_address)
 
-    def _compare_results(self, beat: Beat, former: Beat | None) -> None:
-        """Tell what is new; results that were not told just before are not compared."""
-        for target, (good, bad) in beat.results.items():
-            known = former.results.get(target) if former else None
-            if known is not None:
-                self.on_results(target, max(0, good - known[0]), max(0, bad - known[1]))
+    def hear(self, beat: Beat, address: str) -> None:
+        """Take another host's beat; one that was not known is answered at once."""
+        known = beat.incarnation in self.heard
+        self.heard[beat.incarnation] = HeardBeat(beat, monotonic(), address)
+        if not known:
+            self.socket.send(msgspec.msgpack.encode(self.own()), address)
+        self.on_beat(beat)
 
     def forget_silent(self) -> None:
-        """Leave out what hosts said that are not heard any more."""
-        now = monotonic()
-        stale_s = self.longest_gap_s * STALE_GAPS
-        for name in [name for name, heard in self.heard.items() if now - heard.at > stale_s]:
-            self._add(self.heard.pop(name).beat, -1)
-
-    def _add(self, beat: Beat, sign: int) -> None:
-        for counts in (beat.calls, beat.items):
-            for target, number in counts.items():
-                self.elsewhere[target] = self.elsewhere.get(target, 0) + sign * number
-                if not self.elsewhere[target]:
-                    del self.elsewhere[target]
-
-    def in_flight(self, target: TargetId) -> int:
-        """Return calls and items that other hosts have at a target."""
-        return self.elsewhere.get(target, 0)
-
-    def items_by_host(self, target: TargetId) -> dict[Incarnation, int]:
-        """Return the items that other hosts have at a target."""
-        return {name: heard.beat.items.get(target, 0) for name, heard in self.heard.items()}
+        """Leave out hosts that are not heard any more."""
+        oldest = monotonic() - self.longest_gap_s * STALE_GAPS
+        for life in [life for life, heard in self.heard.items() if heard.at < oldest]:
+            del self.heard[life]
 
     def helpers(self) -> list[str]:
         """Return ``IP:PORT`` of the hosts that reach the key-value service."""
@@ -180,16 +106,21 @@
         heard = self.heard.get(life)
         return None if heard is None else heard.address
 
+    def addresses(self) -> dict[Incarnation, str]:
+        """Return ``IP:PORT`` of every host that is heard."""
+        return {life: heard.address for life, heard in self.heard.items()}
+
     def newest_config(self) -> tuple[ConfigVersion, str] | None:
         """Return the highest configuration version that a peer has, and the peer's address."""
         rows = [(heard.beat.config_version, heard.address) for heard in self.heard.values()]
         return max(rows, default=None)
 
 
-class _Receiver(asyncio.DatagramProtocol):
-    def __init__(self, beats: Beats) -> None:
-        self.beats = beats
+def needs_telling(beat: Beat, sent: Beat | None) -> bool:
+    """Whether a beat says something that cannot wait for the next regular one.
 
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        ip, port = addr
-        self.beats.hear(data, f"{ip}:{port}")
+    A newer configuration can: every host has it at about the same time, from the watchers.
+    """
+    if sent is None:
+        return True
+    return msgspec.structs.replace(beat, config_version=sent.config_version) != sent
--- /dev/null
+++ b/gradepoint/peers/datagrams.py
@@ -0,0 +1,141 @@
+"""The datagrams that hosts send each other, and the socket that carries them."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from .. import events
+from ..ids import ConfigVersion, Incarnation, TargetId
+from ..telemetry.logs import emit
+from .results import ToldResults
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+DATAGRAM_FORMAT = 2
+"""Version of the datagrams; others are dropped."""
+
+
+class Beat(msgspec.Struct, frozen=True, array_like=True, tag="beat"):
+    """Tells that a host lives, and what others may ask it for.
+
+    :param reaches_store: the host's own calls to the key-value service are answered.
+    :param watching: it watches the service and tells others the news.
+    :param views: revision of each of its views; empty unless it watches.
+    :param jobs: short hashes of the jobs that it runs or ran last.
+    """
+
+    format: int
+    incarnation: Incarnation
+    config_version: ConfigVersion
+    reaches_store: bool
+    watching: bool
+    views: dict[str, int]
+    jobs: list[int]
+
+
+class Report(msgspec.Struct, frozen=True, array_like=True, tag="report"):
+    """What one host has in flight, told to the aggregators.
+
+    :param number: rises with each report of one life.
+    :param calls: callers' calls in flight, by target.
+    :param items: batch items in flight, by target.
+    :param waiting: batch items that could start.
+    :param results: results of the host's calls in this life, by target, where they changed
+        lately.
+    """
+
+    format: int
+    incarnation: Incarnation
+    number: int
+    calls: dict[TargetId, int]
+    items: dict[TargetId, int]
+    waiting: int
+    results: dict[TargetId, ToldResults]
+
+
+class Sums(msgspec.Struct, frozen=True, array_like=True):
+    """What one aggregator knows of the whole fleet.
+
+    :param loads: calls and items in flight, by target.
+    :param results: results of all hosts' calls since the aggregator began, by target, where
+        they changed lately.
+    :param waiting: batch items that could start.
+    :param giving_way: short numbers of the hosts that take an item back, by target.
+    """
+
+    aggregator: Incarnation
+    loads: dict[TargetId, int]
+    results: dict[TargetId, ToldResults]
+    waiting: int
+    giving_way: dict[TargetId, list[int]]
+
+
+class Digest(msgspec.Struct, frozen=True, array_like=True, tag="digest"):
+    """An aggregator's sums as one host gets them.
+
+    :param number: the receiver's own report that they include; 0 for none.
+    :param sums: :class:`Sums`, encoded once for all hosts.
+    """
+
+    format: int
+    number: int
+    sums: msgspec.Raw
+
+
+Message = Beat | Report | Digest
+
+
+@dataclass
+class DatagramSocket:
+    """Sends and receives the hosts' datagrams.
+
+    :param on_message: called with each message and the ``IP:PORT`` it came from.
+    """
+
+    on_message: Callable[[Message, str], None]
+    transport: asyncio.DatagramTransport | None = None
+    decoder: msgspec.msgpack.Decoder[Message] = field(
+        default_factory=lambda: msgspec.msgpack.Decoder(Message)
+    )
+
+    async def start(self, address: str, port: int) -> None:
+        """Listen for datagrams."""
+        loop = asyncio.get_running_loop()
+        self.transport, _ = await loop.create_datagram_endpoint(
+            lambda: _Receiver(self), local_addr=(address, port)
+        )
+
+    def stop(self) -> None:
+        """Stop to listen."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def send(self, raw: bytes, address: str) -> None:
+        """Send an encoded message to ``IP:PORT``; it may be lost."""
+        if self.transport is not None:
+            ip, _, port = address.rpartition(":")
+            self.transport.sendto(raw, (ip, int(port)))
+
+    def take(self, raw: bytes, address: str) -> None:
+        """Decode a datagram and hand it on."""
+        try:
+            message = self.decoder.decode(raw)
+        except msgspec.DecodeError as error:
+            emit(events.BEAT_DROPPED, reason=str(error), member=address)
+            return
+        if message.format == DATAGRAM_FORMAT:
+            self.on_message(message, address)
+
+
+class _Receiver(asyncio.DatagramProtocol):
+    def __init__(self, socket: DatagramSocket) -> None:
+        self.socket = socket
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        ip, port = addr
+        self.socket.take(data, f"{ip}:{port}")
--- a/gradepoint/peers/watchers.py
+++ b/gradepoint/peers/watchers.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -30,11 +31,12 @@
     from ..wire.http_client import HttpClient
     from ..wire.http_types import Request
     from .beats import Beats, HeardBeat
+    from .datagrams import Beat
 
 WATCHERS = 3
 """Hosts that watch: any two may be lost or cut off at once without a pause in the news."""
-LOOK_S = 0.03
-"""Seconds between looks at what watchers said: about the gap between their datagrams."""
+LOOK_S = 0.25
+"""Seconds between looks whether this host has to watch; a beat with news is looked at at once."""
 FETCH_TIMEOUT_S = 0.5
 """Seconds a watcher has to tell the news: many times the way, well below the shortest bound."""
 DISTRUST_S = 3.0
@@ -47,7 +49,8 @@
     parts: dict[str, ViewPart]
 
 
-def choose_watchers(lives: set[Incarnation]) -> list[Incarnation]:
+@lru_cache(maxsize=8)
+def choose_watchers(lives: frozenset[Incarnation]) -> list[Incarnation]:
     """Return the lives that watch; every host that hears the same ones says the same."""
     return rank("watchers", lives)[:WATCHERS]
 
@@ -70,6 +73,13 @@
     tasks: TaskGroup = field(default_factory=TaskGroup)
     watching: bool = False
     distrusted_until: float = 0.0
+    woken: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def take_beat(self, beat: Beat) -> None:
+        """Look at once where a watcher tells of news."""
+        own = self.views
+        if any(revision > own[name].revision for name, revision in beat.views.items()):
+            self.woken.set()
 
     def revisions(self) -> dict[str, int]:
         """Return the revision of each view, as other hosts hear of it."""
@@ -82,7 +92,15 @@
                 await self._change_role()
             if not self.watching:
                 await self._catch_up()
-            await asyncio.sleep(LOOK_S)
+            await self._wait_for_news()
+
+    async def _wait_for_news(self) -> None:
+        try:
+            async with asyncio.timeout(LOOK_S):
+                await self.woken.wait()
+        except TimeoutError:
+            pass
+        self.woken.clear()
 
     def must_watch(self) -> bool:
         """Whether this host watches: it is one of the chosen, or hears of nobody who does."""
@@ -95,7 +113,7 @@
         if not lives:
             # The service is away for all: more hosts that ask would bring no news.
             lives = {*heard, self.own}
-        if self.own in choose_watchers(lives):
+        if self.own in choose_watchers(frozenset(lives)):
             return True
         return not any(row.beat.watching for row in heard.values())
 
@@ -114,9 +132,8 @@
     async def _catch_up(self) -> None:
         """Fetch what a watcher knows and this host does not."""
         own = self.revisions()
-        for heard in list(self.beats.heard.values()):
-            newer = any(revision > own.get(name, 0) for name, revision in heard.beat.views.items())
-            if newer and self._may_tell(heard):
+        for heard in [row for row in self.beats.heard.values() if self._may_tell(row)]:
+            if any(revision > own.get(name, 0) for name, revision in heard.beat.views.items()):
                 await self._fetch(heard.address)
                 return
 
--- a/tests/test_gateway/test_gateway_calls.py
+++ b/tests/test_gateway/test_gateway_calls.py
@@ -221,7 +221,7 @@
         await until(lambda: sum(target.working for target in deployment.targets) == 1)
         busy = next(target for target in deployment.targets if target.working)
         other = deployment.gateways[1]
-        await until(lambda: other.beats.in_flight(busy.name) == 1)  # type: ignore[arg-type]
+        await until(lambda: other.occupancy.in_flight(busy.name) == 1)  # type: ignore[arg-type]
         second = asyncio.ensure_future(deployment.call("/stream/2", gateway=1))
         await until(lambda: [target.working for target in deployment.targets] == [1, 1])
         for call in (first, second):
--- a/tests/test_gateway/test_gateway_decisions.py
+++ b/tests/test_gateway/test_gateway_decisions.py
@@ -15,6 +15,7 @@
 from gradepoint.gateway.health import FIRST_EJECTION_S, LONGEST_EJECTION_S, TargetHealth
 from gradepoint.gateway.targets import ListedState, ListedTarget, Target, TargetSet
 from gradepoint.ids import ServiceName, TargetId
+from gradepoint.peers.results import ToldResults
 from gradepoint.platform.configuration import decode_configuration
 from tests.support.platform import HOST, configuration, route
 
@@ -147,7 +148,7 @@
     assert [target.id for target in targets.candidates(SERVICE, 0.0)] == ["t1"]
     assert not targets.recent_results()
     targets.by_id[TargetId("t1")].record_success()
-    assert targets.recent_results() == {"t1": (1, 0)}
+    assert targets.recent_results() == {"t1": ToldResults(1, 0, 0, 0)}
 
 
 def draw(targets: list[Target], elsewhere: dict[str, int] | None = None) -> Counter[str]:
--- a/tests/test_jobs/test_jobs_decisions.py
+++ b/tests/test_jobs/test_jobs_decisions.py
@@ -13,7 +13,12 @@
 from gradepoint.ids import HostName, Incarnation, ItemId, JobId, ServiceName, TargetId
 from gradepoint.jobs.adoption import ADOPTERS, Adoption, choose_adopter
 from gradepoint.jobs.api import PAGE_BYTES, cut_page
-from gradepoint.jobs.feeding import batch_slots, choose_batch_target, must_give_way
+from gradepoint.jobs.feeding import (
+    batch_slots,
+    choose_batch_target,
+    count_spare_slots,
+    share_of_slots,
+)
 from gradepoint.jobs.records import (
     Item,
     ItemEnd,
@@ -74,14 +79,21 @@
     assert choose_batch_target(targets, lambda _: 0, fed, RNG) is None
 
 
-def test_one_host_at_a_time_gives_way_and_only_where_calls_wait() -> None:
-    items = dict.fromkeys(HOSTS, 2)
-    target = TargetId("t0")
-    giving = [host for host in HOSTS if must_give_way(9, 8, host, target, items)]
-    assert len(giving) == 1
-    assert not any(must_give_way(8, 8, host, target, items) for host in HOSTS)
-    items[giving[0]] = 0
-    assert not must_give_way(9, 8, giving[0], target, items)
+def test_hosts_fill_the_spare_slots_together_and_not_each_by_itself() -> None:
+    rng = random.Random(1)
+    waiting = {Incarnation(f"h{number}"): 10 for number in range(16)}
+    total = sum(waiting.values())
+    started = [
+        sum(share_of_slots(30, own, total - own, rng) for own in waiting.values())
+        for _ in range(200)
+    ]
+    assert 29 < sum(started) / len(started) < 31
+    assert max(started) <= 30 + len(waiting)
+    assert share_of_slots(30, 0, 50, rng) == 0
+    assert share_of_slots(7, 20, 0, rng) == 7
+    targets = make_targets(2)
+    assert count_spare_slots(targets, lambda _: 3) == 2 * (batch_slots(8) - 3)
+    assert count_spare_slots(targets, lambda _: 20) == 0
 
 
 def make_job(name: str, owner: Incarnation, *, ended: bool = False) -> StoredJob:
--- a/tests/test_peers/test_peers_beats.py
+++ b/tests/test_peers/test_peers_beats.py
@@ -6,8 +6,9 @@
 
 import msgspec
 
-from gradepoint.ids import ConfigVersion, HostName, Incarnation, TargetId
-from gradepoint.peers.beats import BEAT_FORMAT, LONGEST_GAP_S, STALE_GAPS, Beat, Beats
+from gradepoint.ids import ConfigVersion, HostName, Incarnation
+from gradepoint.peers.beats import LONGEST_GAP_S, STALE_GAPS, Beats, needs_telling
+from gradepoint.peers.datagrams import DATAGRAM_FORMAT, Beat, DatagramSocket, Message
 from gradepoint.peers.presence import (
     LEASE_TTL_S,
     PRESENCE_PREFIX,
@@ -18,58 +19,79 @@
 from gradepoint.standins.memory_kv import KvFault, MemoryKv, MemoryKvClient
 from gradepoint.standins.virtual_time import run_virtual
 
-TARGET = TargetId("t0")
 STALE_S = LONGEST_GAP_S * STALE_GAPS
 
 
-def make_beat(name: str, version: int = 1, calls: int = 0, items: int = 0) -> Beat:
+def make_beat(name: str, version: int = 1, watching: bool = False) -> Beat:
     """Return a datagram."""
-    return Beat(
-        BEAT_FORMAT,
-        Incarnation(name),
-        ConfigVersion(version),
-        name != "cut",
-        False,
-        {},
-        [],
-        {TARGET: calls},
-        {TARGET: items},
-        {},
-    )
-
-
-def hear(beats: Beats, beat: Beat) -> None:
-    """Let *beats* hear a datagram."""
-    beats.hear(msgspec.msgpack.encode(beat))
-
-
-def test_what_hosts_have_in_flight_is_added_up_and_forgotten() -> None:
+    life = Incarnation(name)
+    return Beat(DATAGRAM_FORMAT, life, ConfigVersion(version), name != "cut", watching, {}, [])
+
+
+class Recorder(DatagramSocket):
+    """A socket that keeps what is sent."""
+
+    def __init__(self) -> None:
+        super().__init__(lambda *_: None)
+        self.sent: list[str] = []
+
+    def send(self, raw: bytes, address: str) -> None:
+        """Keep the address."""
+        self.sent.append(address)
+
+
+def make_beats() -> Beats:
+    """Return what one host hears."""
+    return Beats(Recorder(), lambda: make_beat("own"))
+
+
+def test_hosts_are_heard_and_forgotten() -> None:
     async def main() -> None:
-        beats = Beats(lambda: make_beat("own"))
-        hear(beats, make_beat("a", calls=2, items=1))
-        hear(beats, make_beat("b", calls=4))
-        assert beats.in_flight(TARGET) == 7
-        assert beats.items_by_host(TARGET) == {"a": 1, "b": 0}
+        beats = make_beats()
+        beats.hear(make_beat("a"), "127.0.0.2:9")
+        beats.hear(make_beat("cut"), "127.0.0.3:9")
+        assert beats.helpers() == ["127.0.0.2:9"]
         await asyncio.sleep(STALE_S * 0.8)
-        hear(beats, make_beat("a", calls=1))
-        assert beats.in_flight(TARGET) == 5
+        beats.hear(make_beat("a"), "127.0.0.2:9")
         await asyncio.sleep(STALE_S * 0.8)
         beats.forget_silent()
-        assert beats.in_flight(TARGET) == 1
+        assert beats.addresses() == {"a": "127.0.0.2:9"}
 
     run_virtual(main())
 
 
-def test_the_newest_configuration_is_known_and_other_formats_are_dropped() -> None:
-    beats = Beats(lambda: make_beat("own"))
+def test_a_host_that_was_not_known_is_answered_once() -> None:
+    beats = make_beats()
+    for _ in range(3):
+        beats.hear(make_beat("a"), "127.0.0.2:9")
+    assert beats.socket.sent == ["127.0.0.2:9"]  # type: ignore[attr-defined]
+
+
+def test_the_newest_configuration_is_known() -> None:
+    beats = make_beats()
     assert beats.newest_config() is None
-    hear(beats, make_beat("a", version=3))
-    beats.hear(msgspec.msgpack.encode(make_beat("b", version=8)), "127.0.0.2:9")
-    beats.hear(b"not a datagram")
-    beats.hear(msgspec.msgpack.encode(msgspec.structs.replace(make_beat("c", 9), format=99)))
+    beats.hear(make_beat("a", version=3), "")
+    beats.hear(make_beat("b", version=8), "127.0.0.2:9")
     assert beats.newest_config() == (8, "127.0.0.2:9")
 
 
+def test_other_formats_and_spoiled_datagrams_are_dropped() -> None:
+    heard: list[Message] = []
+    socket = DatagramSocket(lambda message, _: heard.append(message))
+    beat = make_beat("a")
+    for raw in (beat, msgspec.structs.replace(beat, format=99)):
+        socket.take(msgspec.msgpack.encode(raw), "")
+    socket.take(b"not a datagram", "")
+    assert heard == [beat]
+
+
+def test_only_what_cannot_wait_is_told_at_once() -> None:
+    beat = make_beat("own")
+    assert needs_telling(beat, None)
+    assert not needs_telling(make_beat("own", version=2), beat)
+    assert needs_telling(make_beat("own", watching=True), beat)
+
+
 def make_presence(name: str) -> HostPresence:
     """Return a host."""
     return HostPresence(HostName("host"), Incarnation(name), "a", "127.0.0.1:1")
@@ -109,12 +131,3 @@
     table.remove(key)
     table.remove(key)
     assert not table.hosts
-
-
-def test_new_results_are_told_once() -> None:
-    told: list[tuple[str, int, int]] = []
-    beats = Beats(lambda: make_beat("own"), lambda *row: told.append(row))
-    for good, bad in ((5, 1), (7, 1), (7, 1), (8, 4)):
-        results = {TARGET: (good, bad)}
-        hear(beats, msgspec.structs.replace(make_beat("a"), results=results))
-    assert told == [(TARGET, 2, 0), (TARGET, 0, 0), (TARGET, 1, 3)]
--- /dev/null
+++ b/tests/test_peers/test_peers_occupancy.py
@@ -0,0 +1,261 @@
+"""What the fleet has in flight, added up by a few hosts and told to all."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+import msgspec
+
+from gradepoint.ids import Incarnation, TargetId
+from gradepoint.peers.datagrams import DATAGRAM_FORMAT, DatagramSocket, Digest, Message, Report
+from gradepoint.peers.occupancy import (
+    AGGREGATORS,
+    STALE_S,
+    Aggregation,
+    Occupancy,
+    choose_aggregators,
+    choose_hosts_to_give_way,
+)
+from gradepoint.peers.results import ResultCount
+from gradepoint.standins.virtual_time import run_virtual
+
+TARGET = TargetId("t0")
+SLOTS = 8
+WAY_S = 0.001
+
+
+@dataclass
+class Net:
+    """Carries datagrams between hosts in virtual time."""
+
+    hosts: dict[str, Host] = field(default_factory=dict)
+    silent: set[str] = field(default_factory=set)
+    sent: int = 0
+
+    def send(self, source: str, raw: bytes, address: str) -> None:
+        """Deliver a datagram a little later."""
+        self.sent += 1
+        if not self.silent & {source, address}:
+            asyncio.get_running_loop().call_later(WAY_S, self.deliver, source, raw, address)
+
+    def deliver(self, source: str, raw: bytes, address: str) -> None:
+        """Hand a datagram to its receiver."""
+        self.hosts[address].socket.take(raw, source)
+
+    def reachable(self) -> dict[Incarnation, str]:
+        """Return the hosts that are heard."""
+        return {host.life: name for name, host in self.hosts.items() if name not in self.silent}
+
+
+class HostSocket(DatagramSocket):
+    """A socket on a net."""
+
+    def __init__(self, host: Host) -> None:
+        super().__init__(host.take)
+        self.host = host
+
+    def send(self, raw: bytes, address: str) -> None:
+        """See :meth:`DatagramSocket.send`."""
+        self.host.net.send(self.host.name, raw, address)
+
+
+class Host:
+    """One host with calls, items and results."""
+
+    def __init__(self, net: Net, name: str) -> None:
+        self.net = net
+        self.name = name
+        self.life = Incarnation(f"{name}:life")
+        self.calls: dict[TargetId, int] = {}
+        self.items: dict[TargetId, int] = {}
+        self.results = ResultCount()
+        self.told: list[tuple[int, int]] = []
+        self.socket = HostSocket(self)
+        self.occupancy = Occupancy(
+            self.socket,
+            self.life,
+            self.report,
+            lambda _, good, bad: self.told.append((good, bad)),
+            Aggregation(lambda _: SLOTS),
+        )
+        self.tasks = [
+            asyncio.ensure_future(self.occupancy.run_reports(net.reachable)),
+            asyncio.ensure_future(self.occupancy.run_digests()),
+            asyncio.ensure_future(self.sweep()),
+        ]
+        net.hosts[name] = self
+
+    def work(self, calls: int, items: int = 0) -> None:
+        """Have so many calls and items in flight from now on."""
+        self.calls = {TARGET: calls} if calls else {}
+        self.items = {TARGET: items} if items else {}
+        self.occupancy.changed.set()
+
+    def report(self, number: int) -> Report:
+        """Return what this host has in flight."""
+        told = self.results.tell()
+        results = {} if told is None else {TARGET: told}
+        return Report(
+            DATAGRAM_FORMAT, self.life, number, dict(self.calls), dict(self.items), 0, results
+        )
+
+    def take(self, message: Message, address: str) -> None:
+        """Take a datagram."""
+        if isinstance(message, Digest):
+            self.occupancy.hear(message)
+        elif isinstance(message, Report):
+            self.occupancy.aggregation.take(message, address)
+
+    async def sweep(self) -> None:
+        """Forget what is old."""
+        while True:
+            await asyncio.sleep(0.25)
+            self.occupancy.forget_silent()
+
+    def stop(self) -> None:
+        """End all work."""
+        for task in self.tasks:
+            task.cancel()
+
+
+async def start(count: int) -> tuple[Net, list[Host]]:
+    """Return hosts that have had a second to hear each other."""
+    net = Net()
+    hosts = [Host(net, f"h{number}") for number in range(count)]
+    await asyncio.sleep(1.0)
+    return net, hosts
+
+
+def stop(hosts: list[Host]) -> None:
+    """Stop hosts."""
+    for host in hosts:
+        host.stop()
+
+
+def test_every_host_knows_what_the_others_have_in_flight() -> None:
+    async def main() -> None:
+        _, hosts = await start(55)
+        for host in hosts[:10]:
+            host.work(2)
+        hosts[20].work(0, 3)
+        await asyncio.sleep(hosts[0].occupancy.delay_s + 3 * WAY_S)
+        known = [host.occupancy.in_flight(TARGET) for host in hosts]
+        assert known == [21] * 10 + [23] * 10 + [20] + [23] * 34
+        for host in hosts:
+            host.work(0)
+        await asyncio.sleep(hosts[0].occupancy.delay_s + 3 * WAY_S)
+        assert not any(host.occupancy.in_flight(TARGET) for host in hosts)
+        stop(hosts)
+
+    run_virtual(main())
+
+
+def test_an_own_change_is_not_taken_for_another_hosts() -> None:
+    async def main() -> None:
+        _, hosts = await start(6)
+        for calls in range(60):
+            hosts[0].work(calls % 5)
+            await asyncio.sleep(0.007)
+            assert hosts[0].occupancy.in_flight(TARGET) == 0
+        stop(hosts)
+
+    run_virtual(main())
+
+
+def test_datagrams_grow_with_the_fleet_and_not_with_its_square() -> None:
+    async def main() -> None:
+        rates = {}
+        for count in (50, 100, 200):
+            net, hosts = await start(count)
+            net.sent = 0
+            for step in range(100):
+                for host in hosts:
+                    host.work(step)
+                await asyncio.sleep(0.01)
+            stop(hosts)
+            rates[count] = net.sent
+        assert rates[200] < 3 * rates[50]
+        assert rates[200] / 200 < 250
+
+    run_virtual(main())
+
+
+def test_a_lost_aggregator_is_not_missed() -> None:
+    async def main() -> None:
+        net, hosts = await start(9)
+        by_life = {host.life: host for host in hosts}
+        first = by_life[hosts[0].occupancy.aggregators[0]]
+        others = [host for host in hosts if host is not first]
+        net.silent.add(first.name)
+        others[0].work(4)
+        await asyncio.sleep(0.1)
+        assert all(host.occupancy.in_flight(TARGET) == 4 for host in others[1:])
+        others[0].work(0)
+        await asyncio.sleep(STALE_S + 0.5)
+        assert not any(host.occupancy.in_flight(TARGET) for host in others)
+        stop(hosts)
+
+    run_virtual(main())
+
+
+def test_results_of_others_are_told_once() -> None:
+    async def main() -> None:
+        net, hosts = await start(6)
+        hosts[0].results.add(5, 0)
+        await asyncio.sleep(0.2)
+        hosts[0].results.add(0, 2)
+        hosts[1].results.add(0, 1)
+        await asyncio.sleep(0.2)
+        late = Host(net, "late")
+        await asyncio.sleep(3.0)
+        hosts[0].results.add(1, 0)
+        await asyncio.sleep(1.0)
+        totals = [tuple(map(sum, zip(*host.told, strict=True))) for host in hosts]
+        assert totals == [(0, 1), (6, 2), (6, 3), (6, 3), (6, 3), (6, 3)]
+        assert late.told == [(1, 0)]
+        stop([*hosts, late])
+
+    run_virtual(main())
+
+
+def test_a_late_report_does_not_replace_a_newer_one() -> None:
+    aggregation = Aggregation(lambda _: SLOTS)
+    life = Incarnation("a")
+    for number, calls in ((2, 5), (1, 3)):
+        aggregation.take(Report(DATAGRAM_FORMAT, life, number, {TARGET: calls}, {}, 0, {}), "")
+    assert aggregation.loads == {TARGET: 5}
+
+
+def test_as_many_hosts_give_way_as_calls_wait() -> None:
+    holders = [Incarnation(f"h{number}") for number in range(4)]
+    assert choose_hosts_to_give_way(SLOTS, SLOTS, TARGET, holders) == []
+    one = choose_hosts_to_give_way(SLOTS + 1, SLOTS, TARGET, holders)
+    two = choose_hosts_to_give_way(SLOTS + 2, SLOTS, TARGET, reversed(holders))
+    assert len(one) == 1 and len(two) == 2 and one[0] in two
+    assert set(choose_hosts_to_give_way(SLOTS + 9, SLOTS, TARGET, holders)) == set(holders)
+
+
+def test_hosts_hear_whether_their_item_gives_way() -> None:
+    async def main() -> None:
+        _, hosts = await start(6)
+        for host in hosts[:3]:
+            host.work(0, 2)
+        hosts[4].work(SLOTS - 5)
+        await asyncio.sleep(0.1)
+        giving = [host for host in hosts if host.occupancy.must_give_way(TARGET)]
+        assert len(giving) == 1 and giving[0] in hosts[:3]
+        giving[0].work(0, 1)
+        await asyncio.sleep(0.1)
+        assert not any(host.occupancy.must_give_way(TARGET) for host in hosts)
+        stop(hosts)
+
+    run_virtual(main())
+
+
+def test_aggregators_are_the_same_for_all_who_hear_the_same_hosts() -> None:
+    lives = [Incarnation(f"h{number}:x") for number in range(9)]
+    chosen = choose_aggregators(frozenset(lives))
+    assert len(chosen) == AGGREGATORS
+    assert chosen == choose_aggregators(frozenset(reversed(lives)))
+    assert msgspec.msgpack.encode(chosen)
