Keep jobs on data hosts' disks while the store is away

Cause: a job that comes while the platform's store is down was refused, and a batch item weighs six calls.

Ruled out: accepting without durable copies (a promise that one loss breaks); copies at other gateways (they have no disks, and all processes may be killed at once); running items before the service has their job (a result listed early could be listed again at another position).

Change: gradepoint-data-host keeps such a job on its disk, synced, and the answer 202 needs one more copy than hosts may be lost. The gateway that accepted it creates it in the service once that answers; data hosts do so where the gateway is lost. Creation is the same compare-and-swap as ever, so it can only happen once. Until then the job reads as having no results, and other hosts say 503 rather than 404. What all data hosts hold stays within the tolerated excess over a route's limit. An order to empty a data host waits until it holds nothing.

--- a/gradepoint/cmd/data_host.py
+++ b/gradepoint/cmd/data_host.py
@@ -1,18 +1,48 @@
-"""``gradepoint-data-host``: keeps a data host of the platform occupied.
-
-Nothing that must last is on the platform's disks: jobs, items and results are in its
-metadata store. The gateways answer orders to empty a data host.
-"""
+"""``gradepoint-data-host``: keeps jobs on the platform's disks while its store is away."""
 
 from __future__ import annotations
 
+import asyncio
 import signal
 
+import typer
+
+from .. import events
+from ..platform import store
+from ..spool.app import DataHost
+from ..spool.settings import DataHostSettings, load_data_host_settings
+from ..telemetry import logs
+from .runner import SettingsOption, require_settings, stop_event
+
+app = typer.Typer(add_completion=False)
+
+
+@app.command()
+def main(settings: SettingsOption) -> None:
+    """Keep jobs for this host's failure domain."""
+    checked = require_settings(load_data_host_settings(settings))
+    logs.configure("data-host", checked.host, checked.log_level, checked.log_style)
+    asyncio.run(serve(checked))
+
+
+async def serve(settings: DataHostSettings) -> None:
+    """Run until the stop signal."""
+    stopped = stop_event()
+    kv = store.PlatformStore(
+        settings.store_address, settings.store_timeout_s, settings.store_history_s
+    )
+    data_host = DataHost(settings, kv)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, lambda: None)
+    await data_host.start()
+    logs.emit(events.PROGRAM_STARTED, address=settings.address)
+    await stopped.wait()
+    logs.emit(events.PROGRAM_STOPPING)
+    await data_host.stop()
+
 
 def run() -> None:
-    """Wait for the stop signal; a signal to read settings anew changes nothing."""
-    signal.signal(signal.SIGHUP, lambda *_: None)
-    signal.sigwait({signal.SIGTERM, signal.SIGINT})
+    """Console entry point."""
+    app()
 
 
 if __name__ == "__main__":
--- a/gradepoint/cmd/reference.py
+++ b/gradepoint/cmd/reference.py
@@ -11,6 +11,7 @@
 from ..events import CATALOGUE as EVENTS
 from ..gateway.settings import TABLE as GATEWAY_TABLE
 from ..settings import REQUIRED, TABLE, Setting
+from ..spool.settings import TABLE as DATA_HOST_TABLE
 
 NOTE = "<!-- written by `gradepoint reference docs/reference`; do not edit -->"
 
@@ -95,5 +96,14 @@
         "The platform writes this file from the template `deploy/gateway-settings.json`.",
         "",
     ]
-    rows = [*head, *_settings_table(TABLE), *gateway, *_settings_table(GATEWAY_TABLE)]
+    data_host = [
+        "",
+        "## Settings of the data host",
+        "",
+        "The platform writes this file from the template `deploy/data-host-settings.json`.",
+        "",
+    ]
+    rows = [*head, *_settings_table(TABLE)]
+    rows += [*gateway, *_settings_table(GATEWAY_TABLE)]
+    rows += [*data_host, *_settings_table(DATA_HOST_TABLE)]
     return "\n".join(rows) + "\n"
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -11,6 +11,7 @@
 from ..ids import HostName, TargetId
 from ..jobs.adoption import Adoption
 from ..jobs.api import JobApi
+from ..jobs.intake import Intake
 from ..jobs.records import END_PREFIX
 from ..jobs.repository import JobRepository
 from ..jobs.worker import Worker
@@ -21,6 +22,7 @@
 from ..peers.datagrams import DATAGRAM_FORMAT, Beat, DatagramSocket, Digest, Message, Report
 from ..peers.occupancy import Aggregation, Occupancy
 from ..peers.presence import (
+    DATA_HOST_PREFIX,
     LIVE_PREFIX,
     HostPresence,
     HostTable,
@@ -28,6 +30,7 @@
     make_incarnation,
 )
 from ..peers.watchers import Watchers
+from ..spool.client import SpoolClient
 from ..telemetry import metrics
 from ..telemetry.logs import emit, report_left_out
 from ..util.clock import monotonic
@@ -75,6 +78,8 @@
 """Seconds before the kill in which what still runs is cut and the process ends."""
 RETIRE_STEP_S = 0.5
 """Seconds that each further host waits before it answers an order to empty a data host."""
+RETIRE_TIMEOUT_S = 1.0
+"""Seconds that a data host has to answer an order to keep nothing more."""
 CALLER_CONNECTIONS = 2000
 """Callers' connections that one host holds, about half of its descriptors."""
 
@@ -117,6 +122,7 @@
             peer_address=f"{settings.address}:{settings.peer_port}",
         )
         self.hosts = HostTable()
+        self.data_hosts = HostTable(DATA_HOST_PREFIX)
         self.presence = Presence(kv, self.own)
         self.targets = TargetSet(
             settings.drain_ms / 1000 * LINGER_SHARE, lambda: self.occupancy.changed.set()
@@ -146,8 +152,17 @@
             lambda: self.occupancy.delay_s,
             self.occupancy.waiting_elsewhere,
         )
+        self.intake = Intake(
+            self.repository,
+            SpoolClient(self.peer_http, self.find_data_hosts, settings.spool_copies),
+            lambda: self.kv.answers,
+            lambda stored, items: self.jobs.run_entered(stored, items),
+            lambda: self.jobs.leaving,
+            settings.quota_excess,
+        )
         self.jobs = JobApi(
             self.repository,
+            self.intake,
             self.worker,
             self.presence,
             platform.job_dialect,
@@ -156,6 +171,7 @@
             self.beats.find_address,
             self.hosts,
             lambda: self.adoption.look(),
+            lambda: self.kv.was_away_lately,
         )
         self.adoption = Adoption(
             self.repository,
@@ -206,6 +222,7 @@
         )
         live = LiveFollower(
             self.hosts,
+            self.data_hosts,
             END_PREFIX,
             self.adoption.note_lost,
             lambda job_id: self.worker.drop(job_id, "ended"),
@@ -228,6 +245,10 @@
             lambda: self.kv.reaches_store,
         )
 
+    def find_data_hosts(self) -> list[str]:
+        """Return ``IP:PORT`` of the listed data hosts."""
+        return [host.peer_address for host in self.data_hosts.hosts.values()]
+
     @property
     def ready(self) -> bool:
         """Whether this host can serve what the configuration says."""
@@ -245,7 +266,7 @@
             reaches_store=self.kv.reaches_store,
             watching=watching,
             views=self.watchers.revisions() if watching else {},
-            jobs=self.worker.job_numbers(),
+            jobs=[*self.worker.job_numbers(), *self.intake.job_numbers()],
         )
 
     def make_report(self, number: int) -> Report:
@@ -347,6 +368,9 @@
         key = self.platform.status_key(host)
         write = Transaction((Expect(key, ABSENT),), (Put(key, self.platform.encode_emptied()),))
         while True:
+            if not await self._is_empty(host):
+                await asyncio.sleep(RETIRE_STEP_S)
+                continue
             try:
                 result = await self.kv.transact(write)
             except KvError as error:
@@ -357,6 +381,25 @@
                 emit(events.HOST_EMPTIED, retired=host)
             return
 
+    async def _is_empty(self, host: HostName) -> bool:
+        """Have a data host keep nothing more; return whether it holds nothing that must last.
+
+        One that is not listed runs nothing of ours, or has been lost with what it held.
+        """
+        listed = self.data_hosts.hosts.get(host)
+        if listed is None:
+            return True
+        try:
+            async with asyncio.timeout(RETIRE_TIMEOUT_S):
+                response = await self.peer_http.send(
+                    split_address(listed.peer_address), "POST", "/retire"
+                )
+                await response.read()
+        except (ConnectFailed, ResponseBroken, TimeoutError) as error:
+            emit(events.PEER_SILENT, member=host, reason=repr(error))
+            return False
+        return response.status == 200
+
     async def sweep(self) -> None:
         """Look after what no event tells of, for ever."""
         was_ready = False
--- a/gradepoint/gateway/beliefs.py
+++ b/gradepoint/gateway/beliefs.py
@@ -8,7 +8,6 @@
 import msgspec
 
 from .. import events
-from ..peers.presence import PRESENCE_PREFIX, HostTable
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 
@@ -17,6 +16,7 @@
 
     from ..ids import HostName, Incarnation, JobId, TargetId
     from ..kv.service import RangeResult, WatchEvent
+    from ..peers.presence import HostTable
     from .configuration import Configuration
     from .targets import ListedTarget, TargetSet
 
@@ -126,10 +126,12 @@
 class LiveFollower:
     """Follows live hosts and ended jobs, which share a prefix so that one watch serves both.
 
+    :param data_hosts: hosts that keep jobs while the service is away.
     :param end_prefix: prefix of the keys that tell of ended jobs.
     """
 
     hosts: HostTable
+    data_hosts: HostTable
     end_prefix: str
     on_host_lost: Callable[[Incarnation], None]
     on_job_ended: Callable[[JobId], None]
@@ -152,14 +154,21 @@
             if value is not None:
                 self.on_job_ended(key.removeprefix(self.end_prefix))  # type: ignore[arg-type]
             return
-        if not key.startswith(PRESENCE_PREFIX):
+        table = self._find_table(key)
+        if table is None:
             return
         lives = self.hosts.incarnations
         if value is None:
             self.known.discard(key)
-            self.hosts.remove(key)
+            table.remove(key)
         else:
             self.known.add(key)
-            self.hosts.put(key, value)
+            table.put(key, value)
         for life in lives - self.hosts.incarnations:
             self.on_host_lost(life)
+
+    def _find_table(self, key: str) -> HostTable | None:
+        for table in (self.hosts, self.data_hosts):
+            if key.startswith(table.prefix):
+                return table
+        return None
--- a/gradepoint/gateway/settings.py
+++ b/gradepoint/gateway/settings.py
@@ -25,6 +25,22 @@
     Setting("store_history_s", float, 20.0, "Seconds for which the store remembers changes."),
     Setting("drain_ms", float, 2000.0, "Milliseconds after which a gone target gets no call."),
     Setting("grace_s", float, 8.0, "Seconds from the stop signal to the kill."),
+    Setting(
+        "hosts_lost",
+        int,
+        0,
+        "Data hosts that may be lost at once, with their disks.",
+        may_be_zero=True,
+    ),
+    Setting("domains_lost", int, 0, "Failure domains that may be lost at once.", may_be_zero=True),
+    Setting("regions_lost", int, 0, "Regions that may be lost at once.", may_be_zero=True),
+    Setting(
+        "quota_excess",
+        float,
+        0.0,
+        "Share by which a route's token limit may be exceeded.",
+        may_be_zero=True,
+    ),
     Setting("metrics_port", int, 9464, "Port of the metrics page."),
     Setting("log_level", str, "INFO", "Lowest level that is logged."),
     Setting("log_style", str, "json", "'json' or 'text'."),
@@ -47,10 +63,23 @@
     store_history_s: float
     drain_ms: float
     grace_s: float
+    hosts_lost: int
+    domains_lost: int
+    regions_lost: int
+    quota_excess: float
     metrics_port: int
     log_level: str
     log_style: str
 
+    @property
+    def spool_copies(self) -> int:
+        """Data hosts that keep a job while the store is away; 0 where jobs are not spooled.
+
+        There is one data host a failure domain, and one copy outlives the losses. Regions
+        are not told apart, so that nothing is spooled where whole ones may be lost.
+        """
+        return 0 if self.regions_lost else max(self.hosts_lost, self.domains_lost) + 1
+
     @property
     def peer_port(self) -> int:
         """First port between hosts; it serves TCP and UDP."""
--- a/gradepoint/jobs/api.py
+++ b/gradepoint/jobs/api.py
@@ -30,9 +30,11 @@
     from ..gateway.dialect import CallHead
     from ..ids import Incarnation
     from ..peers.presence import HostTable, Presence
+    from ..spool.records import SpooledJob
     from ..wire.http_client import HttpClient
     from ..wire.http_types import Request
     from .calls import JobDialect
+    from .intake import Intake
     from .owned import OwnedJob
     from .records import Item
     from .repository import JobRepository, StoredJob
@@ -69,10 +71,12 @@
         short number, as far as it is heard.
     :param find_address: returns ``IP:PORT`` of a host that is heard.
     :param look_for_orphans: has this host look for jobs without a host.
+    :param may_miss_jobs: whether jobs may be accepted that the service does not have yet.
     :ivar leaving: this host stops; what it accepts is run by another.
     """
 
     repository: JobRepository
+    intake: Intake
     worker: Worker
     presence: Presence
     dialect: JobDialect
@@ -81,6 +85,7 @@
     find_address: Callable[[Incarnation], str | None]
     hosts: HostTable
     look_for_orphans: Callable[[], None]
+    may_miss_jobs: Callable[[], bool]
     finished: dict[JobId, JobRead] = field(default_factory=dict)
     tasks: TaskGroup = field(default_factory=TaskGroup)
     leaving: bool = False
@@ -113,8 +118,8 @@
             config_version=config.version if config else NO_VERSION,
         )
         try:
-            submission = await self.repository.accept(
-                job_id, state, items, route.max_waiting_tokens
+            submission = await self.intake.accept(
+                job_id, state, items, route.max_waiting_tokens, route.goal_s
             )
         except KvUnavailable as error:
             emit(events.JOB_REFUSED, job=job_id, reason=str(error))
@@ -169,6 +174,15 @@
                 return
         emit(events.JOB_DROPPED, job=job_id, reason="no other host takes it now", running=0)
 
+    async def run_entered(self, stored: StoredJob, items: list[Item]) -> None:
+        """Run a job of this host that the service has now."""
+        if stored.state.released:
+            await self._hand_on(stored.id)
+        elif stored.state.owner == self.presence.own.incarnation:
+            await self._take(stored, items)
+        else:
+            await self._remind_owner(stored)
+
     async def _take(self, stored: StoredJob, items: list[Item] | None) -> None:
         try:
             await self.worker.take(stored, items)
@@ -216,12 +230,18 @@
         job_id = name_job(call.client_id)
         found = await self.read(job_id, call.position, call.wait_s)
         if found is None:
-            raise GradepointError("not_found", "There is no such job.")
+            raise self._not_found("There is no such job.")
         page = ResultPage(
             found.total, min(call.position, found.total), found.results, found.item_ids
         )
         return Response(200, {"content-type": JSON_TYPE}, self.dialect.encode_page(page))
 
+    def _not_found(self, message: str) -> GradepointError:
+        """Return the answer about what the service does not have."""
+        if self.may_miss_jobs():
+            return GradepointError("service_unavailable", retry_after=RETRY_AFTER_S)
+        return GradepointError("not_found", message)
+
     async def read(self, job_id: JobId, position: int, wait_s: float) -> JobRead | None:
         """Return results from *position* on, wherever they are; None if there is no such job.
 
@@ -230,6 +250,9 @@
         own = self.worker.jobs.get(job_id)
         if own is not None and self.may_answer_for(own):
             return await read_owned(own, position, wait_s)
+        waiting = self.intake.waiting.get(job_id)
+        if waiting is not None:
+            return await read_waiting(waiting, wait_s)
         known = self.finished.get(job_id)
         if known is None:
             told = await self._ask_owner(job_id, position, wait_s)
@@ -291,7 +314,7 @@
             return Response(200)
         job = self.worker.jobs.get(job_id)
         if job is None:
-            return Response(404)
+            return await self._answer_peer_waiting(kind, job_id, request)
         if kind == "ended":
             self.worker.drop(job.id, "ended")
             return Response(200)
@@ -304,11 +327,24 @@
         found = await read_owned(job, int(request.query.get("position", "0")), wait_s)
         return Response(200, body=msgspec.msgpack.encode(found))
 
+    async def _answer_peer_waiting(self, kind: str, job_id: JobId, request: Request) -> Response:
+        """Tell another host of a job that the service does not have yet."""
+        waiting = self.intake.waiting.get(job_id)
+        if waiting is None:
+            return Response(404)
+        if kind == "items":
+            body = waiting.find_body(ItemId(request.query.get("id", "")))
+            return Response(404) if body is None else Response(200, body=body)
+        if kind != "jobs":
+            return Response(404)
+        found = await read_waiting(waiting, int(request.query.get("wait_ms", "0")) / 1000)
+        return Response(200, body=msgspec.msgpack.encode(found))
+
     async def _answer_item(self, call: ReadItem) -> Response:
         job_id = name_job(call.client_id)
         body = await self._find_body(job_id, call.item_id)
         if body is None:
-            raise GradepointError("not_found", "There is no such job or item.")
+            raise self._not_found("There is no such job or item.")
         return Response(200, {"content-type": "application/octet-stream"}, body)
 
     async def _find_body(self, job_id: JobId, item_id: ItemId) -> bytes | None:
@@ -316,6 +352,9 @@
         own = self.worker.jobs.get(job_id)
         if own is not None:
             return own.find_body(item_id)
+        waiting = self.intake.waiting.get(job_id)
+        if waiting is not None:
+            return waiting.find_body(item_id)
         query = f"/items/{job_id}?{urlencode({'id': item_id})}"
         told = await self._ask(job_id, query, PEER_TIMEOUT_S)
         if told is not None:
@@ -332,13 +371,19 @@
     async def _end(self, call: EndJob) -> Response:
         job_id = name_job(call.client_id)
         if not await self.repository.end(job_id):
-            raise GradepointError("not_found", "There is no such job.")
+            raise self._not_found("There is no such job.")
         self.worker.drop(job_id, "ended")
         await self._ask(job_id, f"/ended/{job_id}", PEER_TIMEOUT_S)
         emit(events.JOB_ENDED, job=job_id)
         return Response(200, {"content-type": JSON_TYPE}, b"{}")
 
 
+async def read_waiting(job: SpooledJob, wait_s: float) -> JobRead:
+    """Return that a job has no result yet: none is listed before the service has the job."""
+    await asyncio.sleep(wait_s)
+    return JobRead(len(job.items), job.state.item_ids, [])
+
+
 async def read_owned(job: OwnedJob, position: int, wait_s: float) -> JobRead:
     """Return results of a job that this host runs, waiting for one to exist."""
     if len(job.results) <= position and not job.done and not job.dropped and wait_s > 0:
--- a/gradepoint/jobs/repository.py
+++ b/gradepoint/jobs/repository.py
@@ -59,6 +59,7 @@
     """How a submission ended."""
 
     NEW = "new"
+    SPOOLED = "spooled"
     KNOWN = "known"
     NO_ROOM = "no-room"
 
--- a/gradepoint/kv/relay.py
+++ b/gradepoint/kv/relay.py
@@ -41,6 +41,9 @@
 noticed within them, and one that is away is asked little."""
 PEER_TIMEOUT_S = 1.0
 """Seconds that another host has for a relayed call, beside the time it may wait for a change."""
+AWAY_LATELY_S = 3.0
+"""Seconds after its return for which the service counts as having been away lately: what was
+accepted meanwhile is entered within one or two."""
 GATHERING_S = 0.05
 """Seconds after a change until the next watch begins: changes often come in groups, each
 call is priced, and the shortest bound on news is many times longer."""
@@ -118,6 +121,7 @@
 
     :param helpers: returns ``IP:PORT`` of hosts that reach the service.
     :ivar failing_since: when the direct way began to fail; None while it works.
+    :ivar regained_at: when the direct way last worked again.
     """
 
     direct: WaitingService
@@ -125,6 +129,7 @@
     helpers: Callable[[], list[str]]
     failing_since: float | None = None
     probed_at: float = 0.0
+    regained_at: float = float("-inf")
     rng: random.Random = field(default_factory=random.Random)
 
     @property
@@ -137,6 +142,16 @@
         """Whether this host's own calls are answered."""
         return self.failing_since is None
 
+    @property
+    def answers(self) -> bool:
+        """Whether calls are answered, directly or through another host, as far as is known."""
+        return self.reaches_store or bool(self.helpers())
+
+    @property
+    def was_away_lately(self) -> bool:
+        """Whether other hosts may know of jobs that the service does not have yet."""
+        return not self.reaches_store or monotonic() - self.regained_at < AWAY_LATELY_S
+
     async def get(self, key: str) -> KeyValue | None:
         """See :meth:`KeyValueService.get`."""
         return await self._do(GetCall(key), KeyValue | None)
@@ -206,6 +221,7 @@
         if self.failing_since is not None:
             emit(events.STORE_REGAINED, away_s=round(monotonic() - self.failing_since, 2))
             self.failing_since = None
+            self.regained_at = monotonic()
         return result
 
     async def _relay(self, call: Call, kind: Any) -> Any:
--- a/gradepoint/peers/presence.py
+++ b/gradepoint/peers/presence.py
@@ -24,6 +24,7 @@
 LIVE_PREFIX = "gp/live/"
 """Prefix of what every host follows: presence of hosts and notices of ended jobs."""
 PRESENCE_PREFIX = LIVE_PREFIX + "host/"
+DATA_HOST_PREFIX = LIVE_PREFIX + "data/"
 LEASE_TTL_S = 6
 """Seconds after its last renewal until a host counts as lost. Its jobs rest that long, so it
 is a fraction of the shortest time in which jobs are due; half of it bridges a store that is
@@ -64,11 +65,13 @@
 class Presence:
     """Keeps this host's key alive.
 
+    :param prefix: of the key; it tells what the host does.
     :ivar valid_until: monotonic time until which the lease certainly stands.
     """
 
     kv: KeyValueService
     own: HostPresence
+    prefix: str = PRESENCE_PREFIX
     lease: int = 0
     valid_until: float = 0.0
     lost: asyncio.Event = field(default_factory=asyncio.Event)
@@ -98,7 +101,7 @@
                 emit(events.PRESENCE_LAPSED, lease=self.lease)
             self.lease = 0
             lease = await self.kv.grant_lease(LEASE_TTL_S)
-            key = PRESENCE_PREFIX + self.own.host
+            key = self.prefix + self.own.host
             put = Put(key, msgspec.json.encode(self.own), lease)
             await self.kv.transact(Transaction((), (put,)))
             self.lease = lease
@@ -117,8 +120,12 @@
 
 @dataclass
 class HostTable:
-    """Live hosts as the key-value service lists them."""
+    """Live hosts as the key-value service lists them.
 
+    :param prefix: of their keys.
+    """
+
+    prefix: str = PRESENCE_PREFIX
     hosts: dict[HostName, HostPresence] = field(default_factory=dict)
 
     @property
@@ -140,6 +147,6 @@
 
     def remove(self, key: str) -> None:
         """Take note that a host's key is gone."""
-        row = self.hosts.pop(HostName(key.removeprefix(PRESENCE_PREFIX)), None)
+        row = self.hosts.pop(HostName(key.removeprefix(self.prefix)), None)
         if row is not None:
             emit(events.MEMBER_LOST, member=row.host, incarnation=row.incarnation)
--- a/gradepoint/settings.py
+++ b/gradepoint/settings.py
@@ -27,6 +27,7 @@
     kind: type
     default: Any
     meaning: str
+    may_be_zero: bool = False
 
 
 REQUIRED = object()
@@ -166,6 +167,8 @@
     if isinstance(value, bool) or not isinstance(value, accepted):
         wanted = row.kind.__name__
         return [f"{row.name}: expected {wanted}, got {value!r}. Remedy: {row.meaning}"]
+    if isinstance(value, (int, float)) and row.may_be_zero and value >= 0:
+        return []
     if isinstance(value, (int, float)) and value <= 0:
         return [f"{row.name}: must be above 0, got {value!r}. Remedy: {row.meaning}"]
     if row.name == "log_style" and value not in ("json", "text"):
--- /dev/null
+++ b/gradepoint/spool/app.py
@@ -0,0 +1,77 @@
+"""The data host program: composes spool, presence and metrics on one event loop."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from .. import events
+from ..ids import HostName
+from ..jobs.repository import JobRepository
+from ..peers.presence import DATA_HOST_PREFIX, HostPresence, Presence, make_incarnation
+from ..telemetry import metrics
+from ..telemetry.logs import report_left_out
+from ..util.tasks import TaskGroup
+from ..wire.http_client import HttpClient
+from ..wire.http_server import HttpServer
+from ..wire.http_types import Response
+from .disk import SpoolDisk
+from .host import SpoolHost
+
+if TYPE_CHECKING:
+    from ..kv.service import KeyValueService
+    from ..wire.http_types import Request
+    from .settings import DataHostSettings
+
+CONNECT_TIMEOUT_S = 0.25
+"""Seconds until a host counts as not reached: many times the delay between failure domains."""
+
+
+class DataHost:
+    """Everything that one data host runs."""
+
+    def __init__(self, settings: DataHostSettings, store: KeyValueService) -> None:
+        self.settings = settings
+        own = HostPresence(
+            host=HostName(settings.host),
+            incarnation=make_incarnation(HostName(settings.host)),
+            failure_domain=settings.failure_domain,
+            peer_address=f"{settings.address}:{settings.peer_port}",
+        )
+        self.presence = Presence(store, own, DATA_HOST_PREFIX)
+        self.http = HttpClient(CONNECT_TIMEOUT_S)
+        self.spool = SpoolHost(
+            SpoolDisk(Path(settings.data_folder), settings.disk_mb),
+            store,
+            JobRepository(store, settings.store_value_bytes),
+            self.http,
+        )
+        self.server = HttpServer(self.spool.handle)
+        self.metrics_server = HttpServer(self.answer_metrics)
+        self.tasks = TaskGroup()
+
+    async def start(self) -> None:
+        """Take up what is on the disk, listen, and tell other hosts of this one."""
+        settings = self.settings
+        self.spool.load()
+        await self.server.start(settings.address, settings.peer_port)
+        await self.metrics_server.start(settings.address, settings.metrics_port)
+        self.tasks.start(report_left_out(events.LINES_LEFT_OUT))
+        self.tasks.start(self.presence.run())
+        self.tasks.start(self.spool.run())
+
+    async def answer_metrics(self, _request: Request) -> Response:
+        """Answer with this process's counters and histograms."""
+        return Response(200, {"content-type": "text/plain; version=0.0.4"}, metrics.render())
+
+    async def stop(self) -> None:
+        """Take this host out of the list and end; what it holds stays on the disk."""
+        await self.tasks.stop()
+        await self.presence.withdraw()
+        self.abort()
+
+    def abort(self) -> None:
+        """Close every socket that others use."""
+        for server in (self.server, self.metrics_server):
+            server.abort()
+        self.http.close()
--- /dev/null
+++ b/gradepoint/spool/settings.py
@@ -0,0 +1,66 @@
+"""Settings of the data host program: one table with name, default, type and meaning."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from result import Err, Result
+
+from ..settings import REQUIRED, Setting, check_rows, load_checked
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+TABLE: tuple[Setting, ...] = (
+    Setting("host", str, REQUIRED, "Name of this host, unique in the fleet."),
+    Setting("failure_domain", str, REQUIRED, "Failure domain this host is in."),
+    Setting("address", str, REQUIRED, "IP number this host listens on."),
+    Setting("peer_ports", str, REQUIRED, "FIRST,LAST of the ports between hosts."),
+    Setting("store_address", str, REQUIRED, "IP:PORT of the platform's metadata store."),
+    Setting("store_value_bytes", int, 1 << 20, "Largest value the store takes."),
+    Setting("store_timeout_s", float, 1.5, "Seconds after which a store call is uncertain."),
+    Setting("store_history_s", float, 20.0, "Seconds for which the store remembers changes."),
+    Setting("data_folder", str, REQUIRED, "Folder on the disk."),
+    Setting("disk_mb", int, 256, "Size of the disk in megabytes."),
+    Setting("metrics_port", int, 9464, "Port of the metrics page."),
+    Setting("log_level", str, "INFO", "Lowest level that is logged."),
+    Setting("log_style", str, "json", "'json' or 'text'."),
+)
+
+
+@dataclass(frozen=True)
+class DataHostSettings:
+    """Checked settings; one attribute for each row of :data:`TABLE`."""
+
+    host: str
+    failure_domain: str
+    address: str
+    peer_ports: str
+    store_address: str
+    store_value_bytes: int
+    store_timeout_s: float
+    store_history_s: float
+    data_folder: str
+    disk_mb: int
+    metrics_port: int
+    log_level: str
+    log_style: str
+
+    @property
+    def peer_port(self) -> int:
+        """First port between hosts."""
+        return int(self.peer_ports.partition(",")[0])
+
+
+def check_data_host_settings(raw: object) -> Result[DataHostSettings, list[str]]:
+    """Check decoded JSON against the table."""
+    if not isinstance(raw, dict):
+        return Err(['settings: expected a JSON object. Remedy: write {"host": ...}.'])
+    values: Result[dict[str, Any], list[str]] = check_rows(raw, TABLE)
+    return values.map(lambda rows: DataHostSettings(**rows))
+
+
+def load_data_host_settings(path: Path) -> Result[DataHostSettings, list[str]]:
+    """Read and check a settings file."""
+    return load_checked(path, check_data_host_settings)
--- a/gradepoint/store/disk.py
+++ b/gradepoint/store/disk.py
@@ -9,6 +9,7 @@
 
 from ..errors import StoreError
 from ..ids import ObjectHash
+from ..util.files import write_durably
 from ..util.hashing import sha256_hex
 
 if TYPE_CHECKING:
@@ -56,13 +57,7 @@
         if shutil.disk_usage(self.folder).free < LEAST_FREE_BYTES + len(data):
             raise StoreError("the disk is full")
         final.parent.mkdir(exist_ok=True)
-        temporary = self.temporary / name
-        with temporary.open("wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
-        temporary.rename(final)
-        _sync_folder(final.parent)
+        write_durably(final, self.temporary / name, data)
 
     def read(self, name: ObjectHash) -> bytes | None:
         """Return an object, or None if it is missing, truncated or corrupt."""
@@ -97,11 +92,3 @@
         for folder in sorted(self.objects.iterdir()):
             for path in sorted(folder.iterdir()):
                 yield ObjectHash(path.name)
-
-
-def _sync_folder(folder: Path) -> None:
-    descriptor = os.open(folder, os.O_RDONLY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import closing
 from dataclasses import dataclass, field
+from pathlib import Path
 from socket import AF_INET, SOCK_DGRAM, SOCK_STREAM, socket
 from typing import Any
 
@@ -19,6 +20,8 @@
 from gradepoint.gateway.app import Gateway
 from gradepoint.gateway.settings import GatewaySettings, check_gateway_settings
 from gradepoint.platform.store import PlatformStore
+from gradepoint.spool.app import DataHost
+from gradepoint.spool.settings import DataHostSettings, check_data_host_settings
 from gradepoint.wire.http_client import HttpClient, ResponseBroken
 
 HOST = "calls.example"
@@ -95,9 +98,10 @@
     )
 
 
-def make_settings(host: str, store_address: str) -> GatewaySettings:
+def make_settings(host: str, store_address: str, **more: Any) -> GatewaySettings:
     """Return the settings of a gateway on loopback."""
     values = {
+        **more,
         "host": host,
         "failure_domain": "zone-a",
         "address": LOOPBACK,
@@ -110,6 +114,22 @@
     return check_gateway_settings(values).unwrap()
 
 
+def make_data_settings(host: str, store_address: str, folder: Path) -> DataHostSettings:
+    """Return the settings of a data host on loopback."""
+    values = {
+        "host": host,
+        "failure_domain": "zone-a",
+        "address": LOOPBACK,
+        "peer_ports": str(free_port()),
+        "metrics_port": free_port(),
+        "store_address": store_address,
+        "store_timeout_s": 0.5,
+        "data_folder": str(folder),
+        "disk_mb": 64,
+    }
+    return check_data_host_settings(values).unwrap()
+
+
 @dataclass
 class Deployment:
     """Stand-ins and gateways of one test."""
@@ -117,6 +137,8 @@
     store: PlatformStoreStandin = field(default_factory=PlatformStoreStandin)
     targets: list[TargetStandin] = field(default_factory=list)
     gateways: list[Gateway] = field(default_factory=list)
+    data_hosts: list[DataHost] = field(default_factory=list)
+    gateway_settings: dict[str, Any] = field(default_factory=dict)
     http: HttpClient = field(default_factory=HttpClient)
     ids: Any = field(default_factory=lambda: itertools.count(1))
 
@@ -137,7 +159,7 @@
 
     async def add_gateway(self, host: str) -> Gateway:
         """Start a gateway and wait until it is ready."""
-        settings = make_settings(host, self.store_address)
+        settings = make_settings(host, self.store_address, **self.gateway_settings)
         kv = PlatformStore(self.store_address, settings.store_timeout_s, settings.store_history_s)
         gateway = Gateway(settings, kv, PLATFORM)
         await gateway.start()
@@ -148,10 +170,29 @@
         await until(lambda: gateway.adoption.sweeps > 0 and not gateway.adoption.wanted.is_set())
         return gateway
 
+    async def add_data_host(self, host: str, folder: Path) -> DataHost:
+        """Start a data host and wait until the gateways know it."""
+        settings = make_data_settings(host, self.store_address, folder)
+        kv = PlatformStore(self.store_address, settings.store_timeout_s, settings.store_history_s)
+        data_host = DataHost(settings, kv)
+        await data_host.start()
+        self.data_hosts.append(data_host)
+        life = data_host.presence.own.incarnation
+        for gateway in self.gateways:
+            await until(lambda gateway=gateway: life in gateway.data_hosts.incarnations)  # type: ignore[misc]
+        return data_host
+
+    async def kill_data_host(self, data_host: DataHost) -> None:
+        """End a data host as a kill does."""
+        self.data_hosts.remove(data_host)
+        await data_host.tasks.stop()
+        data_host.abort()
+
     async def kill(self, gateway: Gateway) -> None:
         """End a gateway as a kill does: nothing is handed over, every socket closes."""
         self.gateways.remove(gateway)
         await gateway.tasks.stop()
+        await gateway.intake.tasks.stop()
         gateway.abort()
         for job_id in list(gateway.worker.jobs):
             gateway.worker.drop(job_id, "killed")
@@ -162,6 +203,8 @@
         """End everything."""
         for gateway in list(self.gateways):
             await self.kill(gateway)
+        for data_host in list(self.data_hosts):
+            await self.kill_data_host(data_host)
         for target in self.targets:
             target.server.abort()
         self.store.server.abort()
--- a/tests/test_platform/test_platform_names.py
+++ b/tests/test_platform/test_platform_names.py
@@ -5,7 +5,11 @@
 import re
 from pathlib import Path
 
+import pytest
+
 from gradepoint.gateway.settings import TABLE, check_gateway_settings
+from gradepoint.settings import REQUIRED, Setting
+from gradepoint.spool.settings import TABLE as DATA_TABLE
 
 ROOT = Path(__file__).resolve().parents[2]
 
@@ -78,20 +82,34 @@
 def test_the_new_packages_use_the_project_s_words() -> None:
     found = [
         f"{path.relative_to(ROOT)}: {match.group()}"
-        for folder in ("gateway", "jobs", "peers", "kv")
+        for folder in ("gateway", "jobs", "peers", "kv", "spool")
         for path in sources(folder)
         if (match := FOREIGN_WORDS.search(path.read_text()))
     ]
     assert not found
 
 
-def test_the_settings_template_names_settings_of_the_table() -> None:
-    template = (ROOT / "deploy" / "gateway-settings.json").read_text()
+@pytest.mark.parametrize(("program", "table"), [("gateway", TABLE), ("data-host", DATA_TABLE)])
+def test_the_settings_template_names_settings_of_the_table(
+    program: str, table: tuple[Setting, ...]
+) -> None:
+    template = (ROOT / "deploy" / f"{program}-settings.json").read_text()
     filled = re.sub(r"\{\{[a-z_.]+\|json\}\}", "1", template)
     named = set(re.findall(r'^  "([a-z_]+)":', filled, re.MULTILINE))
-    known = {row.name for row in TABLE}
+    known = {row.name for row in table}
     assert named <= known
-    assert {row.name for row in TABLE if row.name.endswith("_address")} <= named
+    assert {row.name for row in table if row.name.endswith("_address")} <= named
+
+
+def test_nothing_may_be_lost_is_a_valid_setting() -> None:
+    values = {row.name: "x" for row in TABLE if row.kind is str and row.default is REQUIRED}
+    zeros = dict.fromkeys(("hosts_lost", "domains_lost", "regions_lost", "quota_excess"), 0)
+    settings = check_gateway_settings({**values, **zeros}).unwrap()
+    assert settings.spool_copies == 1
+    assert check_gateway_settings({**values, **zeros, "hosts_lost": -1}).is_err()
+    lost = check_gateway_settings({**values, "hosts_lost": 2, "domains_lost": 1}).unwrap()
+    assert lost.spool_copies == 3
+    assert check_gateway_settings({**values, "regions_lost": 1}).unwrap().spool_copies == 0
 
 
 def test_settings_problems_name_their_remedy() -> None:
--- /dev/null
+++ b/tests/test_spool/test_spool_path.py
@@ -0,0 +1,224 @@
+"""Jobs accepted while the key-value service is away, over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from bench.platform.store import StoreFault
+from gradepoint.ids import JobId
+from tests.support.platform import (
+    ITEM_TOKENS,
+    Deployment,
+    configuration,
+    item_text,
+    route,
+    run_deployment,
+    until,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+    from pathlib import Path
+
+EVENTS = 3
+GOAL_S = 0.4
+
+
+def run_spooled(
+    tmp_path: Path,
+    work: Callable[[Deployment], Awaitable[None]],
+    *,
+    gateways: int = 2,
+    data_hosts: int = 3,
+) -> None:
+    """Run *work* on a deployment whose data hosts may be lost one at a time."""
+
+    async def main(deployment: Deployment) -> None:
+        deployment.gateway_settings = {"hosts_lost": 1, "quota_excess": 0.12}
+        await deployment.start(gateways=gateways, targets=2, events=EVENTS)
+        for number in range(data_hosts):
+            await deployment.add_data_host(f"data-{number}", tmp_path / str(number))
+        await work(deployment)
+
+    run_deployment(main)
+
+
+async def lose_store(deployment: Deployment, fault: StoreFault = StoreFault.BUSY) -> None:
+    """Take the store away and wait until the gateways know."""
+    deployment.store.fault = fault
+    await until(lambda: not any(gateway.kv.answers for gateway in deployment.gateways))
+
+
+async def expect_whole(deployment: Deployment, job_id: str, items: int, gateway: int = 0) -> None:
+    """Read a job to its end: every item once, with its whole text."""
+    await until(lambda: deployment.store.read(f"gp/job/{job_id}") is not None)
+    rows = await deployment.read_whole(job_id, gateway=gateway)
+    assert sorted(row["id"] for row in rows) == sorted(f"{job_id}-{n}" for n in range(items))
+    assert all(row["message"] == item_text(row["id"], EVENTS) for row in rows)
+
+
+def held(deployment: Deployment) -> list[int]:
+    """Return how many jobs each data host holds."""
+    return [len(data_host.spool.held) for data_host in deployment.data_hosts]
+
+
+def test_a_job_is_accepted_while_the_store_is_away(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        await lose_store(deployment)
+        assert (await deployment.submit("j1", 3)).status == 202
+        assert held(deployment).count(1) >= 2
+        page = await deployment.read_results("j1")
+        assert (page["total_count"], page["results"], page["next_token"]) == (3, [], 0)
+        body = await deployment.call("/api/items/j1?id=j1-1", method="GET", body=b"")
+        assert (body.status, body.body) == (200, b"body 1")
+        deployment.store.fault = StoreFault.NONE
+        await expect_whole(deployment, "j1", 3, gateway=1)
+        await until(lambda: held(deployment) == [0, 0, 0])
+        assert not deployment.gateways[0].intake.waiting
+
+    run_spooled(tmp_path, work)
+
+
+def test_a_silent_store_does_not_hold_an_acceptance_up(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        deployment.store.fault = StoreFault.SILENT
+        assert (await deployment.submit("j1", 2)).status == 202
+        assert not deployment.store.read("gp/job/j1")
+        deployment.store.fault = StoreFault.NONE
+        await expect_whole(deployment, "j1", 2)
+
+    run_spooled(tmp_path, work)
+
+
+def test_a_job_outlives_its_acceptor_and_a_disk(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        await lose_store(deployment)
+        assert (await deployment.submit("j1", 2)).status == 202
+        await until(lambda: held(deployment) == [1, 1, 1])
+        await deployment.kill(deployment.gateways[0])
+        for number, data_host in enumerate(list(deployment.data_hosts)):
+            await deployment.kill_data_host(data_host)
+            if number == 0:
+                shutil.rmtree(tmp_path / "0")
+        for number in range(2):
+            data_host_folder = tmp_path / str(number)
+            deployment.store.fault = StoreFault.NONE
+            await deployment.add_data_host(f"data-{number}", data_host_folder)
+        await expect_whole(deployment, "j1", 2)
+        await until(lambda: held(deployment) == [0, 0])
+
+    run_spooled(tmp_path, work)
+
+
+def test_a_job_sent_to_two_hosts_runs_once(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        await lose_store(deployment)
+        for gateway in (0, 1, 0):
+            assert (await deployment.submit("j1", 3, gateway=gateway)).status == 202
+        deployment.store.fault = StoreFault.NONE
+        await expect_whole(deployment, "j1", 3, gateway=1)
+        rows = [await deployment.read_whole("j1", gateway=gateway) for gateway in (0, 1)]
+        assert rows[0] == rows[1]
+        await until(lambda: not any(gateway.intake.waiting for gateway in deployment.gateways))
+
+    run_spooled(tmp_path, work)
+
+
+def test_a_job_that_was_also_written_late_is_one_job(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        deployment.store.fault = StoreFault.LATE
+        deployment.store.late_s = 0.6
+        assert (await deployment.submit("j1", 2)).status == 202
+        await until(lambda: deployment.store.read("gp/job/j1") is not None)
+        deployment.store.fault = StoreFault.NONE
+        await expect_whole(deployment, "j1", 2)
+        await until(lambda: held(deployment) == [0, 0, 0])
+
+    run_spooled(tmp_path, work)
+
+
+def test_too_few_copies_are_no_promise(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        await lose_store(deployment)
+        assert (await deployment.submit("j1", 2)).status == 503
+        assert held(deployment) == [0]
+
+    run_spooled(tmp_path, work, data_hosts=1)
+
+
+def test_a_copy_that_may_exist_is_not_denied(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        await lose_store(deployment)
+        deployment.data_hosts[1].abort()
+        deployment.data_hosts[2].abort()
+        assert (await deployment.submit("j1", 2)).status == 504
+        deployment.store.fault = StoreFault.NONE
+        await until(lambda: held(deployment)[0] == 0)
+        await expect_whole(deployment, "j1", 2)
+
+    run_spooled(tmp_path, work)
+
+
+def test_what_the_store_may_lack_is_not_told_as_missing(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        await lose_store(deployment)
+        deployment.store.fault = StoreFault.NONE
+        await until(lambda: all(gateway.kv.answers for gateway in deployment.gateways))
+        answer = await deployment.call("/api/lots/none", method="GET", body=b"")
+        assert answer.status == 503
+        ended = await deployment.call("/api/lots/none", method="DELETE", body=b"")
+        assert ended.status == 503
+        await until(lambda: not deployment.gateways[0].kv.was_away_lately)
+        answer = await deployment.call("/api/lots/none", method="GET", body=b"")
+        assert answer.status == 404
+
+    run_spooled(tmp_path, work)
+
+
+def test_data_hosts_hold_no_more_than_the_tolerated_excess(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        # The excess of 0.12 is 300 tokens, and each job is on two of three data hosts at least.
+        limit = 25 * ITEM_TOKENS
+        rows = [route("night", "batch", due_ms=18000, retention_s=60, max_queued_tokens=limit)]
+        deployment.store.put("op/config", configuration(2, rows))
+        for gateway in deployment.gateways:
+            await until(lambda gateway=gateway: gateway.configuration.current.version == 2)  # type: ignore[misc]
+        await lose_store(deployment)
+        statuses = [(await deployment.submit(f"j{number}", 1)).status for number in range(4)]
+        assert statuses == [202, 202, 503, 503]
+
+    run_spooled(tmp_path, work)
+
+
+def test_a_data_host_that_is_retired_hands_over_first(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        await lose_store(deployment)
+        assert (await deployment.submit("j1", 1)).status == 202
+        deployment.store.put("op/retire/data-0", msgspec.json.encode({"deadline_s": 10}))
+        deployment.store.fault = StoreFault.NONE
+        await until(lambda: deployment.store.read("status/retire/data-0") is not None)
+        assert not deployment.data_hosts[0].spool.held
+        assert deployment.store.read("gp/job/j1") is not None
+        assert deployment.data_hosts[0].spool.retiring
+        await expect_whole(deployment, "j1", 1)
+
+    run_spooled(tmp_path, work)
+
+
+def test_a_planned_stop_leaves_waiting_jobs_to_others(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        await lose_store(deployment)
+        assert (await deployment.submit("j1", 2)).status == 202
+        leaving = deployment.gateways.pop(0)
+        stopping = asyncio.ensure_future(leaving.stop())
+        await asyncio.sleep(GOAL_S)
+        deployment.store.fault = StoreFault.NONE
+        await expect_whole(deployment, "j1", 2)
+        await stopping
+        assert JobId("j1") not in leaving.worker.jobs
+
+    run_spooled(tmp_path, work)
