--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -34,6 +34,8 @@
 KV = "tests/test_kv"
 GATEWAY = "tests/test_gateway"
 JOBS = "tests/test_jobs"
+PEERS = "tests/test_peers"
+SPOOL = "tests/test_spool"
 SOAK = "tests/test_bench/test_bench_soak.py"
 FLEET = "tests/test_fleet"
 STORE = "tests/test_store"
@@ -421,6 +423,48 @@
         "            self._cut(exchange, error)\n        finally:",
         SOAK,
     ),
+    Mutation(
+        "a spooled job is promised with one copy too few",
+        "spool/client.py",
+        "if answers.count(Kept.YES) >= self.copies:",
+        "if answers.count(Kept.YES) >= self.copies - 1:",
+        SPOOL,
+    ),
+    Mutation(
+        "a job that a data host may keep is told as refused",
+        "spool/client.py",
+        "return Kept.NOWHERE if nowhere else Kept.PERHAPS",
+        "return Kept.NOWHERE",
+        SPOOL,
+    ),
+    Mutation(
+        "a data host enters a job and asks nobody to run it",
+        "spool/host.py",
+        "        if submission.admission is Admission.NEW:\n",
+        "        if submission.admission is Admission.NO_ROOM:\n",
+        SPOOL,
+    ),
+    Mutation(
+        "data hosts hold more than the tolerated excess",
+        "spool/host.py",
+        "if asked.most_tokens and waiting + job.tokens > asked.most_tokens:",
+        "if False:",
+        SPOOL,
+    ),
+    Mutation(
+        "a host counts its own calls as another's",
+        "peers/occupancy.py",
+        "elsewhere[target] = elsewhere.get(target, 0) - number",
+        "pass",
+        PEERS,
+    ),
+    Mutation(
+        "every host fills all spare slots",
+        "jobs/feeding.py",
+        "share = spare * own / (own + others)",
+        "share = spare",
+        JOBS,
+    ),
     Mutation(
         "soak: results are listed anew at a takeover",
         "jobs/repository.py",
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -37,8 +37,8 @@
 
 
 @dataclass
-class GatewayProcess:
-    """One gateway; its address stays the same over its lives.
+class ProgramProcess:
+    """One program on one host; its address stays the same over its lives.
 
     :ivar life: number of the process's life, from 1 on.
     """
@@ -50,42 +50,38 @@
     life: int = 0
     process: subprocess.Popen[bytes] | None = None
     ports: list[int] = field(default_factory=list)
+    module = ""
 
     def __post_init__(self) -> None:
         self.ports = free_ports(self.address, 4)
 
-    @property
-    def callers(self) -> tuple[str, int]:
-        """Address of callers' HTTP."""
-        return self.address, self.ports[0]
-
     @property
     def alive(self) -> bool:
         """Whether its process runs."""
         return self.process is not None and self.process.poll() is None
 
-    def start(self) -> None:
-        """Start the program with settings for this host; a former process ends first, since two
-        troubles may restart one host at the same time."""
-        self.reap()
-        callers, ready, peers, metrics = self.ports
-        settings = {
+    def make_settings(self) -> dict[str, object]:
+        """Return the program's settings."""
+        peers, metrics = self.ports[2:]
+        return {
             "host": self.name,
             "failure_domain": "zone-a",
             "address": self.address,
-            "callers_address": f"{self.address}:{callers}",
-            "ready_address": f"{self.address}:{ready}",
             "peer_ports": str(peers),
             "metrics_port": metrics,
             "store_address": f"{self.address}:{self.store.port}",
-            "grace_s": 6.0,
         }
+
+    def start(self) -> None:
+        """Start the program with settings for this host; a former process ends first, since two
+        troubles may restart one host at the same time."""
+        self.reap()
         file = self.folder / f"{self.name}.json"
-        file.write_bytes(msgspec.json.encode(settings))
+        file.write_bytes(msgspec.json.encode(self.make_settings()))
         self.life += 1
         with (self.folder / f"{self.name}.log").open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "gradepoint.cmd.gateway", "--settings", str(file)],
+                [sys.executable, "-m", self.module, "--settings", str(file)],
                 stdout=log,
                 stderr=log,
                 cwd=ROOT,
@@ -103,3 +99,41 @@
         self.send(signal.SIGKILL)
         if self.process is not None:
             self.process.wait()
+
+
+class GatewayProcess(ProgramProcess):
+    """A gateway."""
+
+    module = "gradepoint.cmd.gateway"
+
+    @property
+    def callers(self) -> tuple[str, int]:
+        """Address of callers' HTTP."""
+        return self.address, self.ports[0]
+
+    def make_settings(self) -> dict[str, object]:
+        """See :meth:`ProgramProcess.make_settings`."""
+        callers, ready = self.ports[:2]
+        return {
+            **super().make_settings(),
+            "callers_address": f"{self.address}:{callers}",
+            "ready_address": f"{self.address}:{ready}",
+            "grace_s": 6.0,
+            "hosts_lost": 1,
+            "quota_excess": 0.1,
+        }
+
+
+class DataHostProcess(ProgramProcess):
+    """A data host."""
+
+    module = "gradepoint.cmd.data_host"
+
+    def make_settings(self) -> dict[str, object]:
+        """See :meth:`ProgramProcess.make_settings`."""
+        return {**super().make_settings(), "data_folder": str(self.disk), "disk_mb": 64}
+
+    @property
+    def disk(self) -> Path:
+        """Its data folder."""
+        return self.folder / f"{self.name}-disk"
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import random
+import shutil
 import signal
 from collections import Counter
 from contextlib import closing
@@ -18,7 +19,7 @@
 
 from ..platform.store import PlatformStoreStandin, StoreFault
 from ..platform.target import TargetStandin
-from .fleet import GatewayProcess
+from .fleet import DataHostProcess, GatewayProcess
 from .ledger import Ledger
 from .proxy import Path, Proxy
 
@@ -40,6 +41,7 @@
     folder: FilePath
     faults_s: float = 8.0
     gateways: int = 3
+    data_host_count: int = 3
     target_count: int = 4
     callers: int = 6
     events: int = 8
@@ -47,6 +49,7 @@
     store: PlatformStoreStandin = field(default_factory=PlatformStoreStandin)
     tasks: TaskGroup = field(default_factory=TaskGroup)
     fleet: list[GatewayProcess] = field(default_factory=list)
+    data_hosts: list[DataHostProcess] = field(default_factory=list)
     targets: list[TargetStandin] = field(default_factory=list)
     proxies: list[Proxy] = field(default_factory=list)
     done: Counter[str] = field(default_factory=Counter)
@@ -85,16 +88,27 @@
         self._write_configuration()
         for number in range(self.target_count):
             await self._add_target(f"t{number}")
+        store_address = store[0], int(store[2])
+        for number in range(self.data_host_count):
+            address = f"127.0.2.{number + 1}"
+            proxy = await self._open_way(store_address, address)
+            data_host = DataHostProcess(f"data-{number}", address, self.folder, proxy)
+            data_host.start()
+            self.data_hosts.append(data_host)
         for number in range(self.gateways):
-            proxy = Proxy((store[0], int(store[2])))
-            host_address = f"127.0.1.{number + 1}"
-            await proxy.start(host_address)
-            self.proxies.append(proxy)
-            gateway = GatewayProcess(f"host-{number}", host_address, self.folder, proxy)
+            address = f"127.0.1.{number + 1}"
+            proxy = await self._open_way(store_address, address)
+            gateway = GatewayProcess(f"host-{number}", address, self.folder, proxy)
             gateway.start()
             self.fleet.append(gateway)
         await self._wait_ready()
 
+    async def _open_way(self, to: tuple[str, int], address: str) -> Proxy:
+        proxy = Proxy(to)
+        await proxy.start(address)
+        self.proxies.append(proxy)
+        return proxy
+
     async def _add_target(self, name: str) -> None:
         target = TargetStandin(name, events=self.events, event_s=0.01)
         target.rng = random.Random(f"{self.seed} {name}")
@@ -307,6 +321,7 @@
     def _troubles(self) -> list[str]:
         kinds = ["kill", "pause", "term", "hup", "store", "store-path", "target-path"]
         kinds += ["target-fault", "target-leaves", "configuration", "history", "clock"]
+        kinds += ["data-host", "disk"]
         return self.rng.sample(kinds, self.rng.randint(4, len(kinds)))
 
     async def _trouble(self, kind: str) -> None:
@@ -332,6 +347,16 @@
             gateway.send(signal.SIGSTOP)
             await asyncio.sleep(lasting_s)
             gateway.send(signal.SIGCONT)
+        elif kind == "data-host":
+            data_host = self.rng.choice(self.data_hosts)
+            data_host.reap()
+            await asyncio.sleep(lasting_s)
+            data_host.start()
+        elif kind == "disk":
+            # One disk at a time, always the same one: jobs on it outlive its loss elsewhere.
+            self.data_hosts[0].reap()
+            shutil.rmtree(self.data_hosts[0].disk, ignore_errors=True)
+            self.data_hosts[0].start()
         elif kind == "hup":
             gateway.send(signal.SIGHUP)
         elif kind == "store":
@@ -372,16 +397,15 @@
             self._list_target(target, self.proxies[number].port)
         for proxy in self.proxies:
             proxy.set_path(Path.PASS)
-        for gateway in self.fleet:
-            gateway.send(signal.SIGCONT)
-            if not gateway.alive:
-                gateway.reap()
-                gateway.start()
+        for process in (*self.fleet, *self.data_hosts):
+            process.send(signal.SIGCONT)
+            if not process.alive:
+                process.start()
 
     async def _stop(self) -> None:
         await self.tasks.stop()
-        for gateway in self.fleet:
-            gateway.reap()
+        for process in (*self.fleet, *self.data_hosts):
+            process.reap()
         for proxy in self.proxies:
             await proxy.stop()
         for target in self.targets:
