--- a/gradepoint/standins/tier.py
+++ b/gradepoint/standins/tier.py
@@ -39,8 +39,8 @@
     from .engine_model import EngineParameters
 
 LOOPBACK = "127.0.0.1"
-LOCAL_CALLER_KEY = "gp.demo.local-caller-key-for-this-machine-only"
-LOCAL_OPERATOR_KEY = "gp.operator.local-operator-key-for-this-machine-only"
+LOCAL_CALLER_KEY = "gp.demo.local-caller-key-for-this-host-only"
+LOCAL_OPERATOR_KEY = "gp.operator.local-operator-key-for-this-host-only"
 
 
 FIRST_PORT = 10000
