Tell a job as missing only if every data host says so

Cause: where a creation gets no answer within a share of its goal, a job is spooled and its client gets 202 although no host has lost the service. A second host that is asked for the job hears nothing of it while the acceptor is stalled or gone, finds it absent in the service, and answered 404 because it had itself not lost the service lately. Ruled out by reading: the job's creation (the 202 is given by two synced copies), takeover (the job was not in the service at all), the check's own timing (it asks after the 202 only). Change: before a 404 the data hosts are asked, also those listed until lately, and then the service once more; one data host without an answer makes it 503. An item that its job doesn't have is still 404. A 404 for a job nobody knows costs one question to each data host and one read.

--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -154,7 +154,12 @@
         )
         self.intake = Intake(
             self.repository,
-            SpoolClient(self.peer_http, self.find_data_hosts, settings.spool_copies),
+            SpoolClient(
+                self.peer_http,
+                self.find_data_hosts,
+                lambda: [host.peer_address for host in self.data_hosts.find_missing()],
+                settings.spool_copies,
+            ),
             lambda: self.kv.answers,
             lambda stored, items: self.jobs.run_entered(stored, items),
             lambda: self.jobs.leaving,
--- a/gradepoint/jobs/api.py
+++ b/gradepoint/jobs/api.py
@@ -13,6 +13,7 @@
 from ..errors import GradepointError, KvError, KvUnavailable, KvUncertain
 from ..gateway.configuration import NO_VERSION
 from ..ids import ItemId, JobId
+from ..spool.client import Kept
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.hashing import rank, short_number
@@ -230,17 +231,32 @@
         job_id = name_job(call.client_id)
         found = await self.read(job_id, call.position, call.wait_s)
         if found is None:
-            raise self._not_found("There is no such job.")
+            raise await self._not_found(job_id)
         page = ResultPage(
             found.total, min(call.position, found.total), found.results, found.item_ids
         )
         return Response(200, {"content-type": JSON_TYPE}, self.dialect.encode_page(page))
 
-    def _not_found(self, message: str) -> GradepointError:
-        """Return the answer about what the service does not have."""
-        if self.may_miss_jobs():
+    async def _not_found(self, job_id: JobId) -> GradepointError:
+        """Return the answer about a job that the service does not have.
+
+        Its client may have got a 202 while the creation had no answer yet, and the host that
+        gave it may be stalled or gone: only the data hosts know then.
+        """
+        if self.may_miss_jobs() or not await self._is_kept_nowhere(job_id):
             return GradepointError("service_unavailable", retry_after=RETRY_AFTER_S)
-        return GradepointError("not_found", message)
+        return GradepointError("not_found", "There is no such job.")
+
+    async def _is_kept_nowhere(self, job_id: JobId) -> bool:
+        """Whether neither data hosts nor the service have a job.
+
+        The service is asked last: a data host forgets a job only once it is there.
+
+        :raises KvError: the service did not answer.
+        """
+        if await self.intake.spool.find(job_id) is not Kept.NOWHERE:
+            return False
+        return await self.repository.load(job_id) is None
 
     async def read(self, job_id: JobId, position: int, wait_s: float) -> JobRead | None:
         """Return results from *position* on, wherever they are; None if there is no such job.
@@ -344,11 +360,14 @@
         job_id = name_job(call.client_id)
         body = await self._find_body(job_id, call.item_id)
         if body is None:
-            raise self._not_found("There is no such job or item.")
+            raise GradepointError("not_found", "The job has no such item.")
         return Response(200, {"content-type": "application/octet-stream"}, body)
 
     async def _find_body(self, job_id: JobId, item_id: ItemId) -> bytes | None:
-        """Return an item's body; what a job's items are never changes."""
+        """Return an item's body, None if its job has no such item; neither ever changes.
+
+        :raises GradepointError: the job is not known, or not known here yet.
+        """
         own = self.worker.jobs.get(job_id)
         if own is not None:
             return own.find_body(item_id)
@@ -361,7 +380,7 @@
             return told
         stored = await self.repository.load(job_id)
         if stored is None:
-            return None
+            raise await self._not_found(job_id)
         items = await self.repository.load_items(stored)
         return next((item.body for item in items if item.id == item_id), None)
 
@@ -371,7 +390,7 @@
     async def _end(self, call: EndJob) -> Response:
         job_id = name_job(call.client_id)
         if not await self.repository.end(job_id):
-            raise self._not_found("There is no such job.")
+            raise await self._not_found(job_id)
         self.worker.drop(job_id, "ended")
         await self._ask(job_id, f"/ended/{job_id}", PEER_TIMEOUT_S)
         emit(events.JOB_ENDED, job=job_id)
--- a/gradepoint/peers/presence.py
+++ b/gradepoint/peers/presence.py
@@ -33,6 +33,9 @@
 """Seconds between renewals: one may fail for longer than a second before the lease lapses."""
 RETRY_S = 0.4
 """Seconds until a failed renewal is tried again, doubled each time."""
+REMEMBERED_S = 30.0
+"""Seconds for which a host that is not listed any more may still come back with its disk:
+several of the longest outages that are planned for."""
 LONGEST_RETRY_S = 1.0
 """Seconds of the longest pause between tries: a host is listed again well within two seconds
 of the service's return, and a service that is away is asked little."""
@@ -123,10 +126,12 @@
     """Live hosts as the key-value service lists them.
 
     :param prefix: of their keys.
+    :ivar gone: hosts that are not listed any more, each with the monotonic time of its loss.
     """
 
     prefix: str = PRESENCE_PREFIX
     hosts: dict[HostName, HostPresence] = field(default_factory=dict)
+    gone: dict[HostName, tuple[HostPresence, float]] = field(default_factory=dict)
 
     @property
     def incarnations(self) -> set[Incarnation]:
@@ -144,9 +149,17 @@
         if self.hosts.get(row.host) != row:
             emit(events.MEMBER_JOINED, member=row.host, incarnation=row.incarnation)
         self.hosts[row.host] = row
+        self.gone.pop(row.host, None)
 
     def remove(self, key: str) -> None:
         """Take note that a host's key is gone."""
         row = self.hosts.pop(HostName(key.removeprefix(self.prefix)), None)
         if row is not None:
+            self.gone[row.host] = row, monotonic()
             emit(events.MEMBER_LOST, member=row.host, incarnation=row.incarnation)
+
+    def find_missing(self) -> list[HostPresence]:
+        """Return the hosts that are not listed, but were :data:`REMEMBERED_S` ago or later."""
+        oldest = monotonic() - REMEMBERED_S
+        self.gone = {name: lost for name, lost in self.gone.items() if lost[1] >= oldest}
+        return [row for row, _ in self.gone.values()]
--- a/gradepoint/spool/client.py
+++ b/gradepoint/spool/client.py
@@ -24,6 +24,8 @@
 KEEP_TIMEOUT_S = 0.3
 """Seconds that a data host has to write a job: a few hundred syncs of its disk, and less than
 the shortest time in which a client waits for its answer."""
+FIND_TIMEOUT_S = 0.3
+"""Seconds that a data host has to tell whether it keeps a job; its memory knows."""
 FORGET_TIMEOUT_S = 1.0
 """Seconds that a data host has to answer that it forgot a job."""
 
@@ -41,11 +43,13 @@
     """Writes jobs to data hosts.
 
     :param find_hosts: returns ``IP:PORT`` of the listed data hosts.
+    :param find_missing: returns those of the ones that were listed until lately.
     :param copies: data hosts that must have a job: one more than may be lost at once.
     """
 
     http: HttpClient
     find_hosts: Callable[[], list[str]]
+    find_missing: Callable[[], list[str]]
     copies: int
     tasks: TaskGroup = field(default_factory=TaskGroup)
 
@@ -90,6 +94,27 @@
             return Kept.YES
         return Kept.NOWHERE if status in (409, 503) else Kept.PERHAPS
 
+    async def find(self, job_id: JobId) -> Kept:
+        """Ask every data host for a job, also those that were listed until lately.
+
+        Each may have the only copy that is left, so that one without an answer leaves
+        :attr:`Kept.PERHAPS`.
+        """
+        addresses = {*self.find_hosts(), *self.find_missing()}
+        asking = [self.tasks.start(self._has(address, job_id)) for address in addresses]
+        answers = await asyncio.gather(*asking)
+        if Kept.YES in answers:
+            return Kept.YES
+        return Kept.PERHAPS if Kept.PERHAPS in answers else Kept.NOWHERE
+
+    async def _has(self, address: str, job_id: JobId) -> Kept:
+        try:
+            status = await self._ask(address, "GET", f"/spool/{job_id}", b"", FIND_TIMEOUT_S)
+        except (ConnectFailed, ResponseBroken, TimeoutError) as error:
+            emit(events.PEER_SILENT, member=address, reason=repr(error))
+            return Kept.PERHAPS
+        return Kept.YES if status == 200 else Kept.NOWHERE
+
     async def forget(self, job_id: JobId) -> None:
         """Tell every data host that the key-value service has a job."""
         for address in self.find_hosts():
--- a/gradepoint/spool/host.py
+++ b/gradepoint/spool/host.py
@@ -83,8 +83,10 @@
             self.retiring = True
             self.hasten()
             return Response(503 if self.held else 200)
+        if request.method == "GET":
+            return Response(200 if _read_job_id(request) in self.held else 404)
         if request.method == "DELETE":
-            self._forget(JobId(request.path.removeprefix("/spool/")), "entered by its acceptor")
+            self._forget(_read_job_id(request), "entered by its acceptor")
             return Response(200)
         return Response(404)
 
@@ -172,3 +174,7 @@
                 continue
             if response.status == 200:
                 return
+
+
+def _read_job_id(request: Request) -> JobId:
+    return JobId(request.path.removeprefix("/spool/"))
--- a/tests/test_spool/test_spool_path.py
+++ b/tests/test_spool/test_spool_path.py
@@ -192,6 +192,43 @@
     run_spooled(tmp_path, work)
 
 
+def test_a_spooled_job_whose_acceptor_is_gone_is_not_told_as_missing(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        # Writes hang, reads are answered: no host but the acceptor sees anything wrong.
+        deployment.store.only_writes = True
+        deployment.store.fault = StoreFault.SILENT
+        assert (await deployment.submit("j1", 2)).status == 202
+        await deployment.kill(deployment.gateways[0])
+        for path in ("/api/lots/j1", "/api/items/j1?id=j1-0"):
+            assert (await deployment.call(path, method="GET", body=b"")).status == 503
+        unknown = await deployment.call("/api/lots/none", method="GET", body=b"")
+        assert unknown.status == 404
+        deployment.store.fault = StoreFault.NONE
+        assert (await deployment.call("/api/lots/j1", method="DELETE", body=b"")).status != 404
+        await until(lambda: deployment.store.read("gp/job/j1") is not None)
+
+    run_spooled(tmp_path, work)
+
+
+def test_a_job_is_told_as_missing_only_if_every_data_host_says_so(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        async def ask() -> int:
+            return (await deployment.call("/api/lots/none", method="GET", body=b"")).status
+
+        assert await ask() == 404
+        # It may come back, and have the one copy that no lost disk had.
+        silent = deployment.data_hosts[0]
+        silent.abort()
+        assert await ask() == 503
+        table = deployment.gateways[0].data_hosts
+        table.remove(table.prefix + silent.settings.host)
+        assert await ask() == 503
+        table.gone.clear()
+        assert await ask() == 404
+
+    run_spooled(tmp_path, work, gateways=1)
+
+
 def test_data_hosts_hold_no_more_than_the_tolerated_excess(tmp_path: Path) -> None:
     async def work(deployment: Deployment) -> None:
         # The excess of 0.12 is 300 tokens, and each job is on two of three data hosts at least.
