Have one aggregator tell every change, and number targets in datagrams

Cause: bytes between failure domains are the largest price beside hosts. Change: each host relies on the first aggregator that includes its reports in a digest in time. It reports every change to those up to that one and everything to all four times a second; an aggregator on which nobody relies tells its sums four times a second. Targets are told by 32-bit numbers. Digests tell a host at the least that its own change was heard. A test is corrected: results of calls come with a change of what is in flight, as in the gateway. It asked for news within 0.2 s of a change that its hosts were not told of, which held only by the phase of their timers. The other tests are as they were but for the numbers.

--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -19,7 +19,15 @@
 from ..kv.service import ABSENT, Expect, Put, Transaction
 from ..kv.view import PrefixView
 from ..peers.beats import Beats
-from ..peers.datagrams import DATAGRAM_FORMAT, Beat, DatagramSocket, Digest, Message, Report
+from ..peers.datagrams import (
+    DATAGRAM_FORMAT,
+    Beat,
+    DatagramSocket,
+    Digest,
+    Message,
+    Report,
+    number_target,
+)
 from ..peers.occupancy import Aggregation, Occupancy
 from ..peers.presence import (
     DATA_HOST_PREFIX,
@@ -276,10 +284,10 @@
 
     def make_report(self, number: int) -> Report:
         """Return what this host has in flight."""
-        items = self.worker.in_flight()
+        items = {number_target(name): count for name, count in self.worker.in_flight().items()}
         calls = {
-            target.id: target.in_flight - items.get(target.id, 0)
-            for target in self.targets.by_id.values()
+            number: target.in_flight - items.get(number, 0)
+            for number, target in self.targets.by_number.items()
             if target.in_flight
         }
         return Report(
--- a/gradepoint/gateway/targets.py
+++ b/gradepoint/gateway/targets.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from .. import events
+from ..peers.datagrams import number_target
 from ..peers.results import ResultCount
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
@@ -17,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..ids import ServiceName, TargetId
+    from ..ids import ServiceName, TargetId, TargetNumber
     from ..peers.results import ToldResults
 
 LEAST_WORKING_SHARE = 0.5
@@ -133,6 +134,7 @@
     on_change: Callable[[], None] = lambda: None
     by_id: dict[TargetId, Target] = field(default_factory=dict)
     by_service: dict[ServiceName, list[Target]] = field(default_factory=lambda: defaultdict(list))
+    by_number: dict[TargetNumber, Target] = field(default_factory=dict)
 
     def put(self, listed: ListedTarget) -> None:
         """Take a new or changed row."""
@@ -147,6 +149,7 @@
             self._forget(known)
         target = Target(listed, on_change=self.on_change)
         self.by_id[listed.id] = target
+        self.by_number[number_target(listed.id)] = target
         self.by_service[listed.service].append(target)
         emit(events.TARGET_LISTED, target=listed.id, address=listed.address)
 
@@ -173,6 +176,7 @@
 
     def _forget(self, target: Target) -> None:
         self.by_id.pop(target.id, None)
+        self.by_number.pop(number_target(target.id), None)
         self.by_service[target.listed.service].remove(target)
 
     def candidates(self, service: ServiceName, now: float) -> list[Target]:
@@ -195,19 +199,19 @@
         """Return the targets of all services that may get a call."""
         return [target for service in self.by_service for target in self.candidates(service, now)]
 
-    def find_slots(self, target_id: TargetId) -> int | None:
+    def find_slots(self, number: TargetNumber) -> int | None:
         """Return how many calls a target works on at once, None if it is not known."""
-        target = self.by_id.get(target_id)
+        target = self.by_number.get(number)
         return None if target is None else max(1, target.listed.slots)
 
-    def recent_results(self) -> dict[TargetId, ToldResults]:
+    def recent_results(self) -> dict[TargetNumber, ToldResults]:
         """Return the results of this host's calls where they changed lately."""
-        told = ((target.id, target.results.tell()) for target in self.by_id.values())
-        return {target_id: results for target_id, results in told if results is not None}
+        told = ((number, target.results.tell()) for number, target in self.by_number.items())
+        return {number: results for number, results in told if results is not None}
 
-    def record_elsewhere(self, target_id: TargetId, good: int, bad: int) -> None:
+    def record_elsewhere(self, number: TargetNumber, good: int, bad: int) -> None:
         """Count results of other hosts' calls."""
-        target = self.by_id.get(target_id)
+        target = self.by_number.get(number)
         if target is not None:
             target.record_elsewhere(good, bad)
 
--- a/gradepoint/peers/datagrams.py
+++ b/gradepoint/peers/datagrams.py
@@ -4,22 +4,32 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from .. import events
-from ..ids import ConfigVersion, Incarnation, TargetId
+from ..ids import ConfigVersion, Incarnation, TargetNumber
 from ..telemetry.logs import emit
+from ..util.hashing import short_number
 from .results import ToldResults
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-DATAGRAM_FORMAT = 2
+    from ..ids import TargetId
+
+DATAGRAM_FORMAT = 3
 """Version of the datagrams; others are dropped."""
 
 
+@lru_cache(maxsize=4096)
+def number_target(target: TargetId) -> TargetNumber:
+    """Return what stands for a target in datagrams: a third of the bytes of its id."""
+    return TargetNumber(short_number(target))
+
+
 class Beat(msgspec.Struct, frozen=True, array_like=True, tag="beat"):
     """Tells that a host lives, and what others may ask it for.
 
@@ -42,6 +52,7 @@
     """What one host has in flight, told to the aggregators.
 
     :param number: rises with each report of one life.
+    :param relies: the host relies on the receiver's sums; on those of another one otherwise.
     :param calls: callers' calls in flight, by target.
     :param items: batch items in flight, by target.
     :param waiting: weight of the batch items that could start.
@@ -52,10 +63,11 @@
     format: int
     incarnation: Incarnation
     number: int
-    calls: dict[TargetId, int]
-    items: dict[TargetId, int]
+    calls: dict[TargetNumber, int]
+    items: dict[TargetNumber, int]
     waiting: int
-    results: dict[TargetId, ToldResults]
+    results: dict[TargetNumber, ToldResults]
+    relies: bool = False
 
 
 class Sums(msgspec.Struct, frozen=True, array_like=True):
@@ -66,13 +78,15 @@
         they changed lately.
     :param waiting: weight of the batch items that could start.
     :param giving_way: short numbers of the hosts that take an item back, by target.
+    :param relied_on: some host relies on them, so that every change is told.
     """
 
     aggregator: Incarnation
-    loads: dict[TargetId, int]
-    results: dict[TargetId, ToldResults]
+    loads: dict[TargetNumber, int]
+    results: dict[TargetNumber, ToldResults]
     waiting: int
-    giving_way: dict[TargetId, list[int]]
+    giving_way: dict[TargetNumber, list[int]]
+    relied_on: bool = True
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True, tag="digest"):
--- a/gradepoint/peers/occupancy.py
+++ b/gradepoint/peers/occupancy.py
@@ -2,12 +2,14 @@
 
 Every host reports what it has in flight to a few aggregators, and these tell every host the
 sums. Each host telling every other would cost as many datagrams as the square of the fleet.
+Each host relies on one aggregator, the first of them that answers; the others hear and tell the
+same at long intervals, so that one of them can take over at once.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 from functools import lru_cache
 from typing import TYPE_CHECKING
@@ -18,13 +20,13 @@
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.hashing import rank, score, short_number
-from .datagrams import DATAGRAM_FORMAT, Digest, Report, Sums
+from .datagrams import DATAGRAM_FORMAT, Digest, Report, Sums, number_target
 from .results import HeardResults, ResultCount, take_results
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from ..ids import Incarnation, TargetId
+    from ..ids import Incarnation, TargetId, TargetNumber
     from .datagrams import DatagramSocket
 
 AGGREGATORS = 3
@@ -40,7 +42,16 @@
 """Seconds that each peer adds to that gap: an aggregator sends two thousand digests a second
 at the most, some hundredths of a core, whatever the size of the fleet."""
 LONGEST_GAP_S = 0.25
-"""Seconds after which a report or digest is sent though nothing changed."""
+"""Seconds after which a report or digest is sent though nothing changed, or nobody relies on the
+aggregator."""
+CONFIRM_SLACK_S = 0.015
+"""Seconds beside both gaps in which a digest has to include a report: for the way and a busy
+aggregator. After them the host relies on the next one."""
+DISTRUST_S = 1.0
+"""Seconds for which an aggregator that did not answer is not relied on."""
+RELIED_S = 0.6
+"""Seconds after its last word that an aggregator counts a host as relying on it: two of the longest
+gaps, so that the loss of one datagram changes nothing."""
 STALE_S = 0.9
 """Seconds after which a report or digest is not counted: three are missing."""
 KEPT_REPORTS = 200
@@ -54,7 +65,7 @@
 
 
 def choose_hosts_to_give_way(
-    load: int, slots: int, target: TargetId, holders: Iterable[Incarnation]
+    load: int, slots: int, target: TargetNumber, holders: Iterable[Incarnation]
 ) -> list[Incarnation]:
     """Return the hosts that take one item back from a target that has more than its slots.
 
@@ -64,17 +75,28 @@
     surplus = load - slots
     if surplus <= 0:
         return []
-    ordered = sorted(holders, key=lambda host: score(host, target), reverse=True)
+    ordered = sorted(holders, key=lambda host: score(host, str(target)), reverse=True)
     return ordered[:surplus]
 
 
 @dataclass
 class HeardReport:
-    """The newest report of a host, when it came and from which ``IP:PORT``."""
+    """The newest report of a host, when it came and from which ``IP:PORT``.
+
+    :ivar relied_at: monotonic time at which the host last said that it relies on this one.
+    :ivar unconfirmed: no digest has told the host that its last change was heard.
+    """
 
     report: Report
     at: float
     address: str
+    relied_at: float = float("-inf")
+    unconfirmed: bool = True
+
+    def says_the_same(self, report: Report) -> bool:
+        """Whether *report* differs from this one at most in what it says of itself."""
+        same = msgspec.structs.replace(report, number=self.report.number, relies=self.report.relies)
+        return same == self.report
 
 
 @dataclass
@@ -87,13 +109,13 @@
     :ivar heard_results: what each host said last, by target.
     """
 
-    find_slots: Callable[[TargetId], int | None]
+    find_slots: Callable[[TargetNumber], int | None]
     reports: dict[Incarnation, HeardReport] = field(default_factory=dict)
-    loads: dict[TargetId, int] = field(default_factory=dict)
+    loads: dict[TargetNumber, int] = field(default_factory=dict)
     waiting: int = 0
     changed: bool = False
-    results: dict[TargetId, ResultCount] = field(default_factory=dict)
-    heard_results: dict[Incarnation, dict[str, HeardResults]] = field(default_factory=dict)
+    results: dict[TargetNumber, ResultCount] = field(default_factory=dict)
+    heard_results: dict[Incarnation, dict[TargetNumber, HeardResults]] = field(default_factory=dict)
 
     def take(self, report: Report, address: str) -> None:
         """Take a host's report."""
@@ -103,8 +125,14 @@
                 return
             self._add(former.report, -1)
         self._add(report, 1)
-        self.changed = True
-        self.reports[report.incarnation] = HeardReport(report, monotonic(), address)
+        heard = HeardReport(report, monotonic(), address)
+        if former is not None:
+            heard.relied_at = former.relied_at
+            heard.unconfirmed = former.unconfirmed or not former.says_the_same(report)
+        if report.relies:
+            heard.relied_at = heard.at
+        self.changed = self.changed or heard.unconfirmed
+        self.reports[report.incarnation] = heard
         self._add_results(report)
 
     def forget_silent(self) -> None:
@@ -132,6 +160,12 @@
             if good or bad:
                 self.results.setdefault(target, ResultCount()).add(good, bad)
 
+    @property
+    def relied_on(self) -> bool:
+        """Whether any host relies on this aggregator."""
+        oldest = monotonic() - RELIED_S
+        return any(heard.relied_at >= oldest for heard in self.reports.values())
+
     def sum_up(self, own: Incarnation) -> Sums:
         """Return what is known now."""
         results = {}
@@ -139,9 +173,10 @@
             told = count.tell()
             if told is not None:
                 results[target] = told
-        return Sums(own, self.loads, results, self.waiting, self._find_hosts_to_give_way())
+        giving_way = self._find_hosts_to_give_way()
+        return Sums(own, self.loads, results, self.waiting, giving_way, self.relied_on)
 
-    def _find_hosts_to_give_way(self) -> dict[TargetId, list[int]]:
+    def _find_hosts_to_give_way(self) -> dict[TargetNumber, list[int]]:
         chosen = {}
         for target, load in self.loads.items():
             slots = self.find_slots(target)
@@ -163,7 +198,7 @@
     """
 
     sums: Sums
-    elsewhere: dict[TargetId, int]
+    elsewhere: dict[TargetNumber, int]
     waiting: int
     at: float
 
@@ -176,9 +211,13 @@
     :param on_results: told of new successes and failures of other hosts at a target.
     :param aggregation: what this host adds up where it is an aggregator.
     :ivar heard: newest sums by aggregator.
-    :ivar elsewhere: the most that any aggregator says: one that lacks a host's reports says
-        too little.
+    :ivar elsewhere: the most that any aggregator says on which some host relies: one that lacks
+        a host's reports says too little.
+    :ivar unconfirmed: numbers of reports that no digest of the aggregator that this host relies
+        on includes yet, each with the monotonic time of its sending.
+    :ivar distrusted_until: monotonic time until which an aggregator is not relied on.
     :ivar changed: set when what this host has in flight changed.
+    :ivar chosen: set while this host is an aggregator.
     :ivar heard_results: results that each aggregator told last, by target.
     :ivar own_results: this host's part of them.
     """
@@ -186,32 +225,55 @@
     socket: DatagramSocket
     own: Incarnation
     make_report: Callable[[int], Report]
-    on_results: Callable[[TargetId, int, int], None]
+    on_results: Callable[[TargetNumber, int, int], None]
     aggregation: Aggregation
     aggregators: list[Incarnation] = field(default_factory=list)
     sent: OrderedDict[int, Report] = field(default_factory=OrderedDict)
     heard: dict[Incarnation, HeardSums] = field(default_factory=dict)
-    elsewhere: dict[TargetId, int] = field(default_factory=dict)
-    heard_results: dict[Incarnation, dict[str, HeardResults]] = field(default_factory=dict)
-    own_results: dict[Incarnation, dict[str, HeardResults]] = field(default_factory=dict)
+    elsewhere: dict[TargetNumber, int] = field(default_factory=dict)
+    heard_results: dict[Incarnation, dict[TargetNumber, HeardResults]] = field(default_factory=dict)
+    own_results: dict[Incarnation, dict[TargetNumber, HeardResults]] = field(default_factory=dict)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
+    chosen: asyncio.Event = field(default_factory=asyncio.Event)
+    unconfirmed: deque[tuple[int, float]] = field(default_factory=deque)
+    distrusted_until: dict[Incarnation, float] = field(default_factory=dict)
     delay_s: float = REPORT_GAP_S + DIGEST_GAP_S
 
+    @property
+    def relied_on(self) -> Incarnation | None:
+        """The aggregator that this host relies on."""
+        now = monotonic()
+        for life in self.aggregators:
+            if now >= self.distrusted_until.get(life, 0.0):
+                return life
+        return self.aggregators[0] if self.aggregators else None
+
     def in_flight(self, target: TargetId) -> int:
         """Return calls and items that other hosts have at a target."""
-        return self.elsewhere.get(target, 0)
+        return self.elsewhere.get(number_target(target), 0)
 
     def waiting_elsewhere(self) -> int:
         """Return the weight of the items of other hosts that could start."""
-        return max((heard.waiting for heard in self.heard.values()), default=0)
+        return max((heard.waiting for heard in self._find_told()), default=0)
 
     def must_give_way(self, target: TargetId) -> bool:
         """Whether this host takes an item back from a target."""
-        for life in self.aggregators:
-            heard = self.heard.get(life)
-            if heard is not None:
-                return short_number(self.own) in heard.sums.giving_way.get(target, ())
-        return False
+        heard = self.heard.get(self._find_teller() or self.own)
+        if heard is None:
+            return False
+        return short_number(self.own) in heard.sums.giving_way.get(number_target(target), ())
+
+    def _find_teller(self) -> Incarnation | None:
+        """Return the aggregator whose word counts where only one's can: the first that told
+        something lately."""
+        oldest = monotonic() - LONGEST_GAP_S
+        fresh = (life for life, heard in self.heard.items() if heard.at >= oldest)
+        return min(fresh, key=self._rank_aggregator, default=self.relied_on)
+
+    def _rank_aggregator(self, life: Incarnation) -> int:
+        if life in self.aggregators:
+            return self.aggregators.index(life)
+        return len(self.aggregators)
 
     async def run_reports(self, find_addresses: Callable[[], dict[Incarnation, str]]) -> None:
         """Report to the aggregators whenever something changed, and now and then, for ever.
@@ -220,64 +282,102 @@
         """
         number = 0
         sent: Report | None = None
-        sent_at = 0.0
+        told_all_at = float("-inf")
         while True:
             addresses = find_addresses()
             aggregators = choose_aggregators(frozenset({*addresses, self.own}))
+            if aggregators != self.aggregators:
+                emit(events.AGGREGATORS, aggregators=aggregators, heard=len(addresses))
+                self.aggregators = aggregators
+                self.unconfirmed.clear()
+                sent = None
+                if self.own in aggregators:
+                    self.chosen.set()
+                else:
+                    self.chosen.clear()
             now = monotonic()
+            distrusts = self._distrust_silent(now)
             report = self.make_report(number)
-            if report != sent or aggregators != self.aggregators or now - sent_at >= LONGEST_GAP_S:
-                if aggregators != self.aggregators:
-                    emit(events.AGGREGATORS, aggregators=aggregators, heard=len(addresses))
-                self.aggregators = aggregators
+            changed = report != sent or distrusts
+            tells_all = now - told_all_at >= LONGEST_GAP_S or sent is None
+            if changed or tells_all:
                 number += 1
-                sent, sent_at = msgspec.structs.replace(report, number=number), now
-                self._report(sent, [addresses[life] for life in aggregators if life in addresses])
+                sent = msgspec.structs.replace(report, number=number)
+                told_all_at = now if tells_all else told_all_at
+                self._report(sent, addresses, tells_all=tells_all)
+                if changed and self.relied_on != self.own:
+                    self.unconfirmed.append((number, now))
             gap_s = REPORT_GAP_S + REPORT_GAP_PER_PEER_S * len(addresses)
             digest_gap_s = DIGEST_GAP_S + DIGEST_GAP_PER_PEER_S * len(addresses)
             self.delay_s = gap_s + digest_gap_s
             await asyncio.sleep(gap_s)
             await self._wait_for_change()
 
+    def _distrust_silent(self, now: float) -> bool:
+        """Rely on the next aggregator where this one left a report out; return whether."""
+        limit_s = self.delay_s + CONFIRM_SLACK_S
+        if not self.unconfirmed or now - self.unconfirmed[0][1] < limit_s:
+            return False
+        silent = self.relied_on
+        self.unconfirmed.clear()
+        if silent is None or silent == self.own:
+            return False
+        self.distrusted_until[silent] = now + DISTRUST_S
+        return True
+
     async def _wait_for_change(self) -> None:
+        wait_s = LONGEST_GAP_S
+        if self.unconfirmed:
+            due = self.unconfirmed[0][1] + self.delay_s + CONFIRM_SLACK_S
+            wait_s = max(0.0, min(wait_s, due - monotonic()))
         try:
-            async with asyncio.timeout(LONGEST_GAP_S):
+            async with asyncio.timeout(wait_s):
                 await self.changed.wait()
         except TimeoutError:
             pass
         self.changed.clear()
 
-    def _report(self, report: Report, addresses: list[str]) -> None:
+    def _report(
+        self, report: Report, addresses: dict[Incarnation, str], *, tells_all: bool
+    ) -> None:
         self.sent[report.number] = report
         if len(self.sent) > KEPT_REPORTS:
             self.sent.popitem(last=False)
-        raw = msgspec.msgpack.encode(report)
-        for address in addresses:
-            self.socket.send(raw, address)
-        if self.own in self.aggregators:
-            self.aggregation.take(report, "")
+        relied_on = self.relied_on
+        # One that is not relied on may be well and tell other hosts, so it hears all as well.
+        count = self.aggregators.index(relied_on) + 1 if relied_on in self.aggregators else 0
+        for life in self.aggregators if tells_all else self.aggregators[:count]:
+            told = msgspec.structs.replace(report, relies=life == relied_on)
+            if life == self.own:
+                self.aggregation.take(told, "")
+            elif life in addresses:
+                self.socket.send(msgspec.msgpack.encode(told), addresses[life])
 
     async def run_digests(self) -> None:
         """Tell every reporting host the sums while this one is an aggregator, for ever."""
         told: bytes = b""
         told_at = 0.0
         while True:
-            if self.own not in self.aggregators:
-                await asyncio.sleep(LONGEST_GAP_S)
-                continue
-            if self.aggregation.changed or monotonic() - told_at >= LONGEST_GAP_S:
+            await self.chosen.wait()
+            changed = self.aggregation.changed and self.aggregation.relied_on
+            if changed or monotonic() - told_at >= LONGEST_GAP_S:
                 self.aggregation.changed = False
                 raw = msgspec.msgpack.encode(self.aggregation.sum_up(self.own))
                 now = monotonic()
-                if raw != told or now - told_at >= LONGEST_GAP_S:
-                    self._tell(raw)
+                tells_all = raw != told or now - told_at >= LONGEST_GAP_S
+                self._tell(raw, tells_all=tells_all)
+                if tells_all:
                     told, told_at = raw, now
             hosts = len(self.aggregation.reports)
             await asyncio.sleep(DIGEST_GAP_S + DIGEST_GAP_PER_PEER_S * hosts)
 
-    def _tell(self, sums: bytes) -> None:
+    def _tell(self, sums: bytes, *, tells_all: bool) -> None:
+        """Send the sums, at the least to hosts that wait to hear that their report came."""
         body = msgspec.Raw(sums)
         for life, heard in self.aggregation.reports.items():
+            if not tells_all and not heard.unconfirmed:
+                continue
+            heard.unconfirmed = False
             digest = Digest(DATAGRAM_FORMAT, heard.report.number, body)
             if life == self.own:
                 self.hear(digest)
@@ -294,6 +394,9 @@
                 elsewhere[target] = elsewhere.get(target, 0) - number
         waiting = sums.waiting - (own.waiting if own is not None else 0)
         self.heard[sums.aggregator] = HeardSums(sums, elsewhere, waiting, monotonic())
+        if sums.aggregator == self.relied_on:
+            while self.unconfirmed and self.unconfirmed[0][0] <= digest.number:
+                self.unconfirmed.popleft()
         self._merge()
         self._compare_results(sums, own)
 
@@ -307,12 +410,17 @@
             self.own_results.pop(life, None)
         self._merge()
 
+    def _find_told(self) -> list[HeardSums]:
+        """Return the sums that count: those of aggregators that some host relies on."""
+        relied_on = [heard for heard in self.heard.values() if heard.sums.relied_on]
+        return relied_on or list(self.heard.values())
+
     def _merge(self) -> None:
-        rows = [heard.elsewhere for heard in self.heard.values()]
+        rows = [heard.elsewhere for heard in self._find_told()]
         if len(rows) == 1:
             self.elsewhere = rows[0]
             return
-        merged: dict[TargetId, int] = {}
+        merged: dict[TargetNumber, int] = {}
         for row in rows:
             for target, number in row.items():
                 if number > merged.get(target, 0):
@@ -328,11 +436,11 @@
             }
         heard = self.heard_results[sums.aggregator]
         own_part = self.own_results.setdefault(sums.aggregator, {})
-        first = next((life for life in self.aggregators if life in self.heard), None)
+        teller = next((life for life in self.aggregators if life in self.heard), None)
         for target, told in sums.results.items():
             good, bad = take_results(heard, target, told)
             own_told = None if own is None else own.results.get(target)
             own_good, own_bad = take_results(own_part, target, own_told)
             good, bad = max(0, good - own_good), max(0, bad - own_bad)
-            if first == sums.aggregator and (good or bad):
+            if teller == sums.aggregator and (good or bad):
                 self.on_results(target, good, bad)
--- a/gradepoint/peers/results.py
+++ b/gradepoint/peers/results.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from ..util.clock import monotonic
 
+if TYPE_CHECKING:
+    from ..ids import TargetNumber
+
 TOLD_S = 2.0
 """Seconds for which results are told after they changed: many datagrams, of which some may
 be lost."""
@@ -75,7 +79,7 @@
 
 
 def take_results(
-    heard: dict[str, HeardResults], name: str, told: ToldResults | None
+    heard: dict[TargetNumber, HeardResults], name: TargetNumber, told: ToldResults | None
 ) -> tuple[int, int]:
     """Return what is new in *told* beside what was heard of *name* before."""
     if told is None:
--- a/tests/test_gateway/test_gateway_decisions.py
+++ b/tests/test_gateway/test_gateway_decisions.py
@@ -15,6 +15,7 @@
 from gradepoint.gateway.health import FIRST_EJECTION_S, LONGEST_EJECTION_S, TargetHealth
 from gradepoint.gateway.targets import ListedState, ListedTarget, Target, TargetSet
 from gradepoint.ids import ServiceName, TargetId
+from gradepoint.peers.datagrams import number_target
 from gradepoint.peers.results import ToldResults
 from gradepoint.platform.configuration import decode_configuration
 from tests.support.platform import HOST, configuration, route
@@ -143,12 +144,13 @@
     targets = TargetSet(linger_s=1.5)
     targets.replace([listed("t0"), listed("t1")], 0.0)
     for _ in range(3):
-        targets.record_elsewhere(TargetId("t0"), 0, 1)
-    targets.record_elsewhere(TargetId("gone"), 1, 1)
+        targets.record_elsewhere(number_target(TargetId("t0")), 0, 1)
+    targets.record_elsewhere(number_target(TargetId("gone")), 1, 1)
     assert [target.id for target in targets.candidates(SERVICE, 0.0)] == ["t1"]
     assert not targets.recent_results()
     targets.by_id[TargetId("t1")].record_success()
-    assert targets.recent_results() == {"t1": ToldResults(1, 0, 0, 0)}
+    number = number_target(TargetId("t1"))
+    assert targets.recent_results() == {number: ToldResults(1, 0, 0, 0)}
 
 
 def draw(targets: list[Target], elsewhere: dict[str, int] | None = None) -> Counter[str]:
--- a/tests/test_peers/test_peers_occupancy.py
+++ b/tests/test_peers/test_peers_occupancy.py
@@ -4,11 +4,19 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from typing import Any
 
 import msgspec
 
-from gradepoint.ids import Incarnation, TargetId
-from gradepoint.peers.datagrams import DATAGRAM_FORMAT, DatagramSocket, Digest, Message, Report
+from gradepoint.ids import Incarnation, TargetId, TargetNumber
+from gradepoint.peers.datagrams import (
+    DATAGRAM_FORMAT,
+    DatagramSocket,
+    Digest,
+    Message,
+    Report,
+    number_target,
+)
 from gradepoint.peers.occupancy import (
     AGGREGATORS,
     STALE_S,
@@ -21,6 +29,7 @@
 from gradepoint.standins.virtual_time import run_virtual
 
 TARGET = TargetId("t0")
+NUMBER = number_target(TARGET)
 SLOTS = 8
 WAY_S = 0.001
 
@@ -31,12 +40,13 @@
 
     hosts: dict[str, Host] = field(default_factory=dict)
     silent: set[str] = field(default_factory=set)
+    cut: set[tuple[str, str]] = field(default_factory=set)
     sent: int = 0
 
     def send(self, source: str, raw: bytes, address: str) -> None:
         """Deliver a datagram a little later."""
         self.sent += 1
-        if not self.silent & {source, address}:
+        if not self.silent & {source, address} and (source, address) not in self.cut:
             asyncio.get_running_loop().call_later(WAY_S, self.deliver, source, raw, address)
 
     def deliver(self, source: str, raw: bytes, address: str) -> None:
@@ -67,8 +77,8 @@
         self.net = net
         self.name = name
         self.life = Incarnation(f"{name}:life")
-        self.calls: dict[TargetId, int] = {}
-        self.items: dict[TargetId, int] = {}
+        self.calls: dict[TargetNumber, int] = {}
+        self.items: dict[TargetNumber, int] = {}
         self.results = ResultCount()
         self.told: list[tuple[int, int]] = []
         self.socket = HostSocket(self)
@@ -88,14 +98,19 @@
 
     def work(self, calls: int, items: int = 0) -> None:
         """Have so many calls and items in flight from now on."""
-        self.calls = {TARGET: calls} if calls else {}
-        self.items = {TARGET: items} if items else {}
+        self.calls = {NUMBER: calls} if calls else {}
+        self.items = {NUMBER: items} if items else {}
+        self.occupancy.changed.set()
+
+    def end_calls(self, good: int, bad: int) -> None:
+        """Have so many calls ended, which changes what is in flight as well."""
+        self.results.add(good, bad)
         self.occupancy.changed.set()
 
     def report(self, number: int) -> Report:
         """Return what this host has in flight."""
         told = self.results.tell()
-        results = {} if told is None else {TARGET: told}
+        results = {} if told is None else {NUMBER: told}
         return Report(
             DATAGRAM_FORMAT, self.life, number, dict(self.calls), dict(self.items), 0, results
         )
@@ -202,14 +217,14 @@
 def test_results_of_others_are_told_once() -> None:
     async def main() -> None:
         net, hosts = await start(6)
-        hosts[0].results.add(5, 0)
+        hosts[0].end_calls(5, 0)
         await asyncio.sleep(0.2)
-        hosts[0].results.add(0, 2)
-        hosts[1].results.add(0, 1)
+        hosts[0].end_calls(0, 2)
+        hosts[1].end_calls(0, 1)
         await asyncio.sleep(0.2)
         late = Host(net, "late")
         await asyncio.sleep(3.0)
-        hosts[0].results.add(1, 0)
+        hosts[0].end_calls(1, 0)
         await asyncio.sleep(1.0)
         totals = [tuple(map(sum, zip(*host.told, strict=True))) for host in hosts]
         assert totals == [(0, 1), (6, 2), (6, 3), (6, 3), (6, 3), (6, 3)]
@@ -223,17 +238,17 @@
     aggregation = Aggregation(lambda _: SLOTS)
     life = Incarnation("a")
     for number, calls in ((2, 5), (1, 3)):
-        aggregation.take(Report(DATAGRAM_FORMAT, life, number, {TARGET: calls}, {}, 0, {}), "")
-    assert aggregation.loads == {TARGET: 5}
+        aggregation.take(Report(DATAGRAM_FORMAT, life, number, {NUMBER: calls}, {}, 0, {}), "")
+    assert aggregation.loads == {NUMBER: 5}
 
 
 def test_as_many_hosts_give_way_as_calls_wait() -> None:
     holders = [Incarnation(f"h{number}") for number in range(4)]
-    assert choose_hosts_to_give_way(SLOTS, SLOTS, TARGET, holders) == []
-    one = choose_hosts_to_give_way(SLOTS + 1, SLOTS, TARGET, holders)
-    two = choose_hosts_to_give_way(SLOTS + 2, SLOTS, TARGET, reversed(holders))
+    assert choose_hosts_to_give_way(SLOTS, SLOTS, NUMBER, holders) == []
+    one = choose_hosts_to_give_way(SLOTS + 1, SLOTS, NUMBER, holders)
+    two = choose_hosts_to_give_way(SLOTS + 2, SLOTS, NUMBER, reversed(holders))
     assert len(one) == 1 and len(two) == 2 and one[0] in two
-    assert set(choose_hosts_to_give_way(SLOTS + 9, SLOTS, TARGET, holders)) == set(holders)
+    assert set(choose_hosts_to_give_way(SLOTS + 9, SLOTS, NUMBER, holders)) == set(holders)
 
 
 def test_hosts_hear_whether_their_item_gives_way() -> None:
@@ -259,3 +274,50 @@
     assert len(chosen) == AGGREGATORS
     assert chosen == choose_aggregators(frozenset(reversed(lives)))
     assert msgspec.msgpack.encode(chosen)
+
+
+def test_only_one_aggregator_tells_every_change() -> None:
+    async def main() -> None:
+        _, hosts = await start(9)
+        by_life = {host.life: host for host in hosts}
+        tellers = [by_life[life] for life in hosts[0].occupancy.aggregators]
+        told = dict.fromkeys((host.name for host in tellers), 0)
+        for host in tellers:
+            plain = host.socket.send
+
+            def send(raw: bytes, address: str, plain: Any = plain, name: str = host.name) -> None:
+                told[name] += 1
+                plain(raw, address)
+
+            host.socket.send = send  # type: ignore[method-assign]
+        for step in range(100):
+            hosts[0].work(step % 3)
+            await asyncio.sleep(0.01)
+        first, *others = (told[host.name] for host in tellers)
+        assert all(count < first / 3 for count in others)
+        assert not any(host.occupancy.distrusted_until for host in hosts)
+        stop(hosts)
+
+    run_virtual(main())
+
+
+def test_a_host_that_its_aggregator_does_not_hear_relies_on_the_next() -> None:
+    async def main() -> None:
+        net, hosts = await start(9)
+        by_life = {host.life: host for host in hosts}
+        first = by_life[hosts[0].occupancy.aggregators[0]]
+        cut, *others = [host for host in hosts if host is not first]
+        net.cut = {(cut.name, first.name), (first.name, cut.name)}
+        cut.work(4)
+        others[0].work(2)
+        await asyncio.sleep(0.1)
+        assert all(host.occupancy.in_flight(TARGET) >= 4 for host in others)
+        await asyncio.sleep(0.3)
+        assert cut.occupancy.in_flight(TARGET) == 2
+        net.cut = set()
+        await asyncio.sleep(3.0)
+        assert cut.occupancy.relied_on == first.life
+        assert others[1].occupancy.in_flight(TARGET) == 6
+        stop(hosts)
+
+    run_virtual(main())
