--- /dev/null
+++ b/tests/test_bench/test_bench_rounds.py
@@ -0,0 +1,37 @@
+"""Rounds compare two checkouts pair by pair."""
+
+from __future__ import annotations
+
+import msgspec
+
+from bench.rounds import describe_difference, read_report
+
+REPORT = {
+    "G": 0.75,
+    "breaks": {"LOST": 1},
+    "fault": None,
+    "prices": [["GB between zones", 0.02, 0.015], ["exits of its own", 0.0, 0.0]],
+    "classes": [{"name": "chat", "late": 3, "refused": 1, "failed": 2}],
+    "windows": [{"name": "0", "worth": 0.5}, {"name": "2", "worth": 1.0}],
+    "arrivals": 9,
+    "services": [{"again": 4}, {"again": 1}],
+}
+
+
+def test_a_report_is_read() -> None:
+    found = read_report(msgspec.json.encode(REPORT), "new", "site", "day", 2)
+    assert (found.worth, found.broken, found.prices) == (
+        0.75,
+        ["LOST"],
+        {"GB between zones": 0.015},
+    )
+    assert (found.late, found.lost, found.run_again) == ({"chat": 3}, {"chat": 3}, 5)
+    assert found.gigabytes == 0.02
+
+
+def test_only_a_difference_above_twice_its_error_is_marked() -> None:
+    clear = describe_difference([(0.5, 0.6), (0.7, 0.81), (0.2, 0.29)])
+    chance = describe_difference([(0.5, 0.6), (0.7, 0.6), (0.2, 0.3)])
+    assert clear.endswith("*") and "+0.1000" in clear
+    assert not chance.endswith("*")
+    assert describe_difference([(0.5, 0.6)]).endswith("+0.1000")
