--- a/tests/test_bench/test_bench_soak.py
+++ b/tests/test_bench/test_bench_soak.py
@@ -21,7 +21,7 @@
 def test_a_short_soak_breaks_no_promise(seed: int, tmp_path: FilePath) -> None:
     soak = Soak(seed, tmp_path, faults_s=5.0, gateways=2, callers=4)
     broken = asyncio.run(soak.run())
-    assert not broken
+    assert not broken, f"logs of every process: {tmp_path}"
     assert sum(soak.done.values()) > 0
     assert soak.ledger.accepted
 
