Take jobs of silent hosts over early; recognize jobs that are sent again

Change: (1) a listed host that has not been heard for 1.2 s after its datagrams ceased to count is taken for lost unless more than half of the fleet is silent; its former owner is told before the new one runs anything, and an isolated host answers no reader from memory. (2) before a job is spooled, a host that tells of it is asked; what a waiting job's host answers counts only where the service does not answer; where several hosts tell of a job, the service is asked.

--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -108,6 +108,7 @@
 PEER_SILENT = _declare(515, "peer_silent", "WARNING", "Another host did not answer.")
 WATCH_ROLE = _declare(516, "watch_role", "INFO", "This host began or ended to watch the service.")
 AGGREGATORS = _declare(517, "aggregators", "INFO", "Other hosts add up the fleet's calls now.")
+MEMBER_SILENT = _declare(518, "member_silent", "WARNING", "A listed host is not heard any more.")
 LEADER_ELECTED = _declare(520, "leader_elected", "INFO", "This host gives orders now.")
 LEADER_RESIGNED = _declare(521, "leader_resigned", "INFO", "This host gives no more orders.")
 ORDER_SENT = _declare(601, "order_sent", "INFO", "An order went to a target.")
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -37,6 +37,7 @@
     Presence,
     make_incarnation,
 )
+from ..peers.silence import Silence
 from ..peers.watchers import Watchers
 from ..spool.client import SpoolClient
 from ..telemetry import metrics
@@ -132,6 +133,7 @@
         self.hosts = HostTable()
         self.data_hosts = HostTable(DATA_HOST_PREFIX)
         self.presence = Presence(kv, self.own)
+        self.silence = Silence()
         self.targets = TargetSet(
             settings.drain_ms / 1000 * LINGER_SHARE, lambda: self.occupancy.changed.set()
         )
@@ -170,6 +172,7 @@
             ),
             lambda: self.kv.answers,
             lambda stored, items: self.jobs.run_entered(stored, items),
+            lambda job_id: self.jobs.is_run_elsewhere(job_id),
             lambda: self.jobs.leaving,
             settings.quota_excess,
         )
@@ -184,6 +187,7 @@
             self.beats.find_address,
             self.hosts,
             lambda: self.adoption.look(),
+            lambda: self.silence.isolated,
             lambda: self.kv.was_away_lately and bool(self.find_data_hosts()),
         )
         self.adoption = Adoption(
@@ -195,6 +199,7 @@
             lambda: self.presence.holds_lease,
             lambda: self.watchers.watching,
             self.jobs.remind_idle_owners,
+            self.jobs.tell_former_owner,
         )
         self.target_follower = TargetFollower(
             self.targets, platform.decode_target, platform.read_target_id
@@ -421,6 +426,9 @@
             self.targets.sweep(monotonic())
             self.beats.forget_silent()
             self.occupancy.forget_silent()
+            listed = self.hosts.incarnations - {self.own.incarnation}
+            lost = self.silence.update(listed, self.beats.heard, monotonic())
+            self.adoption.note_silent(lost)
             if self.ready and not was_ready:
                 emit(events.HOST_READY, targets=len(self.targets.by_id))
             was_ready = self.ready
--- a/gradepoint/jobs/adoption.py
+++ b/gradepoint/jobs/adoption.py
@@ -52,9 +52,14 @@
     :param patrols: whether this host looks now and then without a reason.
     :param heard: returns the lives whose datagrams came lately.
     :param remind: reminds live hosts of jobs that they own and do not run.
+    :param tell_former: tells the former owner of a job that another one runs it, if it lives
+        after all.
     :ivar wanted: set when this host has to look for jobs without a host.
     :ivar forced: there is a reason to look beside a loss.
     :ivar lost: lives that vanished from the list since the last look.
+    :ivar silent: listed lives that have not been heard for long. Their jobs are taken over before
+        their leases run out, which takes a third of the time in which jobs are due. Should one
+        live, its next commit tells it.
     :ivar sweeps: looks at all jobs so far.
     :ivar orphan_since: when each job was first seen without a host.
     """
@@ -67,10 +72,12 @@
     holds_lease: Callable[[], bool]
     patrols: Callable[[], bool]
     remind: Callable[[list[StoredJob]], Awaitable[None]]
+    tell_former: Callable[[StoredJob], Awaitable[None]]
     wanted: asyncio.Event = field(default_factory=asyncio.Event)
     missing_since: dict[Incarnation, float] = field(default_factory=dict)
     orphan_since: dict[JobId, float] = field(default_factory=dict)
     lost: set[Incarnation] = field(default_factory=set)
+    silent: set[Incarnation] = field(default_factory=set)
     forced: bool = False
     sweeps: int = 0
 
@@ -79,6 +86,13 @@
         self.lost.add(life)
         self.wanted.set()
 
+    def note_silent(self, silent: set[Incarnation]) -> None:
+        """Take which listed lives have not been heard for long."""
+        for life in silent - self.silent:
+            emit(events.MEMBER_SILENT, incarnation=life)
+            self.note_lost(life)
+        self.silent = silent
+
     def look(self) -> None:
         """Look for jobs without a host soon, whoever they fall to."""
         self.forced = True
@@ -90,9 +104,9 @@
             self.forced = False
             self.lost.clear()
             return True
-        if any(not self.hosts.is_replaced(life) for life in self.lost):
+        if any(not self.hosts.is_replaced(life) for life in self.lost - self.silent):
             await asyncio.sleep(LOST_S)
-        lost = self.lost - self.hosts.incarnations
+        lost = self.lost - (self.hosts.incarnations - self.silent)
         self.lost.clear()
         return any(self.own in rank(life, self.live)[:ADOPTERS] for life in lost)
 
@@ -138,6 +152,9 @@
         except Superseded:
             return
         emit(events.JOB_ADOPTED, job=job.id, former=job.state.owner)
+        # Its lease may have been taken away without its knowing. It must not answer readers any
+        # more once results are listed here.
+        await self.tell_former(job)
         await self.worker.take(adopted)
 
     def _falls_to_this_host(self, job: StoredJob) -> bool:
@@ -155,8 +172,8 @@
 
     @property
     def live(self) -> set[Incarnation]:
-        """The lives of listed hosts, this one's included."""
-        return self.hosts.incarnations | {self.own}
+        """The lives of listed hosts that are not silent, this one's included."""
+        return (self.hosts.incarnations - self.silent) | {self.own}
 
     def is_orphan(self, job: StoredJob) -> bool:
         """Whether nobody runs a job that has something to run."""
@@ -166,6 +183,8 @@
         """Whether a host has been missing for long enough, or has begun a new life."""
         if read_host(owner) == read_host(self.own) or self.hosts.is_replaced(owner):
             return owner != self.own
+        if owner in self.silent:
+            return True
         since = self.missing_since.get(owner)
         if since is None:
             return False
--- a/gradepoint/jobs/api.py
+++ b/gradepoint/jobs/api.py
@@ -13,6 +13,7 @@
 from ..errors import GradepointError, KvError, KvUnavailable, KvUncertain
 from ..gateway.configuration import NO_VERSION
 from ..ids import ItemId, JobId
+from ..peers.presence import read_host
 from ..spool.client import Kept
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
@@ -31,7 +32,6 @@
     from ..gateway.dialect import CallHead
     from ..ids import Incarnation
     from ..peers.presence import HostTable, Presence
-    from ..spool.records import SpooledJob
     from ..wire.http_client import HttpClient
     from ..wire.http_types import Request
     from .calls import JobDialect
@@ -57,11 +57,16 @@
 
 
 class JobRead(msgspec.Struct, frozen=True):
-    """What one host tells another of a job that it runs."""
+    """What one host tells another of a job.
+
+    :param entered: the host runs it; else it waits there to get into the service, which may have
+        it already from another host.
+    """
 
     total: int
     item_ids: list[ItemId]
     results: list[Result]
+    entered: bool = True
 
 
 @dataclass
@@ -72,6 +77,7 @@
         short number, as far as it is heard.
     :param find_address: returns ``IP:PORT`` of a host that is heard.
     :param look_for_orphans: has this host look for jobs without a host.
+    :param is_isolated: whether this host hears so few others that they may take it for lost.
     :param may_miss_jobs: whether jobs may be accepted that the service does not have yet.
     :ivar leaving: this host stops; what it accepts is run by another.
     """
@@ -86,6 +92,7 @@
     find_address: Callable[[Incarnation], str | None]
     hosts: HostTable
     look_for_orphans: Callable[[], None]
+    is_isolated: Callable[[], bool]
     may_miss_jobs: Callable[[], bool]
     finished: dict[JobId, JobRead] = field(default_factory=dict)
     tasks: TaskGroup = field(default_factory=TaskGroup)
@@ -161,6 +168,16 @@
                 emit(events.JOB_IDLE, job=job.id, owner=life)
                 await self._remind_owner(job)
 
+    async def tell_former_owner(self, job: StoredJob) -> None:
+        """Tell the host that owned a job that this one runs it now."""
+        owner = job.state.owner
+        listed = self.hosts.hosts.get(read_host(owner))
+        address = self.find_address(owner)
+        if address is None and listed is not None and listed.incarnation == owner:
+            address = listed.peer_address
+        if address is not None and owner != self.presence.own.incarnation:
+            await self._ask_host(address, f"/adopted/{job.id}", PEER_TIMEOUT_S)
+
     async def _hand_on(self, job_id: JobId) -> None:
         """Find another host for a job that was accepted while this one stops.
 
@@ -266,24 +283,40 @@
         own = self.worker.jobs.get(job_id)
         if own is not None and self.may_answer_for(own):
             return await read_owned(own, position, wait_s)
-        waiting = self.intake.waiting.get(job_id)
-        if waiting is not None:
-            return await read_waiting(waiting, wait_s)
         known = self.finished.get(job_id)
         if known is None:
             told = await self._ask_owner(job_id, position, wait_s)
-            if told is not None:
+            if told is not None and told.entered:
                 return told
-            known, stored = await self._load(job_id)
-            if known is None or stored is None:
-                return None
-            if len(known.results) <= position and not stored.state.done:
+            waiting = told or self._read_waiting(job_id)
+            try:
+                known, stored = await self._load(job_id)
+            except KvError:
+                if waiting is None:
+                    raise
+            if known is None:
+                await asyncio.sleep(wait_s if waiting is not None else 0.0)
+                return waiting
+            if len(known.results) <= position and stored is not None and not stored.state.done:
                 await asyncio.sleep(wait_s)
         return JobRead(known.total, known.item_ids, cut_page(known.results[position:]))
 
+    def _read_waiting(self, job_id: JobId) -> JobRead | None:
+        """Return that a job has no result yet as far as this host knows, if it waits here."""
+        waiting = self.intake.waiting.get(job_id)
+        if waiting is None:
+            return None
+        return JobRead(len(waiting.items), waiting.state.item_ids, [], entered=False)
+
+    async def is_run_elsewhere(self, job_id: JobId) -> bool:
+        """Whether a host that is heard has a job that its client sends again."""
+        return await self._ask_owner(job_id, 0, 0.0) is not None
+
     def may_answer_for(self, job: OwnedJob) -> bool:
         """Whether no other host can have listed results of a job that this one runs."""
-        return job.done or (not job.dropped and self.presence.holds_lease)
+        if job.done:
+            return True
+        return not job.dropped and self.presence.holds_lease and not self.is_isolated()
 
     async def _load(self, job_id: JobId) -> tuple[JobRead | None, StoredJob | None]:
         stored = await self.repository.load(job_id)
@@ -330,9 +363,9 @@
             return Response(200)
         job = self.worker.jobs.get(job_id)
         if job is None:
-            return await self._answer_peer_waiting(kind, job_id, request)
-        if kind == "ended":
-            self.worker.drop(job.id, "ended")
+            return self._answer_peer_waiting(kind, job_id, request)
+        if kind in ("ended", "adopted"):
+            self.worker.drop(job.id, kind)
             return Response(200)
         if kind == "items":
             body = job.find_body(ItemId(request.query.get("id", "")))
@@ -343,7 +376,7 @@
         found = await read_owned(job, int(request.query.get("position", "0")), wait_s)
         return Response(200, body=msgspec.msgpack.encode(found))
 
-    async def _answer_peer_waiting(self, kind: str, job_id: JobId, request: Request) -> Response:
+    def _answer_peer_waiting(self, kind: str, job_id: JobId, request: Request) -> Response:
         """Tell another host of a job that the service does not have yet."""
         waiting = self.intake.waiting.get(job_id)
         if waiting is None:
@@ -351,9 +384,9 @@
         if kind == "items":
             body = waiting.find_body(ItemId(request.query.get("id", "")))
             return Response(404) if body is None else Response(200, body=body)
-        if kind != "jobs":
+        found = self._read_waiting(job_id)
+        if kind != "jobs" or found is None:
             return Response(404)
-        found = await read_waiting(waiting, int(request.query.get("wait_ms", "0")) / 1000)
         return Response(200, body=msgspec.msgpack.encode(found))
 
     async def _answer_item(self, call: ReadItem) -> Response:
@@ -397,12 +430,6 @@
         return Response(200, {"content-type": JSON_TYPE}, b"{}")
 
 
-async def read_waiting(job: SpooledJob, wait_s: float) -> JobRead:
-    """Return that a job has no result yet: none is listed before the service has the job."""
-    await asyncio.sleep(wait_s)
-    return JobRead(len(job.items), job.state.item_ids, [])
-
-
 async def read_owned(job: OwnedJob, position: int, wait_s: float) -> JobRead:
     """Return results of a job that this host runs, waiting for one to exist."""
     if len(job.results) <= position and not job.done and not job.dropped and wait_s > 0:
--- a/gradepoint/jobs/intake.py
+++ b/gradepoint/jobs/intake.py
@@ -42,6 +42,7 @@
     :param spool: the data hosts.
     :param reaches_service: whether this host's calls to the service are answered, by any way.
     :param on_entered: told of each job that was spooled and is in the service now.
+    :param is_run_elsewhere: asks whether another host has a job already.
     :param leaving: whether this host stops, so that another has to run what is entered.
     :param quota_excess: share by which a route's limit may be exceeded.
     :ivar waiting: jobs accepted by this host that the service does not have yet.
@@ -51,6 +52,7 @@
     spool: SpoolClient
     reaches_service: Callable[[], bool]
     on_entered: Callable[[StoredJob, list[Item]], Awaitable[None]]
+    is_run_elsewhere: Callable[[JobId], Awaitable[bool]]
     leaving: Callable[[], bool]
     quota_excess: float
     waiting: dict[JobId, SpooledJob] = field(default_factory=dict)
@@ -83,6 +85,9 @@
         await asyncio.wait([creating], timeout=wait_s)
         if creating.done() and creating.exception() is None:
             return creating.result()
+        if await self.is_run_elsewhere(job_id):
+            # Kept here as well, it would look as if none of its results were listed.
+            return Submission(Admission.KNOWN, None)
         return await self._spool(SpooledJob(job_id, state, items), max_tokens, creating)
 
     async def _spool(
--- a/gradepoint/peers/beats.py
+++ b/gradepoint/peers/beats.py
@@ -94,12 +94,19 @@
         """Return ``IP:PORT`` of the hosts that reach the key-value service."""
         return [heard.address for heard in self.heard.values() if heard.beat.reaches_store]
 
+    def find_owners(self, job: int) -> list[tuple[Incarnation, str]]:
+        """Return life and ``IP:PORT`` of the hosts that say that they have a job."""
+        heard = self.heard.items()
+        return [(life, row.address) for life, row in heard if job in row.beat.jobs]
+
     def find_owner(self, job: int) -> tuple[Incarnation, str] | None:
-        """Return the life and ``IP:PORT`` of the host that runs a job, by its short hash."""
-        for life, heard in self.heard.items():
-            if job in heard.beat.jobs:
-                return life, heard.address
-        return None
+        """Return the life and ``IP:PORT`` of the host that runs a job, by its short hash.
+
+        None where several say that they have it: one was taken for lost and does not know it
+        yet, or holds it until it can write it.
+        """
+        owners = self.find_owners(job)
+        return owners[0] if len(owners) == 1 else None
 
     def find_address(self, life: Incarnation) -> str | None:
         """Return ``IP:PORT`` of a host that is heard."""
--- a/tests/test_jobs/test_jobs_decisions.py
+++ b/tests/test_jobs/test_jobs_decisions.py
@@ -30,6 +30,7 @@
 )
 from gradepoint.jobs.repository import StoredJob
 from gradepoint.peers.presence import PRESENCE_PREFIX, HostPresence, HostTable
+from gradepoint.peers.silence import SILENT_S, Silence
 from gradepoint.standins.virtual_time import run_virtual
 
 RNG = random.Random(1)
@@ -119,7 +120,9 @@
         row = HostPresence(HostName(host), Incarnation(life), "a", "127.0.0.1:1")
         table.put(PRESENCE_PREFIX + host, msgspec.json.encode(row))
     nothing: Any = None
-    return Adoption(nothing, nothing, Incarnation("h0:now"), table, set, bool, bool, nothing)
+    return Adoption(
+        nothing, nothing, Incarnation("h0:now"), table, set, bool, bool, nothing, nothing
+    )
 
 
 @pytest.mark.parametrize(
@@ -178,3 +181,26 @@
         assert await adoption._has_reason()
 
     run_virtual(main())
+
+
+def test_a_listed_host_that_is_silent_is_lost_and_adopts_nothing() -> None:
+    adoption = make_adoption("h1:a", "h2:b")
+    silent = Incarnation("h1:a")
+    assert not adoption.is_lost(silent)
+    adoption.note_silent({silent})
+    assert adoption.is_lost(silent) and silent in adoption.lost
+    assert adoption.live == {Incarnation("h0:now"), Incarnation("h2:b")}
+    adoption.note_silent(set())
+    assert not adoption.is_lost(silent)
+
+
+def test_silence_counts_after_a_while_and_not_where_this_host_is_cut_off() -> None:
+    lives = {Incarnation(f"h{number}") for number in range(4)}
+    gone = Incarnation("h0")
+    silence = Silence()
+    assert not silence.update(lives, lives - {gone}, 1.0)
+    assert silence.update(lives, lives - {gone}, 1.0 + SILENT_S) == {gone}
+    assert not silence.update(lives, {gone}, 9.0)
+    assert silence.isolated and not silence.lost(99.0)
+    assert not silence.update(lives, lives, 9.5)
+    assert not silence.isolated and not silence.since
--- a/tests/test_jobs/test_jobs_path.py
+++ b/tests/test_jobs/test_jobs_path.py
@@ -371,6 +371,41 @@
     run_deployment(work)
 
 
+def test_a_job_is_taken_over_before_the_lease_of_its_lost_host_runs_out() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=3, targets=1, event_s=0.02, events=EVENTS)
+        deployment.store.keys.expire = lambda: None  # type: ignore[method-assign]
+        assert (await deployment.submit("job", 3)).status == 202
+        lost = deployment.gateways[0]
+        await deployment.kill(lost)
+        check_rows("job", await deployment.read_whole("job"), 3)
+        assert lost.own.incarnation in deployment.gateways[0].hosts.incarnations
+
+    run_deployment(work)
+
+
+def test_a_host_that_was_taken_for_lost_tells_nothing_older_of_its_job() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=3, targets=1, event_s=0.05, events=EVENTS)
+        owner, *others = deployment.gateways
+
+        async def never_answered(*_: object, **__: object) -> None:
+            await asyncio.Event().wait()
+
+        owner.repository.commit = never_answered  # type: ignore[method-assign, assignment]
+        assert (await deployment.submit("job", 2)).status == 202
+        # Its row is taken away without a word to it; its lease stands, as far as it knows.
+        deployment.store.delete(f"gp/live/host/{owner.own.host}")
+        for gateway in others:
+            gateway.adoption.note_silent({owner.own.incarnation})
+        rows = await deployment.read_whole("job", gateway=1)
+        check_rows("job", rows, 2)
+        for gateway in range(3):
+            assert (await deployment.read_results("job", gateway=gateway))["results"] == rows
+
+    run_deployment(work)
+
+
 def test_a_jobs_age_goes_on_at_its_next_owner() -> None:
     async def work(deployment: Deployment) -> None:
         await deployment.start(gateways=2, targets=1, events=50, event_s=0.1)
--- a/tests/test_spool/test_spool_path.py
+++ b/tests/test_spool/test_spool_path.py
@@ -10,6 +10,8 @@
 
 from bench.platform.store import StoreFault
 from gradepoint.ids import JobId
+from gradepoint.spool.records import SpooledJob
+from gradepoint.util.hashing import short_number
 from tests.support.platform import (
     ITEM_TOKENS,
     Deployment,
@@ -210,6 +212,39 @@
     run_spooled(tmp_path, work)
 
 
+def test_a_job_sent_again_while_the_store_is_away_is_not_kept_anew(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        assert (await deployment.submit("j1", 2)).status == 202
+        rows = await deployment.read_whole("j1")
+        await until(lambda: bool(deployment.gateways[1].beats.find_owner(short_number("j1"))))
+        await lose_store(deployment)
+        assert (await deployment.submit("j1", 2, gateway=1)).status == 202
+        assert held(deployment) == [0, 0, 0]
+        assert (await deployment.read_results("j1", gateway=1))["results"] == rows
+
+    run_spooled(tmp_path, work)
+
+
+def test_a_host_where_a_job_waits_does_not_hide_its_results(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        assert (await deployment.submit("j1", 2)).status == 202
+        rows = await deployment.read_whole("j1")
+        await until(lambda: deployment.gateways[0].worker.jobs[JobId("j1")].done)
+        stored = await deployment.gateways[0].repository.load(JobId("j1"))
+        assert stored is not None
+        # Its client sent it again there while the store was away and its owner not heard.
+        other = deployment.gateways[1]
+        other.intake.waiting[JobId("j1")] = SpooledJob(JobId("j1"), stored.state, [])
+        await until(lambda: bool(deployment.gateways[2].beats.find_owners(short_number("j1"))[1:]))
+        for gateway in (1, 2):
+            assert (await deployment.read_results("j1", gateway=gateway))["results"] == rows
+        await deployment.kill(deployment.gateways[0])
+        for gateway in (0, 1):
+            assert (await deployment.read_results("j1", gateway=gateway))["results"] == rows
+
+    run_spooled(tmp_path, work, gateways=3)
+
+
 def test_a_job_is_told_as_missing_only_if_every_data_host_says_so(tmp_path: Path) -> None:
     async def work(deployment: Deployment) -> None:
         async def ask() -> int:
