Say 503 about jobs while the list of data hosts is not known

Cause: a gateway that started while the store turned it away had not read which data hosts there are, took it that there were none, and answered 404 once the store answered again: the job was on two of them. Ruled out: the data hosts' answers (nobody was asked), the store's (it did not have the job yet). Change: until that list was read, what the service does not have may be kept elsewhere.

--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -188,7 +188,7 @@
             self.hosts,
             lambda: self.adoption.look(),
             lambda: self.silence.isolated,
-            lambda: self.kv.was_away_lately and bool(self.find_data_hosts()),
+            self.may_miss_jobs,
         )
         self.adoption = Adoption(
             self.repository,
@@ -267,6 +267,16 @@
         """Return ``IP:PORT`` of the listed data hosts."""
         return [host.peer_address for host in self.data_hosts.hosts.values()]
 
+    def may_miss_jobs(self) -> bool:
+        """Whether jobs may be accepted that the service does not have yet, and none of the data
+        hosts that this host knows of."""
+        if not self.settings.spool_copies:
+            return False
+        if not self.watchers.views["live"].revision:
+            return True
+        known = self.data_hosts.hosts or self.data_hosts.find_missing()
+        return self.kv.was_away_lately and bool(known)
+
     @property
     def ready(self) -> bool:
         """Whether this host can serve what the configuration says."""
