--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -8,6 +8,7 @@
 import shutil
 import signal
 from collections import Counter
+from collections.abc import Callable
 from contextlib import closing
 from dataclasses import dataclass, field
 from pathlib import Path as FilePath
@@ -35,6 +36,8 @@
 
     :param faults_s: seconds of faults.
     :param gateways: gateway processes.
+    :param make_gateway: makes a gateway; what it makes need not be a process.
+    :param make_data_host: makes a data host.
     """
 
     seed: int
@@ -45,6 +48,8 @@
     target_count: int = 4
     callers: int = 6
     events: int = 8
+    make_gateway: Callable[..., GatewayProcess] = GatewayProcess
+    make_data_host: Callable[..., DataHostProcess] = DataHostProcess
 
     store: PlatformStoreStandin = field(default_factory=PlatformStoreStandin)
     tasks: TaskGroup = field(default_factory=TaskGroup)
@@ -92,13 +97,13 @@
         for number in range(self.data_host_count):
             address = f"127.0.2.{number + 1}"
             proxy = await self._open_way(store_address, address)
-            data_host = DataHostProcess(f"data-{number}", address, self.folder, proxy)
+            data_host = self.make_data_host(f"data-{number}", address, self.folder, proxy)
             data_host.start()
             self.data_hosts.append(data_host)
         for number in range(self.gateways):
             address = f"127.0.1.{number + 1}"
             proxy = await self._open_way(store_address, address)
-            gateway = GatewayProcess(f"host-{number}", address, self.folder, proxy)
+            gateway = self.make_gateway(f"host-{number}", address, self.folder, proxy)
             gateway.start()
             self.fleet.append(gateway)
         await self._wait_ready()
--- /dev/null
+++ b/tests/support/soak_hosts.py
@@ -0,0 +1,125 @@
+"""Gateways and data hosts of a soak that run on one loop, on a network in memory."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from pathlib import Path
+from typing import Any
+
+from bench.soak.fleet import DataHostProcess, GatewayProcess, ProgramProcess
+from bench.soak.proxy import Proxy
+from gradepoint.cmd.gateway import PLATFORM
+from gradepoint.gateway.app import Gateway
+from gradepoint.gateway.settings import check_gateway_settings
+from gradepoint.platform.store import PlatformStore
+from gradepoint.spool.app import DataHost
+from gradepoint.spool.settings import check_data_host_settings
+
+from .virtual_network import LIFE, NetworkLoop
+
+
+class LoopProgram(ProgramProcess):
+    """A program that takes signals as a process does, but runs on the test's loop."""
+
+    def __init__(self, name: str, address: str, folder: Path, store: Proxy) -> None:
+        self.name = name
+        self.address = address
+        self.folder = folder
+        self.store = store
+        self.life = 0
+        self.running = False
+        self.program: Any = None
+        self.ports = [self.loop.next_port() for _ in range(4)]
+
+    @property
+    def loop(self) -> NetworkLoop:
+        """The loop that it runs on."""
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, NetworkLoop)
+        return loop
+
+    @property
+    def alive(self) -> bool:
+        """See :meth:`ProgramProcess.alive`."""
+        return self.running
+
+    @property
+    def full_life(self) -> str:
+        """What names this life among all programs."""
+        return f"{self.name}.{self.life}"
+
+    def make_program(self, settings: dict[str, object], rng: random.Random) -> Any:
+        """Return the program."""
+        raise NotImplementedError
+
+    def start(self) -> None:
+        """See :meth:`ProgramProcess.start`."""
+        self.reap()
+        self.life += 1
+        self.running = True
+        token = LIFE.set(self.full_life)
+        try:
+            rng = random.Random(f"{self.loop.seed} {self.full_life}")
+            self.program = self.make_program(self.make_settings(), rng)
+            asyncio.ensure_future(self.program.start())
+        finally:
+            LIFE.reset(token)
+
+    def send(self, number: signal.Signals) -> None:
+        """See :meth:`ProgramProcess.send`; a paused program is one that nothing reaches."""
+        if not self.running:
+            return
+        if number is signal.SIGTERM:
+            token = LIFE.set(self.full_life)
+            asyncio.ensure_future(self._stop(self.full_life))
+            LIFE.reset(token)
+        elif number is signal.SIGSTOP:
+            self.loop.silent.update(self.ports)
+        elif number is signal.SIGCONT:
+            self.loop.silent.difference_update(self.ports)
+        elif number is signal.SIGHUP:
+            self.reload()
+
+    async def _stop(self, life: str) -> None:
+        await self.program.stop()
+        if self.full_life == life:
+            self.running = False
+
+    def reload(self) -> None:
+        """Take SIGHUP."""
+
+    def reap(self) -> None:
+        """See :meth:`ProgramProcess.reap`."""
+        self.send(signal.SIGCONT)
+        self.running = False
+        if self.life:
+            self.loop.kill(self.full_life)
+
+
+class LoopGateway(LoopProgram, GatewayProcess):
+    """A gateway on the test's loop."""
+
+    def make_program(self, settings: dict[str, object], rng: random.Random) -> Gateway:
+        """See :meth:`LoopProgram.make_program`."""
+        checked = check_gateway_settings(settings).unwrap()
+        kv = PlatformStore(checked.store_address, checked.store_timeout_s, checked.store_history_s)
+        gateway = Gateway(checked, kv, PLATFORM)
+        for part in (gateway.kv, gateway.worker, gateway.forwarder):
+            part.rng.seed(rng.random())
+        return gateway
+
+    def reload(self) -> None:
+        """See :meth:`LoopProgram.reload`."""
+        self.program.reload()
+
+
+class LoopDataHost(LoopProgram, DataHostProcess):
+    """A data host on the test's loop."""
+
+    def make_program(self, settings: dict[str, object], _: random.Random) -> DataHost:
+        """See :meth:`LoopProgram.make_program`."""
+        checked = check_data_host_settings(settings).unwrap()
+        kv = PlatformStore(checked.store_address, checked.store_timeout_s, checked.store_history_s)
+        return DataHost(checked, kv)
