--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -18,6 +18,7 @@
 from ..kv.relay import RelayedKv
 from ..kv.service import ABSENT, Expect, Put, Transaction
 from ..kv.view import PrefixView
+from ..peers.aggregation import Aggregation
 from ..peers.beats import Beats
 from ..peers.datagrams import (
     DATAGRAM_FORMAT,
@@ -28,7 +29,7 @@
     Report,
     number_target,
 )
-from ..peers.occupancy import Aggregation, Occupancy
+from ..peers.occupancy import Occupancy
 from ..peers.presence import (
     DATA_HOST_PREFIX,
     LIVE_PREFIX,
--- /dev/null
+++ b/gradepoint/peers/aggregation.py
@@ -0,0 +1,149 @@
+"""What an aggregator adds up: every host's newest report, and what follows from the sums."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ..util.clock import monotonic
+from ..util.hashing import score, short_number
+from .datagrams import Report, Sums
+from .results import HeardResults, ResultCount, take_results
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from ..ids import Incarnation, TargetNumber
+
+RELIED_S = 0.6
+"""Seconds after its last word that an aggregator counts a host as relying on it: two of the longest
+gaps, so that the loss of one datagram changes nothing."""
+STALE_S = 0.9
+"""Seconds after which a report or digest is not counted: three are missing."""
+
+
+def choose_hosts_to_give_way(
+    load: int, slots: int, target: TargetNumber, holders: Iterable[Incarnation]
+) -> list[Incarnation]:
+    """Return the hosts that take one item back from a target that has more than its slots.
+
+    :param load: calls and items in flight there, over all hosts.
+    :param holders: hosts that have an item there.
+    """
+    surplus = load - slots
+    if surplus <= 0:
+        return []
+    ordered = sorted(holders, key=lambda host: score(host, str(target)), reverse=True)
+    return ordered[:surplus]
+
+
+@dataclass
+class HeardReport:
+    """The newest report of a host, when it came and from which ``IP:PORT``.
+
+    :ivar relied_at: monotonic time at which the host last said that it relies on this one.
+    :ivar unconfirmed: no digest has told the host that its last change was heard.
+    """
+
+    report: Report
+    at: float
+    address: str
+    relied_at: float = float("-inf")
+    unconfirmed: bool = True
+
+    def says_the_same(self, report: Report) -> bool:
+        """Whether *report* differs from this one at most in what it says of itself."""
+        same = msgspec.structs.replace(report, number=self.report.number, relies=self.report.relies)
+        return same == self.report
+
+
+@dataclass
+class Aggregation:
+    """Adds up all hosts' reports.
+
+    :param find_slots: returns a target's slots, None for one that this host does not know.
+    :ivar results: results of all hosts since this one began, by target.
+    :ivar changed: a report came since the sums were last told.
+    :ivar heard_results: what each host said last, by target.
+    """
+
+    find_slots: Callable[[TargetNumber], int | None]
+    reports: dict[Incarnation, HeardReport] = field(default_factory=dict)
+    loads: dict[TargetNumber, int] = field(default_factory=dict)
+    waiting: int = 0
+    changed: bool = False
+    results: dict[TargetNumber, ResultCount] = field(default_factory=dict)
+    heard_results: dict[Incarnation, dict[TargetNumber, HeardResults]] = field(default_factory=dict)
+
+    def take(self, report: Report, address: str) -> None:
+        """Take a host's report."""
+        former = self.reports.get(report.incarnation)
+        if former is not None:
+            if report.number < former.report.number:
+                return
+            self._add(former.report, -1)
+        self._add(report, 1)
+        heard = HeardReport(report, monotonic(), address)
+        if former is not None:
+            heard.relied_at = former.relied_at
+            heard.unconfirmed = former.unconfirmed or not former.says_the_same(report)
+        if report.relies:
+            heard.relied_at = heard.at
+        self.changed = self.changed or heard.unconfirmed
+        self.reports[report.incarnation] = heard
+        self._add_results(report)
+
+    def forget_silent(self) -> None:
+        """Leave out hosts that do not report any more."""
+        oldest = monotonic() - STALE_S
+        for life in [life for life, heard in self.reports.items() if heard.at < oldest]:
+            self._add(self.reports.pop(life).report, -1)
+            self.heard_results.pop(life, None)
+
+    def _add(self, report: Report, sign: int) -> None:
+        loads = self.loads
+        self.waiting += sign * report.waiting
+        for counts in (report.calls, report.items):
+            for target, number in counts.items():
+                load = loads.get(target, 0) + sign * number
+                if load:
+                    loads[target] = load
+                else:
+                    loads.pop(target, None)
+
+    def _add_results(self, report: Report) -> None:
+        heard = self.heard_results.setdefault(report.incarnation, {})
+        for target, told in report.results.items():
+            good, bad = take_results(heard, target, told)
+            if good or bad:
+                self.results.setdefault(target, ResultCount()).add(good, bad)
+
+    @property
+    def relied_on(self) -> bool:
+        """Whether any host relies on this aggregator."""
+        oldest = monotonic() - RELIED_S
+        return any(heard.relied_at >= oldest for heard in self.reports.values())
+
+    def sum_up(self, own: Incarnation) -> Sums:
+        """Return what is known now."""
+        results = {}
+        for target, count in self.results.items():
+            told = count.tell()
+            if told is not None:
+                results[target] = told
+        giving_way = self._find_hosts_to_give_way()
+        return Sums(own, self.loads, results, self.waiting, giving_way, self.relied_on)
+
+    def _find_hosts_to_give_way(self) -> dict[TargetNumber, list[int]]:
+        chosen = {}
+        for target, load in self.loads.items():
+            slots = self.find_slots(target)
+            if slots is None or load <= slots:
+                continue
+            holders = [life for life, row in self.reports.items() if target in row.report.items]
+            hosts = choose_hosts_to_give_way(load, slots, target, holders)
+            if hosts:
+                chosen[target] = [short_number(host) for host in hosts]
+        return chosen
--- a/tests/test_peers/test_peers_occupancy.py
+++ b/tests/test_peers/test_peers_occupancy.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from gradepoint.ids import Incarnation, TargetId, TargetNumber
+from gradepoint.peers.aggregation import STALE_S, Aggregation, choose_hosts_to_give_way
 from gradepoint.peers.datagrams import (
     DATAGRAM_FORMAT,
     DatagramSocket,
@@ -17,14 +18,7 @@
     Report,
     number_target,
 )
-from gradepoint.peers.occupancy import (
-    AGGREGATORS,
-    STALE_S,
-    Aggregation,
-    Occupancy,
-    choose_aggregators,
-    choose_hosts_to_give_way,
-)
+from gradepoint.peers.occupancy import AGGREGATORS, Occupancy, choose_aggregators
 from gradepoint.peers.results import ResultCount
 from gradepoint.standins.virtual_time import run_virtual
 
