--- a/tests/support/soak_hosts.py
+++ b/tests/support/soak_hosts.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import signal
+from abc import ABC, abstractmethod
 from pathlib import Path
 from typing import Any
 
@@ -20,7 +21,7 @@
 from .virtual_network import LIFE, NetworkLoop
 
 
-class LoopProgram(ProgramProcess):
+class LoopProgram(ProgramProcess, ABC):
     """A program that takes signals as a process does, but runs on the test's loop."""
 
     def __init__(self, name: str, address: str, folder: Path, store: Proxy) -> None:
@@ -50,9 +51,9 @@
         """What names this life among all programs."""
         return f"{self.name}.{self.life}"
 
+    @abstractmethod
     def make_program(self, settings: dict[str, object], rng: random.Random) -> Any:
         """Return the program."""
-        raise NotImplementedError
 
     def start(self) -> None:
         """See :meth:`ProgramProcess.start`."""
