Give programs under test ports that outgoing connections do not take

Cause: the last run of the tests ended with one failure, test_a_job_runs_though_its_client_left_while_it_was_written: "address already in use" at 127.0.0.1:35549. The tests' own free_port asked the kernel for a port, closed the probe and listened later; the kernel gives such ports to outgoing connections too, so a call of another deployment may hold it by then. Ruled out: two programs given the same port (each probe held TCP and UDP, and the port is in the kernel's range from 32768 on); load alone, since nothing in the failure waits for time. Change: the function that the local tier already had, which stays below that range and never returns a port twice, stands in a module of its own and serves the tests and the soak too. Two copies go. Two test runs at once may still probe the same port in the same instant; none was seen.

--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -6,36 +6,18 @@
 import signal
 import subprocess
 import sys
-from contextlib import closing
 from dataclasses import dataclass, field
 from pathlib import Path
-from socket import AF_INET, SOCK_DGRAM, SOCK_STREAM, socket
 
 import msgspec
 
+from gradepoint.standins.ports import free_port
+
 from .proxy import Proxy
 
 ROOT = Path(__file__).resolve().parents[2]
 
 
-def free_ports(address: str, count: int) -> list[int]:
-    """Return ports of *address* that are free for TCP and UDP."""
-    ports: list[int] = []
-    while len(ports) < count:
-        with (
-            closing(socket(AF_INET, SOCK_STREAM)) as tcp,
-            closing(socket(AF_INET, SOCK_DGRAM)) as udp,
-        ):
-            tcp.bind((address, 0))
-            port = int(tcp.getsockname()[1])
-            try:
-                udp.bind((address, port))
-            except OSError:
-                continue
-            ports.append(port)
-    return ports
-
-
 @dataclass
 class ProgramProcess:
     """One program on one host; its address stays the same over its lives.
@@ -53,7 +35,7 @@
     module = ""
 
     def __post_init__(self) -> None:
-        self.ports = free_ports(self.address, 4)
+        self.ports = [free_port(self.address) for _ in range(4)]
 
     @property
     def alive(self) -> bool:
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -6,10 +6,8 @@
 import base64
 import itertools
 from collections.abc import Awaitable, Callable
-from contextlib import closing
 from dataclasses import dataclass, field
 from pathlib import Path
-from socket import AF_INET, SOCK_DGRAM, SOCK_STREAM, socket
 from typing import Any
 
 import msgspec
@@ -22,31 +20,15 @@
 from gradepoint.platform.store import PlatformStore
 from gradepoint.spool.app import DataHost
 from gradepoint.spool.settings import DataHostSettings, check_data_host_settings
+from gradepoint.standins.ports import LOOPBACK, free_port
 from gradepoint.wire.http_client import HttpClient, ResponseBroken
 
 HOST = "calls.example"
 ITEM_TOKENS = 100
-LOOPBACK = "127.0.0.1"
 WAIT_S = 20.0
 """Seconds until something that has to come counts as missing."""
 
 
-def free_port() -> int:
-    """Return a port that is free for TCP and UDP."""
-    while True:
-        with (
-            closing(socket(AF_INET, SOCK_STREAM)) as tcp,
-            closing(socket(AF_INET, SOCK_DGRAM)) as udp,
-        ):
-            tcp.bind((LOOPBACK, 0))
-            port = int(tcp.getsockname()[1])
-            try:
-                udp.bind((LOOPBACK, port))
-            except OSError:
-                continue
-            return port
-
-
 def route(name: str, kind: str, **more: Any) -> dict[str, Any]:
     """Return a route as the operator writes it."""
     row = {
--- a/tests/test_tier/test_tier_path.py
+++ b/tests/test_tier/test_tier_path.py
@@ -15,7 +15,7 @@
 from bench.traces import Kind, TraceLine
 from gradepoint.cmd.local import wait_ready
 from gradepoint.standins.engine import expected_tokens
-from gradepoint.standins.tier import LOCAL_CALLER_KEY, LocalTier, free_port, make_engines
+from gradepoint.standins.tier import LOCAL_CALLER_KEY, LocalTier, make_engines
 
 
 def run_with_tier(folder: Path, work: Callable[[LocalTier], Awaitable[None]]) -> None:
@@ -33,12 +33,6 @@
     asyncio.run(main())
 
 
-def test_ports_of_a_tier_are_no_ports_of_outgoing_connections() -> None:
-    ports = [free_port() for _ in range(200)]
-    assert len(set(ports)) == 200
-    assert max(ports) < 32768
-
-
 def test_public_client_does_online_and_batch_work(tmp_path: Path) -> None:
     async def work(tier: LocalTier) -> None:
         url = f"{tier.hosts[1].entry_url}/v1"
