Run items of spooled jobs while the service is away

Cause: a job that came while the service was away was kept on data hosts and its items rested until the service was back and had it. Ruled out: callers needing the slots (5 to 22 of 32 were taken); the wait for copies (30 ms); hosts that had lost the targets' list (calls went on). Change: the host that answered 202 runs the items at once. Nothing is listed, told or committed before the service has the job; then what ran counts. Where a data host entered it first and left it to whoever takes it, this host takes it if it can; where another host has it, this one stops. A planned stop drops it, and the data hosts' copy stays. Tests: three in tests/test_spool, of which the first two fail without the change.

--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -172,6 +172,7 @@
                 settings.spool_copies,
             ),
             lambda: self.kv.answers,
+            self.worker.run_early,
             lambda stored, items: self.jobs.run_entered(stored, items),
             lambda job_id: self.jobs.is_run_elsewhere(job_id),
             lambda: self.jobs.leaving,
--- a/gradepoint/jobs/api.py
+++ b/gradepoint/jobs/api.py
@@ -194,11 +194,16 @@
 
     async def run_entered(self, stored: StoredJob, items: list[Item]) -> None:
         """Run a job of this host that the service has now."""
-        if stored.state.released:
+        if stored.state.released and not self.leaving:
+            # A data host was first and left it to whoever takes it: this host may be on it already.
+            self.tasks.start(self._look_for_late_write(stored.id, (0.0, *LATE_WRITE_CHECKS_S)))
+        elif stored.state.released:
+            self.worker.drop_early(stored.id)
             await self._hand_on(stored.id)
         elif stored.state.owner == self.presence.own.incarnation:
             await self._take(stored, items)
         else:
+            self.worker.drop_early(stored.id)
             await self._remind_owner(stored)
 
     async def _take(self, stored: StoredJob, items: list[Item] | None) -> None:
@@ -223,8 +228,11 @@
                     stored = await self.repository.adopt(stored, self.presence.own.incarnation)
                 if stored.state.owner == self.presence.own.incarnation:
                     await self.worker.take(stored)
+                else:
+                    self.worker.drop_early(job_id)
                 return
             except Superseded:
+                self.worker.drop_early(job_id)
                 return
             except KvError as error:
                 emit(events.JOB_UNREADABLE, job=job_id, reason=str(error))
@@ -314,6 +322,8 @@
 
     def may_answer_for(self, job: OwnedJob) -> bool:
         """Whether no other host can have listed results of a job that this one runs."""
+        if not job.entered:
+            return False
         if job.done:
             return True
         return not job.dropped and self.presence.holds_lease and not self.is_isolated()
@@ -362,7 +372,7 @@
             self.tasks.start(self._look_for_late_write(job_id, (0.0, *LATE_WRITE_CHECKS_S)))
             return Response(200)
         job = self.worker.jobs.get(job_id)
-        if job is None:
+        if job is None or (kind == "jobs" and not job.entered):
             return self._answer_peer_waiting(kind, job_id, request)
         if kind in ("ended", "adopted"):
             self.worker.drop(job.id, kind)
--- a/gradepoint/jobs/intake.py
+++ b/gradepoint/jobs/intake.py
@@ -41,6 +41,7 @@
 
     :param spool: the data hosts.
     :param reaches_service: whether this host's calls to the service are answered, by any way.
+    :param on_kept: told of each job that was spooled and is not in the service yet.
     :param on_entered: told of each job that was spooled and is in the service now.
     :param is_run_elsewhere: asks whether another host has a job already.
     :param leaving: whether this host stops, so that another has to run what is entered.
@@ -51,6 +52,7 @@
     repository: JobRepository
     spool: SpoolClient
     reaches_service: Callable[[], bool]
+    on_kept: Callable[[SpooledJob], None]
     on_entered: Callable[[StoredJob, list[Item]], Awaitable[None]]
     is_run_elsewhere: Callable[[JobId], Awaitable[bool]]
     leaving: Callable[[], bool]
@@ -106,6 +108,7 @@
         if keeping.result() is Kept.YES:
             emit(events.JOB_SPOOLED, job=job.id, items=len(job.items))
             self.waiting[job.id] = job
+            self.on_kept(job)
             self.tasks.start(self._enter(job, creating))
             return Submission(Admission.SPOOLED, None)
         if keeping.result() is Kept.NOWHERE:
--- a/gradepoint/jobs/owned.py
+++ b/gradepoint/jobs/owned.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ..kv.service import ABSENT
 from ..util.clock import monotonic
 from .records import ItemEnd, PartialText, Result
 
@@ -19,6 +20,7 @@
 class OwnedJob:
     """One job and its work on this host.
 
+    :param stored: the job as the service has it; revision :data:`ABSENT` until it is there.
     :param results: listed results with their texts, by position.
     :ivar pending: ended items that no commit lists yet.
     :ivar running: tasks of the items under way, by index.
@@ -56,6 +58,11 @@
         """Its place among all jobs by age: the revision that created it, the same at any host."""
         return self.stored.created
 
+    @property
+    def entered(self) -> bool:
+        """Whether the service has the job, so that its results can be listed."""
+        return self.stored.revision != ABSENT
+
     @property
     def done(self) -> bool:
         """Whether nothing is left to run or commit."""
@@ -73,6 +80,11 @@
             and self.not_before.get(index, 0.0) <= now
         ]
 
+    def enter(self, stored: StoredJob) -> None:
+        """Take note that the service has the job now; what has been run so far counts."""
+        self.stored = stored
+        self.committed_at = monotonic()
+
     def find_body(self, item_id: ItemId) -> bytes | None:
         """Return the body of an item, None if the job has no such item."""
         return next((item.body for item in self.items if item.id == item_id), None)
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import random
+import sys
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from .. import events
 from ..errors import KvError
 from ..gateway.forwarding import OtherInstance, TargetBusy, TargetFailed
+from ..kv.service import ABSENT
 from ..telemetry import metrics
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
@@ -19,7 +21,7 @@
 from .item_run import ItemFailed, ItemImpossible, read_item
 from .owned import OwnedJob
 from .records import ItemEnd, PartialText, Result
-from .repository import CommittedWork, Superseded
+from .repository import CommittedWork, StoredJob, Superseded
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,8 +30,9 @@
     from ..gateway.forwarding import Forwarder
     from ..gateway.targets import Target
     from ..ids import Incarnation, JobId, TargetId
+    from ..spool.records import SpooledJob
     from .records import Item
-    from .repository import JobRepository, StoredJob
+    from .repository import JobRepository
 
 TIMELY_WEIGHT = 4
 """Weight of a waiting item that may still be done in time, where hosts share the spare slots."""
@@ -59,6 +62,9 @@
 lost host has made since is made again."""
 COMMIT_RETRY_S = 0.5
 """Seconds until a commit that got no answer is tried again."""
+YOUNGEST = sys.maxsize
+"""Revision that stands for the creation of a job that is not in the service yet: it comes after
+all that are."""
 
 
 @dataclass
@@ -108,7 +114,8 @@
 
     def job_numbers(self) -> list[int]:
         """Return the short numbers of the jobs that other hosts may ask this one about."""
-        return [short_number(job_id) for job_id in list(self.jobs)[-TOLD_JOBS:]]
+        entered = [job.id for job in self.jobs.values() if job.entered]
+        return [short_number(job_id) for job_id in entered[-TOLD_JOBS:]]
 
     def in_flight(self) -> dict[TargetId, int]:
         """Return how many items each target has of this host."""
@@ -141,7 +148,7 @@
 
         :raises KvError: what is stored of it could not be read.
         """
-        if stored.id in self.jobs or stored.state.done:
+        if self._enter_early(stored) or stored.id in self.jobs or stored.state.done:
             return
         if items is None:
             items = await self.repository.load_items(stored)
@@ -152,9 +159,40 @@
         job = OwnedJob(stored, items, results, monotonic() - stored.state.age_s)
         job.failures = dict(stored.state.failures)
         job.partial = partial
+        self._add(job)
+
+    def run_early(self, spooled: SpooledJob) -> None:
+        """Run a job of this host that is kept on data hosts and not in the service yet.
+
+        Its results are listed once it is there. Waiting for that would leave slots empty for as
+        long as the service is away, up to half of the time in which a job is due.
+        """
+        if spooled.id in self.jobs or self.stopping:
+            return
+        stored = StoredJob(spooled.id, spooled.state, ABSENT, created=YOUNGEST)
+        self._add(OwnedJob(stored, spooled.items, [], monotonic()))
+
+    def _enter_early(self, stored: StoredJob) -> bool:
+        """Go on with a job that runs already, now that the service has it; return whether."""
+        job = self.jobs.get(stored.id)
+        if job is None or job.entered:
+            return False
+        if stored.state.done or stored.state.commits:
+            self.drop(stored.id, "another host has run it")
+            return False
+        job.enter(stored)
+        return True
+
+    def _add(self, job: OwnedJob) -> None:
         self.jobs[job.id] = job
         self.wanted.set()
-        emit(events.JOB_TAKEN, job=job.id, items=len(items), listed=len(results))
+        emit(events.JOB_TAKEN, job=job.id, items=len(job.items), listed=len(job.results))
+
+    def drop_early(self, job_id: JobId) -> None:
+        """Stop to run a job that the service has now, and that falls to another host."""
+        job = self.jobs.get(job_id)
+        if job is not None and not job.entered:
+            self.drop(job_id, "another host runs it")
 
     def drop(self, job_id: JobId, reason: str) -> None:
         """Stop to run a job."""
@@ -169,7 +207,7 @@
         for job in list(self.jobs.values()):
             if job.commit_task is not None:
                 await asyncio.wait([job.commit_task])
-            if not job.done and job.id in self.jobs:
+            if job.entered and not job.done and job.id in self.jobs:
                 await self._commit(job, released=True)
             self.drop(job.id, "this host stops")
 
@@ -221,7 +259,7 @@
         return config
 
     def _wants_commit(self, job: OwnedJob, now: float) -> bool:
-        if job.dropped or job.done:
+        if job.dropped or job.done or not job.entered:
             return False
         if job.pending:
             whole = len(job.pending) + len(job.results) == len(job.items)
--- a/tests/test_spool/test_spool_path.py
+++ b/tests/test_spool/test_spool_path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import shutil
 from typing import TYPE_CHECKING
 
@@ -10,6 +11,7 @@
 
 from bench.platform.store import StoreFault
 from gradepoint.ids import JobId
+from gradepoint.jobs.repository import Superseded
 from gradepoint.spool.records import SpooledJob
 from gradepoint.util.hashing import short_number
 from tests.support.platform import (
@@ -26,6 +28,8 @@
     from collections.abc import Awaitable, Callable
     from pathlib import Path
 
+    from gradepoint.gateway.app import Gateway
+
 EVENTS = 3
 GOAL_S = 0.4
 
@@ -68,6 +72,22 @@
     return [len(data_host.spool.held) for data_host in deployment.data_hosts]
 
 
+def count_whole_runs(deployment: Deployment) -> int:
+    """Return how many runs ended, over all targets."""
+    return sum(target.whole.total() for target in deployment.targets)
+
+
+async def take_over(gateway: Gateway, job_id: JobId) -> None:
+    """Make *gateway* own and run a job, whoever tries the same meanwhile."""
+    while job_id not in gateway.worker.jobs:
+        stored = await gateway.repository.load(job_id)
+        assert stored is not None
+        with contextlib.suppress(Superseded):
+            await gateway.worker.take(
+                await gateway.repository.adopt(stored, gateway.own.incarnation)
+            )
+
+
 def test_a_job_is_accepted_while_the_store_is_away(tmp_path: Path) -> None:
     async def work(deployment: Deployment) -> None:
         await lose_store(deployment)
@@ -307,3 +327,52 @@
         assert JobId("j1") not in leaving.worker.jobs
 
     run_spooled(tmp_path, work)
+
+
+def test_a_job_runs_while_the_store_is_away_and_is_listed_once_it_is_back(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        await lose_store(deployment)
+        assert (await deployment.submit("j1", 3)).status == 202
+        await until(lambda: count_whole_runs(deployment) == 3)
+        for gateway in (0, 1):
+            page = await deployment.read_results("j1", gateway=gateway)
+            assert (page["total_count"], page["results"]) == (3, [])
+        deployment.store.fault = StoreFault.NONE
+        await expect_whole(deployment, "j1", 3, gateway=1)
+        assert count_whole_runs(deployment) == 3
+
+    run_spooled(tmp_path, work)
+
+
+def test_what_ran_early_counts_though_a_data_host_entered_the_job(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        await lose_store(deployment)
+        assert (await deployment.submit("j1", 3)).status == 202
+        await until(lambda: count_whole_runs(deployment) == 3)
+        # The service answers data hosts first, which leave the job to whoever takes it.
+        deployment.gateways[0].intake.reaches_service = lambda: False
+        deployment.store.fault = StoreFault.NONE
+        await until(lambda: deployment.store.read("gp/job/j1") is not None)
+        deployment.gateways[0].intake.reaches_service = lambda: True
+        await expect_whole(deployment, "j1", 3, gateway=1)
+
+    run_spooled(tmp_path, work, gateways=2)
+
+
+def test_a_job_that_another_host_took_is_not_run_here_any_more(tmp_path: Path) -> None:
+    async def work(deployment: Deployment) -> None:
+        for target in deployment.targets:
+            target.event_s = 0.3
+        await lose_store(deployment)
+        assert (await deployment.submit("j1", 2)).status == 202
+        acceptor, other = deployment.gateways
+        await until(lambda: len(acceptor.worker.running) == 2)
+        acceptor.intake.reaches_service = lambda: False
+        deployment.store.fault = StoreFault.NONE
+        await until(lambda: deployment.store.read("gp/job/j1") is not None)
+        await take_over(other, JobId("j1"))
+        acceptor.intake.reaches_service = lambda: True
+        await until(lambda: JobId("j1") not in acceptor.worker.jobs)
+        await expect_whole(deployment, "j1", 2)
+
+    run_spooled(tmp_path, work)
