Have a starting host listen before it watches, and go on from what it knows

Every starting host began three watches and gave them up as soon as it heard those that watch, and a host that became a watcher read all keys again, which also made the hosts behind it fetch whole views. Change: a host reads its views once, listens for 0.2 s, and only then decides whether it watches; a watch begins at the revision that its view has. The retry pause of the two loops is one class.

--- a/bench/rounds.py
+++ b/bench/rounds.py
@@ -82,11 +82,12 @@
 
 
 def play(bench: Path, checkout: Checkout, site: Path, day: str, seed: int, why: str) -> Play | None:
-    """Play one day; None if the bench gave no report."""
+    """Play one day on one core; None if the bench gave no report."""
     report = checkout.folder / "run" / f"{site.stem}-{Path(day).stem}-{seed}.json"
     report.parent.mkdir(exist_ok=True)
     report.unlink(missing_ok=True)
     told = ["--seed", str(seed), "--report", str(report), "--why", f"{why} ({checkout.name})"]
+    told += ["--jobs", "1"]
     subprocess.run(
         [str(bench), "run", str(site), day, *told],
         cwd=checkout.folder,
--- a/gradepoint/kv/follow.py
+++ b/gradepoint/kv/follow.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
 from .. import events
@@ -30,38 +31,61 @@
         """Take one change."""
 
 
-async def follow(kv: KeyValueService, prefix: str, follower: Follower) -> None:
-    """Keep *follower* up to date; runs until it is cancelled."""
-    revision = 0
-    pause = FIRST_PAUSE_S
-    failing_since: float | None = None
+@dataclass
+class Outage:
+    """How long the calls for one prefix have failed, and how long to pause before the next."""
+
+    prefix: str
+    since: float | None = None
+    pause_s: float = FIRST_PAUSE_S
+
+    def end(self) -> None:
+        """Take note of an answer."""
+        if self.since is not None:
+            away_s = round(monotonic() - self.since, 2)
+            emit(events.KV_RECOVERED, prefix=self.prefix, away_s=away_s)
+        self.since = None
+        self.pause_s = FIRST_PAUSE_S
+
+    async def pause(self, error: KvError) -> None:
+        """Take note of a failed call, and wait until the next one may be made."""
+        if self.since is None:
+            self.since = monotonic()
+            emit(events.KV_FAILING, prefix=self.prefix, reason=str(error))
+        await asyncio.sleep(self.pause_s * random.uniform(0.5, 1.0))
+        self.pause_s = min(LONGEST_PAUSE_S, self.pause_s * 2)
+
+
+async def read_whole(kv: KeyValueService, prefix: str, follower: Follower) -> int:
+    """Tell *follower* all keys, however long the service is away; return their revision."""
+    outage = Outage(prefix)
+    while True:
+        try:
+            found = await kv.range(prefix)
+        except KvError as error:
+            await outage.pause(error)
+            continue
+        follower.reset(found)
+        outage.end()
+        return found.revision
+
+
+async def follow(kv: KeyValueService, prefix: str, follower: Follower, revision: int = 0) -> None:
+    """Keep *follower* up to date; runs until it is cancelled.
+
+    :param revision: the one up to which *follower* knows all changes; 0 if it knows none.
+    """
+    outage = Outage(prefix)
     while True:
         try:
             if not revision:
-                found = await kv.range(prefix)
-                follower.reset(found)
-                revision = found.revision
-                _note_recovered(prefix, failing_since)
-                failing_since = None
-                pause = FIRST_PAUSE_S
+                revision = await read_whole(kv, prefix, follower)
             async for event in kv.watch(prefix, revision + 1):
                 follower.change(event)
                 revision = max(revision, event.revision)
-                _note_recovered(prefix, failing_since)
-                failing_since = None
-                pause = FIRST_PAUSE_S
+                outage.end()
         except KvHistoryLost as error:
             emit(events.KV_HISTORY_LOST, prefix=prefix, reason=str(error))
             revision = 0
         except KvError as error:
-            if failing_since is None:
-                failing_since = monotonic()
-                emit(events.KV_FAILING, prefix=prefix, reason=str(error))
-            await asyncio.sleep(pause * random.uniform(0.5, 1.0))
-            pause = min(LONGEST_PAUSE_S, pause * 2)
-
-
-def _note_recovered(prefix: str, failing_since: float | None) -> None:
-    if failing_since is not None:
-        away_s = round(monotonic() - failing_since, 2)
-        emit(events.KV_RECOVERED, prefix=prefix, away_s=away_s)
+            await outage.pause(error)
--- a/gradepoint/peers/watchers.py
+++ b/gradepoint/peers/watchers.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from .. import events
-from ..kv.follow import follow
+from ..kv.follow import follow, read_whole
 from ..kv.view import PrefixView, ViewPart
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
@@ -39,6 +39,9 @@
 """Seconds between looks whether this host has to watch; a beat with news is looked at at once."""
 FETCH_TIMEOUT_S = 0.5
 """Seconds a watcher has to tell the news: many times the way, well below the shortest bound."""
+JOIN_S = 0.2
+"""Seconds after its first read in which a host only listens: those that watch are heard within
+them, after a start of all hosts too. Else each start costs watches that are given up again."""
 DISTRUST_S = 3.0
 """Seconds for which a host watches by itself after a watcher's news could not be fetched."""
 
@@ -61,6 +64,8 @@
 
     :param views: views by name; *prefixes* has the prefix of each.
     :param reaches_store: whether this host's own calls to the service are answered.
+    :ivar distrusted_until: monotonic time until which this host watches by itself.
+    :ivar listens_until: monotonic time before which it does not watch.
     """
 
     kv: KeyValueService
@@ -73,6 +78,7 @@
     tasks: TaskGroup = field(default_factory=TaskGroup)
     watching: bool = False
     distrusted_until: float = 0.0
+    listens_until: float = 0.0
     woken: asyncio.Event = field(default_factory=asyncio.Event)
 
     def take_beat(self, beat: Beat) -> None:
@@ -87,6 +93,7 @@
 
     async def run(self) -> None:
         """Watch or listen, whichever falls to this host, for ever."""
+        await self._read_first()
         while True:
             if self.must_watch() != self.watching:
                 await self._change_role()
@@ -94,6 +101,14 @@
                 await self._catch_up()
             await self._wait_for_news()
 
+    async def _read_first(self) -> None:
+        """Read every view once, and leave the others time to be heard."""
+        reads = [
+            read_whole(self.kv, self.prefixes[name], view) for name, view in self.views.items()
+        ]
+        await asyncio.gather(*reads)
+        self.listens_until = monotonic() + JOIN_S
+
     async def _wait_for_news(self) -> None:
         try:
             async with asyncio.timeout(LOOK_S):
@@ -104,8 +119,11 @@
 
     def must_watch(self) -> bool:
         """Whether this host watches: it is one of the chosen, or hears of nobody who does."""
-        if monotonic() < self.distrusted_until or not all(self.revisions().values()):
+        now = monotonic()
+        if now < self.distrusted_until:
             return True
+        if now < self.listens_until:
+            return False
         heard = self.beats.heard
         lives = {life for life, row in heard.items() if row.beat.reaches_store}
         if self.reaches_store():
@@ -125,7 +143,7 @@
         emit(events.WATCH_ROLE, watching=self.watching, heard=len(self.beats.heard))
         if self.watching:
             for name, view in self.views.items():
-                self.tasks.start(follow(self.kv, self.prefixes[name], view))
+                self.tasks.start(follow(self.kv, self.prefixes[name], view, view.revision))
         else:
             await self.tasks.stop()
 
--- a/tests/test_platform/test_platform_store.py
+++ b/tests/test_platform/test_platform_store.py
@@ -9,7 +9,7 @@
 
 from bench.platform.store import PAGE_ITEMS, PlatformStoreStandin, StoreFault
 from gradepoint.errors import KvHistoryLost, KvLeaseLapsed, KvUnavailable, KvUncertain
-from gradepoint.kv.follow import follow
+from gradepoint.kv.follow import follow, read_whole
 from gradepoint.kv.service import ABSENT, Delete, Expect, Put, RangeResult, Transaction, WatchEvent
 from gradepoint.platform.store import PlatformStore
 from tests.support.platform import until
@@ -168,3 +168,18 @@
         task.cancel()
 
     with_store(work)
+
+
+def test_following_from_a_known_revision_reads_no_key_again() -> None:
+    async def work(store: PlatformStoreStandin, client: PlatformStore) -> None:
+        seen = Seen()
+        store.put("f/a", b"1")
+        revision = await read_whole(client, "f/", seen)
+        store.put("f/b", b"1")
+        task = asyncio.ensure_future(follow(client, "f/", seen, revision))
+        await until(lambda: seen.keys == {"f/a", "f/b"})
+        assert len(seen.resets) == 1
+        assert client.counts.reads == 1
+        task.cancel()
+
+    with_store(work)
