Tell all results in some digests only, and failures at once

Two thirds of a digest were the results of calls at thirty targets, told again up to 24 times a second though a success only makes good what failures did. Change: all results are told 0.2 s apart; a digest between them has those targets only at which failures are new. A host that hears an aggregator for the first time starts from a digest with all. Test: failures arrive within a beat, successes in fewer than half of the digests, and all of both arrive once. It uses a field that was not there, so it cannot pass before.

--- a/gradepoint/peers/aggregation.py
+++ b/gradepoint/peers/aggregation.py
@@ -10,7 +10,7 @@
 from ..util.clock import monotonic
 from ..util.hashing import score, short_number
 from .datagrams import Report, Sums
-from .results import HeardResults, ResultCount, take_results
+from .results import HeardResults, ResultCount, ToldResults, take_results
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -20,6 +20,9 @@
 RELIED_S = 0.6
 """Seconds after its last word that an aggregator counts a host as relying on it: two of the longest
 gaps, so that the loss of one datagram changes nothing."""
+RESULTS_GAP_S = 0.2
+"""Seconds between digests that tell all results, of which failures are told at once: results are
+two thirds of a digest, and successes only make good what failures did."""
 STALE_S = 0.9
 """Seconds after which a report or digest is not counted: three are missing."""
 
@@ -65,6 +68,8 @@
 
     :param find_slots: returns a target's slots, None for one that this host does not know.
     :ivar results: results of all hosts since this one began, by target.
+    :ivar told_failures: failures told last, by target.
+    :ivar results_told_at: monotonic time at which all changed results were told last.
     :ivar changed: a report came since the sums were last told.
     :ivar heard_results: what each host said last, by target.
     """
@@ -75,6 +80,8 @@
     waiting: int = 0
     changed: bool = False
     results: dict[TargetNumber, ResultCount] = field(default_factory=dict)
+    told_failures: dict[TargetNumber, int] = field(default_factory=dict)
+    results_told_at: float = float("-inf")
     heard_results: dict[Incarnation, dict[TargetNumber, HeardResults]] = field(default_factory=dict)
 
     def take(self, report: Report, address: str) -> None:
@@ -128,13 +135,30 @@
 
     def sum_up(self, own: Incarnation) -> Sums:
         """Return what is known now."""
-        results = {}
+        now = monotonic()
+        tells_all = now - self.results_told_at >= RESULTS_GAP_S
+        if tells_all:
+            self.results_told_at = now
+        return Sums(
+            own,
+            self.loads,
+            self._find_results(tells_all=tells_all),
+            self.waiting,
+            self._find_hosts_to_give_way(),
+            self.relied_on,
+            tells_all,
+        )
+
+    def _find_results(self, *, tells_all: bool) -> dict[TargetNumber, ToldResults]:
+        """Return the results that are told now; a target that begins to fail does not wait."""
+        found = {}
         for target, count in self.results.items():
             told = count.tell()
-            if told is not None:
-                results[target] = told
-        giving_way = self._find_hosts_to_give_way()
-        return Sums(own, self.loads, results, self.waiting, giving_way, self.relied_on)
+            if told is None or not (tells_all or told.bad > self.told_failures.get(target, 0)):
+                continue
+            self.told_failures[target] = told.bad
+            found[target] = told
+        return found
 
     def _find_hosts_to_give_way(self) -> dict[TargetNumber, list[int]]:
         chosen = {}
--- a/gradepoint/peers/datagrams.py
+++ b/gradepoint/peers/datagrams.py
@@ -20,7 +20,7 @@
 
     from ..ids import TargetId
 
-DATAGRAM_FORMAT = 3
+DATAGRAM_FORMAT = 4
 """Version of the datagrams; others are dropped."""
 
 
@@ -76,6 +76,7 @@
     :param loads: calls and items in flight, by target.
     :param results: results of all hosts' calls since the aggregator began, by target, where
         they changed lately.
+    :param all_results: *results* has all of these; else only those with new failures.
     :param waiting: weight of the batch items that could start.
     :param giving_way: short numbers of the hosts that take an item back, by target.
     :param relied_on: some host relies on them, so that every change is told.
@@ -87,6 +88,7 @@
     waiting: int
     giving_way: dict[TargetNumber, list[int]]
     relied_on: bool = True
+    all_results: bool = True
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True, tag="digest"):
--- a/gradepoint/peers/occupancy.py
+++ b/gradepoint/peers/occupancy.py
@@ -304,6 +304,8 @@
 
     def _compare_results(self, sums: Sums, own: Report | None) -> None:
         """Tell what is new of other hosts' results; one aggregator's word counts at a time."""
+        if sums.aggregator not in self.heard_results and not sums.all_results:
+            return
         if sums.aggregator not in self.heard_results:
             # What it told before this host heard it may be known from another aggregator.
             self.heard_results[sums.aggregator] = {
--- a/tests/test_peers/test_peers_occupancy.py
+++ b/tests/test_peers/test_peers_occupancy.py
@@ -9,7 +9,12 @@
 import msgspec
 
 from gradepoint.ids import Incarnation, TargetId, TargetNumber
-from gradepoint.peers.aggregation import STALE_S, Aggregation, choose_hosts_to_give_way
+from gradepoint.peers.aggregation import (
+    RESULTS_GAP_S,
+    STALE_S,
+    Aggregation,
+    choose_hosts_to_give_way,
+)
 from gradepoint.peers.datagrams import (
     DATAGRAM_FORMAT,
     DatagramSocket,
@@ -315,3 +320,29 @@
         stop(hosts)
 
     run_virtual(main())
+
+
+def test_failures_are_told_at_once_and_successes_at_intervals() -> None:
+    async def work() -> None:
+        _, hosts = await start(4)
+        told_all = 0
+        told = 0
+        await asyncio.sleep(RESULTS_GAP_S)
+        for number in range(40):
+            hosts[number % 4].work(1 + number % 3)
+            hosts[0].end_calls(1, 0)
+            await asyncio.sleep(0.025)
+            sums = hosts[1].occupancy.heard[hosts[1].occupancy.aggregators[0]].sums
+            told_all += sums.all_results
+            told += bool(sums.results)
+        assert told == told_all < 20
+        before = sum(bad for _, bad in hosts[1].told)
+        hosts[0].end_calls(0, 1)
+        await asyncio.sleep(0.06)
+        assert sum(bad for _, bad in hosts[1].told) == before + 1
+        await asyncio.sleep(1.0)
+        assert sum(good for good, _ in hosts[1].told) == 40
+        assert sum(bad for _, bad in hosts[1].told) == before + 1
+        stop(hosts)
+
+    run_virtual(work())
