Refuse calls without a target at once; hold those of a host's first moments

Cause: a call for which no target was known waited a quarter of its goal before it was refused, although nothing said that one would appear; the users ask that what cannot be served is refused at once. Change: no target, no wait. The caller is told to come back after as long as calls have found none, two seconds at the most. In the first 0.15 s of a process a call waits for the first read; after that it is refused at once. Tests: virtual time does not pass before a refusal, and the time to come back grows; a call of a host's first moments is answered. Both fail without the change.

--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -79,6 +80,9 @@
 IDLE_SLACK_S = 1.0
 """Seconds that a resting connection is kept beyond the configured time, for requests that
 are under way when it ends."""
+FIRST_READ_S = 0.15
+"""Seconds of a process's life in which calls wait for its first read of the store: several
+answers of it. After them, they are refused at once."""
 STOP_LISTENING_S = 3.0
 """Seconds from the stop signal until no new connection comes: the platform asks for readiness
 every second and takes a host out after two misses."""
@@ -125,6 +129,7 @@
         self.platform = platform
         self.tasks = TaskGroup()
         self.stopping = False
+        self.started_at = float("-inf")
         self.own = HostPresence(
             host=HostName(settings.host),
             incarnation=make_incarnation(HostName(settings.host)),
@@ -216,6 +221,7 @@
     async def start(self) -> None:
         """Listen, and begin to follow the store."""
         settings = self.settings
+        self.started_at = monotonic()
         await self.peer_server.start(settings.address, settings.peer_port)
         await self.socket.start(settings.address, settings.peer_port)
         await self.callers.start(*split_address(settings.callers_address))
@@ -356,6 +362,7 @@
             return refuse(error)
 
     async def _route(self, request: Request, body: bytes) -> Response:
+        await self._wait_for_first_read()
         configuration = self.configuration.current
         if configuration is None:
             raise GradepointError("not_ready", retry_after=SWEEP_S)
@@ -370,6 +377,20 @@
             return await self.jobs.submit(route, head, body)
         return await create_call(self.forwarder, route, head, request, body).answer()
 
+    async def _wait_for_first_read(self) -> None:
+        """Hold a call of this process's first moments until it knows routes and targets.
+
+        Else the callers that reach a host in the 20 to 40 ms between its first connection and
+        its first read are sent away, and spend on it one of the few tries that they have.
+        """
+        if self.watchers.first_read.is_set():
+            return
+        left_s = self.started_at + FIRST_READ_S - monotonic()
+        if left_s > 0:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(left_s):
+                    await self.watchers.first_read.wait()
+
     async def answer_ready(self, _request: Request) -> Response:
         """Answer the platform's readiness check."""
         return Response(200 if self.ready else 503)
--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -19,6 +19,10 @@
     from .targets import Target, TargetSet
 
 
+LONGEST_EXPECTED_S = 2.0
+"""Seconds within which rows of targets that lapsed are back, once their list is."""
+
+
 class OtherInstance(Exception):
     """Another target has the address now; nothing was run."""
 
@@ -54,6 +58,7 @@
 
     :param failure_domain: that of this host.
     :param elsewhere: calls that other hosts have in flight at a target.
+    :ivar empty_since: since when a call found no target of a service.
     """
 
     targets: TargetSet
@@ -62,12 +67,27 @@
     failure_domain: str
     elsewhere: Callable[[TargetId], int]
     rng: random.Random = field(default_factory=random.Random)
+    empty_since: dict[ServiceName, float] = field(default_factory=dict)
 
     def choose(self, service: ServiceName, tried: set[TargetId]) -> Target | None:
         """Return a target for a call, or None."""
-        candidates = self.targets.candidates(service, monotonic())
+        now = monotonic()
+        candidates = self.targets.candidates(service, now)
+        if candidates:
+            self.empty_since.pop(service, None)
+        else:
+            self.empty_since.setdefault(service, now)
         return choose_target(candidates, self.failure_domain, tried, self.elsewhere, self.rng)
 
+    def expect_target_s(self, service: ServiceName) -> float:
+        """Return the seconds until a service without any target may have one again; 0 if it has.
+
+        What has lasted for a while takes about as long again on average, and a caller has few
+        tries to spend.
+        """
+        since = self.empty_since.get(service)
+        return 0.0 if since is None else min(LONGEST_EXPECTED_S, monotonic() - since)
+
     async def send(
         self,
         target: Target,
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -30,9 +30,6 @@
 MAX_UNSENT_TRIES = 4
 """Tries that reach no target, or another one than meant, until a call is refused. Each
 costs at most the connect timeout, so that a refusal still comes early."""
-TARGET_WAIT_SHARE = 0.25
-"""Share of the goal that a call waits for a target to appear; a refusal later than that is
-too late for the caller to be served in time by a retry."""
 RETRY_AFTER_S = 0.05
 """Seconds after which a refused caller should come back: about one answer's first token."""
 HELD_BODY_BYTES = 262_144
@@ -111,7 +108,7 @@
         :raises TargetFailed: it may have run, and may not be sent again.
         """
         while True:
-            target = await self._next_target()
+            target = self._next_target()
             self.tried.add(target.id)
             try:
                 return await self._try(target, resume_after)
@@ -192,22 +189,21 @@
     def _first_wait_s(self) -> float:
         return self.route.goal_s * FIRST_WAIT_SHARE
 
-    async def _next_target(self) -> Target:
-        """Return the next target to try; wait a little for one to appear."""
-        wait_until = self.arrived + self.route.goal_s * TARGET_WAIT_SHARE
-        while True:
-            target = self.forwarder.choose(self.service, self.tried)
-            if target is not None:
-                return target
-            if monotonic() >= wait_until:
-                raise self._refusal("no_target")
-            await asyncio.sleep(0.01)
-
-    def _refusal(self, code: str) -> GradepointError:
+    def _next_target(self) -> Target:
+        """Return the next target to try.
+
+        :raises GradepointError: there is none now. Its caller knows at once, and can come back.
+        """
+        target = self.forwarder.choose(self.service, self.tried)
+        if target is None:
+            raise self._refusal("no_target", self.forwarder.expect_target_s(self.service))
+        return target
+
+    def _refusal(self, code: str, retry_after_s: float = RETRY_AFTER_S) -> GradepointError:
         """Return the final answer of a call that no target took."""
         if self.may_have_run:
             return GradepointError("target_lost")
-        return GradepointError(code, retry_after=RETRY_AFTER_S)
+        return GradepointError(code, retry_after=max(RETRY_AFTER_S, retry_after_s))
 
     def _failure(self, error: TargetFailed) -> GradepointError:
         if self.remaining_s <= 0.0:
--- a/gradepoint/peers/watchers.py
+++ b/gradepoint/peers/watchers.py
@@ -65,6 +65,7 @@
     :param views: views by name; *prefixes* has the prefix of each.
     :param reaches_store: whether this host's own calls to the service are answered.
     :ivar distrusted_until: monotonic time until which this host watches by itself.
+    :ivar first_read: set once every view was read.
     :ivar listens_until: monotonic time before which it does not watch.
     """
 
@@ -79,6 +80,7 @@
     watching: bool = False
     distrusted_until: float = 0.0
     listens_until: float = 0.0
+    first_read: asyncio.Event = field(default_factory=asyncio.Event)
     woken: asyncio.Event = field(default_factory=asyncio.Event)
 
     def take_beat(self, beat: Beat) -> None:
@@ -107,6 +109,7 @@
             read_whole(self.kv, self.prefixes[name], view) for name, view in self.views.items()
         ]
         await asyncio.gather(*reads)
+        self.first_read.set()
         self.listens_until = monotonic() + JOIN_S
 
     async def _wait_for_news(self) -> None:
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -139,11 +139,15 @@
         self.targets.append(target)
         self.store.put(f"servers/{target.name}", target.entry())
 
-    async def add_gateway(self, host: str) -> Gateway:
-        """Start a gateway and wait until it is ready."""
+    def make_gateway(self, host: str) -> Gateway:
+        """Return a gateway that is not started yet."""
         settings = make_settings(host, self.store_address, **self.gateway_settings)
         kv = PlatformStore(self.store_address, settings.store_timeout_s, settings.store_history_s)
-        gateway = Gateway(settings, kv, PLATFORM)
+        return Gateway(settings, kv, PLATFORM)
+
+    async def add_gateway(self, host: str) -> Gateway:
+        """Start a gateway and wait until it is ready."""
+        gateway = self.make_gateway(host)
         await gateway.start()
         self.gateways.append(gateway)
         await until(lambda: gateway.ready and gateway.presence.holds_lease)
--- a/tests/test_gateway/test_gateway_calls.py
+++ b/tests/test_gateway/test_gateway_calls.py
@@ -7,6 +7,7 @@
 import pytest
 
 from bench.platform.target import TargetFault, TargetStandin, plain_answer, whole_stream
+from gradepoint.gateway.app import FIRST_READ_S
 from gradepoint.gateway.live import abandon
 from gradepoint.ids import TargetId
 from tests.support.platform import HOST, Deployment, configuration, route, run_deployment, until
@@ -185,6 +186,20 @@
     run_deployment(work)
 
 
+def test_a_call_of_the_first_moments_is_answered_once_the_store_is_read() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(targets=1)
+        await deployment.kill(deployment.gateways[0])
+        gateway = deployment.make_gateway("late")
+        deployment.store.delay_s = FIRST_READ_S / 3
+        await gateway.start()
+        deployment.gateways.append(gateway)
+        assert gateway.configuration.current is None
+        assert (await deployment.call("/single/1")).status == 200
+
+    run_deployment(work)
+
+
 def test_versions_only_rise() -> None:
     async def work(deployment: Deployment) -> None:
         await deployment.start(targets=1)
--- /dev/null
+++ b/tests/test_gateway/test_gateway_refusals.py
@@ -0,0 +1,65 @@
+"""Calls that no target can serve are refused at once, and told when to come back."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+import pytest
+
+from gradepoint.errors import GradepointError
+from gradepoint.gateway.dialect import CallHead
+from gradepoint.gateway.forwarding import LONGEST_EXPECTED_S, Forwarder
+from gradepoint.gateway.live import RETRY_AFTER_S, LiveCall, create_call
+from gradepoint.gateway.targets import TargetSet
+from gradepoint.ids import RequestId
+from gradepoint.platform.configuration import decode_configuration
+from gradepoint.platform.headers import PlatformDialect
+from gradepoint.standins.virtual_time import run_virtual
+from gradepoint.util.clock import monotonic
+from gradepoint.wire.http_client import HttpClient
+from gradepoint.wire.http_types import Request
+from tests.support.platform import HOST, configuration, route
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+
+async def read_nothing() -> AsyncIterator[bytes]:
+    """Yield a body without a piece."""
+    for piece in ():
+        yield piece
+
+
+def make_call(forwarder: Forwarder) -> LiveCall:
+    """Return a call that has just arrived."""
+    found = decode_configuration(configuration(1, [route("r", "streaming")]))
+    head = CallHead(RequestId("1"), HOST, None, None, [])
+    request = Request("POST", "/r/1", {}, read_nothing, 0)
+    return create_call(forwarder, found.routes[0], head, request, b"")
+
+
+def test_a_call_without_any_target_is_refused_at_once() -> None:
+    forwarder = Forwarder(
+        TargetSet(1.0), PlatformDialect(), HttpClient(), "a", lambda _: 0, random.Random(1)
+    )
+
+    async def refuse() -> float:
+        arrived = monotonic()
+        with pytest.raises(GradepointError) as refused:
+            await make_call(forwarder).answer()
+        assert refused.value.code == "no_target"
+        assert monotonic() == arrived
+        assert refused.value.retry_after is not None
+        return refused.value.retry_after
+
+    async def work() -> None:
+        # It is told to come back after about as long as there has been none.
+        assert await refuse() == RETRY_AFTER_S
+        await asyncio.sleep(0.5)
+        assert await refuse() == pytest.approx(0.5)
+        await asyncio.sleep(60.0)
+        assert await refuse() == LONGEST_EXPECTED_S
+
+    run_virtual(work())
