Move the emptying of data hosts out of the gateway's composition

Change: gateway/retirement.py holds it, with its own tasks, which end with the gateway. No behaviour changes.

--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from .. import events
-from ..errors import GradepointError, KvError
+from ..errors import GradepointError
 from ..ids import HostName, TargetId
 from ..jobs.adoption import Adoption
 from ..jobs.api import JobApi
@@ -17,7 +17,6 @@
 from ..jobs.repository import JobRepository
 from ..jobs.worker import Worker
 from ..kv.relay import RelayedKv
-from ..kv.service import ABSENT, Expect, Put, Transaction
 from ..kv.view import PrefixView
 from ..peers.aggregation import Aggregation
 from ..peers.beats import Beats
@@ -45,7 +44,6 @@
 from ..telemetry import metrics
 from ..telemetry.logs import emit, report_left_out
 from ..util.clock import monotonic
-from ..util.hashing import rank
 from ..util.tasks import TaskGroup
 from ..wire.http_client import ConnectFailed, HttpClient, ResponseBroken
 from ..wire.http_server import HttpServer, ServerLimits
@@ -55,6 +53,7 @@
 from .configuration import NO_VERSION, RouteKind
 from .forwarding import Forwarder
 from .live import create_call
+from .retirement import Retirement
 from .targets import TargetSet
 
 if TYPE_CHECKING:
@@ -90,10 +89,6 @@
 """Seconds between looks whether everything is answered."""
 STOP_RESERVE_S = 1.0
 """Seconds before the kill in which what still runs is cut and the process ends."""
-RETIRE_STEP_S = 0.5
-"""Seconds that each further host waits before it answers an order to empty a data host."""
-RETIRE_TIMEOUT_S = 1.0
-"""Seconds that a data host has to answer an order to keep nothing more."""
 CALLER_CONNECTIONS = 2000
 """Callers' connections that one host holds, about half of its descriptors."""
 
@@ -139,6 +134,15 @@
         self.hosts = HostTable()
         self.data_hosts = HostTable(DATA_HOST_PREFIX)
         self.presence = Presence(kv, self.own)
+        self.retirement = Retirement(
+            kv,
+            self.peer_http,
+            self.own.host,
+            self.hosts,
+            self.data_hosts,
+            platform.status_key,
+            platform.encode_emptied,
+        )
         self.silence = Silence()
         self.targets = TargetSet(
             settings.drain_ms / 1000 * LINGER_SHARE, lambda: self.occupancy.changed.set()
@@ -244,7 +248,7 @@
             self.configuration,
             platform.config_key,
             platform.read_retired_host,
-            self.answer_retirement,
+            self.retirement.answer,
         )
         live = LiveFollower(
             self.hosts,
@@ -409,48 +413,6 @@
             return await self.kv.answer_peer(request)
         return await self.jobs.answer_peer(request)
 
-    def answer_retirement(self, host: HostName) -> None:
-        """Tell the operator that a data host is empty: nothing that must last is on disks."""
-        self.tasks.start(self._answer_retirement(host))
-
-    async def _answer_retirement(self, host: HostName) -> None:
-        order = rank(host, {*self.hosts.hosts, self.own.host})
-        await asyncio.sleep(order.index(self.own.host) * RETIRE_STEP_S)
-        key = self.platform.status_key(host)
-        write = Transaction((Expect(key, ABSENT),), (Put(key, self.platform.encode_emptied()),))
-        while True:
-            if not await self._is_empty(host):
-                await asyncio.sleep(RETIRE_STEP_S)
-                continue
-            try:
-                result = await self.kv.transact(write)
-            except KvError as error:
-                emit(events.KV_FAILING, prefix=key, reason=str(error))
-                await asyncio.sleep(RETIRE_STEP_S)
-                continue
-            if result.succeeded:
-                emit(events.HOST_EMPTIED, retired=host)
-            return
-
-    async def _is_empty(self, host: HostName) -> bool:
-        """Have a data host keep nothing more; return whether it holds nothing that must last.
-
-        One that is not listed runs nothing of ours, or has been lost with what it held.
-        """
-        listed = self.data_hosts.hosts.get(host)
-        if listed is None:
-            return True
-        try:
-            async with asyncio.timeout(RETIRE_TIMEOUT_S):
-                response = await self.peer_http.send(
-                    split_address(listed.peer_address), "POST", "/retire"
-                )
-                await response.read()
-        except (ConnectFailed, ResponseBroken, TimeoutError) as error:
-            emit(events.PEER_SILENT, member=host, reason=repr(error))
-            return False
-        return response.status == 200
-
     async def sweep(self) -> None:
         """Look after what no event tells of, for ever."""
         was_ready = False
@@ -511,6 +473,7 @@
         )
         self.abort()
         await self.watchers.tasks.stop()
+        await self.retirement.tasks.stop()
         await self.tasks.stop()
 
     def abort(self) -> None:
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -179,6 +179,7 @@
         self.gateways.remove(gateway)
         await gateway.tasks.stop()
         await gateway.intake.tasks.stop()
+        await gateway.retirement.tasks.stop()
         gateway.abort()
         for job_id in list(gateway.worker.jobs):
             gateway.worker.drop(job_id, "killed")
