--- a/bench/rounds.py
+++ b/bench/rounds.py
@@ -1,11 +1,12 @@
-"""Plays the same days on two checkouts and compares them pair by pair.
+"""Plays the same days on several checkouts and compares them pair by pair.
 
-Days are played by the users' bench, the two checkouts in turn, so that a drift of this machine's
+Days are played by the users' bench, the checkouts in turn, so that a drift of this machine's
 speed falls on both. ``python -m bench.rounds --help`` tells the options.
 """
 
 from __future__ import annotations
 
+import math
 import subprocess
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
@@ -29,6 +30,7 @@
 class Play(msgspec.Struct, frozen=True):
     """What one checkout made of one day.
 
+    :ivar worth: NaN for a day that a fault ended.
     :ivar prices: what was taken off, by the bench's name of the price.
     :ivar late: late calls and items by class, and *lost* those without a success.
     :ivar windows: worth of each part of the day, by its first second.
@@ -66,7 +68,7 @@
         site=site,
         day=day,
         seed=seed,
-        worth=told["G"],
+        worth=math.nan if told["G"] is None else told["G"],
         broken=sorted(told["breaks"]),
         fault=told["fault"],
         prices={name: cost for name, _, cost in told["prices"] if cost},
@@ -133,10 +135,19 @@
     row("MB between failure domains", pairs, lambda found: found.gigabytes * 1000)
 
 
+def pair_plays(old: list[Play | None], new: list[Play | None]) -> list[tuple[Play, Play]]:
+    """Return the pairs of the same day and seed of which both were played to their end."""
+    return [
+        (a, b)
+        for a, b in zip(old, new, strict=True)
+        if a is not None and b is not None and a.fault is None and b.fault is None
+    ]
+
+
 def main(
     bench: Annotated[Path, typer.Option(help="The users' bench.")],
     old: Annotated[Path, typer.Option(help="Checkout to compare with.")],
-    new: Annotated[Path, typer.Option(help="Checkout to measure.")],
+    new: Annotated[list[Path], typer.Option(help="Checkout to measure; may be given again.")],
     site: Annotated[list[Path], typer.Option(help="Site file; may be given again.")],
     day: Annotated[list[str], typer.Option(help="Day of the site; may be given again.")],
     why: Annotated[str, typer.Option(help="What the round is to show.")],
@@ -144,8 +155,12 @@
     jobs: Annotated[int, typer.Option(help="Days played at once.")] = 6,
     out: Annotated[Path, typer.Option(help="Every play as JSON.")] = Path("run/rounds.json"),
 ) -> None:
-    """Play a round and print the paired differences; a star marks those above twice their error."""
-    checkouts = (Checkout("old", old.resolve()), Checkout("new", new.resolve()))
+    """Play a round and print the paired differences; a star marks those above twice their error.
+
+    Several checkouts are each compared with the same plays of the old one, as for an ablation.
+    """
+    checkouts = [Checkout("old", old.resolve())]
+    checkouts += [Checkout(folder.resolve().name, folder.resolve()) for folder in new]
     work = list(product(site, day, range(1, seeds + 1), checkouts))
     with ThreadPoolExecutor(jobs) as pool:
         plays = list(
@@ -156,13 +171,11 @@
         )
     out.parent.mkdir(exist_ok=True)
     out.write_bytes(msgspec.json.format(msgspec.json.encode(plays)))
-    print_comparison(
-        [
-            (a, b)
-            for a, b in zip(plays[::2], plays[1::2], strict=True)
-            if a is not None and b is not None
-        ]
-    )
+    for number, checkout in enumerate(checkouts[1:], start=1):
+        print(checkout.name)
+        pairs = pair_plays(plays[:: len(checkouts)], plays[number :: len(checkouts)])
+        if pairs:
+            print_comparison(pairs)
     for found in plays:
         if found is None or found.broken or found.fault:
             print(f"  RED: {found}")
--- a/tests/test_bench/test_bench_rounds.py
+++ b/tests/test_bench/test_bench_rounds.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
-from bench.rounds import describe_difference, read_report
+from bench.rounds import describe_difference, pair_plays, read_report
 
 REPORT = {
     "G": 0.75,
@@ -29,6 +31,14 @@
     assert found.gigabytes == 0.02
 
 
+def test_a_day_that_a_fault_ended_is_in_no_pair() -> None:
+    whole = read_report(msgspec.json.encode(REPORT), "old", "site", "day", 1)
+    ended = {**REPORT, "G": None, "fault": "crash loop"}
+    broken_off = read_report(msgspec.json.encode(ended), "new", "site", "day", 1)
+    assert math.isnan(broken_off.worth)
+    assert pair_plays([whole, whole, None], [whole, broken_off, whole]) == [(whole, whole)]
+
+
 def test_only_a_difference_above_twice_its_error_is_marked() -> None:
     clear = describe_difference([(0.5, 0.6), (0.7, 0.81), (0.2, 0.29)])
     chance = describe_difference([(0.5, 0.6), (0.7, 0.6), (0.2, 0.3)])
