Log faults of background work, and let loops go on after one

Cause: TaskGroup took a background task's exception and dropped it. Ruled out: ending the process on a fault (the platform prices it, and one fault in one loop would take a host's calls with it). The loops of the gateway, the data host, the fleet node and the notifier are kept. Reports go on with their number where that loop begins anew, since aggregators drop lower ones.

--- a/gradepoint/fleet/app.py
+++ b/gradepoint/fleet/app.py
@@ -45,9 +45,9 @@
         """Join the fleet and listen for operators."""
         await self.node.start()
         await self.admin.start()
-        self.tasks.start(self.housekeeping.run())
-        self.tasks.start(self.housekeeper.run())
-        self.tasks.start(self._domains_loop())
+        self.tasks.keep("housekeeping", self.housekeeping.run)
+        self.tasks.keep("housekeeper", self.housekeeper.run)
+        self.tasks.keep("domains", self._domains_loop)
 
     async def stop(self) -> None:
         """Leave the fleet."""
--- a/gradepoint/fleet/control.py
+++ b/gradepoint/fleet/control.py
@@ -124,7 +124,7 @@
         self.rpc.start(settings.address, settings.gossip_port)
         await self._join()
         for loop in (self._tick_loop, self._watch_loop, self._host_list_loop, self._join_loop):
-            self.tasks.start(loop())
+            self.tasks.keep(loop.__name__, loop)
 
     async def stop(self) -> None:
         """Tell others, then stop."""
--- a/gradepoint/fleet/local.py
+++ b/gradepoint/fleet/local.py
@@ -44,7 +44,7 @@
         """Start to ask control for news."""
         settings = self.settings
         self.client = RpcClient(settings.address, settings.gossip_port, ControlReply)
-        self.tasks.start(self._loop())
+        self.tasks.keep("local", self._loop)
 
     async def stop(self) -> None:
         """Stop asking."""
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -231,15 +231,20 @@
         await self.callers.start(*split_address(settings.callers_address))
         await self.readiness.start(*split_address(settings.ready_address))
         await self.metrics_server.start(settings.address, settings.metrics_port)
-        self.tasks.start(report_left_out(events.LINES_LEFT_OUT))
-        self.tasks.start(self.watchers.run())
-        self.renewing = self.tasks.start(self.presence.run())
-        self.tasks.start(self.beats.run(lambda: list(self.hosts.hosts.values())))
-        self.tasks.start(self.occupancy.run_reports(self.beats.addresses))
-        self.tasks.start(self.occupancy.run_digests())
-        self.tasks.start(self.worker.run())
-        self.adopting = self.tasks.start(self.adoption.run())
-        self.tasks.start(self.sweep())
+        self.start_loops()
+
+    def start_loops(self) -> None:
+        """Begin what goes on for as long as this process lives."""
+        keep = self.tasks.keep
+        keep("log", lambda: report_left_out(events.LINES_LEFT_OUT))
+        keep("watchers", self.watchers.run)
+        self.renewing = keep("presence", self.presence.run)
+        keep("beats", lambda: self.beats.run(lambda: list(self.hosts.hosts.values())))
+        keep("reports", lambda: self.occupancy.run_reports(self.beats.addresses))
+        keep("digests", self.occupancy.run_digests)
+        keep("worker", self.worker.run)
+        self.adopting = keep("adoption", self.adoption.run)
+        keep("sweep", self.sweep)
 
     def make_watchers(self) -> Watchers:
         """Return what keeps configuration, targets and live hosts up to date."""
--- a/gradepoint/jobs/api.py
+++ b/gradepoint/jobs/api.py
@@ -109,7 +109,7 @@
 
         It goes on when its client leaves: what is written has to be run.
         """
-        return await asyncio.shield(self.tasks.start(self._submit(route, head, body)))
+        return await asyncio.shield(self.tasks.start(self._submit(route, head, body), awaited=True))
 
     async def _submit(self, route: Route, head: CallHead, body: bytes) -> Response:
         items = self.dialect.decode_submission(body)
@@ -428,7 +428,7 @@
         return next((item.body for item in items if item.id == item_id), None)
 
     async def _answer_end(self, call: EndJob) -> Response:
-        return await asyncio.shield(self.tasks.start(self._end(call)))
+        return await asyncio.shield(self.tasks.start(self._end(call), awaited=True))
 
     async def _end(self, call: EndJob) -> Response:
         job_id = name_job(call.client_id)
--- a/gradepoint/jobs/intake.py
+++ b/gradepoint/jobs/intake.py
@@ -82,7 +82,8 @@
             return Submission(Admission.SPOOLED, None)
         if not self.spool.available:
             return await self.repository.accept(job_id, state, items, max_tokens)
-        creating = self.tasks.start(self.repository.accept(job_id, state, items, max_tokens))
+        creation = self.repository.accept(job_id, state, items, max_tokens)
+        creating = self.tasks.start(creation, awaited=True)
         wait_s = goal_s * SPOOL_AFTER_SHARE if self.reaches_service() else 0.0
         await asyncio.wait([creating], timeout=wait_s)
         if creating.done() and creating.exception() is None:
@@ -98,7 +99,7 @@
         """Keep a job on data hosts while its creation goes on."""
         # Together the data hosts then hold no more than the tolerated excess.
         most_tokens = int(max_tokens * self.quota_excess * self.spool.copies_a_host)
-        keeping = self.tasks.start(self.spool.keep(job, most_tokens))
+        keeping = self.tasks.start(self.spool.keep(job, most_tokens), awaited=True)
         await asyncio.wait([creating, keeping], return_when=asyncio.FIRST_COMPLETED)
         if not is_created(creating):
             await asyncio.wait([keeping])
--- a/gradepoint/online/entry.py
+++ b/gradepoint/online/entry.py
@@ -91,7 +91,7 @@
     async def start(self) -> None:
         """Listen for callers."""
         await self.fleet.start()
-        self.tasks.start(self.notifier.run())
+        self.tasks.keep("notifier", self.notifier.run)
         await self.server.start(self.settings.address, self.settings.entry_port)
 
     async def stop(self) -> None:
--- a/gradepoint/peers/occupancy.py
+++ b/gradepoint/peers/occupancy.py
@@ -87,6 +87,7 @@
     :ivar unconfirmed: numbers of reports that no digest of the aggregator that this host relies
         on includes yet, each with the monotonic time of its sending.
     :ivar distrusted_until: monotonic time until which an aggregator is not relied on.
+    :ivar number: that of the last own report; it only rises, also where the loop begins anew.
     :ivar changed: set when what this host has in flight changed.
     :ivar chosen: set while this host is an aggregator.
     :ivar heard_results: results that each aggregator told last, by target.
@@ -108,6 +109,7 @@
     chosen: asyncio.Event = field(default_factory=asyncio.Event)
     unconfirmed: deque[tuple[int, float]] = field(default_factory=deque)
     distrusted_until: dict[Incarnation, float] = field(default_factory=dict)
+    number: int = 0
     delay_s: float = REPORT_GAP_S + DIGEST_GAP_S
 
     @property
@@ -151,7 +153,6 @@
 
         :param find_addresses: returns ``IP:PORT`` of the hosts that are heard, by life.
         """
-        number = 0
         sent: Report | None = None
         told_all_at = float("-inf")
         while True:
@@ -168,16 +169,16 @@
                     self.chosen.clear()
             now = monotonic()
             distrusts = self._distrust_silent(now)
-            report = self.make_report(number)
+            report = self.make_report(self.number)
             changed = report != sent or distrusts
             tells_all = now - told_all_at >= LONGEST_GAP_S or sent is None
             if changed or tells_all:
-                number += 1
-                sent = msgspec.structs.replace(report, number=number)
+                self.number += 1
+                sent = msgspec.structs.replace(report, number=self.number)
                 told_all_at = now if tells_all else told_all_at
                 self._report(sent, addresses, tells_all=tells_all)
                 if changed and self.relied_on != self.own:
-                    self.unconfirmed.append((number, now))
+                    self.unconfirmed.append((self.number, now))
             gap_s = REPORT_GAP_S + REPORT_GAP_PER_PEER_S * len(addresses)
             digest_gap_s = DIGEST_GAP_S + DIGEST_GAP_PER_PEER_S * len(addresses)
             self.delay_s = gap_s + digest_gap_s
--- a/gradepoint/spool/app.py
+++ b/gradepoint/spool/app.py
@@ -56,9 +56,9 @@
         self.spool.load()
         await self.server.start(settings.address, settings.peer_port)
         await self.metrics_server.start(settings.address, settings.metrics_port)
-        self.tasks.start(report_left_out(events.LINES_LEFT_OUT))
-        self.tasks.start(self.presence.run())
-        self.tasks.start(self.spool.run())
+        self.tasks.keep("log", lambda: report_left_out(events.LINES_LEFT_OUT))
+        self.tasks.keep("presence", self.presence.run)
+        self.tasks.keep("spool", self.spool.run)
 
     async def answer_metrics(self, _request: Request) -> Response:
         """Answer with this process's counters and histograms."""
--- a/gradepoint/spool/client.py
+++ b/gradepoint/spool/client.py
@@ -71,7 +71,9 @@
         if not self.available:
             return Kept.NOWHERE
         raw = msgspec.msgpack.encode(SpoolRequest(job, most_tokens))
-        pending = {self.tasks.start(self._put(address, raw)) for address in self.find_hosts()}
+        pending = {
+            self.tasks.start(self._put(address, raw), awaited=True) for address in self.find_hosts()
+        }
         answers: list[Kept] = []
         while pending:
             done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
@@ -101,7 +103,9 @@
         :attr:`Kept.PERHAPS`.
         """
         addresses = {*self.find_hosts(), *self.find_missing()}
-        asking = [self.tasks.start(self._has(address, job_id)) for address in addresses]
+        asking = [
+            self.tasks.start(self._has(address, job_id), awaited=True) for address in addresses
+        ]
         answers = await asyncio.gather(*asking)
         if Kept.YES in answers:
             return Kept.YES
