--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -76,6 +77,9 @@
 """Share of the drain time for which a target whose row vanished stays a last resort."""
 SWEEP_S = 0.25
 """Seconds between looks for vanished targets, peers' versions and finished jobs."""
+CONFIG_TIMEOUT_S = 0.5
+"""Seconds that a peer has to send its configuration: many times the way, and short enough to ask
+several others within the shortest bound on news."""
 IDLE_SLACK_S = 1.0
 """Seconds that a resting connection is kept beyond the configured time, for requests that
 are under way when it ends."""
@@ -245,6 +249,7 @@
         keep("worker", self.worker.run)
         self.adopting = keep("adoption", self.adoption.run)
         keep("sweep", self.sweep)
+        keep("peers", self.follow_peers)
 
     def make_watchers(self) -> Watchers:
         """Return what keeps configuration, targets and live hosts up to date."""
@@ -432,21 +437,28 @@
             if self.ready and not was_ready:
                 emit(events.HOST_READY, targets=len(self.targets.by_id))
             was_ready = self.ready
-            await self._take_newer_config()
 
-    async def _take_newer_config(self) -> None:
-        """Read the configuration from a peer that has a newer one than this host."""
-        newest = self.beats.newest_config()
-        current = self.configuration.current
-        if newest is None or newest[0] <= (current.version if current else NO_VERSION):
-            return
-        address = newest[1]
+    async def follow_peers(self) -> None:
+        """Take newer configurations from peers, for ever.
+
+        Its questions may take long, and the sweep cannot wait for them.
+        """
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            current = self.configuration.current
+            newer = self.beats.find_newer_config(current.version if current else NO_VERSION)
+            if newer:
+                # Any of them may be silent for good towards this host, so it is not always the
+                # same one that is asked.
+                await self._take_config(random.choice(newer))
+
+    async def _take_config(self, address: str) -> None:
+        """Read the configuration from a peer."""
         try:
-            response = await self.peer_http.send(
-                split_address(address), "GET", "/config", timeout_s=CONNECT_TIMEOUT_S
-            )
-            raw = await response.read()
-        except (ConnectFailed, ResponseBroken) as error:
+            async with asyncio.timeout(CONFIG_TIMEOUT_S):
+                response = await self.peer_http.send(split_address(address), "GET", "/config")
+                raw = await response.read()
+        except (ConnectFailed, ResponseBroken, TimeoutError) as error:
             emit(events.PEER_SILENT, member=address, reason=repr(error))
             return
         if response.status == 200:
--- a/gradepoint/peers/beats.py
+++ b/gradepoint/peers/beats.py
@@ -117,10 +117,10 @@
         """Return ``IP:PORT`` of every host that is heard."""
         return {life: heard.address for life, heard in self.heard.items()}
 
-    def newest_config(self) -> tuple[ConfigVersion, str] | None:
-        """Return the highest configuration version that a peer has, and the peer's address."""
-        rows = [(heard.beat.config_version, heard.address) for heard in self.heard.values()]
-        return max(rows, default=None)
+    def find_newer_config(self, version: ConfigVersion) -> list[str]:
+        """Return ``IP:PORT`` of the peers whose configuration is newer than *version*."""
+        heard = self.heard.values()
+        return [row.address for row in heard if row.beat.config_version > version]
 
 
 def needs_telling(beat: Beat, sent: Beat | None) -> bool:
--- a/tests/test_peers/test_peers_beats.py
+++ b/tests/test_peers/test_peers_beats.py
@@ -67,12 +67,15 @@
     assert beats.socket.sent == ["127.0.0.2:9"]  # type: ignore[attr-defined]
 
 
-def test_the_newest_configuration_is_known() -> None:
+def test_the_hosts_with_a_newer_configuration_are_known() -> None:
     beats = make_beats()
-    assert beats.newest_config() is None
-    beats.hear(make_beat("a", version=3), "")
+    assert not beats.find_newer_config(ConfigVersion(0))
+    beats.hear(make_beat("a", version=3), "127.0.0.1:9")
     beats.hear(make_beat("b", version=8), "127.0.0.2:9")
-    assert beats.newest_config() == (8, "127.0.0.2:9")
+    beats.hear(make_beat("c", version=8), "127.0.0.3:9")
+    assert len(beats.find_newer_config(ConfigVersion(2))) == 3
+    assert beats.find_newer_config(ConfigVersion(3)) == ["127.0.0.2:9", "127.0.0.3:9"]
+    assert not beats.find_newer_config(ConfigVersion(8))
 
 
 def test_other_formats_and_spoiled_datagrams_are_dropped() -> None:
