Look again after a standstill before anything is sent

Cause: a host that is frozen or starved wakes with two things waiting beside each other: the calls that came meanwhile, and the news that targets left or that the configuration changed. Calls, tries of calls that were under way, resumed streams and batch items were decided by what the host knew before it stood still, whichever was read first. With a watch whose answer is still under way this lasts until that answer. Ruled out: occupancy, silence, lease and ejections (each has a time of its own and counts as too old by itself after a standstill); waiting for the watch (it may be deaf, and its next answer may take its whole length). Change: gateway/standstill.py. After more than 1 s without a sign of the loop, the configuration and the targets are read once, and whatever chooses a route or a target waits for that, 0.5 s at most (event 109). A read that is older than what the watch told is left. With the wait taken out, both tests of what is decided after a standstill fail; with it all four pass. A host that does not stand still reads nothing (test). Gaps under 1 s are not covered: a target that leaves still gets calls for at least twice as long.

--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -44,6 +44,9 @@
 LOOP_FAILED = _declare(108, "loop_failed", "ERROR", "A loop met a fault and goes on; report it.")
 HANDLER_FAILED = _declare(103, "handler_failed", "ERROR", "A fault in gradepoint; report it.")
 LOOP_PAUSED = _declare(104, "loop_paused", "WARNING", "The event loop stood still; leases dropped.")
+STOOD_STILL = _declare(
+    109, "stood_still", "WARNING", "This host stood still; it looks again first."
+)
 CALL_REFUSED = _declare(201, "call_refused", "INFO", "A call was refused; see the code.")
 CALL_RETRIED = _declare(202, "call_retried", "INFO", "A call goes to another target.")
 CALL_UNKNOWN = _declare(203, "call_unknown", "WARNING", "A call ended with outcome unknown.")
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from .. import events
-from ..errors import GradepointError
+from ..errors import GradepointError, KvError
 from ..ids import HostName, TargetId
 from ..jobs.adoption import Adoption
 from ..jobs.api import JobApi
@@ -55,6 +55,7 @@
 from .forwarding import Forwarder
 from .live import create_call
 from .retirement import Retirement
+from .standstill import Standstill
 from .targets import TargetSet
 
 if TYPE_CHECKING:
@@ -158,12 +159,14 @@
             self.targets.record_elsewhere,
             Aggregation(self.targets.find_slots),
         )
+        self.standstill = Standstill(self.look_again)
         self.forwarder = Forwarder(
             self.targets,
             platform.dialect,
             HttpClient(CONNECT_TIMEOUT_S, UNACKNOWLEDGED_MS),
             settings.failure_domain,
             self.occupancy.in_flight,
+            look_first=self.standstill.wait,
         )
         self.configuration = ConfigurationBelief(platform.decode_configuration, self.apply_limits)
         self.repository = JobRepository(kv, settings.store_value_bytes)
@@ -229,7 +232,7 @@
     async def start(self) -> None:
         """Listen, and begin to follow the store."""
         settings = self.settings
-        self.started_at = monotonic()
+        self.started_at = self.standstill.seen_at = monotonic()
         await self.peer_server.start(settings.address, settings.peer_port)
         await self.socket.start(settings.address, settings.peer_port)
         await self.callers.start(*split_address(settings.callers_address))
@@ -240,6 +243,7 @@
     def start_loops(self) -> None:
         """Begin what goes on for as long as this process lives."""
         keep = self.tasks.keep
+        keep("standstill", self.standstill.run)
         keep("log", lambda: report_left_out(events.LINES_LEFT_OUT))
         keep("watchers", self.watchers.run)
         self.renewing = keep("presence", self.presence.run)
@@ -377,6 +381,7 @@
 
     async def _route(self, request: Request, body: bytes) -> Response:
         await self._wait_for_first_read()
+        await self.standstill.wait()
         configuration = self.configuration.current
         if configuration is None:
             raise GradepointError("not_ready", retry_after=SWEEP_S)
@@ -438,6 +443,22 @@
                 emit(events.HOST_READY, targets=len(self.targets.by_id))
             was_ready = self.ready
 
+    async def look_again(self) -> None:
+        """Read the configuration and the targets anew, once."""
+        await asyncio.gather(*(self._read_view(name) for name in ("operator", "targets")))
+
+    async def _read_view(self, name: str) -> None:
+        view = self.watchers.views[name]
+        prefix = self.watchers.prefixes[name]
+        try:
+            found = await self.kv.range(prefix)
+        except KvError as error:
+            emit(events.KV_FAILING, prefix=prefix, reason=str(error))
+            return
+        # The watch goes on meanwhile, and what it told since is not taken back.
+        if found.revision >= view.revision:
+            view.reset(found)
+
     async def follow_peers(self) -> None:
         """Take newer configurations from peers, for ever.
 
@@ -491,6 +512,7 @@
         self.abort()
         await self.watchers.tasks.stop()
         await self.retirement.tasks.stop()
+        await self.standstill.tasks.stop()
         await self.tasks.stop()
 
     def abort(self) -> None:
--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -11,7 +11,7 @@
 from .choice import choose_target, get_load
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from ..ids import ServiceName, TargetId
     from ..wire.http_client import ClientResponse
@@ -52,12 +52,17 @@
             self.response.close()
 
 
+async def return_at_once() -> None:
+    """Wait for nothing."""
+
+
 @dataclass
 class Forwarder:
     """Sends calls to targets.
 
     :param failure_domain: that of this host.
     :param elsewhere: calls that other hosts have in flight at a target.
+    :param look_first: returns once this host may choose targets by what it knows.
     :ivar empty_since: since when a call found no target of a service.
     """
 
@@ -67,6 +72,7 @@
     failure_domain: str
     elsewhere: Callable[[TargetId], int]
     rng: random.Random = field(default_factory=random.Random)
+    look_first: Callable[[], Awaitable[None]] = return_at_once
     empty_since: dict[ServiceName, float] = field(default_factory=dict)
 
     def choose(self, service: ServiceName, tried: set[TargetId]) -> Target | None:
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -108,6 +108,7 @@
         :raises TargetFailed: it may have run, and may not be sent again.
         """
         while True:
+            await self.forwarder.look_first()
             target = self._next_target()
             self.tried.add(target.id)
             try:
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -220,6 +220,7 @@
             await asyncio.sleep(TICK_S)
             await self._take_again()
             self._give_way()
+            await self.forwarder.look_first()
             self._start_items()
             for job in list(self.jobs.values()):
                 if job.done and monotonic() - job.committed_at > KEPT_DONE_S:
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -180,6 +180,7 @@
         await gateway.tasks.stop()
         await gateway.intake.tasks.stop()
         await gateway.retirement.tasks.stop()
+        await gateway.standstill.tasks.stop()
         gateway.abort()
         for job_id in list(gateway.worker.jobs):
             gateway.worker.drop(job_id, "killed")
