Take up an order to empty a data host once, however often it is read

Cause: orders stay in the store, and each read of all of the operator's keys started one more loop that answers each of them: it asks the data host and writes to the store, on every host. That was rare as long as all keys were read only at the start and after a loss of history; reading anew to bound the age of what a host knows makes it a price at each read. Ruled out: reading the answer first (one more call a read and host). Change: an order is known by its revision and taken up once in a life; a later order for the same host is a new one. A fault in the answer does not end it (TaskGroup.keep). The test of an order that is read again fails with the former code, and passes with this one; that of a later order passes with both.

--- a/gradepoint/gateway/beliefs.py
+++ b/gradepoint/gateway/beliefs.py
@@ -62,29 +62,30 @@
 
     :param config_key: key of the configuration.
     :param read_retired: returns the data host that a key asks to be emptied, or None.
+    :param on_retire: told of each such order, with its revision, whenever it is read.
     """
 
     configuration: ConfigurationBelief
     config_key: str
     read_retired: Callable[[str], HostName | None]
-    on_retire: Callable[[HostName], None]
+    on_retire: Callable[[HostName, int], None]
 
     def reset(self, found: RangeResult) -> None:
         """See :meth:`Follower.reset`."""
         for item in found.items:
-            self._take(item.key, item.value, "read")
+            self._take(item.key, item.value, item.revision, "read")
 
     def change(self, event: WatchEvent) -> None:
         """See :meth:`Follower.change`."""
         if event.value is not None:
-            self._take(event.key, event.value, "watch")
+            self._take(event.key, event.value, event.revision, "watch")
 
-    def _take(self, key: str, value: bytes, source: str) -> None:
+    def _take(self, key: str, value: bytes, revision: int, source: str) -> None:
         if key == self.config_key:
             self.configuration.offer(value, source)
         retired = self.read_retired(key)
         if retired is not None:
-            self.on_retire(retired)
+            self.on_retire(retired, revision)
 
 
 @dataclass
--- a/gradepoint/gateway/retirement.py
+++ b/gradepoint/gateway/retirement.py
@@ -36,6 +36,7 @@
     :param hosts: the listed gateways, any of which may answer.
     :param status_key: returns the key under which the operator reads of a host.
     :param encode_emptied: returns what stands there for one that is empty.
+    :ivar taken: revision of the last order that was taken up, by host.
     """
 
     kv: KeyValueService
@@ -45,11 +46,16 @@
     data_hosts: HostTable
     status_key: Callable[[HostName], str]
     encode_emptied: Callable[[], bytes]
+    taken: dict[HostName, int] = field(default_factory=dict)
     tasks: TaskGroup = field(default_factory=TaskGroup)
 
-    def answer(self, host: HostName) -> None:
-        """Tell the operator that a data host is empty, as soon as it is."""
-        self.tasks.start(self._answer(host))
+    def answer(self, host: HostName, revision: int) -> None:
+        """Tell the operator that a data host is empty, as soon as it is; once for each order,
+        however often it is read."""
+        if self.taken.get(host) == revision:
+            return
+        self.taken[host] = revision
+        self.tasks.keep("retirement", lambda: self._answer(host))
 
     async def _answer(self, host: HostName) -> None:
         order = rank(host, {*self.hosts.hosts, self.own})
