Take nothing of an event that is no text

Cause: a batch item's run noted an event's number before it decoded the event's data. Where the data was no text, the run ended by an error that nobody saw, the item went on after that event, and its text was listed as complete without it. Ruled out: the live path (it passes bytes on undecoded). Change: data is decoded first; on an event that is no text the run ends as on a broken answer, and the item goes on elsewhere from the event before. The test fails with the former code (the listed text lacks the event) and passes with this one. Wrong bytes that are text cannot be told here.

--- a/gradepoint/jobs/item_run.py
+++ b/gradepoint/jobs/item_run.py
@@ -101,9 +101,14 @@
 
 
 def _append(partial: PartialText, number: int | None, data: bytes | None) -> None:
+    """Take a whole event, or nothing of it."""
+    try:
+        text = None if data is None else data.decode()
+    except UnicodeDecodeError as error:
+        raise TargetFailed(f"event {number} is no text") from error
     if number is not None:
         if partial.last_event is not None and number != partial.last_event + 1:
             raise TargetFailed(f"event {number} came after event {partial.last_event}")
         partial.last_event = number
-    if data is not None:
-        partial.data.append(data.decode())
+    if text is not None:
+        partial.data.append(text)
--- a/tests/test_jobs/test_jobs_path.py
+++ b/tests/test_jobs/test_jobs_path.py
@@ -8,7 +8,7 @@
 import pytest
 
 from bench.platform.store import StoreFault
-from bench.platform.target import TargetFault
+from bench.platform.target import TargetFault, event_bytes
 from gradepoint.cmd.gateway import PLATFORM
 from gradepoint.ids import ConfigVersion, Incarnation, JobId
 from gradepoint.jobs.records import JobState
@@ -194,6 +194,27 @@
     run_deployment(work)
 
 
+def test_an_event_that_is_no_text_is_asked_for_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    # A target that hands out wrong bytes may send an event whose data is no text. Were its number
+    # taken as known all the same, the item would go on after it, and its text would lack it.
+    spoiled = [2]
+
+    def spoil(request_id: str, number: int) -> bytes:
+        if number in spoiled:
+            spoiled.remove(number)
+            return b"id: %d\ndata: \xff\xfe\n\n" % number
+        return event_bytes(request_id, number)
+
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=1)
+        monkeypatch.setattr("bench.platform.target.event_bytes", spoil)
+        assert (await deployment.submit("job", 1)).status == 202
+        check_rows("job", await deployment.read_whole("job"), 1)
+        assert not spoiled
+
+    run_deployment(work)
+
+
 def test_an_order_to_empty_a_data_host_is_answered_once() -> None:
     async def work(deployment: Deployment) -> None:
         await deployment.start(gateways=2)
