Log faults in the work on a job, and pause after them

Cause: the runs of items and the commits of jobs were started as bare tasks. A fault in one showed only as a line of the event loop on standard error, and the step was repeated at every look for free slots: an item was sent to targets 33 times a second, a commit written as often, for as long as the fault stayed. Ruled out: giving the item or job up at a fault (it may be of this host alone). Change: both are started by a TaskGroup, which logs the fault (event 107); both wait as after a failure that is foreseen.

--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -16,6 +16,7 @@
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.hashing import short_number
+from ..util.tasks import TaskGroup
 from ..wire.http_client import ConnectFailed
 from .feeding import choose_batch_target, count_spare_slots, share_of_slots
 from .item_run import ItemFailed, ItemImpossible, read_item
@@ -110,6 +111,7 @@
     shared_at: float = float("-inf")
     wanted: asyncio.Event = field(default_factory=asyncio.Event)
     stopping: bool = False
+    tasks: TaskGroup = field(default_factory=TaskGroup)
     started_at: float = field(default_factory=monotonic)
 
     def job_numbers(self) -> list[int]:
@@ -249,7 +251,7 @@
             job.give_up_rest()
         if not job.committing and now >= job.commit_after and self._wants_commit(job, now):
             job.committing = True
-            job.commit_task = asyncio.ensure_future(self._commit(job))
+            job.commit_task = self.tasks.start(self._commit(job))
 
     def _configuration_for(self, job: OwnedJob) -> Configuration | None:
         """Return the configuration in force, None while it is older than the job: a job that
@@ -282,6 +284,9 @@
             metrics.shared().commits.add(1, {"result": "no-answer"})
             emit(events.COMMIT_FAILED, job=job.id, items=len(pending), reason=str(error))
             job.commit_after = monotonic() + COMMIT_RETRY_S
+        except Exception:
+            job.commit_after = monotonic() + COMMIT_RETRY_S
+            raise
         finally:
             job.committing = False
         if job.done and job.id in self.jobs:
@@ -376,7 +381,7 @@
     def _start(self, job: OwnedJob, index: int, target: Target, max_failures: int) -> None:
         running = RunningItem(job, index, target.id, monotonic())
         # Counted at once: the send itself counts only when its task first runs.
-        task = asyncio.ensure_future(self._run_item(running, target, max_failures))
+        task = self.tasks.start(self._run_item(running, target, max_failures))
         running.task = task
         job.running[index] = task
         self.running.append(running)
@@ -420,6 +425,9 @@
                 target=target.id,
                 reason=repr(error),
             )
+        except Exception:
+            job.not_before[index] = monotonic() + RETRY_S
+            raise
         finally:
             self.running.remove(running)
             job.running.pop(index, None)
--- /dev/null
+++ b/tests/test_jobs/test_jobs_faults.py
@@ -0,0 +1,70 @@
+"""A fault in the work on one job is heard of, and is not repeated without a pause."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from gradepoint import events
+from gradepoint.events import Event
+from gradepoint.jobs.worker import COMMIT_RETRY_S, RETRY_S
+from gradepoint.util import tasks
+from tests.support.platform import Deployment, run_deployment, until
+
+LOOKED_S = 1.0
+
+
+@pytest.fixture
+def told(monkeypatch: pytest.MonkeyPatch) -> list[Event]:
+    """Return the events that task groups log, as they come."""
+    rows: list[Event] = []
+    monkeypatch.setattr(tasks, "emit", lambda event, **_: rows.append(event))
+    return rows
+
+
+async def count_calls(deployment: Deployment, calls: list[float]) -> int:
+    """Return how many calls of a faulty step come in a second from its first."""
+    assert (await deployment.submit("job", 1)).status == 202
+    await until(lambda: bool(calls))
+    await asyncio.sleep(LOOKED_S)
+    return len(calls)
+
+
+def test_an_item_whose_run_meets_a_fault_waits_for_its_next_try(
+    monkeypatch: pytest.MonkeyPatch, told: list[Event]
+) -> None:
+    # Nobody waits for an item's run. A fault in it would be seen nowhere, and the item would be
+    # sent to a target again at each look for free slots.
+    calls: list[float] = []
+
+    async def fail(*_: Any) -> str:
+        calls.append(0.0)
+        raise KeyError("a fault")
+
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=1)
+        monkeypatch.setattr("gradepoint.jobs.worker.read_item", fail)
+        assert 2 <= await count_calls(deployment, calls) <= LOOKED_S / RETRY_S + 1
+
+    run_deployment(work)
+    assert told and set(told) == {events.TASK_FAILED}
+
+
+def test_a_commit_that_meets_a_fault_waits_for_its_next_try(
+    monkeypatch: pytest.MonkeyPatch, told: list[Event]
+) -> None:
+    calls: list[float] = []
+
+    async def fail(*_: Any, **__: Any) -> Any:
+        calls.append(0.0)
+        raise KeyError("a fault")
+
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=1)
+        monkeypatch.setattr(deployment.gateways[0].repository, "commit", fail)
+        assert 2 <= await count_calls(deployment, calls) <= LOOKED_S / COMMIT_RETRY_S + 1
+
+    run_deployment(work)
+    assert told and set(told) == {events.TASK_FAILED}
