--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -23,6 +23,8 @@
 from gradepoint.standins.ports import LOOPBACK, free_port
 from gradepoint.wire.http_client import HttpClient, ResponseBroken
 
+from .virtual_network import NetworkLoop, run_on_network
+
 HOST = "calls.example"
 ITEM_TOKENS = 100
 WAIT_S = 20.0
@@ -287,14 +289,19 @@
             await asyncio.sleep(0.005)
 
 
+async def _work_and_stop(work: Callable[[Deployment], Awaitable[None]]) -> None:
+    deployment = Deployment()
+    try:
+        await work(deployment)
+    finally:
+        await deployment.stop()
+
+
 def run_deployment(work: Callable[[Deployment], Awaitable[None]]) -> None:
     """Run *work* with a deployment and end the deployment."""
+    asyncio.run(_work_and_stop(work))
 
-    async def main() -> None:
-        deployment = Deployment()
-        try:
-            await work(deployment)
-        finally:
-            await deployment.stop()
 
-    asyncio.run(main())
+def run_in_virtual_time(work: Callable[[Deployment], Awaitable[None]], seed: int = 1) -> None:
+    """Run *work* with a deployment on a network in memory, in virtual time."""
+    run_on_network(_work_and_stop(work), seed)
--- a/tests/support/virtual_network.py
+++ b/tests/support/virtual_network.py
@@ -51,6 +51,7 @@
         self.closed = False
         self.reading = True
         self.sent_until = 0.0
+        self.mute = False
         self.waiting: list[bytes] = []
         loop.transports[LIFE.get()].append(self)
 
@@ -115,7 +116,7 @@
 
     def take(self, data: bytes) -> None:
         """Hand bytes that came to the protocol; none stand for the other side's end."""
-        if self.closed or self.loop.is_silent(self.own, self.other):
+        if self.closed or self.mute or self.loop.is_silent(self.own, self.other):
             return
         if not self.reading:
             self.waiting.append(data)
@@ -138,7 +139,7 @@
 
     def reset(self) -> None:
         """Take the other side's abort."""
-        if not self.closed and not self.loop.is_silent(self.own, self.other):
+        if not self.closed and not self.mute and not self.loop.is_silent(self.own, self.other):
             self._end(ConnectionResetError("reset by the other side"))
 
     def _end(self, error: Exception | None) -> None:
@@ -223,6 +224,17 @@
         """Whether nothing gets through between two addresses."""
         return one[1] in self.silent or other[1] in self.silent
 
+    def mute_open(self, *ports: int) -> None:
+        """Let every connection that is open now carry nothing more, both ways and for good.
+
+        :param ports: only connections to these; all where there are none.
+        """
+        for transports in self.transports.values():
+            for transport in transports:
+                if isinstance(transport, MemoryTransport):
+                    ends = {transport.own[1], transport.other[1]}
+                    transport.mute = transport.mute or not ports or not ends.isdisjoint(ports)
+
     def next_port(self) -> int:
         """Return a port that nobody has."""
         self.ports += 1
--- /dev/null
+++ b/tests/test_peers/test_peers_belief_age.py
@@ -0,0 +1,118 @@
+"""How old a host's beliefs may be when what tells it of changes falls silent."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from bench.platform.store import StoreFault
+from gradepoint.gateway.targets import ListedState
+from gradepoint.util.clock import monotonic
+from tests.support.platform import Deployment, configuration, run_in_virtual_time, until
+from tests.support.virtual_network import NetworkLoop
+
+IN_FORCE_S = 2.0
+"""Seconds from the store's acknowledgement in which every host acts on a change."""
+
+
+def network() -> NetworkLoop:
+    """Return the loop of the test."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, NetworkLoop)
+    return loop
+
+
+async def settle(deployment: Deployment, gateways: int = 6) -> None:
+    """Start gateways and give them time to agree who watches."""
+    await deployment.start(gateways=gateways, targets=2)
+    await asyncio.sleep(2.0)
+
+
+async def measure(holds: Callable[[], bool]) -> float:
+    """Return after how many seconds something holds."""
+    begun = monotonic()
+    await until(holds)
+    return monotonic() - begun
+
+
+def all_have(deployment: Deployment, version: int) -> bool:
+    """Whether every gateway acts on a version of the configuration."""
+    beliefs = [gateway.configuration.current for gateway in deployment.gateways]
+    return all(belief is not None and belief.version == version for belief in beliefs)
+
+
+def all_see_draining(deployment: Deployment, name: str) -> bool:
+    """Whether every gateway knows that a target leaves."""
+    rows = [gateway.targets.by_id[name] for gateway in deployment.gateways]  # type: ignore[index]
+    return all(row.listed.state is ListedState.DRAINING for row in rows)
+
+
+def say_draining(deployment: Deployment, number: int) -> str:
+    """Have a target say that it leaves."""
+    target = deployment.targets[number]
+    deployment.store.put(f"servers/{target.name}", target.entry(state="draining"))
+    return target.name
+
+
+Silence = Callable[[Deployment], Awaitable[None]]
+
+
+async def mute_store(deployment: Deployment) -> None:
+    """Let the open connections to the store carry nothing more."""
+    network().mute_open(deployment.store.server.port)
+
+
+async def mute_everything(_: Deployment) -> None:
+    """Let every open connection carry nothing more."""
+    network().mute_open()
+
+
+@pytest.mark.parametrize("silence", [mute_store, mute_everything])
+def test_changes_are_heard_though_open_connections_fell_silent(silence: Silence) -> None:
+    async def work(deployment: Deployment) -> None:
+        await settle(deployment)
+        await silence(deployment)
+        deployment.store.put("op/config", configuration(2))
+        leaving = say_draining(deployment, 0)
+        assert await measure(lambda: all_have(deployment, 2)) <= IN_FORCE_S
+        assert await measure(lambda: all_see_draining(deployment, leaving)) <= IN_FORCE_S
+
+    run_in_virtual_time(work)
+
+
+def test_a_change_that_watches_did_not_hear_is_found() -> None:
+    async def work(deployment: Deployment) -> None:
+        await settle(deployment, gateways=3)
+        store = deployment.store
+        # The wait of the watches ends while the store tells them of no change.
+        wait_s = deployment.gateways[0].kv.direct.watch_s
+        store.put("op/config", configuration(2))
+        await asyncio.sleep(wait_s - 0.5)
+        store.blind = True
+        store.put("op/config", configuration(3))
+        leaving = say_draining(deployment, 0)
+        await asyncio.sleep(1.2)
+        store.blind = False
+        store.forget_history()
+        assert await measure(lambda: all_have(deployment, 3)) <= IN_FORCE_S
+        assert await measure(lambda: all_see_draining(deployment, leaving)) <= IN_FORCE_S
+
+    run_in_virtual_time(work)
+
+
+def test_watches_that_a_silent_store_never_answers_are_made_anew() -> None:
+    async def work(deployment: Deployment) -> None:
+        await settle(deployment, gateways=3)
+        store = deployment.store
+        network().mute_open(store.server.port)
+        store.fault = StoreFault.SILENT
+        await asyncio.sleep(4.0)
+        store.put("op/config", configuration(2))
+        leaving = say_draining(deployment, 0)
+        store.fault = StoreFault.NONE
+        assert await measure(lambda: all_have(deployment, 2)) <= IN_FORCE_S
+        assert await measure(lambda: all_see_draining(deployment, leaving)) <= IN_FORCE_S
+
+    run_in_virtual_time(work)
