Give idle connections up that fell silent with the one just used; probe those that rest

Cause: open connections may fall silent for good, without an error, while new ones work. Each idle one then cost the call that took it its whole time, one after the other; one that rested was found silent only by that. Ruled out: TCP_USER_TIMEOUT alone (it was set): it counts unacknowledged bytes, and a connection that waits or rests has none. Change: a call that got no answer for 0.25 s on a connection used before takes the idle ones to that place along; the system probes connections each second where a time for acknowledgements is set; the oldest idle one gives way, not the newest.

--- a/gradepoint/wire/http_client.py
+++ b/gradepoint/wire/http_client.py
@@ -26,6 +26,14 @@
 KEEP_ALIVE_SHARE = 0.8
 """Share of the announced keep-alive time after which an idle connection is not used again.
 The rest covers the time a request is under way to the other side."""
+PROBE_S = 1
+"""Seconds without a byte after which the system probes a connection, and between probes: the
+least it takes. An open connection may fall silent without an error, and idle ones with it; by
+probes they are given up within two or three seconds instead of at the next use."""
+UNANSWERED_S = 0.25
+"""Seconds without an answer on a connection that was used before, after which the other idle ones
+to the same place are given up as well: what made one silent made them silent too, and each of
+them would cost a call its time."""
 
 
 class ConnectFailed(Exception):
@@ -44,6 +52,7 @@
         self.writer = writer
         self.h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_INCOMPLETE)
         self.reusable_until = float("inf")
+        self.used = False
         self.watcher: asyncio.Task[None] | None = None
 
     def close(self) -> None:
@@ -147,13 +156,21 @@
 class HttpClient:
     """Sends requests and keeps idle connections for each origin.
 
-    :param unacknowledged_ms: milliseconds after which a connection whose bytes the other
-    side does not acknowledge is given up (``TCP_USER_TIMEOUT``); 0 leaves the system's own.
+    :param unacknowledged_ms: milliseconds after which a connection whose bytes or probes the
+        other side does not acknowledge is given up (``TCP_USER_TIMEOUT``); 0 leaves the system's
+        own, and probes nothing.
+    :param most_idle: idle connections kept to one place; the oldest give way.
     """
 
-    def __init__(self, connect_timeout_s: float = 1.0, unacknowledged_ms: int = 0) -> None:
+    def __init__(
+        self,
+        connect_timeout_s: float = 1.0,
+        unacknowledged_ms: int = 0,
+        most_idle: int = MAX_IDLE_PER_ORIGIN,
+    ) -> None:
         self.connect_timeout_s = connect_timeout_s
         self.unacknowledged_ms = unacknowledged_ms
+        self.most_idle = most_idle
         self.opened = 0
         self.idle: dict[tuple[str, int], list[PooledConnection]] = {}
 
@@ -198,6 +215,7 @@
         """Send a request with *target* as its request line has it; see :meth:`request`."""
         connection = await self._connect(origin, fresh)
         host = f"{origin[0]}:{origin[1]}"
+        asked_at = monotonic()
         try:
             async with asyncio.timeout(timeout_s):
                 await _send(connection, method, target, host, body, headers or ())
@@ -205,22 +223,35 @@
                 while isinstance(head, h11.InformationalResponse):
                     head = await _next_event(connection)
         except TimeoutError as error:
-            connection.close()
+            self._give_up(origin, connection, asked_at)
             raise ResponseBroken(f"no answer within {timeout_s} s") from error
         except BaseException:
-            connection.close()
+            self._give_up(origin, connection, asked_at)
             raise
         if not isinstance(head, h11.Response):
             connection.close()
             raise ResponseBroken("connection closed before the response")
         return ClientResponse(self, origin, connection, head)
 
+    def _give_up(
+        self, origin: tuple[str, int], connection: PooledConnection, asked_at: float
+    ) -> None:
+        """Close a connection without an answer, and idle ones that may be as silent."""
+        connection.close()
+        if connection.used and monotonic() - asked_at >= UNANSWERED_S:
+            self._close_idle(origin)
+
+    def _close_idle(self, origin: tuple[str, int]) -> None:
+        for connection in self.idle.pop(origin, []):
+            _close_watched(connection)
+
     async def _connect(self, origin: tuple[str, int], fresh: bool) -> PooledConnection:
         idle = self.idle.get(origin, [])
         while idle and not fresh:
             connection = idle.pop()
             await connection.stop_watching()
             if connection.usable:
+                connection.used = True
                 return connection
             connection.close()
         try:
@@ -230,27 +261,39 @@
             raise ConnectFailed(f"{origin[0]}:{origin[1]}: {error!r}") from error
         self.opened += 1
         if self.unacknowledged_ms:
-            raw = writer.get_extra_info("socket")
-            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, self.unacknowledged_ms)
+            _probe(writer.get_extra_info("socket"), self.unacknowledged_ms)
         return PooledConnection(reader, writer)
 
     def release(self, origin: tuple[str, int], connection: PooledConnection) -> None:
         """Keep a connection for later use."""
-        idle = self.idle.setdefault(origin, [])
-        if len(idle) < MAX_IDLE_PER_ORIGIN and connection.usable:
-            connection.watch_while_idle()
-            idle.append(connection)
-        else:
+        if not connection.usable:
             connection.close()
+            return
+        idle = self.idle.setdefault(origin, [])
+        connection.watch_while_idle()
+        idle.append(connection)
+        if len(idle) > self.most_idle:
+            _close_watched(idle.pop(0))
 
     def close(self) -> None:
         """Close every idle connection."""
-        for connections in self.idle.values():
-            for connection in connections:
-                if connection.watcher is not None:
-                    connection.watcher.cancel()
-                connection.close()
-        self.idle.clear()
+        for origin in list(self.idle):
+            self._close_idle(origin)
+
+
+def _close_watched(connection: PooledConnection) -> None:
+    """Close an idle connection."""
+    if connection.watcher is not None:
+        connection.watcher.cancel()
+    connection.close()
+
+
+def _probe(raw: socket.socket, unacknowledged_ms: int) -> None:
+    """Have the system find out whether a connection still carries bytes, also while it rests."""
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_S)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_S)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms)
 
 
 def _keep_alive_s(headers: Mapping[str, str]) -> float:
