Bound the age of what hosts believe: prove the views each second, by the service or by others' word

Cause: three hosts watch the store and the others rely on them; nothing says how old their news may be. An empty answer's revision was taken as proof that nothing had changed. A host that watches heard no other host's news, and one that had lost a fetch relied on its own watch alone. Ruled out: a call sent late to a target chosen before it left (each try chooses anew; tests); older news that puts newer back (others' parts are refused by their revision; a late read is mended before this). Change: the first of the hosts that watch asks each second whether it missed a change, on a connection of its own, and tells the ages with its beats; the next ones ask where it does not, and any host where nobody tells it. A change found so begins the watches anew. Watches go on after the last change that they were told, never after an empty answer. All hosts catch up with what others know. A waiting call that broke is asked once more, without waiting, before the store counts as lost. The slack of a wait is 0.75 s in place of 3 s.

--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -107,6 +107,12 @@
 BEAT_DROPPED = _declare(514, "beat_dropped", "WARNING", "A datagram could not be read.")
 PEER_SILENT = _declare(515, "peer_silent", "WARNING", "Another host did not answer.")
 WATCH_ROLE = _declare(516, "watch_role", "INFO", "This host began or ended to watch the service.")
+WATCH_MISSED = _declare(
+    519, "watch_missed", "WARNING", "A change came another way than by this host's watch."
+)
+VIEW_NOT_PROVEN = _declare(
+    522, "view_not_proven", "WARNING", "The service did not say whether a view lacks a change."
+)
 AGGREGATORS = _declare(517, "aggregators", "INFO", "Other hosts add up the fleet's calls now.")
 MEMBER_SILENT = _declare(518, "member_silent", "WARNING", "A listed host is not heard any more.")
 LEADER_ELECTED = _declare(520, "leader_elected", "INFO", "This host gives orders now.")
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -272,7 +272,6 @@
                 "targets": PrefixView(self.target_follower),
                 "live": PrefixView(live),
             },
-            lambda: self.kv.reaches_store,
         )
 
     def find_data_hosts(self) -> list[str]:
@@ -307,6 +306,8 @@
             watching=watching,
             views=self.watchers.revisions() if watching else {},
             jobs=[*self.worker.job_numbers(), *self.intake.job_numbers()],
+            ages=self.watchers.proofs.tell() if watching else {},
+            proofs=self.watchers.proofs.count,
         )
 
     def make_report(self, number: int) -> Report:
@@ -472,7 +473,7 @@
             took_s=round(monotonic() - begun, 2),
         )
         self.abort()
-        await self.watchers.tasks.stop()
+        await self.watchers.stop()
         await self.retirement.tasks.stop()
         await self.tasks.stop()
 
--- a/gradepoint/kv/relay.py
+++ b/gradepoint/kv/relay.py
@@ -165,17 +165,29 @@
         return await self._do(TransactCall(transaction), TransactionResult)
 
     async def watch(self, prefix: str, start_revision: int) -> AsyncIterator[WatchEvent]:
-        """See :meth:`KeyValueService.watch`."""
+        """See :meth:`KeyValueService.watch`; goes on after the last change that it was told.
+
+        The revision that an answer without changes names is no proof that there was none: a watch
+        may end while the service tells it of nothing.
+        """
         revision = start_revision - 1
         while True:
             wait_s = self.direct.watch_s if self.reaches_store else RELAYED_WATCH_S
             page = await self._do(WaitCall(prefix, revision, wait_s), WatchPage)
             for event in page.events:
                 yield event
-            revision = max(revision, page.revision)
+                revision = max(revision, event.revision)
             if page.events:
                 await asyncio.sleep(GATHERING_S)
 
+    async def find_missed(self, prefix: str, revision: int) -> WatchPage:
+        """Return the changes below *prefix* after *revision* that there are now.
+
+        :raises KvHistoryLost: the service no longer has them; read the keys anew.
+        """
+        page: WatchPage = await self._do(WaitCall(prefix, revision, 0.0), WatchPage)
+        return page
+
     async def grant_lease(self, ttl_s: int) -> int:
         """See :meth:`KeyValueService.grant_lease`."""
         return await self._do(GrantCall(ttl_s), int)
@@ -212,7 +224,7 @@
 
     async def _do_directly(self, call: Call) -> Any:
         try:
-            result = await make_call(self.direct, call)
+            result = await self._make(call)
         except (KvUnavailable, KvUncertain) as error:
             if self.failing_since is None:
                 self.failing_since = monotonic()
@@ -224,6 +236,19 @@
             self.regained_at = monotonic()
         return result
 
+    async def _make(self, call: Call) -> Any:
+        """Make a call the direct way; one that waited is made once more, without waiting.
+
+        Only its connection may be cut or silent: else three watchers whose waiting calls are cut
+        at once take a service for lost that answers them, for two seconds and more.
+        """
+        try:
+            return await make_call(self.direct, call)
+        except KvUncertain:
+            if not isinstance(call, WaitCall):
+                raise
+        return await make_call(self.direct, msgspec.structs.replace(call, wait_s=0.0))
+
     async def _relay(self, call: Call, kind: Any) -> Any:
         helpers = self.helpers()
         raw = msgspec.msgpack.encode(call)
--- a/gradepoint/peers/beats.py
+++ b/gradepoint/peers/beats.py
@@ -126,8 +126,10 @@
 def needs_telling(beat: Beat, sent: Beat | None) -> bool:
     """Whether a beat says something that cannot wait for the next regular one.
 
-    A newer configuration can: every host has it at about the same time, from the watchers.
+    A newer configuration can: every host has it at about the same time, from the watchers. So can
+    the ages of views, which always grow; a new proof of them cannot.
     """
     if sent is None:
         return True
-    return msgspec.structs.replace(beat, config_version=sent.config_version) != sent
+    same = msgspec.structs.replace(beat, config_version=sent.config_version, ages=sent.ages)
+    return same != sent
--- a/gradepoint/peers/datagrams.py
+++ b/gradepoint/peers/datagrams.py
@@ -20,7 +20,7 @@
 
     from ..ids import TargetId
 
-DATAGRAM_FORMAT = 4
+DATAGRAM_FORMAT = 5
 """Version of the datagrams; others are dropped."""
 
 
@@ -36,6 +36,8 @@
     :param reaches_store: the host's own calls to the key-value service are answered.
     :param watching: it watches the service and tells others the news.
     :param views: revision of each of its views; empty unless it watches.
+    :param ages: milliseconds since each of these was known to lack no change.
+    :param proofs: rises with each proof that the host got itself.
     :param jobs: short hashes of the jobs that it runs or ran last.
     """
 
@@ -46,6 +48,8 @@
     watching: bool
     views: dict[str, int]
     jobs: list[int]
+    ages: dict[str, int]
+    proofs: int
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True, tag="report"):
--- a/gradepoint/peers/watchers.py
+++ b/gradepoint/peers/watchers.py
@@ -1,7 +1,8 @@
 """Few hosts watch the key-value service; the others are told by them.
 
 A watch on every host would cost a call a host for each change. Every host works out from the
-datagrams it hears which hosts watch; one that hears of none watches by itself.
+datagrams it hears which hosts watch; one that hears of none watches by itself. How old the views
+may be is bounded by :mod:`~gradepoint.peers.proofs`.
 """
 
 from __future__ import annotations
@@ -22,12 +23,11 @@
 from ..util.tasks import TaskGroup
 from ..wire.http_client import ConnectFailed, ResponseBroken
 from ..wire.http_types import Response
+from .proofs import Proofs
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from ..ids import Incarnation
-    from ..kv.service import KeyValueService
+    from ..kv.relay import RelayedKv
     from ..wire.http_client import HttpClient
     from ..wire.http_types import Request
     from .beats import Beats, HeardBeat
@@ -39,6 +39,8 @@
 """Seconds between looks whether this host has to watch; a beat with news is looked at at once."""
 FETCH_TIMEOUT_S = 0.5
 """Seconds a watcher has to tell the news: many times the way, well below the shortest bound."""
+LEAST_LOOK_S = 0.02
+"""Seconds between looks at least, whatever is due: many times a step of the clock."""
 JOIN_S = 0.2
 """Seconds after its first read in which a host only listens: those that watch are heard within
 them, after a start of all hosts too. Else each start costs watches that are given up again."""
@@ -47,9 +49,13 @@
 
 
 class News(msgspec.Struct, frozen=True):
-    """What a watcher tells a host that is behind, by name of the view."""
+    """What a watcher tells a host that is behind, by name of the view.
+
+    :param ages: milliseconds since a view was known to lack no change.
+    """
 
     parts: dict[str, ViewPart]
+    ages: dict[str, int]
 
 
 @lru_cache(maxsize=8)
@@ -63,30 +69,43 @@
     """Keeps this host's views up to date, by watches of its own or by others' news.
 
     :param views: views by name; *prefixes* has the prefix of each.
-    :param reaches_store: whether this host's own calls to the service are answered.
+    :ivar asking: questions whether a view lacks a change; *proving* has the views' names.
+    :ivar missed_from: who told of a change that this host's own watch had not told; empty: none.
     :ivar distrusted_until: monotonic time until which this host watches by itself.
     :ivar first_read: set once every view was read.
     :ivar listens_until: monotonic time before which it does not watch.
     """
 
-    kv: KeyValueService
+    kv: RelayedKv
     own: Incarnation
     beats: Beats
     http: HttpClient
     prefixes: dict[str, str]
     views: dict[str, PrefixView]
-    reaches_store: Callable[[], bool]
     tasks: TaskGroup = field(default_factory=TaskGroup)
+    asking: TaskGroup = field(default_factory=TaskGroup)
+    proving: set[str] = field(default_factory=set)
+    missed_from: str = ""
     watching: bool = False
     distrusted_until: float = 0.0
     listens_until: float = 0.0
     first_read: asyncio.Event = field(default_factory=asyncio.Event)
     woken: asyncio.Event = field(default_factory=asyncio.Event)
+    proofs: Proofs = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.proofs = Proofs(self.kv, self.prefixes, self.views)
 
     def take_beat(self, beat: Beat) -> None:
-        """Look at once where a watcher tells of news."""
+        """Take the proofs of a host that watches; look at once where it tells of news.
+
+        A host that watches itself hears the news at about the same time, and looks later whether
+        it did.
+        """
+        self.proofs.hear(beat.ages, beat.views)
         own = self.views
-        if any(revision > own[name].revision for name, revision in beat.views.items()):
+        news = any(revision > own[name].revision for name, revision in beat.views.items())
+        if news and not self.watching:
             self.woken.set()
 
     def revisions(self) -> dict[str, int]:
@@ -99,22 +118,25 @@
         while True:
             if self.must_watch() != self.watching:
                 await self._change_role()
-            if not self.watching:
-                await self._catch_up()
-            await self._wait_for_news()
+            await self._catch_up()
+            if self.missed_from:
+                await self._follow_anew()
+            await self._wait_for_news(self._prove_old_views())
 
     async def _read_first(self) -> None:
         """Read every view once, and leave the others time to be heard."""
         reads = [
             read_whole(self.kv, self.prefixes[name], view) for name, view in self.views.items()
         ]
+        asked_at = monotonic()
         await asyncio.gather(*reads)
+        self.proofs.proven_at.update(dict.fromkeys(self.views, asked_at))
         self.first_read.set()
         self.listens_until = monotonic() + JOIN_S
 
-    async def _wait_for_news(self) -> None:
+    async def _wait_for_news(self, longest_s: float) -> None:
         try:
-            async with asyncio.timeout(LOOK_S):
+            async with asyncio.timeout(longest_s):
                 await self.woken.wait()
         except TimeoutError:
             pass
@@ -127,16 +149,21 @@
             return True
         if now < self.listens_until:
             return False
+        if self._rank() is not None:
+            return True
+        return not any(row.beat.watching for row in self.beats.heard.values())
+
+    def _rank(self) -> int | None:
+        """Return this host's place among the chosen, None if it is not one of them."""
         heard = self.beats.heard
         lives = {life for life, row in heard.items() if row.beat.reaches_store}
-        if self.reaches_store():
+        if self.kv.reaches_store:
             lives.add(self.own)
         if not lives:
             # The service is away for all: more hosts that ask would bring no news.
             lives = {*heard, self.own}
-        if self.own in choose_watchers(frozenset(lives)):
-            return True
-        return not any(row.beat.watching for row in heard.values())
+        chosen = choose_watchers(frozenset(lives))
+        return chosen.index(self.own) if self.own in chosen else None
 
     def _may_tell(self, heard: HeardBeat) -> bool:
         return heard.beat.watching and heard.beat.reaches_store
@@ -145,22 +172,60 @@
         self.watching = not self.watching
         emit(events.WATCH_ROLE, watching=self.watching, heard=len(self.beats.heard))
         if self.watching:
-            for name, view in self.views.items():
-                self.tasks.start(follow(self.kv, self.prefixes[name], view, view.revision))
+            self._follow()
         else:
             await self.tasks.stop()
 
+    def _follow(self) -> None:
+        for name, view in self.views.items():
+            self.tasks.start(follow(self.kv, self.prefixes[name], view, view.read_to))
+
+    async def _follow_anew(self) -> None:
+        """Begin the watches anew, since a change came another way: they may have fallen silent."""
+        heard_of, self.missed_from = self.missed_from, ""
+        if self.watching:
+            emit(events.WATCH_MISSED, heard_of=heard_of)
+            await self.tasks.stop()
+            self._follow()
+
+    def _prove_old_views(self) -> float:
+        """Begin to prove the views that were not proven lately; return seconds until the next look.
+
+        While the service answers nobody, only the hosts that watch ask whether it is back.
+        """
+        rank = self._rank()
+        if rank is None and not self.kv.answers:
+            return LOOK_S
+        due = {name: self.proofs.due_in_s(name, rank) for name in self.views}
+        for name in [name for name, due_s in due.items() if due_s <= 0]:
+            if name not in self.proving:
+                self.proving.add(name)
+                self.asking.start(self._prove(name))
+        soonest_s = min([LOOK_S, *(due_s for due_s in due.values() if due_s > 0)])
+        return max(LEAST_LOOK_S, soonest_s)
+
+    async def _prove(self, name: str) -> None:
+        try:
+            if await self.proofs.prove(name):
+                self.missed_from = "the service"
+                self.woken.set()
+        finally:
+            self.proving.discard(name)
+
     async def _catch_up(self) -> None:
         """Fetch what a watcher knows and this host does not."""
         own = self.revisions()
         for heard in [row for row in self.beats.heard.values() if self._may_tell(row)]:
             if any(revision > own.get(name, 0) for name, revision in heard.beat.views.items()):
-                await self._fetch(heard.address)
+                if await self._fetch(heard.address):
+                    self.missed_from = heard.address
                 return
 
-    async def _fetch(self, address: str) -> None:
+    async def _fetch(self, address: str) -> bool:
+        """Take what a watcher knows and this host does not; return whether there was anything."""
         query = "&".join(f"{name}={revision}" for name, revision in self.revisions().items())
         ip, _, port = address.rpartition(":")
+        before = self.revisions()
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_S):
                 response = await self.http.send((ip, int(port)), "GET", f"/news?{query}")
@@ -168,9 +233,18 @@
         except (ConnectFailed, ResponseBroken, TimeoutError) as error:
             emit(events.PEER_SILENT, member=address, reason=repr(error))
             self.distrusted_until = monotonic() + DISTRUST_S
-            return
-        for name, part in msgspec.msgpack.decode(raw, type=News).parts.items():
+            self.woken.set()
+            return False
+        news = msgspec.msgpack.decode(raw, type=News)
+        for name, part in news.parts.items():
             self.views[name].take(part)
+        self.proofs.hear(news.ages, self.revisions())
+        return self.revisions() != before
+
+    async def stop(self) -> None:
+        """End the watches and what asks for proof."""
+        await self.asking.stop()
+        await self.tasks.stop()
 
     def answer_news(self, request: Request) -> Response:
         """Tell another host what it lacks."""
@@ -179,4 +253,4 @@
             part = view.tell(int(request.query.get(name, "0")))
             if part is not None:
                 parts[name] = part
-        return Response(200, body=msgspec.msgpack.encode(News(parts)))
+        return Response(200, body=msgspec.msgpack.encode(News(parts, self.proofs.tell())))
--- a/gradepoint/platform/store.py
+++ b/gradepoint/platform/store.py
@@ -28,8 +28,11 @@
 WATCH_SHARE_OF_HISTORY = 0.7
 """Share of the store's history that a watch waits: one that waits longer is refused, since
 the changes after its revision are forgotten meanwhile, and all keys must be read anew."""
-WATCH_SLACK_S = 3.0
-"""Seconds after the wait's end until the store counts as silent."""
+WATCH_SLACK_S = 0.75
+"""Seconds after the wait's end until the store counts as silent: three times its answer where it
+is slow, and short enough that a change is found in time by the call that follows."""
+MOST_IDLE = 6
+"""Idle connections that are kept: a host has two or three calls under way at once."""
 CONNECT_TIMEOUT_S = 1.0
 """Seconds until a connection counts as not made; the store answers in milliseconds."""
 UNACKNOWLEDGED_MS = 2_000
@@ -107,7 +110,7 @@
         self.base_url = f"http://{address}"
         self.timeout_s = timeout_s
         self.watch_s = min(LONGEST_WATCH_S, history_s * WATCH_SHARE_OF_HISTORY)
-        self.http = HttpClient(CONNECT_TIMEOUT_S, UNACKNOWLEDGED_MS)
+        self.http = HttpClient(CONNECT_TIMEOUT_S, UNACKNOWLEDGED_MS, MOST_IDLE)
         self.counts = CallCounts()
 
     async def get(self, key: str) -> KeyValue | None:
@@ -156,18 +159,23 @@
         return TransactionResult(True, _decode(body, _TransactionAnswer).rev)
 
     async def watch(self, prefix: str, start_revision: int) -> AsyncIterator[WatchEvent]:
-        """See :meth:`KeyValueService.watch`; waits at the store, call after call."""
+        """See :meth:`KeyValueService.watch`; waits at the store, call after call.
+
+        A call that ends without changes proves nothing: the next goes on after the last change.
+        """
         revision = start_revision - 1
         while True:
             page = await self.wait_for_changes(prefix, revision, self.watch_s)
             for event in page.events:
                 yield event
-            revision = max(revision, page.revision)
+                revision = max(revision, event.revision)
 
     async def wait_for_changes(self, prefix: str, revision: int, wait_s: float) -> WatchPage:
         """Return changes below *prefix* after *revision* as soon as there are any.
 
-        :param wait_s: seconds after which no change is an answer too.
+        :param wait_s: seconds after which no change is an answer too; with 0 the call takes a
+            new connection, since it is made to prove that the store is heard, and connections
+            that have been open for longer may have fallen silent unseen.
         """
         self.counts.watches += 1
         query = {"path_prefix": prefix, "after_rev": revision, "wait_ms": round(wait_s * 1000)}
@@ -176,6 +184,7 @@
             "GET",
             f"/api/kv-watch?{urlencode(query)}",
             timeout_s=wait_s + WATCH_SLACK_S,
+            fresh=not wait_s,
         )
         if status == 410:
             raise KvHistoryLost(f"changes after revision {revision} are forgotten")
@@ -216,14 +225,23 @@
         raise self._failed(kind, KvUncertain(f"answered {status}"))
 
     async def _call(
-        self, kind: str, method: str, target: str, body: bytes = b"", timeout_s: float | None = None
+        self,
+        kind: str,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        timeout_s: float | None = None,
+        *,
+        fresh: bool = False,
     ) -> tuple[int, bytes]:
         metrics.shared().kv_calls.add(1, {"kind": kind})
         self.counts.bytes_sent += len(body)
         headers = {"content-type": "application/json"} if body else {}
         try:
             async with asyncio.timeout(timeout_s or self.timeout_s):
-                response = await self.http.request(method, self.base_url + target, body, headers)
+                response = await self.http.request(
+                    method, self.base_url + target, body, headers, fresh=fresh
+                )
                 raw = await response.read()
         except ConnectFailed as error:
             raise self._failed(kind, KvUnavailable(str(error))) from error
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -182,6 +182,7 @@
         """End a gateway as a kill does: nothing is handed over, every socket closes."""
         self.gateways.remove(gateway)
         await gateway.tasks.stop()
+        await gateway.watchers.stop()
         await gateway.intake.tasks.stop()
         await gateway.retirement.tasks.stop()
         gateway.abort()
--- a/tests/test_peers/test_peers_beats.py
+++ b/tests/test_peers/test_peers_beats.py
@@ -25,7 +25,9 @@
 def make_beat(name: str, version: int = 1, watching: bool = False) -> Beat:
     """Return a datagram."""
     life = Incarnation(name)
-    return Beat(DATAGRAM_FORMAT, life, ConfigVersion(version), name != "cut", watching, {}, [])
+    return Beat(
+        DATAGRAM_FORMAT, life, ConfigVersion(version), name != "cut", watching, {}, [], {}, 0
+    )
 
 
 class Recorder(DatagramSocket):
