Tell in tests and the store's stand-in of watches that hear nothing after they were cut

What: the stand-in can be deaf to watches (also to those that begin meanwhile) and can cut those that wait. Three tests on it: every watch is cut and asked anew while the store is deaf and forgets its history, with a change before or after the cut; and a host that begins to watch just then.

--- a/bench/platform/store.py
+++ b/bench/platform/store.py
@@ -41,6 +41,8 @@
 
     :ivar fault: what happens to calls now.
     :ivar forgotten: changes up to this revision are not told any more.
+    :ivar deaf: watches hear nothing, those that begin now too. What they missed they are told,
+        or told to be forgotten, only at the next change below their prefix or at their end.
     :ivar calls: calls by path, refused ones too.
     """
 
@@ -50,6 +52,8 @@
     delay_s: float = 0.0
     late_s: float = 1.0
     forgotten: int = 0
+    deaf: bool = False
+    cuts: int = 0
     calls: dict[str, int] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -78,6 +82,10 @@
         """Forget every change so far."""
         self.forgotten = self.keys.revision
 
+    def cut_watches(self) -> None:
+        """Reset the connections of the watches that wait."""
+        self.cuts += 1
+
     async def handle(self, request: Request) -> Response:
         """Answer one call."""
         path = request.path
@@ -141,16 +149,28 @@
     async def _watch(self, query: dict[str, str]) -> Response:
         after = int(query["after_rev"])
         until = monotonic() + int(query["wait_ms"]) / 1000
+        cuts = self.cuts
+        missed = 0
         while True:
             self.keys.expire()
-            if after < self.forgotten:
-                return Response(410)
+            if self.cuts != cuts:
+                raise ConnectionResetError
+            ended = monotonic() >= until
+            if self.deaf:
+                missed = self.keys.revision
+                if ended:
+                    return json_response({"events": [], "timestamp": missed})
+                await asyncio.sleep(WATCH_LOOK_S)
+                continue
             found = [
                 event
                 for event in self.keys.history
                 if event.revision > after and event.key.startswith(query["path_prefix"])
             ]
-            if found or monotonic() >= until:
+            news = any(event.revision > missed for event in found)
+            if after < self.forgotten and (news or ended or not missed):
+                return Response(410)
+            if news or ended:
                 rows = [_event_row(event) for event in found]
                 return json_response({"events": rows, "timestamp": self.keys.revision})
             await asyncio.sleep(WATCH_LOOK_S)
--- a/tests/test_peers/test_peers_watchers.py
+++ b/tests/test_peers/test_peers_watchers.py
@@ -2,14 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
+import pytest
+
 from gradepoint.peers.watchers import WATCHERS, choose_watchers
-from tests.support.platform import Deployment, configuration, run_deployment, until
+from gradepoint.util.clock import monotonic
+from tests.support.platform import WAIT_S, Deployment, configuration, run_deployment, until
 
 if TYPE_CHECKING:
     from gradepoint.gateway.app import Gateway
 
+WATCH_CALL = "/api/kv-watch"
+SETTLE_S = 0.8
+"""Seconds after which hosts that reach the store again have taken up their watches."""
+UNHEARD_S = 0.05
+"""Seconds from a change to the end of the time in which watches hear nothing: several looks."""
+IN_FORCE_S = 2.0
+"""Seconds in which a configuration has to be in force."""
+
 
 def is_chosen(gateway: Gateway, gateways: list[Gateway]) -> bool:
     """Whether a gateway is one of those that watch."""
@@ -43,3 +55,76 @@
         await until(lambda: gateway.configuration.current.version == 2)  # type: ignore[union-attr]
 
     run_deployment(work)
+
+
+async def until_in_force(deployment: Deployment, version: int) -> None:
+    """Wait until every gateway has a version, no longer than one may be late."""
+    async with asyncio.timeout(IN_FORCE_S):
+        await until(
+            lambda: all(
+                gateway.configuration.current is not None
+                and gateway.configuration.current.version == version
+                for gateway in deployment.gateways
+            )
+        )
+
+
+async def until_settled(deployment: Deployment) -> None:
+    """Let gateways that lost the store call it, as renewed leases do, until all reach it."""
+    calm_from = monotonic()
+    async with asyncio.timeout(WAIT_S):
+        while monotonic() - calm_from < SETTLE_S:
+            for gateway in deployment.gateways:
+                if not gateway.kv.reaches_store:
+                    await gateway.kv.get("op/config")
+                    calm_from = monotonic()
+            await asyncio.sleep(0.02)
+
+
+@pytest.mark.parametrize("changed", ["before the cut", "after the cut"])
+def test_a_change_that_no_watch_hears_before_history_is_forgotten_is_known_soon(
+    changed: str,
+) -> None:
+    """Every watch is cut and sent again while the store still tells watches nothing."""
+
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=WATCHERS + 1, targets=1)
+        store = deployment.store
+        await until(lambda: sum(g.watchers.watching for g in deployment.gateways) == WATCHERS)
+        store.deaf = True
+        if changed == "before the cut":
+            store.put("op/config", configuration(2))
+        store.cut_watches()
+        await until(lambda: not all(g.kv.reaches_store for g in deployment.gateways))
+        await until_settled(deployment)
+        if changed == "after the cut":
+            store.put("op/config", configuration(2))
+            await asyncio.sleep(UNHEARD_S)
+        store.forget_history()
+        store.deaf = False
+        await until_in_force(deployment, 2)
+
+    run_deployment(work)
+
+
+def test_a_host_that_begins_to_watch_misses_no_change_though_its_watch_is_not_answered() -> None:
+    """The hosts that watched are lost, and the store tells watches nothing just then."""
+
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=WATCHERS + 1, targets=1)
+        store = deployment.store
+        await until(lambda: sum(g.watchers.watching for g in deployment.gateways) == WATCHERS)
+        store.deaf = True
+        store.put("op/config", configuration(2))
+        for gateway in [row for row in deployment.gateways if row.watchers.watching]:
+            await deployment.kill(gateway)
+        [left] = deployment.gateways
+        assert left.configuration.current is not None
+        assert left.configuration.current.version == 1
+        before = store.calls[WATCH_CALL]
+        await until(lambda: left.watchers.watching and store.calls[WATCH_CALL] > before + 2)
+        store.forget_history()
+        store.deaf = False
+        await until_in_force(deployment, 2)
+
+    run_deployment(work)
