--- a/tests/test_peers/test_peers_belief_age.py
+++ b/tests/test_peers/test_peers_belief_age.py
@@ -103,11 +103,11 @@
         wait_s = deployment.gateways[0].kv.direct.watch_s
         store.put("op/config", configuration(2))
         await asyncio.sleep(wait_s - 0.5)
-        store.blind = True
+        store.deaf = True
         store.put("op/config", configuration(3))
         leaving = say_draining(deployment, 0)
         await asyncio.sleep(1.2)
-        store.blind = False
+        store.deaf = False
         store.forget_history()
         assert await measure(lambda: all_have(deployment, 3)) <= IN_FORCE_S
         assert await measure(lambda: all_see_draining(deployment, leaving)) <= IN_FORCE_S
