--- a/bench/platform/store.py
+++ b/bench/platform/store.py
@@ -41,6 +41,7 @@
 
     :ivar fault: what happens to calls now.
     :ivar forgotten: changes up to this revision are not told any more.
+    :ivar blind: watches hear nothing, and one whose wait is over still tells the newest revision.
     :ivar calls: calls by path, refused ones too.
     """
 
@@ -50,6 +51,7 @@
     delay_s: float = 0.0
     late_s: float = 1.0
     forgotten: int = 0
+    blind: bool = False
     calls: dict[str, int] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -150,6 +152,8 @@
                 for event in self.keys.history
                 if event.revision > after and event.key.startswith(query["path_prefix"])
             ]
+            if self.blind:
+                found = []
             if found or monotonic() >= until:
                 rows = [_event_row(event) for event in found]
                 return json_response({"events": rows, "timestamp": self.keys.revision})
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import msgspec
+import pytest
 
 from bench.platform.store import PlatformStoreStandin
 from bench.platform.target import TargetStandin, event_data
@@ -21,8 +22,11 @@
 from gradepoint.spool.app import DataHost
 from gradepoint.spool.settings import DataHostSettings, check_data_host_settings
 from gradepoint.standins.ports import LOOPBACK, free_port
+from gradepoint.util import hashing
 from gradepoint.wire.http_client import HttpClient, ResponseBroken
 
+from .virtual_network import SeededTokens, run_on_network
+
 HOST = "calls.example"
 ITEM_TOKENS = 100
 WAIT_S = 20.0
@@ -287,14 +291,24 @@
             await asyncio.sleep(0.005)
 
 
+async def _work_and_stop(work: Callable[[Deployment], Awaitable[None]]) -> None:
+    deployment = Deployment()
+    try:
+        await work(deployment)
+    finally:
+        await deployment.stop()
+
+
 def run_deployment(work: Callable[[Deployment], Awaitable[None]]) -> None:
     """Run *work* with a deployment and end the deployment."""
+    asyncio.run(_work_and_stop(work))
 
-    async def main() -> None:
-        deployment = Deployment()
-        try:
-            await work(deployment)
-        finally:
-            await deployment.stop()
 
-    asyncio.run(main())
+def run_in_virtual_time(work: Callable[[Deployment], Awaitable[None]], seed: int = 1) -> None:
+    """Run *work* with a deployment on a network in memory, in virtual time.
+
+    :param seed: of every choice and name that is drawn, so that each run is the same.
+    """
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(hashing, "secrets", SeededTokens(seed))
+        run_on_network(_work_and_stop(work), seed)
--- a/tests/support/virtual_network.py
+++ b/tests/support/virtual_network.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import socket
 from collections import defaultdict
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
@@ -27,15 +28,19 @@
 class MemorySocket:
     """What a transport tells of its socket."""
 
-    def __init__(self, address: tuple[str, int]) -> None:
+    def __init__(self, address: tuple[str, int], transport: MemoryTransport | None = None) -> None:
         self.address = address
+        self.transport = transport
 
     def getsockname(self) -> tuple[str, int]:
         """Return the address."""
         return self.address
 
-    def setsockopt(self, *_: object) -> None:
-        """Take an option that has no meaning here."""
+    def setsockopt(self, level: int, option: int, value: int) -> None:
+        """Take an option; all but the longest time without an acknowledgement mean nothing here."""
+        wanted = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        if self.transport is not None and (level, option) == wanted:
+            self.transport.unacknowledged_s = value / 1000
 
 
 class MemoryTransport(asyncio.Transport):
@@ -51,13 +56,15 @@
         self.closed = False
         self.reading = True
         self.sent_until = 0.0
+        self.mute = False
+        self.unacknowledged_s = 0.0
         self.waiting: list[bytes] = []
         loop.transports[LIFE.get()].append(self)
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
         """See :meth:`asyncio.BaseTransport.get_extra_info`."""
         if name == "socket":
-            return MemorySocket(self.own)
+            return MemorySocket(self.own, self)
         return {"sockname": self.own, "peername": self.other}.get(name, default)
 
     def set_protocol(self, protocol: asyncio.BaseProtocol) -> None:
@@ -101,8 +108,11 @@
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
         """See :meth:`asyncio.WriteTransport.write`."""
-        if not self.closed:
-            self._send(self.peer.take, bytes(data))
+        if self.closed:
+            return
+        self._send(self.peer.take, bytes(data))
+        if self.unacknowledged_s and (self.mute or self.peer.mute):
+            self.loop.call_later(self.unacknowledged_s, self._give_up)
 
     def write_eof(self) -> None:
         """See :meth:`asyncio.WriteTransport.write_eof`."""
@@ -115,7 +125,7 @@
 
     def take(self, data: bytes) -> None:
         """Hand bytes that came to the protocol; none stand for the other side's end."""
-        if self.closed or self.loop.is_silent(self.own, self.other):
+        if self.closed or self.mute or self.loop.is_silent(self.own, self.other):
             return
         if not self.reading:
             self.waiting.append(data)
@@ -138,9 +148,14 @@
 
     def reset(self) -> None:
         """Take the other side's abort."""
-        if not self.closed and not self.loop.is_silent(self.own, self.other):
+        if not self.closed and not self.mute and not self.loop.is_silent(self.own, self.other):
             self._end(ConnectionResetError("reset by the other side"))
 
+    def _give_up(self) -> None:
+        """End, since what was sent was not acknowledged for too long."""
+        if not self.closed:
+            self._end(TimeoutError("not acknowledged"))
+
     def _end(self, error: Exception | None) -> None:
         self.closed = True
         self.loop.call_soon(self.protocol.connection_lost, error)
@@ -223,6 +238,23 @@
         """Whether nothing gets through between two addresses."""
         return one[1] in self.silent or other[1] in self.silent
 
+    def mute_open(self, *ports: int) -> None:
+        """Let every connection that is open now carry nothing more, both ways and for good.
+
+        :param ports: only connections to these; all where there are none.
+        """
+        for transports in self.transports.values():
+            for transport in transports:
+                if isinstance(transport, MemoryTransport):
+                    ends = {transport.own[1], transport.other[1]}
+                    transport.mute = transport.mute or not ports or not ends.isdisjoint(ports)
+
+    def mute_open_of(self, life: str) -> None:
+        """Let every connection of one life that is open now carry nothing more, both ways."""
+        for transport in self.transports[life]:
+            if isinstance(transport, MemoryTransport):
+                transport.mute = transport.peer.mute = True
+
     def next_port(self) -> int:
         """Return a port that nobody has."""
         self.ports += 1
@@ -295,6 +327,17 @@
         return task
 
 
+class SeededTokens:
+    """Stands for the module of random tokens."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+
+    def token_hex(self, size: int) -> str:
+        """See :func:`secrets.token_hex`."""
+        return self.rng.randbytes(size).hex()
+
+
 def run_on_network(work: Coroutine[Any, Any, T], seed: int) -> T:
     """Run *work* in virtual time on a network in memory."""
     random.seed(seed)
