--- a/tests/test_peers/test_peers_deaf_watcher.py
+++ b/tests/test_peers/test_peers_deaf_watcher.py
@@ -9,6 +9,7 @@
 
 from bench.platform.target import TargetStandin
 from gradepoint.gateway.targets import ListedState
+from gradepoint.peers import beats
 from gradepoint.util.clock import monotonic
 from tests.support.platform import Deployment, run_in_virtual_time, until
 from tests.support.virtual_network import LIFE, MemoryTransport, NetworkLoop
@@ -125,3 +126,36 @@
         assert max(late.values()) <= IN_FORCE_S, late
 
     run_in_virtual_time(work, phase)
+
+
+FLEET = 63
+"""Hosts of the largest deployment: the more there are, the rarer are their regular beats."""
+DRAIN_S = 3.0
+"""Seconds after which no call may reach a target that said that it leaves."""
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_host_that_no_datagram_reaches_hears_before_calls_are_forbidden(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    per_peer_s = beats.LONGEST_GAP_PER_PEER_S * (FLEET - 1) / (GATEWAYS - 1)
+    monkeypatch.setattr(beats, "LONGEST_GAP_PER_PEER_S", per_peer_s)
+
+    async def work(deployment: Deployment) -> None:
+        await start_apart(deployment)
+        await asyncio.sleep(seed * 0.6)
+        listens = [host for host in deployment.gateways if not host.watchers.watching]
+        port = listens[0].settings.peer_port
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, NetworkLoop)
+        deliver = loop.deliver
+
+        def lose(data: bytes, source: tuple[str, int], address: tuple[str, int]) -> None:
+            if address[1] != port:
+                deliver(data, source, address)
+
+        monkeypatch.setattr(loop, "deliver", lose)
+        late = await leave_and_measure(deployment)
+        assert max(late.values()) <= DRAIN_S, late
+
+    run_in_virtual_time(work, seed)
