--- /dev/null
+++ b/tests/test_gateway/test_gateway_leaving.py
@@ -0,0 +1,70 @@
+"""A call that goes on elsewhere does not go to a target that has said that it leaves."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from bench.platform.target import TargetFault, TargetStandin
+from gradepoint.gateway.targets import ListedState
+from gradepoint.kv.service import KeyValue, RangeResult, WatchEvent
+from gradepoint.kv.view import PrefixView, ViewPart
+from tests.support.platform import Deployment, run_in_virtual_time, until
+
+
+@pytest.mark.parametrize("fault", [TargetFault.SILENT, TargetFault.CUT])
+def test_a_stream_is_not_taken_up_at_a_target_that_left_meanwhile(fault: TargetFault) -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=1, targets=0)
+        first = TargetStandin("first", faults=[fault], event_s=0.2)
+        await deployment.add_target(first)
+        gateway = deployment.gateways[0]
+        await until(lambda: len(gateway.targets.by_id) == 1)
+        call = asyncio.create_task(deployment.call("/resume/a", request_id="one"))
+        await until(lambda: bool(first.seen))
+        leaving = TargetStandin("leaving")
+        await deployment.add_target(leaving)
+        await until(lambda: len(gateway.targets.by_id) == 2)
+        deployment.store.put("servers/leaving", leaving.entry(state="draining"))
+        listed = gateway.targets.by_id
+        await until(lambda: listed["leaving"].listed.state is ListedState.DRAINING)  # type: ignore[index]
+        staying = TargetStandin("staying")
+        await deployment.add_target(staying)
+        answer = await call
+        assert not leaving.seen
+        assert answer.status == 200
+        assert staying.seen
+
+    run_in_virtual_time(work)
+
+
+class Rows:
+    """Takes note of what a view passes on."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, bytes] = {}
+
+    def reset(self, found: RangeResult) -> None:
+        """Take all rows."""
+        self.rows = {item.key: item.value for item in found.items}
+
+    def change(self, event: WatchEvent) -> None:
+        """Take one."""
+        assert event.value is not None
+        self.rows[event.key] = event.value
+
+
+@pytest.mark.parametrize("whole", [True, False])
+def test_older_news_of_another_host_changes_nothing(whole: bool) -> None:
+    rows = Rows()
+    view = PrefixView(rows)
+    view.reset(RangeResult((KeyValue("a", b"ready", 3),), 3))
+    view.change(WatchEvent("a", b"draining", 7))
+    if whole:
+        view.take(ViewPart(6, True, items=[KeyValue("a", b"ready", 3)]))
+    else:
+        view.take(ViewPart(6, False, events=[WatchEvent("a", b"ready", 6)]))
+    view.change(WatchEvent("a", b"ready", 6))
+    assert rows.rows == {"a": b"draining"}
+    assert view.revision == 7
