--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from .. import events
-from ..errors import GradepointError, KvError
+from ..errors import GradepointError
 from ..ids import HostName, TargetId
 from ..jobs.adoption import Adoption
 from ..jobs.api import JobApi
@@ -445,20 +445,9 @@
             was_ready = self.ready
 
     async def look_again(self) -> None:
-        """Read the configuration and the targets anew, once."""
-        await asyncio.gather(*(self._read_view(name) for name in ("operator", "targets")))
-
-    async def _read_view(self, name: str) -> None:
-        view = self.watchers.views[name]
-        prefix = self.watchers.prefixes[name]
-        try:
-            found = await self.kv.range(prefix)
-        except KvError as error:
-            emit(events.KV_FAILING, prefix=prefix, reason=str(error))
-            return
-        # The watch goes on meanwhile, and what it told since is not taken back.
-        if found.revision >= view.revision:
-            view.reset(found)
+        """Ask the service once which changes of configuration and targets this host missed."""
+        prove = self.watchers.proofs.prove
+        await asyncio.gather(*(prove(name) for name in ("operator", "targets")))
 
     async def follow_peers(self) -> None:
         """Take newer configurations from peers, for ever.
--- a/gradepoint/gateway/standstill.py
+++ b/gradepoint/gateway/standstill.py
@@ -30,7 +30,7 @@
 
     What came meanwhile waits beside the calls that came meanwhile, and either may be read first.
 
-    :param look: reads anew what calls are decided by; it may take long or fail.
+    :param look: asks anew for what calls are decided by; it may take long or fail.
     :ivar seen_at: monotonic time of the last sign that the loop runs.
     :ivar looking: the look after the last standstill.
     """
