--- a/gradepoint/peers/watchers.py
+++ b/gradepoint/peers/watchers.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from functools import lru_cache
+from functools import lru_cache, partial
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -177,8 +177,12 @@
             await self.tasks.stop()
 
     def _follow(self) -> None:
-        for name, view in self.views.items():
-            self.tasks.start(follow(self.kv, self.prefixes[name], view, view.read_to))
+        for name in self.views:
+            self.tasks.keep(f"watch of {name}", partial(self._watch, name))
+
+    async def _watch(self, name: str) -> None:
+        view = self.views[name]
+        await follow(self.kv, self.prefixes[name], view, view.read_to)
 
     async def _follow_anew(self) -> None:
         """Begin the watches anew, since a change came another way: they may have fallen silent."""
--- a/tests/test_gateway/test_gateway_silent_peers.py
+++ b/tests/test_gateway/test_gateway_silent_peers.py
@@ -30,7 +30,7 @@
     while True:
         for number, address in enumerate(addresses):
             life = Incarnation(f"peer-{number}:1")
-            beat = Beat(DATAGRAM_FORMAT, life, VERSION, False, False, {}, [])
+            beat = Beat(DATAGRAM_FORMAT, life, VERSION, False, False, {}, [], {}, 0)
             gateway.beats.hear(beat, address)
         await asyncio.sleep(BEATS_S)
 
