Prove the view of live hosts half as often as configuration and targets

Change: each view has its bound; it is proven after half of it: 1 s for configuration and targets, 2 s for live hosts and ended jobs.

--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -76,6 +76,10 @@
 """Milliseconds without an acknowledgement until a connection to a target counts as cut."""
 LINGER_SHARE = 0.75
 """Share of the drain time for which a target whose row vanished stays a last resort."""
+BOUNDS_S = {"operator": 2.0, "targets": 2.0, "live": 4.0}
+"""Seconds in which a change of a view has to be known: the shortest time in which a configuration
+has to be in force and a target that leaves gets no call; and about the time in which an ended job
+rests, which its own host hears of at each commit too."""
 SWEEP_S = 0.25
 """Seconds between looks for vanished targets, peers' versions and finished jobs."""
 CONFIG_TIMEOUT_S = 0.5
@@ -286,6 +290,7 @@
                 "targets": PrefixView(self.target_follower),
                 "live": PrefixView(live),
             },
+            BOUNDS_S,
         )
 
     def find_data_hosts(self) -> list[str]:
--- a/gradepoint/peers/proofs.py
+++ b/gradepoint/peers/proofs.py
@@ -1,8 +1,8 @@
 """How old a host's views of the key-value service are, and who asks whether they still hold.
 
 A watch may fall silent without an error, and then everything that rests on it stays as it was. So
-one host asks the service once a second whether it missed a change, and tells the others; each of
-them asks by itself where it is not told in time.
+one host asks the service again and again whether it missed a change, and tells the others; each
+of them asks by itself where it is not told in time.
 """
 
 from __future__ import annotations
@@ -21,9 +21,9 @@
     from ..kv.relay import RelayedKv
     from ..kv.view import PrefixView
 
-PROOF_S = 1.0
-"""Seconds after which the first of the hosts that watch proves its views: half of the shortest
-bound on news, two seconds, so that one lost answer is made good within it."""
+PROOF_SHARE = 0.5
+"""Share of a view's bound after which the first of the hosts that watch proves it, so that one
+lost answer is made good within the bound."""
 NEXT_WATCHER_S = 0.15
 """Seconds more for each further host that watches: while the first one is well, no other asks."""
 LISTENER_S = 0.5
@@ -36,6 +36,7 @@
     """Since when each view is known to lack no change.
 
     :param prefixes: prefix of each view by its name.
+    :param bounds_s: seconds by view in which a change has to be known.
     :ivar proven_at: monotonic time by view; a change that was acknowledged before is known.
     :ivar tried_at: monotonic time of this host's last question by view.
     :ivar count: rises with each proof of this host, so that the others are told at once.
@@ -44,6 +45,7 @@
     kv: RelayedKv
     prefixes: Mapping[str, str]
     views: Mapping[str, PrefixView]
+    bounds_s: Mapping[str, float]
     proven_at: dict[str, float] = field(default_factory=dict)
     tried_at: dict[str, float] = field(default_factory=dict)
     count: int = 0
@@ -70,7 +72,8 @@
 
         :param rank: this host's place among those that watch; None if it does not.
         """
-        allowed = PROOF_S + (LISTENER_S if rank is None else rank * NEXT_WATCHER_S)
+        allowed = self.bounds_s[name] * PROOF_SHARE
+        allowed += LISTENER_S if rank is None else rank * NEXT_WATCHER_S
         now = monotonic()
         tried = now - self.tried_at.get(name, float("-inf"))
         return allowed - min(self.age_s(name, now), tried)
--- a/gradepoint/peers/watchers.py
+++ b/gradepoint/peers/watchers.py
@@ -69,6 +69,7 @@
     """Keeps this host's views up to date, by watches of its own or by others' news.
 
     :param views: views by name; *prefixes* has the prefix of each.
+    :param bounds_s: seconds by view in which a change has to be known.
     :ivar asking: questions whether a view lacks a change; *proving* has the views' names.
     :ivar missed_from: who told of a change that this host's own watch had not told; empty: none.
     :ivar distrusted_until: monotonic time until which this host watches by itself.
@@ -82,6 +83,7 @@
     http: HttpClient
     prefixes: dict[str, str]
     views: dict[str, PrefixView]
+    bounds_s: dict[str, float]
     tasks: TaskGroup = field(default_factory=TaskGroup)
     asking: TaskGroup = field(default_factory=TaskGroup)
     proving: set[str] = field(default_factory=set)
@@ -94,7 +96,7 @@
     proofs: Proofs = field(init=False)
 
     def __post_init__(self) -> None:
-        self.proofs = Proofs(self.kv, self.prefixes, self.views)
+        self.proofs = Proofs(self.kv, self.prefixes, self.views, self.bounds_s)
 
     def take_beat(self, beat: Beat) -> None:
         """Take the proofs of a host that watches; look at once where it tells of news.
