--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -227,6 +227,7 @@
             self.targets, platform.decode_target, platform.read_target_id
         )
         self.watchers = self.make_watchers()
+        metrics.shared().view_age.read = self.watchers.proofs.read_ages_s
         limits = ServerLimits(max_connections=CALLER_CONNECTIONS, cancel_when_gone=True)
         self.callers = HttpServer(self.handle, limits)
         self.readiness = HttpServer(self.answer_ready)
--- a/gradepoint/peers/proofs.py
+++ b/gradepoint/peers/proofs.py
@@ -20,6 +20,7 @@
 
     from ..kv.relay import RelayedKv
     from ..kv.view import PrefixView
+    from ..telemetry.metrics import Labels
 
 PROOF_SHARE = 0.5
 """Share of a view's bound after which the first of the hosts that watch proves it, so that one
@@ -59,6 +60,11 @@
         now = monotonic()
         return {name: round((now - at) * MILLISECONDS) for name, at in self.proven_at.items()}
 
+    def read_ages_s(self) -> dict[Labels, float]:
+        """Return the age of each proven view in seconds, as the metrics page shows it."""
+        now = monotonic()
+        return {(("view", name),): round(now - at, 3) for name, at in self.proven_at.items()}
+
     def hear(self, ages: Mapping[str, int], revisions: Mapping[str, int]) -> None:
         """Take another host's proofs of views that this host knows as far as that one."""
         now = monotonic()
--- a/gradepoint/telemetry/metrics.py
+++ b/gradepoint/telemetry/metrics.py
@@ -10,7 +10,10 @@
 import asyncio
 import importlib
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 LIBRARIES = (
     "opentelemetry.metrics",
@@ -83,8 +86,29 @@
         self.pending.clear()
 
 
+@dataclass
+class LateGauge:
+    """Values that are read whenever the page is shown.
+
+    :ivar read: returns them by labels; set by the part that has them.
+    """
+
+    name: str
+    unit: str
+    read: Callable[[], dict[Labels, float]] = dict
+
+    def connect(self, meter: Any) -> None:
+        """Have *meter* read them."""
+        from opentelemetry.metrics import Observation
+
+        def observe(_: Any) -> list[Any]:
+            return [Observation(value, dict(labels)) for labels, value in self.read().items()]
+
+        meter.create_observable_gauge(self.name, [observe], self.unit)
+
+
 class Metrics:
-    """Counters and histograms shared by the parts of one process."""
+    """Counters, histograms and gauges shared by the parts of one process."""
 
     def __init__(self) -> None:
         self.calls = LateCounter("gradepoint_calls", "Answers by outcome")
@@ -98,6 +122,7 @@
         self.orders = LateCounter("gradepoint_orders", "By kind and result")
         self.control_bytes = LateCounter("gradepoint_control_bytes", unit="By")
         self.call_time = LateHistogram("gradepoint_call_time", "s")
+        self.view_age = LateGauge("gradepoint_view_age", "s")
         self.connected = False
 
     def connect(self) -> None:
@@ -110,7 +135,7 @@
 
         meter = MeterProvider(metric_readers=[PrometheusMetricReader()]).get_meter("gradepoint")
         for instrument in vars(self).values():
-            if isinstance(instrument, LateCounter | LateHistogram):
+            if isinstance(instrument, LateCounter | LateHistogram | LateGauge):
                 instrument.connect(meter)
 
 
--- a/tests/test_telemetry/test_telemetry_lines.py
+++ b/tests/test_telemetry/test_telemetry_lines.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import re
 from pathlib import Path
 
 import msgspec
@@ -123,6 +124,8 @@
         text = (await response.read()).decode()
         assert "gradepoint_calls_total" in text
         assert "gradepoint_kv_calls_total" in text
+        for view in ("operator", "targets", "live"):
+            assert re.search(rf'gradepoint_view_age_seconds{{.*view="{view}"}} \d', text)
 
     run_deployment(work)
 
