--- a/gradepoint/peers/watchers.py
+++ b/gradepoint/peers/watchers.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from functools import lru_cache
+from functools import lru_cache, partial
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -69,6 +69,7 @@
     """Keeps this host's views up to date, by watches of its own or by others' news.
 
     :param views: views by name; *prefixes* has the prefix of each.
+    :param bounds_s: seconds by view in which a change has to be known.
     :ivar asking: questions whether a view lacks a change; *proving* has the views' names.
     :ivar missed_from: who told of a change that this host's own watch had not told; empty: none.
     :ivar distrusted_until: monotonic time until which this host watches by itself.
@@ -82,6 +83,7 @@
     http: HttpClient
     prefixes: dict[str, str]
     views: dict[str, PrefixView]
+    bounds_s: dict[str, float]
     tasks: TaskGroup = field(default_factory=TaskGroup)
     asking: TaskGroup = field(default_factory=TaskGroup)
     proving: set[str] = field(default_factory=set)
@@ -94,7 +96,7 @@
     proofs: Proofs = field(init=False)
 
     def __post_init__(self) -> None:
-        self.proofs = Proofs(self.kv, self.prefixes, self.views)
+        self.proofs = Proofs(self.kv, self.prefixes, self.views, self.bounds_s)
 
     def take_beat(self, beat: Beat) -> None:
         """Take the proofs of a host that watches; look at once where it tells of news.
@@ -177,8 +179,12 @@
             await self.tasks.stop()
 
     def _follow(self) -> None:
-        for name, view in self.views.items():
-            self.tasks.start(follow(self.kv, self.prefixes[name], view, view.read_to))
+        for name in self.views:
+            self.tasks.keep(f"watch of {name}", partial(self._watch, name))
+
+    async def _watch(self, name: str) -> None:
+        view = self.views[name]
+        await follow(self.kv, self.prefixes[name], view, view.read_to)
 
     async def _follow_anew(self) -> None:
         """Begin the watches anew, since a change came another way: they may have fallen silent."""
