Read jobs anew beside the worker's loop, and pause after a read that failed

Cause: the loop that starts items, gives way and commits read jobs whose state it had lost track of itself. While the store was slow it did nothing else, up to the bound of each of a job's parts; while the store was away it read again at every look, 33 times a second.

--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -220,7 +220,7 @@
                 self.wanted.clear()
                 await self.wanted.wait()
             await asyncio.sleep(TICK_S)
-            await self._take_again()
+            self._take_again()
             self._give_way()
             await self.forwarder.look_first()
             self._start_items()
@@ -230,15 +230,20 @@
                 else:
                     self._look_after(job)
 
-    async def _take_again(self) -> None:
-        """Read jobs of this host anew whose state it had lost track of."""
+    def _take_again(self) -> None:
+        """Read jobs of this host anew whose state it had lost track of; other jobs go on."""
         waiting, self.to_take = self.to_take, []
         for stored in waiting:
-            try:
-                await self.take(stored)
-            except KvError as error:
-                emit(events.JOB_UNREADABLE, job=stored.id, reason=str(error))
-                self.to_take.append(stored)
+            self.tasks.start(self._take_later(stored))
+
+    async def _take_later(self, stored: StoredJob) -> None:
+        try:
+            await self.take(stored)
+        except KvError as error:
+            emit(events.JOB_UNREADABLE, job=stored.id, reason=str(error))
+            await asyncio.sleep(RETRY_S)
+            self.to_take.append(stored)
+            self.wanted.set()
 
     def _look_after(self, job: OwnedJob) -> None:
         """Give up what may be given up, and commit what has waited long enough."""
