--- a/gradepoint/fleet/control.py
+++ b/gradepoint/fleet/control.py
@@ -15,6 +15,7 @@
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.tasks import TaskGroup
+from ..wire.addresses import split_address
 from ..wire.rpc import Failed, Message, RpcError, RpcPool, RpcServer
 from .config_history import ConfigHistory
 from .distribution import ANNOUNCE_FANOUT, watchers
@@ -143,9 +144,9 @@
 
     async def _join(self) -> None:
         for seed in self.settings.seeds:
-            address, _, port = seed.rpartition(":")
-            if (address, int(port)) != (self.settings.address, self.settings.gossip_port):
-                await self._join_through(address, int(port))
+            address, port = split_address(seed)
+            if (address, port) != (self.settings.address, self.settings.gossip_port):
+                await self._join_through(address, port)
 
     async def _join_through(self, address: str, port: int) -> None:
         try:
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -46,7 +45,8 @@
 from ..telemetry.logs import emit, report_left_out
 from ..util.clock import monotonic
 from ..util.tasks import TaskGroup
-from ..wire.http_client import ConnectFailed, HttpClient, ResponseBroken
+from ..wire.addresses import split_address
+from ..wire.http_client import HttpClient
 from ..wire.http_server import HttpServer, ServerLimits
 from ..wire.http_types import Response
 from .answers import refuse
@@ -54,6 +54,7 @@
 from .configuration import NO_VERSION, RouteKind
 from .forwarding import Forwarder
 from .live import create_call
+from .peer_configuration import follow_peers
 from .retirement import Retirement
 from .standstill import Standstill
 from .targets import TargetSet
@@ -81,10 +82,7 @@
 has to be in force and a target that leaves gets no call; and about the time in which an ended job
 rests, which its own host hears of at each commit too."""
 SWEEP_S = 0.25
-"""Seconds between looks for vanished targets, peers' versions and finished jobs."""
-CONFIG_TIMEOUT_S = 0.5
-"""Seconds that a peer has to send its configuration: many times the way, and short enough to ask
-several others within the shortest bound on news."""
+"""Seconds between looks for vanished targets, silent hosts and finished jobs."""
 IDLE_SLACK_S = 1.0
 """Seconds that a resting connection is kept beyond the configured time, for requests that
 are under way when it ends."""
@@ -258,7 +256,7 @@
         keep("worker", self.worker.run)
         self.adopting = keep("adoption", self.adoption.run)
         keep("sweep", self.sweep)
-        keep("peers", self.follow_peers)
+        keep("peers", lambda: follow_peers(self.beats, self.peer_http, self.configuration))
 
     def make_watchers(self) -> Watchers:
         """Return what keeps configuration, targets and live hosts up to date."""
@@ -455,32 +453,6 @@
         prove = self.watchers.proofs.prove
         await asyncio.gather(*(prove(name) for name in ("operator", "targets")))
 
-    async def follow_peers(self) -> None:
-        """Take newer configurations from peers, for ever.
-
-        Its questions may take long, and the sweep cannot wait for them.
-        """
-        while True:
-            await asyncio.sleep(SWEEP_S)
-            current = self.configuration.current
-            newer = self.beats.find_newer_config(current.version if current else NO_VERSION)
-            if newer:
-                # Any of them may be silent for good towards this host, so it is not always the
-                # same one that is asked.
-                await self._take_config(random.choice(newer))
-
-    async def _take_config(self, address: str) -> None:
-        """Read the configuration from a peer."""
-        try:
-            async with asyncio.timeout(CONFIG_TIMEOUT_S):
-                response = await self.peer_http.send(split_address(address), "GET", "/config")
-                raw = await response.read()
-        except (ConnectFailed, ResponseBroken, TimeoutError) as error:
-            emit(events.PEER_SILENT, member=address, reason=repr(error))
-            return
-        if response.status == 200:
-            self.configuration.offer(raw, f"peer {address}")
-
     def reload(self) -> None:
         """Take note of a changed settings file; none of these settings changes in a life."""
         emit(events.SETTINGS_RELOADED, host=self.settings.host)
@@ -523,9 +495,3 @@
         await self.worker.release_all()
         self.renewing.cancel()
         await self.presence.withdraw()
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Return IP number and port."""
-    ip, _, port = address.rpartition(":")
-    return ip, int(port)
--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from ..util.clock import monotonic
+from ..wire.addresses import split_address
 from ..wire.http_client import ConnectFailed, HttpClient, ResponseBroken
 from .choice import choose_target, get_load
 
@@ -114,12 +115,11 @@
         :raises TargetBusy: nothing was run.
         :raises TargetFailed: it may have run.
         """
-        address, _, port = target.address.rpartition(":")
         headers = self.dialect.write_call(head, target.id, remaining_s, resume_after)
         target.begin()
         try:
             response = await self.http.send(
-                (address, int(port)),
+                split_address(target.address),
                 method,
                 request_target,
                 body,
--- a/gradepoint/gateway/retirement.py
+++ b/gradepoint/gateway/retirement.py
@@ -12,6 +12,7 @@
 from ..telemetry.logs import emit
 from ..util.hashing import rank
 from ..util.tasks import TaskGroup
+from ..wire.addresses import split_address
 from ..wire.http_client import ConnectFailed, ResponseBroken
 
 if TYPE_CHECKING:
@@ -84,10 +85,10 @@
         listed = self.data_hosts.hosts.get(host)
         if listed is None:
             return True
-        ip, _, port = listed.peer_address.rpartition(":")
+        address = split_address(listed.peer_address)
         try:
             async with asyncio.timeout(TIMEOUT_S):
-                response = await self.http.send((ip, int(port)), "POST", "/retire")
+                response = await self.http.send(address, "POST", "/retire")
                 await response.read()
         except (ConnectFailed, ResponseBroken, TimeoutError) as error:
             emit(events.PEER_SILENT, member=host, reason=repr(error))
--- a/gradepoint/jobs/api.py
+++ b/gradepoint/jobs/api.py
@@ -19,6 +19,7 @@
 from ..util.clock import monotonic
 from ..util.hashing import rank, short_number
 from ..util.tasks import TaskGroup
+from ..wire.addresses import split_address
 from ..wire.http_client import ConnectFailed, ResponseBroken
 from ..wire.http_types import JSON_TYPE, Response
 from .calls import EndJob, JobCall, ReadItem, ReadResults, ResultPage
@@ -354,10 +355,9 @@
         return await self._ask_host(owner[1], target, timeout_s)
 
     async def _ask_host(self, address: str, target: str, timeout_s: float) -> bytes | None:
-        ip, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(timeout_s):
-                response = await self.http.send((ip, int(port)), "GET", target)
+                response = await self.http.send(split_address(address), "GET", target)
                 raw = await response.read()
         except (ConnectFailed, ResponseBroken, TimeoutError) as error:
             emit(events.PEER_SILENT, member=address, asked=target, reason=repr(error))
--- a/gradepoint/kv/relay.py
+++ b/gradepoint/kv/relay.py
@@ -18,6 +18,7 @@
 from ..telemetry import metrics
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
+from ..wire.addresses import split_address
 from ..wire.http_client import ConnectFailed, HttpClient, ResponseBroken
 from ..wire.http_types import Response
 from .service import (
@@ -255,10 +256,9 @@
         wait_s = call.wait_s if isinstance(call, WaitCall) else 0.0
         for address in self.rng.sample(helpers, min(PEERS_TRIED, len(helpers))):
             metrics.shared().kv_calls.add(1, {"kind": "relayed"})
-            ip, _, port = address.rpartition(":")
             try:
                 async with asyncio.timeout(PEER_TIMEOUT_S + wait_s):
-                    response = await self.http.send((ip, int(port)), "POST", "/kv", raw)
+                    response = await self.http.send(split_address(address), "POST", "/kv", raw)
                     body = await response.read()
             except ConnectFailed:
                 continue
--- a/gradepoint/peers/datagrams.py
+++ b/gradepoint/peers/datagrams.py
@@ -13,6 +13,7 @@
 from ..ids import ConfigVersion, Incarnation, TargetNumber
 from ..telemetry.logs import emit
 from ..util.hashing import short_number
+from ..wire.addresses import split_address
 from .results import ToldResults
 
 if TYPE_CHECKING:
@@ -138,8 +139,7 @@
     def send(self, raw: bytes, address: str) -> None:
         """Send an encoded message to ``IP:PORT``; it may be lost."""
         if self.transport is not None:
-            ip, _, port = address.rpartition(":")
-            self.transport.sendto(raw, (ip, int(port)))
+            self.transport.sendto(raw, split_address(address))
 
     def take(self, raw: bytes, address: str) -> None:
         """Decode a datagram and hand it on."""
--- a/gradepoint/peers/watchers.py
+++ b/gradepoint/peers/watchers.py
@@ -21,6 +21,7 @@
 from ..util.clock import monotonic
 from ..util.hashing import rank
 from ..util.tasks import TaskGroup
+from ..wire.addresses import split_address
 from ..wire.http_client import ConnectFailed, ResponseBroken
 from ..wire.http_types import Response
 from .proofs import Proofs
@@ -230,12 +231,13 @@
     async def _fetch(self, address: str) -> bool:
         """Take what a watcher knows and this host does not; return whether there was anything."""
         query = "&".join(f"{name}={revision}" for name, revision in self.revisions().items())
-        ip, _, port = address.rpartition(":")
         before = self.revisions()
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_S):
-                response = await self.http.send((ip, int(port)), "GET", f"/news?{query}")
+                response = await self.http.send(split_address(address), "GET", f"/news?{query}")
                 raw = await response.read()
+                if response.status != 200:
+                    raise ResponseBroken(f"answered {response.status}")
         except (ConnectFailed, ResponseBroken, TimeoutError) as error:
             emit(events.PEER_SILENT, member=address, reason=repr(error))
             self.distrusted_until = monotonic() + DISTRUST_S
--- a/gradepoint/spool/client.py
+++ b/gradepoint/spool/client.py
@@ -12,6 +12,7 @@
 from .. import events
 from ..telemetry.logs import emit
 from ..util.tasks import TaskGroup
+from ..wire.addresses import split_address
 from ..wire.http_client import ConnectFailed, ResponseBroken
 from .records import SpooledJob, SpoolRequest
 
@@ -131,8 +132,7 @@
     async def _ask(
         self, address: str, method: str, target: str, body: bytes, timeout_s: float
     ) -> int:
-        ip, _, port = address.rpartition(":")
         async with asyncio.timeout(timeout_s):
-            response = await self.http.send((ip, int(port)), method, target, body)
+            response = await self.http.send(split_address(address), method, target, body)
             await response.read()
         return response.status
--- a/gradepoint/spool/host.py
+++ b/gradepoint/spool/host.py
@@ -16,6 +16,7 @@
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.hashing import rank
+from ..wire.addresses import split_address
 from ..wire.http_client import ConnectFailed, ResponseBroken
 from ..wire.http_types import Response
 from .records import SpoolRequest
@@ -169,10 +170,10 @@
         others = rank(job.id, set(address) - {job.state.owner})
         acceptor = [job.state.owner] if job.state.owner in address else []
         for life in [*acceptor, *others][:HOSTS_ASKED]:
-            ip, _, port = address[life].rpartition(":")
+            origin = split_address(address[life])
             try:
                 async with asyncio.timeout(ASK_TIMEOUT_S):
-                    response = await self.http.send((ip, int(port)), "GET", f"/take/{job.id}")
+                    response = await self.http.send(origin, "GET", f"/take/{job.id}")
                     await response.read()
             except (ConnectFailed, ResponseBroken, TimeoutError) as error:
                 emit(events.PEER_SILENT, member=address[life], reason=repr(error))
