Tell all keys after a read over a gap, and leave out a list older than one that said nothing new

Ruled out: parts of other hosts by themselves (the model plays them). Change: after a read that brings news, hosts that are behind are told all keys; lists and changes are compared with the newest read too; a digest of keys and values says whether two hosts know the same.

--- a/gradepoint/kv/view.py
+++ b/gradepoint/kv/view.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from hashlib import blake2b
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -17,6 +18,10 @@
 """Changes kept for hosts that are behind: more than a second's worth at the busiest, and a
 host that is further behind gets all keys."""
 
+DIGESTS = 1 << 64
+"""Digests that there are: two hosts that know something else take each other for equal once in
+as many cases."""
+
 
 class ViewPart(msgspec.Struct, frozen=True, array_like=True):
     """What a host that is behind has to be told of one prefix.
@@ -36,9 +41,10 @@
     """Implements :class:`~gradepoint.kv.follow.Follower`: keeps a copy, passes everything on.
 
     :ivar revision: that of the newest change known; 0 before the first read.
-    :ivar read_to: revision of the store up to which every change is known. Empty answers of
-        watches do not raise it, since a watch may not have heard of a change.
+    :ivar read_to: revision of the newest read of all keys. Empty answers of watches do not raise
+        it, since a watch may not have heard of a change.
     :ivar recent_from: revision after which *recent* has every change.
+    :ivar digest: stands for all keys and values: hosts with the same one know the same.
     """
 
     inner: Follower
@@ -47,57 +53,67 @@
     items: dict[str, KeyValue] = field(default_factory=dict)
     recent: deque[WatchEvent] = field(default_factory=lambda: deque(maxlen=KEPT_EVENTS))
     recent_from: int = 0
+    digest: int = 0
 
     def reset(self, found: RangeResult) -> None:
         """See :meth:`Follower.reset`.
 
-        A list that was read before the newest change that is known says what was true then, and
-        is left out. One that says nothing new raises no revision, so that no host fetches it.
+        A list that was read before something newer is known says what was true then, and is left
+        out. One that says nothing new raises no revision, so that no host fetches it. After one
+        that does, hosts that are behind are told all keys: what lies between two reads is not
+        known, and they may know a part of it.
         """
-        if not self.revision:
-            self.items = {item.key: item for item in found.items}
-            self.revision = self.recent_from = self.read_to = found.revision
-            self.inner.reset(found)
-            return
-        if found.revision < self.revision:
+        if found.revision < self.known_to:
             return
-        changes = self._compare(found)
-        for change in changes:
-            self._keep(change)
+        first = not self.revision
         self.read_to = max(self.read_to, found.revision)
-        if changes:
+        if self._replace_items(found) or first:
+            self.recent.clear()
+            self.revision = self.recent_from = found.revision
             self.inner.reset(found)
 
-    def _compare(self, found: RangeResult) -> list[WatchEvent]:
-        """Return the changes that lead to what was read, as if all had been made just then.
-
-        A host that missed a change may know later ones, and asks only for what came after those.
-        """
-        revision = found.revision
-        read = {item.key: item.value for item in found.items}
-        known = {key: item.value for key, item in self.items.items()}
-        gone = [WatchEvent(key, None, revision) for key in known if key not in read]
-        written = [item for item in read.items() if known.get(item[0]) != item[1]]
-        return gone + [WatchEvent(key, value, revision) for key, value in written]
+    def _replace_items(self, found: RangeResult) -> bool:
+        """Take all keys as they were read; return whether any differs from what was known."""
+        read = {item.key: item for item in found.items}
+        changed = [item for key, item in read.items() if self._value(key) != item.value]
+        gone = [key for key in self.items if key not in read]
+        for key in gone:
+            self._set(key, None)
+        for item in changed:
+            self._set(item.key, item)
+        return bool(changed or gone)
+
+    def _value(self, key: str) -> bytes | None:
+        known = self.items.get(key)
+        return None if known is None else known.value
+
+    def _set(self, key: str, item: KeyValue | None) -> None:
+        """Write or remove one key of the copy."""
+        known = self.items.pop(key, None)
+        if known is not None:
+            self.digest -= _digest(known)
+        if item is not None:
+            self.items[key] = item
+            self.digest += _digest(item)
+        self.digest %= DIGESTS
+
+    @property
+    def known_to(self) -> int:
+        """Revision of the store up to which every change is known."""
+        return max(self.revision, self.read_to)
 
     def change(self, event: WatchEvent) -> None:
         """See :meth:`Follower.change`; a change that is known already is left out."""
-        if event.revision < self.revision or (event.revision == self.revision and self._has(event)):
+        known_to = self.known_to
+        if event.revision < known_to or (event.revision == known_to and self._has(event)):
             return
-        self._keep(event)
-        self.inner.change(event)
-
-    def _keep(self, event: WatchEvent) -> None:
-        """Take a change into the copy, and keep it for hosts that are behind."""
         if len(self.recent) == KEPT_EVENTS:
             self.recent_from = self.recent[0].revision
         self.recent.append(event)
         self.revision = event.revision
-        self.read_to = max(self.read_to, event.revision)
-        if event.value is None:
-            self.items.pop(event.key, None)
-        else:
-            self.items[event.key] = KeyValue(event.key, event.value, event.revision)
+        item = None if event.value is None else KeyValue(event.key, event.value, event.revision)
+        self._set(event.key, item)
+        self.inner.change(event)
 
     def _has(self, event: WatchEvent) -> bool:
         known = self.items.get(event.key)
@@ -122,5 +138,11 @@
             self.reset(RangeResult(tuple(part.items), part.revision))
         for event in part.events:
             self.change(event)
+        # What it told may be known from a later read, and is not to be fetched again.
         self.revision = max(self.revision, part.revision)
-        self.read_to = max(self.read_to, part.revision)
+
+
+def _digest(item: KeyValue) -> int:
+    """Return a number that stands for one key and its value."""
+    raw = b"%d %b%b" % (len(item.key), item.key.encode(), item.value)
+    return int.from_bytes(blake2b(raw, digest_size=8).digest())
