Close idle connections where a time-out showed silence, not where a caller left; probe none

Ruled out: that connections in use are closed (only idle ones are touched). Change: idle connections go after a time-out of the client's own, and after an unanswered call on the store; no probes. What a silent connection costs is bounded by time-outs and by the proofs of views.

--- a/gradepoint/platform/store.py
+++ b/gradepoint/platform/store.py
@@ -12,6 +12,7 @@
 from ..errors import KvHistoryLost, KvLeaseLapsed, KvUnavailable, KvUncertain
 from ..kv.service import CallCounts, KeyValue, RangeResult, TransactionResult, WatchEvent, WatchPage
 from ..telemetry import metrics
+from ..wire.addresses import split_address
 from ..wire.http_client import ConnectFailed, HttpClient, ResponseBroken
 
 if TYPE_CHECKING:
@@ -28,9 +29,9 @@
 WATCH_SHARE_OF_HISTORY = 0.7
 """Share of the store's history that a watch waits: one that waits longer is refused, since
 the changes after its revision are forgotten meanwhile, and all keys must be read anew."""
-WATCH_SLACK_S = 0.75
-"""Seconds after the wait's end until the store counts as silent: three times its answer where it
-is slow, and short enough that a change is found in time by the call that follows."""
+WATCH_SLACK_S = 1.5
+"""Seconds after the wait's end until the store counts as silent: several answers where it is
+slow."""
 MOST_IDLE = 6
 """Idle connections that are kept: a host has two or three calls under way at once."""
 CONNECT_TIMEOUT_S = 1.0
@@ -108,6 +109,7 @@
 
     def __init__(self, address: str, timeout_s: float, history_s: float) -> None:
         self.base_url = f"http://{address}"
+        self.origin = split_address(address)
         self.timeout_s = timeout_s
         self.watch_s = min(LONGEST_WATCH_S, history_s * WATCH_SHARE_OF_HISTORY)
         self.http = HttpClient(CONNECT_TIMEOUT_S, UNACKNOWLEDGED_MS, MOST_IDLE)
@@ -125,12 +127,21 @@
 
     async def range(self, prefix: str, limit: int = 0) -> RangeResult:
         """See :meth:`KeyValueService.range`; *revision* is that of the first page."""
+        return await self._read_pages(prefix, limit, fresh=False)
+
+    async def read_now(self, prefix: str) -> RangeResult:
+        """See :meth:`~gradepoint.kv.relay.WaitingService.read_now`."""
+        return await self._read_pages(prefix, 0, fresh=True)
+
+    async def _read_pages(self, prefix: str, limit: int, *, fresh: bool) -> RangeResult:
         found: list[KeyValue] = []
         revision = 0
         query = {"path_prefix": prefix}
         while True:
             self.counts.reads += 1
-            status, body = await self._call("range", "GET", f"/api/kv-range?{urlencode(query)}")
+            target = f"/api/kv-range?{urlencode(query)}"
+            # Further pages find the new connection resting, as the newest one.
+            status, body = await self._call("range", "GET", target, fresh=fresh and not found)
             self._require(status, 200, "range")
             page = _decode(body, _RangeAnswer)
             revision = revision or page.timestamp
@@ -173,9 +184,7 @@
     async def wait_for_changes(self, prefix: str, revision: int, wait_s: float) -> WatchPage:
         """Return changes below *prefix* after *revision* as soon as there are any.
 
-        :param wait_s: seconds after which no change is an answer too; with 0 the call takes a
-            new connection, since it is made to prove that the store is heard, and connections
-            that have been open for longer may have fallen silent unseen.
+        :param wait_s: seconds after which no change is an answer too.
         """
         self.counts.watches += 1
         query = {"path_prefix": prefix, "after_rev": revision, "wait_ms": round(wait_s * 1000)}
@@ -184,7 +193,6 @@
             "GET",
             f"/api/kv-watch?{urlencode(query)}",
             timeout_s=wait_s + WATCH_SLACK_S,
-            fresh=not wait_s,
         )
         if status == 410:
             raise KvHistoryLost(f"changes after revision {revision} are forgotten")
@@ -246,6 +254,8 @@
         except ConnectFailed as error:
             raise self._failed(kind, KvUnavailable(str(error))) from error
         except (ResponseBroken, TimeoutError) as error:
+            # What made one connection silent may have made those that rest silent too.
+            self.http.close_idle(self.origin)
             raise self._failed(kind, KvUncertain(f"no answer: {error!r}")) from error
         self.counts.bytes_received += len(raw)
         return response.status, raw
--- a/gradepoint/wire/http_client.py
+++ b/gradepoint/wire/http_client.py
@@ -26,14 +26,6 @@
 KEEP_ALIVE_SHARE = 0.8
 """Share of the announced keep-alive time after which an idle connection is not used again.
 The rest covers the time a request is under way to the other side."""
-PROBE_S = 1
-"""Seconds without a byte after which the system probes a connection, and between probes: the
-least it takes. An open connection may fall silent without an error, and idle ones with it; by
-probes they are given up within two or three seconds instead of at the next use."""
-UNANSWERED_S = 0.25
-"""Seconds without an answer on a connection that was used before, after which the other idle ones
-to the same place are given up as well: what made one silent made them silent too, and each of
-them would cost a call its time."""
 
 
 class ConnectFailed(Exception):
@@ -156,9 +148,8 @@
 class HttpClient:
     """Sends requests and keeps idle connections for each origin.
 
-    :param unacknowledged_ms: milliseconds after which a connection whose bytes or probes the
-        other side does not acknowledge is given up (``TCP_USER_TIMEOUT``); 0 leaves the system's
-        own, and probes nothing.
+    :param unacknowledged_ms: milliseconds after which a connection whose bytes the other
+        side does not acknowledge is given up (``TCP_USER_TIMEOUT``); 0 leaves the system's own.
     :param most_idle: idle connections kept to one place; the oldest give way.
     """
 
@@ -215,7 +206,6 @@
         """Send a request with *target* as its request line has it; see :meth:`request`."""
         connection = await self._connect(origin, fresh)
         host = f"{origin[0]}:{origin[1]}"
-        asked_at = monotonic()
         try:
             async with asyncio.timeout(timeout_s):
                 await _send(connection, method, target, host, body, headers or ())
@@ -223,25 +213,24 @@
                 while isinstance(head, h11.InformationalResponse):
                     head = await _next_event(connection)
         except TimeoutError as error:
-            self._give_up(origin, connection, asked_at)
+            connection.close()
+            if connection.used:
+                self.close_idle(origin)
             raise ResponseBroken(f"no answer within {timeout_s} s") from error
         except BaseException:
-            self._give_up(origin, connection, asked_at)
+            connection.close()
             raise
         if not isinstance(head, h11.Response):
             connection.close()
             raise ResponseBroken("connection closed before the response")
         return ClientResponse(self, origin, connection, head)
 
-    def _give_up(
-        self, origin: tuple[str, int], connection: PooledConnection, asked_at: float
-    ) -> None:
-        """Close a connection without an answer, and idle ones that may be as silent."""
-        connection.close()
-        if connection.used and monotonic() - asked_at >= UNANSWERED_S:
-            self._close_idle(origin)
+    def close_idle(self, origin: tuple[str, int]) -> None:
+        """Close the idle connections to one place.
 
-    def _close_idle(self, origin: tuple[str, int]) -> None:
+        Open connections may all fall silent without an error while new ones work; each idle one
+        would cost the call that takes it its whole time.
+        """
         for connection in self.idle.pop(origin, []):
             _close_watched(connection)
 
@@ -261,7 +250,8 @@
             raise ConnectFailed(f"{origin[0]}:{origin[1]}: {error!r}") from error
         self.opened += 1
         if self.unacknowledged_ms:
-            _probe(writer.get_extra_info("socket"), self.unacknowledged_ms)
+            raw = writer.get_extra_info("socket")
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, self.unacknowledged_ms)
         return PooledConnection(reader, writer)
 
     def release(self, origin: tuple[str, int], connection: PooledConnection) -> None:
@@ -278,7 +268,7 @@
     def close(self) -> None:
         """Close every idle connection."""
         for origin in list(self.idle):
-            self._close_idle(origin)
+            self.close_idle(origin)
 
 
 def _close_watched(connection: PooledConnection) -> None:
@@ -288,14 +278,6 @@
     connection.close()
 
 
-def _probe(raw: socket.socket, unacknowledged_ms: int) -> None:
-    """Have the system find out whether a connection still carries bytes, also while it rests."""
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_S)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_S)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms)
-
-
 def _keep_alive_s(headers: Mapping[str, str]) -> float:
     """Return how many seconds an idle connection may be used again, as its server announced."""
     for part in headers.get("keep-alive", "").split(","):
