Take a proof that is told again for the same one; fetch news from any host that is ahead

Cause, found by reading: a proof told again by a third host raised the time of the proof by a millisecond and passed its age for the time that the service takes, so that a host that nobody told any more would have asked up to a second later. The first of the hosts ahead was always asked. Change: a proof counts as new from 0.1 s later on; any of the hosts that are ahead is asked. Tests: one, which fails with no such step.

--- a/gradepoint/peers/proofs.py
+++ b/gradepoint/peers/proofs.py
@@ -36,6 +36,9 @@
 LONGEST_SLOW_S = 1.0
 """Longest seconds more where the service answers that slowly: who asks tells as much later, and
 all would ask a service that is busy already."""
+SAME_S = 0.1
+"""Seconds by which a proof is later than another one: a tenth of what lies between two. By less,
+it is the same one, told again by a third host, and its age says nothing of the service."""
 MILLISECONDS = 1000
 
 Proof = tuple[int, int]
@@ -123,6 +126,7 @@
         return view.digest != known
 
     def _prove(self, name: str, at: float) -> None:
-        if at > self.proven_at.get(name, float("-inf")):
+        """Take a proof, unless it is one that is known and told again a little later."""
+        if at > self.proven_at.get(name, float("-inf")) + SAME_S:
             self.proven_at[name] = at
             self.slow_s[name] = min(LONGEST_SLOW_S, monotonic() - at)
--- a/gradepoint/peers/watchers.py
+++ b/gradepoint/peers/watchers.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from dataclasses import dataclass, field
 from functools import lru_cache, partial
 from typing import TYPE_CHECKING
@@ -260,12 +261,16 @@
             self.proving.discard(name)
 
     async def _catch_up(self) -> None:
-        """Fetch what a watcher knows and this host does not."""
+        """Fetch what a watcher knows and this host does not, from any of those ahead."""
         own = self.revisions()
-        for heard in [row for row in self.beats.heard.values() if self._may_tell(row)]:
-            if any(revision > own.get(name, 0) for name, revision in heard.beat.views.items()):
-                await self._fetch(heard.address)
-                return
+        ahead = [
+            row.address
+            for row in self.beats.heard.values()
+            if self._may_tell(row)
+            and any(revision > own.get(name, 0) for name, revision in row.beat.views.items())
+        ]
+        if ahead:
+            await self._fetch(random.choice(ahead))
 
     async def _fetch(self, address: str) -> None:
         """Take what a watcher knows and this host does not."""
--- a/tests/test_peers/test_peers_proofs_heard.py
+++ b/tests/test_peers/test_peers_proofs_heard.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 from gradepoint.kv.service import KeyValue, RangeResult, WatchEvent
 from gradepoint.kv.view import PrefixView
 from gradepoint.peers.proofs import Proofs
+from gradepoint.standins.virtual_time import run_virtual
 
 
 class Unheard:
@@ -38,3 +40,22 @@
     proofs = Proofs(store, {"targets": ""}, {"targets": listener}, {"targets": 2.0})
     proofs.hear({"targets": (0, teller.digest)})
     assert "targets" not in proofs.proven_at
+
+
+def test_a_proof_that_a_third_host_tells_again_does_not_make_the_service_slow() -> None:
+    """A host hears of a proof at once, and of the same one from another watcher most of a second
+    later. Its age then says when that one's beat was due, not that the service was slow; taken so,
+    a host would wait for the next proof as much longer as it does where the service is slow.
+    """
+
+    async def work() -> None:
+        view, store = make_view(10), None
+        unused: Any = store
+        proofs = Proofs(unused, {"targets": ""}, {"targets": view}, {"targets": 2.0})
+        proofs.hear({"targets": (4, view.digest)})
+        due_s = proofs.due_in_s("targets", None)
+        await asyncio.sleep(0.9)
+        proofs.hear({"targets": (899, view.digest)})
+        assert proofs.due_in_s("targets", None) <= due_s - 0.9
+
+    run_virtual(work())
