Ask another host for news where one has ended; leave a job that just lost its host to the next look

A look for jobs ended by a fault where a job lost its host during the look (an old fault; its loop would have ended for good, and begins anew since faults are logged). Ruled out: that the first is new for single hosts (the code before asked one host only, too). Change: one that does not answer is not asked for 3 s, another one is; a host watches by itself where nobody tells news that is known to exist for longer than a look. A job without a host counts as such from when that is first seen.

--- a/gradepoint/jobs/adoption.py
+++ b/gradepoint/jobs/adoption.py
@@ -160,7 +160,9 @@
     def _falls_to_this_host(self, job: StoredJob) -> bool:
         if choose_adopter(job.id, job.state.owner, self.live) == self.own:
             return True
-        return monotonic() - self.orphan_since[job.id] >= ANYONE_S
+        # It may have become one since this look began.
+        now = monotonic()
+        return now - self.orphan_since.get(job.id, now) >= ANYONE_S
 
     def _note_missing(self, jobs: list[StoredJob]) -> None:
         now = monotonic()
--- a/gradepoint/peers/watchers.py
+++ b/gradepoint/peers/watchers.py
@@ -52,8 +52,11 @@
 JOIN_S = 0.2
 """Seconds after its first read in which a host only listens: those that watch are heard within
 them, after a start of all hosts too. Else each start costs watches that are given up again."""
+HOSTS_ASKED = 2
+"""Hosts that are asked for the same news: one may have ended just now."""
 DISTRUST_S = 3.0
-"""Seconds for which a host watches by itself after a watcher's news could not be fetched."""
+"""Seconds for which a host watches by itself where nobody tells it the news, and for which one
+that did not answer is not asked."""
 
 
 class News(msgspec.Struct, frozen=True):
@@ -99,6 +102,8 @@
     :ivar asking: questions whether a view lacks a change; *proving* has the views' names.
     :ivar told_at: monotonic time by view at which this host's own watch last told something.
     :ivar missed_at: monotonic time by view at which a change came another way than by that.
+    :ivar failed_until: monotonic time by ``IP:PORT`` until which a host is not asked for news.
+    :ivar untold_since: monotonic time since which there is news that no host tells.
     :ivar distrusted_until: monotonic time until which this host watches by itself.
     :ivar first_read: set once every view was read.
     :ivar listens_until: monotonic time before which it does not watch.
@@ -116,6 +121,8 @@
     proving: set[str] = field(default_factory=set)
     told_at: dict[str, float] = field(default_factory=dict)
     missed_at: dict[str, float] = field(default_factory=dict)
+    failed_until: dict[str, float] = field(default_factory=dict)
+    untold_since: float | None = None
     watching: bool = False
     distrusted_until: float = 0.0
     listens_until: float = 0.0
@@ -261,19 +268,40 @@
             self.proving.discard(name)
 
     async def _catch_up(self) -> None:
-        """Fetch what a watcher knows and this host does not, from any of those ahead."""
+        """Fetch what a watcher knows and this host does not, from any of those ahead.
+
+        One that has just ended is heard for a while. Where nobody tells the news for longer than a
+        look, this host watches by itself.
+        """
+        ahead = self._find_ahead()
+        now = monotonic()
+        asked = [address for address in ahead if self.failed_until.get(address, 0.0) <= now]
+        for address in random.sample(asked, min(HOSTS_ASKED, len(asked))):
+            if await self._fetch(address):
+                ahead = []
+                break
+            self.failed_until[address] = monotonic() + DISTRUST_S
+        if not ahead:
+            self.untold_since = None
+        elif self.untold_since is None:
+            self.untold_since = now
+        elif now - self.untold_since >= LOOK_S:
+            self.untold_since = None
+            self.distrusted_until = now + DISTRUST_S
+            self.woken.set()
+
+    def _find_ahead(self) -> list[str]:
+        """Return ``IP:PORT`` of the hosts that watch and know more than this one."""
         own = self.revisions()
-        ahead = [
+        return [
             row.address
             for row in self.beats.heard.values()
             if self._may_tell(row)
             and any(revision > own.get(name, 0) for name, revision in row.beat.views.items())
         ]
-        if ahead:
-            await self._fetch(random.choice(ahead))
 
-    async def _fetch(self, address: str) -> None:
-        """Take what a watcher knows and this host does not."""
+    async def _fetch(self, address: str) -> bool:
+        """Take what a watcher knows and this host does not; return whether it told anything."""
         query = "&".join(f"{name}={revision}" for name, revision in self.revisions().items())
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_S):
@@ -284,9 +312,7 @@
             news = msgspec.msgpack.decode(raw, type=News)
         except (ConnectFailed, ResponseBroken, TimeoutError, msgspec.DecodeError) as error:
             emit(events.PEER_SILENT, member=address, reason=repr(error))
-            self.distrusted_until = monotonic() + DISTRUST_S
-            self.woken.set()
-            return
+            return False
         for name, part in news.parts.items():
             view = self.views[name]
             known = view.digest
@@ -294,6 +320,7 @@
             if view.digest != known:
                 self.missed_at.setdefault(name, monotonic())
         self.proofs.hear(news.proven)
+        return True
 
     async def stop(self) -> None:
         """End the watches and what asks for proof."""
--- a/tests/test_jobs/test_jobs_decisions.py
+++ b/tests/test_jobs/test_jobs_decisions.py
@@ -194,6 +194,40 @@
     assert not adoption.is_lost(silent)
 
 
+def test_a_job_whose_host_falls_silent_during_a_look_is_left_to_the_next_one() -> None:
+    """A host fell silent while an own job was read anew. Since when its job had been without a host
+    was not known, and the fault ended the look for all jobs that came after it.
+    """
+    silent = Incarnation("h1:a")
+
+    class Store:
+        """Lists jobs of this host and of one that falls silent meanwhile."""
+
+        async def list_jobs(self) -> list[StoredJob]:
+            """Return them."""
+            rows = [make_job("own", Incarnation("h0:now")), *others]
+            return [StoredJob(row.id, row.state, 1, 1) for row in rows]
+
+    async def take(_: StoredJob) -> None:
+        adoption.note_silent({silent})
+
+    async def nothing(_: list[StoredJob]) -> None:
+        pass
+
+    adoption = make_adoption("h1:a", "h2:b")
+    live = {Incarnation("h0:now"), Incarnation("h2:b")}
+    others = [
+        make_job(f"j{number}", silent)
+        for number in range(9)
+        if choose_adopter(JobId(f"j{number}"), silent, live) != adoption.own
+    ]
+    assert others
+    store: Any = Store()
+    adoption.repository, adoption.remind = store, nothing
+    adoption.worker = type("Worker", (), {"take": staticmethod(take)})()  # type: ignore[assignment]
+    assert run_virtual(adoption.sweep())
+
+
 def test_silence_counts_after_a_while_and_not_where_this_host_is_cut_off() -> None:
     lives = {Incarnation(f"h{number}") for number in range(4)}
     gone = Incarnation("h0")
--- a/tests/test_peers/test_peers_proof_limits.py
+++ b/tests/test_peers/test_peers_proof_limits.py
@@ -161,3 +161,23 @@
         assert count_reads() - before <= 6
 
     run_in_virtual_time(work)
+
+
+def test_news_is_fetched_from_another_host_where_one_has_just_ended() -> None:
+    """A host that watched ends, and is still heard for a while. Those that asked it for news took
+    all hosts for silent, and watched by themselves: 31 of 53 at once.
+    """
+
+    async def work(deployment: Deployment) -> None:
+        await settle(deployment, gateways=8)
+        watching = [row for row in deployment.gateways if row.watchers.watching]
+        listening = [row for row in deployment.gateways if not row.watchers.watching]
+        watching[0].peer_server.abort()
+        for number in range(10):
+            target = deployment.targets[1]
+            target.slots = 8 + number
+            deployment.store.put(f"servers/{target.name}", target.entry())
+            await asyncio.sleep(0.2)
+        assert not any(row.watchers.watching for row in listening)
+
+    run_in_virtual_time(work)
