Play tests that bound times in virtual time, and keep one follower for tests

Cause: cases of four new test files counted calls or bounded times on the machine's clock, so that their verdict could depend on its speed; four of them wrote the same follower. Change: they run in virtual time, unchanged else; tests/support/views.py has the follower.

--- a/tests/test_gateway/test_gateway_leaving.py
+++ b/tests/test_gateway/test_gateway_leaving.py
@@ -11,6 +11,7 @@
 from gradepoint.kv.service import KeyValue, RangeResult, WatchEvent
 from gradepoint.kv.view import PrefixView, ViewPart
 from tests.support.platform import Deployment, run_in_virtual_time, until
+from tests.support.views import KeptValues
 
 
 @pytest.mark.parametrize("fault", [TargetFault.SILENT, TargetFault.CUT])
@@ -39,25 +40,9 @@
     run_in_virtual_time(work)
 
 
-class Rows:
-    """Takes note of what a view passes on."""
-
-    def __init__(self) -> None:
-        self.rows: dict[str, bytes] = {}
-
-    def reset(self, found: RangeResult) -> None:
-        """Take all rows."""
-        self.rows = {item.key: item.value for item in found.items}
-
-    def change(self, event: WatchEvent) -> None:
-        """Take one."""
-        assert event.value is not None
-        self.rows[event.key] = event.value
-
-
 @pytest.mark.parametrize("whole", [True, False])
 def test_older_news_of_another_host_changes_nothing(whole: bool) -> None:
-    rows = Rows()
+    rows = KeptValues()
     view = PrefixView(rows)
     view.reset(RangeResult((KeyValue("a", b"ready", 3),), 3))
     view.change(WatchEvent("a", b"draining", 7))
@@ -66,5 +51,5 @@
     else:
         view.take(ViewPart(6, False, events=[WatchEvent("a", b"ready", 6)]))
     view.change(WatchEvent("a", b"ready", 6))
-    assert rows.rows == {"a": b"draining"}
+    assert rows.values == {"a": b"draining"}
     assert view.revision == 7
--- a/tests/test_jobs/test_jobs_faults.py
+++ b/tests/test_jobs/test_jobs_faults.py
@@ -15,7 +15,7 @@
 from gradepoint.jobs.repository import StoredJob
 from gradepoint.jobs.worker import COMMIT_RETRY_S, RETRY_S
 from gradepoint.util import tasks
-from tests.support.platform import Deployment, run_deployment, until
+from tests.support.platform import Deployment, run_in_virtual_time, until
 
 LOOKED_S = 1.0
 
@@ -52,7 +52,7 @@
         monkeypatch.setattr("gradepoint.jobs.worker.read_item", fail)
         assert 2 <= await count_calls(deployment, calls) <= LOOKED_S / RETRY_S + 1
 
-    run_deployment(work)
+    run_in_virtual_time(work)
     assert told and set(told) == {events.TASK_FAILED}
 
 
@@ -82,7 +82,7 @@
         assert len(await deployment.read_whole("other")) == 3
         assert len(asked) == 1
 
-    run_deployment(work)
+    run_in_virtual_time(work)
 
 
 def test_a_job_that_cannot_be_read_is_not_asked_for_without_a_pause(
@@ -108,7 +108,7 @@
         await asyncio.sleep(LOOKED_S)
         assert 2 <= len(asked) <= LOOKED_S / RETRY_S + 1
 
-    run_deployment(work)
+    run_in_virtual_time(work)
 
 
 def test_a_commit_that_meets_a_fault_waits_for_its_next_try(
@@ -125,5 +125,5 @@
         monkeypatch.setattr(deployment.gateways[0].repository, "commit", fail)
         assert 2 <= await count_calls(deployment, calls) <= LOOKED_S / COMMIT_RETRY_S + 1
 
-    run_deployment(work)
+    run_in_virtual_time(work)
     assert told and set(told) == {events.TASK_FAILED}
--- a/tests/test_kv/test_kv_view.py
+++ b/tests/test_kv/test_kv_view.py
@@ -4,26 +4,7 @@
 
 from gradepoint.kv.service import KeyValue, RangeResult, WatchEvent
 from gradepoint.kv.view import PrefixView
-
-
-class Copy:
-    """Keeps what a follower is told."""
-
-    def __init__(self) -> None:
-        self.values: dict[str, bytes] = {}
-        self.resets = 0
-
-    def reset(self, found: RangeResult) -> None:
-        """Take all keys."""
-        self.values = {item.key: item.value for item in found.items}
-        self.resets += 1
-
-    def change(self, event: WatchEvent) -> None:
-        """Take one change."""
-        if event.value is None:
-            self.values.pop(event.key, None)
-        else:
-            self.values[event.key] = event.value
+from tests.support.views import KeptValues
 
 
 def read(revision: int, **values: bytes) -> RangeResult:
@@ -32,9 +13,9 @@
     return RangeResult(items, revision)
 
 
-def make_view(revision: int, **values: bytes) -> tuple[PrefixView, Copy]:
+def make_view(revision: int, **values: bytes) -> tuple[PrefixView, KeptValues]:
     """Return a view that has read *values*."""
-    copy = Copy()
+    copy = KeptValues()
     view = PrefixView(copy)
     view.reset(read(revision, **values))
     return view, copy
--- a/tests/test_kv/test_kv_view_model.py
+++ b/tests/test_kv/test_kv_view_model.py
@@ -18,6 +18,7 @@
 
 from gradepoint.kv.service import KeyValue, RangeResult, WatchEvent
 from gradepoint.kv.view import PrefixView
+from tests.support.views import KeptValues
 
 T = TypeVar("T")
 KEYS = ("a", "b", "c", "d")
@@ -66,31 +67,13 @@
         return [event for event in self.history if event.revision > revision]
 
 
-class Copy:
-    """Keeps what a view passes on."""
-
-    def __init__(self) -> None:
-        self.values: dict[str, bytes] = {}
-
-    def reset(self, found: RangeResult) -> None:
-        """Take all keys."""
-        self.values = {item.key: item.value for item in found.items}
-
-    def change(self, event: WatchEvent) -> None:
-        """Take one change."""
-        if event.value is None:
-            self.values.pop(event.key, None)
-        else:
-            self.values[event.key] = event.value
-
-
 class Host:
     """A view, its watch and its answers under way."""
 
     def __init__(self, truth: Truth, rng: random.Random, told: list[str]) -> None:
         self.truth, self.rng, self.told = truth, rng, told
         self.name = ""
-        self.copy = Copy()
+        self.copy = KeptValues()
         self.view = PrefixView(self.copy)
         self.proven = 0
         self.under_way: list[Iterator[None]] = []
--- a/tests/test_peers/test_peers_proofs_heard.py
+++ b/tests/test_peers/test_peers_proofs_heard.py
@@ -9,21 +9,12 @@
 from gradepoint.kv.view import PrefixView
 from gradepoint.peers.proofs import Proofs
 from gradepoint.standins.virtual_time import run_virtual
-
-
-class Unheard:
-    """Is told of changes and keeps none."""
-
-    def reset(self, found: RangeResult) -> None:
-        """Take all keys."""
-
-    def change(self, event: WatchEvent) -> None:
-        """Take one change."""
+from tests.support.views import KeptValues
 
 
 def make_view(revision: int) -> PrefixView:
     """Return a view of one key."""
-    view = PrefixView(Unheard())
+    view = PrefixView(KeptValues())
     view.reset(RangeResult((KeyValue("a", b"1", 1),), revision))
     return view
 
--- a/tests/test_peers/test_peers_watchers.py
+++ b/tests/test_peers/test_peers_watchers.py
@@ -9,7 +9,14 @@
 
 from gradepoint.peers.watchers import WATCHERS, choose_watchers
 from gradepoint.util.clock import monotonic
-from tests.support.platform import WAIT_S, Deployment, configuration, run_deployment, until
+from tests.support.platform import (
+    WAIT_S,
+    Deployment,
+    configuration,
+    run_deployment,
+    run_in_virtual_time,
+    until,
+)
 
 if TYPE_CHECKING:
     from gradepoint.gateway.app import Gateway
@@ -107,7 +114,7 @@
         store.deaf = False
         await until_in_force(deployment, 2)
 
-    run_deployment(work)
+    run_in_virtual_time(work)
 
 
 def test_a_host_that_begins_to_watch_misses_no_change_though_its_watch_is_not_answered() -> None:
@@ -130,4 +137,4 @@
         store.deaf = False
         await until_in_force(deployment, 2)
 
-    run_deployment(work)
+    run_in_virtual_time(work)
--- a/tests/test_wire/test_wire_given_up.py
+++ b/tests/test_wire/test_wire_given_up.py
@@ -7,6 +7,7 @@
 from gradepoint.wire.http_client import HttpClient
 from gradepoint.wire.http_server import HttpServer
 from gradepoint.wire.http_types import Request, Response
+from tests.support.virtual_network import run_on_network
 
 
 def test_a_caller_who_leaves_closes_no_connection_that_rests() -> None:
@@ -43,4 +44,4 @@
         # One for each call that was left.
         assert opened <= 8 + 5
 
-    asyncio.run(main())
+    run_on_network(main(), 1)
