Tell a target's lives apart, and use no target whose entry cannot be read

An id stood for one life everywhere: ejection, results, sums of what is in flight and calls tried carried over to the next life. An entry that could not be decoded left the former belief in force, entries with missing fields were read with defaults, and an address that is none would have failed each call sent there.

Ruled out: comparing the time of start with a clock, or keeping the newest of two starts (a host's clock may jump); the store's order of revisions decides. Breaking off exchanges with the former life: one that was opened after the restart, before the news of it, goes to the new life and is sound.

Change: TargetId names a life and TargetName the target; only what is said to targets and the list's keys use the name, so every place that holds an id follows. Resting connections to the former life are closed.

--- a/bench/platform/target.py
+++ b/bench/platform/target.py
@@ -41,6 +41,7 @@
     :ivar cut_after: events after which a cut stream breaks off.
     :ivar ran: runs by request id; :attr:`whole` counts the ones that ended.
     :ivar working: requests that run now.
+    :ivar born: Unix milliseconds of its start, as its entry tells it; None leaves it out.
     """
 
     name: str
@@ -57,6 +58,7 @@
     bodies: list[bytes] = field(default_factory=list)
     working: int = 0
     rng: random.Random = field(default_factory=lambda: random.Random(1))
+    born: int | None = None
 
     def __post_init__(self) -> None:
         self.server = HttpServer(self.handle, ServerLimits(cancel_when_gone=True))
@@ -72,18 +74,19 @@
 
     def entry(self, state: str = "ready") -> bytes:
         """Return what the target keeps of itself in the store."""
-        return msgspec.json.encode(
-            {
-                "service": self.service,
-                "addr": self.address(),
-                "zone": "zone-a",
-                "version": "v1",
-                "slot_count": self.slots,
-                "state": state,
-                "cold_left_ms": 0,
-                "call_seq": 1,
-            }
-        )
+        row = {
+            "service": self.service,
+            "addr": self.address(),
+            "zone": "zone-a",
+            "version": "v1",
+            "slot_count": self.slots,
+            "state": state,
+            "cold_left_ms": 0,
+            "call_seq": 1,
+        }
+        if self.born is not None:
+            row["born"] = self.born
+        return msgspec.json.encode(row)
 
     def next_fault(self) -> TargetFault:
         """Return what happens to the request that comes now."""
--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -54,6 +54,9 @@
 TARGET_EJECTED = _declare(205, "target_ejected", "WARNING", "A target failed repeatedly.")
 TARGET_LISTED = _declare(207, "target_listed", "INFO", "A target is listed.")
 TARGET_STATE = _declare(208, "target_state", "INFO", "A listed target changed its state.")
+TARGET_REPLACED = _declare(
+    214, "target_replaced", "INFO", "A target has started again; its former life is forgotten."
+)
 TARGET_VANISHED = _declare(209, "target_vanished", "INFO", "A target's row is gone.")
 CALL_SENT = _declare(213, "call_sent", "INFO", "A call was sent to the chosen target.")
 CALL_ANSWERED = _declare(210, "call_answered", "INFO", "A call got its answer; see the status.")
@@ -74,6 +77,9 @@
 JOB_REFUSED = _declare(312, "job_refused", "INFO", "A job was refused and is not kept.")
 JOB_UNCERTAIN = _declare(313, "job_uncertain", "WARNING", "A job may or may not be kept.")
 JOB_UNREADABLE = _declare(314, "job_unreadable", "WARNING", "A job's record could not be read.")
+QUOTA_UNREADABLE = _declare(
+    330, "quota_unreadable", "ERROR", "A count of waiting tokens cannot be read; counted anew."
+)
 JOB_ENDED = _declare(315, "job_ended", "INFO", "A client ended its job.")
 ITEMS_LISTED = _declare(316, "items_listed", "INFO", "Results of a job are listed for good.")
 COMMIT_FAILED = _declare(317, "commit_failed", "WARNING", "A commit got no answer; tried again.")
@@ -100,6 +106,9 @@
 CONFIG_IN_FORCE = _declare(501, "config_in_force", "INFO", "A configuration version is in force.")
 CONFIG_UNREADABLE = _declare(504, "config_unreadable", "ERROR", "A version cannot be decoded.")
 TARGET_UNREADABLE = _declare(505, "target_unreadable", "ERROR", "A target's row cannot be decoded.")
+HOST_UNREADABLE = _declare(
+    523, "host_unreadable", "ERROR", "A host's row cannot be decoded; the host is not listed."
+)
 HOST_EMPTIED = _declare(506, "host_emptied", "INFO", "A data host to be retired holds nothing.")
 HOST_READY = _declare(507, "host_ready", "INFO", "This host takes calls.")
 SETTINGS_RELOADED = _declare(508, "settings_reloaded", "INFO", "The settings file was read anew.")
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -9,7 +9,7 @@
 
 from .. import events
 from ..errors import GradepointError
-from ..ids import HostName, TargetId
+from ..ids import HostName
 from ..jobs.adoption import Adoption
 from ..jobs.api import JobApi
 from ..jobs.intake import Intake
@@ -62,6 +62,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ..ids import TargetName
     from ..jobs.calls import JobDialect
     from ..kv.relay import WaitingService
     from ..wire.http_types import Request
@@ -108,7 +109,7 @@
     job_dialect: JobDialect
     decode_configuration: Callable[[bytes], Configuration]
     decode_target: Callable[[str, bytes], ListedTarget]
-    read_target_id: Callable[[str], TargetId]
+    read_target_name: Callable[[str], TargetName]
     read_retired_host: Callable[[str], HostName | None]
     status_key: Callable[[HostName], str]
     encode_emptied: Callable[[], bytes]
@@ -152,7 +153,10 @@
         )
         self.silence = Silence()
         self.targets = TargetSet(
-            settings.drain_ms / 1000 * LINGER_SHARE, lambda: self.occupancy.changed.set()
+            settings.drain_ms / 1000 * LINGER_SHARE,
+            lambda: self.occupancy.changed.set(),
+            # Resting connections to the former life would cost the calls that take them a try.
+            lambda former: self.forwarder.http.close_idle(split_address(former.address)),
         )
         self.occupancy = Occupancy(
             self.socket,
@@ -222,7 +226,7 @@
             self.jobs.tell_former_owner,
         )
         self.target_follower = TargetFollower(
-            self.targets, platform.decode_target, platform.read_target_id
+            self.targets, platform.decode_target, platform.read_target_name
         )
         self.watchers = self.make_watchers()
         metrics.shared().view_age.read = self.watchers.proofs.read_ages_s
--- a/gradepoint/gateway/beliefs.py
+++ b/gradepoint/gateway/beliefs.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..ids import HostName, Incarnation, JobId, TargetId
+    from ..ids import HostName, Incarnation, JobId, TargetName
     from ..kv.service import RangeResult, WatchEvent
     from ..peers.presence import HostTable
     from .configuration import Configuration
@@ -97,22 +97,28 @@
 
     targets: TargetSet
     decode: Callable[[str, bytes], ListedTarget]
-    read_id: Callable[[str], TargetId]
+    read_name: Callable[[str], TargetName]
     loaded: bool = False
 
     def reset(self, found: RangeResult) -> None:
         """See :meth:`Follower.reset`."""
-        rows = [self._decode(item.key, item.value) for item in found.items]
-        self.targets.replace([row for row in rows if row is not None], monotonic())
+        rows = {
+            self.read_name(item.key): self._decode(item.key, item.value) for item in found.items
+        }
+        readable = [row for row in rows.values() if row is not None]
+        unreadable = [name for name, row in rows.items() if row is None]
+        self.targets.replace(readable, monotonic(), unreadable)
         self.loaded = True
 
     def change(self, event: WatchEvent) -> None:
         """See :meth:`Follower.change`."""
         if event.value is None:
-            self.targets.vanish(self.read_id(event.key), monotonic())
+            self.targets.vanish(self.read_name(event.key), monotonic())
             return
         row = self._decode(event.key, event.value)
-        if row is not None:
+        if row is None:
+            self.targets.put_unreadable(self.read_name(event.key))
+        else:
             self.targets.put(row)
 
     def _decode(self, key: str, value: bytes) -> ListedTarget | None:
@@ -164,7 +170,7 @@
             table.remove(key)
         else:
             self.known.add(key)
-            table.put(key, value)
+            table.put_readable(key, value)
         for life in lives - self.hosts.incarnations:
             self.on_host_lost(life)
 
--- a/gradepoint/gateway/dialect.py
+++ b/gradepoint/gateway/dialect.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from ..ids import RequestId, TargetId
+    from ..ids import RequestId, TargetName
     from ..wire.http_client import ClientResponse
 
 RawHeaders = list[tuple[bytes, bytes]]
@@ -54,7 +54,7 @@
         """Decode a caller's headers."""
 
     def write_call(
-        self, head: CallHead, target: TargetId, remaining_s: float, resume_after: int | None
+        self, head: CallHead, target: TargetName, remaining_s: float, resume_after: int | None
     ) -> list[tuple[str, str]]:
         """Return the headers of a call to *target*."""
 
--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -115,7 +115,7 @@
         :raises TargetBusy: nothing was run.
         :raises TargetFailed: it may have run.
         """
-        headers = self.dialect.write_call(head, target.id, remaining_s, resume_after)
+        headers = self.dialect.write_call(head, target.name, remaining_s, resume_after)
         target.begin()
         try:
             response = await self.http.send(
--- a/gradepoint/gateway/targets.py
+++ b/gradepoint/gateway/targets.py
@@ -4,11 +4,12 @@
 
 import math
 from collections import defaultdict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import TYPE_CHECKING
 
 from .. import events
+from ..ids import TargetId
 from ..peers.datagrams import number_target
 from ..peers.results import ResultCount
 from ..telemetry.logs import emit
@@ -16,9 +17,9 @@
 from .health import TargetHealth
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
-    from ..ids import ServiceName, TargetId, TargetNumber
+    from ..ids import ServiceName, TargetName, TargetNumber
     from ..peers.results import ToldResults
 
 LEAST_WORKING_SHARE = 0.5
@@ -31,22 +32,32 @@
 
     READY = "ready"
     DRAINING = "draining"
+    UNREADABLE = "unreadable"
 
 
 @dataclass(frozen=True)
 class ListedTarget:
     """One row of the list of targets.
 
-    :param id: names one life of a target; a restart gives a new one.
     :param address: ``IP:PORT``.
+    :param born_ms: Unix milliseconds of the target's start, None where it does not tell. A target
+        that starts again under its name is told from its former life by it. It is never compared
+        with a clock.
+    :ivar id: names this life of the target.
     """
 
-    id: TargetId
+    name: TargetName
     service: ServiceName
     address: str
     failure_domain: str
     slots: int
     state: ListedState
+    born_ms: int | None = None
+    id: TargetId = field(init=False)
+
+    def __post_init__(self) -> None:
+        life = self.name if self.born_ms is None else f"{self.name}@{self.born_ms}"
+        object.__setattr__(self, "id", TargetId(life))
 
 
 @dataclass
@@ -68,9 +79,14 @@
 
     @property
     def id(self) -> TargetId:
-        """Its id."""
+        """Names this life of it."""
         return self.listed.id
 
+    @property
+    def name(self) -> TargetName:
+        """Its name in the list."""
+        return self.listed.name
+
     @property
     def address(self) -> str:
         """``IP:PORT``."""
@@ -128,18 +144,23 @@
         may lose rows while its store is away, and no target may get a call later than the
         deployment's drain time after its row went.
     :param on_change: called when what this host has in flight at a target changes.
+    :param on_replaced: called with what was listed of a target that has started again. What calls
+        showed of its former life, and what these have in flight, says nothing of the new one.
     """
 
     linger_s: float
     on_change: Callable[[], None] = lambda: None
+    on_replaced: Callable[[ListedTarget], None] = lambda _: None
     by_id: dict[TargetId, Target] = field(default_factory=dict)
+    by_name: dict[TargetName, Target] = field(default_factory=dict)
     by_service: dict[ServiceName, list[Target]] = field(default_factory=lambda: defaultdict(list))
     by_number: dict[TargetNumber, Target] = field(default_factory=dict)
 
     def put(self, listed: ListedTarget) -> None:
         """Take a new or changed row."""
-        known = self.by_id.get(listed.id)
-        if known is not None and known.listed.service == listed.service:
+        known = self.by_name.get(listed.name)
+        same_life = known is not None and known.id == listed.id
+        if known is not None and same_life and known.listed.service == listed.service:
             if known.listed.state is not listed.state:
                 emit(events.TARGET_STATE, target=listed.id, state=listed.state.value)
             known.listed = listed
@@ -147,26 +168,43 @@
             return
         if known is not None:
             self._forget(known)
+            emit(events.TARGET_REPLACED, target=listed.id, former=known.id)
+            self.on_replaced(known.listed)
         target = Target(listed, on_change=self.on_change)
         self.by_id[listed.id] = target
+        self.by_name[listed.name] = target
         self.by_number[number_target(listed.id)] = target
         self.by_service[listed.service].append(target)
         emit(events.TARGET_LISTED, target=listed.id, address=listed.address)
 
-    def vanish(self, target_id: TargetId, now: float) -> None:
+    def vanish(self, name: TargetName, now: float) -> None:
         """Take note that a row is gone."""
-        target = self.by_id.get(target_id)
+        target = self.by_name.get(name)
         if target is not None and target.vanished_at is None:
             target.vanished_at = now
-            emit(events.TARGET_VANISHED, target=target_id, in_flight=target.in_flight)
+            emit(events.TARGET_VANISHED, target=target.id, in_flight=target.in_flight)
 
-    def replace(self, rows: list[ListedTarget], now: float) -> None:
-        """Take a whole new list."""
-        listed = {row.id for row in rows}
+    def put_unreadable(self, name: TargetName) -> None:
+        """Take note that a row names no target to use any more, not as a last resort either."""
+        target = self.by_name.get(name)
+        if target is not None:
+            target.listed = replace(target.listed, state=ListedState.UNREADABLE)
+            target.vanished_at = None
+
+    def replace(
+        self, rows: list[ListedTarget], now: float, unreadable: Collection[TargetName] = ()
+    ) -> None:
+        """Take a whole new list.
+
+        :param unreadable: names of rows that cannot be read.
+        """
+        listed = {row.name for row in rows}.union(unreadable)
         for row in rows:
             self.put(row)
-        for target_id in [known for known in self.by_id if known not in listed]:
-            self.vanish(target_id, now)
+        for name in unreadable:
+            self.put_unreadable(name)
+        for name in [known for known in self.by_name if known not in listed]:
+            self.vanish(name, now)
 
     def sweep(self, now: float) -> None:
         """Forget vanished targets whose time as a last resort is over."""
@@ -176,6 +214,7 @@
 
     def _forget(self, target: Target) -> None:
         self.by_id.pop(target.id, None)
+        self.by_name.pop(target.name, None)
         self.by_number.pop(number_target(target.id), None)
         self.by_service[target.listed.service].remove(target)
 
--- a/gradepoint/ids.py
+++ b/gradepoint/ids.py
@@ -14,7 +14,10 @@
 FencingNumber = NewType("FencingNumber", int)
 RequestId = NewType("RequestId", str)
 ServiceName = NewType("ServiceName", str)
+TargetName = NewType("TargetName", str)
+"""Names a target over all of its lives."""
 TargetId = NewType("TargetId", str)
+"""Names one life of a target."""
 TargetNumber = NewType("TargetNumber", int)
 Incarnation = NewType("Incarnation", str)
 ItemId = NewType("ItemId", str)
--- a/gradepoint/platform/headers.py
+++ b/gradepoint/platform/headers.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from ..gateway.dialect import RawHeaders
-    from ..ids import TargetId
+    from ..ids import TargetName
     from ..wire.http_client import ClientResponse
 
 ATTEMPT_ID = b"x-attempt-id"
@@ -52,7 +52,7 @@
         )
 
     def write_call(
-        self, head: CallHead, target: TargetId, remaining_s: float, resume_after: int | None
+        self, head: CallHead, target: TargetName, remaining_s: float, resume_after: int | None
     ) -> list[tuple[str, str]]:
         """See :meth:`Dialect.write_call`."""
         fields = [
--- a/gradepoint/platform/targets.py
+++ b/gradepoint/platform/targets.py
@@ -2,25 +2,45 @@
 
 from __future__ import annotations
 
+import socket
+from enum import Enum
+from typing import Annotated
+
 import msgspec
 
 from ..gateway.targets import ListedState, ListedTarget
-from ..ids import ServiceName, TargetId
+from ..ids import ServiceName, TargetName
+from ..wire.addresses import split_address
 
 TARGETS_PREFIX = "servers/"
+HIGHEST_PORT = 65_535
+
+WholeNumber = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class _State(Enum):
+    READY = "ready"
+    DRAINING = "draining"
 
 
 class _Entry(msgspec.Struct):
+    """Every field that each target writes: an entry without one of them has another writer."""
+
     service: str
     addr: str
-    zone: str = ""
-    slot_count: int = 0
-    state: str = "ready"
+    zone: str
+    version: str
+    slot_count: WholeNumber
+    state: _State
+    cold_left_ms: float
+    call_seq: WholeNumber
+    # Not told by the targets of older deployments.
+    born: int | msgspec.UnsetType = msgspec.UNSET
 
 
-def read_target_id(key: str) -> TargetId:
+def read_target_name(key: str) -> TargetName:
     """Return the target that *key* belongs to."""
-    return TargetId(key.removeprefix(TARGETS_PREFIX))
+    return TargetName(key.removeprefix(TARGETS_PREFIX))
 
 
 def decode_target(key: str, value: bytes) -> ListedTarget:
@@ -29,12 +49,24 @@
     :raises msgspec.DecodeError: *value* is not one.
     """
     entry = msgspec.json.decode(value, type=_Entry)
-    state = ListedState.READY if entry.state == "ready" else ListedState.DRAINING
+    _check_address(entry.addr)
     return ListedTarget(
-        id=read_target_id(key),
+        name=read_target_name(key),
         service=ServiceName(entry.service),
         address=entry.addr,
         failure_domain=entry.zone,
         slots=entry.slot_count,
-        state=state,
+        state=ListedState(entry.state.value),
+        born_ms=None if entry.born is msgspec.UNSET else entry.born,
     )
+
+
+def _check_address(address: str) -> None:
+    """Refuse what no connection can be made to, before a call is sent there."""
+    try:
+        ip, port = split_address(address)
+        socket.inet_pton(socket.AF_INET, ip)
+    except (OSError, ValueError) as error:
+        raise msgspec.ValidationError(f"no address: {address!r}") from error
+    if not 0 < port <= HIGHEST_PORT:
+        raise msgspec.ValidationError(f"no port: {address!r}")
--- a/tests/test_gateway/test_gateway_decisions.py
+++ b/tests/test_gateway/test_gateway_decisions.py
@@ -13,19 +13,13 @@
 from gradepoint.gateway.configuration import Configuration
 from gradepoint.gateway.event_stream import EventSplitter, parse_event
 from gradepoint.gateway.health import FIRST_EJECTION_S, LONGEST_EJECTION_S, TargetHealth
-from gradepoint.gateway.targets import ListedState, ListedTarget, Target, TargetSet
-from gradepoint.ids import ServiceName, TargetId
+from gradepoint.gateway.targets import ListedState, Target, TargetSet
+from gradepoint.ids import ServiceName, TargetId, TargetName
 from gradepoint.peers.datagrams import number_target
 from gradepoint.peers.results import ToldResults
 from gradepoint.platform.configuration import decode_configuration
 from tests.support.platform import HOST, configuration, route
-
-SERVICE = ServiceName("model")
-
-
-def listed(name: str, state: ListedState = ListedState.READY, domain: str = "a") -> ListedTarget:
-    """Return one row."""
-    return ListedTarget(TargetId(name), SERVICE, f"{name}:1", domain, 8, state)
+from tests.support.targets import SERVICE, listed
 
 
 def make_configuration(*prefixes: str) -> Configuration:
@@ -67,7 +61,7 @@
 def test_vanished_targets_are_a_last_resort_for_a_while() -> None:
     targets = TargetSet(linger_s=1.5)
     targets.replace([listed("t0"), listed("t1")], 0.0)
-    targets.vanish(TargetId("t0"), 1.0)
+    targets.vanish(TargetName("t0"), 1.0)
     assert [t.id for t in targets.candidates(SERVICE, 1.0)] == ["t1"]
     targets.replace([], 2.0)
     assert {t.id for t in targets.candidates(SERVICE, 2.4)} == {"t0", "t1"}
@@ -81,14 +75,14 @@
     targets.put(listed("t0"))
     targets.put(listed("t0", ListedState.DRAINING))
     assert not targets.candidates(SERVICE, 0.0)
-    targets.vanish(TargetId("t0"), 0.0)
+    targets.vanish(TargetName("t0"), 0.0)
     assert not targets.candidates(SERVICE, 0.1)
 
 
 def test_a_target_that_is_back_in_the_list_is_used_again() -> None:
     targets = TargetSet(linger_s=1.5)
     targets.put(listed("t0"))
-    targets.vanish(TargetId("t0"), 0.0)
+    targets.vanish(TargetName("t0"), 0.0)
     targets.put(listed("t0"))
     targets.sweep(9.0)
     assert [t.id for t in targets.candidates(SERVICE, 9.0)] == ["t0"]
--- /dev/null
+++ b/tests/test_gateway/test_gateway_lives.py
@@ -0,0 +1,140 @@
+"""A target that starts again under its name, and rows that cannot be read."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+import pytest
+
+from bench.platform.target import TargetFault, TargetStandin
+from gradepoint.gateway.targets import TargetSet
+from gradepoint.ids import Incarnation, TargetId, TargetName
+from gradepoint.peers.datagrams import DATAGRAM_FORMAT, Digest, Sums, number_target
+from tests.support.platform import Deployment, run_in_virtual_time, until
+from tests.support.targets import SERVICE, listed
+
+UNREADABLE = [b"", b"\xff\xfe", b"[]", b'{"service": "model"}', b'{"service": "\xff"}']
+
+
+def test_a_restarted_target_is_another_life() -> None:
+    replaced: list[TargetId] = []
+    targets = TargetSet(linger_s=1.5, on_replaced=lambda former: replaced.append(former.id))
+    targets.put(listed("t0", born_ms=1))
+    former = targets.by_name[TargetName("t0")]
+    former.begin()
+    former.record_failure("refused", unreachable=True)
+    targets.put(listed("t0", born_ms=2))
+    target = targets.by_name[TargetName("t0")]
+    assert replaced == [former.id]
+    assert target.id != former.id and list(targets.by_id) == [target.id]
+    assert (target.in_flight, target.health.ejected_until) == (0, 0.0)
+    assert targets.candidates(SERVICE, 0.0) == [target]
+    former.end()
+    assert target.in_flight == 0
+    # What other hosts said of the former life does not count here.
+    targets.record_elsewhere(number_target(former.id), 0, 50)
+    assert target.health.ejected_until == 0.0
+
+
+def test_a_restart_that_is_heard_of_late_ends_a_vanished_life() -> None:
+    targets = TargetSet(linger_s=1.5)
+    targets.put(listed("t0", born_ms=1))
+    targets.vanish(TargetName("t0"), 0.0)
+    targets.replace([listed("t0", born_ms=2)], 0.5)
+    targets.sweep(9.0)
+    assert [t.listed.born_ms for t in targets.candidates(SERVICE, 9.0)] == [2]
+
+
+def test_an_unreadable_row_names_no_target_until_it_can_be_read_again() -> None:
+    targets = TargetSet(linger_s=1.5)
+    targets.put(listed("t0", born_ms=1))
+    targets.put_unreadable(TargetName("t0"))
+    assert not targets.candidates(SERVICE, 0.0)
+    targets.vanish(TargetName("t0"), 0.0)
+    assert not targets.candidates(SERVICE, 0.1)
+    targets.put(listed("t0", born_ms=1))
+    assert [t.name for t in targets.candidates(SERVICE, 0.2)] == ["t0"]
+    targets.replace([listed("t1")], 1.0, [TargetName("t0")])
+    assert [t.name for t in targets.candidates(SERVICE, 1.0)] == ["t1"]
+
+
+def test_calls_go_to_a_target_that_was_ejected_once_it_has_started_again() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(targets=0)
+        target = TargetStandin("t0", born=1)
+        await deployment.add_target(target)
+        gateway = deployment.gateways[0]
+        targets = gateway.targets
+        await until(lambda: TargetName("t0") in targets.by_name)
+        target.faults = [TargetFault.ERROR]
+        former = targets.by_name[TargetName("t0")]
+        for _ in range(20):
+            former.record_failure("broken")
+        occupied = {number_target(former.id): 100}
+        sums = Sums(Incarnation("another:1"), occupied, {}, 0, {})
+        raw = msgspec.Raw(msgspec.msgpack.encode(sums))
+        gateway.occupancy.hear(Digest(DATAGRAM_FORMAT, 0, raw))
+        assert gateway.occupancy.in_flight(former.id) == 100
+        target.faults, target.born = [], 2
+        deployment.store.put("servers/t0", target.entry())
+        await until(lambda: targets.by_name[TargetName("t0")].listed.born_ms == 2)
+        life = targets.by_name[TargetName("t0")]
+        assert life.health.ejected_until == 0.0
+        assert gateway.occupancy.in_flight(life.id) == 0
+        answer = await deployment.call("/plain/x")
+        assert answer.status == 200
+        # The target knows its name, not how this host tells its lives apart.
+        assert target.seen[-1].headers["x-target-instance"] == "t0"
+
+    run_in_virtual_time(work)
+
+
+def test_a_resumed_stream_may_go_on_at_the_next_life_of_its_target() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(targets=0)
+        target = TargetStandin("t0", born=1, events=6, event_s=0.1, faults=[TargetFault.CUT])
+        await deployment.add_target(target)
+        targets = deployment.gateways[0].targets
+        await until(lambda: TargetName("t0") in targets.by_name)
+        former = targets.by_name[TargetName("t0")]
+
+        async def restart() -> None:
+            await until(lambda: target.working > 0)
+            target.faults, target.born = [], 2
+            deployment.store.put("servers/t0", target.entry())
+            await until(lambda: targets.by_name[TargetName("t0")] is not former)
+
+        answer, _ = await asyncio.gather(deployment.call("/resume/x"), restart())
+        assert (answer.status, answer.broken) == (200, False)
+        assert len(target.seen) == 2
+
+    run_in_virtual_time(work)
+
+
+@pytest.mark.parametrize("raw", UNREADABLE)
+def test_an_entry_of_another_writer_costs_that_entry_alone(raw: bytes) -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2, targets=2)
+        deployment.store.put("servers/t0", raw)
+        deployment.store.put("servers/never-seen", raw)
+        for gateway in deployment.gateways:
+            targets = gateway.targets
+            await until(
+                lambda targets=targets: [t.name for t in targets.working(0.0)] == ["t1"]  # type: ignore[misc]
+            )
+        for _ in range(6):
+            assert (await deployment.call("/plain/x")).status == 200
+        assert not deployment.targets[0].seen
+        # What is read anew, and by a host that starts, says the same.
+        late = await deployment.add_gateway("late")
+        assert [t.name for t in late.targets.working(0.0)] == ["t1"]
+        await late.look_again()
+        assert [t.name for t in late.targets.working(0.0)] == ["t1"]
+        # News goes on, also of the spoiled entry itself.
+        deployment.store.put("servers/t0", deployment.targets[0].entry())
+        for gateway in deployment.gateways:
+            targets = gateway.targets
+            await until(lambda targets=targets: len(targets.working(0.0)) == 2)  # type: ignore[misc]
+
+    run_in_virtual_time(work)
--- a/tests/test_jobs/test_jobs_decisions.py
+++ b/tests/test_jobs/test_jobs_decisions.py
@@ -10,7 +10,7 @@
 import pytest
 
 from gradepoint.gateway.targets import ListedState, ListedTarget, Target
-from gradepoint.ids import HostName, Incarnation, ItemId, JobId, ServiceName, TargetId
+from gradepoint.ids import HostName, Incarnation, ItemId, JobId, ServiceName, TargetId, TargetName
 from gradepoint.jobs.adoption import ADOPTERS, Adoption, choose_adopter
 from gradepoint.jobs.api import PAGE_BYTES, cut_page
 from gradepoint.jobs.feeding import (
@@ -41,7 +41,7 @@
     """Return idle targets."""
     service = ServiceName("model")
     return [
-        Target(ListedTarget(TargetId(f"t{n}"), service, f"t{n}:1", "a", slots, ListedState.READY))
+        Target(ListedTarget(TargetName(f"t{n}"), service, f"t{n}:1", "a", slots, ListedState.READY))
         for n in range(count)
     ]
 
