Let a spoiled key cost that key alone

Cause: a job's state, a host's row or a count of tokens that cannot be decoded raised out of the loop that read it: no host adopted the jobs read after it, hosts listed after it were not known to a host that starts, and each job of the route was answered with a fault.

Change: KvUnreadable is an error of its own; lists leave such keys out and log them, a look at all jobs goes on with the next job, an unreadable count is counted anew.

Before and after: seeded mistakes on a copy (the rows' error passed on; the job's error passed on in the look at all jobs) fail tests/test_jobs/test_jobs_unreadable.py; it passes with both handled.

--- a/gradepoint/errors.py
+++ b/gradepoint/errors.py
@@ -398,6 +398,10 @@
     """A watch cannot go on because the service forgot the changes; read anew."""
 
 
+class KvUnreadable(KvError):
+    """What stands under a key cannot be decoded; what stands under others holds."""
+
+
 class KvUncertain(KvError):
     """No answer came; the call may have taken effect or may still do so."""
 
--- a/gradepoint/jobs/adoption.py
+++ b/gradepoint/jobs/adoption.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from .. import events
-from ..errors import KvError
+from ..errors import KvError, KvUnreadable
 from ..peers.presence import read_host
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
@@ -139,13 +139,23 @@
         self.sweeps += 1
         self._note_missing(jobs)
         for job in jobs:
-            if job.state.owner == self.own and not job.state.released:
-                await self.worker.take(job)
-            elif self.is_orphan(job) and self._falls_to_this_host(job):
-                await self._adopt(job)
+            try:
+                await self._look_at(job)
+            except KvUnreadable as error:
+                emit(events.JOB_UNREADABLE, job=job.id, reason=str(error))
         await self.remind(jobs)
         return any(job.state.released or job.state.owner not in self.live for job in jobs)
 
+    async def _look_at(self, job: StoredJob) -> None:
+        """Run a job if it is this host's or falls to it.
+
+        :raises KvUnreadable: what is stored of it cannot be decoded.
+        """
+        if job.state.owner == self.own and not job.state.released:
+            await self.worker.take(job)
+        elif self.is_orphan(job) and self._falls_to_this_host(job):
+            await self._adopt(job)
+
     async def _adopt(self, job: StoredJob) -> None:
         try:
             adopted = await self.repository.adopt(job, self.own)
--- a/gradepoint/jobs/records.py
+++ b/gradepoint/jobs/records.py
@@ -13,11 +13,15 @@
 import hashlib
 import re
 from enum import Enum
+from typing import TypeVar
 
 import msgspec
 
+from ..errors import KvUnreadable
 from ..ids import ConfigVersion, Incarnation, ItemId, JobId
 
+T = TypeVar("T")
+
 JOB_PREFIX = "gp/job/"
 INPUT_PREFIX = "gp/input/"
 RESULT_PREFIX = "gp/result/"
@@ -163,14 +167,28 @@
     return QUOTA_PREFIX + name
 
 
+def decode_value(raw: bytes, kind: type[T]) -> T:
+    """Decode what a host wrote under a key.
+
+    :raises KvUnreadable: *raw* is not one; another writer may have put it there.
+    """
+    try:
+        return msgspec.msgpack.decode(raw, type=kind)
+    except msgspec.DecodeError as error:
+        raise KvUnreadable(f"not a {kind}: {error}") from error
+
+
 def encode_state(state: JobState) -> bytes:
     """Encode a state."""
     return msgspec.msgpack.encode(state)
 
 
 def decode_state(raw: bytes) -> JobState:
-    """Decode a state."""
-    return msgspec.msgpack.decode(raw, type=JobState)
+    """Decode a state.
+
+    :raises KvUnreadable: *raw* is not one.
+    """
+    return decode_value(raw, JobState)
 
 
 def split_items(items: list[Item], most_bytes: int) -> list[bytes]:
@@ -179,15 +197,19 @@
 
 
 def join_items(parts: list[bytes]) -> list[Item]:
-    """Decode the parts of a job's items."""
-    decode = msgspec.msgpack.Decoder(list[Item]).decode
-    return [item for part in parts for item in decode(part)]
+    """Decode the parts of a job's items.
+
+    :raises KvUnreadable: one of them cannot be decoded.
+    """
+    return [item for part in parts for item in decode_value(part, list[Item])]
 
 
 def join_results(parts: list[bytes]) -> list[Result]:
-    """Decode the parts of a job's results."""
-    decode = msgspec.msgpack.Decoder(list[Result]).decode
-    return [result for part in parts for result in decode(part)]
+    """Decode the parts of a job's results.
+
+    :raises KvUnreadable: one of them cannot be decoded.
+    """
+    return [result for part in parts for result in decode_value(part, list[Result])]
 
 
 def _split(rows: list[bytes], most_bytes: int) -> list[bytes]:
--- a/gradepoint/jobs/repository.py
+++ b/gradepoint/jobs/repository.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from .. import events
-from ..errors import GradepointError, KvUnavailable, KvUncertain
+from ..errors import GradepointError, KvUnavailable, KvUncertain, KvUnreadable
 from ..ids import JobId
 from ..kv.service import ABSENT, Expect, KeyValue, Put, Transaction
 from ..telemetry.logs import emit
@@ -22,6 +22,7 @@
     Quota,
     Result,
     decode_state,
+    decode_value,
     encode_state,
     end_key,
     input_prefix,
@@ -231,7 +232,7 @@
         item = await self.kv.get(partial_key(job.id))
         if item is None:
             return {}
-        return msgspec.msgpack.decode(item.value, type=dict[int, PartialText])
+        return decode_value(item.value, dict[int, PartialText])
 
     async def _load_parts(self, prefix: str, count: int) -> list[bytes]:
         if count == 1:
@@ -244,9 +245,14 @@
         return [item.value for item in found]
 
     async def list_jobs(self) -> list[StoredJob]:
-        """Return the state of every job."""
-        found = await self.kv.range(JOB_PREFIX)
-        return [_read_stored(item) for item in found.items]
+        """Return the state of every job that can be read."""
+        jobs = []
+        for item in (await self.kv.range(JOB_PREFIX)).items:
+            try:
+                jobs.append(_read_stored(item))
+            except KvUnreadable as error:
+                emit(events.JOB_UNREADABLE, job=item.key, reason=str(error))
+        return jobs
 
     async def commit(
         self, job: StoredJob, work: CommittedWork, *, released: bool = False
@@ -326,7 +332,15 @@
 
 
 def _read_quota(item: KeyValue | None) -> int:
-    return 0 if item is None else msgspec.msgpack.decode(item.value, type=Quota).tokens
+    """Return the tokens that wait at the most; without a readable count, too many to accept
+    any without counting anew."""
+    if item is None:
+        return 0
+    try:
+        return decode_value(item.value, Quota).tokens
+    except KvUnreadable as error:
+        emit(events.QUOTA_UNREADABLE, key=item.key, reason=str(error))
+        return NO_LIMIT
 
 
 def _new_job(job_id: JobId, state: JobState, revision: int) -> StoredJob:
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from .. import events
-from ..errors import KvError
+from ..errors import KvError, KvUnreadable
 from ..gateway.forwarding import OtherInstance, TargetBusy, TargetFailed
 from ..kv.service import ABSENT
 from ..telemetry import metrics
@@ -239,6 +239,8 @@
     async def _take_later(self, stored: StoredJob) -> None:
         try:
             await self.take(stored)
+        except KvUnreadable as error:
+            emit(events.JOB_UNREADABLE, job=stored.id, reason=str(error))
         except KvError as error:
             emit(events.JOB_UNREADABLE, job=stored.id, reason=str(error))
             await asyncio.sleep(RETRY_S)
--- a/gradepoint/peers/presence.py
+++ b/gradepoint/peers/presence.py
@@ -15,6 +15,7 @@
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.hashing import new_token
+from ..wire.addresses import split_address
 
 if TYPE_CHECKING:
     from ..kv.service import KeyValueService
@@ -144,13 +145,28 @@
         return row is not None and row.incarnation != incarnation
 
     def put(self, key: str, value: bytes) -> None:
-        """Take a host's key."""
+        """Take a host's key.
+
+        :raises msgspec.DecodeError: *value* names no host that can be reached.
+        """
         row = msgspec.json.decode(value, type=HostPresence)
+        try:
+            split_address(row.peer_address)
+        except ValueError as error:
+            raise msgspec.ValidationError(f"no address: {row.peer_address!r}") from error
         if self.hosts.get(row.host) != row:
             emit(events.MEMBER_JOINED, member=row.host, incarnation=row.incarnation)
         self.hosts[row.host] = row
         self.gone.pop(row.host, None)
 
+    def put_readable(self, key: str, value: bytes) -> None:
+        """Take a host's key if its value can be read, and list no host there otherwise."""
+        try:
+            self.put(key, value)
+        except msgspec.DecodeError as error:
+            emit(events.HOST_UNREADABLE, key=key, reason=str(error))
+            self.remove(key)
+
     def remove(self, key: str) -> None:
         """Take note that a host's key is gone."""
         row = self.hosts.pop(HostName(key.removeprefix(self.prefix)), None)
--- a/gradepoint/spool/host.py
+++ b/gradepoint/spool/host.py
@@ -12,7 +12,7 @@
 from ..errors import KvError, StoreError
 from ..ids import JobId
 from ..jobs.repository import Admission
-from ..peers.presence import PRESENCE_PREFIX, HostPresence
+from ..peers.presence import PRESENCE_PREFIX, HostTable
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.hashing import rank
@@ -165,8 +165,10 @@
         The host that accepted it is asked first: it has run items of it already.
         """
         found = await self.kv.range(PRESENCE_PREFIX)
-        hosts = [msgspec.json.decode(item.value, type=HostPresence) for item in found.items]
-        address = {host.incarnation: host.peer_address for host in hosts}
+        table = HostTable()
+        for item in found.items:
+            table.put_readable(item.key, item.value)
+        address = {host.incarnation: host.peer_address for host in table.hosts.values()}
         others = rank(job.id, set(address) - {job.state.owner})
         acceptor = [job.state.owner] if job.state.owner in address else []
         for life in [*acceptor, *others][:HOSTS_ASKED]:
