Say what the time from which calls are refused is for

Cause: read as a newcomer, the attribute had no word of its purpose. Ruled out: nothing to rule out. Change: a comment.

--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -133,6 +133,7 @@
         self.platform = platform
         self.tasks = TaskGroup()
         self.stopping = False
+        # Monotonic time from which calls are refused, since this host ends soon.
         self.refuses_from = float("inf")
         self.started_at = float("-inf")
         self.own = HostPresence(
