Draw random choices of a run in virtual time from its seed alone

Seen while tests of targets that end were written: which target had a call differed from run to run.

Change: such generators are seeded by the module's own one (util/chance.py).

--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-import random
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ..util.chance import new_rng
 from ..util.clock import monotonic
 from ..wire.addresses import split_address
 from ..wire.http_client import ConnectFailed, HttpClient, ResponseBroken
 from .choice import choose_target, get_load
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Awaitable, Callable
 
     from ..ids import ServiceName, TargetId
@@ -72,7 +73,7 @@
     http: HttpClient
     failure_domain: str
     elsewhere: Callable[[TargetId], int]
-    rng: random.Random = field(default_factory=random.Random)
+    rng: random.Random = field(default_factory=new_rng)
     look_first: Callable[[], Awaitable[None]] = return_at_once
     empty_since: dict[ServiceName, float] = field(default_factory=dict)
 
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import sys
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -14,6 +13,7 @@
 from ..kv.service import ABSENT
 from ..telemetry import metrics
 from ..telemetry.logs import emit
+from ..util.chance import new_rng
 from ..util.clock import monotonic
 from ..util.hashing import short_number
 from ..util.tasks import TaskGroup
@@ -25,6 +25,7 @@
 from .repository import CommittedWork, StoredJob, Superseded
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Callable
 
     from ..gateway.configuration import Configuration
@@ -105,7 +106,7 @@
     gave_way_at: dict[TargetId, float] = field(default_factory=dict)
     jobs: dict[JobId, OwnedJob] = field(default_factory=dict)
     running: list[RunningItem] = field(default_factory=list)
-    rng: random.Random = field(default_factory=random.Random)
+    rng: random.Random = field(default_factory=new_rng)
     to_take: list[StoredJob] = field(default_factory=list)
     may_start: int = 0
     shared_at: float = float("-inf")
--- a/gradepoint/kv/relay.py
+++ b/gradepoint/kv/relay.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -17,6 +16,7 @@
 from ..errors import KvHistoryLost, KvLeaseLapsed, KvUnavailable, KvUncertain
 from ..telemetry import metrics
 from ..telemetry.logs import emit
+from ..util.chance import new_rng
 from ..util.clock import monotonic
 from ..wire.addresses import split_address
 from ..wire.http_client import ConnectFailed, HttpClient, ResponseBroken
@@ -33,6 +33,7 @@
 )
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import AsyncIterator, Awaitable, Callable
 
     from ..wire.http_types import Request
@@ -143,7 +144,7 @@
     failing_since: float | None = None
     probed_at: float = 0.0
     regained_at: float = float("-inf")
-    rng: random.Random = field(default_factory=random.Random)
+    rng: random.Random = field(default_factory=new_rng)
 
     @property
     def counts(self) -> CallCounts:
--- a/gradepoint/online/execute.py
+++ b/gradepoint/online/execute.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from contextlib import aclosing
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
@@ -15,12 +14,14 @@
 from ..routing.retries import CallProgress, RetryBudget
 from ..telemetry import metrics
 from ..telemetry.logs import emit
+from ..util.chance import new_rng
 from ..util.clock import monotonic
 from ..wire.http_types import HEADER_DEADLINE
 from ..wire.target_client import TargetAnswer, TargetClient
 from .attempts import pause_or_give_up
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import AsyncGenerator
 
     from ..routing.choice import TargetView
@@ -74,7 +75,7 @@
         self.pool = pool
         self.client = TargetClient()
         self.budget = RetryBudget()
-        self.rng = rng or random.Random()
+        self.rng = rng or new_rng()
 
     async def run_whole(self, call: CallContext) -> TargetAnswer:
         """Return the whole answer to a call.
--- a/gradepoint/online/services.py
+++ b/gradepoint/online/services.py
@@ -3,17 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from typing import TYPE_CHECKING
 
 from ..errors import GradepointError, TargetFailure
 from ..routing.choice import Circuit
 from ..routing.retries import CallProgress, RetryBudget
+from ..util.chance import new_rng
 from ..util.clock import monotonic
 from ..wire.target_client import HEADER_NOT_RUN, TargetAnswer, TargetClient
 from .attempts import pause_or_give_up
 
 if TYPE_CHECKING:
+    import random
+
     from ..config.document import Service
 
 HOP_HEADERS = frozenset(
@@ -38,7 +40,7 @@
         self.client = TargetClient()
         self.budget = RetryBudget()
         self.circuits: dict[str, Circuit] = {}
-        self.rng = rng or random.Random()
+        self.rng = rng or new_rng()
 
     async def call(
         self,
