Say which requests were on a target when it ended

Cause: the logs could not tell which requests a target had when it ended, nor its end from the loss of connections, nor one request's repeats from each other: each has another request id.

Ruled out: telling ends by the list of targets alone; a crashed target's entry goes after 3.6 s, an end has to be told within milliseconds.

Each call and item has an identity (who calls, path, body); a target knows what runs on it; where a connection to it breaks, a new one shows whether its port is closed, and other targets are looked at beside it, since a rack's loss is no request's work (event 215, target_ended).

Conclusion: the record's request can be followed by its key from here on.

--- a/bench/platform/target.py
+++ b/bench/platform/target.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -42,6 +42,8 @@
     :ivar ran: runs by request id; :attr:`whole` counts the ones that ended.
     :ivar working: requests that run now.
     :ivar born: Unix milliseconds of its start, as its entry tells it; None leaves it out.
+    :ivar work_s: seconds that a plain answer takes.
+    :ivar harmful: bodies of requests that end it, *harm_s* after they began; *on_harm* ends it.
     """
 
     name: str
@@ -59,6 +61,10 @@
     working: int = 0
     rng: random.Random = field(default_factory=lambda: random.Random(1))
     born: int | None = None
+    work_s: float = 0.0
+    harmful: set[bytes] = field(default_factory=set)
+    harm_s: float = 0.01
+    on_harm: Callable[[], None] = lambda: None
 
     def __post_init__(self) -> None:
         self.server = HttpServer(self.handle, ServerLimits(cancel_when_gone=True))
@@ -108,6 +114,9 @@
             return Response(503, {"x-not-run": "1"})
         request_id = request.headers.get("x-attempt-id", "")
         self.ran[request_id] += 1
+        if body in self.harmful:
+            asyncio.get_running_loop().call_later(self.harm_s, self.on_harm)
+            await asyncio.Event().wait()
         echoed = "another" if fault is TargetFault.OTHER_ID else request_id
         headers = {"x-attempt-id": echoed, SEAL: f"{self.name}.{request_id}"}
         if fault is TargetFault.ERROR:
@@ -119,6 +128,7 @@
         if fault is TargetFault.SILENT:
             await asyncio.Event().wait()
         if "/plain/" in request.path:
+            await asyncio.sleep(self.work_s)
             return Response(200, headers, plain_answer(request_id))
         headers["content-type"] = EVENT_STREAM_TYPE
         first = int(request.headers.get("last-event-id", "-1")) + 1
--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -57,6 +57,9 @@
 TARGET_REPLACED = _declare(
     214, "target_replaced", "INFO", "A target has started again; its former life is forgotten."
 )
+TARGET_ENDED = _declare(
+    215, "target_ended", "WARNING", "A target ended under the named requests of this host."
+)
 TARGET_VANISHED = _declare(209, "target_vanished", "INFO", "A target's row is gone.")
 CALL_SENT = _declare(213, "call_sent", "INFO", "A call was sent to the chosen target.")
 CALL_ANSWERED = _declare(210, "call_answered", "INFO", "A call got its answer; see the status.")
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -49,6 +49,7 @@
 from ..wire.http_client import HttpClient
 from ..wire.http_server import HttpServer, ServerLimits
 from ..wire.http_types import Response
+from ..wire.ports import look_at_port
 from .answers import refuse
 from .beliefs import ConfigurationBelief, LiveFollower, OperatorFollower, TargetFollower
 from .configuration import NO_VERSION, RouteKind
@@ -57,6 +58,7 @@
 from .peer_configuration import follow_peers
 from .retirement import Retirement
 from .standstill import Standstill
+from .target_ends import TargetEnds
 from .targets import TargetSet
 
 if TYPE_CHECKING:
@@ -169,12 +171,16 @@
             Aggregation(self.targets.find_slots),
         )
         self.standstill = Standstill(self.look_again)
+        self.target_ends = TargetEnds(
+            self.targets, lambda address: look_at_port(address, CONNECT_TIMEOUT_S)
+        )
         self.forwarder = Forwarder(
             self.targets,
             platform.dialect,
             HttpClient(CONNECT_TIMEOUT_S, UNACKNOWLEDGED_MS),
             settings.failure_domain,
             self.occupancy.in_flight,
+            self.target_ends,
             look_first=self.standstill.wait,
         )
         self.configuration = ConfigurationBelief(platform.decode_configuration, self.apply_limits)
@@ -492,6 +498,7 @@
         await self.watchers.stop()
         await self.retirement.tasks.stop()
         await self.standstill.tasks.stop()
+        await self.target_ends.tasks.stop()
 
     def abort(self) -> None:
         """Close every socket that others use."""
--- a/gradepoint/gateway/dialect.py
+++ b/gradepoint/gateway/dialect.py
@@ -21,6 +21,7 @@
     :param remaining_s: seconds the caller still waits; None where it does not say.
     :param resume_after: number of the last event the caller has; None for a new call.
     :param passed_on: headers that the target gets as they are.
+    :param caller: what the caller proves itself with; empty where it does not.
     """
 
     request_id: RequestId
@@ -28,6 +29,7 @@
     remaining_s: float | None
     resume_after: int | None
     passed_on: RawHeaders
+    caller: bytes = b""
 
 
 @dataclass(frozen=True)
--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -18,6 +18,8 @@
     from ..ids import ServiceName, TargetId
     from ..wire.http_client import ClientResponse
     from .dialect import AnswerHead, CallHead, Dialect
+    from .identity import RequestIdentity
+    from .target_ends import TargetEnds
     from .targets import Target, TargetSet
 
 
@@ -44,13 +46,14 @@
     target: Target
     response: ClientResponse
     head: AnswerHead
+    request: RequestIdentity
     closed: bool = False
 
     def close(self) -> None:
         """End the exchange; a target that still works on it stops."""
         if not self.closed:
             self.closed = True
-            self.target.end()
+            self.target.end(self.request)
             self.response.close()
 
 
@@ -64,6 +67,7 @@
 
     :param failure_domain: that of this host.
     :param elsewhere: calls that other hosts have in flight at a target.
+    :param ends: told where a connection to a target broke.
     :param look_first: returns once this host may choose targets by what it knows.
     :ivar empty_since: since when a call found no target of a service.
     """
@@ -73,6 +77,7 @@
     http: HttpClient
     failure_domain: str
     elsewhere: Callable[[TargetId], int]
+    ends: TargetEnds
     rng: random.Random = field(default_factory=new_rng)
     look_first: Callable[[], Awaitable[None]] = return_at_once
     empty_since: dict[ServiceName, float] = field(default_factory=dict)
@@ -99,9 +104,7 @@
     async def send(
         self,
         target: Target,
-        method: str,
-        request_target: str,
-        body: bytes,
+        request: RequestIdentity,
         head: CallHead,
         remaining_s: float,
         *,
@@ -117,29 +120,30 @@
         :raises TargetFailed: it may have run.
         """
         headers = self.dialect.write_call(head, target.name, remaining_s, resume_after)
-        target.begin()
+        target.begin(request)
         try:
             response = await self.http.send(
                 split_address(target.address),
-                method,
-                request_target,
-                body,
+                request.method,
+                request.path,
+                request.body,
                 headers,
                 timeout_s=head_timeout_s if head_timeout_s is not None else remaining_s,
                 fresh=fresh,
             )
         except ConnectFailed as error:
-            target.end()
+            target.end(request)
             target.record_failure(str(error), unreachable=True)
             raise
         except ResponseBroken as error:
-            target.end()
+            self.ends.note_broken(target)
+            target.end(request)
             target.record_failure(str(error))
             raise TargetFailed(str(error)) from error
         except BaseException:
-            target.end()
+            target.end(request)
             raise
-        exchange = Exchange(target, response, self.dialect.read_answer(response))
+        exchange = Exchange(target, response, self.dialect.read_answer(response), request)
         self._check(exchange, head)
         return exchange
 
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -17,6 +17,7 @@
 from .configuration import RouteKind
 from .event_stream import EventSplitter
 from .forwarding import Exchange, Forwarder, OtherInstance, TargetBusy, TargetFailed
+from .identity import identify
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -25,6 +26,7 @@
     from ..wire.http_types import Request
     from .configuration import Route
     from .dialect import CallHead
+    from .identity import RequestIdentity
     from .targets import Target
 
 MAX_UNSENT_TRIES = 4
@@ -60,9 +62,7 @@
     forwarder: Forwarder
     route: Route
     head: CallHead
-    method: str
-    request_target: str
-    body: bytes
+    request: RequestIdentity
     arrived: float
     deadline: float
     service: ServiceName
@@ -147,9 +147,7 @@
         sending = asyncio.ensure_future(
             self.forwarder.send(
                 target,
-                self.method,
-                self.request_target,
-                self.body,
+                self.request,
                 self.head,
                 remaining,
                 resume_after=resume_after,
@@ -266,6 +264,7 @@
             exchange.target.record_failure("silent")
             raise TargetFailed("silent") from error
         except ResponseBroken as error:
+            self.forwarder.ends.note_broken(exchange.target)
             exchange.target.record_failure(str(error))
             raise TargetFailed(str(error)) from error
 
@@ -388,9 +387,7 @@
         forwarder=forwarder,
         route=route,
         head=head,
-        method=request.method,
-        request_target=request.target,
-        body=body,
+        request=identify(head, request.method, request.target, body),
         arrived=now,
         deadline=now + allowed_s,
         service=route.pick_service(forwarder.rng),
--- a/gradepoint/gateway/targets.py
+++ b/gradepoint/gateway/targets.py
@@ -21,6 +21,7 @@
 
     from ..ids import ServiceName, TargetName, TargetNumber
     from ..peers.results import ToldResults
+    from .identity import RequestIdentity
 
 LEAST_WORKING_SHARE = 0.5
 """Share of a service's targets that stay in choice whatever their health says: a bad signal,
@@ -66,6 +67,7 @@
 
     :param on_change: called when what this host has in flight changes.
     :ivar in_flight: calls of this host that it has now.
+    :ivar running: what these ask for, where they were sent.
     :ivar results: of this host's calls, in this life.
     :ivar vanished_at: when its row vanished without notice; None while it is listed.
     """
@@ -76,6 +78,7 @@
     results: ResultCount = field(default_factory=ResultCount)
     on_change: Callable[[], None] = lambda: None
     vanished_at: float | None = None
+    running: set[RequestIdentity] = field(default_factory=set)
 
     @property
     def id(self) -> TargetId:
@@ -92,14 +95,21 @@
         """``IP:PORT``."""
         return self.listed.address
 
-    def begin(self) -> None:
-        """Count a call or item of this host that is sent now."""
+    def begin(self, request: RequestIdentity | None = None) -> None:
+        """Count a call or item of this host that is sent now.
+
+        :param request: what it asks for; None where it is only about to be sent.
+        """
         self.in_flight += 1
+        if request is not None:
+            self.running.add(request)
         self.on_change()
 
-    def end(self) -> None:
+    def end(self, request: RequestIdentity | None = None) -> None:
         """Take note that a call or item of this host is not at the target any more."""
         self.in_flight -= 1
+        if request is not None:
+            self.running.discard(request)
         self.on_change()
 
     def record_success(self) -> None:
@@ -234,6 +244,28 @@
             return working
         return [t for t in ready if t.vanished_at is not None and self._lingers(t, now)]
 
+    def find_beside(self, target: Target) -> list[Target]:
+        """Return the other listed targets of a target's service, those of its failure domain
+        first."""
+        others = [
+            other
+            for other in self.by_service[target.listed.service]
+            if other.address != target.address
+            and other.listed.state is ListedState.READY
+            and other.vanished_at is None
+        ]
+        domain = target.listed.failure_domain
+        return sorted(others, key=lambda other: other.listed.failure_domain != domain)
+
+    def has_successor(self, target: Target) -> bool:
+        """Whether another life has come to a target's address since it was listed."""
+        known = self.by_name.get(target.name)
+        if known is not None and known.id != target.id:
+            return True
+        ids = list(self.by_id)
+        later = ids[ids.index(target.id) + 1 :] if target.id in self.by_id else ids
+        return any(self.by_id[other].address == target.address for other in later)
+
     def working(self, now: float) -> list[Target]:
         """Return the targets of all services that may get a call."""
         return [target for service in self.by_service for target in self.candidates(service, now)]
--- a/gradepoint/ids.py
+++ b/gradepoint/ids.py
@@ -21,3 +21,5 @@
 TargetNumber = NewType("TargetNumber", int)
 Incarnation = NewType("Incarnation", str)
 ItemId = NewType("ItemId", str)
+RequestKey = NewType("RequestKey", int)
+"""Stands for everything that makes two calls the same request, whatever their ids."""
--- a/gradepoint/jobs/item_run.py
+++ b/gradepoint/jobs/item_run.py
@@ -8,6 +8,7 @@
 from ..gateway.dialect import CallHead
 from ..gateway.event_stream import EventSplitter
 from ..gateway.forwarding import TargetFailed
+from ..gateway.identity import RequestIdentity
 from ..ids import RequestId
 from ..wire.http_client import ResponseBroken
 
@@ -55,9 +56,7 @@
     )
     exchange = await forwarder.send(
         target,
-        "POST",
-        item.path,
-        item.body,
+        identify_item(item, host),
         head,
         RUN_LIMIT_S,
         resume_after=partial.last_event,
@@ -65,12 +64,17 @@
     )
     try:
         _check_status(exchange)
-        await _read_events(exchange, partial)
+        await _read_events(forwarder, exchange, partial)
     finally:
         exchange.close()
     return "\n".join(partial.data)
 
 
+def identify_item(item: Item, host: str) -> RequestIdentity:
+    """Return what an item asks for, as a call would."""
+    return RequestIdentity(host, b"", "POST", item.path, item.body)
+
+
 def _check_status(exchange: Exchange) -> None:
     status = exchange.head.status
     if status == CANNOT_BE_DONE:
@@ -81,7 +85,7 @@
         raise TargetFailed(f"answered {status}")
 
 
-async def _read_events(exchange: Exchange, partial: PartialText) -> None:
+async def _read_events(forwarder: Forwarder, exchange: Exchange, partial: PartialText) -> None:
     """Append every event of an answer to *partial*; return at its end."""
     splitter = EventSplitter()
     pieces = exchange.response.stream()
@@ -90,6 +94,7 @@
             async with asyncio.timeout(SILENCE_S):
                 piece = await anext(pieces, None)
         except (ResponseBroken, TimeoutError) as error:
+            forwarder.ends.note_broken(exchange.target)
             exchange.target.record_failure(repr(error))
             raise TargetFailed(repr(error)) from error
         if piece is None:
--- a/gradepoint/platform/headers.py
+++ b/gradepoint/platform/headers.py
@@ -16,6 +16,7 @@
 TIME_LEFT_MS = b"x-time-left-ms"
 LAST_EVENT_ID = b"last-event-id"
 EXPECTED_INSTANCE = b"x-target-instance"
+CREDENTIALS = (b"x-credential", b"authorization")
 NOT_RUN = "x-not-run"
 WAIT_MS = "x-wait-ms"
 MISDIRECTED = 421
@@ -49,6 +50,7 @@
             remaining_s=_read_seconds(values.get(TIME_LEFT_MS)),
             resume_after=_read_number(values.get(LAST_EVENT_ID)),
             passed_on=[row for row in _end_to_end(headers) if row[0] not in WRITTEN_ANEW],
+            caller=b"\x00".join(values.get(name, b"") for name in CREDENTIALS),
         )
 
     def write_call(
--- a/tests/test_gateway/test_gateway_calls.py
+++ b/tests/test_gateway/test_gateway_calls.py
@@ -8,6 +8,7 @@
 
 from bench.platform.target import TargetFault, TargetStandin, plain_answer, whole_stream
 from gradepoint.gateway.app import FIRST_READ_S
+from gradepoint.gateway.identity import identify
 from gradepoint.gateway.live import abandon
 from gradepoint.ids import TargetId
 from tests.support.platform import HOST, Deployment, configuration, route, run_deployment, until
@@ -296,7 +297,7 @@
         target = gateway.targets.by_id[TargetId("t0")]
         head = gateway.platform.dialect.read_call([(b"x-attempt-id", b"r")])
         sending = asyncio.ensure_future(
-            gateway.forwarder.send(target, "POST", "/stream/1", b"", head, 4.0)
+            gateway.forwarder.send(target, identify(head, "POST", "/stream/1", b""), head, 4.0)
         )
         await asyncio.sleep(0)
         if finished:
--- a/tests/test_gateway/test_gateway_refusals.py
+++ b/tests/test_gateway/test_gateway_refusals.py
@@ -12,6 +12,7 @@
 from gradepoint.gateway.dialect import CallHead
 from gradepoint.gateway.forwarding import LONGEST_EXPECTED_S, Forwarder
 from gradepoint.gateway.live import RETRY_AFTER_S, LiveCall, create_call
+from gradepoint.gateway.target_ends import TargetEnds
 from gradepoint.gateway.targets import TargetSet
 from gradepoint.ids import RequestId
 from gradepoint.platform.configuration import decode_configuration
@@ -20,6 +21,7 @@
 from gradepoint.util.clock import monotonic
 from gradepoint.wire.http_client import HttpClient
 from gradepoint.wire.http_types import Request
+from gradepoint.wire.ports import look_at_port
 from tests.support.platform import HOST, configuration, route
 
 if TYPE_CHECKING:
@@ -41,8 +43,10 @@
 
 
 def test_a_call_without_any_target_is_refused_at_once() -> None:
+    targets = TargetSet(1.0)
+    ends = TargetEnds(targets, lambda address: look_at_port(address, 0.1))
     forwarder = Forwarder(
-        TargetSet(1.0), PlatformDialect(), HttpClient(), "a", lambda _: 0, random.Random(1)
+        targets, PlatformDialect(), HttpClient(), "a", lambda _: 0, ends, random.Random(1)
     )
 
     async def refuse() -> float:
