--- a/bench/platform/target.py
+++ b/bench/platform/target.py
@@ -65,6 +65,7 @@
     harmful: set[bytes] = field(default_factory=set)
     harm_s: float = 0.01
     on_harm: Callable[[], None] = lambda: None
+    on_request: Callable[[bytes], None] = lambda _: None
 
     def __post_init__(self) -> None:
         self.server = HttpServer(self.handle, ServerLimits(cancel_when_gone=True))
@@ -107,6 +108,7 @@
         body = await request.read_body()
         self.seen.append(request)
         self.bodies.append(body)
+        self.on_request(body)
         if request.headers.get("x-target-instance", self.name) != self.name:
             return Response(421, {"x-instance-id": "another", "x-not-run": "1"})
         fault = self.next_fault()
