Send no calls to targets whose ports are closed

Cause: a target that had ended stayed in choice until its entry lapsed 3.6 s later, since half of a service's targets stay whatever their health says; four tries at closed ports, and a call was refused though other targets had room.

Ruled out: shorter ejections or a smaller half; both guard against overload, where a target answers late, and not against one that is not there.

Change: a refused connection takes a target out of choice until its port is open again (a look each 0.5 s) or another life of it is listed. What a target knows of its calls tells, beside the ends of others, a loss of power from a request's work.

--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -60,6 +60,9 @@
 TARGET_ENDED = _declare(
     215, "target_ended", "WARNING", "A target ended under the named requests of this host."
 )
+TARGET_CLOSED = _declare(
+    216, "target_closed", "WARNING", "Nothing listens at a target's address; it gets no calls."
+)
 TARGET_VANISHED = _declare(209, "target_vanished", "INFO", "A target's row is gone.")
 CALL_SENT = _declare(213, "call_sent", "INFO", "A call was sent to the chosen target.")
 CALL_ANSWERED = _declare(210, "call_answered", "INFO", "A call got its answer; see the status.")
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -172,7 +172,9 @@
         )
         self.standstill = Standstill(self.look_again)
         self.target_ends = TargetEnds(
-            self.targets, lambda address: look_at_port(address, CONNECT_TIMEOUT_S)
+            self.targets,
+            lambda address: look_at_port(address, CONNECT_TIMEOUT_S),
+            self.occupancy.in_flight,
         )
         self.forwarder = Forwarder(
             self.targets,
@@ -269,6 +271,7 @@
         keep("worker", self.worker.run)
         self.adopting = keep("adoption", self.adoption.run)
         keep("sweep", self.sweep)
+        keep("closed targets", self.target_ends.run_looks)
         keep("peers", lambda: follow_peers(self.beats, self.peer_http, self.configuration))
 
     def make_watchers(self) -> Watchers:
--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -8,7 +8,7 @@
 from ..util.chance import new_rng
 from ..util.clock import monotonic
 from ..wire.addresses import split_address
-from ..wire.http_client import ConnectFailed, HttpClient, ResponseBroken
+from ..wire.http_client import ConnectFailed, ConnectRefused, HttpClient, ResponseBroken
 from .choice import choose_target, get_load
 
 if TYPE_CHECKING:
@@ -131,6 +131,10 @@
                 timeout_s=head_timeout_s if head_timeout_s is not None else remaining_s,
                 fresh=fresh,
             )
+        except ConnectRefused:
+            target.end(request)
+            self.ends.note_closed(target)
+            raise
         except ConnectFailed as error:
             target.end(request)
             target.record_failure(str(error), unreachable=True)
@@ -156,6 +160,7 @@
         if answer.other_instance:
             exchange.close()
             raise OtherInstance
+        self.ends.note_answer(exchange.target)
         if answer.not_run and answer.status in (429, 503):
             if get_load(exchange.target, self.elsewhere) <= 1.0:
                 exchange.target.record_failure("refuses calls though it has room")
--- a/gradepoint/gateway/target_ends.py
+++ b/gradepoint/gateway/target_ends.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from .. import events
 from ..telemetry.logs import emit
+from ..util.clock import monotonic
 from ..util.tasks import TaskGroup
 from ..wire.ports import PortState
 from .identity import show_key
@@ -21,15 +23,29 @@
     from collections.abc import Awaitable, Callable
 
     from ..ids import TargetId
+    from ..routing.suspects import Trial
     from .identity import RequestIdentity
     from .targets import Target, TargetSet
 
 COMPARED_TARGETS = 8
 """Other targets that are looked at beside one that has ended, those of its failure domain first:
 more than a rack of them, and less than a call costs."""
+TOGETHER_S = 0.05
+"""Seconds within which targets that lose power together are found closed: many times what two
+looks take, and a fraction of the time between two calls of one caller."""
+LEAST_TOGETHER = 3
+"""Targets beside one that end with it by a loss of power at the least: several requests that end
+targets may do so in the same moment."""
+SHARE_TOGETHER = 1 / 3
+"""Share of a service's targets that end together so."""
+LEAST_IDLE = 2
+"""Idle targets that end together so: one may have had a call that this host has not heard of."""
 SUCCESSOR_S = 1.5
 """Seconds in which a new life has to be listed at the address of a target whose port is open
 again: it writes its row as it starts, and hosts hear of it within a fraction of that."""
+CLOSED_LOOK_S = 0.5
+"""Seconds between looks at closed ports. A process that starts again has another life, which is
+listed and used at once; only a target whose way was cut, and which lives on, waits for a look."""
 LOGGED_REQUESTS = 16
 """Requests that one line names: twice the slots of a usual target."""
 
@@ -38,13 +54,13 @@
 class TargetEnd:
     """The end of one life of a target.
 
-    :param requests: calls and items that this host had there.
+    :param requests: calls and items that this host had there, and how.
     :param planned: it was leaving, so that no request was the cause.
     :param common: other targets have ended with it, so that no single request was the cause.
     """
 
     target: Target
-    requests: list[RequestIdentity]
+    requests: list[tuple[RequestIdentity, Trial]]
     planned: bool
     common: bool
 
@@ -54,13 +70,17 @@
     """Looks after targets whose connections break.
 
     :param look: tells what listens at ``IP:PORT``.
-    :param on_end: told of each end.
+    :param elsewhere: calls that other hosts have in flight at a target.
+    :param on_end: told of each end that this host saw, and *on_alive* of a target that answers
+        after it was told as ended.
     :ivar checking: targets that are looked at now.
     """
 
     targets: TargetSet
     look: Callable[[str], Awaitable[PortState]]
+    elsewhere: Callable[[TargetId], int] = lambda _: 0
     on_end: Callable[[TargetEnd], None] = lambda _: None
+    on_alive: Callable[[Target], None] = lambda _: None
     checking: dict[TargetId, asyncio.Task[None]] = field(default_factory=dict)
     tasks: TaskGroup = field(default_factory=TaskGroup)
 
@@ -71,7 +91,45 @@
         the first one finds the others.
         """
         if target.id not in self.checking:
-            self.checking[target.id] = self.tasks.start(self._check(target, list(target.running)))
+            self.checking[target.id] = self.tasks.start(self._check(target, target.find_running()))
+
+    def note_closed(self, target: Target) -> None:
+        """Send no more calls to a target whose port is closed."""
+        if target.closed_at is None:
+            target.closed_at = monotonic()
+            emit(events.TARGET_CLOSED, target=target.id)
+
+    def note_told(self, target: Target) -> None:
+        """Look at a target that another host tells as ended."""
+        if target.closed_at is None and target.id not in self.checking:
+            self.checking[target.id] = self.tasks.start(self._check_told(target))
+
+    async def _check_told(self, target: Target) -> None:
+        try:
+            state = await self.look(target.address)
+        finally:
+            del self.checking[target.id]
+        if state is PortState.CLOSED:
+            self.note_closed(target)
+        elif state is PortState.OPEN:
+            target.doubted = True
+
+    def note_answer(self, target: Target) -> None:
+        """Take note of an answer, which a target that has ended does not give."""
+        if target.doubted:
+            target.doubted = False
+            self.on_alive(target)
+
+    async def run_looks(self) -> None:
+        """Look whether ports that were closed are open again, for ever."""
+        while True:
+            await asyncio.sleep(CLOSED_LOOK_S)
+            closed = self.targets.find_closed()
+            states = await asyncio.gather(*(self.look(target.address) for target in closed))
+            for target, state in zip(closed, states, strict=True):
+                if state is PortState.OPEN:
+                    target.closed_at = None
+                    target.doubted = True
 
     async def wait(self, target: Target) -> None:
         """Return once it is known whether a target's port is closed, if that is looked at."""
@@ -79,11 +137,12 @@
         if checking is not None:
             await asyncio.wait([checking])
 
-    async def _check(self, target: Target, requests: list[RequestIdentity]) -> None:
+    async def _check(self, target: Target, requests: list[tuple[RequestIdentity, Trial]]) -> None:
         planned = target.listed.state is not ListedState.READY or target.vanished_at is not None
         try:
             state = await self.look(target.address)
             if state is PortState.CLOSED:
+                self.note_closed(target)
                 common = await self._find_others_ended(target)
                 self._tell(TargetEnd(target, requests, planned, common))
         finally:
@@ -92,13 +151,26 @@
             self.tasks.start(self._await_successor(target, requests, planned=planned))
 
     async def _find_others_ended(self, target: Target) -> bool:
-        """Look whether targets beside *target* have ended as well."""
-        others = self.targets.find_beside(target)[:COMPARED_TARGETS]
-        states = await asyncio.gather(*(self.look(other.address) for other in others))
-        return PortState.CLOSED in states
+        """Look whether targets beside *target* have ended at the same time, so many or so idle that
+        a loss of power is the cause, and no request that they had."""
+        others = self.targets.find_beside(target)
+        open_before = [other for other in others if other.closed_at is None][:COMPARED_TARGETS]
+        states = await asyncio.gather(*(self.look(other.address) for other in open_before))
+        for other, state in zip(open_before, states, strict=True):
+            if state is PortState.CLOSED:
+                self.note_closed(other)
+        oldest = monotonic() - TOGETHER_S
+        ended = [o for o in others if o.closed_at is not None and o.closed_at >= oldest]
+        many = max(LEAST_TOGETHER, math.ceil(len(others) * SHARE_TOGETHER))
+        return len(ended) >= many or sum(map(self._was_idle, ended)) >= LEAST_IDLE
+
+    def _was_idle(self, target: Target) -> bool:
+        """Whether a target had no call when it ended, as far as this host knows."""
+        lately = target.left_at >= monotonic() - 2 * TOGETHER_S
+        return not lately and not target.in_flight and not self.elsewhere(target.id)
 
     async def _await_successor(
-        self, target: Target, requests: list[RequestIdentity], *, planned: bool
+        self, target: Target, requests: list[tuple[RequestIdentity, Trial]], *, planned: bool
     ) -> None:
         """Take a target for ended if another life of it is listed soon."""
         await asyncio.sleep(SUCCESSOR_S)
@@ -109,7 +181,7 @@
         emit(
             events.TARGET_ENDED,
             target=end.target.id,
-            requests=[show_key(request.key) for request in end.requests[:LOGGED_REQUESTS]],
+            requests=[show_key(request.key) for request, _ in end.requests[:LOGGED_REQUESTS]],
             planned=end.planned,
             common=end.common,
         )
--- a/gradepoint/gateway/targets.py
+++ b/gradepoint/gateway/targets.py
@@ -12,6 +12,7 @@
 from ..ids import TargetId
 from ..peers.datagrams import number_target
 from ..peers.results import ResultCount
+from ..routing.suspects import Trial
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from .health import TargetHealth
@@ -61,6 +62,17 @@
         object.__setattr__(self, "id", TargetId(life))
 
 
+@dataclass(frozen=True)
+class TrialRun:
+    """A suspected request that has a target to itself.
+
+    :param kind: whether it found the target empty.
+    """
+
+    request: RequestIdentity
+    kind: Trial
+
+
 @dataclass
 class Target:
     """A listed target and what this host's calls showed of it.
@@ -70,6 +82,11 @@
     :ivar running: what these ask for, where they were sent.
     :ivar results: of this host's calls, in this life.
     :ivar vanished_at: when its row vanished without notice; None while it is listed.
+    :ivar closed_at: monotonic time at which nothing listened at its address any more; it gets no
+        calls. None while something does.
+    :ivar doubted: it was told as ended, but its port is open: an answer shows that it lives.
+    :ivar left_at: monotonic time at which a call of this host last left it.
+    :ivar trial: the suspected request of this host that has it to itself.
     """
 
     listed: ListedTarget
@@ -79,6 +96,10 @@
     on_change: Callable[[], None] = lambda: None
     vanished_at: float | None = None
     running: set[RequestIdentity] = field(default_factory=set)
+    closed_at: float | None = None
+    doubted: bool = False
+    left_at: float = float("-inf")
+    trial: TrialRun | None = None
 
     @property
     def id(self) -> TargetId:
@@ -108,10 +129,25 @@
     def end(self, request: RequestIdentity | None = None) -> None:
         """Take note that a call or item of this host is not at the target any more."""
         self.in_flight -= 1
+        self.left_at = monotonic()
         if request is not None:
             self.running.discard(request)
+            self.end_trial(request)
         self.on_change()
 
+    def end_trial(self, request: RequestIdentity) -> None:
+        """Leave the target to others again, if it is *request* that has it to itself."""
+        if self.trial is not None and self.trial.request is request:
+            self.trial = None
+            self.on_change()
+
+    def find_running(self) -> list[tuple[RequestIdentity, Trial]]:
+        """Return what this host has there, and how."""
+        tried, kind = (None, Trial.NONE)
+        if self.trial is not None:
+            tried, kind = self.trial.request, self.trial.kind
+        return [(request, kind if request is tried else Trial.NONE) for request in self.running]
+
     def record_success(self) -> None:
         """Count a whole answer of this host's calls."""
         self.results.add(1, 0)
@@ -232,9 +268,13 @@
         """Return the targets of *service* that may get a call, the best kind there is.
 
         Listed ones that are not ejected, and the healthiest of the others where these are
-        less than half; else ones whose row has just vanished.
+        less than half; else ones whose row has just vanished. None whose port is closed.
         """
-        ready = [t for t in self.by_service[service] if t.listed.state is ListedState.READY]
+        ready = [
+            t
+            for t in self.by_service[service]
+            if t.listed.state is ListedState.READY and t.closed_at is None
+        ]
         listed = [t for t in ready if t.vanished_at is None]
         working = [t for t in listed if t.health.ejected_until <= now]
         least = math.ceil(len(listed) * LEAST_WORKING_SHARE)
@@ -257,6 +297,17 @@
         domain = target.listed.failure_domain
         return sorted(others, key=lambda other: other.listed.failure_domain != domain)
 
+    def count_places(self, service: ServiceName, now: float) -> tuple[int, int]:
+        """Return at how many addresses targets of *service* are listed, and at how many of these
+        one may get a call. Of a target that started again, both lives may be listed."""
+        listed = [t for t in self.by_service[service] if t.listed.state is ListedState.READY]
+        working = self.candidates(service, now)
+        return len({t.address for t in listed}), len({t.address for t in working})
+
+    def find_closed(self) -> list[Target]:
+        """Return the targets whose ports were closed."""
+        return [target for target in self.by_id.values() if target.closed_at is not None]
+
     def has_successor(self, target: Target) -> bool:
         """Whether another life has come to a target's address since it was listed."""
         known = self.by_name.get(target.name)
--- a/gradepoint/wire/http_client.py
+++ b/gradepoint/wire/http_client.py
@@ -32,6 +32,10 @@
     """No connection could be made: no byte of the request left."""
 
 
+class ConnectRefused(ConnectFailed):
+    """Nothing listens there: no byte of the request left."""
+
+
 class ResponseBroken(Exception):
     """The connection failed after bytes of the request may have left."""
 
@@ -246,6 +250,8 @@
         try:
             async with asyncio.timeout(self.connect_timeout_s):
                 reader, writer = await asyncio.open_connection(*origin, limit=READ_SIZE * 4)
+        except ConnectionRefusedError as error:
+            raise ConnectRefused(f"{origin[0]}:{origin[1]}: {error!r}") from error
         except (OSError, TimeoutError) as error:
             raise ConnectFailed(f"{origin[0]}:{origin[1]}: {error!r}") from error
         self.opened += 1
--- a/tests/test_gateway/test_gateway_target_ends.py
+++ b/tests/test_gateway/test_gateway_target_ends.py
@@ -46,7 +46,7 @@
         answers = await asyncio.gather(*calls)
         assert len(ends) == 1 and not ends[0].planned and not ends[0].common
         assert ends[0].target.name == ended.name
-        assert {request.path for request in ends[0].requests} == on_it
+        assert {request.path for request, _ in ends[0].requests} == on_it
         assert sorted(answer.status for answer in answers) == [200] * len(other.seen) + [502] * len(
             on_it
         )
@@ -83,14 +83,43 @@
 
 def test_targets_that_end_together_are_told_as_such() -> None:
     async def work(deployment: Deployment) -> None:
-        crashes = await start(deployment, 4)
+        crashes = await start(deployment, 6)
         ends = record_ends(deployment)
-        calls = await start_calls(deployment, 16)
-        lost = [target for target in deployment.targets if target.seen][:2]
+        calls = await start_calls(deployment, 24)
+        lost = [target for target in deployment.targets if target.seen][:4]
         for target in lost:
             crashes.end(target)
         await asyncio.gather(*calls)
-        assert [end.common for end in ends] == [True, True]
+        assert [end.common for end in ends] == [True] * 4
+
+    run_in_virtual_time(work)
+
+
+def test_a_target_that_ends_with_idle_ones_ended_for_no_request() -> None:
+    async def work(deployment: Deployment) -> None:
+        crashes = await start(deployment, 6)
+        ends = record_ends(deployment)
+        calls = await start_calls(deployment, 1)
+        busy = next(target for target in deployment.targets if target.seen)
+        idle = [target for target in deployment.targets if target is not busy][:2]
+        for target in (busy, *idle):
+            crashes.end(target)
+        await asyncio.gather(*calls)
+        await until(lambda: bool(ends))
+        assert [end.common for end in ends] == [True]
+
+    run_in_virtual_time(work)
+
+
+def test_two_targets_that_end_at_once_may_each_have_had_the_cause() -> None:
+    async def work(deployment: Deployment) -> None:
+        crashes = await start(deployment, 6)
+        ends = record_ends(deployment)
+        calls = await start_calls(deployment, 24)
+        for target in [target for target in deployment.targets if target.seen][:2]:
+            crashes.end(target)
+        await asyncio.gather(*calls)
+        assert [end.common for end in ends] == [False] * 2
 
     run_in_virtual_time(work)
 
@@ -108,3 +137,31 @@
         assert len(ends) == 1 and ends[0].planned
 
     run_in_virtual_time(work)
+
+
+def test_targets_that_have_ended_get_no_calls_while_others_are_there() -> None:
+    # Calls were drawn to ended targets until their entries lapsed 3.6 s later: 206 tries at closed
+    # ports within 14 s, and calls refused after four of them while other targets had room.
+    async def work(deployment: Deployment) -> None:
+        crashes = await start(deployment, 12)
+        for target in deployment.targets[:11]:
+            crashes.end(target, comes_back=False)
+        answers = [await deployment.call(f"/single/plain/{number}") for number in range(8)]
+        # The first calls find out, and each closed port is found out once.
+        assert [answer.status for answer in answers[4:]] == [200] * 4
+
+    run_in_virtual_time(work)
+
+
+def test_a_target_that_was_cut_off_gets_calls_soon_after() -> None:
+    async def work(deployment: Deployment) -> None:
+        await start(deployment, 1)
+        target = deployment.targets[0]
+        port = target.server.port
+        target.server.abort()
+        assert (await deployment.call("/single/plain/1")).status == 503
+        await target.start(port=port)
+        await asyncio.sleep(1.0)
+        assert (await deployment.call("/single/plain/2")).status == 200
+
+    run_in_virtual_time(work)
