Hold back requests that end the targets that run them

Cause, shown by the test that fails before: a request was known by the id of one try, so that its repeats had nothing in common; what bounds tries bounds them within one call at one host. Class: a limit per call and host where harm adds up over callers' repeats and hosts.

Change: the identity of a request is who calls, method, path and body. Ends and whole answers are told with the reports and digests that hosts exchange anyway, with the sender's clock beside them. A request under which two targets ended is tried alone, by one host at a time, and only where half of the service's targets are left if every trial ends its target; calls keep off a target under trial. One that ends a target then is answered at once with 502 and what to do (request_held). Sends, retries, resumed streams and batch items all pass the same gate and count together; an item is given up when its job's retention says so, and its neighbours go on.

--- a/gradepoint/errors.py
+++ b/gradepoint/errors.py
@@ -207,6 +207,23 @@
             1.0,
             "The targets refused the call before running it; come back.",
         ),
+        ErrorKind(
+            "request_suspected",
+            503,
+            _C.TARGET,
+            _N,
+            1.0,
+            "Targets ended while they ran this request; it is tried alone. Come back.",
+        ),
+        ErrorKind(
+            "request_held",
+            502,
+            _C.TARGET,
+            _U,
+            None,
+            "Do not send this request again: it has run, and ended its targets. Change it, or "
+            "give its key to the operator, who can let it go.",
+        ),
         ErrorKind(
             "retry_budget",
             503,
--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -60,6 +60,15 @@
 TARGET_ENDED = _declare(
     215, "target_ended", "WARNING", "A target ended under the named requests of this host."
 )
+REQUEST_SUSPECTED = _declare(
+    217, "request_suspected", "WARNING", "Targets ended under a request; it is tried alone."
+)
+REQUEST_HELD = _declare(
+    218, "request_held", "WARNING", "A request ended its targets again and is held back."
+)
+REQUEST_CLEARED = _declare(
+    219, "request_cleared", "INFO", "A request is served again like any other; see its standing."
+)
 TARGET_CLOSED = _declare(
     216, "target_closed", "WARNING", "Nothing listens at a target's address; it gets no calls."
 )
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -43,6 +43,7 @@
 from ..spool.client import SpoolClient
 from ..telemetry import metrics
 from ..telemetry.logs import emit, report_left_out
+from ..util.chance import new_rng
 from ..util.clock import monotonic
 from ..util.tasks import TaskGroup
 from ..wire.addresses import split_address
@@ -58,6 +59,7 @@
 from .peer_configuration import follow_peers
 from .retirement import Retirement
 from .standstill import Standstill
+from .suspicion import Suspicion, connect_suspicion
 from .target_ends import TargetEnds
 from .targets import TargetSet
 
@@ -176,6 +178,14 @@
             lambda address: look_at_port(address, CONNECT_TIMEOUT_S),
             self.occupancy.in_flight,
         )
+        self.suspicion = Suspicion(
+            self.targets,
+            self.occupancy.in_flight,
+            new_rng(),
+            self.occupancy.find_trials,
+            lambda: self.occupancy.changed.set(),
+        )
+        connect_suspicion(self.suspicion, self.target_ends, self.occupancy.aggregation)
         self.forwarder = Forwarder(
             self.targets,
             platform.dialect,
@@ -183,6 +193,7 @@
             settings.failure_domain,
             self.occupancy.in_flight,
             self.target_ends,
+            self.suspicion,
             look_first=self.standstill.wait,
         )
         self.configuration = ConfigurationBelief(platform.decode_configuration, self.apply_limits)
@@ -360,6 +371,8 @@
             items=items,
             waiting=self.worker.weigh_waiting(),
             results=self.targets.recent_results(),
+            suspects=self.suspicion.tell_own(),
+            trials=self.suspicion.tell_trials(),
         )
 
     def take_message(self, message: Message, address: str) -> None:
@@ -459,6 +472,7 @@
             self.targets.sweep(monotonic())
             self.beats.forget_silent()
             self.occupancy.forget_silent()
+            self.suspicion.forget()
             listed = self.hosts.incarnations - {self.own.incarnation}
             lost = self.silence.update(listed, self.beats.heard, monotonic())
             self.adoption.note_silent(lost)
--- a/gradepoint/gateway/choice.py
+++ b/gradepoint/gateway/choice.py
@@ -22,6 +22,7 @@
     tried: Collection[TargetId],
     elsewhere: Callable[[TargetId], int],
     rng: random.Random,
+    reserved: Collection[TargetId] = (),
 ) -> Target | None:
     """Return a target for a caller's call, or None if there is none left.
 
@@ -31,8 +32,10 @@
 
     :param tried: targets that this call has been sent to.
     :param elsewhere: what other hosts say they have in flight at a target.
+    :param reserved: targets that a request that may end them has to itself.
     """
     left = [target for target in candidates if target.id not in tried]
+    left = [target for target in left if target.id not in reserved] or left
     if not left:
         return None
     weights = [
@@ -45,6 +48,15 @@
     return min(left, key=lambda target: (get_load(target, elsewhere), rng.random()))
 
 
+def choose_alone(
+    candidates: list[Target], elsewhere: Callable[[TargetId], int], rng: random.Random
+) -> Target | None:
+    """Return a target that is empty, or nearly so, or None if there is none."""
+    if not candidates:
+        return None
+    return min(candidates, key=lambda target: (get_load(target, elsewhere), rng.random()))
+
+
 def get_load(target: Target, elsewhere: Callable[[TargetId], int]) -> float:
     """Return what is in flight at a target over all hosts, by slot."""
     return (target.in_flight + elsewhere(target.id)) / max(1, target.listed.slots)
--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -19,6 +19,7 @@
     from ..wire.http_client import ClientResponse
     from .dialect import AnswerHead, CallHead, Dialect
     from .identity import RequestIdentity
+    from .suspicion import Suspicion
     from .target_ends import TargetEnds
     from .targets import Target, TargetSet
 
@@ -68,6 +69,7 @@
     :param failure_domain: that of this host.
     :param elsewhere: calls that other hosts have in flight at a target.
     :param ends: told where a connection to a target broke.
+    :param suspicion: what is known of requests that were on targets that ended.
     :param look_first: returns once this host may choose targets by what it knows.
     :ivar empty_since: since when a call found no target of a service.
     """
@@ -78,6 +80,7 @@
     failure_domain: str
     elsewhere: Callable[[TargetId], int]
     ends: TargetEnds
+    suspicion: Suspicion
     rng: random.Random = field(default_factory=new_rng)
     look_first: Callable[[], Awaitable[None]] = return_at_once
     empty_since: dict[ServiceName, float] = field(default_factory=dict)
@@ -90,7 +93,14 @@
             self.empty_since.pop(service, None)
         else:
             self.empty_since.setdefault(service, now)
-        return choose_target(candidates, self.failure_domain, tried, self.elsewhere, self.rng)
+        return choose_target(
+            candidates,
+            self.failure_domain,
+            tried,
+            self.elsewhere,
+            self.rng,
+            self.suspicion.find_reserved(),
+        )
 
     def expect_target_s(self, service: ServiceName) -> float:
         """Return the seconds until a service without any target may have one again; 0 if it has.
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -8,6 +8,7 @@
 
 from .. import events
 from ..errors import GradepointError
+from ..routing.suspects import Standing
 from ..telemetry import metrics
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
@@ -18,6 +19,7 @@
 from .event_stream import EventSplitter
 from .forwarding import Exchange, Forwarder, OtherInstance, TargetBusy, TargetFailed
 from .identity import identify
+from .suspicion import TRIAL_RETRY_S
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -95,6 +97,7 @@
                 if not self.may_try_again:
                     raise self._failure(error) from error
                 self._note_retry(exchange.target, str(error))
+                await self.forwarder.ends.wait(exchange.target)
                 continue
             except BaseException:
                 exchange.close()
@@ -112,7 +115,7 @@
             target = self._next_target()
             self.tried.add(target.id)
             try:
-                return await self._try(target, resume_after)
+                return await self._try_once(target, resume_after)
             except (ConnectFailed, OtherInstance) as error:
                 self.unsent += 1
                 if self.unsent >= MAX_UNSENT_TRIES:
@@ -129,6 +132,15 @@
                 if not self.may_try_again:
                     raise
                 self._note_retry(target, str(error))
+                await self.forwarder.ends.wait(target)
+
+    async def _try_once(self, target: Target, resume_after: int | None) -> Exchange:
+        """Try a target, and leave it to other calls again where it does not answer."""
+        try:
+            return await self._try(target, resume_after)
+        except BaseException:
+            target.end_trial(self.request)
+            raise
 
     async def _try(self, target: Target, resume_after: int | None) -> Exchange:
         remaining = self.remaining_s
@@ -170,7 +182,8 @@
 
         :raises TargetFailed: the call is better sent elsewhere.
         """
-        if not self.route.repeatable or self.sent + 1 >= self.route.max_attempts:
+        last = self.sent + 1 >= self.route.max_attempts
+        if not self.route.repeatable or last or target.trial is not None:
             return await sending
         wait_s = self._first_wait_s()
         while not sending.done():
@@ -193,6 +206,15 @@
 
         :raises GradepointError: there is none now. Its caller knows at once, and can come back.
         """
+        suspicion = self.forwarder.suspicion
+        standing = suspicion.find_standing(self.request)
+        if standing is Standing.HELD:
+            raise suspicion.refuse_held(self.request)
+        if standing is Standing.SUSPECTED:
+            target = suspicion.choose_trial(self.request, self.service, self.tried)
+            if target is None:
+                raise self._refusal("request_suspected", TRIAL_RETRY_S)
+            return target
         target = self.forwarder.choose(self.service, self.tried)
         if target is None:
             raise self._refusal("no_target", self.forwarder.expect_target_s(self.service))
@@ -304,6 +326,7 @@
                     exchange.close()
                     if not self.may_try_again:
                         raise self._cut(exchange, error) from error
+                    await self.forwarder.ends.wait(exchange.target)
                     emit(
                         events.STREAM_RESUMED,
                         request=self.head.request_id,
@@ -335,6 +358,7 @@
     def _finish(self, exchange: Exchange) -> None:
         exchange.close()
         exchange.target.record_success()
+        self.forwarder.suspicion.note_answer(self.request)
         metrics.shared().calls.add(1, {"outcome": "complete"})
         emit(
             events.CALL_ANSWERED,
--- /dev/null
+++ b/gradepoint/gateway/suspicion.py
@@ -0,0 +1,208 @@
+"""What this host does with requests that were on targets that ended.
+
+The decision stands in :mod:`~gradepoint.routing.suspects`; here it meets targets, other hosts and
+the log.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from .. import events
+from ..errors import GradepointError
+from ..peers.datagrams import number_target
+from ..routing.suspects import MILLISECONDS, Standing, Suspects, Trial
+from ..telemetry import metrics
+from ..telemetry.logs import emit
+from ..util.clock import monotonic
+from .choice import choose_alone, get_load
+from .identity import show_key
+from .targets import TrialRun
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Collection, Iterable
+
+    from ..ids import RequestKey, ServiceName, TargetId, TargetNumber
+    from ..peers.aggregation import Aggregation
+    from ..routing.suspects import Change, ToldSuspects
+    from .identity import RequestIdentity
+    from .target_ends import TargetEnd, TargetEnds
+    from .targets import Target, TargetSet
+
+TRIAL_RETRY_S = 1.0
+"""Seconds after which a suspected request may come back that cannot be tried now: a trial takes
+about as long as an answer, and targets that ended are back within seconds."""
+
+
+@dataclass
+class Suspicion:
+    """Requests that were on targets that ended, and their trials.
+
+    :param elsewhere: calls that other hosts have in flight at a target.
+    :param trials_elsewhere: returns the targets that suspected requests have to themselves, as
+        other hosts tell.
+    :param on_news: called when there is something to tell other hosts.
+    :param on_told_end: told of a target that another host saw end.
+    :param on_held: told of a request that is held back from now on, by what this host saw.
+    """
+
+    targets: TargetSet
+    elsewhere: Callable[[TargetId], int]
+    rng: random.Random
+    trials_elsewhere: Callable[[], dict[RequestKey, TargetNumber]] = dict
+    on_news: Callable[[], None] = lambda: None
+    on_held: Callable[[RequestKey], None] = lambda _: None
+    on_told_end: Callable[[Target], None] = lambda _: None
+    suspects: Suspects = field(default_factory=Suspects)
+
+    def find_standing(self, request: RequestIdentity) -> Standing:
+        """Return what is known of a request."""
+        if not self.suspects.records:
+            return Standing.CLEAR
+        return self.suspects.find_standing(request.key, monotonic())
+
+    def refuse_held(self, request: RequestIdentity) -> GradepointError:
+        """Return the answer to a request that is held back."""
+        metrics.shared().held_calls.add(1)
+        return GradepointError(
+            "request_held",
+            f"Targets ended each time they ran this request ({show_key(request.key)}).",
+        )
+
+    def choose_trial(
+        self, request: RequestIdentity, service: ServiceName, tried: Collection[TargetId]
+    ) -> Target | None:
+        """Return a target for a suspected request, None if it cannot be tried now.
+
+        The target is the request's alone until the call leaves it.
+        """
+        trials = self._find_trials()
+        if request.key in trials or not self._may_try(service, len(trials)):
+            return None
+        candidates = self.targets.candidates(service, monotonic())
+        taken = {*tried, *self.find_reserved()}
+        left = [target for target in candidates if target.id not in taken]
+        target = choose_alone(left, self.elsewhere, self.rng)
+        if target is not None:
+            empty = not get_load(target, self.elsewhere)
+            kind = Trial.ALONE if empty else Trial.ACCOMPANIED
+            target.trial = TrialRun(request, kind)
+            self.on_news()
+        return target
+
+    def find_reserved(self) -> set[TargetId]:
+        """Return the targets that suspected requests have to themselves."""
+        by_number = self.targets.by_number
+        numbers = self._find_trials().values()
+        return {by_number[number].id for number in numbers if number in by_number}
+
+    def _find_trials(self) -> dict[RequestKey, TargetNumber]:
+        return {**self.trials_elsewhere(), **self.tell_trials()}
+
+    def _may_try(self, service: ServiceName, trials: int) -> bool:
+        """Whether half of a service's targets are left if every trial ends its target."""
+        known, working = self.targets.count_places(service, monotonic())
+        return working - trials - 1 >= known // 2
+
+    def tell_trials(self) -> dict[RequestKey, TargetNumber]:
+        """Return the targets that suspected requests of this host have to themselves."""
+        return {
+            target.trial.request.key: number
+            for number, target in self.targets.by_number.items()
+            if target.trial is not None
+        }
+
+    def note_end(self, end: TargetEnd) -> None:
+        """Take the end of a target that this host saw."""
+        if end.planned or end.common:
+            return
+        life = number_target(end.target.id)
+        requests = [(request.key, kind) for request, kind in end.requests]
+        changes = self.suspects.note_end(life, requests, monotonic())
+        self._log(changes)
+        for change in changes:
+            if change.standing is Standing.HELD:
+                self.on_held(change.key)
+        self.on_news()
+
+    def note_answer(self, request: RequestIdentity) -> None:
+        """Take a whole answer to a request, which did not end its target."""
+        changes = self.suspects.note_answer(request.key, monotonic())
+        if changes:
+            self._log(changes)
+            self.on_news()
+
+    def note_alive(self, target: Target) -> None:
+        """Take back the end of a target that lives on."""
+        self._log(self.suspects.note_alive(number_target(target.id), monotonic()))
+
+    def note_kept(self, key: RequestKey, *, kept: bool) -> None:
+        """Take note that the key-value service lists a request as held back, or does no more."""
+        self._log(self.suspects.keep(key, monotonic(), kept=kept))
+
+    def let_go(self, key: RequestKey) -> bool:
+        """Serve a request again that was held back; return whether it was known."""
+        known = key in self.suspects.records
+        self._log(self.suspects.let_go(key, monotonic()))
+        self.on_news()
+        return known
+
+    def hear(self, told: ToldSuspects, clock_ms: int) -> None:
+        """Take what another host tells."""
+        if not told.suspects and not told.alive:
+            return
+        now = monotonic()
+        changes = self.suspects.hear(told, now - clock_ms / MILLISECONDS, now)
+        self._log(changes)
+        for life in {life for change in changes for life in change.ends}:
+            target = self.targets.by_number.get(life)
+            if target is not None:
+                self.on_told_end(target)
+
+    def tell_own(self) -> ToldSuspects:
+        """Return what this host saw lately."""
+        return self.suspects.tell_own(monotonic())
+
+    def tell_all(self) -> ToldSuspects:
+        """Return what this host knows and others may not."""
+        return self.suspects.tell_all(monotonic())
+
+    def forget(self) -> None:
+        """Leave out what does not count any more."""
+        self.suspects.forget(monotonic())
+
+    def _log(self, changes: Iterable[Change]) -> None:
+        for change in changes:
+            event = STANDING_EVENTS.get(change.standing)
+            if change.standing.value < change.former.value:
+                event = events.REQUEST_CLEARED if change.former in STANDING_EVENTS else None
+            if event is not None:
+                emit(
+                    event,
+                    key=show_key(change.key),
+                    standing=change.standing.name.lower(),
+                    ended=self._name_lives(change.ends),
+                )
+                metrics.shared().suspects.add(1, {"standing": change.standing.name.lower()})
+
+    def _name_lives(self, lives: Iterable[TargetNumber]) -> list[str]:
+        """Return the names of lives that are still listed, and the numbers of the others."""
+        by_number = self.targets.by_number
+        return [by_number[life].id if life in by_number else f"#{life}" for life in lives]
+
+
+STANDING_EVENTS = {
+    Standing.SUSPECTED: events.REQUEST_SUSPECTED,
+    Standing.HELD: events.REQUEST_HELD,
+}
+
+
+def connect_suspicion(suspicion: Suspicion, ends: TargetEnds, aggregation: Aggregation) -> None:
+    """Let ends of targets, and what other hosts tell of them, come to *suspicion*."""
+    ends.on_end = suspicion.note_end
+    ends.on_alive = suspicion.note_alive
+    suspicion.on_told_end = ends.note_told
+    aggregation.tell_suspects = suspicion.tell_all
+    aggregation.hear_suspects = suspicion.hear
--- a/gradepoint/jobs/feeding.py
+++ b/gradepoint/jobs/feeding.py
@@ -47,7 +47,7 @@
 def choose_batch_target(
     candidates: list[Target],
     elsewhere: Callable[[TargetId], int],
-    just_fed: Collection[TargetId],
+    taken: Collection[TargetId],
     rng: random.Random,
 ) -> Target | None:
     """Return a target with a slot to spare, or None.
@@ -56,9 +56,10 @@
     they hear of each other, targets are drawn by the square of their spare slots, and a
     target gets one item of a host at a time.
 
-    :param just_fed: targets that got an item of this host since the others last heard of it.
+    :param taken: targets that got an item of this host since the others last heard of it, or that
+        one request has to itself.
     """
-    left = [target for target in candidates if target.id not in just_fed]
+    left = [target for target in candidates if target.id not in taken]
     weights = [
         max(0, batch_slots(max(1, target.listed.slots)) - target.in_flight - elsewhere(target.id))
         ** 2
--- a/gradepoint/jobs/item_run.py
+++ b/gradepoint/jobs/item_run.py
@@ -8,12 +8,12 @@
 from ..gateway.dialect import CallHead
 from ..gateway.event_stream import EventSplitter
 from ..gateway.forwarding import TargetFailed
-from ..gateway.identity import RequestIdentity
 from ..ids import RequestId
 from ..wire.http_client import ResponseBroken
 
 if TYPE_CHECKING:
     from ..gateway.forwarding import Exchange, Forwarder
+    from ..gateway.identity import RequestIdentity
     from ..gateway.targets import Target
     from .records import Item, PartialText
 
@@ -34,11 +34,15 @@
 
 
 async def read_item(
-    forwarder: Forwarder, target: Target, item: Item, host: str, partial: PartialText
+    forwarder: Forwarder,
+    target: Target,
+    item: Item,
+    request: RequestIdentity,
+    partial: PartialText,
 ) -> str:
     """Run an item at *target* and return its whole text.
 
-    :param host: value of the Host header of the item's job.
+    :param request: what the item asks for.
     :param partial: what is known of the text; it grows with each event that comes.
     :raises ItemImpossible: the item can never be done.
     :raises ItemFailed: the target ran the item and failed.
@@ -46,7 +50,7 @@
     """
     head = CallHead(
         request_id=RequestId(item.id),
-        host=host,
+        host=request.host,
         remaining_s=None,
         resume_after=None,
         passed_on=[
@@ -56,7 +60,7 @@
     )
     exchange = await forwarder.send(
         target,
-        identify_item(item, host),
+        request,
         head,
         RUN_LIMIT_S,
         resume_after=partial.last_event,
@@ -70,11 +74,6 @@
     return "\n".join(partial.data)
 
 
-def identify_item(item: Item, host: str) -> RequestIdentity:
-    """Return what an item asks for, as a call would."""
-    return RequestIdentity(host, b"", "POST", item.path, item.body)
-
-
 def _check_status(exchange: Exchange) -> None:
     status = exchange.head.status
     if status == CANNOT_BE_DONE:
--- a/gradepoint/jobs/owned.py
+++ b/gradepoint/jobs/owned.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ..gateway.identity import RequestIdentity
 from ..kv.service import ABSENT
 from ..util.clock import monotonic
 from .records import ItemEnd, PartialText, Result
@@ -28,6 +29,7 @@
     :ivar pending_since: monotonic time at which the oldest of them ended.
     :ivar committed_at: monotonic time of the last commit.
     :ivar commit_after: monotonic time before which no commit is tried.
+    :ivar identities: what items ask for, by index, as far as it was needed.
     :ivar changed: set and replaced whenever results are listed.
     """
 
@@ -47,6 +49,7 @@
     committed_at: float = field(default_factory=monotonic)
     committing: bool = False
     commit_task: asyncio.Task[None] | None = None
+    identities: dict[int, RequestIdentity] = field(default_factory=dict)
 
     @property
     def id(self) -> JobId:
@@ -85,6 +88,16 @@
         self.stored = stored
         self.committed_at = monotonic()
 
+    def identify(self, index: int) -> RequestIdentity:
+        """Return what an item asks for; the same object each time, which keeps its key."""
+        known = self.identities.get(index)
+        if known is None:
+            item, host = self.items[index], self.stored.state.host
+            known = self.identities[index] = RequestIdentity(
+                host, b"", "POST", item.path, item.body
+            )
+        return known
+
     def find_body(self, item_id: ItemId) -> bytes | None:
         """Return the body of an item, None if the job has no such item."""
         return next((item.body for item in self.items if item.id == item_id), None)
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -10,7 +10,9 @@
 from .. import events
 from ..errors import KvError, KvUnreadable
 from ..gateway.forwarding import OtherInstance, TargetBusy, TargetFailed
+from ..gateway.suspicion import TRIAL_RETRY_S
 from ..kv.service import ABSENT
+from ..routing.suspects import Standing
 from ..telemetry import metrics
 from ..telemetry.logs import emit
 from ..util.chance import new_rng
@@ -30,8 +32,9 @@
 
     from ..gateway.configuration import Configuration
     from ..gateway.forwarding import Forwarder
+    from ..gateway.identity import RequestIdentity
     from ..gateway.targets import Target
-    from ..ids import Incarnation, JobId, TargetId
+    from ..ids import Incarnation, JobId, ServiceName, TargetId
     from ..spool.records import SpooledJob
     from .records import Item
     from .repository import JobRepository
@@ -361,17 +364,37 @@
                     job.finish(Result(index, ItemEnd.DEAD))
                     continue
                 service = route.pick_service(self.rng)
-                candidates = self.forwarder.targets.candidates(service, now)
-                just_fed = {name for name, at in self.fed_at.items() if now - at < heard_s}
-                target = choose_batch_target(
-                    candidates, self.forwarder.elsewhere, just_fed, self.rng
-                )
+                request = job.identify(index)
+                standing = self.forwarder.suspicion.find_standing(request)
+                if standing in (Standing.SUSPECTED, Standing.HELD):
+                    target = self._choose_trial(request, standing, service)
+                    if target is None:
+                        # The job's other items go on.
+                        job.not_before[index] = now + TRIAL_RETRY_S
+                        continue
+                else:
+                    target = self._choose_target(service, now, heard_s)
                 if target is None:
                     break
                 self.fed_at[target.id] = now
                 self.may_start -= 1
                 self._start(job, index, target, route.max_attempts)
 
+    def _choose_target(self, service: ServiceName, now: float, heard_s: float) -> Target | None:
+        """Return a target with a slot to spare, None if there is none."""
+        candidates = self.forwarder.targets.candidates(service, now)
+        taken = {name for name, at in self.fed_at.items() if now - at < heard_s}
+        taken |= self.forwarder.suspicion.find_reserved()
+        return choose_batch_target(candidates, self.forwarder.elsewhere, taken, self.rng)
+
+    def _choose_trial(
+        self, request: RequestIdentity, standing: Standing, service: ServiceName
+    ) -> Target | None:
+        """Return a target for an item that was on targets that ended, None if it has to wait."""
+        if standing is Standing.HELD:
+            return None
+        return self.forwarder.suspicion.choose_trial(request, service, ())
+
     def _share_slots(self, now: float, heard_s: float) -> None:
         """Work out how many of the fleet's spare slots fall to this host.
 
@@ -391,6 +414,8 @@
         # Counted at once: the send itself counts only when its task first runs.
         task = self.tasks.start(self._run_item(running, target, max_failures))
         running.task = task
+        # Also where the task is cancelled before it begins.
+        task.add_done_callback(lambda _: target.end_trial(job.identify(index)))
         job.running[index] = task
         self.running.append(running)
         target.begin()
@@ -410,18 +435,21 @@
         try:
             partial = job.partial.setdefault(index, PartialText())
             text = await read_item(
-                self.forwarder, target, job.items[index], job.stored.state.host, partial
+                self.forwarder, target, job.items[index], job.identify(index), partial
             )
             job.finish(Result(index, ItemEnd.COMPLETE, text))
             target.record_success()
+            self.forwarder.suspicion.note_answer(job.identify(index))
             metrics.shared().items.add(1, {"result": "complete"})
             took_ms = round((monotonic() - running.started) * 1000)
             emit(events.ITEM_ENDED, job=job.id, index=index, target=target.id, took_ms=took_ms)
         except ItemImpossible:
+            self.forwarder.suspicion.note_answer(job.identify(index))
             job.finish(Result(index, ItemEnd.DEAD))
             emit(events.ITEM_DEAD, job=job.id, index=index, reason="impossible")
             metrics.shared().items.add(1, {"result": "dead"})
         except ItemFailed as error:
+            self.forwarder.suspicion.note_answer(job.identify(index))
             self._count_failure(job, index, max_failures, str(error))
         except (ConnectFailed, OtherInstance, TargetBusy, TargetFailed) as error:
             job.not_before[index] = monotonic() + RETRY_S
--- a/gradepoint/peers/aggregation.py
+++ b/gradepoint/peers/aggregation.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ..routing.suspects import ToldSuspects
 from ..util.clock import monotonic
 from ..util.hashing import score, short_number
 from .datagrams import Report, Sums
@@ -15,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from ..ids import Incarnation, TargetNumber
+    from ..ids import Incarnation, RequestKey, TargetNumber
 
 RELIED_S = 0.6
 """Seconds after its last word that an aggregator counts a host as relying on it: two of the longest
@@ -58,8 +59,11 @@
 
     def says_the_same(self, report: Report) -> bool:
         """Whether *report* differs from this one at most in what it says of itself."""
-        same = msgspec.structs.replace(report, number=self.report.number, relies=self.report.relies)
-        return same == self.report
+        known = self.report
+        same = msgspec.structs.replace(
+            report, number=known.number, relies=known.relies, clock_ms=known.clock_ms
+        )
+        return same == known
 
 
 @dataclass
@@ -72,6 +76,8 @@
     :ivar results_told_at: monotonic time at which all changed results were told last.
     :ivar changed: a report came since the sums were last told.
     :ivar heard_results: what each host said last, by target.
+    :ivar tell_suspects: returns what hosts are told of requests that were on targets that ended.
+    :ivar hear_suspects: takes what a host tells of them, and the clock of that host.
     """
 
     find_slots: Callable[[TargetNumber], int | None]
@@ -83,6 +89,8 @@
     told_failures: dict[TargetNumber, int] = field(default_factory=dict)
     results_told_at: float = float("-inf")
     heard_results: dict[Incarnation, dict[TargetNumber, HeardResults]] = field(default_factory=dict)
+    tell_suspects: Callable[[], ToldSuspects] = ToldSuspects
+    hear_suspects: Callable[[ToldSuspects, int], None] = lambda _, __: None
 
     def take(self, report: Report, address: str) -> None:
         """Take a host's report."""
@@ -101,6 +109,7 @@
         self.changed = self.changed or heard.unconfirmed
         self.reports[report.incarnation] = heard
         self._add_results(report)
+        self.hear_suspects(report.suspects, report.clock_ms)
 
     def forget_silent(self) -> None:
         """Leave out hosts that do not report any more."""
@@ -147,8 +156,17 @@
             self._find_hosts_to_give_way(),
             self.relied_on,
             tells_all,
+            self.tell_suspects(),
+            self._find_trials(),
         )
 
+    def _find_trials(self) -> dict[RequestKey, TargetNumber]:
+        """Return the targets that suspected requests have to themselves."""
+        trials = {}
+        for heard in self.reports.values():
+            trials.update(heard.report.trials)
+        return trials
+
     def _find_results(self, *, tells_all: bool) -> dict[TargetNumber, ToldResults]:
         """Return the results that are told now; a target that begins to fail does not wait."""
         found = {}
--- a/gradepoint/peers/datagrams.py
+++ b/gradepoint/peers/datagrams.py
@@ -10,7 +10,8 @@
 import msgspec
 
 from .. import events
-from ..ids import ConfigVersion, Incarnation, TargetNumber
+from ..ids import ConfigVersion, Incarnation, RequestKey, TargetNumber
+from ..routing.suspects import ToldSuspects
 from ..telemetry.logs import emit
 from ..util.hashing import short_number
 from ..wire.addresses import split_address
@@ -21,7 +22,7 @@
 
     from ..ids import TargetId
 
-DATAGRAM_FORMAT = 5
+DATAGRAM_FORMAT = 6
 """Version of the datagrams; others are dropped."""
 
 
@@ -63,6 +64,9 @@
     :param waiting: weight of the batch items that could start.
     :param results: results of the host's calls in this life, by target, where they changed
         lately.
+    :param suspects: requests that the host saw on targets that ended.
+    :param trials: targets that a suspected request of the host has to itself, by request.
+    :param clock_ms: the host's clock as it sends this.
     """
 
     format: int
@@ -73,6 +77,9 @@
     waiting: int
     results: dict[TargetNumber, ToldResults]
     relies: bool = False
+    suspects: ToldSuspects = msgspec.field(default_factory=ToldSuspects)
+    trials: dict[RequestKey, TargetNumber] = {}
+    clock_ms: int = 0
 
 
 class Sums(msgspec.Struct, frozen=True, array_like=True):
@@ -82,6 +89,8 @@
     :param results: results of all hosts' calls since the aggregator began, by target, where
         they changed lately.
     :param all_results: *results* has all of these; else only those with new failures.
+    :param suspects: requests that were on targets that ended.
+    :param trials: targets that a suspected request has to itself, by request.
     :param waiting: weight of the batch items that could start.
     :param giving_way: short numbers of the hosts that take an item back, by target.
     :param relied_on: some host relies on them, so that every change is told.
@@ -94,6 +103,8 @@
     giving_way: dict[TargetNumber, list[int]]
     relied_on: bool = True
     all_results: bool = True
+    suspects: ToldSuspects = msgspec.field(default_factory=ToldSuspects)
+    trials: dict[RequestKey, TargetNumber] = {}
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True, tag="digest"):
@@ -101,11 +112,13 @@
 
     :param number: the receiver's own report that they include; 0 for none.
     :param sums: :class:`Sums`, encoded once for all hosts.
+    :param clock_ms: the aggregator's clock as it sends this.
     """
 
     format: int
     number: int
     sums: msgspec.Raw
+    clock_ms: int = 0
 
 
 Message = Beat | Report | Digest
--- a/gradepoint/peers/occupancy.py
+++ b/gradepoint/peers/occupancy.py
@@ -27,7 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..ids import Incarnation, TargetId, TargetNumber
+    from ..ids import Incarnation, RequestKey, TargetId, TargetNumber
     from .datagrams import DatagramSocket
 
 AGGREGATORS = 3
@@ -50,6 +50,7 @@
 aggregator. After them the host relies on the next one."""
 DISTRUST_S = 1.0
 """Seconds for which an aggregator that did not answer is not relied on."""
+MILLISECONDS = 1000
 KEPT_REPORTS = 200
 """Own reports that are kept, to know what of a digest is this host's: three seconds' worth."""
 
@@ -60,6 +61,11 @@
     return rank("aggregators", lives)[:AGGREGATORS]
 
 
+def read_clock_ms() -> int:
+    """Return this host's clock as it is told beside moments."""
+    return round(monotonic() * MILLISECONDS)
+
+
 @dataclass
 class HeardSums:
     """The newest sums of an aggregator.
@@ -129,6 +135,13 @@
         """Return the weight of the items of other hosts that could start."""
         return max((heard.waiting for heard in self._find_told()), default=0)
 
+    def find_trials(self) -> dict[RequestKey, TargetNumber]:
+        """Return the targets that suspected requests have to themselves, at any host."""
+        trials: dict[RequestKey, TargetNumber] = {}
+        for heard in self._find_told():
+            trials.update(heard.sums.trials)
+        return trials
+
     def must_give_way(self, target: TargetId) -> bool:
         """Whether this host takes an item back from a target."""
         heard = self.heard.get(self._find_teller() or self.own)
@@ -219,7 +232,9 @@
         # One that is not relied on may be well and tell other hosts, so it hears all as well.
         count = self.aggregators.index(relied_on) + 1 if relied_on in self.aggregators else 0
         for life in self.aggregators if tells_all else self.aggregators[:count]:
-            told = msgspec.structs.replace(report, relies=life == relied_on)
+            told = msgspec.structs.replace(
+                report, relies=life == relied_on, clock_ms=read_clock_ms()
+            )
             if life == self.own:
                 self.aggregation.take(told, "")
             elif life in addresses:
@@ -250,7 +265,7 @@
             if not tells_all and not heard.unconfirmed:
                 continue
             heard.unconfirmed = False
-            digest = Digest(DATAGRAM_FORMAT, heard.report.number, body)
+            digest = Digest(DATAGRAM_FORMAT, heard.report.number, body, read_clock_ms())
             if life == self.own:
                 self.hear(digest)
             else:
@@ -271,6 +286,7 @@
                 self.unconfirmed.popleft()
         self._merge()
         self._compare_results(sums, own)
+        self.aggregation.hear_suspects(sums.suspects, digest.clock_ms)
 
     def forget_silent(self) -> None:
         """Leave out reports and sums that are too old, and distrust that is over."""
--- a/gradepoint/telemetry/metrics.py
+++ b/gradepoint/telemetry/metrics.py
@@ -114,6 +114,8 @@
         self.calls = LateCounter("gradepoint_calls", "Answers by outcome")
         self.refusals = LateCounter("gradepoint_refusals", "By reason")
         self.retries = LateCounter("gradepoint_retries", "By reason")
+        self.suspects = LateCounter("gradepoint_suspects", "Requests by new standing")
+        self.held_calls = LateCounter("gradepoint_held_calls", "Calls answered as held back")
         self.kv_calls = LateCounter("gradepoint_kv_calls", "By kind")
         self.kv_failures = LateCounter("gradepoint_kv_failures", "By kind")
         self.items = LateCounter("gradepoint_batch_items", "By result")
--- a/tests/test_gateway/test_gateway_refusals.py
+++ b/tests/test_gateway/test_gateway_refusals.py
@@ -12,6 +12,7 @@
 from gradepoint.gateway.dialect import CallHead
 from gradepoint.gateway.forwarding import LONGEST_EXPECTED_S, Forwarder
 from gradepoint.gateway.live import RETRY_AFTER_S, LiveCall, create_call
+from gradepoint.gateway.suspicion import Suspicion
 from gradepoint.gateway.target_ends import TargetEnds
 from gradepoint.gateway.targets import TargetSet
 from gradepoint.ids import RequestId
@@ -46,7 +47,14 @@
     targets = TargetSet(1.0)
     ends = TargetEnds(targets, lambda address: look_at_port(address, 0.1))
     forwarder = Forwarder(
-        targets, PlatformDialect(), HttpClient(), "a", lambda _: 0, ends, random.Random(1)
+        targets,
+        PlatformDialect(),
+        HttpClient(),
+        "a",
+        lambda _: 0,
+        ends,
+        Suspicion(targets, lambda _: 0, random.Random(1)),
+        random.Random(1),
     )
 
     async def refuse() -> float:
