Take ports of virtual deployments from the network in memory

Cause: programs in virtual time took ports of the real host, from a place that the process's number gives, and the network in memory gave its connections ports from 20000 on without a look at what listens ("address in use").

--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -21,11 +21,11 @@
 from gradepoint.platform.store import PlatformStore
 from gradepoint.spool.app import DataHost
 from gradepoint.spool.settings import DataHostSettings, check_data_host_settings
-from gradepoint.standins.ports import LOOPBACK, free_port
+from gradepoint.standins.ports import LOOPBACK
 from gradepoint.util import hashing
 from gradepoint.wire.http_client import HttpClient, ResponseBroken
 
-from .virtual_network import SeededTokens, run_on_network
+from .virtual_network import SeededTokens, run_on_network, take_port
 
 HOST = "calls.example"
 ITEM_TOKENS = 100
@@ -91,10 +91,10 @@
         "host": host,
         "failure_domain": "zone-a",
         "address": LOOPBACK,
-        "callers_address": f"{LOOPBACK}:{free_port()}",
-        "ready_address": f"{LOOPBACK}:{free_port()}",
-        "peer_ports": str(free_port()),
-        "metrics_port": free_port(),
+        "callers_address": f"{LOOPBACK}:{take_port()}",
+        "ready_address": f"{LOOPBACK}:{take_port()}",
+        "peer_ports": str(take_port()),
+        "metrics_port": take_port(),
         "store_address": store_address,
     }
     return check_gateway_settings(values).unwrap()
@@ -106,8 +106,8 @@
         "host": host,
         "failure_domain": "zone-a",
         "address": LOOPBACK,
-        "peer_ports": str(free_port()),
-        "metrics_port": free_port(),
+        "peer_ports": str(take_port()),
+        "metrics_port": take_port(),
         "store_address": store_address,
         "store_timeout_s": 0.5,
         "data_folder": str(folder),
--- a/tests/support/virtual_network.py
+++ b/tests/support/virtual_network.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
+from gradepoint.standins.ports import free_port
 from gradepoint.standins.virtual_time import VirtualLoop, virtual_clocks
 
 T = TypeVar("T")
@@ -283,8 +284,10 @@
                 transport.mute = transport.peer.mute = True
 
     def next_port(self) -> int:
-        """Return a port that nobody has."""
+        """Return a port that nobody has and that was not returned before."""
         self.ports += 1
+        while any(port == self.ports for _, port in (*self.listening, *self.datagrams)):
+            self.ports += 1
         return self.ports
 
     async def create_server(  # type: ignore[override]
@@ -354,6 +357,16 @@
         return task
 
 
+def take_port() -> int:
+    """Return a port for a program: of the network in memory where that carries the test, else of
+    the real host."""
+    try:
+        loop = asyncio.get_running_loop()
+    except RuntimeError:
+        return free_port()
+    return loop.next_port() if isinstance(loop, NetworkLoop) else free_port()
+
+
 class SeededTokens:
     """Stands for the module of random tokens."""
 
