Reproduce that restarts and operators know nothing of what is held back: tests that fail

Cause: what is held back stands in the hosts' memories alone, so that a restart of the whole fleet costs four targets more, and operators can neither see nor let it go.

Ruled out: hosts that start one by one; they are told by the others.

Conclusion: keep it in the platform's store.

--- /dev/null
+++ b/tests/test_gateway/test_gateway_held.py
@@ -0,0 +1,98 @@
+"""What is held back is kept over restarts, listed, and let go by operators."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from gradepoint.gateway.identity import show_key
+from gradepoint.routing.suspects import Standing
+from tests.support.platform import Deployment, run_in_virtual_time, until
+
+from .test_gateway_blame import HARM, count_sends, hold_back, start
+
+
+async def ask(deployment: Deployment, method: str, path: str) -> tuple[int, bytes]:
+    """Send an operator's request to the first gateway."""
+    settings = deployment.gateways[0].settings
+    address = (settings.address, settings.metrics_port)
+    response = await deployment.http.send(address, method, path, fresh=True)
+    return response.status, await response.read()
+
+
+async def list_held(deployment: Deployment) -> list[dict[str, object]]:
+    """Return what the first gateway lists."""
+    status, body = await ask(deployment, "GET", "/held")
+    assert status == 200
+    rows: list[dict[str, object]] = msgspec.json.decode(body)["requests"]
+    return rows
+
+
+def test_what_is_held_back_is_known_after_all_hosts_started_again() -> None:
+    # Otherwise each restart of the fleet costs four targets more.
+    async def work(deployment: Deployment) -> None:
+        await start(deployment, 3, 8)
+        await hold_back(deployment)
+        await asyncio.sleep(0.5)
+        sends = count_sends(deployment)
+        for gateway in list(deployment.gateways):
+            await deployment.kill(gateway)
+        for number in range(3):
+            await deployment.add_gateway(f"host-{number}")
+        for number in range(6):
+            answer = await deployment.call("/single/plain/harm", body=HARM, gateway=number % 3)
+            assert answer.status == 502 and b"request_held" in answer.body
+        assert count_sends(deployment) == sends
+
+    run_in_virtual_time(work)
+
+
+def test_what_is_held_back_while_the_store_is_away_is_known_to_a_host_that_starts() -> None:
+    async def work(deployment: Deployment) -> None:
+        await start(deployment, 3, 8)
+        deployment.store.server.abort()
+        await hold_back(deployment)
+        await deployment.store.server.start("127.0.0.1", deployment.store.server.port)
+        sends = count_sends(deployment)
+        late = await deployment.add_gateway("late")
+        await until(
+            lambda: bool(
+                late.suspicion.suspects.find(Standing.HELD, asyncio.get_running_loop().time())
+            )
+        )
+        answer = await deployment.call("/single/plain/harm", body=HARM, gateway=3)
+        assert answer.status == 502
+        assert count_sends(deployment) == sends
+
+    run_in_virtual_time(work)
+
+
+def test_operators_see_what_is_held_back_and_let_it_go() -> None:
+    async def work(deployment: Deployment) -> None:
+        await start(deployment, 3, 8)
+        assert await list_held(deployment) == []
+        await hold_back(deployment)
+        await asyncio.sleep(0.5)
+        rows = await list_held(deployment)
+        assert len(rows) == 1
+        row = rows[0]
+        assert row["standing"] == "held"
+        assert row["method"] == "POST" and row["path"] == "/single/plain/harm"
+        assert isinstance(row["ended"], list) and len(row["ended"]) >= 4
+        # The targets have other weights now.
+        for target in deployment.targets:
+            target.harmful = set()
+        status, _ = await ask(deployment, "DELETE", f"/held/{row['key']}")
+        assert status == 200
+        await asyncio.sleep(0.5)
+        for host in range(3):
+            answer = await deployment.call("/single/plain/harm", body=HARM, gateway=host)
+            assert answer.status == 200
+        assert await list_held(deployment) == []
+        assert not [key for key in deployment.store.keys.keys if "held" in key]
+        # A key that nobody knows, and one that is none.
+        assert (await ask(deployment, "DELETE", f"/held/{show_key(1)}"))[0] == 404  # type: ignore[arg-type]
+        assert (await ask(deployment, "DELETE", "/held/none"))[0] == 404
+
+    run_in_virtual_time(work)
