Keep what is held back in the store, list it and let it go

Ruled out: a record that every host writes; the host whose trial decided writes one key under a lease of its own, which lapses when hosts forget as well. A store that is away costs nothing, since hosts tell each other.

Change: gateway/held.py below the prefix that every host follows already; GET and DELETE of /held beside the metrics page; gradepoint held.

--- a/gradepoint/cmd/main.py
+++ b/gradepoint/cmd/main.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import sys
+from functools import partial
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -24,6 +25,7 @@
 from ..config.schema import document_schema
 from ..errors import CATALOGUE
 from .explain import explain_request
+from .held import let_go, show_held
 from .local import run_local
 from .reference import write_reference
 from .render import print_jobs, print_json, print_status
@@ -177,6 +179,20 @@
         print_jobs(body)
 
 
+@app.command()
+def held(
+    gateway: Annotated[str, typer.Argument(help="IP:PORT of a gateway's metrics page.")],
+    let: Annotated[str, typer.Option("--let-go", help="Key of a request to serve again.")] = "",
+    as_json: JsonOption = False,
+) -> None:
+    """List requests that end their targets, or let one go."""
+    client = AdminClient(f"http://{gateway}", "")
+    if let and not let_go(partial(_ask, client), let):
+        raise typer.Exit(EXIT_NO)
+    if not let:
+        show_held(partial(_ask, client), as_json=as_json)
+
+
 @app.command()
 def audit(
     admin: AdminOption = DEFAULT_ADMIN, key: KeyOption = "", as_json: JsonOption = False
--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -69,6 +69,12 @@
 REQUEST_CLEARED = _declare(
     219, "request_cleared", "INFO", "A request is served again like any other; see its standing."
 )
+HELD_NOT_KEPT = _declare(
+    220, "held_not_kept", "WARNING", "The service did not take what is held back; hosts know it."
+)
+HELD_UNREADABLE = _declare(
+    221, "held_unreadable", "ERROR", "A key of what is held back cannot be decoded."
+)
 TARGET_CLOSED = _declare(
     216, "target_closed", "WARNING", "Nothing listens at a target's address; it gets no calls."
 )
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -55,6 +55,7 @@
 from .beliefs import ConfigurationBelief, LiveFollower, OperatorFollower, TargetFollower
 from .configuration import NO_VERSION, RouteKind
 from .forwarding import Forwarder
+from .held import HELD_PREFIX, PAGE, HeldRequests
 from .live import create_call
 from .peer_configuration import follow_peers
 from .retirement import Retirement
@@ -186,6 +187,8 @@
             lambda: self.occupancy.changed.set(),
         )
         connect_suspicion(self.suspicion, self.target_ends, self.occupancy.aggregation)
+        self.held = HeldRequests(kv, self.suspicion)
+        self.suspicion.on_held = self.held.keep
         self.forwarder = Forwarder(
             self.targets,
             platform.dialect,
@@ -300,6 +303,8 @@
             END_PREFIX,
             self.adoption.note_lost,
             lambda job_id: self.worker.drop(job_id, "ended"),
+            HELD_PREFIX,
+            self.held.take,
         )
         return Watchers(
             self.kv,
@@ -450,8 +455,10 @@
         """Answer the platform's readiness check."""
         return Response(200 if self.ready else 503)
 
-    async def answer_metrics(self, _request: Request) -> Response:
-        """Answer with this process's counters and histograms."""
+    async def answer_metrics(self, request: Request) -> Response:
+        """Answer with this process's counters and histograms, or what is held back."""
+        if request.path.startswith(PAGE):
+            return await self.held.answer(request)
         return Response(200, {"content-type": "text/plain; version=0.0.4"}, await metrics.render())
 
     async def answer_peer(self, request: Request) -> Response:
@@ -516,6 +523,7 @@
         await self.retirement.tasks.stop()
         await self.standstill.tasks.stop()
         await self.target_ends.tasks.stop()
+        await self.held.tasks.stop()
 
     def abort(self) -> None:
         """Close every socket that others use."""
--- a/gradepoint/gateway/beliefs.py
+++ b/gradepoint/gateway/beliefs.py
@@ -131,10 +131,12 @@
 
 @dataclass
 class LiveFollower:
-    """Follows live hosts and ended jobs, which share a prefix so that one watch serves both.
+    """Follows live hosts, ended jobs and requests that are held back: one prefix, so that one watch
+    serves them all.
 
     :param data_hosts: hosts that keep jobs while the service is away.
     :param end_prefix: prefix of the keys that tell of ended jobs.
+    :param held_prefix: prefix of the keys of what is held back; *on_held* is told of their values.
     """
 
     hosts: HostTable
@@ -142,6 +144,8 @@
     end_prefix: str
     on_host_lost: Callable[[Incarnation], None]
     on_job_ended: Callable[[JobId], None]
+    held_prefix: str
+    on_held: Callable[[str, bytes | None], None]
     known: set[str] = field(default_factory=set)
 
     def reset(self, found: RangeResult) -> None:
@@ -161,19 +165,29 @@
             if value is not None:
                 self.on_job_ended(key.removeprefix(self.end_prefix))  # type: ignore[arg-type]
             return
+        if key.startswith(self.held_prefix):
+            self._know(key, value)
+            self.on_held(key, value)
+            return
         table = self._find_table(key)
         if table is None:
             return
+        self._know(key, value)
         lives = self.hosts.incarnations
         if value is None:
-            self.known.discard(key)
             table.remove(key)
         else:
-            self.known.add(key)
             table.put_readable(key, value)
         for life in lives - self.hosts.incarnations:
             self.on_host_lost(life)
 
+    def _know(self, key: str, value: bytes | None) -> None:
+        """Remember which keys are listed, to miss those that are gone."""
+        if value is None:
+            self.known.discard(key)
+        else:
+            self.known.add(key)
+
     def _find_table(self, key: str) -> HostTable | None:
         for table in (self.hosts, self.data_hosts):
             if key.startswith(table.prefix):
--- a/gradepoint/gateway/identity.py
+++ b/gradepoint/gateway/identity.py
@@ -49,3 +49,10 @@
 def show_key(key: RequestKey) -> str:
     """Return a key as logs and operators write it."""
     return f"{key:016x}"
+
+
+def read_key(text: str) -> RequestKey | None:
+    """Return the key that :func:`show_key` wrote, None if it did not."""
+    if len(text) != 2 * KEY_BYTES or not set(text) <= set("0123456789abcdef"):
+        return None
+    return RequestKey(int(text, 16))
--- a/gradepoint/gateway/suspicion.py
+++ b/gradepoint/gateway/suspicion.py
@@ -45,7 +45,8 @@
         other hosts tell.
     :param on_news: called when there is something to tell other hosts.
     :param on_told_end: told of a target that another host saw end.
-    :param on_held: told of a request that is held back from now on, by what this host saw.
+    :param on_held: told of a request that is held back from now on by what this host saw, and of
+        the targets that ended under it.
     """
 
     targets: TargetSet
@@ -53,7 +54,7 @@
     rng: random.Random
     trials_elsewhere: Callable[[], dict[RequestKey, TargetNumber]] = dict
     on_news: Callable[[], None] = lambda: None
-    on_held: Callable[[RequestKey], None] = lambda _: None
+    on_held: Callable[[RequestIdentity, list[str]], None] = lambda _, __: None
     on_told_end: Callable[[Target], None] = lambda _: None
     suspects: Suspects = field(default_factory=Suspects)
 
@@ -122,9 +123,10 @@
         requests = [(request.key, kind) for request, kind in end.requests]
         changes = self.suspects.note_end(life, requests, monotonic())
         self._log(changes)
-        for change in changes:
-            if change.standing is Standing.HELD:
-                self.on_held(change.key)
+        held = {c.key: c.ends for c in changes if c.standing is Standing.HELD}
+        for request, _ in end.requests:
+            if request.key in held:
+                self.on_held(request, self._name_lives(held.pop(request.key)))
         self.on_news()
 
     def note_answer(self, request: RequestIdentity) -> None:
@@ -149,6 +151,16 @@
         self.on_news()
         return known
 
+    def list_suspected(self) -> list[tuple[RequestKey, Standing, list[str]]]:
+        """Return what is suspected or held back, and the targets that ended under it."""
+        now = monotonic()
+        standings = ((k, r, r.judge(now)) for k, r in self.suspects.records.items())
+        return [
+            (key, standing, self._name_lives(record.ends))
+            for key, record, standing in standings
+            if standing in STANDING_EVENTS
+        ]
+
     def hear(self, told: ToldSuspects, clock_ms: int) -> None:
         """Take what another host tells."""
         if not told.suspects and not told.alive:
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -187,6 +187,7 @@
         await gateway.retirement.tasks.stop()
         await gateway.standstill.tasks.stop()
         await gateway.target_ends.tasks.stop()
+        await gateway.held.tasks.stop()
         gateway.abort()
         for job_id in list(gateway.worker.jobs):
             gateway.worker.drop(job_id, "killed")
--- a/tests/test_gateway/test_gateway_held.py
+++ b/tests/test_gateway/test_gateway_held.py
@@ -5,7 +5,10 @@
 import asyncio
 
 import msgspec
+import pytest
 
+from gradepoint.admin.client import AdminAnswer
+from gradepoint.cmd.held import let_go, show_held
 from gradepoint.gateway.identity import show_key
 from gradepoint.routing.suspects import Standing
 from tests.support.platform import Deployment, run_in_virtual_time, until
@@ -96,3 +99,27 @@
         assert (await ask(deployment, "DELETE", "/held/none"))[0] == 404
 
     run_in_virtual_time(work)
+
+
+def test_the_command_prints_and_lets_go(capsys: pytest.CaptureFixture[str]) -> None:
+    row = {
+        "key": "00ff",
+        "standing": "held",
+        "host": "calls.example",
+        "method": "POST",
+        "path": "/x",
+        "ended": ["t0@1", "t1@2"],
+    }
+    asked: list[tuple[str, str]] = []
+
+    def ask(method: str, path: str) -> AdminAnswer:
+        asked.append((method, path))
+        return AdminAnswer(200, {"requests": [row]})
+
+    show_held(ask, as_json=False)
+    assert capsys.readouterr().out.split() == [
+        "00ff", "held", "POST", "calls.example/x", "ended:", "t0@1,", "t1@2",
+    ]  # fmt: skip
+    assert let_go(ask, "00ff")
+    assert asked == [("GET", "/held"), ("DELETE", "/held/00ff")]
+    assert not let_go(lambda *_: AdminAnswer(404, {}), "00ff")
