Reproduce what a suspended host gets wrong: tests that fail

Cause: durations and timers read the steady clock, which stands while a host is suspended; the world goes on.

Ruled out, since these tests pass on this code: a caller that has gone is seen at once; a lease is right after 2 s.

Change: tests, and suspension as a fault of the network in memory: nothing of a program runs, its datagrams and bytes wait, and its clock and timers do what the clock that it reads does. util/clock.py names that clock; no change there.

--- a/gradepoint/standins/virtual_time.py
+++ b/gradepoint/standins/virtual_time.py
@@ -52,12 +52,16 @@
         """Return virtual seconds."""
         return self.jumping.now
 
+    def read_monotonic(self) -> float:
+        """Return what the clock for durations shows to who reads it now."""
+        return self.time()
+
 
 @contextmanager
 def virtual_clocks(loop: VirtualLoop) -> Iterator[None]:
     """Let gradepoint's clocks read *loop*."""
     before = clock.SOURCES.monotonic, clock.SOURCES.wall
-    clock.SOURCES.monotonic = loop.time
+    clock.SOURCES.monotonic = loop.read_monotonic
     clock.SOURCES.wall = lambda: WALL_START + loop.time()
     try:
         yield
--- a/gradepoint/util/clock.py
+++ b/gradepoint/util/clock.py
@@ -12,12 +12,20 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+MONOTONIC_CLOCK = time.CLOCK_MONOTONIC
+"""The system's clock that durations are read from."""
+
+
+def read_monotonic() -> float:
+    """Return the seconds of :data:`MONOTONIC_CLOCK`."""
+    return time.clock_gettime(MONOTONIC_CLOCK)
+
 
 @dataclass
 class ClockSources:
     """Where the two clocks come from."""
 
-    monotonic: Callable[[], float] = time.monotonic
+    monotonic: Callable[[], float] = read_monotonic
     wall: Callable[[], float] = time.time
 
 
--- a/tests/support/virtual_network.py
+++ b/tests/support/virtual_network.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import socket
+import time
 from collections import defaultdict
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
@@ -14,6 +15,7 @@
 
 from gradepoint.standins.ports import free_port
 from gradepoint.standins.virtual_time import VirtualLoop, virtual_clocks
+from gradepoint.util import clock
 
 T = TypeVar("T")
 
@@ -250,6 +252,8 @@
     """
 
     def __init__(self, seed: int) -> None:
+        self.wakes_at: dict[str, float] = defaultdict(float)
+        self.slept_s: dict[str, float] = defaultdict(float)
         super().__init__()
         self.seed = seed
         self.listening: dict[tuple[str, int], MemoryServer] = {}
@@ -262,6 +266,70 @@
         self.set_task_factory(self._make_task)
         self.ports = FIRST_PORT
 
+    def suspend(self, life: str, seconds: float) -> None:
+        """Let nothing of a life run for a while, as where its host is suspended.
+
+        The world goes on meanwhile. What the life's timers and clock make of that time depends on
+        the clock that programs read: one stands, the other goes on.
+        """
+        self.wakes_at[life] = self.time() + seconds
+        self.slept_s[life] += seconds
+
+    def _stands_s(self, life: str) -> float:
+        """Return how much less than the world's time the clock of a life shows."""
+        if not self._clock_stands():
+            return 0.0
+        return self.slept_s[life] - max(0.0, self.wakes_at[life] - self.time())
+
+    def read_monotonic(self) -> float:
+        """See :meth:`VirtualLoop.read_monotonic`."""
+        life = LIFE.get()
+        return self.time() - (self._stands_s(life) if life in self.slept_s else 0.0)
+
+    def call_soon(self, callback: Any, *args: Any, context: Any = None) -> asyncio.Handle:
+        """See :meth:`asyncio.loop.call_soon`; what is suspended waits until it wakes."""
+        life = _read_life(context)
+        if self.time() < self.wakes_at.get(life, 0.0):
+            return super().call_at(self.wakes_at[life], callback, *args, context=context)
+        return super().call_soon(callback, *args, context=context)
+
+    def call_at(
+        self, when: float, callback: Any, *args: Any, context: Any = None
+    ) -> asyncio.TimerHandle:
+        """See :meth:`asyncio.loop.call_at`."""
+        life = _read_life(context)
+        if not life:
+            return super().call_at(when, callback, *args, context=context)
+        handles: list[asyncio.TimerHandle] = []
+        due = when - (self._stands_s(life) if life in self.slept_s else 0.0)
+        handles.append(
+            super().call_at(
+                when, self._run_timer, handles, life, due, callback, args, context=context
+            )
+        )
+        return handles[0]
+
+    def _run_timer(
+        self,
+        handles: list[asyncio.TimerHandle],
+        life: str,
+        due: float,
+        callback: Any,
+        args: tuple[Any, ...],
+    ) -> None:
+        """Run a timer of a life, unless its host is suspended or its clock stood meanwhile."""
+        if handles[0].cancelled():
+            return
+        if life in self.slept_s:
+            again = max(self.wakes_at[life], due + self.slept_s[life] * self._clock_stands())
+            if again > self.time() + ORDER_S:
+                super().call_at(again, self._run_timer, handles, life, due, callback, args)
+                return
+        callback(*args)
+
+    def _clock_stands(self) -> bool:
+        return bool(clock.MONOTONIC_CLOCK == time.CLOCK_MONOTONIC)
+
     def is_silent(self, one: tuple[str, int], other: tuple[str, int]) -> bool:
         """Whether nothing gets through between two addresses."""
         return one[1] in self.silent or other[1] in self.silent
@@ -336,7 +404,12 @@
     def deliver(self, data: bytes, source: tuple[str, int], address: tuple[str, int]) -> None:
         """Hand a datagram to its receiver, if there is one."""
         receiver = self.datagrams.get(address)
-        if receiver is not None and not self.is_silent(source, address):
+        if receiver is None or self.is_silent(source, address):
+            return
+        wakes_at = self.wakes_at.get(_read_life(receiver.context), 0.0)
+        if self.time() < wakes_at:
+            super().call_at(wakes_at, self.deliver, data, source, address)
+        else:
             receiver.context.run(receiver.protocol.datagram_received, data, source)
 
     def kill(self, life: str) -> None:
@@ -357,6 +430,13 @@
         return task
 
 
+def _read_life(context: Any) -> str:
+    """Return the life to which what runs in *context* belongs; None stands for the current one."""
+    if context is None:
+        return LIFE.get()
+    return str(context.get(LIFE, ""))
+
+
 def take_port() -> int:
     """Return a port for a program: of the network in memory where that carries the test, else of
     the real host."""
