--- a/gradepoint/errors.py
+++ b/gradepoint/errors.py
@@ -383,6 +383,7 @@
     :param param: the field at fault, where there is one.
     :param retry_after: seconds; overrides the catalogue's value.
     :param outcome: overrides the catalogue's outcome.
+    :param request_key: what operators ask for, where a request is suspected or held back.
     """
 
     def __init__(
@@ -393,8 +394,10 @@
         param: str | None = None,
         retry_after: float | None = None,
         outcome: Outcome | None = None,
+        request_key: str | None = None,
     ) -> None:
         self.kind = CATALOGUE[code]
+        self.request_key = request_key
         self.message = message or self.kind.remedy
         self.param = param
         self.retry_after = retry_after if retry_after is not None else self.kind.retry_after
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -417,6 +417,7 @@
                 code=error.code,
                 status=error.kind.status,
                 reason=error.message,
+                key=error.request_key,
             )
             return refuse(error)
 
--- a/gradepoint/gateway/suspicion.py
+++ b/gradepoint/gateway/suspicion.py
@@ -82,10 +82,9 @@
     def refuse_held(self, request: RequestIdentity) -> GradepointError:
         """Return the answer to a request that is held back."""
         metrics.shared().held_calls.add(1)
-        return GradepointError(
-            "request_held",
-            f"Targets ended each time they ran this request ({show_key(request.key)}).",
-        )
+        key = show_key(request.key)
+        message = f"Targets ended each time they ran this request ({key})."
+        return GradepointError("request_held", message, request_key=key)
 
     def choose_trial(
         self, request: RequestIdentity, service: ServiceName, tried: Collection[TargetId]
--- a/gradepoint/telemetry/story.py
+++ b/gradepoint/telemetry/story.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-ID_FIELDS = ("request", "job", "item")
+ID_FIELDS = ("request", "job", "item", "key")
 AFTERMATH_S = 5.0
 """Seconds after the last line in which a change of belief still belongs to a story: a host that
 was lost says so by starting again."""
@@ -25,6 +25,7 @@
         "target_ejected",
         "target_vanished",
         "target_state",
+        "target_closed",
         "store_lost",
         "store_regained",
         "config_in_force",
@@ -36,6 +37,9 @@
 )
 """Changes of what a host believed; those about a target or host in the story belong to it."""
 
+KEY_EVENTS = frozenset(("target_ended", "request_suspected", "request_held", "request_cleared"))
+"""Events that name requests by their keys, since each try has another id."""
+
 
 @dataclass(frozen=True)
 class LogLine:
@@ -86,12 +90,14 @@
 
 
 def tell_story(wanted: str, lines: Iterable[str]) -> Story:
-    """Return what *lines* tell of the request, job or item *wanted*.
+    """Return what *lines* tell of the request, job or item *wanted*, or of a request by its key.
 
-    Lines may come from several hosts, in any order, and may be cut.
+    Lines may come from several hosts, in any order, and may be cut. A request that was held back
+    leads by its key to the ends of targets under other tries of it.
     """
     story = Story(wanted)
     others: list[LogLine] = []
+    by_key: list[LogLine] = []
     for text in lines:
         line = _read_line(text)
         if line is None:
@@ -100,11 +106,21 @@
             story.lines.append(line)
         elif line.event in CONTEXT_EVENTS:
             others.append(line)
+        elif line.event in KEY_EVENTS:
+            by_key.append(line)
+    keys = {wanted, *(line.fields.get("key") for line in story.lines)} - {None}
+    story.lines += [line for line in by_key if keys & _read_keys(line)]
     story.lines.sort(key=lambda line: line.time)
     story.context = _choose_context(story.lines, others)
     return story
 
 
+def _read_keys(line: LogLine) -> set[object]:
+    """Return the keys of requests that a line names."""
+    named = line.fields.get("requests")
+    return {line.fields.get("key"), *(named if isinstance(named, list) else ())}
+
+
 def _choose_context(lines: list[LogLine], others: list[LogLine]) -> list[LogLine]:
     if not lines:
         return []
--- a/tests/test_telemetry/test_telemetry_lines.py
+++ b/tests/test_telemetry/test_telemetry_lines.py
@@ -147,3 +147,26 @@
     assert cause is not None and (cause.event, cause.host) == ("program_started", "h")
     answered = tell_story("r", [*lines, make_line(1.5, "call_answered", request="r")]).cause
     assert answered is not None and answered.event == "call_answered"
+
+
+def test_a_held_request_leads_to_the_ends_under_its_other_tries() -> None:
+    def line(second: int, host: str, event: str, **fields: object) -> str:
+        row = {"time": f"2026-05-12T16:21:{second:02}", "host": host, "event_name": event}
+        return msgspec.json.encode({**row, **fields}).decode()
+
+    lines = [
+        line(1, "h1", "target_ended", target="t0", requests=["00aa", "00bb"]),
+        line(2, "h2", "target_ended", target="t1", requests=["00aa"]),
+        line(3, "h2", "target_ended", target="t2", requests=["00cc"]),
+        line(4, "h2", "request_held", key="00aa", ended=["t0", "t1"]),
+        line(5, "h3", "call_refused", request="r9", code="request_held", key="00aa"),
+    ]
+    for wanted in ("r9", "00aa"):
+        story = tell_story(wanted, lines)
+        assert [row.event for row in story.lines] == [
+            "target_ended",
+            "target_ended",
+            "request_held",
+            "call_refused",
+        ]
+    assert [row.fields["target"] for row in tell_story("00cc", lines).lines] == ["t2"]
