Look at targets that others saw end, and leave a third of them to good calls

Cause, found while the share of targets that trials leave was varied: a host that heard of an end through the store, or of a third end, which changes no standing, went on to count the ended target among those that are left.

Ruled out: the share itself; with every host informed, a third serves as many as a half, and a good request on three of six ended targets is served at once.

Change: each newly told end has the target looked at, whatever it changes; a third of the targets is left (a half before), and never fewer than one of several; an item under trial waits for a target with a slot. The new test fails on the form before.

--- a/gradepoint/gateway/suspicion.py
+++ b/gradepoint/gateway/suspicion.py
@@ -36,6 +36,12 @@
 about as long as an answer, and targets that ended are back within seconds."""
 
 
+LEFT_SHARE = 1 / 3
+"""Share of a service's targets that is left if every trial ends its target. A good request that
+was on three of six targets that ended is tried at once, and two harmful ones leave places to good
+calls; with half, the good one waits until one of the three is back."""
+
+
 @dataclass(frozen=True)
 class SuspectRow:
     """A suspected request.
@@ -87,11 +93,18 @@
         return GradepointError("request_held", message, request_key=key)
 
     def choose_trial(
-        self, request: RequestIdentity, service: ServiceName, tried: Collection[TargetId]
+        self,
+        request: RequestIdentity,
+        service: ServiceName,
+        tried: Collection[TargetId],
+        *,
+        needs_slot: bool = False,
     ) -> Target | None:
         """Return a target for a suspected request, None if it cannot be tried now.
 
         The target is the request's alone until the call leaves it.
+
+        :param needs_slot: it waits rather than stand behind other calls.
         """
         trials = self._find_trials()
         if request.key in trials or not self._may_try(service, len(trials)):
@@ -100,11 +113,13 @@
         taken = {*tried, *self.find_reserved()}
         left = [target for target in candidates if target.id not in taken]
         target = choose_alone(left, self.elsewhere, self.rng)
-        if target is not None:
-            empty = not get_load(target, self.elsewhere)
-            kind = Trial.ALONE if empty else Trial.ACCOMPANIED
-            target.trial = TrialRun(request, kind)
-            self.on_news()
+        if target is None:
+            return None
+        load = get_load(target, self.elsewhere)
+        if needs_slot and load >= 1.0:
+            return None
+        target.trial = TrialRun(request, Trial.ACCOMPANIED if load else Trial.ALONE)
+        self.on_news()
         return target
 
     def find_reserved(self) -> set[TargetId]:
@@ -117,9 +132,10 @@
         return {**self.trials_elsewhere(), **self.tell_trials()}
 
     def _may_try(self, service: ServiceName, trials: int) -> bool:
-        """Whether half of a service's targets are left if every trial ends its target."""
+        """Whether enough of a service's targets are left if every trial ends its target."""
         known, working = self.targets.count_places(service, monotonic())
-        return working - trials - 1 >= known // 2
+        least = max(int(known * LEFT_SHARE), min(1, known - 1))
+        return working - trials - 1 >= least
 
     def tell_trials(self) -> dict[RequestKey, TargetNumber]:
         """Return the targets that suspected requests of this host have to themselves."""
@@ -163,6 +179,7 @@
         """Take ends that the key-value service has kept of a request."""
         known = [(life, Trial(kind)) for life, kind in ends]
         self._log(self.suspects.restore(key, known, monotonic()))
+        self._look_at_told()
 
     def let_go(self, key: RequestKey) -> bool:
         """Serve a request again like any other; return whether it was suspected or held back."""
@@ -191,9 +208,13 @@
         if not told.suspects and not told.alive:
             return
         now = monotonic()
-        changes = self.suspects.hear(told, now - clock_ms / MILLISECONDS, now)
-        self._log(changes)
-        for life in {life for change in changes for life in change.ends}:
+        self._log(self.suspects.hear(told, now - clock_ms / MILLISECONDS, now))
+        self._look_at_told()
+
+    def _look_at_told(self) -> None:
+        """Have targets looked at that are told as ended: calls drawn to them would be lost tries,
+        and trials would count them among those that are left."""
+        for life in self.suspects.take_told_ends():
             target = self.targets.by_number.get(life)
             if target is not None:
                 self.on_told_end(target)
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -407,7 +407,7 @@
         """Return a target for an item that was on targets that ended, None if it has to wait."""
         if standing is Standing.HELD:
             return None
-        return self.forwarder.suspicion.choose_trial(request, service, ())
+        return self.forwarder.suspicion.choose_trial(request, service, (), needs_slot=True)
 
     def _share_slots(self, now: float, heard_s: float) -> None:
         """Work out how many of the fleet's spare slots fall to this host.
--- a/gradepoint/routing/suspects.py
+++ b/gradepoint/routing/suspects.py
@@ -175,12 +175,14 @@
 
     :ivar answered: moments of the last whole answers, the oldest first.
     :ivar alive: lives that were told as ended and answered since, with the moment.
+    :ivar told_ends: lives that other hosts told as ended, until who looks after targets takes them.
     :ivar told_anew_at: when suspected requests were last told again.
     """
 
     records: dict[RequestKey, Record] = field(default_factory=dict)
     answered: dict[RequestKey, float] = field(default_factory=dict)
     alive: dict[TargetNumber, float] = field(default_factory=dict)
+    told_ends: set[TargetNumber] = field(default_factory=set)
     told_anew_at: float = float("-inf")
     told_anew_from: int = 0
 
@@ -238,6 +240,7 @@
         for life, trial in ends:
             if life not in record.ends and life not in self.alive:
                 record.add(life, now, trial)
+                self.told_ends.add(life)
         return self._update(key, record, now)
 
     def find(self, standing: Standing, now: float) -> list[RequestKey]:
@@ -295,6 +298,8 @@
             for end in suspect.ends:
                 if end.life not in self.alive:
                     at = min(now, end.at_ms / MILLISECONDS + offset_s)
+                    if end.life not in record.ends:
+                        self.told_ends.add(end.life)
                     news = record.add(end.life, at, Trial(end.trial)) or news
             if suspect.answered_ms is not None:
                 at = min(now, suspect.answered_ms / MILLISECONDS + offset_s)
@@ -304,6 +309,11 @@
                 changes += self._update(suspect.key, record, now)
         return changes
 
+    def take_told_ends(self) -> set[TargetNumber]:
+        """Return the lives that were told as ended since this was last asked."""
+        told, self.told_ends = self.told_ends, set()
+        return told
+
     def _open(self, key: RequestKey) -> Record:
         record = self.records.get(key)
         if record is None:
--- a/tests/test_gateway/test_gateway_blame.py
+++ b/tests/test_gateway/test_gateway_blame.py
@@ -67,12 +67,16 @@
     target = find_busy(deployment, request_id)
     assert target is not None
     crashes.end(target)
-    return (await calling).status
+    status = (await calling).status
+    # Its caller comes back a little later, and all hosts have heard of the end by then.
+    await asyncio.sleep(0.2)
+    return status
 
 
-def test_a_good_call_whose_targets_ended_three_times_is_served() -> None:
+@pytest.mark.parametrize("targets", [6, 8, 12])
+def test_a_good_call_whose_targets_ended_three_times_is_served(targets: int) -> None:
     async def work(deployment: Deployment) -> None:
-        crashes = await start(deployment, 3, 8)
+        crashes = await start(deployment, 3, targets)
         statuses = [await end_under_call(deployment, crashes, number) for number in range(3)]
         assert statuses == [502] * 3
         answer = await deployment.call("/single/plain/x", body=b"good")
@@ -281,3 +285,18 @@
         assert worst_standing(deployment) is Standing.SEEN
 
     run_in_virtual_time(work)
+
+
+def test_a_target_that_one_host_saw_end_gets_no_calls_of_any_host() -> None:
+    # Hosts that heard of an end through the store alone went on to count the target among those
+    # that are left, and tried one suspect too many: no target was left for two seconds.
+    async def work(deployment: Deployment) -> None:
+        await start(deployment, 5, 6)
+        for number in range(2):
+            await deployment.call("/single/plain/harm", body=HARM, gateway=number)
+            await asyncio.sleep(0.1)
+            for gateway in deployment.gateways:
+                closed = {target.name for target in gateway.targets.find_closed()}
+                assert len(closed) == number + 1
+
+    run_in_virtual_time(work)
