Vary the moments of two former incidents in tests of their causes

Change: callers that cling to a stopping host over open and new connections (two fleets, three lengths of calls), and a host that starts in the last moments of a silent outage of the store (three lengths, two moments).

--- a/tests/test_gateway/test_gateway_stopping.py
+++ b/tests/test_gateway/test_gateway_stopping.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import closing
 
 import pytest
 
 from bench.platform.target import TargetStandin
 from gradepoint.gateway.app import STOP_LISTENING_S
 from gradepoint.util.clock import monotonic
-from tests.support.platform import Deployment, run_in_virtual_time, until
+from gradepoint.wire.addresses import split_address
+from gradepoint.wire.http_client import ConnectFailed, HttpClient, ResponseBroken
+from tests.support.platform import HOST, Deployment, run_in_virtual_time, until
 
 GRACE_S = 8.0
 
@@ -48,3 +51,57 @@
         await stopping
 
     run_in_virtual_time(work)
+
+
+@pytest.mark.parametrize("hosts", [1, 3])
+@pytest.mark.parametrize(("work_s", "gap_s"), [(0.05, 0.02), (0.4, 0.1), (1.3, 0.25)])
+def test_callers_that_keep_coming_to_a_stopping_host_lose_no_answer(
+    hosts: int, work_s: float, gap_s: float
+) -> None:
+    """Callers go on to use their open connections, and open new ones, until the process is gone.
+
+    A call that a target has got is answered, however late it came.
+    """
+
+    async def work(deployment: Deployment) -> None:
+        deployment.gateway_settings = {"grace_s": GRACE_S}
+        await deployment.start(gateways=hosts, targets=0)
+        target = TargetStandin("t0", work_s=work_s, slots=64)
+        await deployment.add_target(target)
+        gateway = deployment.gateways[0]
+        await until(lambda: all(bool(g.targets.by_id) for g in deployment.gateways))
+        lost: list[str] = []
+        answered = 0
+
+        async def cling(caller: int) -> None:
+            nonlocal answered
+            address = split_address(gateway.settings.callers_address)
+            with closing(HttpClient()) as http:
+                for number in range(200):
+                    name = f"cling-{caller}-{number}"
+                    headers = [
+                        ("host", HOST),
+                        ("x-attempt-id", name),
+                        ("x-time-left-ms", "4000"),
+                    ]
+                    try:
+                        response = await http.send(
+                            address, "POST", "/single/plain/x", name.encode(), headers
+                        )
+                        await response.read()
+                        answered += 1
+                    except ConnectFailed:
+                        return
+                    except ResponseBroken:
+                        if target.ran[name]:
+                            lost.append(name)
+                    await asyncio.sleep(gap_s)
+
+        callers = [asyncio.ensure_future(cling(number)) for number in range(6)]
+        await asyncio.sleep(1.0)
+        await gateway.stop()
+        await asyncio.gather(*callers)
+        assert not lost
+        assert answered > 6
+
+    run_in_virtual_time(work)
--- a/tests/test_peers/test_peers_belief_age.py
+++ b/tests/test_peers/test_peers_belief_age.py
@@ -134,3 +134,37 @@
         assert await measure(lambda: all_see_draining(deployment, leaving)) <= IN_FORCE_S
 
     run_in_virtual_time(work)
+
+
+@pytest.mark.parametrize("silent_s", [1.1, 3.3, 5.7])
+@pytest.mark.parametrize("before_end_s", [0.01, 0.3])
+def test_calls_made_in_the_last_moments_of_a_silent_outage_hide_no_change(
+    silent_s: float, before_end_s: float
+) -> None:
+    """What a host asked a silent store is never answered; a host that starts in the outage's last
+    moments asks everything then, and the changes after it come all the same.
+    """
+
+    async def work(deployment: Deployment) -> None:
+        await settle(deployment, gateways=3)
+        store = deployment.store
+        network().mute_open(store.server.port)
+        store.fault = StoreFault.SILENT
+        await asyncio.sleep(silent_s - before_end_s)
+        starting = asyncio.ensure_future(deployment.add_gateway("late"))
+        await asyncio.sleep(before_end_s)
+        store.fault = StoreFault.NONE
+        await starting
+        for version, number in ((2, 0), (3, 1)):
+            store.put("op/config", configuration(version))
+            leaving = say_draining(deployment, number)
+            assert (
+                await measure(lambda version=version: all_have(deployment, version)) <= IN_FORCE_S
+            )  # type: ignore[misc]
+            assert (
+                await measure(lambda leaving=leaving: all_see_draining(deployment, leaving))
+                <= IN_FORCE_S
+            )  # type: ignore[misc]
+            await asyncio.sleep(1.0)
+
+    run_in_virtual_time(work)
