--- a/tests/test_spool/test_spool_path.py
+++ b/tests/test_spool/test_spool_path.py
@@ -1,4 +1,4 @@
-"""Jobs accepted while the key-value service is away; hosts give each other 0.3 s, in virtual time."""
+"""Jobs accepted while the key-value service is away: hosts have 0.3 s for it, in virtual time."""
 
 from __future__ import annotations
 
