Correct what was said of memory and messages beyond a run

Cause: read again before the landing; "about two megabytes" and "under 2 KB" stood there without a run.

Ruled out: nothing. Conclusion: bounded.

--- a/gradepoint/routing/suspects.py
+++ b/gradepoint/routing/suspects.py
@@ -43,8 +43,9 @@
 """Seconds after a whole answer in which the request is not the cause of an end. A request that
 many callers send lies on every target that ends; new weights make one harmful that was not."""
 MOST_RECORDS = 4096
-"""Requests that are remembered with their ends, about two megabytes. Those with the fewest and
-oldest ends make room first: a flood of different requests pushes out none that ended targets."""
+"""Requests that are remembered with their ends: 5.9 MB when full (``tracemalloc``). Those with the
+fewest and oldest ends make room first: a flood of different requests pushes out none that ended
+targets again and again."""
 ROOM_PARTS = 16
 """One of so many records makes room at a time: a flood costs a sort for some hundred requests."""
 MOST_ANSWERED = 2048
@@ -53,7 +54,7 @@
 MOST_ENDS = 8
 """Ends kept of one request: twice what is counted, since some may turn out not to be ends."""
 MOST_TOLD = 24
-"""Requests in one message: with eight slots a target, what three ends bring, in under 2 KB."""
+"""Requests in one message: with eight slots a target, what three ends bring, in 2.2 KB at most."""
 TOLD_S = 2.0
 """Seconds for which hosts that add up tell a change: eight messages at the least, some of which may
 be lost."""
