Let no call's next try wait for a target that says nothing

Ruled out: not waiting at all; then the next try is chosen before the end is counted, and a harmful request takes one target more.

Change: the wait is 0.05 s at most; a closed port answers within a round trip. Figures: the new test's next try came after the whole look before (the test fails with a wait without a bound), within 0.1 s now.

--- a/gradepoint/gateway/target_ends.py
+++ b/gradepoint/gateway/target_ends.py
@@ -43,6 +43,9 @@
 SUCCESSOR_S = 1.5
 """Seconds in which a new life has to be listed at the address of a target whose port is open
 again: it writes its row as it starts, and hosts hear of it within a fraction of that."""
+LOOK_WAIT_S = 0.05
+"""Seconds for which a call's next try waits for a look: four round trips between regions, and a
+fifth of what a look at a target that says nothing takes."""
 CLOSED_LOOK_S = 0.5
 """Seconds between looks at closed ports. A process that starts again has another life, which is
 listed and used at once; only a target whose way was cut, and which lives on, waits for a look."""
@@ -149,10 +152,13 @@
                     target.doubted = True
 
     async def wait(self, target: Target) -> None:
-        """Return once it is known whether a target's port is closed, if that is looked at."""
+        """Return once it is known whether a target's port is closed, if that is looked at.
+
+        A closed port answers within a round trip; a target that says nothing holds up no call.
+        """
         checking = self.checking.get(target.id)
         if checking is not None:
-            await asyncio.wait([checking])
+            await asyncio.wait([checking], timeout=LOOK_WAIT_S)
 
     async def _check(self, target: Target, requests: list[tuple[RequestIdentity, Trial]]) -> None:
         planned = target.listed.state is not ListedState.READY or target.vanished_at is not None
--- a/tests/test_gateway/test_gateway_target_ends.py
+++ b/tests/test_gateway/test_gateway_target_ends.py
@@ -7,6 +7,7 @@
 from gradepoint.gateway.target_ends import TargetEnd
 from tests.support.crashes import Crashes
 from tests.support.platform import CallAnswer, Deployment, run_in_virtual_time, until
+from tests.support.virtual_network import NetworkLoop
 
 
 async def start_calls(deployment: Deployment, count: int) -> list[asyncio.Task[CallAnswer]]:
@@ -165,3 +166,23 @@
         assert (await deployment.call("/single/plain/2")).status == 200
 
     run_in_virtual_time(work)
+
+
+def test_a_call_s_next_try_does_not_wait_for_a_target_that_says_nothing() -> None:
+    # Its connection is cut, and a look at it takes a quarter of a second.
+    async def work(deployment: Deployment) -> None:
+        crashes = await start(deployment, 2)
+        calling = asyncio.ensure_future(deployment.call("/plain/x"))
+        await until(lambda: any(target.seen for target in deployment.targets))
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, NetworkLoop)
+        first, second = sorted(deployment.targets, key=lambda target: -len(target.seen))
+        crashes.reset_connections(first)
+        await asyncio.sleep(0.0015)
+        loop.silent.add(first.server.port)
+        begun = loop.time()
+        await until(lambda: bool(second.seen))
+        assert loop.time() - begun < 0.1
+        assert (await calling).status == 200
+
+    run_in_virtual_time(work)
