--- a/gradepoint/gateway/target_ends.py
+++ b/gradepoint/gateway/target_ends.py
@@ -44,8 +44,8 @@
 """Seconds in which a new life has to be listed at the address of a target whose port is open
 again: it writes its row as it starts, and hosts hear of it within a fraction of that."""
 LOOK_WAIT_S = 0.05
-"""Seconds for which a call's next try waits for a look: four round trips between regions, and a
-fifth of what a look at a target that says nothing takes."""
+"""Seconds for which a call's next try waits for a look: a closed port answers within a round trip;
+a look at a target that says nothing takes five times as long."""
 CLOSED_LOOK_S = 0.5
 """Seconds between looks at closed ports. A process that starts again has another life, which is
 listed and used at once; only a target whose way was cut, and which lives on, waits for a look."""
--- a/tests/test_gateway/test_gateway_harmful.py
+++ b/tests/test_gateway/test_gateway_harmful.py
@@ -1,7 +1,7 @@
 """Requests that end the targets that run them.
 
 A caller sent one request again and again, each time with another id and at another host. Each of
-its sends ended a target, and with it every call that the target had: 14 targets of twelve within
+its sends ended a target, and with it every call that the target had: 14 lives of six targets within
 14 seconds. Nothing connected one send with the next, since a request was known by the id of one
 try, and only the number of targets within one try was bounded.
 
