Share quotas of organisations over all hosts: grants are told, and the room that is left

Cause: nothing limits an organisation over the fleet. Equal parts a host (what the older limiter does) leave four fifths of a quota unused, since an organisation's callers reach a few hosts of 51.

Ruled out: equal parts; one host by hash that grants each call (two messages a call on its way, and nothing is granted by hosts that hear less than half of the fleet); grants through the store (its calls are priced and it is away at times).

Change: hosts tell their grants beside what they have in flight, aggregators tell the room of organisations that near their limit, nobody else costs a byte. A host that hears no word, or one that rests on less than a quarter of the listed hosts, goes on at its usual rate or its equal part while it is listed; aggregators leave that much to listed hosts that they do not hear.

--- a/gradepoint/ids.py
+++ b/gradepoint/ids.py
@@ -23,3 +23,8 @@
 ItemId = NewType("ItemId", str)
 RequestKey = NewType("RequestKey", int)
 """Stands for everything that makes two calls the same request, whatever their ids."""
+OrganisationName = NewType("OrganisationName", str)
+OrganisationNumber = NewType("OrganisationNumber", int)
+"""Stands for an organisation between hosts, in a few bytes."""
+KeyDigest = NewType("KeyDigest", bytes)
+"""Stands for an organisation's key; the key cannot be told from it."""
--- a/gradepoint/peers/aggregation.py
+++ b/gradepoint/peers/aggregation.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from ..routing.quotas import QuotaLedger
 from ..routing.suspects import ToldSuspects
 from ..util.clock import monotonic
 from ..util.hashing import score, short_number
@@ -16,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from ..ids import Incarnation, RequestKey, TargetNumber
+    from ..ids import Incarnation, OrganisationNumber, RequestKey, TargetNumber
 
 RELIED_S = 0.6
 """Seconds after its last word that an aggregator counts a host as relying on it: two of the longest
@@ -24,6 +26,9 @@
 RESULTS_GAP_S = 0.2
 """Seconds between digests that tell all results, of which failures are told at once: results are
 two thirds of a digest, and successes only make good what failures did."""
+ROOM_PARTS = 10
+"""Parts of a call in which room is told: a small organisation may have one call a second."""
+HUNDRED = 100
 STALE_S = 0.9
 """Seconds after which a report or digest is not counted: three are missing."""
 
@@ -43,6 +48,11 @@
     return ordered[:surplus]
 
 
+def make_idle_ledger() -> QuotaLedger:
+    """Return a ledger of no organisations."""
+    return QuotaLedger(lambda _: None, lambda _: None, list)
+
+
 @dataclass
 class HeardReport:
     """The newest report of a host, when it came and from which ``IP:PORT``.
@@ -71,6 +81,7 @@
     """Adds up all hosts' reports.
 
     :param find_slots: returns a target's slots, None for one that this host does not know.
+    :param ledger: adds up what hosts granted organisations.
     :ivar results: results of all hosts since this one began, by target.
     :ivar told_failures: failures told last, by target.
     :ivar results_told_at: monotonic time at which all changed results were told last.
@@ -81,6 +92,7 @@
     """
 
     find_slots: Callable[[TargetNumber], int | None]
+    ledger: QuotaLedger = field(default_factory=make_idle_ledger)
     reports: dict[Incarnation, HeardReport] = field(default_factory=dict)
     loads: dict[TargetNumber, int] = field(default_factory=dict)
     waiting: int = 0
@@ -109,6 +121,7 @@
         self.changed = self.changed or heard.unconfirmed
         self.reports[report.incarnation] = heard
         self._add_results(report)
+        self.ledger.take(report.incarnation, report.grants, heard.at)
         self.hear_suspects(report.suspects, report.clock_ms)
 
     def forget_silent(self) -> None:
@@ -117,6 +130,8 @@
         for life in [life for life, heard in self.reports.items() if heard.at < oldest]:
             self._add(self.reports.pop(life).report, -1)
             self.heard_results.pop(life, None)
+            self.ledger.note_silent(life, monotonic())
+        self.ledger.look_around(monotonic())
 
     def _add(self, report: Report, sign: int) -> None:
         loads = self.loads
@@ -158,8 +173,15 @@
             tells_all,
             self.tell_suspects(),
             self._find_trials(),
+            self._find_rooms(now),
+            math.floor(self.ledger.heard_share * HUNDRED),
         )
 
+    def _find_rooms(self, now: float) -> dict[OrganisationNumber, int]:
+        """Return the room of organisations that near their limit, in parts of a call."""
+        rooms = self.ledger.tell(now)
+        return {number: math.floor(room * ROOM_PARTS) for number, room in rooms.items()}
+
     def _find_trials(self) -> dict[RequestKey, TargetNumber]:
         """Return the targets that suspected requests have to themselves."""
         trials = {}
--- a/gradepoint/peers/datagrams.py
+++ b/gradepoint/peers/datagrams.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from .. import events
-from ..ids import ConfigVersion, Incarnation, RequestKey, TargetNumber
+from ..ids import ConfigVersion, Incarnation, OrganisationNumber, RequestKey, TargetNumber
 from ..routing.suspects import ToldSuspects
 from ..telemetry.logs import emit
 from ..util.hashing import short_number
@@ -22,7 +22,7 @@
 
     from ..ids import TargetId
 
-DATAGRAM_FORMAT = 6
+DATAGRAM_FORMAT = 7
 """Version of the datagrams; others are dropped."""
 
 
@@ -67,6 +67,7 @@
     :param suspects: requests that the host saw on targets that ended.
     :param trials: targets that a suspected request of the host has to itself, by request.
     :param clock_ms: the host's clock as it sends this.
+    :param grants: calls that the host granted so far, by organisation, where that changed lately.
     """
 
     format: int
@@ -80,6 +81,7 @@
     suspects: ToldSuspects = msgspec.field(default_factory=ToldSuspects)
     trials: dict[RequestKey, TargetNumber] = {}
     clock_ms: int = 0
+    grants: dict[OrganisationNumber, int] = {}
 
 
 class Sums(msgspec.Struct, frozen=True, array_like=True):
@@ -94,6 +96,8 @@
     :param waiting: weight of the batch items that could start.
     :param giving_way: short numbers of the hosts that take an item back, by target.
     :param relied_on: some host relies on them, so that every change is told.
+    :param rooms: tenths of calls that there is room for, of organisations that near their limit.
+    :param heard_percent: listed hosts whose grants they include, in a hundred.
     """
 
     aggregator: Incarnation
@@ -105,6 +109,8 @@
     all_results: bool = True
     suspects: ToldSuspects = msgspec.field(default_factory=ToldSuspects)
     trials: dict[RequestKey, TargetNumber] = {}
+    rooms: dict[OrganisationNumber, int] = {}
+    heard_percent: int = 100
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True, tag="digest"):
--- a/gradepoint/peers/occupancy.py
+++ b/gradepoint/peers/occupancy.py
@@ -17,10 +17,11 @@
 import msgspec
 
 from .. import events
+from ..routing.quotas import Word
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.hashing import rank, short_number
-from .aggregation import STALE_S, Aggregation
+from .aggregation import HUNDRED, ROOM_PARTS, STALE_S, Aggregation
 from .datagrams import DATAGRAM_FORMAT, Digest, Report, Sums, number_target
 from .results import HeardResults, take_results
 
@@ -72,12 +73,14 @@
 
     :ivar elsewhere: calls and items in flight by target, without this host's own.
     :ivar waiting: weight of the items that could start, without this host's own.
+    :ivar word: what they say of organisations that near their limit.
     """
 
     sums: Sums
     elsewhere: dict[TargetNumber, int]
     waiting: int
     at: float
+    word: Word
 
 
 @dataclass
@@ -135,6 +138,10 @@
         """Return the weight of the items of other hosts that could start."""
         return max((heard.waiting for heard in self._find_told()), default=0)
 
+    def find_words(self) -> list[Word]:
+        """Return what is told of organisations that near their limit."""
+        return [heard.word for heard in self._find_told()]
+
     def find_trials(self) -> dict[RequestKey, TargetNumber]:
         """Return the targets that suspected requests have to themselves, at any host."""
         trials: dict[RequestKey, TargetNumber] = {}
@@ -225,7 +232,7 @@
     def _report(
         self, report: Report, addresses: dict[Incarnation, str], *, tells_all: bool
     ) -> None:
-        self.sent[report.number] = report
+        self.sent[report.number] = msgspec.structs.replace(report, clock_ms=read_clock_ms())
         if len(self.sent) > KEPT_REPORTS:
             self.sent.popitem(last=False)
         relied_on = self.relied_on
@@ -280,7 +287,14 @@
             for target, number in counts.items():
                 elsewhere[target] = elsewhere.get(target, 0) - number
         waiting = sums.waiting - (own.waiting if own is not None else 0)
-        self.heard[sums.aggregator] = HeardSums(sums, elsewhere, waiting, monotonic())
+        now = monotonic()
+        word = Word(
+            {number: parts / ROOM_PARTS for number, parts in sums.rooms.items()},
+            now,
+            float("-inf") if own is None else own.clock_ms / MILLISECONDS,
+            sums.heard_percent / HUNDRED,
+        )
+        self.heard[sums.aggregator] = HeardSums(sums, elsewhere, waiting, now, word)
         if sums.aggregator == self.relied_on:
             while self.unconfirmed and self.unconfirmed[0][0] <= digest.number:
                 self.unconfirmed.popleft()
