--- a/gradepoint/cmd/main.py
+++ b/gradepoint/cmd/main.py
@@ -27,6 +27,7 @@
 from .explain import explain_request
 from .held import let_go, show_held
 from .local import run_local
+from .quota import show_quotas
 from .reference import write_reference
 from .render import print_jobs, print_json, print_status
 from .standin import run_standin
@@ -179,6 +180,18 @@
         print_jobs(body)
 
 
+@app.command()
+def quota(
+    gateway: Annotated[str, typer.Argument(help="IP:PORT of a gateway's metrics page.")],
+    organisation: Annotated[str, typer.Argument(help="Name; all that called if left out.")] = "",
+    as_json: JsonOption = False,
+) -> None:
+    """Show how much of their quotas organisations use."""
+    client = AdminClient(f"http://{gateway}", "")
+    if not show_quotas(partial(_ask, client), organisation, as_json=as_json) and organisation:
+        raise typer.Exit(EXIT_NO)
+
+
 @app.command()
 def held(
     gateway: Annotated[str, typer.Argument(help="IP:PORT of a gateway's metrics page.")],
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -58,6 +58,8 @@
 from .held import HELD_PREFIX, PAGE, HeldRequests
 from .peer_configuration import follow_peers
 from .quota_gate import QuotaGate
+from .quota_page import PAGE as QUOTA_PAGE
+from .quota_page import answer_quotas
 from .retirement import Retirement
 from .standstill import Standstill
 from .suspicion import Suspicion, connect_suspicion
@@ -441,9 +443,11 @@
         return Response(200 if self.ready else 503)
 
     async def answer_metrics(self, request: Request) -> Response:
-        """Answer with this process's counters and histograms, or what is held back."""
+        """Answer with this process's counters and histograms, what is held back, or quotas."""
         if request.path.startswith(PAGE):
             return await self.held.answer(request)
+        if request.path == QUOTA_PAGE:
+            return answer_quotas(self.quotas, request.query.get("organisation", ""))
         return Response(200, {"content-type": "text/plain; version=0.0.4"}, await metrics.render())
 
     async def answer_peer(self, request: Request) -> Response:
--- /dev/null
+++ b/gradepoint/gateway/quota_page.py
@@ -0,0 +1,81 @@
+"""What operators are told of the quotas of organisations at one gateway."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ..util.clock import monotonic
+from ..wire.http_types import JSON_TYPE, Response
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from .organisations import Organisation
+    from .quota_gate import QuotaGate
+
+PAGE = "/quotas"
+
+
+class ListedQuota(msgspec.Struct, frozen=True):
+    """One organisation as this gateway sees it.
+
+    :param calls_per_s: what its quota says, and *burst* calls on top.
+    :param granted: calls that this gateway granted lately and others need not know of yet.
+    :param usual_per_s: the gateway's own grants a second, over some ten seconds.
+    :param room: calls that there is room for over all hosts, as told; None far below the limit.
+    """
+
+    organisation: str
+    calls_per_s: float
+    burst: float
+    granted: int
+    usual_per_s: float
+    room: float | None
+
+
+class QuotaPage(msgspec.Struct, frozen=True):
+    """What one gateway knows.
+
+    :param version: configuration that the quotas are of.
+    :param blind: the gateway hears no others and grants few calls.
+    """
+
+    version: int
+    blind: bool
+    organisations: list[ListedQuota]
+
+
+def answer_quotas(gate: QuotaGate, name: str) -> Response:
+    """Return the quotas that this gateway had calls of, or that of one organisation."""
+    found = [_list(gate, row) for row in _find(gate, name)]
+    blind = not gate.host.find_young_words(monotonic())
+    page = QuotaPage(gate.version, blind, found)
+    return Response(200, {"content-type": JSON_TYPE}, msgspec.json.encode(page))
+
+
+def _find(gate: QuotaGate, name: str) -> Iterator[Organisation]:
+    current = gate.configuration.current
+    if current is None or current.organisations is None:
+        return
+    for row in current.organisations.listed:
+        if row.quota is not None and (
+            row.name == name or (not name and row.number in gate.host.own)
+        ):
+            yield row
+
+
+def _list(gate: QuotaGate, row: Organisation) -> ListedQuota:
+    now = monotonic()
+    own = gate.host.own.get(row.number)
+    room = gate.find_told_room(row.number)
+    assert row.quota is not None
+    return ListedQuota(
+        row.name,
+        row.quota.calls_per_s,
+        row.quota.burst,
+        0 if own is None else len(own.times),
+        0.0 if own is None else round(own.usual.read(now), 2),
+        None if room is None else round(room, 1),
+    )
--- a/gradepoint/routing/quotas.py
+++ b/gradepoint/routing/quotas.py
@@ -339,7 +339,7 @@
 
     def admit(self, number: OrganisationNumber, allowance: Allowance, now: float) -> Refused | None:
         """Grant a call and count it, or return why not."""
-        words = self._find_young_words(now)
+        words = self.find_young_words(now)
         if words:
             room, rate = self.estimate(number, allowance, words, now), allowance.calls_per_s
         else:
@@ -351,7 +351,8 @@
         self.own.setdefault(number, OwnGrants()).add(now)
         return None
 
-    def _find_young_words(self, now: float) -> list[Word]:
+    def find_young_words(self, now: float) -> list[Word]:
+        """Return the words that hold yet and rest on enough of the hosts."""
         return [
             word
             for word in self.find_words()
@@ -383,7 +384,7 @@
         self, number: OrganisationNumber, allowance: Allowance, now: float
     ) -> float | None:
         """Return the room that this host was told of, None without any word of it."""
-        words = [word for word in self._find_young_words(now) if number in word.rooms]
+        words = [word for word in self.find_young_words(now) if number in word.rooms]
         return self.estimate(number, allowance, words, now) if words else None
 
     def _find_blind_room(
--- a/tests/test_gateway/test_gateway_quotas.py
+++ b/tests/test_gateway/test_gateway_quotas.py
@@ -4,7 +4,13 @@
 
 import asyncio
 
+import msgspec
+import pytest
+
 from bench.platform.target import TargetFault
+from gradepoint.admin.client import AdminAnswer
+from gradepoint.cmd.quota import show_quotas
+from gradepoint.gateway.quota_page import answer_quotas
 from tests.support.platform import Deployment, organisation, run_in_virtual_time
 
 RATE = 4.0
@@ -82,3 +88,25 @@
         assert [status for status, _ in rows].count(200) <= (1 * 5 + 1) * 1.1 + 4
 
     run_in_virtual_time(work)
+
+
+def test_operators_see_how_much_of_a_quota_is_used(capsys: pytest.CaptureFixture[str]) -> None:
+    async def work(deployment: Deployment) -> None:
+        deployment.gateway_settings = TERMS
+        await deployment.start(targets=1)
+        await deployment.configure(2, [SMALL, FREE])
+        await asyncio.sleep(1.0)
+        await call_many(deployment, 30, "small-key", 1)
+        gate = deployment.gateways[0].quotas
+
+        def ask(_method: str, path: str) -> AdminAnswer:
+            name = path.partition("=")[2]
+            return AdminAnswer(200, msgspec.json.decode(answer_quotas(gate, name).body))
+
+        assert show_quotas(ask, "", as_json=False)
+        assert show_quotas(ask, "small", as_json=False)
+        assert not show_quotas(ask, "free", as_json=False)
+
+    run_in_virtual_time(work)
+    printed = capsys.readouterr().out
+    assert printed.count("small: 4 a second and 6 at once; room for") == 2
