--- a/gradepoint/cmd/gateway.py
+++ b/gradepoint/cmd/gateway.py
@@ -7,7 +7,8 @@
 from typing import TYPE_CHECKING
 
 from .. import events
-from ..gateway.app import Gateway, PlatformParts
+from ..gateway.app import Gateway
+from ..gateway.parts import PlatformParts
 from ..gateway.settings import GatewaySettings, load_gateway_settings
 from ..platform import configuration, headers, jobs, retirement, store, targets
 from ..telemetry import logs
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from .. import events
@@ -19,13 +18,10 @@
 from ..peers.aggregation import Aggregation
 from ..peers.beats import Beats
 from ..peers.datagrams import (
-    DATAGRAM_FORMAT,
-    Beat,
     DatagramSocket,
     Digest,
     Message,
     Report,
-    number_target,
 )
 from ..peers.occupancy import Occupancy
 from ..peers.presence import (
@@ -47,13 +43,13 @@
 from ..util.tasks import TaskGroup
 from ..wire.addresses import split_address
 from ..wire.http_client import HttpClient
-from ..wire.http_server import HttpServer, ServerLimits
+from ..wire.http_server import HttpServer
 from ..wire.http_types import Response
 from ..wire.ports import look_at_port
 from .beliefs import ConfigurationBelief, LiveFollower, OperatorFollower, TargetFollower
+from .caller_limits import FIRST_LIMITS, read_limits
 from .callers import CallerCheck, RevocationTerms
 from .calls import CallRouter
-from .configuration import NO_VERSION
 from .forwarding import Forwarder
 from .held import HELD_PREFIX, PAGE, HeldRequests
 from .peer_configuration import follow_peers
@@ -65,18 +61,14 @@
 from .suspicion import Suspicion, connect_suspicion
 from .target_ends import TargetEnds
 from .targets import TargetSet
+from .telling import make_beat, make_report
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from ..ids import TargetName
-    from ..jobs.calls import JobDialect
     from ..kv.relay import WaitingService
     from ..wire.http_types import Request
     from .configuration import Configuration
-    from .dialect import Dialect
+    from .parts import PlatformParts
     from .settings import GatewaySettings
-    from .targets import ListedTarget
 
 CONNECT_TIMEOUT_S = 0.25
 """Seconds until a target or host counts as not reached: many times the delay between failure
@@ -91,9 +83,6 @@
 rests, which its own host hears of at each commit too."""
 SWEEP_S = 0.25
 """Seconds between looks for vanished targets, silent hosts and finished jobs."""
-IDLE_SLACK_S = 1.0
-"""Seconds that a resting connection is kept beyond the configured time, for requests that
-are under way when it ends."""
 STOP_LISTENING_S = 3.0
 """Seconds from the stop signal until no new connection comes: the platform asks for readiness
 every second and takes a host out after two misses. Where most hosts of a failure domain stop, it
@@ -102,25 +91,6 @@
 """Seconds between looks whether everything is answered."""
 STOP_RESERVE_S = 1.0
 """Seconds before the kill in which what still runs is cut and the process ends."""
-CALLER_CONNECTIONS = 2000
-"""Callers' connections that one host holds, about half of its descriptors."""
-
-
-@dataclass(frozen=True)
-class PlatformParts:
-    """What the composition needs of the platform's adapter."""
-
-    dialect: Dialect
-    job_dialect: JobDialect
-    decode_configuration: Callable[[bytes], Configuration]
-    decode_target: Callable[[str, bytes], ListedTarget]
-    read_target_name: Callable[[str], TargetName]
-    read_retired_host: Callable[[str], HostName | None]
-    status_key: Callable[[HostName], str]
-    encode_emptied: Callable[[], bytes]
-    config_key: str
-    operator_prefix: str
-    targets_prefix: str
 
 
 class Gateway:
@@ -131,7 +101,9 @@
     ) -> None:
         self.settings = settings
         self.socket = DatagramSocket(self.take_message)
-        self.beats = Beats(self.socket, self.make_beat, lambda beat: self.watchers.take_beat(beat))
+        self.beats = Beats(
+            self.socket, lambda: make_beat(self), lambda beat: self.watchers.take_beat(beat)
+        )
         self.peer_http = HttpClient(CONNECT_TIMEOUT_S, UNACKNOWLEDGED_MS)
         self.kv = kv = RelayedKv(store, self.peer_http, self.beats.helpers)
         self.platform = platform
@@ -165,7 +137,7 @@
         self.occupancy = Occupancy(
             self.socket,
             self.own.incarnation,
-            self.make_report,
+            lambda number: make_report(self, number),
             self.targets.record_elsewhere,
             Aggregation(self.targets.find_slots, self.make_ledger()),
         )
@@ -254,7 +226,6 @@
         )
         self.watchers = self.make_watchers()
         metrics.shared().view_age.read = self.watchers.proofs.read_ages_s
-        limits = ServerLimits(max_connections=CALLER_CONNECTIONS, cancel_when_gone=True)
         self.calls = CallRouter(
             platform.dialect,
             platform.job_dialect,
@@ -271,7 +242,7 @@
             self.watchers.first_read,
             self.standstill,
         )
-        self.callers = HttpServer(self.calls.answer, limits)
+        self.callers = HttpServer(self.calls.answer, FIRST_LIMITS)
         self.readiness = HttpServer(self.answer_ready)
         self.peer_server = HttpServer(self.answer_peer)
         self.metrics_server = HttpServer(self.answer_metrics)
@@ -379,43 +350,6 @@
         known = self.configuration.current is not None and self.target_follower.loaded
         return known and not self.stopping
 
-    def make_beat(self) -> Beat:
-        """Return what other hosts hear of this one."""
-        current = self.configuration.current
-        watching = self.watchers.watching
-        return Beat(
-            format=DATAGRAM_FORMAT,
-            incarnation=self.own.incarnation,
-            config_version=current.version if current else NO_VERSION,
-            reaches_store=self.kv.reaches_store,
-            watching=watching,
-            views=self.watchers.revisions() if watching else {},
-            jobs=[*self.worker.job_numbers(), *self.intake.job_numbers()],
-            proven=self.watchers.proofs.tell() if watching else {},
-            proofs=self.watchers.proofs.count,
-        )
-
-    def make_report(self, number: int) -> Report:
-        """Return what this host has in flight."""
-        items = {number_target(name): count for name, count in self.worker.in_flight().items()}
-        calls = {
-            number: target.in_flight - items.get(number, 0)
-            for number, target in self.targets.by_number.items()
-            if target.in_flight
-        }
-        return Report(
-            format=DATAGRAM_FORMAT,
-            incarnation=self.own.incarnation,
-            number=number,
-            calls=calls,
-            items=items,
-            waiting=self.worker.weigh_waiting(),
-            results=self.targets.recent_results(),
-            suspects=self.suspicion.tell_own(),
-            trials=self.suspicion.tell_trials(),
-            grants=self.quotas.host.tell(monotonic()),
-        )
-
     def take_message(self, message: Message, address: str) -> None:
         """Take another host's datagram."""
         if isinstance(message, Digest):
@@ -427,16 +361,7 @@
 
     def apply_limits(self, configuration: Configuration) -> None:
         """Put the callers' limits of a configuration in force."""
-        limits = configuration.limits
-        self.callers.limits = ServerLimits(
-            max_connections=CALLER_CONNECTIONS,
-            max_header_bytes=limits.header_bytes,
-            max_body_bytes=limits.body_bytes,
-            idle_timeout_s=limits.idle_timeout_s,
-            head_timeout_s=limits.header_timeout_s,
-            keep_alive_s=limits.idle_timeout_s + IDLE_SLACK_S,
-            cancel_when_gone=True,
-        )
+        self.callers.limits = read_limits(configuration.limits)
 
     async def answer_ready(self, _request: Request) -> Response:
         """Answer the platform's readiness check."""
--- /dev/null
+++ b/gradepoint/gateway/telling.py
@@ -0,0 +1,53 @@
+"""What a gateway tells the others in its datagrams, put together from its parts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..peers.datagrams import DATAGRAM_FORMAT, Beat, Report, number_target
+from ..util.clock import monotonic
+from .configuration import NO_VERSION
+
+if TYPE_CHECKING:
+    from .app import Gateway
+
+
+def make_beat(gateway: Gateway) -> Beat:
+    """Return what other hosts hear of this one."""
+    current = gateway.configuration.current
+    watchers = gateway.watchers
+    watching = watchers.watching
+    return Beat(
+        format=DATAGRAM_FORMAT,
+        incarnation=gateway.own.incarnation,
+        config_version=current.version if current else NO_VERSION,
+        reaches_store=gateway.kv.reaches_store,
+        watching=watching,
+        views=watchers.revisions() if watching else {},
+        jobs=[*gateway.worker.job_numbers(), *gateway.intake.job_numbers()],
+        proven=watchers.proofs.tell() if watching else {},
+        proofs=watchers.proofs.count,
+    )
+
+
+def make_report(gateway: Gateway, number: int) -> Report:
+    """Return what this host has in flight, and what it granted organisations."""
+    worker, targets = gateway.worker, gateway.targets
+    items = {number_target(name): count for name, count in worker.in_flight().items()}
+    calls = {
+        number: target.in_flight - items.get(number, 0)
+        for number, target in targets.by_number.items()
+        if target.in_flight
+    }
+    return Report(
+        format=DATAGRAM_FORMAT,
+        incarnation=gateway.own.incarnation,
+        number=number,
+        calls=calls,
+        items=items,
+        waiting=worker.weigh_waiting(),
+        results=targets.recent_results(),
+        suspects=gateway.suspicion.tell_own(),
+        trials=gateway.suspicion.tell_trials(),
+        grants=gateway.quotas.host.tell(monotonic()),
+    )
