Hold quotas in each window, and count what was granted where nobody knows it

Change: the last window of grants is counted. What was only bounded by a bucket's rate before has to be known then: a host that begins to add up, or heard few, or stood still, takes windows as used but for a tenth at first; lives that were silent are counted with what they may have granted; a host without word subtracts what the others have not heard of, and its room stays over short words (before, each gap between words let one more call through at each host). At the most three quarters of quota and tolerance are granted on purpose.

The test of calls that no target ran waits a window first, since a fleet that has just started grants a tenth of a quota; what it asks is unchanged.

--- a/gradepoint/peers/aggregation.py
+++ b/gradepoint/peers/aggregation.py
@@ -174,7 +174,7 @@
             self.tell_suspects(),
             self._find_trials(),
             self._find_rooms(now),
-            math.floor(self.ledger.heard_share * HUNDRED),
+            math.floor(self.ledger.find_heard_share(now) * HUNDRED),
         )
 
     def _find_rooms(self, now: float) -> dict[OrganisationNumber, int]:
--- a/gradepoint/routing/quotas.py
+++ b/gradepoint/routing/quotas.py
@@ -18,18 +18,21 @@
 
     from ..ids import Incarnation, OrganisationNumber
 
-EXCESS_SHARE = 0.5
-"""Share of the tolerated excess that is granted on purpose, so that calls below the limit are not
-refused for a moment's difference; the rest covers what is not told yet."""
-SLACK_SHARE = 0.25
-"""Share of the tolerated slack that is granted on purpose, for the same reason."""
-TIGHT_SHARE = 0.5
-"""Share of an organisation's full room below which hosts are told of it."""
+MARGIN_SHARE = 0.1
+"""Share of what is tolerated beyond a quota that is granted on purpose, so that no call below the
+limit is refused for a moment's difference. The rest covers what hosts do not know of each other."""
+MOST_GRANTED_SHARE = 0.75
+"""Share of a quota with all that is tolerated that is granted on purpose at the most. The rest is for
+what is granted unknown to others: 0.18 of it where a third of 51 hosts was cut off within a second
+of an organisation turning hot (``python -m bench.quota_replay``)."""
+TIGHT_SHARE = 0.25
+"""Share of an organisation's full room below which hosts are told of it: eight times the usual
+calls of one that uses two thirds of its quota take three words to use that up."""
 BLIND_SHARE = 0.25
 """Share of the tolerated excess that all hosts together may grant without word of each other."""
 WORD_S = 0.35
-"""Seconds for which a word of the room holds: those that add up speak four times a second at the
-least. A host that is cut off must not go on as if all the room that comes back were its own."""
+"""Seconds for which a word holds: those that add up speak four times a second at the least. A host
+that is cut off must not go on as if all the room that comes back were its own."""
 LEAST_HEARD_SHARE = 0.25
 """Share of the listed hosts that a word has to rest on. Fewer of them do better each by itself, at
 its usual rate: what they know together of an organisation is little."""
@@ -40,6 +43,14 @@
 """Seconds over which a host's usual rate of grants is averaged: two windows of a limit."""
 KEPT_GRANTS_S = 5.0
 """Seconds for which a host remembers each grant: many times what a report takes to be told."""
+UNNOTICED_S = 1.0
+"""Seconds for which a life may be cut off before that is noticed: a little more than what counts as
+silence."""
+UNKNOWN_SHARE = 0.1
+"""Share of an organisation's full room that is there at first where nobody knows what was granted:
+a small one has a call, and all of a quota that was just used up stays below what is tolerated."""
+UNKNOWN_PARTS = 10
+"""Parts in which what was granted before a host added up leaves its window, one after the other."""
 LEDGER_IDLE_S = 3 * USUAL_S
 """Seconds after its last grant that a host's count for an organisation is forgotten by those that
 add up: its usual rate has become a twentieth."""
@@ -83,15 +94,19 @@
 class Allowance:
     """What the fleet grants an organisation on purpose.
 
-    :param calls_per_s: calls a second.
-    :param room: calls that may come at once.
+    :param most: calls in any window of *window_s* seconds.
     :param blind_per_s: calls a second that all hosts may grant without word of each other.
     """
 
-    calls_per_s: float
-    room: float
+    most: float
+    window_s: float
     blind_per_s: float
 
+    @property
+    def calls_per_s(self) -> float:
+        """The rate at which calls may come for long."""
+        return self.most / self.window_s
+
     def part_per_s(self, hosts: int) -> float:
         """Return a host's equal part of the rate."""
         return self.calls_per_s / max(1, hosts)
@@ -100,13 +115,17 @@
 def allow(quota: Quota, terms: QuotaTerms) -> Allowance:
     """Return what is granted under a quota.
 
-    In a window of ``w`` seconds ``rate * (1 + excess / 2) * w + burst + slack / 4`` calls at the
-    most; ``(rate * w + burst) * (1 + excess) + slack`` are tolerated.
+    ``rate * window + burst`` calls in a window and a little of what is tolerated beyond that, but
+    of large quotas less: the fixed part of what is tolerated is a small one of theirs.
     """
-    tolerated = quota.calls_per_s * terms.excess * terms.window_s + terms.slack
+    within = quota.calls_per_s * terms.window_s + quota.burst
+    tolerated = within * terms.excess + terms.slack
     return Allowance(
-        calls_per_s=quota.calls_per_s * (1 + terms.excess * EXCESS_SHARE),
-        room=max(1.0, quota.burst + terms.slack * SLACK_SHARE),
+        most=max(
+            1.0,
+            min(within + tolerated * MARGIN_SHARE, (within + tolerated) * MOST_GRANTED_SHARE),
+        ),
+        window_s=terms.window_s,
         blind_per_s=tolerated * BLIND_SHARE / terms.window_s,
     )
 
@@ -150,39 +169,111 @@
         return self.room
 
 
+@dataclass
+class Window:
+    """Grants of the last seconds.
+
+    A bucket that fills with time would let an organisation have its burst only after a rest; a
+    quota holds in each window by itself.
+
+    :ivar grants: time and number of grants, the oldest first; taken back ones are below 0.
+    :ivar total: their sum.
+    """
+
+    grants: deque[tuple[float, float]] = field(default_factory=deque)
+    total: float = 0.0
+
+    def add(self, count: float, now: float) -> None:
+        """Count grants."""
+        self.grants.append((now, count))
+        self.total += count
+
+    def add_spread(self, count: float, window_s: float, now: float) -> None:
+        """Count grants of which it is not known when in the last window they were."""
+        parts = [
+            (now - window_s * (1 - part / UNKNOWN_PARTS), count / UNKNOWN_PARTS)
+            for part in range(1, UNKNOWN_PARTS + 1)
+        ]
+        self.grants = deque(sorted((*self.grants, *parts)))
+        self.total += count
+
+    def count(self, window_s: float, now: float) -> float:
+        """Return the grants of the last *window_s* seconds."""
+        while self.grants and self.grants[0][0] <= now - window_s:
+            self.total -= self.grants.popleft()[1]
+        return self.total if self.grants else 0.0
+
+
+@dataclass(frozen=True)
+class SilentLife:
+    """A listed life that is not heard.
+
+    :param since: time at which it fell silent, and *usual* its usual rates by organisation then.
+    :param was_heard: it was heard before; else it has just been listed.
+    """
+
+    since: float
+    usual: dict[OrganisationNumber, float]
+    was_heard: bool = True
+
+    def count_most(
+        self, number: OrganisationNumber, allowance: Allowance, hosts: int, now: float
+    ) -> float:
+        """Return the calls that it may have granted in the last window: at its usual rate or its
+        equal part, whichever is more."""
+        rate = max(allowance.part_per_s(hosts), self.usual.get(number, 0.0))
+        return rate * min(allowance.window_s, now - self.since + UNNOTICED_S)
+
+
 @dataclass
 class QuotaLedger:
     """What one host that adds up knows of all hosts' grants.
 
-    A listed host that it does not hear may be cut off and go on: the room that comes back to it,
-    by its usual rate or its equal part, whichever is more, is not granted here.
+    A listed host that it does not hear may be cut off and go on: what it may grant in a window, by
+    its usual rate or its equal part, whichever is more, is not granted here.
 
     :param find_allowance: returns an organisation's allowance, None without a limit.
     :param find_room: returns the room that this host was told of as any other one, None if none.
     :param list_lives: returns the lives that are listed.
     :ivar counts: grants that each life told last, by organisation.
-    :ivar usual: usual rates of their grants.
-    :ivar silent: usual rates of the listed lives that are not heard, as they fell silent.
+    :ivar usual: usual rates of their grants, and *heard_at* when each was last heard.
+    :ivar windows: what all hosts granted in the last window, by organisation.
+    :ivar silent: the listed lives that are not heard.
     :ivar listed: how many lives are listed.
+    :ivar began_at: time from which this host has added up without a gap.
+    :ivar looked_at: time of the last look around, and *few_heard* whether no more than half of the
+        listed lives were heard then.
     """
 
     find_allowance: Callable[[OrganisationNumber], Allowance | None]
     find_room: Callable[[OrganisationNumber], float | None]
     list_lives: Callable[[], Collection[Incarnation]]
-    buckets: dict[OrganisationNumber, Bucket] = field(default_factory=dict)
+    windows: dict[OrganisationNumber, Window] = field(default_factory=dict)
     counts: dict[Incarnation, dict[OrganisationNumber, int]] = field(default_factory=dict)
     usual: dict[Incarnation, dict[OrganisationNumber, UsualRate]] = field(default_factory=dict)
-    silent: dict[Incarnation, dict[OrganisationNumber, float]] = field(default_factory=dict)
+    heard_at: dict[Incarnation, float] = field(default_factory=dict)
+    silent: dict[Incarnation, SilentLife] = field(default_factory=dict)
     listed: int = 1
+    began_at: float = float("-inf")
+    looked_at: float = float("inf")
+    few_heard: bool = False
 
-    @property
-    def heard_share(self) -> float:
-        """Share of the listed lives that are heard."""
-        return 1.0 - min(1.0, len(self.silent) / max(1, self.listed))
+    def find_heard_share(self, now: float) -> float:
+        """Return the share of the listed lives that were heard just now.
+
+        A host that is cut off has to see that before it has granted much by its own sums.
+        """
+        lately = sum(1 for at in self.heard_at.values() if now - at <= WORD_S)
+        return min(1.0, lately / max(1, self.listed))
 
     def take(self, life: Incarnation, told: dict[OrganisationNumber, int], now: float) -> None:
         """Take how many calls a life has granted so far, by organisation."""
-        self.silent.pop(life, None)
+        if not self.counts:
+            self.began_at = now
+        self.heard_at[life] = now
+        silent = self.silent.pop(life, None)
+        if silent is not None and silent.was_heard:
+            self._take_back_silent(silent, now)
         known = life in self.counts
         counts = self.counts.setdefault(life, {})
         usual = self.usual.setdefault(life, {})
@@ -195,59 +286,93 @@
                 usual[number].add(new, now)
                 self._spend(number, new, now)
 
+    def _take_back_silent(self, life: SilentLife, now: float) -> None:
+        """Count what a life may have granted while it was not heard, until that is out of the
+        window."""
+        for number, window in self.windows.items():
+            allowance = self.find_allowance(number)
+            if allowance is not None:
+                count = life.count_most(number, allowance, self.listed, now)
+                window.add_spread(count, allowance.window_s, now)
+
     def _spend(self, number: OrganisationNumber, count: int, now: float) -> None:
         allowance = self.find_allowance(number)
         if allowance is None:
-            self.buckets.pop(number, None)
+            self.windows.pop(number, None)
             return
-        bucket = self.buckets.get(number)
-        if bucket is None:
-            told = self.find_room(number)
-            room = allowance.room * self.heard_share if told is None else told
-            bucket = self.buckets[number] = Bucket(room, now)
-        bucket.fill(self._rate(number, allowance), allowance.room, now)
-        bucket.room -= count
-
-    def _rate(self, number: OrganisationNumber, allowance: Allowance) -> float:
-        """Return how fast room comes back beside what silent lives may go on to grant."""
-        part = allowance.part_per_s(self.listed)
-        usual = (rates.get(number, 0.0) for rates in self.silent.values())
-        elsewhere = sum(max(part, rate) for rate in usual)
-        return max(0.0, allowance.calls_per_s - elsewhere)
+        window = self.windows.get(number)
+        if window is None:
+            window = self.windows[number] = self._begin_window(number, allowance, now)
+        window.add(count, now)
+
+    def _begin_window(self, number: OrganisationNumber, allowance: Allowance, now: float) -> Window:
+        """Return a window with what may have been granted before this host added up.
+
+        After a restart of all hosts, or where all that added up are cut off, nobody knows.
+        """
+        window = Window()
+        if now - self.began_at >= allowance.window_s:
+            return window
+        told = self.find_room(number)
+        room = allowance.most * UNKNOWN_SHARE if told is None else told
+        window.add_spread(max(0.0, allowance.most - room), allowance.window_s, now)
+        return window
+
+    def _find_room(self, number: OrganisationNumber, allowance: Allowance, now: float) -> float:
+        """Return the calls that there is room for beside what silent lives may grant."""
+        elsewhere = sum(
+            life.count_most(number, allowance, self.listed, now) for life in self.silent.values()
+        )
+        granted = self.windows[number].count(allowance.window_s, now)
+        return allowance.most - granted - elsewhere
 
     def note_silent(self, life: Incarnation, now: float) -> None:
         """Take note that a life is not heard: it may be cut off, and go on as it went."""
         self.counts.pop(life, None)
+        self.heard_at.pop(life, None)
         usual = self.usual.pop(life, {})
-        self.silent[life] = {number: rate.read(now) for number, rate in usual.items()}
+        self.silent[life] = SilentLife(now, {row: rate.read(now) for row, rate in usual.items()})
 
     def look_around(self, now: float) -> None:
-        """Take note of which lives are listed, and leave out what is idle or has all its room."""
+        """Take note of which lives are listed, and leave out organisations that are idle."""
+        if now - self.looked_at > UNNOTICED_S:
+            # This host stood still, and what the others granted meanwhile is not of this moment.
+            self.counts.clear()
+            self.heard_at.clear()
+            self.usual.clear()
+            self.windows.clear()
+        self.looked_at = now
         listed = self.list_lives()
         self.listed = len(listed)
+        if len(self.counts) * 2 <= self.listed:
+            self.few_heard = True
+            self.began_at = now
+        elif self.few_heard:
+            # What the others granted while few were heard is not known.
+            self.few_heard = False
+            self.windows.clear()
         self.silent = {
-            life: self.silent.get(life, {}) for life in listed if life not in self.counts
+            life: self.silent.get(life) or SilentLife(now, {}, was_heard=False)
+            for life in listed
+            if life not in self.counts
         }
         for life, rates in self.usual.items():
             for number in [row for row, rate in rates.items() if rate.at < now - LEDGER_IDLE_S]:
                 del rates[number], self.counts[life][number]
-        for number, bucket in list(self.buckets.items()):
+        for number, window in list(self.windows.items()):
             allowance = self.find_allowance(number)
-            full = allowance is None or (
-                bucket.fill(self._rate(number, allowance), allowance.room, now) >= allowance.room
-            )
-            if full:
-                del self.buckets[number]
+            if allowance is None or not window.count(allowance.window_s, now):
+                del self.windows[number]
 
     def tell(self, now: float) -> dict[OrganisationNumber, float]:
         """Return the room of each organisation that nears its limit."""
         found = {}
-        for number, bucket in self.buckets.items():
+        for number in self.windows:
             allowance = self.find_allowance(number)
             if allowance is None:
                 continue
-            room = bucket.fill(self._rate(number, allowance), allowance.room, now)
-            if room < allowance.room * TIGHT_SHARE:
+            room = self._find_room(number, allowance, now)
+            if room < allowance.most * TIGHT_SHARE:
                 found[number] = room
         return found
 
@@ -326,7 +451,9 @@
     :param holds_lease: whether this host is still listed, so that others leave it its usual rate.
     :param count_hosts: returns how many hosts there are, this one included.
     :param spread: returns a random share from 0 to 1.
-    :ivar blind: room of each organisation while there is no word.
+    :ivar blind: room of each organisation while there is no word; it stays over short ones, so that
+        words that come and go let nothing more through.
+    :ivar blind_rates: usual rates when the words ended, and *blind_since* when that was.
     """
 
     find_words: Callable[[], list[Word]]
@@ -336,6 +463,7 @@
     own: dict[OrganisationNumber, OwnGrants] = field(default_factory=dict)
     blind: dict[OrganisationNumber, Bucket] = field(default_factory=dict)
     blind_rates: dict[OrganisationNumber, float] = field(default_factory=dict)
+    blind_since: dict[OrganisationNumber, float] = field(default_factory=dict)
 
     def admit(self, number: OrganisationNumber, allowance: Allowance, now: float) -> Refused | None:
         """Grant a call and count it, or return why not."""
@@ -368,16 +496,15 @@
     ) -> float:
         """Return the least room that any of *words* leaves; an organisation that none of them
         names has as much as is not worth a word."""
-        self.blind.pop(number, None)
+        self.blind_since.pop(number, None)
         own = self.own.get(number)
         rooms = []
         for word in words:
-            room = word.rooms.get(number, allowance.room * TIGHT_SHARE)
+            room = max(1.0, allowance.most * TIGHT_SHARE)
             if number in word.rooms:
                 refill = min(REFILL_S, now - word.at) * allowance.calls_per_s
-                room = min(allowance.room, room + refill)
-            untold = 0 if own is None else own.count_since(word.covers_until, now)
-            rooms.append(max(1.0, room) - untold if number not in word.rooms else room - untold)
+                room = min(allowance.most, word.rooms[number] + refill)
+            rooms.append(room - (0 if own is None else own.count_since(word.covers_until, now)))
         return min(rooms)
 
     def find_told_room(
@@ -396,11 +523,14 @@
         is listed, and else at its share of the tolerated excess.
         """
         hosts = self.count_hosts()
-        bucket = self.blind.get(number)
-        if bucket is None:
-            own = self.own.get(number)
-            bucket = self.blind[number] = Bucket(1.0, now)
-            self.blind_rates[number] = 0.0 if own is None else own.usual.read(now)
+        bucket = self.blind.setdefault(number, Bucket(1.0, now))
+        if number not in self.blind_since:
+            self.blind_since[number] = now
+            own = self.own.get(number, OwnGrants())
+            self.blind_rates[number] = own.usual.read(now)
+            # What it granted since others last heard of it counts here.
+            since = max((word.covers_until for word in self.find_words()), default=now)
+            bucket.room -= own.count_since(since, now)
         rate = allowance.blind_per_s / max(1, hosts)
         if self.holds_lease():
             usual = min(allowance.calls_per_s, self.blind_rates.get(number, 0.0))
@@ -427,3 +557,4 @@
             del self.own[number]
             self.blind.pop(number, None)
             self.blind_rates.pop(number, None)
+            self.blind_since.pop(number, None)
