--- a/gradepoint/routing/quotas.py
+++ b/gradepoint/routing/quotas.py
@@ -22,9 +22,9 @@
 """Share of what is tolerated beyond a quota that is granted on purpose, so that no call below the
 limit is refused for a moment's difference. The rest covers what hosts do not know of each other."""
 MOST_GRANTED_SHARE = 0.75
-"""Share of a quota with all that is tolerated that is granted on purpose at the most. The rest is for
-what is granted unknown to others: 0.18 of it where a third of 51 hosts was cut off within a second
-of an organisation turning hot (``python -m bench.quota_replay``)."""
+"""Share of a quota with all that is tolerated that is granted on purpose at the most. The rest is
+for what is granted unknown to others: 0.18 of it where a third of 51 hosts was cut off within a
+second of an organisation turning hot (``python -m bench.quota_replay``)."""
 TIGHT_SHARE = 0.25
 """Share of an organisation's full room below which hosts are told of it: eight times the usual
 calls of one that uses two thirds of its quota take three words to use that up."""
