--- a/bench/quota_replay.py
+++ b/bench/quota_replay.py
@@ -22,17 +22,9 @@
 from enum import Enum
 
 from gradepoint.ids import Incarnation, OrganisationNumber
-from gradepoint.routing.quotas import (
-    Allowance,
-    Bucket,
-    HostQuotas,
-    Quota,
-    QuotaLedger,
-    QuotaTerms,
-    Window,
-    Word,
-    allow,
-)
+from gradepoint.routing.host_quotas import HostQuotas, Word
+from gradepoint.routing.quota_ledger import QuotaLedger
+from gradepoint.routing.quotas import Allowance, Bucket, Quota, QuotaTerms, Window, allow
 from gradepoint.util.hashing import rank
 
 TERMS = QuotaTerms(5.0, 0.1, 20.0)
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -34,7 +34,9 @@
 )
 from ..peers.silence import Silence
 from ..peers.watchers import Watchers
-from ..routing.quotas import HostQuotas, QuotaLedger, QuotaTerms
+from ..routing.host_quotas import HostQuotas
+from ..routing.quota_ledger import QuotaLedger
+from ..routing.quotas import QuotaTerms
 from ..spool.client import SpoolClient
 from ..telemetry import metrics
 from ..telemetry.logs import emit, report_left_out
--- a/gradepoint/gateway/quota_gate.py
+++ b/gradepoint/gateway/quota_gate.py
@@ -7,13 +7,14 @@
 
 from .. import events
 from ..errors import GradepointError
-from ..routing.quotas import Allowance, HostQuotas, QuotaTerms, allow
+from ..routing.quotas import Allowance, QuotaTerms, allow
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from .configuration import NO_VERSION
 
 if TYPE_CHECKING:
     from ..ids import ConfigVersion, OrganisationNumber, RequestId
+    from ..routing.host_quotas import HostQuotas
     from .beliefs import ConfigurationBelief
     from .organisations import Organisation
 
--- a/gradepoint/peers/aggregation.py
+++ b/gradepoint/peers/aggregation.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from ..routing.quotas import QuotaLedger
+from ..routing.quota_ledger import QuotaLedger
 from ..routing.suspects import ToldSuspects
 from ..util.clock import monotonic
 from ..util.hashing import score, short_number
--- a/gradepoint/peers/occupancy.py
+++ b/gradepoint/peers/occupancy.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from .. import events
-from ..routing.quotas import Word
+from ..routing.host_quotas import Word
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.hashing import rank, short_number
--- a/tests/test_routing/test_routing_quotas.py
+++ b/tests/test_routing/test_routing_quotas.py
@@ -10,16 +10,9 @@
 
 from bench.quota_replay import HOT, LOADS, Fault, Load, Trouble, replay
 from gradepoint.ids import Incarnation, OrganisationNumber
-from gradepoint.routing.quotas import (
-    WORD_S,
-    HostQuotas,
-    Quota,
-    QuotaLedger,
-    QuotaTerms,
-    Window,
-    Word,
-    allow,
-)
+from gradepoint.routing.host_quotas import HostQuotas, Word
+from gradepoint.routing.quota_ledger import QuotaLedger
+from gradepoint.routing.quotas import WORD_S, Quota, QuotaTerms, Window, allow
 
 HOSTS = 24
 ONE = OrganisationNumber(1)
