Soak with organisations: what targets are told, keys that reach them, quotas in each window

Each call, job and item has an organisation by its id, a key and a false name; targets check what they are told, and the limited organisation's calls in any five seconds. The test's own sanity check asks for a reached quota only where hosts do not stand still.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -9,6 +9,7 @@
 
 import typer
 
+from .organisations import Organisations
 from .run import Soak
 
 EXIT_BROKEN = 1
@@ -20,6 +21,7 @@
     seconds: Annotated[float, typer.Option(help="Seconds of faults in each run.")] = 8.0,
     gateways: Annotated[int, typer.Option(help="Gateway processes.")] = 3,
     callers: Annotated[int, typer.Option(help="Callers at once.")] = 6,
+    organisations: Annotated[bool, typer.Option(help="Callers have keys, one a quota.")] = False,
     harm: Annotated[bool, typer.Option(help="Send a request that ends its targets.")] = False,
     folder: Annotated[Path, typer.Option(help="Logs of each run go below.")] = Path("run/soak"),
 ) -> None:
@@ -34,6 +36,7 @@
             gateways=gateways,
             callers=callers,
             with_harm=harm,
+            organisations=Organisations() if organisations else None,
         )
         broken = asyncio.run(soak.run())
         outcomes = ", ".join(f"{name}: {n}" for name, n in sorted(soak.ledger.outcomes.items()))
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -13,6 +13,7 @@
 
 from gradepoint.standins.ports import free_port
 
+from .organisations import make_settings as make_quota_settings
 from .proxy import Proxy
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -102,7 +103,7 @@
             "ready_address": f"{self.address}:{ready}",
             "grace_s": 6.0,
             "hosts_lost": 1,
-            "quota_excess": 0.1,
+            **make_quota_settings(),
         }
 
 
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -23,6 +23,7 @@
 from .fleet import DataHostProcess, GatewayProcess
 from .harm import Harm
 from .ledger import Ledger
+from .organisations import Organisations
 from .proxy import Path, Proxy
 
 HOST = "soak.example"
@@ -38,6 +39,7 @@
     :param faults_s: seconds of faults.
     :param gateways: gateway processes.
     :param with_harm: a request that ends its targets is sent beside the other calls.
+    :param organisations: callers have keys of organisations; None leaves them out.
     :param suspend: suspends a gateway's host for some seconds; None where that cannot be done.
     :param make_gateway: makes a gateway; what it makes need not be a process.
     :param make_data_host: makes a data host.
@@ -52,6 +54,7 @@
     callers: int = 6
     events: int = 8
     with_harm: bool = False
+    organisations: Organisations | None = None
     suspend: Callable[[GatewayProcess, float], None] | None = None
     make_gateway: Callable[..., GatewayProcess] = GatewayProcess
     make_data_host: Callable[..., DataHostProcess] = DataHostProcess
@@ -95,6 +98,8 @@
             await self._check_jobs()
             if harm is not None:
                 self.ledger.broken += harm.find_broken(self.started)
+            if self.organisations is not None:
+                self.ledger.broken += self.organisations.broken
             return self.ledger.close()
         finally:
             await self._stop()
@@ -157,6 +162,8 @@
         await proxy.start(ip)
         self.proxies.append(proxy)
         self.targets.append(target)
+        if self.organisations is not None:
+            self.organisations.watch(target)
         self._list_target(target, proxy.port)
 
     def _list_target(self, target: TargetStandin, port: int, state: str = "ready") -> None:
@@ -181,6 +188,8 @@
             "services": services,
             "limits": limits,
         }
+        if self.organisations is not None:
+            document["tenants"] = self.organisations.list_rows(self.version)
         self.store.put("op/config", msgspec.json.encode(document))
 
     def _route(self, name: str, kind: str) -> dict[str, object]:
@@ -252,7 +261,10 @@
         self.ledger.note_call(kind, request_id, status, b"".join(pieces), cut)
 
     def _headers(self, request_id: str) -> list[tuple[str, str]]:
-        return [("host", HOST), ("x-attempt-id", request_id), ("x-time-left-ms", "3000")]
+        headers = [("host", HOST), ("x-attempt-id", request_id), ("x-time-left-ms", "3000")]
+        if self.organisations is None:
+            return headers
+        return self.organisations.add_key(request_id, headers)
 
     async def _probe_version(self, http: HttpClient, gateway: GatewayProcess) -> None:
         """Ask for a route that exists from a version on; it may not go away within a life."""
--- a/tests/test_bench/test_bench_soak.py
+++ b/tests/test_bench/test_bench_soak.py
@@ -11,6 +11,7 @@
 from bench.platform.target import TargetStandin, whole_stream
 from bench.soak.fleet import GatewayProcess
 from bench.soak.ledger import Ledger
+from bench.soak.organisations import RATE, WINDOW_S, Organisations
 from bench.soak.proxy import Path, Proxy
 from bench.soak.run import Soak
 from gradepoint.util import hashing
@@ -23,6 +24,9 @@
 HARM_SEEDS = (602, 621, 632)
 """Seeds of short soaks with a request that ends its targets; each broke a promise once."""
 
+ORGANISATION_SEEDS = (801, 802, 803)
+"""Seeds of short soaks whose callers have keys and quotas."""
+
 SUSPENSION_SEEDS = (701, 702)
 """Seeds of short soaks in which hosts are suspended."""
 
@@ -39,6 +43,7 @@
     patch: pytest.MonkeyPatch,
     *,
     with_harm: bool = False,
+    organisations: Organisations | None = None,
     suspend: Callable[[GatewayProcess, float], None] | None = None,
 ) -> Soak:
     """Play a short soak in virtual time, with the gateways and data hosts on its loop."""
@@ -52,6 +57,7 @@
             gateways=2,
             callers=4,
             with_harm=with_harm,
+            organisations=organisations,
             suspend=suspend,
             make_gateway=LoopGateway,
             make_data_host=LoopDataHost,
@@ -204,3 +210,22 @@
     soak = play(seed, tmp_path / "soak", monkeypatch, with_harm=with_harm, suspend=suspend_host)
     assert not soak.ledger.broken
     assert soak.done["suspension"] > 0
+
+
+@pytest.mark.parametrize("suspends", [False, True])
+@pytest.mark.parametrize("seed", ORGANISATION_SEEDS)
+def test_a_short_soak_of_organisations_tells_targets_the_truth_and_holds_quotas(
+    seed: int, suspends: bool, tmp_path: FilePath, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    organisations = Organisations()
+    soak = play(
+        seed,
+        tmp_path / "soak",
+        monkeypatch,
+        organisations=organisations,
+        suspend=suspend_host if suspends else None,
+    )
+    assert not soak.ledger.broken
+    # The quota is reached where hosts do not stand still for most of the run.
+    assert suspends or organisations.most > RATE * WINDOW_S / 2
+    assert soak.ledger.accepted
