Take over what others told where a host begins to add up

Cause, by reading: a host that restarts may be the first that adds up, and all rely on it at once. Organisations far below their limit are not named to it, so it took nine tenths of their windows as used, and callers at their usual would be refused for seconds after each such restart.

A host that knows of no others takes the share of none.

--- a/gradepoint/gateway/quota_gate.py
+++ b/gradepoint/gateway/quota_gate.py
@@ -46,12 +46,18 @@
         return self.allowances[number]
 
     def find_told_room(self, number: OrganisationNumber) -> float | None:
-        """Return the room that this host was told of, None without a word or a limit."""
+        """Return the least room that this host was told of, None without a word or a limit."""
         allowance = self.find_allowance(number)
         if allowance is None:
             return None
         return self.host.find_told_room(number, allowance, monotonic())
 
+    def find_named_room(self, number: OrganisationNumber) -> float | None:
+        """Return the room of an organisation near its limit, None for one far below it."""
+        words = self.host.find_young_words(monotonic())
+        named = any(number in word.rooms for word in words)
+        return self.find_told_room(number) if named else None
+
     def admit(self, organisation: Organisation, request_id: RequestId) -> None:
         """Grant a call.
 
--- a/gradepoint/gateway/quota_page.py
+++ b/gradepoint/gateway/quota_page.py
@@ -69,7 +69,7 @@
 def _list(gate: QuotaGate, row: Organisation) -> ListedQuota:
     now = monotonic()
     own = gate.host.own.get(row.number)
-    room = gate.find_told_room(row.number)
+    room = gate.find_named_room(row.number)
     assert row.quota is not None
     return ListedQuota(
         row.name,
--- a/gradepoint/routing/host_quotas.py
+++ b/gradepoint/routing/host_quotas.py
@@ -171,8 +171,8 @@
     def find_told_room(
         self, number: OrganisationNumber, allowance: Allowance, now: float
     ) -> float | None:
-        """Return the room that this host was told of, None without any word of it."""
-        words = [word for word in self.find_young_words(now) if number in word.rooms]
+        """Return the least room that there is as this host was told, None without any word."""
+        words = self.find_young_words(now)
         return self.estimate(number, allowance, words, now) if words else None
 
     def _find_blind_room(
@@ -192,7 +192,8 @@
             # What it granted since others last heard of it counts here.
             since = max((word.covers_until for word in self.find_words()), default=now)
             bucket.room -= own.count_since(since, now)
-        rate = allowance.blind_per_s / max(1, hosts)
+        # A host that knows of no others could take the share of all of them.
+        rate = allowance.blind_per_s / hosts if hosts else 0.0
         if self.holds_lease():
             usual = min(allowance.calls_per_s, self.blind_rates.get(number, 0.0))
             rate = max(allowance.part_per_s(hosts), usual)
