--- a/tests/test_routing/test_routing_quotas.py
+++ b/tests/test_routing/test_routing_quotas.py
@@ -195,7 +195,7 @@
 
 
 def test_a_host_that_begins_to_add_up_takes_over_what_others_told() -> None:
-    """It may be the one that all rely on at once; an organisation in a small crest is not refused."""
+    """All may rely on it at once; an organisation in a small crest is not refused."""
     allowance = allow(QUOTA, TERMS)
     words = [Word({}, 0.0, 0.0)]
     host = make_host(words)
