--- a/gradepoint/gateway/choice.py
+++ b/gradepoint/gateway/choice.py
@@ -32,9 +32,9 @@
 
     The less loaded of two that are drawn is taken, however full (Mitzenmacher, 2001). All hosts see
     the same loads some hundredths of a second late: what each takes for the emptiest gets a whole
-    burst. With 51 hosts before 30 targets under a square wave 0.55 calls in 100 are late so, 2.1
+    burst. With 51 hosts before 30 targets under a square wave 0.56 calls in 100 are late so, 2.1
     where targets are drawn by the square of their free slots and 21.6 at the emptiest; with a fifth
-    of the targets gone 3.6, 10.2 by the square (``python -m bench.crest_replay``).
+    of the targets gone 3.8, 10.2 by the square (``python -m bench.crest_replay``).
 
     :param tried: targets that this call has been sent to.
     :param elsewhere: what other hosts say they have in flight at a target.
