--- a/gradepoint/peers/datagrams.py
+++ b/gradepoint/peers/datagrams.py
@@ -22,7 +22,7 @@
 
     from ..ids import TargetId
 
-DATAGRAM_FORMAT = 7
+DATAGRAM_FORMAT = 8
 """Version of the datagram format; datagrams of other versions are dropped."""
 
 
@@ -71,6 +71,10 @@
     :param trials: target reserved for the host's trial of a suspected request, by request.
     :param clock_ms: the host's clock when it sends this.
     :param grants: calls granted by the host so far by organisation, where this changed recently.
+    :param paces: events received from a target and the milliseconds they took, in the last second,
+        by target.
+    :param refused: short numbers of the requests that the host refused lately for lack of room.
+    :param demands: calls in flight and lately refused, by organisation, while there is a shortage.
     """
 
     format: int
@@ -85,6 +89,9 @@
     trials: dict[RequestKey, TargetNumber] = {}
     clock_ms: int = 0
     grants: dict[OrganisationNumber, int] = {}
+    paces: dict[TargetNumber, tuple[int, int]] = {}
+    refused: list[int] = []
+    demands: dict[OrganisationNumber, int] = {}
 
 
 class Sums(msgspec.Struct, frozen=True, array_like=True):
@@ -101,6 +108,12 @@
     :param trials: target reserved for the trial of a suspected request, by request.
     :param rooms: room of organisations near their limit, in tenths of calls.
     :param heard_percent: percentage of the listed hosts whose grants are included.
+    :param items: batch items in flight, by target; they are included in *loads*.
+    :param paces: mean tenths of a millisecond between two events of an answer, by target; sent with
+        all results only.
+    :param refused: short numbers of the requests that any host refused lately for lack of room.
+    :param shares: percentage of its calls that an organisation above its fair share may send, for
+        those organisations only.
     """
 
     aggregator: Incarnation
@@ -114,6 +127,10 @@
     trials: dict[RequestKey, TargetNumber] = {}
     rooms: dict[OrganisationNumber, int] = {}
     heard_percent: int = 100
+    items: dict[TargetNumber, int] = {}
+    paces: dict[TargetNumber, int] = {}
+    refused: list[int] = []
+    shares: dict[OrganisationNumber, int] = {}
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True, tag="digest"):
