Declare the gateway's records as msgspec structs

Cause: a gateway needs 0.11 s of processor time until it serves, and hosts have half a core. cProfile shows that the creation of about 110 dataclasses takes a quarter to a third of it: each generates and compiles source text. Ruled out: deferring the modules that the first call does not need (jobs, spool, held requests, retirement); without dataclasses they take 2 to 3 ms together, for a construction in two phases. Change: the modules that the gateway imports use util.structs.Struct. Computed attributes of frozen records are cached properties. DatagramSocket stays a dataclass, as tests subclass it.

--- a/gradepoint/errors.py
+++ b/gradepoint/errors.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum
 
+from .util.structs import Struct
+
 
 class Outcome(Enum):
     """What is known about the execution of a call, as reported to its caller.
@@ -38,8 +39,7 @@
     OPERATOR = "operator"
 
 
-@dataclass(frozen=True)
-class ErrorKind:
+class ErrorKind(Struct, frozen=True):
     """One row of the error catalogue.
 
     :param code: stable identifier, sent to callers as ``error.code``.
--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -7,11 +7,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from .util.structs import Struct
 
 
-@dataclass(frozen=True)
-class Event:
+class Event(Struct, frozen=True):
     """One kind of log event.
 
     :param number: stable number.
--- a/gradepoint/gateway/callers.py
+++ b/gradepoint/gateway/callers.py
@@ -7,13 +7,13 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, TypeVar
 
 from .. import events
 from ..errors import GradepointError
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
+from ..util.structs import Struct, field
 from ..util.tasks import TaskGroup
 from .organisations import fingerprint
 
@@ -41,8 +41,7 @@
 is stale."""
 
 
-@dataclass(frozen=True)
-class RevocationTerms:
+class RevocationTerms(Struct, frozen=True):
     """Rules for revoked keys.
 
     :param strict: no host accepts a revoked key after *revoke_s*, so that a host that gets no
@@ -54,8 +53,7 @@
     revoke_s: float = 5.0
 
 
-@dataclass
-class CallerCheck:
+class CallerCheck(Struct):
     """Finds the route and organisation of calls, and refuses calls that have none.
 
     :param age_s: returns the seconds since this host's configuration was last known to be current.
--- a/gradepoint/gateway/calls.py
+++ b/gradepoint/gateway/calls.py
@@ -8,13 +8,13 @@
 
 import asyncio
 from contextlib import suppress
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from .. import events
 from ..errors import GradepointError
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
+from ..util.structs import Struct
 from .answers import refuse
 from .configuration import RouteKind
 from .live import LiveCall, create_call
@@ -39,8 +39,7 @@
 the store."""
 
 
-@dataclass
-class CallRouter:
+class CallRouter(Struct):
     """Answers callers' requests.
 
     :param callers: finds the calling organisation and the route.
--- a/gradepoint/gateway/configuration.py
+++ b/gradepoint/gateway/configuration.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from dataclasses import dataclass, field
 from enum import Enum
+from functools import cached_property
 from typing import TYPE_CHECKING
 
 from ..ids import ConfigVersion, ServiceName
+from ..util.structs import Struct
 
 if TYPE_CHECKING:
     import random
@@ -30,8 +31,7 @@
     BATCH = "batch"
 
 
-@dataclass(frozen=True)
-class Share:
+class Share(Struct, frozen=True):
     """One service of a route's traffic split.
 
     :param weight: share of the traffic, relative to the other weights.
@@ -41,8 +41,7 @@
     weight: float
 
 
-@dataclass(frozen=True)
-class Route:
+class Route(Struct, frozen=True):
     """One route.
 
     :param host: value of the Host header, without a port.
@@ -93,8 +92,7 @@
         return rng.choices(self.shares, weights)[0].service
 
 
-@dataclass(frozen=True)
-class Service:
+class Service(Struct, frozen=True):
     """One service.
 
     :param max_connections: maximum number of connections that one target accepts in total.
@@ -106,8 +104,7 @@
     slots: int = 0
 
 
-@dataclass(frozen=True)
-class CallerLimits:
+class CallerLimits(Struct, frozen=True):
     """Maximum sizes in bytes of a request, and timeouts in seconds of callers' connections."""
 
     header_bytes: int
@@ -116,12 +113,10 @@
     idle_timeout_s: float
 
 
-@dataclass(frozen=True)
-class Configuration:
+class Configuration(Struct, frozen=True):
     """One complete version of the configuration.
 
     :param organisations: organisations that may call; None if anybody may call without a key.
-    :ivar by_host: routes by lower-case host, longest path prefix first.
     """
 
     version: ConfigVersion
@@ -129,13 +124,14 @@
     services: dict[ServiceName, Service]
     limits: CallerLimits
     organisations: Organisations | None = None
-    by_host: dict[str, list[Route]] = field(init=False, repr=False, compare=False)
 
-    def __post_init__(self) -> None:
+    @cached_property
+    def by_host(self) -> dict[str, list[Route]]:
+        """Routes by lower-case host, longest path prefix first."""
         by_host: dict[str, list[Route]] = defaultdict(list)
         for route in sorted(self.routes, key=lambda route: -len(route.path_prefix)):
             by_host[route.host.lower()].append(route)
-        object.__setattr__(self, "by_host", dict(by_host))
+        return dict(by_host)
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of *host* with the longest prefix of *path*, or None.
--- a/gradepoint/gateway/dialect.py
+++ b/gradepoint/gateway/dialect.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
+from ..util.structs import Struct
+
 if TYPE_CHECKING:
     from ..ids import OrganisationName, RequestId, TargetName
     from ..wire.http_client import ClientResponse
@@ -12,8 +13,7 @@
 RawHeaders = list[tuple[bytes, bytes]]
 
 
-@dataclass(frozen=True)
-class CallHead:
+class CallHead(Struct, frozen=True):
     """Decoded headers of a caller's request.
 
     :param request_id: the caller's ID of this call, empty if it sent none.
@@ -36,8 +36,7 @@
     organisation: OrganisationName | None = None
 
 
-@dataclass(frozen=True)
-class AnswerHead:
+class AnswerHead(Struct, frozen=True):
     """Decoded status and headers of a target's answer.
 
     :param not_run: the target states that it did not run the call.
--- a/gradepoint/gateway/event_stream.py
+++ b/gradepoint/gateway/event_stream.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from ..util.structs import Struct, field
 
 END_OF_EVENT = b"\n\n"
 
 
-@dataclass(frozen=True)
-class StreamEvent:
+class StreamEvent(Struct, frozen=True):
     """One event.
 
     :param raw: its bytes, including the blank line at the end.
@@ -21,8 +20,7 @@
     data: bytes | None
 
 
-@dataclass
-class EventSplitter:
+class EventSplitter(Struct):
     """Collects chunks of a body and returns events once they are complete.
 
     :ivar rest: bytes after the last complete event.
--- a/gradepoint/gateway/followers.py
+++ b/gradepoint/gateway/followers.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -13,6 +12,7 @@
 from .. import events
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
+from ..util.structs import Struct, field
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,8 +24,7 @@
     from .targets import ListedTarget, TargetSet
 
 
-@dataclass
-class ActiveConfiguration:
+class ActiveConfiguration(Struct):
     """The configuration in force; its version never decreases.
 
     :param decode: decodes a stored configuration.
@@ -64,8 +63,7 @@
         self.on_change(found)
 
 
-@dataclass
-class OperatorFollower:
+class OperatorFollower(Struct):
     """Follows the keys that the operator writes.
 
     :param config_key: key of the configuration.
@@ -96,8 +94,7 @@
             self.on_retire(retired, revision)
 
 
-@dataclass
-class TargetFollower:
+class TargetFollower(Struct):
     """Follows the list of targets.
 
     :param decode: decodes the row of a key.
@@ -139,8 +136,7 @@
             return None
 
 
-@dataclass
-class LiveFollower:
+class LiveFollower(Struct):
     """Follows live hosts, ended jobs and held requests.
 
     They have a common prefix, so that one watch is enough for all of them.
--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -5,11 +5,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ..util.clock import monotonic
 from ..util.rng import new_rng
+from ..util.structs import Struct, field
 from ..wire.addresses import split_address
 from ..wire.http_client import ConnectFailed, ConnectRefused, HttpClient, ResponseBroken
 from .choice import choose_target, get_load
@@ -44,8 +44,7 @@
     """The answer broke, came too late or belongs to another call; the call may have run."""
 
 
-@dataclass
-class Exchange:
+class Exchange(Struct):
     """An answer of one target whose body is not yet read.
 
     The call counts as in flight at the target until :meth:`close`.
@@ -72,8 +71,7 @@
     """Return at once."""
 
 
-@dataclass
-class Forwarder:
+class Forwarder(Struct):
     """Selects targets for calls and sends the calls.
 
     :param failure_domain: failure domain of this host.
--- a/gradepoint/gateway/health.py
+++ b/gradepoint/gateway/health.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from ..util.structs import Struct
 
 SAMPLE_WEIGHT = 0.15
 """Weight of one answer in the moving average; about the last dozen answers count."""
@@ -20,8 +20,7 @@
 """Maximum seconds of an ejection; a recovered target is tried again within this time."""
 
 
-@dataclass
-class TargetHealth:
+class TargetHealth(Struct):
     """Moving average of a target's failures, and its ejection.
 
     :ivar failure_share: exponential moving average of failures, from 0 to 1.
--- a/gradepoint/gateway/held.py
+++ b/gradepoint/gateway/held.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -17,6 +16,7 @@
 from ..peers.presence import LIVE_PREFIX
 from ..routing.suspects import CRASH_LIFETIME_S
 from ..telemetry.logs import emit
+from ..util.structs import Struct, field
 from ..util.tasks import TaskGroup
 from ..wire.http_types import Response, json_response
 from .identity import format_key, parse_key
@@ -61,8 +61,7 @@
     ended: list[str]
 
 
-@dataclass
-class HeldRequests:
+class HeldRequests(Struct):
     """Stores suspected requests, restores them after a restart and serves operators.
 
     :ivar rows: stored records by request.
--- a/gradepoint/gateway/identity.py
+++ b/gradepoint/gateway/identity.py
@@ -6,11 +6,11 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import dataclass
 from functools import cached_property
 from typing import TYPE_CHECKING
 
 from ..ids import RequestKey
+from ..util.structs import Struct
 
 if TYPE_CHECKING:
     from .dialect import CallHead
@@ -21,8 +21,7 @@
 days."""
 
 
-@dataclass(eq=False)
-class RequestIdentity:
+class RequestIdentity(Struct, eq=False):
     """The parts of a call that identify its request.
 
     Objects are compared by identity, so that two calls of the same request remain distinct. The
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from .. import events
@@ -16,6 +15,7 @@
 from ..telemetry import metrics
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
+from ..util.structs import Struct, field
 from ..wire.http_client import ConnectFailed, ResponseBroken
 from ..wire.http_types import Response
 from .choice import get_load
@@ -59,8 +59,7 @@
 """Multiple of the goal after which a stream's first event counts as a failure of its target."""
 
 
-@dataclass
-class LiveCall:
+class LiveCall(Struct):
     """One call from its arrival to its answer.
 
     :ivar arrived_at: monotonic time of arrival.
--- a/gradepoint/gateway/organisations.py
+++ b/gradepoint/gateway/organisations.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import dataclass, field
+from functools import cached_property
 from typing import TYPE_CHECKING
 
 from ..ids import KeyDigest, OrganisationName, OrganisationNumber
 from ..util.hashing import hash32
+from ..util.structs import Struct
 
 if TYPE_CHECKING:
     from ..routing.quotas import Quota
@@ -33,8 +34,7 @@
     return digest_key(key).hex()[:FINGERPRINT_DIGITS] if key else ""
 
 
-@dataclass(frozen=True)
-class Organisation:
+class Organisation(Struct, frozen=True):
     """One organisation.
 
     :param keys: digests of its API keys.
@@ -51,25 +51,27 @@
         return OrganisationNumber(hash32(self.name))
 
 
-@dataclass(frozen=True)
-class Organisations:
+class Organisations(Struct, frozen=True):
     """All organisations of one configuration.
 
     A key that two of them have belongs to the first one listed, on all hosts.
     """
 
     listed: tuple[Organisation, ...]
-    by_key: dict[KeyDigest, Organisation] = field(init=False, repr=False, compare=False)
-    by_number: dict[OrganisationNumber, Organisation] = field(init=False, repr=False, compare=False)
 
-    def __post_init__(self) -> None:
+    @cached_property
+    def by_key(self) -> dict[KeyDigest, Organisation]:
+        """Organisations by each of their keys."""
         by_key: dict[KeyDigest, Organisation] = {}
         for organisation in self.listed:
             for key in organisation.keys:
                 by_key.setdefault(key, organisation)
-        by_number = {organisation.number: organisation for organisation in self.listed}
-        object.__setattr__(self, "by_key", by_key)
-        object.__setattr__(self, "by_number", by_number)
+        return by_key
+
+    @cached_property
+    def by_number(self) -> dict[OrganisationNumber, Organisation]:
+        """Organisations by their numbers."""
+        return {organisation.number: organisation for organisation in self.listed}
 
     def find(self, key: bytes) -> Organisation | None:
         """Return the organisation of a key; the duration doesn't depend on their number."""
--- a/gradepoint/gateway/parts.py
+++ b/gradepoint/gateway/parts.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from ..util.structs import Struct
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -15,8 +16,7 @@
     from .targets import ListedTarget
 
 
-@dataclass(frozen=True)
-class PlatformAdapter:
+class PlatformAdapter(Struct, frozen=True):
     """Functions, keys and protocols that the platform's adapter provides.
 
     :param dialect: headers of calls and answers.
--- a/gradepoint/gateway/quota_gate.py
+++ b/gradepoint/gateway/quota_gate.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from .. import events
@@ -13,6 +12,7 @@
 from ..routing.quotas import Allowance, QuotaTerms, compute_allowance
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
+from ..util.structs import Struct, field
 from .configuration import NO_VERSION
 
 if TYPE_CHECKING:
@@ -22,8 +22,7 @@
     from .organisations import Organisation
 
 
-@dataclass
-class QuotaGate:
+class QuotaGate(Struct):
     """Grants or refuses calls of organisations according to their quotas.
 
     :param host: this host's grants, and other hosts' grants as reported to it.
--- a/gradepoint/gateway/retirement.py
+++ b/gradepoint/gateway/retirement.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from .. import events
@@ -11,6 +10,7 @@
 from ..kv.service import ABSENT, Expect, Put, Transaction
 from ..telemetry.logs import emit
 from ..util.hashing import rank
+from ..util.structs import Struct, field
 from ..util.tasks import TaskGroup
 from ..wire.addresses import split_address
 from ..wire.http_client import ConnectFailed, ResponseBroken
@@ -29,8 +29,7 @@
 """Seconds that a data host has to answer the request to retire."""
 
 
-@dataclass
-class Retirement:
+class Retirement(Struct):
     """Has data hosts emptied, and reports to the operator once they are empty.
 
     :param own: this host.
--- a/gradepoint/gateway/settings.py
+++ b/gradepoint/gateway/settings.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from result import Err, Result
 
 from ..settings import REQUIRED, Setting, check_rows, load_checked
+from ..util.structs import Struct
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -101,8 +101,7 @@
 )
 
 
-@dataclass(frozen=True)
-class GatewaySettings:
+class GatewaySettings(Struct, frozen=True):
     """Checked settings; one attribute for each row of :data:`TABLE`."""
 
     host: str
--- a/gradepoint/gateway/stall.py
+++ b/gradepoint/gateway/stall.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from .. import events
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
+from ..util.structs import Struct, field
 from ..util.tasks import TaskGroup
 
 if TYPE_CHECKING:
@@ -26,8 +26,7 @@
 continues with the data it has."""
 
 
-@dataclass
-class StallDetector:
+class StallDetector(Struct):
     """Detects a stall: the process was suspended or got no CPU time, or the clock jumped.
 
     After a stall, updates and calls that arrived in the meantime are both waiting in socket
--- a/gradepoint/gateway/suspicion.py
+++ b/gradepoint/gateway/suspicion.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from .. import events
@@ -16,6 +15,7 @@
 from ..telemetry import metrics
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
+from ..util.structs import Struct, field
 from .choice import choose_least_loaded, get_load
 from .identity import format_key
 from .targets import RunningTrial
@@ -41,8 +41,7 @@
 wait until one of the three is back."""
 
 
-@dataclass(frozen=True)
-class SuspectRow:
+class SuspectRow(Struct, frozen=True):
     """A suspected or held request.
 
     :param crashed: IDs of the target incarnations that crashed while running it, as far as they are
@@ -56,8 +55,7 @@
     crashes: list[tuple[TargetNumber, int]]
 
 
-@dataclass
-class Suspicion:
+class Suspicion(Struct):
     """Requests that may have crashed targets, and their trials.
 
     A suspected request is served only as a trial: by one host at a time, at a target that is
--- a/gradepoint/gateway/target_crashes.py
+++ b/gradepoint/gateway/target_crashes.py
@@ -9,12 +9,12 @@
 
 import asyncio
 import math
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from .. import events
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
+from ..util.structs import Struct, field
 from ..util.tasks import TaskGroup
 from ..wire.ports import PortState
 from .identity import format_key
@@ -59,8 +59,7 @@
 """Maximum number of requests in one log line: twice the slots of a typical target."""
 
 
-@dataclass
-class TargetCrash:
+class TargetCrash(Struct):
     """The crash of one incarnation of a target.
 
     :param requests: requests of this host that were running there, each with its kind of trial.
@@ -74,8 +73,7 @@
     common: bool
 
 
-@dataclass
-class CrashDetector:
+class CrashDetector(Struct):
     """Probes targets whose connections break, and reports those that have crashed.
 
     :param probe: returns the state of the port at ``IP:PORT``.
--- a/gradepoint/gateway/targets.py
+++ b/gradepoint/gateway/targets.py
@@ -8,10 +8,12 @@
 
 import math
 from collections import defaultdict
-from dataclasses import dataclass, field, replace
 from enum import Enum
+from functools import cached_property
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from .. import events
 from ..ids import TargetId
 from ..peers.datagrams import number_target
@@ -19,6 +21,7 @@
 from ..routing.suspects import Trial
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
+from ..util.structs import Struct, field
 from .health import TargetHealth
 
 if TYPE_CHECKING:
@@ -44,15 +47,13 @@
     UNREADABLE = "unreadable"
 
 
-@dataclass(frozen=True)
-class ListedTarget:
+class ListedTarget(Struct, frozen=True):
     """One row of the list of targets.
 
     :param address: ``IP:PORT``.
     :param slots: calls that the target works on at once; 0 if unknown.
     :param born_ms: start of the target in Unix milliseconds, None if the row doesn't contain it. It
         only distinguishes incarnations and is never compared with a clock.
-    :ivar id: ID of this incarnation: the name, with ``@born_ms`` if that is known.
     """
 
     name: TargetName
@@ -62,15 +63,14 @@
     slots: int
     state: ListedState
     born_ms: int | None = None
-    id: TargetId = field(init=False)
 
-    def __post_init__(self) -> None:
-        incarnation = self.name if self.born_ms is None else f"{self.name}@{self.born_ms}"
-        object.__setattr__(self, "id", TargetId(incarnation))
+    @cached_property
+    def id(self) -> TargetId:
+        """ID of this incarnation: the name, with ``@born_ms`` if that is known."""
+        return TargetId(self.name if self.born_ms is None else f"{self.name}@{self.born_ms}")
 
 
-@dataclass(frozen=True)
-class RunningTrial:
+class RunningTrial(Struct, frozen=True):
     """A trial that is under way: a suspected request that runs alone at a reserved target.
 
     :param kind: whether the target was empty when the trial began.
@@ -80,8 +80,7 @@
     kind: Trial
 
 
-@dataclass
-class Target:
+class Target(Struct):
     """One incarnation of a target, as listed and as observed by this host's calls.
 
     :param on_change: called when this host's calls in flight or its trial at the target change.
@@ -197,8 +196,7 @@
         )
 
 
-@dataclass
-class TargetSet:
+class TargetSet(Struct):
     """All targets known to this host.
 
     :param last_resort_s: seconds for which a target whose row vanished stays a last resort. The
@@ -253,7 +251,7 @@
         """Mark a target whose row can't be decoded; it gets no calls, not even as a last resort."""
         target = self.by_name.get(name)
         if target is not None:
-            target.listed = replace(target.listed, state=ListedState.UNREADABLE)
+            target.listed = msgspec.structs.replace(target.listed, state=ListedState.UNREADABLE)
             target.vanished_at = None
 
     def replace(
--- a/gradepoint/jobs/adoption.py
+++ b/gradepoint/jobs/adoption.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from .. import events
@@ -15,6 +14,7 @@
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.hashing import rank
+from ..util.structs import Struct, field
 from .repository import Superseded
 
 if TYPE_CHECKING:
@@ -53,8 +53,7 @@
     return rank(job_id, rank(owner, live)[:ADOPTERS_PER_HOST])[0]
 
 
-@dataclass
-class Adoption:
+class Adoption(Struct):
     """Takes over the jobs of lost hosts.
 
     A sweep reads all jobs, adopts the orphaned ones that are assigned to this host, and reminds
--- a/gradepoint/jobs/api.py
+++ b/gradepoint/jobs/api.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 from urllib.parse import urlencode
 
@@ -22,6 +21,7 @@
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.hashing import hash32, rank
+from ..util.structs import Struct, field
 from ..util.tasks import TaskGroup
 from ..wire.addresses import split_address
 from ..wire.http_client import ConnectFailed, ResponseBroken
@@ -78,8 +78,7 @@
     entered: bool = True
 
 
-@dataclass
-class JobApi:
+class JobApi(Struct):
     """Answers batch clients, and other hosts' questions about jobs.
 
     :param find_owner: returns the incarnation and ``IP:PORT`` of the host that announces a job in
--- a/gradepoint/jobs/calls.py
+++ b/gradepoint/jobs/calls.py
@@ -2,17 +2,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
+from ..util.structs import Struct
+
 if TYPE_CHECKING:
     from ..ids import ItemId
     from ..wire.http_types import Request
     from .records import Item, Result
 
 
-@dataclass(frozen=True)
-class ReadResults:
+class ReadResults(Struct, frozen=True):
     """A request for a job's results from a position on.
 
     :param client_id: the job's id as its client sent it.
@@ -24,16 +24,14 @@
     wait_s: float
 
 
-@dataclass(frozen=True)
-class ReadItem:
+class ReadItem(Struct, frozen=True):
     """A request for the body of one item, as it was submitted."""
 
     client_id: str
     item_id: ItemId
 
 
-@dataclass(frozen=True)
-class EndJob:
+class EndJob(Struct, frozen=True):
     """A request to end a job; items that have not ended are not run any more."""
 
     client_id: str
@@ -42,8 +40,7 @@
 JobCall = ReadResults | ReadItem | EndJob
 
 
-@dataclass(frozen=True)
-class ResultPage:
+class ResultPage(Struct, frozen=True):
     """Consecutive results of a job.
 
     :param total: number of items of the job.
--- a/gradepoint/jobs/intake.py
+++ b/gradepoint/jobs/intake.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -18,6 +17,7 @@
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.hashing import hash32
+from ..util.structs import Struct, field
 from ..util.tasks import TaskGroup
 from .repository import Admission, Submission
 
@@ -39,8 +39,7 @@
 """Seconds until a failed creation of a spooled job is retried."""
 
 
-@dataclass
-class Intake:
+class Intake(Struct):
     """Accepts jobs, and creates spooled jobs in the key-value service once it answers.
 
     :param spool: client of the data hosts.
--- a/gradepoint/jobs/owned.py
+++ b/gradepoint/jobs/owned.py
@@ -7,12 +7,12 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ..gateway.identity import RequestIdentity
 from ..kv.service import ABSENT
 from ..util.clock import monotonic
+from ..util.structs import Struct, field
 from .records import ItemOutcome, PartialText, Result
 
 if TYPE_CHECKING:
@@ -21,8 +21,7 @@
     from .repository import StoredJob
 
 
-@dataclass
-class OwnedJob:
+class OwnedJob(Struct):
     """One job and the work on it by this host.
 
     :param stored: the job as the key-value service has it; its revision is :data:`ABSENT` until
--- a/gradepoint/jobs/repository.py
+++ b/gradepoint/jobs/repository.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -18,6 +17,7 @@
 from ..ids import JobId
 from ..kv.service import ABSENT, Expect, KeyValue, Put, Transaction
 from ..telemetry.logs import emit
+from ..util.structs import Struct, field
 from .records import (
     JOB_PREFIX,
     Item,
@@ -75,8 +75,7 @@
     NO_ROOM = "no-room"
 
 
-@dataclass(frozen=True)
-class StoredJob:
+class StoredJob(Struct, frozen=True):
     """A job's state and the revision it was read at.
 
     :param created: the revision at which the job was created in the key-value service.
@@ -88,16 +87,14 @@
     created: int
 
 
-@dataclass(frozen=True)
-class Submission:
+class Submission(Struct, frozen=True):
     """How a submission ended, and the job as stored, if this host knows it."""
 
     admission: Admission
     job: StoredJob | None
 
 
-@dataclass(frozen=True)
-class CommittedWork:
+class CommittedWork(Struct, frozen=True):
     """The data that one commit writes.
 
     :param results: items that ended, with their texts.
@@ -123,8 +120,7 @@
         self.job = job
 
 
-@dataclass
-class JobRepository:
+class JobRepository(Struct):
     """Reads and writes jobs.
 
     :param value_bytes: size of the largest value that the key-value service takes.
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import sys
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from .. import events
@@ -22,6 +21,7 @@
 from ..util.clock import monotonic
 from ..util.hashing import hash32
 from ..util.rng import new_rng
+from ..util.structs import Struct, field
 from ..util.tasks import TaskGroup
 from ..wire.http_client import ConnectFailed
 from .item_run import ItemFailed, ItemUnprocessable, run_item
@@ -79,8 +79,7 @@
 younger than all jobs in the service."""
 
 
-@dataclass
-class RunningItem:
+class RunningItem(Struct):
     """An item that is running at a target.
 
     :ivar started: monotonic time at which the run started.
@@ -93,8 +92,7 @@
     task: asyncio.Task[None] | None = None
 
 
-@dataclass
-class Worker:
+class Worker(Struct):
     """Runs the jobs that this host owns.
 
     :param own: incarnation of this host.
--- a/gradepoint/kv/follow.py
+++ b/gradepoint/kv/follow.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import random
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
 from .. import events
 from ..errors import KvError, KvHistoryLost
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
+from ..util.structs import Struct
 
 if TYPE_CHECKING:
     from .service import KeyValueService, RangeResult, WatchEvent
@@ -31,8 +31,7 @@
         """Apply one change."""
 
 
-@dataclass
-class Backoff:
+class Backoff(Struct):
     """Retry delay for the calls on one prefix, with an event when they start and stop failing.
 
     The delay doubles with each failure up to :data:`MAX_BACKOFF_S` and is reset by a success.
--- a/gradepoint/kv/relay.py
+++ b/gradepoint/kv/relay.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Protocol
 
 import msgspec
@@ -18,6 +17,7 @@
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.rng import new_rng
+from ..util.structs import Struct, field
 from ..wire.addresses import split_address
 from ..wire.http_client import ConnectFailed, HttpClient, ResponseBroken
 from ..wire.http_types import Response
@@ -145,8 +145,7 @@
 )
 
 
-@dataclass
-class RelayedKv:
+class RelayedKv(Struct):
     """Implements :class:`~gradepoint.kv.service.KeyValueService` with direct and relayed calls.
 
     Calls are made directly. While direct calls fail, calls are relayed through other hosts, and
--- a/gradepoint/kv/service.py
+++ b/gradepoint/kv/service.py
@@ -9,9 +9,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
+from ..util.structs import Struct, field
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
@@ -19,8 +20,7 @@
 """Revision that means "the key does not exist" in a comparison."""
 
 
-@dataclass(frozen=True)
-class KeyValue:
+class KeyValue(Struct, frozen=True):
     """One key as read.
 
     :param revision: revision of the last modification, for comparisons.
@@ -35,16 +35,14 @@
     lease: int = 0
 
 
-@dataclass(frozen=True)
-class Expect:
+class Expect(Struct, frozen=True):
     """Condition that *key* was last modified at *revision* (:data:`ABSENT`: does not exist)."""
 
     key: str
     revision: int
 
 
-@dataclass(frozen=True)
-class Put:
+class Put(Struct, frozen=True):
     """Write of one key within a transaction; *lease* 0 means that the key has no lease."""
 
     key: str
@@ -52,15 +50,13 @@
     lease: int = 0
 
 
-@dataclass(frozen=True)
-class Delete:
+class Delete(Struct, frozen=True):
     """Deletion of one key within a transaction."""
 
     key: str
 
 
-@dataclass(frozen=True)
-class Transaction:
+class Transaction(Struct, frozen=True):
     """Writes and deletions applied atomically, if every condition in *expects* holds."""
 
     expects: tuple[Expect, ...]
@@ -68,8 +64,7 @@
     deletes: tuple[Delete, ...] = ()
 
 
-@dataclass(frozen=True)
-class TransactionResult:
+class TransactionResult(Struct, frozen=True):
     """Result of a transaction.
 
     :param succeeded: False if a condition did not hold; nothing was written then.
@@ -83,16 +78,14 @@
     current: tuple[KeyValue, ...] = ()
 
 
-@dataclass(frozen=True)
-class RangeResult:
+class RangeResult(Struct, frozen=True):
     """Keys in order; *revision* is the revision of the store at the time of the read."""
 
     items: tuple[KeyValue, ...] = ()
     revision: int = 0
 
 
-@dataclass(frozen=True)
-class WatchEvent:
+class WatchEvent(Struct, frozen=True):
     """A change of one key; *value* is None for a deletion."""
 
     key: str
@@ -100,8 +93,7 @@
     revision: int
 
 
-@dataclass(frozen=True)
-class WatchPage:
+class WatchPage(Struct, frozen=True):
     """Changes returned by one long-polling call.
 
     :param revision: revision of the store. It does not prove that there was no other change up
@@ -112,8 +104,7 @@
     revision: int
 
 
-@dataclass
-class CallCounts:
+class CallCounts(Struct):
     """Numbers of calls made to the service; a long poll counts as one call.
 
     :ivar failures: failed calls by kind.
--- a/gradepoint/kv/view.py
+++ b/gradepoint/kv/view.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
 from hashlib import blake2b
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from ..util.structs import Struct, field
 from .service import KeyValue, RangeResult, WatchEvent
 
 if TYPE_CHECKING:
@@ -38,8 +38,7 @@
     events: list[WatchEvent] = []
 
 
-@dataclass
-class PrefixView:
+class PrefixView(Struct):
     """Implements :class:`~gradepoint.kv.follow.Follower`: keeps a copy and informs *inner*.
 
     :ivar inner: follower that receives the first full read, later ones that differ from the copy,
--- a/gradepoint/peers/aggregation.py
+++ b/gradepoint/peers/aggregation.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -12,6 +11,7 @@
 from ..routing.suspects import SuspectsMessage
 from ..util.clock import monotonic
 from ..util.hashing import hash32, score
+from ..util.structs import Struct, field
 from .datagrams import Report, Sums
 from .results import KnownResults, ReportedResults, ResultCount, merge_results
 
@@ -54,8 +54,7 @@
     return QuotaLedger(lambda _: None, lambda _: None, list)
 
 
-@dataclass
-class ReceivedReport:
+class ReceivedReport(Struct):
     """The newest report of a host, with its time of receipt and the ``IP:PORT`` it came from.
 
     :ivar relied_at: monotonic time at which the host last reported that it relies on this one.
@@ -77,8 +76,7 @@
         return same == known
 
 
-@dataclass
-class Aggregation:
+class Aggregation(Struct):
     """Computes the sums over all hosts' reports.
 
     :param find_slots: returns a target's slots; None for a target that this host does not know.
--- a/gradepoint/peers/heartbeats.py
+++ b/gradepoint/peers/heartbeats.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from ..util.clock import monotonic
+from ..util.structs import Struct, field
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -33,8 +33,7 @@
 """A host counts as silent after this many of the longest gaps: two heartbeats are missing."""
 
 
-@dataclass
-class ReceivedHeartbeat:
+class ReceivedHeartbeat(Struct):
     """The newest heartbeat of a host, with its time of receipt and the ``IP:PORT`` it came from."""
 
     heartbeat: Heartbeat
@@ -42,8 +41,7 @@
     address: str
 
 
-@dataclass
-class Heartbeats:
+class Heartbeats(Struct):
     """Sends this host's heartbeats and keeps those of other hosts.
 
     :param own: returns this host's current heartbeat.
--- a/gradepoint/peers/occupancy.py
+++ b/gradepoint/peers/occupancy.py
@@ -12,7 +12,6 @@
 
 import asyncio
 from collections import OrderedDict, deque
-from dataclasses import dataclass, field
 from functools import lru_cache
 from typing import TYPE_CHECKING
 
@@ -23,6 +22,7 @@
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.hashing import hash32, rank
+from ..util.structs import Struct, field
 from .aggregation import PERCENT, ROOM_UNITS_PER_CALL, STALE_S, Aggregation
 from .datagrams import DATAGRAM_FORMAT, Digest, Report, Sums, number_target
 from .results import KnownResults, merge_results
@@ -71,8 +71,7 @@
     return round(monotonic() * MILLISECONDS)
 
 
-@dataclass
-class ReceivedSums:
+class ReceivedSums(Struct):
     """The newest sums of an aggregator.
 
     :ivar remote_in_flight: calls and items in flight by target, without this host's own.
@@ -88,8 +87,7 @@
     room_report: RoomReport
 
 
-@dataclass
-class Occupancy:
+class Occupancy(Struct):
     """What other hosts have in flight according to the aggregators.
 
     :param own: this host's incarnation.
--- a/gradepoint/peers/presence.py
+++ b/gradepoint/peers/presence.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -15,6 +14,7 @@
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.hashing import new_token
+from ..util.structs import Struct, field
 from ..wire.addresses import split_address
 
 if TYPE_CHECKING:
@@ -65,8 +65,7 @@
     return HostName(incarnation.rpartition(":")[0])
 
 
-@dataclass
-class Presence:
+class Presence(Struct):
     """Keeps this host's presence key and its lease alive.
 
     :param prefix: prefix of the key, which depends on the role of the host.
@@ -123,8 +122,7 @@
                 emit(events.PRESENCE_FAILING, reason=str(error), lease=lease)
 
 
-@dataclass
-class HostTable:
+class HostTable(Struct):
     """Live hosts as listed in the key-value service.
 
     :param prefix: prefix of their keys.
--- a/gradepoint/peers/proofs.py
+++ b/gradepoint/peers/proofs.py
@@ -12,13 +12,13 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from .. import events
 from ..errors import KvError
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
+from ..util.structs import Struct, field
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -49,8 +49,7 @@
 """Milliseconds since a view was known to miss no change, and the digest of its contents then."""
 
 
-@dataclass
-class Proofs:
+class Proofs(Struct):
     """Times up to which each view is known to miss no change.
 
     :param prefixes: prefix of each view by its name.
--- a/gradepoint/peers/results.py
+++ b/gradepoint/peers/results.py
@@ -3,12 +3,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from ..util.clock import monotonic
+from ..util.structs import Struct
 
 if TYPE_CHECKING:
     from ..ids import TargetNumber
@@ -33,8 +33,7 @@
     former_bad: int
 
 
-@dataclass
-class ResultCount:
+class ResultCount(Struct):
     """Successes and failures so far.
 
     :ivar former_good: successes before the last changes.
@@ -64,8 +63,7 @@
         return ReportedResults(self.good, self.bad, self.former_good, self.former_bad)
 
 
-@dataclass
-class KnownResults:
+class KnownResults(Struct):
     """Numbers last received from one sender for one count.
 
     :ivar good: known successes.
--- a/gradepoint/peers/silence.py
+++ b/gradepoint/peers/silence.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ..util.structs import Struct, field
+
 if TYPE_CHECKING:
     from collections.abc import Collection
 
@@ -16,8 +17,7 @@
 expires. A killed process is back sooner and runs its jobs itself."""
 
 
-@dataclass
-class Silence:
+class Silence(Struct):
     """Listed hosts that are not heard, and since when.
 
     :ivar since: monotonic time by incarnation.
--- a/gradepoint/peers/watchers.py
+++ b/gradepoint/peers/watchers.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import random
-from dataclasses import dataclass, field
 from functools import lru_cache, partial
 from typing import TYPE_CHECKING
 
@@ -21,6 +20,7 @@
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.hashing import rank
+from ..util.structs import Struct, field
 from ..util.tasks import TaskGroup
 from ..wire.addresses import split_address
 from ..wire.http_client import ConnectFailed, ResponseBroken
@@ -79,8 +79,7 @@
     return rank("watchers", incarnations)[:WATCHER_COUNT]
 
 
-@dataclass
-class EventNotifier:
+class EventNotifier(Struct):
     """Implements :class:`~gradepoint.kv.follow.Follower`: reports each event of a watch, then
     applies it to the view."""
 
@@ -98,8 +97,7 @@
         self.view.change(event)
 
 
-@dataclass
-class Watchers:
+class Watchers(Struct):
     """Keeps this host's views current, by its own watches or by other hosts' updates.
 
     :param prefixes: prefix of each view.
@@ -140,7 +138,6 @@
     no_watch_before: float = 0.0
     first_read: asyncio.Event = field(default_factory=asyncio.Event)
     wake_up: asyncio.Event = field(default_factory=asyncio.Event)
-    proofs: Proofs = field(init=False)
 
     def __post_init__(self) -> None:
         self.proofs = Proofs(self.kv, self.prefixes, self.views, self.bounds_s)
--- a/gradepoint/platform/headers.py
+++ b/gradepoint/platform/headers.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from ..gateway.dialect import AnswerHead, CallHead
 from ..ids import RequestId
 
@@ -62,7 +63,7 @@
 
     def set_caller(self, head: CallHead, organisation: OrganisationName | None) -> CallHead:
         """See :meth:`Dialect.set_caller`."""
-        return replace(
+        return msgspec.structs.replace(
             head,
             forwarded_headers=[
                 row for row in head.forwarded_headers if not _identifies_caller(row, head.key)
--- a/gradepoint/routing/host_quotas.py
+++ b/gradepoint/routing/host_quotas.py
@@ -6,9 +6,9 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ..util.structs import Struct, field
 from .quotas import (
     LEDGER_IDLE_S,
     LOW_ROOM_SHARE,
@@ -44,8 +44,7 @@
 """Maximum ``Retry-After`` in seconds: the organisation's load further ahead is unknown."""
 
 
-@dataclass(frozen=True)
-class RoomReport:
+class RoomReport(Struct, frozen=True):
     """The last room report of one aggregator.
 
     :param rooms: room by organisation, only for organisations near their limit.
@@ -60,8 +59,7 @@
     heard_share: float = 1.0
 
 
-@dataclass(frozen=True)
-class Refusal:
+class Refusal(Struct, frozen=True):
     """A refused call: it exceeds its organisation's limit.
 
     :param retry_after_s: seconds until there is room again.
@@ -74,8 +72,7 @@
     isolated: bool
 
 
-@dataclass
-class OwnGrants:
+class OwnGrants(Struct):
     """Calls that this host granted to one organisation.
 
     :ivar count: all grants less the returned ones.
@@ -111,8 +108,7 @@
         return sum(1 for at in self.times if at >= since)
 
 
-@dataclass
-class HostQuotas:
+class HostQuotas(Struct):
     """Decides at one host whether calls are granted.
 
     :param find_room_reports: returns the latest room reports of the aggregators; none if the host
--- a/gradepoint/routing/quota_ledger.py
+++ b/gradepoint/routing/quota_ledger.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ..util.structs import Struct, field
 from .quotas import (
     LEDGER_IDLE_S,
     LOW_ROOM_SHARE,
@@ -28,8 +28,7 @@
 excess."""
 
 
-@dataclass(frozen=True)
-class SilentIncarnation:
+class SilentIncarnation(Struct, frozen=True):
     """A listed incarnation that is not heard.
 
     :param since: time since which it is silent.
@@ -52,8 +51,7 @@
         return rate * min(allowance.window_s, now - self.since + DETECTION_DELAY_S)
 
 
-@dataclass
-class QuotaLedger:
+class QuotaLedger(Struct):
     """All hosts' grants as one aggregator knows them.
 
     A listed host that is not heard may be cut off and still grant calls. The ledger reserves what
--- a/gradepoint/routing/quotas.py
+++ b/gradepoint/routing/quotas.py
@@ -12,7 +12,8 @@
 
 import math
 from collections import deque
-from dataclasses import dataclass, field
+
+from ..util.structs import Struct, field
 
 MARGIN_SHARE = 0.1
 """Share of the tolerated excess that is granted deliberately, so that a small timing difference
@@ -42,8 +43,7 @@
 """Minimum ``Retry-After`` of a refused call in seconds."""
 
 
-@dataclass(frozen=True)
-class QuotaTerms:
+class QuotaTerms(Struct, frozen=True):
     """Calls that are tolerated beyond a quota in any window.
 
     :param window_s: length of the window in seconds.
@@ -56,8 +56,7 @@
     slack: float = 0.0
 
 
-@dataclass(frozen=True)
-class Quota:
+class Quota(Struct, frozen=True):
     """Quota of one organisation.
 
     :param calls_per_s: calls per second, above 0.
@@ -68,8 +67,7 @@
     burst: float
 
 
-@dataclass(frozen=True)
-class Allowance:
+class Allowance(Struct, frozen=True):
     """Calls that all hosts together grant an organisation deliberately.
 
     :param max_calls: calls in any window of *window_s* seconds.
@@ -109,8 +107,7 @@
     )
 
 
-@dataclass
-class AverageRate:
+class AverageRate(Struct):
     """A rate with exponential decay over :data:`RATE_TIME_CONSTANT_S` seconds.
 
     :ivar per_s: the average per second at the time *at*.
@@ -130,8 +127,7 @@
         self.at = now
 
 
-@dataclass
-class Bucket:
+class Bucket(Struct):
     """Token bucket: room that refills with time.
 
     :ivar room: calls that may be granted now; negative if more were granted than there was room
@@ -151,8 +147,7 @@
         return self.room
 
 
-@dataclass
-class Window:
+class Window(Struct):
     """Sliding window of grants.
 
     A quota applies to every window separately. A token bucket does not implement that: it allows
--- a/gradepoint/routing/suspects.py
+++ b/gradepoint/routing/suspects.py
@@ -18,13 +18,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from ..ids import RequestKey, TargetNumber
+from ..util.structs import Struct, field
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -134,8 +134,7 @@
     alive: list[TargetNumber] = []
 
 
-@dataclass(frozen=True)
-class Change:
+class Change(Struct, frozen=True):
     """A change of a request's standing.
 
     :param crashes: target incarnations that crashed while running the request.
@@ -147,8 +146,7 @@
     crashes: tuple[TargetNumber, ...]
 
 
-@dataclass
-class Record:
+class Record(Struct):
     """Crashes and answers of one request.
 
     :ivar crashes: time and trial by target incarnation that crashed.
@@ -195,8 +193,7 @@
         return not known or trial is not former_trial
 
 
-@dataclass
-class Suspects:
+class Suspects(Struct):
     """All requests that this host knows to have run on targets that crashed.
 
     :ivar records: crashes and answers by request.
--- a/gradepoint/settings.py
+++ b/gradepoint/settings.py
@@ -6,12 +6,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, TypeVar
 
 import msgspec
 from result import Err, Ok, Result
 
+from .util.structs import Struct
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from pathlib import Path
@@ -19,8 +20,7 @@
 T = TypeVar("T")
 
 
-@dataclass(frozen=True)
-class Setting:
+class Setting(Struct, frozen=True):
     """One row of a settings table.
 
     :param kind: type that a value must have; an integer is accepted where a float is expected.
--- a/gradepoint/spool/client.py
+++ b/gradepoint/spool/client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -11,6 +10,7 @@
 
 from .. import events
 from ..telemetry.logs import emit
+from ..util.structs import Struct, field
 from ..util.tasks import TaskGroup
 from ..wire.addresses import split_address
 from ..wire.http_client import ConnectFailed, ResponseBroken
@@ -43,8 +43,7 @@
     UNCERTAIN = "perhaps"
 
 
-@dataclass
-class SpoolClient:
+class SpoolClient(Struct):
     """Writes jobs to data hosts, finds them there and deletes them.
 
     :param find_hosts: returns the ``IP:PORT`` of each listed data host.
--- a/gradepoint/telemetry/line_writer.py
+++ b/gradepoint/telemetry/line_writer.py
@@ -4,10 +4,10 @@
 
 import os
 from collections import Counter, deque
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ..util.clock import monotonic
+from ..util.structs import Struct, field
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,8 +39,7 @@
     return write
 
 
-@dataclass
-class LineWriter:
+class LineWriter(Struct):
     """Passes lines to *write* within a rate and a buffer size, and drops the rest.
 
     The rate is limited by a token bucket. Dropped lines are counted by event.
@@ -61,11 +60,10 @@
     queue: deque[bytes] = field(default_factory=deque)
     queued_bytes: int = 0
     dropped: Counter[str] = field(default_factory=Counter)
-    tokens: float = field(init=False)
     refilled_at: float = field(default_factory=monotonic)
 
     def __post_init__(self) -> None:
-        self.tokens = self.lines_per_s * BURST_S
+        self.tokens: float = self.lines_per_s * BURST_S
 
     def offer(self, line: bytes, event: str, *, failure: bool) -> bool:
         """Write or queue a line, or drop and count it.
--- a/gradepoint/telemetry/metrics.py
+++ b/gradepoint/telemetry/metrics.py
@@ -10,9 +10,10 @@
 
 import asyncio
 import importlib
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+from ..util.structs import Struct, field
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -33,8 +34,7 @@
 """Names and values of labels, sorted by name."""
 
 
-@dataclass
-class BufferedCounter:
+class BufferedCounter(Struct):
     """Counter that buffers its counts until it is connected to a meter.
 
     :param name: name of the metric.
@@ -66,8 +66,7 @@
         self.pending.clear()
 
 
-@dataclass
-class BufferedHistogram:
+class BufferedHistogram(Struct):
     """Histogram that buffers its values until it is connected to a meter.
 
     The buffer is unbounded, so programs that record a value with every call connect their
@@ -99,8 +98,7 @@
         self.pending.clear()
 
 
-@dataclass
-class CallbackGauge:
+class CallbackGauge(Struct):
     """Gauge whose values are read by a callback for each request of the metrics page.
 
     :param name: name of the metric.
--- a/gradepoint/util/clock.py
+++ b/gradepoint/util/clock.py
@@ -6,10 +6,11 @@
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass
 from functools import partial
 from typing import TYPE_CHECKING
 
+from .structs import Struct
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -24,8 +25,7 @@
 0.122 microseconds per call."""
 
 
-@dataclass
-class ClockSources:
+class ClockSources(Struct):
     """Functions that the two clocks read.
 
     :ivar monotonic: returns monotonic seconds.
--- a/gradepoint/wire/http_server.py
+++ b/gradepoint/wire/http_server.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from contextlib import aclosing
-from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -14,6 +13,7 @@
 from ..errors import GradepointError
 from ..telemetry import metrics
 from ..telemetry.logs import emit
+from ..util.structs import Struct
 from .http_types import Request, Response, error_response
 
 if TYPE_CHECKING:
@@ -28,8 +28,7 @@
 """Bytes of a response that may be buffered before writing waits for the caller to read."""
 
 
-@dataclass(frozen=True)
-class ServerLimits:
+class ServerLimits(Struct, frozen=True):
     """Limits that keep one caller from harming the others.
 
     :param max_connections: open connections; a further one is refused.
--- a/gradepoint/wire/http_types.py
+++ b/gradepoint/wire/http_types.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import msgspec
 
 from ..errors import GradepointError, Outcome
+from ..util.structs import Struct, field
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
@@ -25,8 +25,7 @@
 EVENT_STREAM_TYPE = "text/event-stream"
 
 
-@dataclass
-class Request:
+class Request(Struct):
     """One request as its handler sees it.
 
     :param target: path and query as sent.
@@ -77,8 +76,7 @@
         return decode_json(await self.read_body())
 
 
-@dataclass
-class Response:
+class Response(Struct):
     """One response; *stream* is sent instead of *body*, if given.
 
     :param trailers: called after the end of the stream; returns the trailers to send.
