Bound the first calls to the store by its rates when all hosts start

Cause: after all hosts were killed, the time until they serve grew with their number beyond what the store's rates explain. In virtual time with 6,000 reads and 1,200 writes per second, 300 hosts needed about a minute until all were listed: hosts whose writes got 429 retried in step after 0.4, 0.8 and 1 s, each time with a new lease; a read that was refused at any page began again at the first; and the delay between retries rose to 0.8 s, so that the rate went unused. Ruled out: readiness (needs only operator's keys and targets), job records, changes of aggregators. Not reproduced: 5.5 s with 100 hosts; the store explains 1.2 s of it here. Change: a refused page is read again alone; the first reads go one after another, those that calls need first, with at most 0.2 s between retries; renewals of presence retry after random delays and use a lease that no write has used yet; newly listed hosts get a heartbeat at once.

--- a/bench/platform/store.py
+++ b/bench/platform/store.py
@@ -24,6 +24,33 @@
 PAGE_ITEMS = 50
 """Keys in one page of a range read."""
 LEASE_LOOK_S = 0.05
+READ_PATHS = frozenset({"/api/kv-key", "/api/kv-range", "/api/kv-watch"})
+
+
+RATE_BURST_S = 0.1
+"""Seconds of unused rate that calls may use at once."""
+
+
+class RateLimit:
+    """Token bucket of the calls of one kind.
+
+    :param per_s: calls per second; 0 for no limit.
+    """
+
+    def __init__(self, per_s: float) -> None:
+        self.per_s = per_s
+        self.left = per_s * RATE_BURST_S
+        self.at = monotonic()
+
+    def take(self) -> bool:
+        """Count a call; return whether it is within the rate."""
+        now = monotonic()
+        refilled = self.left + (now - self.at) * self.per_s
+        self.left, self.at = min(self.per_s * RATE_BURST_S, refilled), now
+        if self.per_s and self.left < 1:
+            return False
+        self.left -= 1
+        return True
 
 
 class StoreFault(Enum):
@@ -58,6 +85,8 @@
         below its prefix or when its wait time ends.
     :ivar reset_count: number of calls of :meth:`reset_watches`.
     :ivar calls: number of calls by path, refused ones included.
+    :ivar reads: limit of the rate of reads and watches; calls beyond it get 429.
+    :ivar writes: limit of the rate of all other calls.
     """
 
     keys: MemoryKv = field(default_factory=MemoryKv)
@@ -69,6 +98,8 @@
     watches_muted: bool = False
     reset_count: int = 0
     calls: dict[str, int] = field(default_factory=dict)
+    reads: RateLimit = field(default_factory=lambda: RateLimit(0))
+    writes: RateLimit = field(default_factory=lambda: RateLimit(0))
 
     def __post_init__(self) -> None:
         self.server = HttpServer(self.handle)
@@ -104,6 +135,9 @@
         """Handle one HTTP call, subject to the injected fault."""
         path = request.path
         self.calls[path] = self.calls.get(path, 0) + 1
+        limit = self.reads if path in READ_PATHS else self.writes
+        if not limit.take():
+            return Response(429)
         body = await request.read_body()
         await asyncio.sleep(self.delay_s)
         fault = self.fault
--- a/gradepoint/kv/follow.py
+++ b/gradepoint/kv/follow.py
@@ -34,13 +34,15 @@
 class Backoff(Struct):
     """Retry delay for the calls on one prefix, with an event when they start and stop failing.
 
-    The delay doubles with each failure up to :data:`MAX_BACKOFF_S` and is reset by a success.
+    The delay doubles with each failure up to *max_delay_s* and is reset by a success.
 
+    :param max_delay_s: longest delay in seconds.
     :ivar failing_since: monotonic time of the first failure; None while calls succeed.
     :ivar delay_s: upper bound of the next delay in seconds; half of it is the lower bound.
     """
 
     prefix: str
+    max_delay_s: float = MAX_BACKOFF_S
     failing_since: float | None = None
     delay_s: float = INITIAL_BACKOFF_S
 
@@ -58,12 +60,17 @@
             self.failing_since = monotonic()
             emit(events.KV_FAILING, prefix=self.prefix, reason=str(error))
         await asyncio.sleep(self.delay_s * random.uniform(0.5, 1.0))
-        self.delay_s = min(MAX_BACKOFF_S, self.delay_s * 2)
+        self.delay_s = min(self.max_delay_s, self.delay_s * 2)
 
 
-async def read_snapshot(kv: KeyValueService, prefix: str, follower: Follower) -> int:
-    """Pass all keys to *follower* and return their revision; retry until the read succeeds."""
-    backoff = Backoff(prefix)
+async def read_snapshot(
+    kv: KeyValueService, prefix: str, follower: Follower, max_backoff_s: float = MAX_BACKOFF_S
+) -> int:
+    """Pass all keys to *follower* and return their revision; retry until the read succeeds.
+
+    :param max_backoff_s: longest delay between retries, in seconds.
+    """
+    backoff = Backoff(prefix, max_backoff_s)
     while True:
         try:
             result = await kv.range(prefix)
--- a/gradepoint/peers/heartbeats.py
+++ b/gradepoint/peers/heartbeats.py
@@ -58,9 +58,14 @@
 
     async def run(self, peers: Callable[[], Iterable[HostPresence]]) -> None:
         """Send this host's heartbeat to every peer, after changes and at regular intervals,
-        forever."""
+        forever.
+
+        A peer that is newly listed and not heard yet gets it at once. The interval grows with the
+        number of peers to 6 s, and hosts that start together would not hear each other until then.
+        """
         sent: Heartbeat | None = None
         sent_at = 0.0
+        sent_to: set[Incarnation] = set()
         while True:
             heartbeat = self.own()
             now = monotonic()
@@ -69,6 +74,10 @@
             if must_send_now(heartbeat, sent) or now - sent_at >= self.max_gap_s:
                 self.send(heartbeat, others)
                 sent, sent_at = heartbeat, now
+            else:
+                known = sent_to.union(self.heard)
+                self.send(heartbeat, [peer for peer in others if peer.incarnation not in known])
+            sent_to = {peer.incarnation for peer in others}
             await asyncio.sleep(WATCHER_CHECK_GAP_S if heartbeat.watching else CHECK_GAP_S)
 
     def send(self, heartbeat: Heartbeat, peers: Iterable[HostPresence]) -> None:
--- a/gradepoint/peers/presence.py
+++ b/gradepoint/peers/presence.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from .. import events
-from ..errors import KvError
+from ..errors import KvError, KvUnavailable
 from ..ids import HostName, Incarnation
 from ..kv.service import Put, Transaction
 from ..telemetry.logs import emit
@@ -32,8 +33,13 @@
 service that is slow or refuses calls for a moment."""
 RENEWAL_S = LEASE_TTL_S * 0.4
 """Seconds between renewals; a renewal may fail for more than a second before the lease expires."""
-FIRST_RETRY_S = 0.4
-"""Seconds until a failed renewal is retried, doubled with each failure."""
+FIRST_RETRY_S = 0.1
+"""Longest delay in seconds until a failed renewal is retried, half as much more with each failure;
+half of it is the shortest. It spreads the retries of hosts that start together and are refused
+above the store's rate of writes."""
+MAX_UNUSED_LEASE_S = LEASE_TTL_S / 3
+"""Age in seconds up to which a lease that could not be used at once is still used: enough of its
+lifetime must be left for the first renewal."""
 GONE_HOST_MEMORY_S = 30.0
 """Seconds for which a host that is no longer listed may still come back with its disk: several
 times the longest outage that the system is designed for."""
@@ -71,6 +77,8 @@
     :param prefix: prefix of the key, which depends on the role of the host.
     :ivar lease: id of the lease; 0 without one.
     :ivar valid_until: monotonic time until which the lease is certainly valid.
+    :ivar granted: id of a lease that no key uses yet; 0 without one.
+    :ivar granted_at: monotonic time at which it was asked for.
     """
 
     kv: KeyValueService
@@ -78,6 +86,8 @@
     prefix: str = PRESENCE_PREFIX
     lease: int = 0
     valid_until: float = 0.0
+    granted: int = 0
+    granted_at: float = 0.0
     lost: asyncio.Event = field(default_factory=asyncio.Event)
 
     @property
@@ -95,8 +105,8 @@
                 await asyncio.sleep(RENEWAL_S)
             except KvError as error:
                 emit(events.PRESENCE_FAILING, reason=str(error), lease=self.lease)
-                await asyncio.sleep(pause_s)
-                pause_s = min(MAX_RETRY_S, pause_s * 2)
+                await asyncio.sleep(pause_s * random.uniform(0.5, 1.0))
+                pause_s = min(MAX_RETRY_S, pause_s * 1.5)
 
     async def _renew(self) -> None:
         asked_at = monotonic()
@@ -104,13 +114,31 @@
             if self.lease:
                 emit(events.PRESENCE_LAPSED, lease=self.lease)
             self.lease = 0
-            lease = await self.kv.grant_lease(LEASE_TTL_S)
+            granted_at = await self._grant(asked_at)
             key = self.prefix + self.own.host
-            put = Put(key, msgspec.json.encode(self.own), lease)
-            await self.kv.transact(Transaction((), (put,)))
-            self.lease = lease
+            put = Put(key, msgspec.json.encode(self.own), self.granted)
+            try:
+                await self.kv.transact(Transaction((), (put,)))
+            except KvUnavailable:
+                # The lease was not used, so the next attempt needs no new one.
+                raise
+            except KvError:
+                self.granted = 0
+                raise
+            asked_at = granted_at
+            self.lease, self.granted = self.granted, 0
         self.valid_until = asked_at + LEASE_TTL_S
 
+    async def _grant(self, now: float) -> float:
+        """Obtain a lease unless there is an unused one that is new enough.
+
+        :returns: monotonic time from which its lifetime certainly counts.
+        """
+        if not self.granted or now - self.granted_at >= MAX_UNUSED_LEASE_S:
+            self.granted = await self.kv.grant_lease(LEASE_TTL_S)
+            self.granted_at = now
+        return self.granted_at
+
     async def withdraw(self) -> None:
         """Revoke the lease at once, before a planned shutdown."""
         lease, self.lease = self.lease, 0
--- a/gradepoint/peers/watchers.py
+++ b/gradepoint/peers/watchers.py
@@ -51,6 +51,10 @@
 OWN_WATCH_GRACE_S = 0.3
 """Seconds within which this host's own watch must deliver a change that also came another way:
 several times the delay by which a watch batches changes."""
+FIRST_READ_BACKOFF_S = 0.2
+"""Longest delay in seconds between retries of the first reads, without which a host serves nothing.
+When 300 hosts start together, the service refuses calls above its rate for half a second, and a
+longer delay would leave its rate unused afterwards."""
 JOIN_DELAY_S = 0.2
 """Seconds after its first read in which a host does not watch. The current watchers are heard
 within that time, also after a start of all hosts; otherwise each start would open watches that are
@@ -101,7 +105,7 @@
     """Keeps this host's views current, by its own watches or by other hosts' updates.
 
     :param prefixes: prefix of each view.
-    :param views: views by name.
+    :param views: views by name; those without which no call is served come first.
     :param bounds_s: by view, seconds within which a change must be known.
     :ivar tasks: this host's watches.
     :ivar proof_tasks: running proofs.
@@ -173,15 +177,17 @@
 
     async def _read_first(self) -> None:
         """Read every view once per run of the process, and leave time for other hosts to be
-        heard."""
+        heard.
+
+        The views are read one after another. When all hosts start together, the service's rate of
+        reads then goes first to the first views, without which a host serves no calls.
+        """
         if self.first_read.is_set():
             return
-        reads = [
-            read_snapshot(self.kv, self.prefixes[name], view) for name, view in self.views.items()
-        ]
-        asked_at = monotonic()
-        await asyncio.gather(*reads)
-        self.proofs.proven_at.update(dict.fromkeys(self.views, asked_at))
+        for name, view in self.views.items():
+            asked_at = monotonic()
+            await read_snapshot(self.kv, self.prefixes[name], view, FIRST_READ_BACKOFF_S)
+            self.proofs.proven_at[name] = asked_at
         self.first_read.set()
         self.no_watch_before = monotonic() + JOIN_DELAY_S
 
--- a/gradepoint/platform/store.py
+++ b/gradepoint/platform/store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import random
 from typing import TYPE_CHECKING, Any, TypeVar
 from urllib.parse import urlencode
 
@@ -24,6 +25,13 @@
 
 NOT_APPLIED_STATUSES = frozenset((*range(400, 500), 503))
 """Statuses that mean that a call had no effect; after any other error it is uncertain."""
+STATUS_OVER_RATE = 429
+"""Status of a call above the rate that all hosts share; it had no effect."""
+PAGE_RETRY_S = (0.04, 0.08)
+"""Shortest and longest delay in seconds until a refused page is read again. 300 hosts that each
+wait for one page then make 5,000 calls per second, below the store's rate of 6,000 reads."""
+MAX_PAGE_RETRIES = 10
+"""Retries of one page, 0.6 s in total; after that the store counts as unavailable."""
 MAX_WATCH_WAIT_S = 30.0
 """Longest time in seconds that the store lets a watch wait for a change."""
 WATCH_WAIT_SHARE_OF_HISTORY = 0.7
@@ -143,11 +151,16 @@
         revision = 0
         query = {"path_prefix": prefix}
         while True:
-            self.counts.reads += 1
             target = f"/api/kv-range?{urlencode(query)}"
             # Only the first page needs a new connection: it is idle then, and the client takes
             # the most recently used idle connection for the next page.
-            status, body = await self._call("range", "GET", target, fresh=fresh and not found)
+            status, body = await self._read_page(target, fresh=fresh and not found)
+            retries = 0
+            while status == STATUS_OVER_RATE and found and retries < MAX_PAGE_RETRIES:
+                # Reading from the first page again would cost the calls of all pages before.
+                retries += 1
+                await asyncio.sleep(random.uniform(*PAGE_RETRY_S))
+                status, body = await self._read_page(target)
             self._check_status(status, 200, "range")
             page = _decode(body, _RangeAnswer)
             revision = revision or page.timestamp
@@ -157,6 +170,10 @@
             # In spite of its name, this field takes the last key of the page.
             query["after_rev"] = page.items[-1].key_path
 
+    async def _read_page(self, target: str, *, fresh: bool = False) -> tuple[int, bytes]:
+        self.counts.reads += 1
+        return await self._call("range", "GET", target, fresh=fresh)
+
     async def transact(self, transaction: Transaction) -> TransactionResult:
         """See :meth:`KeyValueService.transact`."""
         self.counts.writes += 1
--- a/tests/test_peers/test_peers_heartbeats.py
+++ b/tests/test_peers/test_peers_heartbeats.py
@@ -69,6 +69,25 @@
     assert heartbeats.socket.sent == ["127.0.0.2:9"]  # type: ignore[attr-defined]
 
 
+def test_newly_listed_host_gets_a_heartbeat_at_once() -> None:
+    # The regular interval is 6 s with 300 hosts; those that started together learned from each
+    # other only then, and what the others have in flight later still.
+    async def main() -> None:
+        heartbeats = make_heartbeats()
+        listed = [make_presence("own")]
+        task = asyncio.ensure_future(heartbeats.run(lambda: listed))
+        await asyncio.sleep(0.05)
+        heartbeats.receive(make_heartbeat("heard"), "127.0.0.1:1")
+        sent: list[str] = heartbeats.socket.sent  # type: ignore[attr-defined]
+        sent.clear()
+        listed += [make_presence("heard"), *(make_presence(f"new-{n}") for n in range(299))]
+        await asyncio.sleep(0.5)
+        assert len(sent) == 299
+        task.cancel()
+
+    run_virtual(main())
+
+
 def test_find_hosts_with_a_newer_configuration() -> None:
     heartbeats = make_heartbeats()
     assert not heartbeats.find_newer_config(ConfigVersion(0))
@@ -127,6 +146,24 @@
     run_virtual(main())
 
 
+def test_lease_is_used_although_the_first_write_was_refused() -> None:
+    # A new lease for each refused write doubled the writes of hosts that start together.
+    async def main() -> None:
+        store = MemoryKv()
+        refused = [KvFault.DOWN, KvFault.DOWN]
+        client = MemoryKvClient(
+            store, lambda kind: refused.pop() if kind == "txn" and refused else KvFault.NONE
+        )
+        presence = Presence(client, make_presence("life"))
+        task = asyncio.ensure_future(presence.run())
+        await asyncio.sleep(1.0)
+        assert presence.holds_lease and len(store.leases) == 1
+        assert presence.valid_until <= store.leases[presence.lease][1]
+        task.cancel()
+
+    run_virtual(main())
+
+
 def test_host_table_follows_hosts_and_incarnations() -> None:
     table = HostTable()
     key = PRESENCE_PREFIX + "host"
