Start batch items after a restart when occupancy is known

Cause: after its start a host waited 0.8 s before it started items, whatever it knew: too long for one host that restarts, and no protection for hosts that hear each other later or were suspended. Ruled out: trusting an aggregator's share of heard hosts alone; one that has just started lists only itself.

--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -37,6 +37,7 @@
 from ..routing.host_quotas import HostQuotas
 from ..routing.quota_ledger import QuotaLedger
 from ..routing.quotas import QuotaTerms
+from ..routing.recovery import ItemStarts, RecoveryLimits, is_occupancy_known
 from ..spool.client import SpoolClient
 from ..telemetry import metrics
 from ..telemetry.logs import emit, report_dropped_lines
@@ -183,6 +184,8 @@
         )
         self.configuration = ActiveConfiguration(platform.decode_configuration, self.apply_limits)
         self.quotas = self.make_quotas()
+        self.recovery_limits = RecoveryLimits(new_rng().random)
+        self.item_starts = ItemStarts()
         self.repository = JobRepository(kv, settings.store_value_bytes)
         self.worker = Worker(
             self.repository,
@@ -192,6 +195,7 @@
             self.occupancy.must_preempt,
             lambda: self.occupancy.delay_s,
             self.occupancy.remote_waiting,
+            self.may_start_items,
         )
         self.intake = Intake(
             self.repository,
@@ -364,6 +368,32 @@
         known = self.data_hosts.hosts or self.data_hosts.find_missing()
         return self.kv.had_recent_outage and bool(known)
 
+    def knows_occupancy(self) -> bool:
+        """Whether a digest tells what the other hosts have in flight.
+
+        An aggregator that has just started knows of few listed hosts, so this host also has to
+        hear half of those that it has read from the service.
+        """
+        if not self.watchers.first_read.is_set():
+            return False
+        now = monotonic()
+        heard_share = (len(self.heartbeats.heard) + 1) / max(1, len(self.hosts.hosts))
+        return any(
+            is_occupancy_known(
+                now - heard.at,
+                now - heard.room_report.covers_until,
+                min(heard_share, heard.room_report.heard_share),
+            )
+            for heard in self.occupancy.heard.values()
+        )
+
+    def may_start_items(self) -> bool:
+        """Whether batch items may start now."""
+        now = monotonic()
+        if any(heard.sums.refused for heard in self.occupancy.heard.values()):
+            self.item_starts.note_refusal(now)
+        return self.item_starts.may_start(now, known=self.knows_occupancy())
+
     @property
     def ready(self) -> bool:
         """Whether the configuration and targets are loaded and the process isn't stopping."""
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -54,10 +54,6 @@
 PROPAGATION_MARGIN_S = 0.03
 """Seconds added to the delay of reports and digests before the other hosts are taken to know which
 items this host started or stopped. The margin covers network latency and busy hosts."""
-STARTUP_DELAY_S = 0.8
-"""Seconds after its start during which a host starts no item. Until then it has not heard from
-every other host what is in flight, and hosts that restart together would all fill the same slots.
-The time covers reading the host list and a few datagram intervals."""
 COMMIT_DELAY_S = 1.2
 """Seconds that an ended item waits for other items to end, so that one commit lists several. Its
 result reaches readers later by up to this time."""
@@ -101,6 +97,7 @@
     :param propagation_delay_s: returns the seconds until other hosts know what this host has in
         flight.
     :param remote_waiting: returns the weight of the items that wait on other hosts.
+    :param may_start_items: whether enough is known of the other hosts to start items.
     :ivar last_started_at: monotonic time at which each target last got an item of this host.
     :ivar preempted_at: monotonic time at which this host last preempted an item at each target.
     :ivar jobs: jobs that this host runs, and finished ones that are kept for readers.
@@ -120,6 +117,7 @@
     must_preempt: Callable[[TargetId], bool]
     propagation_delay_s: Callable[[], float]
     remote_waiting: Callable[[], int]
+    may_start_items: Callable[[], bool]
     last_started_at: dict[TargetId, float] = field(default_factory=dict)
     preempted_at: dict[TargetId, float] = field(default_factory=dict)
     jobs: dict[JobId, OwnedJob] = field(default_factory=dict)
@@ -131,7 +129,6 @@
     work_available: asyncio.Event = field(default_factory=asyncio.Event)
     stopping: bool = False
     tasks: TaskGroup = field(default_factory=TaskGroup)
-    started_at: float = field(default_factory=monotonic)
 
     def announced_job_numbers(self) -> list[int]:
         """Return the short numbers of the jobs that this host announces to other hosts."""
@@ -394,7 +391,8 @@
 
     def _start_items(self) -> None:
         now = monotonic()
-        if self.stopping or now - self.started_at < STARTUP_DELAY_S:
+        # Hosts that restart together and do not know of each other would all fill the same slots.
+        if self.stopping or not self.may_start_items():
             return
         propagation_s = PROPAGATION_MARGIN_S + self.propagation_delay_s()
         self._share_slots(now, propagation_s)
