Bound what a host keeps of other hosts, first of all datagrams that wait for its link

Cause: asyncio queues the datagrams that the socket does not take, without a bound. An aggregator whose link is slower than what it sends keeps all of them. Stores by target, host and organisation had no bound of their own either.

Change: datagrams are dropped beyond 640 KiB (digests beyond 512 KiB), counted in gradepoint_dropped_datagrams and logged once a second (event 525). The next digest begins with the host whose digest was dropped, so that a slow link does not leave out the same hosts each time. Results of targets are dropped when they are no longer sent, own reports after 3 s, and grant counts, reported rooms, windows, revoked crashes, reports and heartbeats have a maximum number.

--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -241,6 +241,13 @@
     "This host's lease was not renewed or not revoked; see the reason.",
 )
 PRESENCE_LAPSED = _declare(513, "presence_lapsed", "WARNING", "This host's lease expired.")
+DATAGRAMS_DROPPED = _declare(
+    525,
+    "datagrams_dropped",
+    "WARNING",
+    "Datagrams to other hosts were dropped because the link did not take them; at most once a "
+    "second.",
+)
 BEAT_DROPPED = _declare(514, "beat_dropped", "WARNING", "A datagram could not be decoded.")
 PEER_SILENT = _declare(515, "peer_silent", "WARNING", "Another host did not answer a request.")
 WATCH_ROLE = _declare(
--- a/gradepoint/peers/aggregation.py
+++ b/gradepoint/peers/aggregation.py
@@ -13,7 +13,14 @@
 from ..util.clock import monotonic
 from ..util.hashing import hash32, score
 from .datagrams import Report, Sums
-from .results import KnownResults, ReportedResults, ResultCount, merge_results
+from .results import (
+    COUNT_LIFETIME_S,
+    KnownResults,
+    ReportedResults,
+    ResultCount,
+    forget_old_results,
+    merge_results,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -31,6 +38,10 @@
 PERCENT = 100
 STALE_S = 0.9
 """Seconds after which a report or digest is outdated: at least three are missing then."""
+MAX_REPORTING_HOSTS = 2048
+"""Hosts whose reports are kept, 2 KB each: several times the largest fleet, since each restart of a
+host counts as another one for :data:`STALE_S`. Beyond that the oldest report is dropped, as if
+its host were silent."""
 
 
 def choose_hosts_to_preempt(
@@ -125,6 +136,8 @@
         if report.relies:
             heard.relied_at = heard.at
         self.changed = self.changed or heard.unconfirmed
+        if former is None and len(self.reports) >= MAX_REPORTING_HOSTS:
+            self._forget(min(self.reports, key=lambda host: self.reports[host].at))
         self.reports[report.incarnation] = heard
         self._add_results(report)
         self.ledger.take(report.incarnation, report.grants, heard.at)
@@ -136,10 +149,22 @@
         for incarnation in [
             incarnation for incarnation, heard in self.reports.items() if heard.at < oldest
         ]:
-            self._add(self.reports.pop(incarnation).report, -1)
-            self.known_results.pop(incarnation, None)
-            self.ledger.note_silent(incarnation, monotonic())
+            self._forget(incarnation)
         self.ledger.refresh_listed(monotonic())
+        self._forget_old_results()
+
+    def _forget(self, incarnation: Incarnation) -> None:
+        self._add(self.reports.pop(incarnation).report, -1)
+        self.known_results.pop(incarnation, None)
+        self.ledger.note_silent(incarnation, monotonic())
+
+    def _forget_old_results(self) -> None:
+        for known in self.known_results.values():
+            forget_old_results(known)
+        oldest = monotonic() - COUNT_LIFETIME_S
+        for target in [row for row, count in self.results.items() if count.changed_at < oldest]:
+            del self.results[target]
+            self.sent_failures.pop(target, None)
 
     def _add(self, report: Report, sign: int) -> None:
         loads = self.loads
--- a/gradepoint/peers/datagrams.py
+++ b/gradepoint/peers/datagrams.py
@@ -5,14 +5,16 @@
 import asyncio
 from dataclasses import dataclass, field
 from functools import lru_cache
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol, cast
 
 import msgspec
 
 from .. import events
 from ..ids import ConfigVersion, Incarnation, OrganisationNumber, RequestKey, TargetNumber
 from ..routing.suspects import SuspectsMessage
+from ..telemetry import metrics
 from ..telemetry.logs import emit
+from ..util.clock import monotonic
 from ..util.hashing import hash32
 from ..wire.addresses import split_address
 from .results import ReportedResults
@@ -149,26 +151,60 @@
 
 Message = Heartbeat | Report | Digest
 
+MAX_DATAGRAM_BYTES = 65_507
+"""Maximum payload of a UDP datagram over IPv4."""
+MAX_QUEUED_BYTES = 640 << 10
+"""Bytes that may wait in the event loop until the socket takes them; without a bound they grew
+without end where the link was slower than what was sent. On a link of 15 Mbit/s they wait 0.35 s,
+less than half of the time after which a digest is outdated."""
+MAX_QUEUED_DIGEST_BYTES = 512 << 10
+"""Bytes that may wait when a digest is to be sent: one digest to each of 400 hosts, sent at once,
+takes 440 KB. The rest is for heartbeats and reports, which are small and keep this host in the
+fleet: a heartbeat to 400 hosts takes 60 KB."""
+DROP_REPORT_GAP_S = 1.0
+"""Minimum seconds between two log lines on dropped datagrams."""
+
+
+class DatagramTransport(Protocol):
+    """What is used of asyncio's datagram transports."""
+
+    def sendto(self, data: bytes, addr: tuple[str, int]) -> None:
+        """See :meth:`asyncio.DatagramTransport.sendto`."""
+
+    def get_write_buffer_size(self) -> int:
+        """Return the bytes that wait for the socket to take them."""
+
+    def close(self) -> None:
+        """See :meth:`asyncio.BaseTransport.close`."""
+
 
 @dataclass
 class DatagramSocket:
     """Sends and receives datagrams.
 
+    Datagrams that cannot be sent soon are dropped, since later ones supersede them.
+
     :param on_message: called with each message and the ``IP:PORT`` it came from.
+    :ivar dropped: datagrams dropped since the last log line about them.
+    :ivar drops_reported_at: monotonic time of that line.
     """
 
     on_message: Callable[[Message, str], None]
-    transport: asyncio.DatagramTransport | None = None
+    transport: DatagramTransport | None = None
     decoder: msgspec.msgpack.Decoder[Message] = field(
         default_factory=lambda: msgspec.msgpack.Decoder(Message)
     )
+    dropped: int = 0
+    drops_reported_at: float = float("-inf")
 
     async def start(self, address: str, port: int) -> None:
         """Bind the socket and listen for datagrams."""
         loop = asyncio.get_running_loop()
-        self.transport, _ = await loop.create_datagram_endpoint(
+        transport, _ = await loop.create_datagram_endpoint(
             lambda: _Receiver(self), local_addr=(address, port)
         )
+        # asyncio.DatagramTransport does not declare get_write_buffer_size.
+        self.transport = cast("DatagramTransport", transport)
 
     def stop(self) -> None:
         """Close the socket."""
@@ -177,9 +213,35 @@
 
     def send(self, raw: bytes, address: str) -> None:
         """Send an encoded message to ``IP:PORT``; delivery is not guaranteed."""
-        if self.transport is not None:
+        if self.transport is None:
+            return
+        if len(raw) > MAX_DATAGRAM_BYTES:
+            self._drop("too-long")
+        elif not self._may_queue(raw, MAX_QUEUED_BYTES):
+            self._drop("queue-full")
+        else:
             self.transport.sendto(raw, split_address(address))
 
+    def send_digest(self, raw: bytes, address: str) -> bool:
+        """Send an encoded digest unless much is queued; return whether it was passed on."""
+        if not self._may_queue(raw, MAX_QUEUED_DIGEST_BYTES):
+            self._drop("queue-full")
+            return False
+        self.send(raw, address)
+        return True
+
+    def _may_queue(self, raw: bytes, limit: int) -> bool:
+        queued = 0 if self.transport is None else self.transport.get_write_buffer_size()
+        return not queued or queued + len(raw) <= limit
+
+    def _drop(self, reason: str) -> None:
+        metrics.shared().dropped_datagrams.add(1, {"reason": reason})
+        self.dropped += 1
+        now = monotonic()
+        if now - self.drops_reported_at >= DROP_REPORT_GAP_S:
+            emit(events.DATAGRAMS_DROPPED, reason=reason, count=self.dropped)
+            self.dropped, self.drops_reported_at = 0, now
+
     def take(self, raw: bytes, address: str) -> None:
         """Decode a datagram and pass it on; drop it if it is malformed or of another format
         version."""
--- a/gradepoint/peers/heartbeats.py
+++ b/gradepoint/peers/heartbeats.py
@@ -31,6 +31,10 @@
 while nothing changes, whatever the number of hosts."""
 STALE_GAPS = 2.5
 """A host counts as silent after this many of the longest gaps: two heartbeats are missing."""
+MAX_HEARD = 2048
+"""Hosts whose heartbeats are kept, about 0.7 KB each: several times the largest fleet, since former
+incarnations of restarted hosts stay until they count as silent. Beyond that the oldest is
+dropped."""
 
 
 @dataclass
@@ -83,6 +87,8 @@
     def receive(self, heartbeat: Heartbeat, address: str) -> None:
         """Process another host's heartbeat; a host not known before is answered at once."""
         known = heartbeat.incarnation in self.heard
+        if not known and len(self.heard) >= MAX_HEARD:
+            del self.heard[min(self.heard, key=lambda host: self.heard[host].at)]
         self.heard[heartbeat.incarnation] = ReceivedHeartbeat(heartbeat, monotonic(), address)
         if not known:
             self.socket.send(msgspec.msgpack.encode(self.own()), address)
--- a/gradepoint/peers/occupancy.py
+++ b/gradepoint/peers/occupancy.py
@@ -25,12 +25,13 @@
 from ..util.hashing import hash32, rank
 from .aggregation import PERCENT, ROOM_UNITS_PER_CALL, STALE_S, Aggregation
 from .datagrams import DATAGRAM_FORMAT, Digest, Report, Sums, number_target
-from .results import KnownResults, merge_results
+from .results import KnownResults, forget_old_results, merge_results
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..ids import Incarnation, RequestKey, TargetId, TargetNumber
+    from .aggregation import ReceivedReport
     from .datagrams import DatagramSocket
 
 AGGREGATOR_COUNT = 3
@@ -56,7 +57,11 @@
 """Seconds for which a host does not rely on an aggregator that left out a report."""
 MILLISECONDS = 1000
 MAX_SENT_REPORTS = 200
-"""Own reports that are kept to subtract this host's part from a digest: those of three seconds."""
+"""Own reports that are kept to subtract this host's part from a digest: those of three seconds at
+the shortest gap."""
+SENT_REPORT_LIFETIME_S = 3.0
+"""Seconds for which they are kept: several times :data:`STALE_S`. In large fleets, whose gaps are
+longer, 200 reports were those of 15 s."""
 
 
 @lru_cache(maxsize=8)
@@ -112,6 +117,7 @@
     :ivar number: number of the last own report. It only ever rises, also when the report loop
         restarts.
     :ivar delay_s: seconds from a report until a digest that includes it is due.
+    :ivar first_receiver: the host that the next digest is sent to first; None for any order.
     """
 
     socket: DatagramSocket
@@ -131,6 +137,7 @@
     distrusted_until: dict[Incarnation, float] = field(default_factory=dict)
     number: int = 0
     delay_s: float = REPORT_GAP_S + DIGEST_GAP_S
+    first_receiver: Incarnation | None = None
 
     @property
     def relied_on(self) -> Incarnation | None:
@@ -246,8 +253,7 @@
         self, report: Report, addresses: dict[Incarnation, str], *, sends_all: bool
     ) -> None:
         self.sent[report.number] = msgspec.structs.replace(report, clock_ms=read_clock_ms())
-        if len(self.sent) > MAX_SENT_REPORTS:
-            self.sent.popitem(last=False)
+        self._forget_sent_reports()
         relied_on = self.relied_on
         # Other hosts may still rely on aggregators that this host distrusts, so these get every
         # report too.
@@ -261,6 +267,14 @@
             elif incarnation in addresses:
                 self.socket.send(msgspec.msgpack.encode(outgoing), addresses[incarnation])
 
+    def _forget_sent_reports(self) -> None:
+        oldest_ms = read_clock_ms() - SENT_REPORT_LIFETIME_S * MILLISECONDS
+        while self.sent:
+            oldest = next(iter(self.sent.values()))
+            if len(self.sent) <= MAX_SENT_REPORTS and oldest.clock_ms >= oldest_ms:
+                break
+            self.sent.popitem(last=False)
+
     async def run_digests(self) -> None:
         """Send digests to every reporting host while this host is an aggregator, forever."""
         last_sent: bytes = b""
@@ -282,15 +296,27 @@
     def _send_digests(self, sums: bytes, *, sends_all: bool) -> None:
         """Send the sums to all hosts, or only to those whose report is still unconfirmed."""
         body = msgspec.Raw(sums)
-        for incarnation, heard in self.aggregation.reports.items():
+        for incarnation, heard in self._rotate_receivers():
             if not sends_all and not heard.unconfirmed:
                 continue
-            heard.unconfirmed = False
             digest = Digest(DATAGRAM_FORMAT, heard.report.number, body, read_clock_ms())
             if incarnation == self.own:
                 self.receive(digest)
+                heard.unconfirmed = False
+            elif self.socket.send_digest(msgspec.msgpack.encode(digest), heard.address):
+                heard.unconfirmed = False
             else:
-                self.socket.send(msgspec.msgpack.encode(digest), heard.address)
+                self.first_receiver = self.first_receiver or incarnation
+
+    def _rotate_receivers(self) -> list[tuple[Incarnation, ReceivedReport]]:
+        """Return the reporting hosts, first the one whose last digest was dropped and those after
+        it, so that a slow link does not leave out the same hosts each time."""
+        rows = [*self.aggregation.reports.items()]
+        first, self.first_receiver = self.first_receiver, None
+        if first not in self.aggregation.reports:
+            return rows
+        start = [*self.aggregation.reports].index(first)
+        return [*rows[start:], *rows[:start]]
 
     def receive(self, digest: Digest) -> None:
         """Process a digest from an aggregator."""
@@ -327,6 +353,8 @@
             for incarnation, until in self.distrusted_until.items()
             if until > now
         }
+        for known in (*self.known_results.values(), *self.own_results.values()):
+            forget_old_results(known)
         oldest = now - STALE_S
         for incarnation in [
             incarnation for incarnation, heard in self.heard.items() if heard.at < oldest
--- a/gradepoint/peers/results.py
+++ b/gradepoint/peers/results.py
@@ -3,7 +3,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -15,6 +15,12 @@
 
 RESEND_S = 2.0
 """Seconds for which results are resent after a change: many datagrams, since some may be lost."""
+KNOWN_RESULTS_LIFETIME_S = 3 * RESEND_S
+"""Seconds after which a receiver drops numbers that are no longer sent. The sender's next message
+then contains the numbers before its new changes, so nothing is lost."""
+COUNT_LIFETIME_S = 2 * KNOWN_RESULTS_LIFETIME_S
+"""Seconds after its last change at which an aggregator drops a count. All receivers have dropped
+theirs by then, so a count that starts again at zero is not compared with the former one."""
 
 
 class ReportedResults(msgspec.Struct, frozen=True, array_like=True):
@@ -33,7 +39,7 @@
     former_bad: int
 
 
-@dataclass
+@dataclass(slots=True)
 class ResultCount:
     """Successes and failures so far.
 
@@ -64,19 +70,22 @@
         return ReportedResults(self.good, self.bad, self.former_good, self.former_bad)
 
 
-@dataclass
+@dataclass(slots=True)
 class KnownResults:
     """Numbers last received from one sender for one count.
 
     :ivar good: known successes.
     :ivar bad: known failures.
+    :ivar at: monotonic time at which they were last received.
     """
 
     good: int
     bad: int
+    at: float = field(default_factory=monotonic)
 
     def take(self, received: ReportedResults) -> tuple[int, int]:
         """Update the known numbers; return the new successes and failures."""
+        self.at = monotonic()
         new = max(0, received.good - self.good), max(0, received.bad - self.bad)
         self.good, self.bad = max(self.good, received.good), max(self.bad, received.bad)
         return new
@@ -91,3 +100,10 @@
     if name not in heard:
         heard[name] = KnownResults(received.former_good, received.former_bad)
     return heard[name].take(received)
+
+
+def forget_old_results(heard: dict[TargetNumber, KnownResults]) -> None:
+    """Drop the numbers that are no longer sent; targets come and go for as long as hosts run."""
+    oldest = monotonic() - KNOWN_RESULTS_LIFETIME_S
+    for name in [name for name, known in heard.items() if known.at < oldest]:
+        del heard[name]
--- a/gradepoint/routing/quota_ledger.py
+++ b/gradepoint/routing/quota_ledger.py
@@ -27,6 +27,18 @@
 organisation one call, and keeps one that has just used all of its quota below the tolerated
 excess."""
 
+MAX_COUNTS = 1 << 16
+"""Grant counts of all incarnations together, 0.3 KB each with their average rate. Hosts that grant
+3.5 calls per second to as many organisations have 42,000 at 400 hosts in :data:`LEDGER_IDLE_S`."""
+MIN_COUNTS_PER_HOST = 64
+"""Grant counts that each incarnation may have at least, whatever the number of incarnations."""
+MAX_LOW_ROOMS = 512
+"""Organisations whose room is reported in one message, 7 bytes each. After a restart of all hosts
+every organisation is near its limit, and 3,900 would take 27 KB in each message."""
+GRANT_STEP_S = 0.01
+"""Seconds within which grants count as simultaneous: a window has 500 entries of 0.1 KB per
+organisation at most. Grants leave their window that much earlier, a five-hundredth of it."""
+
 
 @dataclass(frozen=True)
 class SilentIncarnation:
@@ -116,12 +128,28 @@
             # reported to other aggregators. The first count of an organisation from a known
             # incarnation adds one grant, since such a count starts with its first grant.
             new = count - counts.get(number, count - (1 if known else 0))
+            if number not in counts:
+                self._make_room_for_count(counts, average_rates)
             counts[number] = count
             average_rates.setdefault(number, AverageRate(at=now))
             if new:
                 average_rates[number].add(new, now)
                 self._record_grants(number, new, now)
 
+    def _make_room_for_count(
+        self,
+        counts: dict[OrganisationNumber, int],
+        average_rates: dict[OrganisationNumber, AverageRate],
+    ) -> None:
+        """Drop the organisation that an incarnation has not granted a call for longest, if it has
+        its share of :data:`MAX_COUNTS`.
+
+        Its next count then adds one grant, and no average rate is reserved for it.
+        """
+        if len(counts) >= max(MIN_COUNTS_PER_HOST, MAX_COUNTS // len(self.counts)):
+            oldest = min(counts, key=lambda number: average_rates[number].at)
+            del counts[oldest], average_rates[oldest]
+
     def _charge_silent_period(self, incarnation: SilentIncarnation, now: float) -> None:
         """Count what an incarnation may have granted while it was silent, spread over the last
         window."""
@@ -139,7 +167,7 @@
         window = self.windows.get(number)
         if window is None:
             window = self.windows[number] = self._create_window(number, allowance, now)
-        window.add(count, now)
+        window.add(count, now, GRANT_STEP_S)
 
     def _create_window(
         self, number: OrganisationNumber, allowance: Allowance, now: float
@@ -208,8 +236,13 @@
                 del self.windows[number]
 
     def find_low_rooms(self, now: float) -> dict[OrganisationNumber, float]:
-        """Return the room of each organisation that is near its limit."""
-        found = {}
+        """Return the room of the organisations that are near their limits, at most
+        :data:`MAX_LOW_ROOMS` of those with the least share of room.
+
+        Hosts take an organisation that is not reported to have room for a quarter of its limit.
+        """
+        found: dict[OrganisationNumber, float] = {}
+        shares: dict[OrganisationNumber, float] = {}
         for number in self.windows:
             allowance = self.find_allowance(number)
             if allowance is None:
@@ -217,4 +250,8 @@
             room = self._find_room(number, allowance, now)
             if room < allowance.max_calls * LOW_ROOM_SHARE:
                 found[number] = room
-        return found
+                shares[number] = room / allowance.max_calls
+        if len(found) <= MAX_LOW_ROOMS:
+            return found
+        lowest = sorted(found, key=lambda number: shares[number])[:MAX_LOW_ROOMS]
+        return {number: found[number] for number in lowest}
--- a/gradepoint/routing/quotas.py
+++ b/gradepoint/routing/quotas.py
@@ -109,7 +109,7 @@
     )
 
 
-@dataclass
+@dataclass(slots=True)
 class AverageRate:
     """A rate with exponential decay over :data:`RATE_TIME_CONSTANT_S` seconds.
 
@@ -165,9 +165,13 @@
     grants: deque[tuple[float, float]] = field(default_factory=deque)
     total: float = 0.0
 
-    def add(self, count: float, now: float) -> None:
-        """Add *count* grants at time *now*."""
-        self.grants.append((now, count))
+    def add(self, count: float, now: float, step_s: float = 0.0) -> None:
+        """Add *count* grants at time *now*, to the last entry if that is less than *step_s* old."""
+        if self.grants and 0 <= now - self.grants[-1][0] < step_s:
+            at, former = self.grants.pop()
+            self.grants.append((at, former + count))
+        else:
+            self.grants.append((now, count))
         self.total += count
 
     def add_spread(self, count: float, window_s: float, now: float) -> None:
--- a/gradepoint/routing/suspects.py
+++ b/gradepoint/routing/suspects.py
@@ -60,6 +60,10 @@
 MAX_REPORTED = 24
 """Maximum requests in one message: those of three crashed targets with eight slots each, in at most
 2.2 KB."""
+MAX_ALIVE = 256
+"""Target incarnations whose revoked crashes are remembered and sent, 5 bytes each: those of a
+failure domain whose targets were all taken for crashed. Beyond that the oldest is dropped, and
+its crash counts again where another host still reports it."""
 RELAY_CHANGES_S = 2.0
 """Seconds for which aggregators relay a change: at least eight messages, of which some may be
 lost."""
@@ -252,6 +256,8 @@
         if not self.has_crashed(incarnation):
             return []
         self.alive[incarnation] = now
+        if len(self.alive) > MAX_ALIVE:
+            del self.alive[next(iter(self.alive))]
         changes = []
         for key, record in list(self.records.items()):
             if record.crashes.pop(incarnation, None) is not None:
--- a/gradepoint/telemetry/metrics.py
+++ b/gradepoint/telemetry/metrics.py
@@ -140,6 +140,7 @@
         self.commits = BufferedCounter("gradepoint_batch_commits", "By result")
         self.objects = BufferedCounter("gradepoint_objects", "By operation")
         self.orders = BufferedCounter("gradepoint_orders", "By kind and result")
+        self.dropped_datagrams = BufferedCounter("gradepoint_dropped_datagrams", "By reason")
         self.control_bytes = BufferedCounter("gradepoint_control_bytes", unit="By")
         self.call_time = BufferedHistogram("gradepoint_call_time", "s")
         self.view_age = CallbackGauge("gradepoint_view_age", "s")
--- a/tests/support/virtual_network.py
+++ b/tests/support/virtual_network.py
@@ -221,6 +221,10 @@
         self.context = copy_context()
         loop.transports[PROGRAM_INCARNATION.get()].append(self)
 
+    def get_write_buffer_size(self) -> int:
+        """See :meth:`asyncio.WriteTransport.get_write_buffer_size`; sending never waits."""
+        return 0
+
     def sendto(self, data: Any, addr: Any = None) -> None:
         """See :meth:`asyncio.DatagramTransport.sendto`."""
         if not self.loop.is_silent(self.own, addr):
