Hosts with a faster link and more memory aggregate

Cause: the aggregators were chosen by a hash of the incarnation alone, so a host with a link of 15 Mbit/s sent digests to 300 hosts while others had 100 Mbit/s.

A host's class is fixed for its incarnation, so a heartbeat never changes the choice except where a host is heard for the first time. Heartbeats of programs without the field count as class 0.

--- a/bench/aggregation_fleet.py
+++ b/bench/aggregation_fleet.py
@@ -27,6 +27,7 @@
 
 from gradepoint.ids import ConfigVersion, HostName, Incarnation, OrganisationNumber, TargetId
 from gradepoint.peers.aggregation import Aggregation
+from gradepoint.peers.capacity import classify_capacity
 from gradepoint.peers.datagrams import (
     DATAGRAM_FORMAT,
     DatagramSocket,
@@ -65,6 +66,8 @@
 ITEMS_PER_HOST = 0.25
 """Batch items in flight per host."""
 SLOTS = 8
+MEMORY_MB = 400.0
+"""Memory of each host in MB."""
 ARRAY_16 = 0xDC
 """First byte of a msgpack array of 16 or more elements."""
 SWEEP_S = 0.25
@@ -232,6 +235,7 @@
         self.socket = DatagramSocket(self.take)
         self.link = Link(net, self.address, link_bytes_per_s)
         self.socket.transport = self.link
+        self.capacity = classify_capacity(link_bytes_per_s / 125_000, MEMORY_MB)
         self.heartbeats = Heartbeats(self.socket, self.make_heartbeat)
         self.quotas = HostQuotas(
             lambda: self.occupancy.find_room_reports(),
@@ -257,6 +261,7 @@
                     lambda: {host.incarnation for host in net.hosts.values()},
                 ),
             ),
+            lambda: {**self.heartbeats.capacities(), self.incarnation: self.capacity},
         )
         self.tasks: list[asyncio.Future[None]] = []
         net.hosts[self.address] = self
@@ -285,8 +290,18 @@
 
     def make_heartbeat(self) -> Heartbeat:
         """Return this host's heartbeat."""
-        version = ConfigVersion(1)
-        return Heartbeat(DATAGRAM_FORMAT, self.incarnation, version, True, False, {}, [1], {}, 0)
+        return Heartbeat(
+            format=DATAGRAM_FORMAT,
+            incarnation=self.incarnation,
+            config_version=ConfigVersion(1),
+            reaches_store=True,
+            watching=False,
+            views={},
+            jobs=[1],
+            proven={},
+            proofs=0,
+            capacity=self.capacity,
+        )
 
     def make_report(self, number: int) -> Report:
         """Return this host's report."""
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -16,6 +16,7 @@
 from ..kv.relay import RelayedKv
 from ..kv.view import PrefixView
 from ..peers.aggregation import Aggregation
+from ..peers.capacity import classify_capacity
 from ..peers.datagrams import (
     DatagramSocket,
     Digest,
@@ -125,6 +126,7 @@
             failure_domain=settings.failure_domain,
             peer_address=f"{settings.address}:{settings.peer_port}",
         )
+        self.capacity = classify_capacity(settings.link_mbps, settings.memory_mb)
         self.hosts = HostTable()
         self.data_hosts = HostTable(DATA_HOST_PREFIX)
         self.presence = Presence(kv, self.own)
@@ -150,6 +152,7 @@
             lambda number: make_report(self, number),
             self.targets.record_remote_results,
             Aggregation(self.targets.find_slots, self.make_ledger()),
+            lambda: {**self.heartbeats.capacities(), self.own.incarnation: self.capacity},
         )
         self.stall_detector = StallDetector(self.refresh_after_stall)
         self.crash_detector = CrashDetector(
--- a/gradepoint/gateway/outgoing.py
+++ b/gradepoint/gateway/outgoing.py
@@ -27,6 +27,7 @@
         jobs=[*gateway.worker.announced_job_numbers(), *gateway.intake.announced_job_numbers()],
         proven=watchers.proofs.list_proofs() if watching else {},
         proofs=watchers.proofs.count,
+        capacity=gateway.capacity,
     )
 
 
--- a/gradepoint/gateway/settings.py
+++ b/gradepoint/gateway/settings.py
@@ -95,6 +95,20 @@
         5000.0,
         "Milliseconds from the removal of a key until 'revoke_strictly' applies.",
     ),
+    Setting(
+        "link_mbps",
+        float,
+        0.0,
+        "Rate of this host's link in Mbit/s; 0 if unknown. Faster hosts aggregate for the fleet.",
+        may_be_zero=True,
+    ),
+    Setting(
+        "memory_mb",
+        float,
+        0.0,
+        "Memory in MB that the process may use; 0 if unknown. Hosts with more aggregate.",
+        may_be_zero=True,
+    ),
     Setting("metrics_port", int, 9464, "HTTP port of the metrics page."),
     Setting("log_level", str, "INFO", "Lowest log level that is written."),
     Setting("log_style", str, "json", "Format of log lines: 'json' or 'text'."),
@@ -125,6 +139,8 @@
     quota_window_s: float
     revoke_strictly: bool
     revoke_ms: float
+    link_mbps: float
+    memory_mb: float
     metrics_port: int
     log_level: str
     log_style: str
--- a/gradepoint/ids.py
+++ b/gradepoint/ids.py
@@ -28,6 +28,8 @@
 """Short hash of a :data:`TargetId`, used in messages between hosts."""
 Incarnation = NewType("Incarnation", str)
 """Identifies one run of a host's program, as ``HOST:RANDOM``; a restart makes a new one."""
+CapacityClass = NewType("CapacityClass", int)
+"""Class of a host's link and memory; hosts of higher classes have more."""
 ItemId = NewType("ItemId", str)
 RequestKey = NewType("RequestKey", int)
 """Hash of everything that makes two calls the same request, regardless of their request ids."""
--- a/gradepoint/peers/datagrams.py
+++ b/gradepoint/peers/datagrams.py
@@ -10,13 +10,21 @@
 import msgspec
 
 from .. import events
-from ..ids import ConfigVersion, Incarnation, OrganisationNumber, RequestKey, TargetNumber
+from ..ids import (
+    CapacityClass,
+    ConfigVersion,
+    Incarnation,
+    OrganisationNumber,
+    RequestKey,
+    TargetNumber,
+)
 from ..routing.suspects import SuspectsMessage
 from ..telemetry import metrics
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.hashing import hash32
 from ..wire.addresses import split_address
+from .capacity import UNKNOWN_CLASS
 from .results import ReportedResults
 
 if TYPE_CHECKING:
@@ -47,6 +55,7 @@
     :param proven: by view, milliseconds since the view was known to miss no change, and the digest
         of its contents.
     :param proofs: number of proofs that the host obtained itself.
+    :param capacity: class of its link and memory; see :mod:`.capacity`.
     """
 
     format: int
@@ -58,6 +67,7 @@
     jobs: list[int]
     proven: dict[str, tuple[int, int]]
     proofs: int
+    capacity: CapacityClass = UNKNOWN_CLASS
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True, tag="report"):
--- a/gradepoint/peers/heartbeats.py
+++ b/gradepoint/peers/heartbeats.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from ..ids import ConfigVersion, Incarnation
+    from ..ids import CapacityClass, ConfigVersion, Incarnation
     from .datagrams import DatagramSocket, Heartbeat
     from .presence import HostPresence
 
@@ -132,6 +132,10 @@
         """Return ``IP:PORT`` of every host that is heard, by incarnation."""
         return {incarnation: heard.address for incarnation, heard in self.heard.items()}
 
+    def capacities(self) -> dict[Incarnation, CapacityClass]:
+        """Return the capacity class of every host that is heard, by incarnation."""
+        return {host: heard.heartbeat.capacity for host, heard in self.heard.items()}
+
     def find_newer_config(self, version: ConfigVersion) -> list[str]:
         """Return ``IP:PORT`` of the peers whose configuration is newer than *version*."""
         heard = self.heard.values()
--- a/gradepoint/peers/occupancy.py
+++ b/gradepoint/peers/occupancy.py
@@ -24,13 +24,14 @@
 from ..util.clock import monotonic
 from ..util.hashing import hash32, rank
 from .aggregation import PERCENT, ROOM_UNITS_PER_CALL, STALE_S, Aggregation
+from .capacity import UNKNOWN_CLASS
 from .datagrams import DATAGRAM_FORMAT, Digest, Report, Sums, number_target
 from .results import KnownResults, forget_old_results, merge_results
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
-    from ..ids import Incarnation, RequestKey, TargetId, TargetNumber
+    from ..ids import CapacityClass, Incarnation, RequestKey, TargetId, TargetNumber
     from .aggregation import ReceivedReport
     from .datagrams import DatagramSocket
 
@@ -65,10 +66,27 @@
 
 
 @lru_cache(maxsize=8)
-def choose_aggregators(incarnations: frozenset[Incarnation]) -> list[Incarnation]:
-    """Return the incarnations that aggregate; all hosts that hear the same hosts compute the
-    same."""
-    return rank("aggregators", incarnations)[:AGGREGATOR_COUNT]
+def choose_aggregators(
+    incarnations: frozenset[Incarnation],
+    capacities: frozenset[tuple[Incarnation, CapacityClass]] = frozenset(),
+) -> list[Incarnation]:
+    """Return the incarnations that aggregate: those of the highest capacity class, in a fixed order
+    within a class. All hosts that hear the same hosts compute the same.
+
+    :param capacities: classes of these hosts; a host without one counts as the smallest.
+    """
+    return rank_by_capacity("aggregators", incarnations, dict(capacities))[:AGGREGATOR_COUNT]
+
+
+def rank_by_capacity(
+    key: str, incarnations: Iterable[Incarnation], capacities: dict[Incarnation, CapacityClass]
+) -> list[Incarnation]:
+    """Return hosts by descending capacity class, and within a class by rank for *key*."""
+    return sorted(
+        rank(key, incarnations),
+        key=lambda incarnation: capacities.get(incarnation, UNKNOWN_CLASS),
+        reverse=True,
+    )
 
 
 def read_clock_ms() -> int:
@@ -102,6 +120,7 @@
     :param on_results: called with a target and the numbers of other hosts' new successes and
         failures there.
     :param aggregation: the sums that this host computes while it is an aggregator.
+    :param find_capacities: returns the capacity classes of this host and of those that are heard.
     :ivar aggregators: current aggregators, the preferred first.
     :ivar sent: this host's recent reports by number.
     :ivar heard: newest sums by aggregator.
@@ -125,6 +144,7 @@
     make_report: Callable[[int], Report]
     on_results: Callable[[TargetNumber, int, int], None]
     aggregation: Aggregation
+    find_capacities: Callable[[], dict[Incarnation, CapacityClass]] = dict
     aggregators: list[Incarnation] = field(default_factory=list)
     sent: OrderedDict[int, Report] = field(default_factory=OrderedDict)
     heard: dict[Incarnation, ReceivedSums] = field(default_factory=dict)
@@ -197,7 +217,9 @@
         sent_all_at = float("-inf")
         while True:
             addresses = find_addresses()
-            aggregators = choose_aggregators(frozenset({*addresses, self.own}))
+            aggregators = choose_aggregators(
+                frozenset({*addresses, self.own}), frozenset(self.find_capacities().items())
+            )
             if aggregators != self.aggregators:
                 emit(events.AGGREGATORS, aggregators=aggregators, heard=len(addresses))
                 self.aggregators = aggregators
