Relay digests in fleets of more than 80 hosts

Deltas (what changed since the digest before the last, one in ten in full; computed from the real digests) save little where there is load: every target changes in each gap.

Change: with more than 80 receivers an aggregator sends a digest to about the square root of their number, of the highest capacity, which pass it on. The aggregator names the receivers in each message, so relays keep no state and hosts need not agree on them. Hosts that did not report for 0.4 s relay nothing. A host ignores a digest that is older than the one it knows, since a relay may be slow. The digest gap ends at 0.1 s. Fleets of up to 80 hosts send what they sent before.

--- a/bench/aggregation_fleet.py
+++ b/bench/aggregation_fleet.py
@@ -26,6 +26,7 @@
 from loguru import logger
 
 from gradepoint.ids import ConfigVersion, HostName, Incarnation, OrganisationNumber, TargetId
+from gradepoint.peers import occupancy
 from gradepoint.peers.aggregation import Aggregation
 from gradepoint.peers.capacity import classify_capacity
 from gradepoint.peers.datagrams import (
@@ -66,6 +67,11 @@
 ITEMS_PER_HOST = 0.25
 """Batch items in flight per host."""
 SLOTS = 8
+CONFIRMED_DIGEST = 2
+"""Digests from one until a report that confirms it: a host reports four times a second at least,
+and after each change."""
+FULL_DIGEST = 10
+"""One in this many digests would be sent in full if only changes were sent otherwise."""
 MEMORY_MB = 400.0
 """Memory of each host in MB."""
 ARRAY_16 = 0xDC
@@ -326,7 +332,7 @@
         elif isinstance(message, Digest):
             self.occupancy.receive(message)
         else:
-            self.occupancy.receive_relayed(message)
+            self.occupancy.relay(message)
 
     async def sweep(self) -> None:
         """Drop outdated state as the gateway does."""
@@ -421,7 +427,7 @@
 
 def measure_stores(host: Host) -> dict[str, int]:
     """Return the bytes of each store of a host."""
-    occupancy, aggregation = host.occupancy, host.occupancy.aggregation
+    own, aggregation = host.occupancy, host.occupancy.aggregation
     ledger = aggregation.ledger
     stores = {
         "transport buffer": host.link.buffer,
@@ -429,9 +435,9 @@
         "reports": aggregation.reports,
         "results by host": aggregation.known_results,
         "results of all": (aggregation.results, aggregation.sent_failures),
-        "received sums": occupancy.heard,
-        "results by aggregator": (occupancy.known_results, occupancy.own_results),
-        "own reports": occupancy.sent,
+        "received sums": own.heard,
+        "results by aggregator": (own.known_results, own.own_results),
+        "own reports": own.sent,
         "grant counts": ledger.counts,
         "grant rates": ledger.average_rates,
         "grant windows": ledger.windows,
@@ -453,6 +459,50 @@
     }
 
 
+@dataclass
+class Deltas:
+    """Estimates the bytes of digests that contain only what changed.
+
+    :ivar full: bytes of the sums that were sent, once for all hosts.
+    :ivar changed: bytes of what changed since the digest that a host has confirmed.
+    :ivar former: the last sums of each aggregator.
+    """
+
+    full: int = 0
+    changed: int = 0
+    former: dict[Incarnation, deque[list[Any]]] = field(default_factory=dict)
+
+    def watch(self, host: Host) -> None:
+        """Count the digests of a host."""
+        send = host.occupancy._send_digests
+
+        def count(sums: bytes, *, sends_all: bool) -> None:
+            send(sums, sends_all=sends_all)
+            if sends_all:
+                self.add(host.incarnation, sums)
+
+        host.occupancy._send_digests = count  # type: ignore[method-assign]
+
+    def add(self, aggregator: Incarnation, raw: bytes) -> None:
+        """Count one digest; every :data:`FULL_DIGEST`-th is sent in full."""
+        sums = msgspec.msgpack.decode(raw, strict=False)
+        former = self.former.setdefault(aggregator, deque(maxlen=CONFIRMED_DIGEST))
+        if len(former) == CONFIRMED_DIGEST:
+            rows = [drop_same(row, known) for row, known in zip(sums, former[0], strict=True)]
+            size = len(msgspec.msgpack.encode(rows))
+            self.changed += round((size * (FULL_DIGEST - 1) + len(raw)) / FULL_DIGEST)
+            self.full += len(raw)
+        former.append(sums)
+
+
+def drop_same(row: Any, known: Any) -> Any:
+    """Return what changed of one field of sums; entries that vanished are sent as None."""
+    if not isinstance(row, dict):
+        return None if row == known else row
+    gone = dict.fromkeys(known.keys() - row.keys())
+    return {key: value for key, value in row.items() if known.get(key) != value} | gone
+
+
 async def measure_delays(net: Net, samples: int) -> list[float]:
     """Return the seconds from a change at a random host until all hosts know of it, by sample."""
     found = []
@@ -493,11 +543,14 @@
     load = Load(arguments.targets, arguments.organisations, arguments.calls_per_s)
     slow, fast = arguments.slow_link * 125_000, arguments.fast_link * 125_000
     net = make_fleet(count, load, arguments.seed, slow, fast)
+    deltas = Deltas()
     for host in net.hosts.values():
         host.start()
+        deltas.watch(host)
     await asyncio.sleep(arguments.warm_s)
     start = {"sent": summarise_bytes(net.sent, count, arguments.warm_s)}
     net.reset()
+    deltas.full, deltas.changed = 0, 0
     net.loss = arguments.loss
     begun = monotonic()
     await asyncio.sleep(arguments.run_s)
@@ -508,6 +561,7 @@
         "start": start,
         "sent": summarise_bytes(net.sent, count, took_s),
         "received": summarise_bytes(net.received, count, took_s),
+        "delta_share": round(deltas.changed / max(1, deltas.full), 2),
         "datagrams_per_s": round(max(net.datagrams.values()) / took_s),
         "largest_datagram": net.largest,
         "first_aggregator": aggregator.number,
@@ -520,17 +574,45 @@
         },
         "entries": count_entries(aggregator),
     }
+    if arguments.cut:
+        figures["stores_kB_while_cut"] = await measure_cut(net, aggregator)
     delays = sorted(await measure_delays(net, arguments.delays))
     if delays:
         figures["delay_ms"] = {
             "median": round(statistics.median(delays) * 1000),
             "longest": round(delays[-1] * 1000),
         }
+        figures["delay_ms_after_loss"] = await measure_losses(net, arguments.delays)
     for host in net.hosts.values():
         host.stop()
     return figures
 
 
+async def measure_cut(net: Net, aggregator: Host) -> dict[str, float]:
+    """Return the stores of an aggregator after a third of the hosts was cut off for 3 s; they come
+    back after that."""
+    others = [host for host in net.hosts.values() if host is not aggregator]
+    net.down = {host.address for host in others[::3]}
+    await asyncio.sleep(3.0)
+    stores = {name: round(size / 1000, 1) for name, size in measure_stores(aggregator).items()}
+    net.down = set()
+    await asyncio.sleep(1.0)
+    return stores
+
+
+async def measure_losses(net: Net, samples: int) -> dict[str, list[int]]:
+    """Return the milliseconds until all hosts know of changes after a relay or the first aggregator
+    is lost, in the order of the changes."""
+    found = {}
+    first = find_aggregator(net)
+    relays = first.occupancy._choose_relays(first.occupancy.aggregation.reports)
+    for name, lost in (("relay", relays[:1]), ("aggregator", [first.incarnation])):
+        net.down |= {host.address for host in net.hosts.values() if host.incarnation in lost}
+        delays = await measure_delays(net, samples)
+        found[name] = [round(delay * 1000) for delay in delays]
+    return found
+
+
 async def record(arguments: argparse.Namespace, count: int) -> tuple[Net, str]:
     """Run a fleet and record what its first aggregator receives."""
     load = Load(arguments.targets, arguments.organisations, arguments.calls_per_s)
@@ -592,9 +674,17 @@
     parser.add_argument("--run-s", type=float, default=6.0, help="measured seconds")
     parser.add_argument("--delays", type=int, default=10, help="measured changes")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--cut", action="store_true", help="cut off a third of the hosts for 3 s")
+    parser.add_argument("--direct", action="store_true", help="no relays, as up to 80 hosts")
+    parser.add_argument("--long-gaps", action="store_true", help="relays, digest gaps unbounded")
     parser.add_argument("--sites", action="store_true", help="allocations of the first aggregator")
     arguments = parser.parse_args()
     logger.remove()
+    if arguments.direct:
+        occupancy.MAX_DIRECT_RECEIVERS = 10**9
+        occupancy.MAX_DIGEST_GAP_S = float("inf")
+    if arguments.long_gaps:
+        occupancy.MAX_DIGEST_GAP_S = float("inf")
     for count in arguments.hosts:
         if arguments.sites:
             net, address = run_virtual(record(arguments, count))
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -21,6 +21,7 @@
     DatagramSocket,
     Digest,
     Message,
+    RelayedDigest,
     Report,
 )
 from ..peers.heartbeats import Heartbeats
@@ -372,6 +373,8 @@
         """Dispatch a datagram from another host."""
         if isinstance(message, Digest):
             self.occupancy.receive(message)
+        elif isinstance(message, RelayedDigest):
+            self.occupancy.relay(message)
         elif isinstance(message, Report):
             self.occupancy.aggregation.take(message, address)
         else:
--- a/gradepoint/peers/datagrams.py
+++ b/gradepoint/peers/datagrams.py
@@ -159,7 +159,23 @@
     clock_ms: int = 0
 
 
-Message = Heartbeat | Report | Digest
+class RelayedDigest(msgspec.Struct, frozen=True, array_like=True, tag="relay"):
+    """Sums of an aggregator, addressed to one host and to those that it relays them to.
+
+    :param number: as in :class:`Digest`, for the host that relays.
+    :param sums: as in :class:`Digest`.
+    :param clock_ms: as in :class:`Digest`.
+    :param receivers: ``IP:PORT`` of each host to relay the digest to, and the number for it.
+    """
+
+    format: int
+    number: int
+    sums: msgspec.Raw
+    clock_ms: int
+    receivers: list[tuple[str, int]]
+
+
+Message = Heartbeat | Report | Digest | RelayedDigest
 
 MAX_DATAGRAM_BYTES = 65_507
 """Maximum payload of a UDP datagram over IPv4."""
--- a/gradepoint/peers/occupancy.py
+++ b/gradepoint/peers/occupancy.py
@@ -22,14 +22,21 @@
 from ..routing.host_quotas import RoomReport
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
-from ..util.hashing import hash32, rank
+from ..util.hashing import hash32
 from .aggregation import PERCENT, ROOM_UNITS_PER_CALL, STALE_S, Aggregation
-from .capacity import UNKNOWN_CLASS
-from .datagrams import DATAGRAM_FORMAT, Digest, Report, Sums, number_target
+from .datagrams import DATAGRAM_FORMAT, Digest, RelayedDigest, Report, Sums, number_target
+from .relays import (
+    MAX_DIRECT_RECEIVERS,
+    RELAY_FRESH_S,
+    count_relays,
+    group_receivers,
+    rank_by_capacity,
+    rank_relays,
+)
 from .results import KnownResults, forget_old_results, merge_results
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
     from ..ids import CapacityClass, Incarnation, RequestKey, TargetId, TargetNumber
     from .aggregation import ReceivedReport
@@ -48,6 +55,9 @@
 DIGEST_GAP_PER_PEER_S = 0.0005
 """Seconds that each peer adds to that gap. It limits an aggregator to 2,000 sent digests per
 second, which cost a few hundredths of a core, whatever the number of hosts."""
+MAX_DIGEST_GAP_S = 0.1
+"""Longest of these gaps: that of 170 hosts. More hosts than :data:`MAX_DIRECT_RECEIVERS` get their
+digests by relays, so that each host sends few of them."""
 MAX_GAP_S = 0.25
 """Seconds after which a report or digest is sent even if nothing changed; also the interval at
 which an aggregator gets reports and sends digests while nobody relies on it."""
@@ -78,15 +88,9 @@
     return rank_by_capacity("aggregators", incarnations, dict(capacities))[:AGGREGATOR_COUNT]
 
 
-def rank_by_capacity(
-    key: str, incarnations: Iterable[Incarnation], capacities: dict[Incarnation, CapacityClass]
-) -> list[Incarnation]:
-    """Return hosts by descending capacity class, and within a class by rank for *key*."""
-    return sorted(
-        rank(key, incarnations),
-        key=lambda incarnation: capacities.get(incarnation, UNKNOWN_CLASS),
-        reverse=True,
-    )
+def find_digest_gap_s(hosts: int) -> float:
+    """Return the minimum seconds between two digests of one aggregator."""
+    return min(MAX_DIGEST_GAP_S, DIGEST_GAP_S + DIGEST_GAP_PER_PEER_S * hosts)
 
 
 def read_clock_ms() -> int:
@@ -102,6 +106,7 @@
     :ivar waiting: weight of the items that could start, without this host's own.
     :ivar at: monotonic time of receipt.
     :ivar room_report: their report on organisations near their limit.
+    :ivar clock_ms: the aggregator's clock when it sent them.
     """
 
     sums: Sums
@@ -109,6 +114,7 @@
     waiting: int
     at: float
     room_report: RoomReport
+    clock_ms: int = 0
 
 
 @dataclass
@@ -137,6 +143,7 @@
         restarts.
     :ivar delay_s: seconds from a report until a digest that includes it is due.
     :ivar first_receiver: the host that the next digest is sent to first; None for any order.
+    :ivar relay_turn: number of the last digest that was sent by relays.
     """
 
     socket: DatagramSocket
@@ -158,6 +165,7 @@
     number: int = 0
     delay_s: float = REPORT_GAP_S + DIGEST_GAP_S
     first_receiver: Incarnation | None = None
+    relay_turn: int = 0
 
     @property
     def relied_on(self) -> Incarnation | None:
@@ -242,8 +250,7 @@
                 if changed and self.relied_on != self.own:
                     self.unconfirmed.append((self.number, now))
             gap_s = REPORT_GAP_S + REPORT_GAP_PER_PEER_S * len(addresses)
-            digest_gap_s = DIGEST_GAP_S + DIGEST_GAP_PER_PEER_S * len(addresses)
-            self.delay_s = gap_s + digest_gap_s
+            self.delay_s = gap_s + find_digest_gap_s(len(addresses))
             await asyncio.sleep(gap_s)
             await self._wait_for_change()
 
@@ -313,14 +320,19 @@
                 if sends_all:
                     last_sent, last_sent_at = raw, now
             hosts = len(self.aggregation.reports)
-            await asyncio.sleep(DIGEST_GAP_S + DIGEST_GAP_PER_PEER_S * hosts)
+            await asyncio.sleep(find_digest_gap_s(hosts))
 
     def _send_digests(self, sums: bytes, *, sends_all: bool) -> None:
         """Send the sums to all hosts, or only to those whose report is still unconfirmed."""
         body = msgspec.Raw(sums)
-        for incarnation, heard in self._rotate_receivers():
-            if not sends_all and not heard.unconfirmed:
-                continue
+        receivers = {
+            incarnation: heard
+            for incarnation, heard in self._rotate_receivers()
+            if sends_all or heard.unconfirmed
+        }
+        if len(receivers) > MAX_DIRECT_RECEIVERS:
+            receivers = self._send_by_relays(body, receivers)
+        for incarnation, heard in receivers.items():
             digest = Digest(DATAGRAM_FORMAT, heard.report.number, body, read_clock_ms())
             if incarnation == self.own:
                 self.receive(digest)
@@ -330,6 +342,51 @@
             else:
                 self.first_receiver = self.first_receiver or incarnation
 
+    def _send_by_relays(
+        self, body: msgspec.Raw, receivers: dict[Incarnation, ReceivedReport]
+    ) -> dict[Incarnation, ReceivedReport]:
+        """Send the sums to hosts that relay them; return the hosts that remain."""
+        relays = self._choose_relays(receivers)
+        if not relays:
+            return receivers
+        others = [incarnation for incarnation in receivers if incarnation != self.own]
+        self.relay_turn += 1
+        groups = group_receivers(others, relays, self.relay_turn)
+        for relay, group in zip(relays, groups, strict=True):
+            members = [receivers[incarnation] for incarnation in group]
+            rows = [(heard.address, heard.report.number) for heard in members]
+            number = receivers[relay].report.number
+            message = RelayedDigest(DATAGRAM_FORMAT, number, body, read_clock_ms(), rows)
+            raw = msgspec.msgpack.encode(message)
+            if self.socket.send_digest(raw, receivers[relay].address):
+                for heard in (receivers[relay], *members):
+                    heard.unconfirmed = False
+        return {self.own: receivers[self.own]} if self.own in receivers else {}
+
+    def _choose_relays(self, receivers: dict[Incarnation, ReceivedReport]) -> list[Incarnation]:
+        """Return the receivers of the highest capacity that reported just now."""
+        ranked = rank_relays(
+            self.own,
+            frozenset(self.aggregation.reports),
+            frozenset(self.find_capacities().items()),
+        )
+        oldest = monotonic() - RELAY_FRESH_S
+        usable = [
+            incarnation
+            for incarnation in ranked
+            if incarnation in receivers
+            and incarnation not in self.aggregators
+            and receivers[incarnation].at >= oldest
+        ]
+        return usable[: count_relays(len(receivers))]
+
+    def relay(self, message: RelayedDigest) -> None:
+        """Pass a digest on to the hosts that its aggregator names, and process it."""
+        for address, number in message.receivers:
+            digest = Digest(DATAGRAM_FORMAT, number, message.sums, message.clock_ms)
+            self.socket.send_digest(msgspec.msgpack.encode(digest), address)
+        self.receive(Digest(DATAGRAM_FORMAT, message.number, message.sums, message.clock_ms))
+
     def _rotate_receivers(self) -> list[tuple[Incarnation, ReceivedReport]]:
         """Return the reporting hosts, first the one whose last digest was dropped and those after
         it, so that a slow link does not leave out the same hosts each time."""
@@ -343,6 +400,10 @@
     def receive(self, digest: Digest) -> None:
         """Process a digest from an aggregator."""
         sums = msgspec.msgpack.decode(digest.sums, type=Sums)
+        known = self.heard.get(sums.aggregator)
+        if known is not None and digest.clock_ms < known.clock_ms:
+            # A relay was slow or suspended; a newer digest came by another one.
+            return
         own = self.sent.get(digest.number)
         remote_in_flight = dict(sums.loads)
         for counts in (own.calls, own.items) if own is not None else ():
@@ -357,7 +418,7 @@
             sums.heard_percent / PERCENT,
         )
         self.heard[sums.aggregator] = ReceivedSums(
-            sums, remote_in_flight, waiting, now, room_report
+            sums, remote_in_flight, waiting, now, room_report, digest.clock_ms
         )
         if sums.aggregator == self.relied_on:
             while self.unconfirmed and self.unconfirmed[0][0] <= digest.number:
--- a/tests/test_peers/test_peers_occupancy.py
+++ b/tests/test_peers/test_peers_occupancy.py
@@ -19,6 +19,7 @@
     DATAGRAM_FORMAT,
     Digest,
     Message,
+    RelayedDigest,
     Report,
     number_target,
 )
@@ -98,6 +99,8 @@
         """Process a datagram."""
         if isinstance(message, Digest):
             self.occupancy.receive(message)
+        elif isinstance(message, RelayedDigest):
+            self.occupancy.relay(message)
         elif isinstance(message, Report):
             self.occupancy.aggregation.take(message, address)
 
--- a/tests/test_peers/test_peers_suspects.py
+++ b/tests/test_peers/test_peers_suspects.py
@@ -11,7 +11,7 @@
 
 from gradepoint.ids import Incarnation, RequestKey, TargetNumber
 from gradepoint.peers.aggregation import Aggregation
-from gradepoint.peers.datagrams import DATAGRAM_FORMAT, Digest, Message, Report
+from gradepoint.peers.datagrams import DATAGRAM_FORMAT, Digest, Message, RelayedDigest, Report
 from gradepoint.peers.occupancy import Occupancy
 from gradepoint.routing.suspects import HELD_CRASHES, MILLISECONDS, Standing, Suspects, Trial
 from gradepoint.standins.virtual_time import run_virtual
@@ -62,6 +62,8 @@
         """Process a datagram."""
         if isinstance(message, Digest):
             self.occupancy.receive(message)
+        elif isinstance(message, RelayedDigest):
+            self.occupancy.relay(message)
         elif isinstance(message, Report):
             self.occupancy.aggregation.take(message, address)
 
