--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -16,10 +16,12 @@
 from ..kv.relay import RelayedKv
 from ..kv.view import PrefixView
 from ..peers.aggregation import Aggregation
+from ..peers.capacity import classify_capacity
 from ..peers.datagrams import (
     DatagramSocket,
     Digest,
     Message,
+    RelayedDigest,
     Report,
 )
 from ..peers.heartbeats import Heartbeats
@@ -128,6 +130,7 @@
             failure_domain=settings.failure_domain,
             peer_address=f"{settings.address}:{settings.peer_port}",
         )
+        self.capacity = classify_capacity(settings.link_mbps, settings.memory_mb)
         self.hosts = HostTable()
         self.data_hosts = HostTable(DATA_HOST_PREFIX)
         self.presence = Presence(kv, self.own)
@@ -153,6 +156,7 @@
             lambda number: make_report(self, number),
             self.targets.record_remote_results,
             Aggregation(self.targets.find_slots, self.make_ledger()),
+            lambda: {**self.heartbeats.capacities(), self.own.incarnation: self.capacity},
         )
         self.stall_detector = StallDetector(self.refresh_after_stall)
         self.crash_detector = CrashDetector(
@@ -404,6 +408,8 @@
         """Dispatch a datagram from another host."""
         if isinstance(message, Digest):
             self.occupancy.receive(message)
+        elif isinstance(message, RelayedDigest):
+            self.occupancy.relay(message)
         elif isinstance(message, Report):
             self.occupancy.aggregation.take(message, address)
         else:
--- a/gradepoint/peers/heartbeats.py
+++ b/gradepoint/peers/heartbeats.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from ..ids import ConfigVersion, Incarnation
+    from ..ids import CapacityClass, ConfigVersion, Incarnation
     from .datagrams import DatagramSocket, Heartbeat
     from .presence import HostPresence
 
@@ -31,6 +31,10 @@
 while nothing changes, whatever the number of hosts."""
 STALE_GAPS = 2.5
 """A host counts as silent after this many of the longest gaps: two heartbeats are missing."""
+MAX_HEARD = 2048
+"""Hosts whose heartbeats are kept, about 0.7 KB each: several times the largest fleet, since former
+incarnations of restarted hosts stay until they count as silent. Beyond that the oldest is
+dropped."""
 
 
 class ReceivedHeartbeat(Struct):
@@ -90,6 +94,8 @@
     def receive(self, heartbeat: Heartbeat, address: str) -> None:
         """Process another host's heartbeat; a host not known before is answered at once."""
         known = heartbeat.incarnation in self.heard
+        if not known and len(self.heard) >= MAX_HEARD:
+            del self.heard[min(self.heard, key=lambda host: self.heard[host].at)]
         self.heard[heartbeat.incarnation] = ReceivedHeartbeat(heartbeat, monotonic(), address)
         if not known:
             self.socket.send(msgspec.msgpack.encode(self.own()), address)
@@ -133,6 +139,10 @@
         """Return ``IP:PORT`` of every host that is heard, by incarnation."""
         return {incarnation: heard.address for incarnation, heard in self.heard.items()}
 
+    def capacities(self) -> dict[Incarnation, CapacityClass]:
+        """Return the capacity class of every host that is heard, by incarnation."""
+        return {host: heard.heartbeat.capacity for host, heard in self.heard.items()}
+
     def find_newer_config(self, version: ConfigVersion) -> list[str]:
         """Return ``IP:PORT`` of the peers whose configuration is newer than *version*."""
         heard = self.heard.values()
--- a/gradepoint/peers/occupancy.py
+++ b/gradepoint/peers/occupancy.py
@@ -21,16 +21,25 @@
 from ..routing.host_quotas import RoomReport
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
-from ..util.hashing import hash32, rank
+from ..util.hashing import hash32
 from ..util.structs import Struct, field
 from .aggregation import PERCENT, ROOM_UNITS_PER_CALL, STALE_S, Aggregation
-from .datagrams import DATAGRAM_FORMAT, Digest, Report, Sums, number_target
-from .results import KnownResults, merge_results
+from .datagrams import DATAGRAM_FORMAT, Digest, RelayedDigest, Report, Sums, number_target
+from .relays import (
+    MAX_DIRECT_RECEIVERS,
+    RELAY_FRESH_S,
+    count_relays,
+    group_receivers,
+    rank_by_capacity,
+    rank_relays,
+)
+from .results import KnownResults, forget_old_results, merge_results
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..ids import Incarnation, RequestKey, TargetId, TargetNumber
+    from ..ids import CapacityClass, Incarnation, RequestKey, TargetId, TargetNumber
+    from .aggregation import ReceivedReport
     from .datagrams import DatagramSocket
 
 AGGREGATOR_COUNT = 3
@@ -46,6 +55,9 @@
 DIGEST_GAP_PER_PEER_S = 0.0005
 """Seconds that each peer adds to that gap. It limits an aggregator to 2,000 sent digests per
 second, which cost a few hundredths of a core, whatever the number of hosts."""
+MAX_DIGEST_GAP_S = 0.1
+"""Longest of these gaps: that of 170 hosts. More hosts than :data:`MAX_DIRECT_RECEIVERS` get their
+digests by relays, so that each host sends few of them."""
 MAX_GAP_S = 0.25
 """Seconds after which a report or digest is sent even if nothing changed; also the interval at
 which an aggregator gets reports and sends digests while nobody relies on it."""
@@ -56,14 +68,29 @@
 """Seconds for which a host does not rely on an aggregator that left out a report."""
 MILLISECONDS = 1000
 MAX_SENT_REPORTS = 200
-"""Own reports that are kept to subtract this host's part from a digest: those of three seconds."""
+"""Own reports that are kept to subtract this host's part from a digest: those of three seconds at
+the shortest gap."""
+SENT_REPORT_LIFETIME_S = 3.0
+"""Seconds for which they are kept: several times :data:`STALE_S`. In large fleets, whose gaps are
+longer, 200 reports were those of 15 s."""
 
 
 @lru_cache(maxsize=8)
-def choose_aggregators(incarnations: frozenset[Incarnation]) -> list[Incarnation]:
-    """Return the incarnations that aggregate; all hosts that hear the same hosts compute the
-    same."""
-    return rank("aggregators", incarnations)[:AGGREGATOR_COUNT]
+def choose_aggregators(
+    incarnations: frozenset[Incarnation],
+    capacities: frozenset[tuple[Incarnation, CapacityClass]] = frozenset(),
+) -> list[Incarnation]:
+    """Return the incarnations that aggregate: those of the highest capacity class, in a fixed order
+    within a class. All hosts that hear the same hosts compute the same.
+
+    :param capacities: classes of these hosts; a host without one counts as the smallest.
+    """
+    return rank_by_capacity("aggregators", incarnations, dict(capacities))[:AGGREGATOR_COUNT]
+
+
+def find_digest_gap_s(hosts: int) -> float:
+    """Return the minimum seconds between two digests of one aggregator."""
+    return min(MAX_DIGEST_GAP_S, DIGEST_GAP_S + DIGEST_GAP_PER_PEER_S * hosts)
 
 
 def read_clock_ms() -> int:
@@ -78,6 +105,7 @@
     :ivar waiting: weight of the items that could start, without this host's own.
     :ivar at: monotonic time of receipt.
     :ivar room_report: their report on organisations near their limit.
+    :ivar clock_ms: the aggregator's clock when it sent them.
     """
 
     sums: Sums
@@ -85,6 +113,7 @@
     waiting: int
     at: float
     room_report: RoomReport
+    clock_ms: int = 0
 
 
 class Occupancy(Struct):
@@ -95,6 +124,7 @@
     :param on_results: called with a target and the numbers of other hosts' new successes and
         failures there.
     :param aggregation: the sums that this host computes while it is an aggregator.
+    :param find_capacities: returns the capacity classes of this host and of those that are heard.
     :ivar aggregators: current aggregators, the preferred first.
     :ivar sent: this host's recent reports by number.
     :ivar heard: newest sums by aggregator.
@@ -110,6 +140,8 @@
     :ivar number: number of the last own report. It only ever rises, also when the report loop
         restarts.
     :ivar delay_s: seconds from a report until a digest that includes it is due.
+    :ivar first_receiver: the host that the next digest is sent to first; None for any order.
+    :ivar relay_turn: number of the last digest that was sent by relays.
     """
 
     socket: DatagramSocket
@@ -117,6 +149,7 @@
     make_report: Callable[[int], Report]
     on_results: Callable[[TargetNumber, int, int], None]
     aggregation: Aggregation
+    find_capacities: Callable[[], dict[Incarnation, CapacityClass]] = dict
     aggregators: list[Incarnation] = field(default_factory=list)
     sent: OrderedDict[int, Report] = field(default_factory=OrderedDict)
     heard: dict[Incarnation, ReceivedSums] = field(default_factory=dict)
@@ -129,6 +162,8 @@
     distrusted_until: dict[Incarnation, float] = field(default_factory=dict)
     number: int = 0
     delay_s: float = REPORT_GAP_S + DIGEST_GAP_S
+    first_receiver: Incarnation | None = None
+    relay_turn: int = 0
 
     @property
     def relied_on(self) -> Incarnation | None:
@@ -188,7 +223,9 @@
         sent_all_at = float("-inf")
         while True:
             addresses = find_addresses()
-            aggregators = choose_aggregators(frozenset({*addresses, self.own}))
+            aggregators = choose_aggregators(
+                frozenset({*addresses, self.own}), frozenset(self.find_capacities().items())
+            )
             if aggregators != self.aggregators:
                 emit(events.AGGREGATORS, aggregators=aggregators, heard=len(addresses))
                 self.aggregators = aggregators
@@ -211,8 +248,7 @@
                 if changed and self.relied_on != self.own:
                     self.unconfirmed.append((self.number, now))
             gap_s = REPORT_GAP_S + REPORT_GAP_PER_PEER_S * len(addresses)
-            digest_gap_s = DIGEST_GAP_S + DIGEST_GAP_PER_PEER_S * len(addresses)
-            self.delay_s = gap_s + digest_gap_s
+            self.delay_s = gap_s + find_digest_gap_s(len(addresses))
             await asyncio.sleep(gap_s)
             await self._wait_for_change()
 
@@ -244,8 +280,7 @@
         self, report: Report, addresses: dict[Incarnation, str], *, sends_all: bool
     ) -> None:
         self.sent[report.number] = msgspec.structs.replace(report, clock_ms=read_clock_ms())
-        if len(self.sent) > MAX_SENT_REPORTS:
-            self.sent.popitem(last=False)
+        self._forget_sent_reports()
         relied_on = self.relied_on
         # Other hosts may still rely on aggregators that this host distrusts, so these get every
         # report too.
@@ -259,6 +294,14 @@
             elif incarnation in addresses:
                 self.socket.send(msgspec.msgpack.encode(outgoing), addresses[incarnation])
 
+    def _forget_sent_reports(self) -> None:
+        oldest_ms = read_clock_ms() - SENT_REPORT_LIFETIME_S * MILLISECONDS
+        while self.sent:
+            oldest = next(iter(self.sent.values()))
+            if len(self.sent) <= MAX_SENT_REPORTS and oldest.clock_ms >= oldest_ms:
+                break
+            self.sent.popitem(last=False)
+
     async def run_digests(self) -> None:
         """Send digests to every reporting host while this host is an aggregator, forever."""
         last_sent: bytes = b""
@@ -275,24 +318,90 @@
                 if sends_all:
                     last_sent, last_sent_at = raw, now
             hosts = len(self.aggregation.reports)
-            await asyncio.sleep(DIGEST_GAP_S + DIGEST_GAP_PER_PEER_S * hosts)
+            await asyncio.sleep(find_digest_gap_s(hosts))
 
     def _send_digests(self, sums: bytes, *, sends_all: bool) -> None:
         """Send the sums to all hosts, or only to those whose report is still unconfirmed."""
         body = msgspec.Raw(sums)
-        for incarnation, heard in self.aggregation.reports.items():
-            if not sends_all and not heard.unconfirmed:
-                continue
-            heard.unconfirmed = False
+        receivers = {
+            incarnation: heard
+            for incarnation, heard in self._rotate_receivers()
+            if sends_all or heard.unconfirmed
+        }
+        if len(receivers) > MAX_DIRECT_RECEIVERS:
+            receivers = self._send_by_relays(body, receivers)
+        for incarnation, heard in receivers.items():
             digest = Digest(DATAGRAM_FORMAT, heard.report.number, body, read_clock_ms())
             if incarnation == self.own:
                 self.receive(digest)
+                heard.unconfirmed = False
+            elif self.socket.send_digest(msgspec.msgpack.encode(digest), heard.address):
+                heard.unconfirmed = False
             else:
-                self.socket.send(msgspec.msgpack.encode(digest), heard.address)
+                self.first_receiver = self.first_receiver or incarnation
+
+    def _send_by_relays(
+        self, body: msgspec.Raw, receivers: dict[Incarnation, ReceivedReport]
+    ) -> dict[Incarnation, ReceivedReport]:
+        """Send the sums to hosts that relay them; return the hosts that remain."""
+        relays = self._choose_relays(receivers)
+        if not relays:
+            return receivers
+        others = [incarnation for incarnation in receivers if incarnation != self.own]
+        self.relay_turn += 1
+        groups = group_receivers(others, relays, self.relay_turn)
+        for relay, group in zip(relays, groups, strict=True):
+            members = [receivers[incarnation] for incarnation in group]
+            rows = [(heard.address, heard.report.number) for heard in members]
+            number = receivers[relay].report.number
+            message = RelayedDigest(DATAGRAM_FORMAT, number, body, read_clock_ms(), rows)
+            raw = msgspec.msgpack.encode(message)
+            if self.socket.send_digest(raw, receivers[relay].address):
+                for heard in (receivers[relay], *members):
+                    heard.unconfirmed = False
+        return {self.own: receivers[self.own]} if self.own in receivers else {}
+
+    def _choose_relays(self, receivers: dict[Incarnation, ReceivedReport]) -> list[Incarnation]:
+        """Return the receivers of the highest capacity that reported just now."""
+        ranked = rank_relays(
+            self.own,
+            frozenset(self.aggregation.reports),
+            frozenset(self.find_capacities().items()),
+        )
+        oldest = monotonic() - RELAY_FRESH_S
+        usable = [
+            incarnation
+            for incarnation in ranked
+            if incarnation in receivers
+            and incarnation not in self.aggregators
+            and receivers[incarnation].at >= oldest
+        ]
+        return usable[: count_relays(len(receivers))]
+
+    def relay(self, message: RelayedDigest) -> None:
+        """Pass a digest on to the hosts that its aggregator names, and process it."""
+        for address, number in message.receivers:
+            digest = Digest(DATAGRAM_FORMAT, number, message.sums, message.clock_ms)
+            self.socket.send_digest(msgspec.msgpack.encode(digest), address)
+        self.receive(Digest(DATAGRAM_FORMAT, message.number, message.sums, message.clock_ms))
+
+    def _rotate_receivers(self) -> list[tuple[Incarnation, ReceivedReport]]:
+        """Return the reporting hosts, first the one whose last digest was dropped and those after
+        it, so that a slow link does not leave out the same hosts each time."""
+        rows = [*self.aggregation.reports.items()]
+        first, self.first_receiver = self.first_receiver, None
+        if first not in self.aggregation.reports:
+            return rows
+        start = [*self.aggregation.reports].index(first)
+        return [*rows[start:], *rows[:start]]
 
     def receive(self, digest: Digest) -> None:
         """Process a digest from an aggregator."""
         sums = msgspec.msgpack.decode(digest.sums, type=Sums)
+        known = self.heard.get(sums.aggregator)
+        if known is not None and digest.clock_ms < known.clock_ms:
+            # A relay was slow or suspended; a newer digest came by another one.
+            return
         own = self.sent.get(digest.number)
         remote_in_flight = dict(sums.loads)
         for counts in (own.calls, own.items) if own is not None else ():
@@ -307,7 +416,7 @@
             sums.heard_percent / PERCENT,
         )
         self.heard[sums.aggregator] = ReceivedSums(
-            sums, remote_in_flight, waiting, now, room_report
+            sums, remote_in_flight, waiting, now, room_report, digest.clock_ms
         )
         if sums.aggregator == self.relied_on:
             while self.unconfirmed and self.unconfirmed[0][0] <= digest.number:
@@ -325,6 +434,8 @@
             for incarnation, until in self.distrusted_until.items()
             if until > now
         }
+        for known in (*self.known_results.values(), *self.own_results.values()):
+            forget_old_results(known)
         oldest = now - STALE_S
         for incarnation in [
             incarnation for incarnation, heard in self.heard.items() if heard.at < oldest
--- a/gradepoint/routing/quotas.py
+++ b/gradepoint/routing/quotas.py
@@ -160,9 +160,13 @@
     grants: deque[tuple[float, float]] = field(default_factory=deque)
     total: float = 0.0
 
-    def add(self, count: float, now: float) -> None:
-        """Add *count* grants at time *now*."""
-        self.grants.append((now, count))
+    def add(self, count: float, now: float, step_s: float = 0.0) -> None:
+        """Add *count* grants at time *now*, to the last entry if that is less than *step_s* old."""
+        if self.grants and 0 <= now - self.grants[-1][0] < step_s:
+            at, former = self.grants.pop()
+            self.grants.append((at, former + count))
+        else:
+            self.grants.append((now, count))
         self.total += count
 
     def add_spread(self, count: float, window_s: float, now: float) -> None:
