Replay targets of different speeds that pause

Cause: bench/crest_replay.py had only targets of one speed, so that it could not show what a choice of targets by pace gains in the two deployments of docs/design/load.md.

Ruled out: a new file, since the strategies and the preemption of items are the same.

Change: the shapes A and B, each also with a sixth of the targets gone; targets with speeds, pauses and scripted slow times; paces that hosts learn every 0.2 s from the work of the last second; ranks by load, by load / pace and by expected delay. Shapes without them replay as before.

--- a/bench/crest_replay.py
+++ b/bench/crest_replay.py
@@ -4,6 +4,9 @@
 the other hosts' in-flight work some hundredths of a second late, as it does through the
 aggregators. Each row of the output is one strategy: the share of calls whose first token is late,
 preemptions for each finished item, the mean time of an item and the number of items finished.
+
+Targets may work at different speeds and pause for short times. Hosts learn of a target's pace from
+the work done there in the last second, as they do through the aggregators.
 """
 
 from __future__ import annotations
@@ -14,8 +17,8 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from statistics import mean
+from dataclasses import dataclass, field, replace
+from statistics import mean, median
 
 from gradepoint.gateway.choice import choose_target, sample_weighted
 from gradepoint.gateway.targets import ListedState, ListedTarget
@@ -36,6 +39,17 @@
 ITEM_RETRY_S = 0.3
 """Seconds until a preempted item may start again."""
 DOMAINS = 3
+PREEMPTION_S = 0.1
+"""Seconds that a call waits for its slot if an item is preempted for it."""
+PAUSE_INTERVALS = 997
+"""Intervals of the length of a pause after which the pauses repeat; more than a replay has."""
+PACE_REFRESH_S = 0.2
+"""Seconds between two digests with the paces of targets."""
+PACE_WINDOW_S = 1.0
+"""Seconds of work from which a pace is measured."""
+MIN_PACE, MAX_PACE = 0.1, 4.0
+USUAL_PACES = (0.85, 1.18)
+"""Between these, a pace counts as 1.0."""
 
 
 @dataclass(frozen=True)
@@ -47,6 +61,13 @@
     :param high: length in seconds and load factor of the high part of each wave.
     :param delay_s: mean delay with which hosts learn of each other's in-flight work.
     :param lost_share: share of the targets that are missing.
+    :param item_s: mean seconds that a batch item occupies a slot.
+    :param speeds: speeds of the targets, in turn.
+    :param pause_s: length of the pauses in seconds.
+    :param pause_share: share of the targets that pause at a time.
+    :param pause_factor: factor by which a pausing target is slower.
+    :param slowed: targets that are slow for a time: index, first and last second, and the factor
+        by which the target is slower.
     """
 
     hosts: int = 51
@@ -60,6 +81,12 @@
     length_s: float = 60.0
     delay_s: float = 0.075
     lost_share: float = 0.0
+    item_s: float = ITEM_S
+    speeds: tuple[float, ...] = (1.0,)
+    pause_s: float = 0.6
+    pause_share: float = 0.0
+    pause_factor: float = 2.5
+    slowed: tuple[tuple[int, float, float, float], ...] = ()
 
     def rate(self, now: float) -> float:
         """Return the calls a second at time *now*."""
@@ -68,6 +95,31 @@
         return self.calls_per_s * factor
 
 
+UNEVEN = Shape(
+    hosts=74,
+    targets=30,
+    calls_per_s=134.0,
+    jobs_per_s=1.71,
+    low=(3.6, 0.391),
+    high=(2.4, 1.91),
+    delay_s=0.09,
+    item_s=5.0,
+    speeds=(0.6, 1.0, 1.6),
+    pause_share=0.15,
+)
+"""Deployment A of docs/design/load.md: targets of three speeds that pause."""
+COMPETING = Shape(
+    hosts=68,
+    targets=45,
+    calls_per_s=202.0,
+    jobs_per_s=1.93,
+    low=(3.6, 0.391),
+    high=(2.4, 1.91),
+    delay_s=0.087,
+    item_s=5.0,
+)
+"""Deployment B of docs/design/load.md, without its organisations."""
+
 SHAPES = {
     "30 targets": Shape(),
     "a fifth gone": Shape(lost_share=0.2),
@@ -77,6 +129,10 @@
     "6 hosts, 6 targets": Shape(
         hosts=6, targets=6, calls_per_s=27.0, jobs_per_s=0.34, delay_s=0.035
     ),
+    "A": UNEVEN,
+    "A, a sixth gone": replace(UNEVEN, lost_share=1 / 6),
+    "B": COMPETING,
+    "B, a sixth gone": replace(COMPETING, lost_share=1 / 6),
 }
 
 
@@ -162,12 +218,59 @@
     :param patient: whether a call may wait for another call that ends soon, before an item is
         preempted.
     :param reserved: slots of each target that batch leaves free for calls.
+    :param rank: rank of a target as a host sees it; of the sampled targets, the one with the
+        smallest rank is chosen. It takes precedence over *choose*.
+    :param sampled: number of targets that are sampled for *rank*.
     """
 
     choose: Choose | None
     home_weight: float = 3.0
     patient: bool = False
     reserved: int = 1
+    rank: Rank | None = None
+    sampled: int = 2
+
+
+@dataclass(frozen=True)
+class SeenTarget:
+    """A target as a host sees it.
+
+    :param calls: calls in flight, without items.
+    :param pace: speed in relation to the median of all targets.
+    """
+
+    calls: int
+    items: int
+    slots: int
+    pace: float
+
+
+Rank = Callable[[SeenTarget], tuple[float, ...]]
+
+
+def rank_by_load(target: SeenTarget) -> tuple[float, ...]:
+    """Return the calls and items in flight per slot."""
+    return ((target.calls + target.items) / target.slots,)
+
+
+def rank_by_paced_load(target: SeenTarget) -> tuple[float, ...]:
+    """Return the calls and items in flight per slot and pace."""
+    return ((target.calls + target.items) / (target.slots * target.pace),)
+
+
+def expect_delay_s(target: SeenTarget) -> float:
+    """Return the seconds that a new call waits for a slot at a target."""
+    if target.calls + target.items < target.slots:
+        return 0.0
+    if target.calls < target.slots:
+        return PREEMPTION_S
+    wait_s = (target.calls + 1 - target.slots) * CALL_S / (target.slots * target.pace)
+    return wait_s + (PREEMPTION_S if target.items else 0.0)
+
+
+def rank_by_delay(target: SeenTarget) -> tuple[float, ...]:
+    """Return the expected delay, then the calls and items in flight per slot and pace."""
+    return (expect_delay_s(target), *rank_by_paced_load(target))
 
 
 STRATEGIES: dict[str, Strategy] = {
@@ -194,6 +297,10 @@
     "two, else the square": Strategy(emptier_of_two_or_weighted, reserved=2),
     "four, two reserved": Strategy(emptiest_of_sample(4), reserved=2),
     "three, two reserved": Strategy(emptiest_of_sample(3), reserved=2),
+    "load": Strategy(None, rank=rank_by_load),
+    "load / pace": Strategy(None, rank=rank_by_paced_load),
+    "delay, load / pace": Strategy(None, rank=rank_by_delay),
+    "least delay of all": Strategy(None, rank=rank_by_delay, sampled=1000),
 }
 
 
@@ -221,6 +328,13 @@
     item_seconds: list[float] = field(default_factory=list)
 
 
+def bound_pace(pace: float) -> float:
+    """Return a pace within its bounds; a pace near 1.0 counts as 1.0."""
+    if USUAL_PACES[0] <= pace <= USUAL_PACES[1]:
+        return 1.0
+    return min(MAX_PACE, max(MIN_PACE, pace))
+
+
 def list_target(index: int, slots: int) -> GradepointTarget:
     """Return a target as gradepoint's own choice takes it."""
     row = ListedTarget(
@@ -239,7 +353,12 @@
 
     :ivar reported: calls and items in flight at each target, as reported to all hosts.
     :ivar own_in_flight: in-flight work of each host at each target, known to the host at once.
+    :ivar own_items: the items among :attr:`own_in_flight`.
     :ivar own_reported: the part of :attr:`reported` that stems from each host.
+    :ivar own_reported_items: the items among :attr:`own_reported`.
+    :ivar pauses: whether a target pauses, by target and number of the interval of the length of a
+        pause.
+    :ivar paces: believed pace of each target.
     :ivar pending_updates: changes that are not reported yet.
     :ivar open_items: items of each host that wait for a slot.
     :ivar preempted_at: time of the last preemption at each target.
@@ -251,7 +370,9 @@
         self.targets = [Target() for _ in range(count)]
         self.reported = [[0, 0] for _ in range(count)]
         self.own_in_flight = [[0] * count for _ in range(shape.hosts)]
+        self.own_items = [[0] * count for _ in range(shape.hosts)]
         self.own_reported = [[0] * count for _ in range(shape.hosts)]
+        self.own_reported_items = [[0] * count for _ in range(shape.hosts)]
         self.pending_updates: deque[tuple[float, int, int, int, bool]] = deque()
         self.events: list[tuple[float, int, str, Work]] = []
         self.numbers = itertools.count()
@@ -260,10 +381,61 @@
         self.preempted_at = [-1.0] * count
         self.listed = [list_target(index, shape.slots) for index in range(count)]
         self.figures = Figures()
+        pause_rng = random.Random(seed)
+        self.pauses = [
+            [pause_rng.random() < shape.pause_share for _ in range(PAUSE_INTERVALS)]
+            for _ in range(count)
+        ]
+        self.paces = [1.0] * count
+
+    def find_rate(self, index: int, now: float) -> tuple[float, float]:
+        """Return the speed of a target at time *now*, and until when it stays the same."""
+        shape = self.shape
+        rate, until = shape.speeds[index % len(shape.speeds)], float("inf")
+        if shape.pause_share:
+            # The tolerance keeps rounding from finding the interval that ends at this time.
+            interval = int(now / shape.pause_s + 1e-6)
+            until = (interval + 1) * shape.pause_s
+            rate /= shape.pause_factor if self.pauses[index][interval % PAUSE_INTERVALS] else 1.0
+        for slowed, start, end, factor in shape.slowed:
+            if slowed == index:
+                rate /= factor if start <= now < end else 1.0
+                until = min([until, *(edge for edge in (start, end) if edge > now)])
+        return rate, until
+
+    def work_between(self, index: int, start: float, end: float) -> float:
+        """Return the work of one slot of a target from *start* to *end*, in seconds at speed 1."""
+        done = 0.0
+        while start < end:
+            rate, until = self.find_rate(index, start)
+            done += rate * (min(until, end) - start)
+            start = until
+        return done
+
+    def find_end(self, index: int, now: float, work_s: float) -> float:
+        """Return when a slot has done *work_s* seconds of work at speed 1."""
+        while True:
+            rate, until = self.find_rate(index, now)
+            if now + work_s / rate <= until:
+                return now + work_s / rate
+            work_s -= rate * (until - now)
+            now = until
+
+    def measure_paces(self, now: float) -> None:
+        """Measure the pace of each target from its work in the last second."""
+        end = max(0.0, now - self.shape.delay_s)
+        start = max(0.0, end - PACE_WINDOW_S)
+        speeds = [
+            self.work_between(index, start, end) / (end - start) if end > start else 1.0
+            for index in range(len(self.targets))
+        ]
+        usual = median(speeds)
+        self.paces = [bound_pace(speed / usual) for speed in speeds]
 
     def record_change(self, now: float, work: Work, change: int) -> None:
         """Record a change of a host's in-flight work; the other hosts learn of it later."""
         self.own_in_flight[work.host][work.target] += change
+        self.own_items[work.host][work.target] += change if work.is_item else 0
         due = now + self.shape.delay_s * self.rng.uniform(0.6, 1.2)
         self.pending_updates.append((due, work.host, work.target, change, work.is_item))
 
@@ -273,6 +445,7 @@
             _, host, target, change, is_item = self.pending_updates.popleft()
             self.reported[target][is_item] += change
             self.own_reported[host][target] += change
+            self.own_reported_items[host][target] += change if is_item else 0
 
     def load(self, host: int, target: int) -> int:
         """Return a target's load as *host* knows it: its own work plus what others reported."""
@@ -282,6 +455,16 @@
             + self.own_in_flight[host][target]
         )
 
+    def see(self, host: int, target: int) -> SeenTarget:
+        """Return a target as *host* sees it."""
+        items = (
+            self.reported[target][1]
+            - self.own_reported_items[host][target]
+            + self.own_items[host][target]
+        )
+        calls = self.load(host, target) - items
+        return SeenTarget(calls, items, self.shape.slots, self.paces[target])
+
     def weigh_locations(self, host: int) -> list[float]:
         """Return a host's weight of each target by failure domain."""
         home_domain = host % DOMAINS
@@ -306,10 +489,11 @@
             work.run_number = next(self.numbers)
             target.running.append(work)
             if not work.is_item:
-                wait = now - work.arrived + FIRST_TOKEN_S
+                wait = self.find_end(index, now, FIRST_TOKEN_S) - work.arrived
                 self.figures.calls += 1
                 self.figures.late += wait > LATE_FIRST_TOKEN_S
-            heapq.heappush(self.events, (now + work.remaining_s, work.run_number, "end", work))
+            end = self.find_end(index, now, work.remaining_s)
+            heapq.heappush(self.events, (end, work.run_number, "end", work))
 
     def end(self, now: float, work: Work, run_number: int) -> None:
         """End a run, unless it was preempted before."""
@@ -344,7 +528,7 @@
             target.waiting.remove(work)
         else:
             target.running.remove(work)
-            work.remaining_s -= now - work.started
+            work.remaining_s -= self.work_between(work.target, work.started, now)
             self.figures.preemptions += 1
         self.record_change(now, work, -1)
         heapq.heappush(self.events, (now + ITEM_RETRY_S, next(self.numbers), "open", work))
@@ -373,7 +557,9 @@
     def call(self, now: float, host: int) -> None:
         """Let a call arrive at a host and send it to a target."""
         work = Work(host, CALL_S * self.rng.uniform(0.6, 1.4), False, now)
-        if self.strategy.choose is None:
+        if self.strategy.rank is not None:
+            work.target = self.choose_by_rank(host, self.strategy.rank)
+        elif self.strategy.choose is None:
             work.target = self.choose_as_gradepoint(host)
         else:
             slots = float(self.shape.slots)
@@ -381,6 +567,17 @@
             work.target = self.strategy.choose(free, self.weigh_locations(host), self.rng)
         self.send(now, work)
 
+    def choose_by_rank(self, host: int, rank: Rank) -> int:
+        """Return the sampled target with the smallest rank."""
+        indexes = list(range(len(self.targets)))
+        drawn = indexes
+        if self.strategy.sampled < len(indexes):
+            weights = self.weigh_locations(host)
+            drawn = sample_weighted(indexes, weights, self.strategy.sampled, self.rng)
+        else:
+            self.rng.shuffle(drawn)
+        return min(drawn, key=lambda index: rank(self.see(host, index)))
+
     def choose_as_gradepoint(self, host: int) -> int:
         """Return the target that gradepoint's own decision takes with the knowledge of *host*."""
         for index, target in enumerate(self.listed):
@@ -398,10 +595,14 @@
     def run(self) -> Figures:
         """Simulate the load to its end."""
         now = next_call = next_job = next_feed = next_preemption_check = 0.0
+        next_paces = 0.0
         while now < self.shape.length_s:
             due = self.events[0][0] if self.events else float("inf")
             now = min(due, next_call, next_job, next_feed, next_preemption_check)
             self.apply_updates(now)
+            if now >= next_paces:
+                self.measure_paces(now)
+                next_paces = now + PACE_REFRESH_S
             if now == due:
                 _, run_number, kind, work = heapq.heappop(self.events)
                 if kind == "end":
@@ -415,7 +616,7 @@
             elif now == next_job:
                 host = self.rng.randrange(self.shape.hosts)
                 for _ in range(self.shape.items):
-                    work = Work(host, ITEM_S * self.rng.uniform(0.6, 1.4), True, now)
+                    work = Work(host, self.shape.item_s * self.rng.uniform(0.6, 1.4), True, now)
                     self.open_items[host].append(work)
                 next_job = now + self.rng.expovariate(self.shape.jobs_per_s)
             elif now == next_feed:
