Decide between targets by pace and expected delay

Cause: targets of three speeds and pauses; the choice by load alone sends as many calls to a slow target as to a fast one.

Change: routing/target_model.py with the gaps of targets, paces, expected delay and the choice between drawn targets. bench/crest_replay.py uses it, and draws the arrivals apart from the decisions, so that every strategy gets the same calls and jobs. Nothing else uses it yet.

--- a/bench/crest_replay.py
+++ b/bench/crest_replay.py
@@ -23,8 +23,17 @@
 from gradepoint.gateway.choice import choose_target, sample_weighted
 from gradepoint.gateway.targets import ListedState, ListedTarget
 from gradepoint.gateway.targets import Target as GradepointTarget
-from gradepoint.ids import ServiceName, TargetId, TargetName
+from gradepoint.ids import ServiceName, TargetId, TargetName, TargetNumber
 from gradepoint.jobs.slot_sharing import allot_spare_slots, batch_slot_limit
+from gradepoint.routing.target_model import (
+    SAMPLE_S,
+    GapHistories,
+    TargetLoad,
+    choose_load,
+    compute_paces,
+    estimate_delay_s,
+    find_paced_load,
+)
 
 CALL_S = 0.7
 """Mean seconds that a call occupies a slot."""
@@ -39,17 +48,12 @@
 ITEM_RETRY_S = 0.3
 """Seconds until a preempted item may start again."""
 DOMAINS = 3
-PREEMPTION_S = 0.1
-"""Seconds that a call waits for its slot if an item is preempted for it."""
 PAUSE_INTERVALS = 997
 """Intervals of the length of a pause after which the pauses repeat; more than a replay has."""
 PACE_REFRESH_S = 0.2
 """Seconds between two digests with the paces of targets."""
-PACE_WINDOW_S = 1.0
-"""Seconds of work from which a pace is measured."""
-MIN_PACE, MAX_PACE = 0.1, 4.0
-USUAL_PACES = (0.85, 1.18)
-"""Between these, a pace counts as 1.0."""
+EVENT_GAP_S = 0.033
+"""Seconds between two events of an answer of a target of speed 1."""
 
 
 @dataclass(frozen=True)
@@ -162,6 +166,7 @@
     waiting: deque[Work] = field(default_factory=deque)
 
 
+Compare = Callable[[list[TargetLoad]], int]
 Choose = Callable[[list[float], list[float], random.Random], int]
 
 
@@ -218,59 +223,54 @@
     :param patient: whether a call may wait for another call that ends soon, before an item is
         preempted.
     :param reserved: slots of each target that batch leaves free for calls.
-    :param rank: rank of a target as a host sees it; of the sampled targets, the one with the
-        smallest rank is chosen. It takes precedence over *choose*.
-    :param sampled: number of targets that are sampled for *rank*.
+    :param compare: returns the index of the chosen one of the sampled targets. It takes precedence
+        over *choose*.
+    :param sampled: number of targets that are sampled for *compare*.
+    :param uneven_sampled: number of targets that are sampled while the targets' paces differ; 0 for
+        *sampled*.
+    :param draw_pace_power: power of the pace by which sampled targets are weighted.
+    :param item_pace_power: power of the pace by which targets of items are weighted.
+    :param classes: the targets' paces are replaced by those of this many quantiles; 0 keeps them.
     """
 
     choose: Choose | None
     home_weight: float = 3.0
     patient: bool = False
     reserved: int = 1
-    rank: Rank | None = None
+    compare: Compare | None = None
     sampled: int = 2
+    uneven_sampled: int = 0
+    draw_pace_power: float = 0.0
+    item_pace_power: float = 0.0
+    classes: int = 0
 
 
-@dataclass(frozen=True)
-class SeenTarget:
-    """A target as a host sees it.
-
-    :param calls: calls in flight, without items.
-    :param pace: speed in relation to the median of all targets.
-    """
-
-    calls: int
-    items: int
-    slots: int
-    pace: float
-
+Rank = Callable[[TargetLoad], tuple[float, ...]]
 
-Rank = Callable[[SeenTarget], tuple[float, ...]]
 
-
-def rank_by_load(target: SeenTarget) -> tuple[float, ...]:
+def rank_by_load(target: TargetLoad) -> tuple[float, ...]:
     """Return the calls and items in flight per slot."""
     return ((target.calls + target.items) / target.slots,)
 
 
-def rank_by_paced_load(target: SeenTarget) -> tuple[float, ...]:
+def rank_by_paced_load(target: TargetLoad) -> tuple[float, ...]:
     """Return the calls and items in flight per slot and pace."""
-    return ((target.calls + target.items) / (target.slots * target.pace),)
+    return (find_paced_load(target),)
 
 
-def expect_delay_s(target: SeenTarget) -> float:
-    """Return the seconds that a new call waits for a slot at a target."""
-    if target.calls + target.items < target.slots:
-        return 0.0
-    if target.calls < target.slots:
-        return PREEMPTION_S
-    wait_s = (target.calls + 1 - target.slots) * CALL_S / (target.slots * target.pace)
-    return wait_s + (PREEMPTION_S if target.items else 0.0)
+def rank_by_delay(target: TargetLoad) -> tuple[float, ...]:
+    """Return the expected delay, then the calls and items in flight per slot and pace."""
+    return (estimate_delay_s(target, CALL_S), find_paced_load(target))
 
 
-def rank_by_delay(target: SeenTarget) -> tuple[float, ...]:
-    """Return the expected delay, then the calls and items in flight per slot and pace."""
-    return (expect_delay_s(target), *rank_by_paced_load(target))
+def choose_by(rank: Rank) -> Compare:
+    """Return a choice of the target with the smallest rank."""
+    return lambda loads: min(range(len(loads)), key=lambda index: rank(loads[index]))
+
+
+def choose_as_model(loads: list[TargetLoad]) -> int:
+    """Return the choice of gradepoint's target model."""
+    return choose_load(loads, CALL_S)
 
 
 STRATEGIES: dict[str, Strategy] = {
@@ -297,10 +297,27 @@
     "two, else the square": Strategy(emptier_of_two_or_weighted, reserved=2),
     "four, two reserved": Strategy(emptiest_of_sample(4), reserved=2),
     "three, two reserved": Strategy(emptiest_of_sample(3), reserved=2),
-    "load": Strategy(None, rank=rank_by_load),
-    "load / pace": Strategy(None, rank=rank_by_paced_load),
-    "delay, load / pace": Strategy(None, rank=rank_by_delay),
-    "least delay of all": Strategy(None, rank=rank_by_delay, sampled=1000),
+    "load": Strategy(None, compare=choose_by(rank_by_load)),
+    "load / pace": Strategy(None, compare=choose_by(rank_by_paced_load)),
+    "delay, load / pace": Strategy(None, compare=choose_by(rank_by_delay)),
+    "model": Strategy(None, compare=choose_as_model),
+    "model, items pace": Strategy(None, compare=choose_as_model, item_pace_power=1),
+    "model, items pace^2": Strategy(None, compare=choose_as_model, item_pace_power=2),
+    "model, items 1/pace": Strategy(None, compare=choose_as_model, item_pace_power=-1),
+    "model, two classes": Strategy(None, compare=choose_as_model, classes=2),
+    "model, three classes": Strategy(None, compare=choose_as_model, classes=3),
+    "model, 3 if uneven": Strategy(None, compare=choose_as_model, uneven_sampled=3),
+    "model, 4 if uneven": Strategy(None, compare=choose_as_model, uneven_sampled=4),
+    "model by pace": Strategy(None, compare=choose_as_model, draw_pace_power=1),
+    "model by pace^2": Strategy(None, compare=choose_as_model, draw_pace_power=2),
+    "model by pace^3": Strategy(None, compare=choose_as_model, draw_pace_power=3),
+    "model by pace, 3": Strategy(
+        None, compare=choose_as_model, draw_pace_power=1, uneven_sampled=3
+    ),
+    "model by pace, 4": Strategy(
+        None, compare=choose_as_model, draw_pace_power=1, uneven_sampled=4
+    ),
+    "least delay of all": Strategy(None, compare=choose_by(rank_by_delay), sampled=1000),
 }
 
 
@@ -328,11 +345,17 @@
     item_seconds: list[float] = field(default_factory=list)
 
 
-def bound_pace(pace: float) -> float:
-    """Return a pace within its bounds; a pace near 1.0 counts as 1.0."""
-    if USUAL_PACES[0] <= pace <= USUAL_PACES[1]:
-        return 1.0
-    return min(MAX_PACE, max(MIN_PACE, pace))
+def classify(paces: list[float], classes: int) -> list[float]:
+    """Return paces replaced by the median of their quantile; 0 classes leave them unchanged."""
+    if not classes:
+        return paces
+    ordered = sorted(range(len(paces)), key=lambda index: paces[index])
+    found = list(paces)
+    for number in range(classes):
+        members = ordered[len(ordered) * number // classes : len(ordered) * (number + 1) // classes]
+        for index in members:
+            found[index] = median(paces[member] for member in members)
+    return found
 
 
 def list_target(index: int, slots: int) -> GradepointTarget:
@@ -358,7 +381,12 @@
     :ivar own_reported_items: the items among :attr:`own_reported`.
     :ivar pauses: whether a target pauses, by target and number of the interval of the length of a
         pause.
+    :ivar arrivals: draws the calls, so that every strategy gets the same ones.
+    :ivar jobs: draws the jobs.
     :ivar paces: believed pace of each target.
+    :ivar gaps: samples of the targets' gaps between events.
+    :ivar measured_at: time up to which events are counted.
+    :ivar next_digest: time at which hosts learn the paces next.
     :ivar pending_updates: changes that are not reported yet.
     :ivar open_items: items of each host that wait for a slot.
     :ivar preempted_at: time of the last preemption at each target.
@@ -381,12 +409,15 @@
         self.preempted_at = [-1.0] * count
         self.listed = [list_target(index, shape.slots) for index in range(count)]
         self.figures = Figures()
-        pause_rng = random.Random(seed)
+        self.pace_rng, self.arrivals = random.Random(seed), random.Random(seed)
+        self.jobs = random.Random(seed)
         self.pauses = [
-            [pause_rng.random() < shape.pause_share for _ in range(PAUSE_INTERVALS)]
+            [self.pace_rng.random() < shape.pause_share for _ in range(PAUSE_INTERVALS)]
             for _ in range(count)
         ]
         self.paces = [1.0] * count
+        self.gaps = GapHistories()
+        self.measured_at = self.next_digest = 0.0
 
     def find_rate(self, index: int, now: float) -> tuple[float, float]:
         """Return the speed of a target at time *now*, and until when it stays the same."""
@@ -422,15 +453,24 @@
             now = until
 
     def measure_paces(self, now: float) -> None:
-        """Measure the pace of each target from its work in the last second."""
+        """Count the events of running work as the aggregators do, and let hosts learn the paces."""
         end = max(0.0, now - self.shape.delay_s)
-        start = max(0.0, end - PACE_WINDOW_S)
-        speeds = [
-            self.work_between(index, start, end) / (end - start) if end > start else 1.0
-            for index in range(len(self.targets))
-        ]
-        usual = median(speeds)
-        self.paces = [bound_pace(speed / usual) for speed in speeds]
+        counts = {}
+        for index, target in enumerate(self.targets):
+            speed_s = self.work_between(index, self.measured_at, end)
+            events = len(target.running) * speed_s / EVENT_GAP_S
+            ms = round(1000 * len(target.running) * (end - self.measured_at))
+            if ms:
+                # An event is complete or not at the time of measurement.
+                counts[TargetNumber(index)] = (int(events + self.pace_rng.random()), ms)
+        self.measured_at = end
+        self.gaps.add(counts, now)
+        self.gaps.close(now)
+        if now >= self.next_digest:
+            self.next_digest = now + PACE_REFRESH_S
+            paces = compute_paces(self.gaps.find_gaps())
+            found = [paces.get(TargetNumber(index), 1.0) for index in range(len(self.targets))]
+            self.paces = classify(found, self.strategy.classes)
 
     def record_change(self, now: float, work: Work, change: int) -> None:
         """Record a change of a host's in-flight work; the other hosts learn of it later."""
@@ -455,7 +495,7 @@
             + self.own_in_flight[host][target]
         )
 
-    def see(self, host: int, target: int) -> SeenTarget:
+    def see(self, host: int, target: int) -> TargetLoad:
         """Return a target as *host* sees it."""
         items = (
             self.reported[target][1]
@@ -463,7 +503,7 @@
             + self.own_items[host][target]
         )
         calls = self.load(host, target) - items
-        return SeenTarget(calls, items, self.shape.slots, self.paces[target])
+        return TargetLoad(calls, items, self.shape.slots, self.paces[target])
 
     def weigh_locations(self, host: int) -> list[float]:
         """Return a host's weight of each target by failure domain."""
@@ -545,7 +585,10 @@
             spare = sum(max(0, row) for row in free)
             count = allot_spare_slots(spare, len(items), waiting - len(items), self.rng)
             for _ in range(min(count, len(items))):
-                weights = [max(0, row) ** 2 for row in free]
+                weights = [
+                    max(0, row) ** 2 * pace**self.strategy.item_pace_power
+                    for row, pace in zip(free, self.paces, strict=True)
+                ]
                 if not any(weights):
                     break
                 index = self.rng.choices(range(len(free)), weights)[0]
@@ -556,9 +599,9 @@
 
     def call(self, now: float, host: int) -> None:
         """Let a call arrive at a host and send it to a target."""
-        work = Work(host, CALL_S * self.rng.uniform(0.6, 1.4), False, now)
-        if self.strategy.rank is not None:
-            work.target = self.choose_by_rank(host, self.strategy.rank)
+        work = Work(host, CALL_S * self.arrivals.uniform(0.6, 1.4), False, now)
+        if self.strategy.compare is not None:
+            work.target = self.choose_sampled(host, self.strategy.compare)
         elif self.strategy.choose is None:
             work.target = self.choose_as_gradepoint(host)
         else:
@@ -567,16 +610,22 @@
             work.target = self.strategy.choose(free, self.weigh_locations(host), self.rng)
         self.send(now, work)
 
-    def choose_by_rank(self, host: int, rank: Rank) -> int:
-        """Return the sampled target with the smallest rank."""
+    def choose_sampled(self, host: int, compare: Compare) -> int:
+        """Return the target that *compare* takes of a sample."""
         indexes = list(range(len(self.targets)))
         drawn = indexes
-        if self.strategy.sampled < len(indexes):
-            weights = self.weigh_locations(host)
-            drawn = sample_weighted(indexes, weights, self.strategy.sampled, self.rng)
+        strategy = self.strategy
+        uneven = any(pace != 1.0 for pace in self.paces)
+        count = strategy.uneven_sampled if uneven and strategy.uneven_sampled else strategy.sampled
+        if count < len(indexes):
+            weights = [
+                weight * pace**strategy.draw_pace_power
+                for weight, pace in zip(self.weigh_locations(host), self.paces, strict=True)
+            ]
+            drawn = sample_weighted(indexes, weights, count, self.rng)
         else:
             self.rng.shuffle(drawn)
-        return min(drawn, key=lambda index: rank(self.see(host, index)))
+        return drawn[compare([self.see(host, index) for index in drawn])]
 
     def choose_as_gradepoint(self, host: int) -> int:
         """Return the target that gradepoint's own decision takes with the knowledge of *host*."""
@@ -602,7 +651,7 @@
             self.apply_updates(now)
             if now >= next_paces:
                 self.measure_paces(now)
-                next_paces = now + PACE_REFRESH_S
+                next_paces = now + SAMPLE_S
             if now == due:
                 _, run_number, kind, work = heapq.heappop(self.events)
                 if kind == "end":
@@ -610,15 +659,15 @@
                 else:
                     self.open_items[work.host].append(work)
             elif now == next_call:
-                host = self.rng.choices(range(self.shape.hosts), self.weights)[0]
+                host = self.arrivals.choices(range(self.shape.hosts), self.weights)[0]
                 self.call(now, host)
-                next_call = now + self.rng.expovariate(self.shape.rate(now))
+                next_call = now + self.arrivals.expovariate(self.shape.rate(now))
             elif now == next_job:
-                host = self.rng.randrange(self.shape.hosts)
+                host = self.jobs.randrange(self.shape.hosts)
                 for _ in range(self.shape.items):
-                    work = Work(host, self.shape.item_s * self.rng.uniform(0.6, 1.4), True, now)
+                    work = Work(host, self.shape.item_s * self.jobs.uniform(0.6, 1.4), True, now)
                     self.open_items[host].append(work)
-                next_job = now + self.rng.expovariate(self.shape.jobs_per_s)
+                next_job = now + self.jobs.expovariate(self.shape.jobs_per_s)
             elif now == next_feed:
                 self.feed(now)
                 next_feed = now + self.shape.delay_s + 0.03
--- /dev/null
+++ b/gradepoint/routing/target_model.py
@@ -0,0 +1,223 @@
+"""Decides how fast targets are and how long a new call would wait there, without I/O or clocks.
+
+The *gap* of a target is the mean time between two events of an answer that it generates. Its *pace*
+is the median gap of its service's targets divided by its own gap: 1.0 is usual, 0.5 is half as
+fast. Hosts count the events of running answers; the aggregators add up the counts and send the
+gaps to all hosts.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from statistics import median
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping, Sequence
+
+    from ..ids import TargetNumber
+
+USUAL_PACE = 1.0
+MIN_PACE = 0.1
+"""Minimum pace. A stalled target still gets a little work, which shows when it works again."""
+MAX_PACE = 4.0
+"""Maximum pace; a larger one would be an error of measurement."""
+LOWEST_USUAL_PACE = 0.85
+HIGHEST_USUAL_PACE = 1.18
+"""Paces from :data:`LOWEST_USUAL_PACE` to this count as 1.0, since targets that are alike differ by
+as much in a second: the time of a step rises with the number of answers, and events are counted in
+whole numbers."""
+PREEMPTION_S = 0.1
+"""Seconds until a call has the slot of an item that is preempted for it."""
+SAMPLE_S = 0.1
+"""Minimum seconds of one sample of a target's gap. A pause of 0.5 s fills five samples, a minority
+of those that count."""
+MIN_SAMPLE_EVENTS = 8
+"""Events that complete a sample. The error of a count is up to one event for each answer."""
+MAX_SAMPLE_S = 0.5
+"""Seconds after which a sample is complete without as many events, so that a stalled target
+shows."""
+MIN_STALL_MS = 300
+"""Milliseconds without an event, over all answers of a target, that count as a sample. Shorter
+times without one are usual between two events."""
+MAX_COUNT_AGE_S = 0.25
+"""Seconds before its receipt to which a count of events applies, the longest gap of reports."""
+COUNTED_S = 1.2
+"""Seconds of samples that count. Half of this has to be slow before the target counts as slow: more
+than a pause of 0.5 s, and less than the second in which a slow target has to lose work."""
+MIN_COUNTED_S = 0.5
+"""Seconds of samples before a target's gap is known. A new target that pauses is not slow."""
+MAX_SAMPLE_AGE_S = 2.0
+"""Seconds after which a sample does not count any more."""
+GAP_UNITS_PER_MS = 10
+"""Units per millisecond in which gaps are sent."""
+
+
+class TargetLoad(NamedTuple):
+    """What a host knows of a target's load.
+
+    :param calls: callers' calls in flight, from all hosts.
+    :param items: batch items in flight, from all hosts.
+    :param slots: calls and items that the target works on at once, at least 1.
+    :param pace: its pace.
+    """
+
+    calls: int
+    items: int
+    slots: int
+    pace: float
+
+
+def bound_pace(pace: float) -> float:
+    """Return a pace within its bounds; one that is close to usual counts as usual."""
+    if LOWEST_USUAL_PACE <= pace <= HIGHEST_USUAL_PACE:
+        return USUAL_PACE
+    return min(MAX_PACE, max(MIN_PACE, pace))
+
+
+def compute_paces(gaps: Mapping[TargetNumber, int]) -> dict[TargetNumber, float]:
+    """Return the paces of one service's targets from their gaps, in any unit."""
+    if not gaps:
+        return {}
+    usual = median(gaps.values())
+    return {target: bound_pace(usual / max(1, gap)) for target, gap in gaps.items()}
+
+
+def estimate_delay_s(load: TargetLoad, call_s: float) -> float:
+    """Return the seconds that a new call is expected to wait for a slot.
+
+    :param call_s: mean seconds that a call occupies a slot of a target of usual pace.
+    """
+    if load.calls + load.items < load.slots:
+        return 0.0
+    if load.calls < load.slots:
+        return PREEMPTION_S
+    wait_s = (load.calls + 1 - load.slots) * call_s / (load.slots * load.pace)
+    return wait_s + (PREEMPTION_S if load.items else 0.0)
+
+
+def find_paced_load(load: TargetLoad) -> float:
+    """Return the calls and items in flight at a target for each slot of usual pace."""
+    return (load.calls + load.items) / (load.slots * load.pace)
+
+
+def choose_load(loads: Sequence[TargetLoad], call_s: float) -> int:
+    """Return the index of the target that a new call is sent to; the first one of equal targets.
+
+    Targets of the same pace are compared by load alone. Otherwise, the least expected delay is
+    chosen and, if the delays are equal, the least load for each slot of usual pace.
+
+    :param call_s: as of :func:`estimate_delay_s`.
+    """
+    indices = range(len(loads))
+    if all(load.pace == loads[0].pace for load in loads):
+        return min(indices, key=lambda index: (loads[index][0] + loads[index][1]) / loads[index][2])
+    return min(
+        indices,
+        key=lambda index: (estimate_delay_s(loads[index], call_s), find_paced_load(loads[index])),
+    )
+
+
+class GapSample(NamedTuple):
+    """A completed sample of a target's gap.
+
+    :param ended_at: time of its end, in seconds.
+    :param duration_s: seconds that it covers.
+    :param gap: mean gap between events, in units of 1/:data:`GAP_UNITS_PER_MS` ms.
+    """
+
+    ended_at: float
+    duration_s: float
+    gap: int
+
+
+@dataclass
+class GapHistory:
+    """The recent samples of one target's gap.
+
+    :ivar begun_at: time at which the incomplete sample began.
+    :ivar events: events counted in it.
+    :ivar ms: milliseconds that these took, summed over the answers; 0 if it is empty.
+    """
+
+    samples: deque[GapSample] = field(default_factory=deque)
+    begun_at: float = float("-inf")
+    events: int = 0
+    ms: int = 0
+
+    def add(self, events: int, ms: int, now: float) -> None:
+        """Count events that answers received in *ms* milliseconds that have just passed."""
+        if not self.ms:
+            self.begun_at = max(self.begun_at, now - MAX_COUNT_AGE_S)
+        self.events += events
+        self.ms += ms
+
+    def close(self, now: float) -> None:
+        """Complete the current sample if it suffices, and forget samples that are too old."""
+        duration_s = now - self.begun_at
+        complete = self.events >= MIN_SAMPLE_EVENTS or duration_s >= MAX_SAMPLE_S
+        if self.ms and duration_s >= SAMPLE_S and complete:
+            if self.events or self.ms >= MIN_STALL_MS:
+                gap = GAP_UNITS_PER_MS * self.ms // max(1, self.events)
+                self.samples.append(GapSample(now, min(duration_s, MAX_SAMPLE_S), max(1, gap)))
+            self.begun_at, self.events, self.ms = now, 0, 0
+        while self.samples and now - self.samples[0].ended_at > MAX_SAMPLE_AGE_S:
+            self.samples.popleft()
+
+    def find_gap(self) -> int | None:
+        """Return the median gap over the newest samples; None if they cover too little time."""
+        counted: list[GapSample] = []
+        covered_s = 0.0
+        for sample in reversed(self.samples):
+            if covered_s >= COUNTED_S:
+                break
+            counted.append(sample)
+            covered_s += sample.duration_s
+        return find_weighted_median(counted) if covered_s >= MIN_COUNTED_S else None
+
+
+def find_weighted_median(samples: Iterable[GapSample]) -> int:
+    """Return the smallest gap that is not exceeded in half of the time that *samples* cover."""
+    ordered = sorted(samples, key=lambda sample: sample.gap)
+    half_s = sum(sample.duration_s for sample in ordered) / 2
+    covered_s = 0.0
+    for sample in ordered:
+        covered_s += sample.duration_s
+        if covered_s >= half_s:
+            return sample.gap
+    raise ValueError("there is no sample")
+
+
+@dataclass
+class GapHistories:
+    """The recent samples of all targets' gaps, which an aggregator keeps.
+
+    :ivar closed_at: time at which samples were last completed.
+    """
+
+    by_target: dict[TargetNumber, GapHistory] = field(default_factory=dict)
+    closed_at: float = float("-inf")
+
+    def add(self, counts: Mapping[TargetNumber, tuple[int, int]], now: float) -> None:
+        """Add a host's counts of events, and the milliseconds that these took, by target."""
+        for target, (events, ms) in counts.items():
+            history = self.by_target.get(target)
+            if history is None:
+                history = self.by_target[target] = GapHistory()
+            history.add(events, ms, now)
+
+    def close(self, now: float) -> None:
+        """Complete samples if the last ones were completed long enough ago."""
+        if now - self.closed_at < SAMPLE_S:
+            return
+        self.closed_at = now
+        for target, history in list(self.by_target.items()):
+            history.close(now)
+            if not history.samples and not history.ms:
+                del self.by_target[target]
+
+    def find_gaps(self) -> dict[TargetNumber, int]:
+        """Return the known gaps by target, in units of 1/:data:`GAP_UNITS_PER_MS` ms."""
+        found = ((target, history.find_gap()) for target, history in self.by_target.items())
+        return {target: gap for target, gap in found if gap is not None}
