Measure the targets' pace from running answers and choose by it

Cause: hosts knew only the load of targets, so a target that works at 0.6 of the speed, or pauses, got as many calls as the others.

Change: answers count their events; a report has the events since the last one and the time they took; the aggregators complete samples of 0.1 s or more and send the median gap of the last 1.2 s by target, and the items in flight; TargetLoads computes paces, expected delays, room and occupancy. While paces differ, targets are drawn by pace and the smaller expected delay decides. Paces alone make no report and no digest. Setting target_model, gauges gradepoint_target_pace and gradepoint_target_delay.

--- a/bench/crest_replay.py
+++ b/bench/crest_replay.py
@@ -19,6 +19,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from statistics import mean, median
+from typing import Any
 
 from gradepoint.gateway.choice import choose_target, sample_weighted
 from gradepoint.gateway.targets import ListedState, ListedTarget
@@ -273,6 +274,12 @@
     return choose_load(loads, CALL_S)
 
 
+def make_model(draw_pace_power: float = 1.0, **changes: Any) -> Strategy:
+    """Return gradepoint's target model, or a variant of it."""
+    model = Strategy(None, compare=choose_as_model, draw_pace_power=draw_pace_power)
+    return replace(model, **changes)
+
+
 STRATEGIES: dict[str, Strategy] = {
     "the product's": Strategy(None),
     "drawn by the square": Strategy(weighted_by_free_slots(2)),
@@ -300,23 +307,14 @@
     "load": Strategy(None, compare=choose_by(rank_by_load)),
     "load / pace": Strategy(None, compare=choose_by(rank_by_paced_load)),
     "delay, load / pace": Strategy(None, compare=choose_by(rank_by_delay)),
-    "model": Strategy(None, compare=choose_as_model),
-    "model, items pace": Strategy(None, compare=choose_as_model, item_pace_power=1),
-    "model, items pace^2": Strategy(None, compare=choose_as_model, item_pace_power=2),
-    "model, items 1/pace": Strategy(None, compare=choose_as_model, item_pace_power=-1),
-    "model, two classes": Strategy(None, compare=choose_as_model, classes=2),
-    "model, three classes": Strategy(None, compare=choose_as_model, classes=3),
-    "model, 3 if uneven": Strategy(None, compare=choose_as_model, uneven_sampled=3),
-    "model, 4 if uneven": Strategy(None, compare=choose_as_model, uneven_sampled=4),
-    "model by pace": Strategy(None, compare=choose_as_model, draw_pace_power=1),
-    "model by pace^2": Strategy(None, compare=choose_as_model, draw_pace_power=2),
-    "model by pace^3": Strategy(None, compare=choose_as_model, draw_pace_power=3),
-    "model by pace, 3": Strategy(
-        None, compare=choose_as_model, draw_pace_power=1, uneven_sampled=3
-    ),
-    "model by pace, 4": Strategy(
-        None, compare=choose_as_model, draw_pace_power=1, uneven_sampled=4
-    ),
+    "two by pace": make_model(),
+    "two, not by pace": make_model(draw_pace_power=0),
+    "two by pace^2": make_model(draw_pace_power=2),
+    "three, not by pace": make_model(draw_pace_power=0, uneven_sampled=3),
+    "three by pace": make_model(uneven_sampled=3),
+    "three classes": make_model(classes=3),
+    "items by pace": make_model(item_pace_power=1),
+    "items by 1/pace": make_model(item_pace_power=-1),
     "least delay of all": Strategy(None, compare=choose_by(rank_by_delay), sampled=1000),
 }
 
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -63,6 +63,7 @@
 from .stall import StallDetector
 from .suspicion import Suspicion, connect_suspicion
 from .target_crashes import CrashDetector
+from .target_loads import TargetLoads
 from .targets import TargetSet
 
 if TYPE_CHECKING:
@@ -169,6 +170,12 @@
         self.held = HeldRequests(kv, self.suspicion)
         self.suspicion.on_suspected = self.held.store
         self.suspicion.on_cleared = self.held.remove
+        self.loads = TargetLoads(
+            self.targets,
+            self.occupancy,
+            lambda target: self.worker.count_items(target),
+            enabled=settings.target_model,
+        )
         self.forwarder = Forwarder(
             self.targets,
             platform.dialect,
@@ -178,6 +185,7 @@
             self.crash_detector,
             self.suspicion,
             wait_until_fresh=self.stall_detector.wait,
+            loads=self.loads,
         )
         self.configuration = ActiveConfiguration(platform.decode_configuration, self.apply_limits)
         self.quotas = self.make_quotas()
@@ -236,6 +244,8 @@
         )
         self.watchers = self.make_watchers()
         metrics.shared().view_age.read = self.watchers.proofs.read_ages_s
+        metrics.shared().target_pace.read = self.loads.read_paces
+        metrics.shared().target_delay.read = self.loads.read_delays_s
         self.calls = CallRouter(
             platform.dialect,
             platform.job_dialect,
--- a/gradepoint/gateway/choice.py
+++ b/gradepoint/gateway/choice.py
@@ -7,11 +7,15 @@
 
 from typing import TYPE_CHECKING, TypeVar
 
+from ..peers.datagrams import number_target
+from ..routing.target_model import USUAL_PACE
+
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable, Collection
 
     from ..ids import TargetId
+    from .target_loads import TargetLoads
     from .targets import Target
 
 T = TypeVar("T")
@@ -31,6 +35,7 @@
     remote_in_flight: Callable[[TargetId], int],
     rng: random.Random,
     reserved: Collection[TargetId] = (),
+    loads: TargetLoads | None = None,
 ) -> Target | None:
     """Return a target for a caller's call, or None if no candidate remains.
 
@@ -47,6 +52,9 @@
         target.
     :param reserved: targets that run a suspected request alone, since it may crash them. They are
         used only if there is no other target.
+    :param loads: pace and expected delay of the targets. While the paces differ, targets are
+        sampled by pace and the one with the smaller expected delay is returned. Without it, targets
+        count as alike.
     """
     remaining = [target for target in candidates if target.id not in tried]
     remaining = [target for target in remaining if target.id not in reserved] or remaining
@@ -56,6 +64,14 @@
         SAME_DOMAIN_WEIGHT if target.listed.failure_domain == failure_domain else 1.0
         for target in remaining
     ]
+    paces = loads.find_unusual_paces() if loads is not None else {}
+    if loads is not None and paces:
+        # A target of half the pace completes half as many calls, so it has to get half as many.
+        weights = [
+            weight * paces.get(number_target(target.id), USUAL_PACE)
+            for weight, target in zip(weights, remaining, strict=True)
+        ]
+        return loads.choose(sample_weighted(remaining, weights, SAMPLED_TARGETS, rng))
     drawn = sample_weighted(remaining, weights, SAMPLED_TARGETS, rng)
     # ``min`` returns the first of equally loaded targets. The first one drawn is more likely to be
     # in this host's failure domain.
--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -12,6 +12,7 @@
 from ..util.rng import new_rng
 from ..wire.addresses import split_address
 from ..wire.http_client import ConnectFailed, ConnectRefused, HttpClient, ResponseBroken
+from .answer_progress import AnswerProgress
 from .choice import choose_target, get_load
 
 if TYPE_CHECKING:
@@ -24,6 +25,7 @@
     from .identity import RequestIdentity
     from .suspicion import Suspicion
     from .target_crashes import CrashDetector
+    from .target_loads import TargetLoads
     from .targets import Target, TargetSet
 
 
@@ -44,18 +46,25 @@
     """The answer broke, came too late or belongs to another call; the call may have run."""
 
 
-@dataclass
+@dataclass(eq=False)
 class Exchange:
     """An answer of one target whose body is not yet read.
 
     The call counts as in flight at the target until :meth:`close`.
+
+    :param on_close: called with this exchange when it is closed.
+    :ivar progress: events received so far, which show the pace of the target.
+    :ivar begun_at: monotonic time at which the head of the answer arrived.
     """
 
     target: Target
     response: ClientResponse
     head: AnswerHead
     request: RequestIdentity
+    on_close: Callable[[Exchange], None] = lambda _: None
     closed: bool = False
+    progress: AnswerProgress = field(default_factory=AnswerProgress)
+    begun_at: float = field(default_factory=monotonic)
 
     def close(self) -> None:
         """Close the connection; if the answer is incomplete, the target stops working on the call.
@@ -64,6 +73,7 @@
         """
         if not self.closed:
             self.closed = True
+            self.on_close(self)
             self.target.end(self.request)
             self.response.close()
 
@@ -82,6 +92,8 @@
     :param crash_detector: checks whether a target has crashed after a connection to it broke.
     :param suspicion: tracks requests that may have crashed targets.
     :param wait_until_fresh: returns once this host's data is fresh enough to select targets.
+    :param loads: pace and expected delay of the targets; None if targets are selected by load.
+    :ivar answers: open answers to calls and items of this host.
     :ivar empty_since: monotonic time since which calls have found no target of a service.
     """
 
@@ -94,6 +106,8 @@
     suspicion: Suspicion
     rng: random.Random = field(default_factory=new_rng)
     wait_until_fresh: Callable[[], Awaitable[None]] = no_wait
+    loads: TargetLoads | None = None
+    answers: set[Exchange] = field(default_factory=set)
     empty_since: dict[ServiceName, float] = field(default_factory=dict)
 
     def choose(self, service: ServiceName, tried: set[TargetId]) -> Target | None:
@@ -111,6 +125,7 @@
             self.remote_in_flight,
             self.rng,
             self.suspicion.find_reserved(),
+            self.loads,
         )
 
     def estimate_wait_s(self, service: ServiceName) -> float:
@@ -173,7 +188,10 @@
         except BaseException:
             target.end(request)
             raise
-        exchange = Exchange(target, response, self.dialect.read_answer(response), request)
+        exchange = Exchange(
+            target, response, self.dialect.read_answer(response), request, self.answers.discard
+        )
+        self.answers.add(exchange)
         self._check_head(exchange, head)
         return exchange
 
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -20,7 +20,7 @@
 from ..wire.http_types import Response
 from .choice import get_load
 from .configuration import RouteKind
-from .event_stream import EventSplitter
+from .event_stream import END_OF_EVENT, EventSplitter
 from .forwarding import Exchange, Forwarder, OtherInstance, TargetBusy, TargetFailed
 from .identity import identify
 from .suspicion import TRIAL_RETRY_S
@@ -324,6 +324,8 @@
         """Relay an answer as it arrives; it can't be retried once its first bytes are sent."""
         try:
             while chunk is not None:
+                if self.route.kind is RouteKind.STREAM:
+                    exchange.progress.events += chunk.count(END_OF_EVENT)
                 yield chunk
                 chunk = await self._read_chunk(exchange, chunks)
             self._finish(exchange)
@@ -348,7 +350,9 @@
             while True:
                 try:
                     while chunk is not None:
-                        for event in splitter.feed(chunk):
+                        found = splitter.feed(chunk)
+                        exchange.progress.events += len(found)
+                        for event in found:
                             yield event.raw
                             last = event.number if event.number is not None else last
                         wait = stall_timeout_s if self.may_retry else None
@@ -390,6 +394,8 @@
     def _finish(self, exchange: Exchange) -> None:
         exchange.close()
         exchange.target.record_success()
+        if self.forwarder.loads is not None and self.sent == 1:
+            self.forwarder.loads.note_call(exchange.target, monotonic() - exchange.begun_at)
         self.forwarder.suspicion.note_answer(self.request)
         metrics.shared().calls.add(1, {"outcome": "complete"})
         emit(
--- a/gradepoint/gateway/outgoing.py
+++ b/gradepoint/gateway/outgoing.py
@@ -6,6 +6,7 @@
 
 from ..peers.datagrams import DATAGRAM_FORMAT, Heartbeat, Report, number_target
 from ..util.clock import monotonic
+from .answer_progress import count_events
 from .configuration import NO_VERSION
 
 if TYPE_CHECKING:
@@ -34,12 +35,12 @@
     """Return the report of this host to the aggregators.
 
     It contains calls and items in flight, waiting work, results of calls, suspected requests,
-    trials and granted calls. Items count as in flight at their targets too, so that they are
-    subtracted from the calls there.
+    trials, granted calls, and the events of running answers since the last report. Items count as
+    in flight at their targets too, so that they are subtracted from the calls there.
 
     :param number: sequence number of the report.
     """
-    worker, targets = gateway.worker, gateway.targets
+    worker, targets, now = gateway.worker, gateway.targets, monotonic()
     items = {number_target(name): count for name, count in worker.in_flight().items()}
     calls = {
         number: target.in_flight - items.get(number, 0)
@@ -56,5 +57,6 @@
         results=targets.recent_results(),
         suspects=gateway.suspicion.make_own_message(),
         trials=gateway.suspicion.list_own_trials(),
-        grants=gateway.quotas.host.find_recent_grants(monotonic()),
+        grants=gateway.quotas.host.find_recent_grants(now),
+        paces=count_events(gateway.forwarder.answers, now),
     )
--- a/gradepoint/jobs/item_run.py
+++ b/gradepoint/jobs/item_run.py
@@ -105,7 +105,9 @@
             raise TargetFailed(repr(error)) from error
         if chunk is None:
             break
-        for event in splitter.feed(chunk):
+        found = splitter.feed(chunk)
+        exchange.progress.events += len(found)
+        for event in found:
             _append(partial, event.number, event.data)
     if splitter.rest:
         raise TargetFailed("answer ended in the middle of an event")
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -147,6 +147,10 @@
             counts[item.target] = counts.get(item.target, 0) + 1
         return counts
 
+    def count_items(self, target: TargetId) -> int:
+        """Return how many items of this host are running at a target."""
+        return sum(item.target == target for item in self.running)
+
     def sum_waiting_weight(self) -> int:
         """Return the total weight of this host's items that could start now."""
         now = monotonic()
--- a/gradepoint/peers/aggregation.py
+++ b/gradepoint/peers/aggregation.py
@@ -10,6 +10,7 @@
 
 from ..routing.quota_ledger import QuotaLedger
 from ..routing.suspects import SuspectsMessage
+from ..routing.target_model import GapHistories
 from ..util.clock import monotonic
 from ..util.hashing import hash32, score
 from .datagrams import Report, Sums
@@ -49,6 +50,16 @@
     return ordered[:surplus]
 
 
+def add_counts(sums: dict[TargetNumber, int], counts: dict[TargetNumber, int], sign: int) -> None:
+    """Add *counts*, multiplied by *sign*, to *sums*; targets whose sum is 0 are left out."""
+    for target, number in counts.items():
+        total = sums.get(target, 0) + sign * number
+        if total:
+            sums[target] = total
+        else:
+            sums.pop(target, None)
+
+
 def make_empty_ledger() -> QuotaLedger:
     """Return a quota ledger without organisations."""
     return QuotaLedger(lambda _: None, lambda _: None, list)
@@ -69,10 +80,17 @@
     unconfirmed: bool = True
 
     def has_same_content(self, report: Report) -> bool:
-        """Whether *report* has the same content, apart from number, reliance and clock."""
+        """Whether *report* has the same content, apart from number, reliance, clock and paces.
+
+        Paces change with each event. They are sent with the next change, or at the usual intervals.
+        """
         known = self.report
         same = msgspec.structs.replace(
-            report, number=known.number, relies=known.relies, clock_ms=known.clock_ms
+            report,
+            number=known.number,
+            relies=known.relies,
+            clock_ms=known.clock_ms,
+            paces=known.paces,
         )
         return same == known
 
@@ -85,6 +103,8 @@
     :param ledger: adds up the calls that hosts granted to organisations.
     :ivar reports: newest report by host.
     :ivar loads: calls and items in flight by target.
+    :ivar items: items among these.
+    :ivar gaps: recent gaps between events by target.
     :ivar waiting: weight of the items that could start.
     :ivar changed: a report has changed since the last digest.
     :ivar results: results of all hosts by target since this aggregator started.
@@ -101,6 +121,8 @@
     ledger: QuotaLedger = field(default_factory=make_empty_ledger)
     reports: dict[Incarnation, ReceivedReport] = field(default_factory=dict)
     loads: dict[TargetNumber, int] = field(default_factory=dict)
+    items: dict[TargetNumber, int] = field(default_factory=dict)
+    gaps: GapHistories = field(default_factory=GapHistories)
     waiting: int = 0
     changed: bool = False
     results: dict[TargetNumber, ResultCount] = field(default_factory=dict)
@@ -127,6 +149,7 @@
         self.changed = self.changed or heard.unconfirmed
         self.reports[report.incarnation] = heard
         self._add_results(report)
+        self.gaps.add(report.paces, heard.at)
         self.ledger.take(report.incarnation, report.grants, heard.at)
         self.on_suspects_message(report.suspects, report.clock_ms)
 
@@ -142,15 +165,10 @@
         self.ledger.refresh_listed(monotonic())
 
     def _add(self, report: Report, sign: int) -> None:
-        loads = self.loads
         self.waiting += sign * report.waiting
-        for counts in (report.calls, report.items):
-            for target, number in counts.items():
-                load = loads.get(target, 0) + sign * number
-                if load:
-                    loads[target] = load
-                else:
-                    loads.pop(target, None)
+        add_counts(self.loads, report.calls, sign)
+        add_counts(self.loads, report.items, sign)
+        add_counts(self.items, report.items, sign)
 
     def _add_results(self, report: Report) -> None:
         heard = self.known_results.setdefault(report.incarnation, {})
@@ -169,6 +187,7 @@
         """Return the current sums."""
         now = monotonic()
         sends_all = now - self.results_sent_at >= RESULTS_GAP_S
+        self.gaps.close(now)
         if sends_all:
             self.results_sent_at = now
         return Sums(
@@ -183,6 +202,8 @@
             self._find_trials(),
             self._find_rooms(now),
             math.floor(self.ledger.find_heard_share(now) * PERCENT),
+            items=self.items,
+            paces=self.gaps.find_gaps() if sends_all else {},
         )
 
     def _find_rooms(self, now: float) -> dict[OrganisationNumber, int]:
--- a/gradepoint/peers/datagrams.py
+++ b/gradepoint/peers/datagrams.py
@@ -71,8 +71,8 @@
     :param trials: target reserved for the host's trial of a suspected request, by request.
     :param clock_ms: the host's clock when it sends this.
     :param grants: calls granted by the host so far by organisation, where this changed recently.
-    :param paces: events received from a target and the milliseconds they took, in the last second,
-        by target.
+    :param paces: events received from a target since the host's last report, and the milliseconds
+        that these took over all answers, by target.
     :param refused: short numbers of the requests that the host refused lately for lack of room.
     :param demands: calls in flight and lately refused, by organisation, while there is a shortage.
     """
@@ -109,8 +109,8 @@
     :param rooms: room of organisations near their limit, in tenths of calls.
     :param heard_percent: percentage of the listed hosts whose grants are included.
     :param items: batch items in flight, by target; they are included in *loads*.
-    :param paces: mean tenths of a millisecond between two events of an answer, by target; sent with
-        all results only.
+    :param paces: median tenths of a millisecond between two events of an answer in about the last
+        second, by target; sent with all results only.
     :param refused: short numbers of the requests that any host refused lately for lack of room.
     :param shares: percentage of its calls that an organisation above its fair share may send, for
         those organisations only.
--- a/gradepoint/peers/occupancy.py
+++ b/gradepoint/peers/occupancy.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 from functools import lru_cache
@@ -23,7 +24,7 @@
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.hashing import hash32, rank
-from .aggregation import PERCENT, ROOM_UNITS_PER_CALL, STALE_S, Aggregation
+from .aggregation import PERCENT, ROOM_UNITS_PER_CALL, STALE_S, Aggregation, add_counts
 from .datagrams import DATAGRAM_FORMAT, Digest, Report, Sums, number_target
 from .results import KnownResults, merge_results
 
@@ -66,26 +67,54 @@
     return rank("aggregators", incarnations)[:AGGREGATOR_COUNT]
 
 
+def merge_highest(rows: list[dict[TargetNumber, int]]) -> dict[TargetNumber, int]:
+    """Return the highest positive number of each target; a single row is returned as it is."""
+    if len(rows) == 1:
+        return rows[0]
+    merged: dict[TargetNumber, int] = {}
+    for row in rows:
+        for target, number in row.items():
+            if number > merged.get(target, 0):
+                merged[target] = number
+    return merged
+
+
 def read_clock_ms() -> int:
     """Return this host's monotonic clock in milliseconds, as sent along with times."""
     return round(monotonic() * MILLISECONDS)
 
 
+@dataclass(frozen=True)
+class ReceivedGaps:
+    """Gaps between the events of an answer, as received from an aggregator.
+
+    :param gaps: median gap by target, in tenths of a millisecond.
+    :param at: monotonic time of receipt.
+    """
+
+    gaps: dict[TargetNumber, int]
+    at: float
+
+
 @dataclass
 class ReceivedSums:
     """The newest sums of an aggregator.
 
     :ivar remote_in_flight: calls and items in flight by target, without this host's own.
+    :ivar remote_items: items among these.
     :ivar waiting: weight of the items that could start, without this host's own.
     :ivar at: monotonic time of receipt.
     :ivar room_report: their report on organisations near their limit.
+    :ivar gaps: gaps between events of the last sums that contained them; None before.
     """
 
     sums: Sums
     remote_in_flight: dict[TargetNumber, int]
+    remote_items: dict[TargetNumber, int]
     waiting: int
     at: float
     room_report: RoomReport
+    gaps: ReceivedGaps | None
 
 
 @dataclass
@@ -102,6 +131,7 @@
     :ivar heard: newest sums by aggregator.
     :ivar remote_in_flight: by target, the maximum over the sums of aggregators on which some host
         relies. An aggregator that lacks a host's reports gives too low a number.
+    :ivar remote_items: the same of batch items.
     :ivar known_results: last results received from each aggregator, by target.
     :ivar own_results: this host's own part of these.
     :ivar changed: set when what this host has in flight has changed.
@@ -123,6 +153,7 @@
     sent: OrderedDict[int, Report] = field(default_factory=OrderedDict)
     heard: dict[Incarnation, ReceivedSums] = field(default_factory=dict)
     remote_in_flight: dict[TargetNumber, int] = field(default_factory=dict)
+    remote_items: dict[TargetNumber, int] = field(default_factory=dict)
     known_results: dict[Incarnation, dict[TargetNumber, KnownResults]] = field(default_factory=dict)
     own_results: dict[Incarnation, dict[TargetNumber, KnownResults]] = field(default_factory=dict)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -145,6 +176,19 @@
         """Return the calls and items that other hosts have in flight at a target."""
         return self.remote_in_flight.get(number_target(target), 0)
 
+    def items_in_flight(self, target: TargetId) -> int:
+        """Return the batch items that other hosts have in flight at a target."""
+        return self.remote_items.get(number_target(target), 0)
+
+    def find_gaps(self) -> ReceivedGaps | None:
+        """Return the newest gaps between events; None if no aggregator that is heard sent any."""
+        heard = self.heard.get(self._find_authoritative_aggregator() or self.own)
+        return None if heard is None else heard.gaps
+
+    def digest_age_s(self) -> float:
+        """Return the seconds since the newest digest; infinite if none was received lately."""
+        return monotonic() - max((heard.at for heard in self.heard.values()), default=-math.inf)
+
     def remote_waiting(self) -> int:
         """Return the weight of the items of other hosts that could start."""
         return max((heard.waiting for heard in self._find_relevant_sums()), default=0)
@@ -203,13 +247,16 @@
             now = monotonic()
             has_distrusted = self._distrust_unresponsive(now)
             report = self.make_report(self.number)
-            changed = report != sent or has_distrusted
+            # Paces change with each event, so they alone do not make a report worth sending.
+            unpaced = msgspec.structs.replace(report, paces={})
+            changed = unpaced != sent or has_distrusted
             sends_all = now - sent_all_at >= MAX_GAP_S or sent is None
             if changed or sends_all:
                 self.number += 1
-                sent = msgspec.structs.replace(report, number=self.number)
+                sent = msgspec.structs.replace(unpaced, number=self.number)
                 sent_all_at = now if sends_all else sent_all_at
-                self._send_report(sent, addresses, sends_all=sends_all)
+                outgoing = msgspec.structs.replace(report, number=self.number)
+                self._send_report(outgoing, addresses, sends_all=sends_all)
                 if changed and self.relied_on != self.own:
                     self.unconfirmed.append((self.number, now))
             gap_s = REPORT_GAP_S + REPORT_GAP_PER_PEER_S * len(addresses)
@@ -296,10 +343,11 @@
         """Process a digest from an aggregator."""
         sums = msgspec.msgpack.decode(digest.sums, type=Sums)
         own = self.sent.get(digest.number)
-        remote_in_flight = dict(sums.loads)
-        for counts in (own.calls, own.items) if own is not None else ():
-            for target, number in counts.items():
-                remote_in_flight[target] = remote_in_flight.get(target, 0) - number
+        remote_in_flight, remote_items = dict(sums.loads), dict(sums.items)
+        if own is not None:
+            add_counts(remote_in_flight, own.calls, -1)
+            add_counts(remote_in_flight, own.items, -1)
+            add_counts(remote_items, own.items, -1)
         waiting = sums.waiting - (own.waiting if own is not None else 0)
         now = monotonic()
         room_report = RoomReport(
@@ -308,8 +356,12 @@
             float("-inf") if own is None else own.clock_ms / MILLISECONDS,
             sums.heard_percent / PERCENT,
         )
+        former = self.heard.get(sums.aggregator)
+        gaps = None if former is None else former.gaps
+        if sums.all_results:
+            gaps = ReceivedGaps(sums.paces, now)
         self.heard[sums.aggregator] = ReceivedSums(
-            sums, remote_in_flight, waiting, now, room_report
+            sums, remote_in_flight, remote_items, waiting, now, room_report, gaps
         )
         if sums.aggregator == self.relied_on:
             while self.unconfirmed and self.unconfirmed[0][0] <= digest.number:
@@ -343,16 +395,9 @@
         return relied_on or list(self.heard.values())
 
     def _merge(self) -> None:
-        rows = [heard.remote_in_flight for heard in self._find_relevant_sums()]
-        if len(rows) == 1:
-            self.remote_in_flight = rows[0]
-            return
-        merged: dict[TargetNumber, int] = {}
-        for row in rows:
-            for target, number in row.items():
-                if number > merged.get(target, 0):
-                    merged[target] = number
-        self.remote_in_flight = merged
+        relevant = self._find_relevant_sums()
+        self.remote_in_flight = merge_highest([heard.remote_in_flight for heard in relevant])
+        self.remote_items = merge_highest([heard.remote_items for heard in relevant])
 
     def _notify_new_results(self, sums: Sums, own: Report | None) -> None:
         """Pass on new results of other hosts, from one aggregator at a time."""
--- a/gradepoint/telemetry/metrics.py
+++ b/gradepoint/telemetry/metrics.py
@@ -143,6 +143,8 @@
         self.control_bytes = BufferedCounter("gradepoint_control_bytes", unit="By")
         self.call_time = BufferedHistogram("gradepoint_call_time", "s")
         self.view_age = CallbackGauge("gradepoint_view_age", "s")
+        self.target_pace = CallbackGauge("gradepoint_target_pace", "1")
+        self.target_delay = CallbackGauge("gradepoint_target_delay", "s")
         self.connected = False
 
     def connect(self) -> None:
