--- a/bench/crest_replay.py
+++ b/bench/crest_replay.py
@@ -4,6 +4,9 @@
 the other hosts' in-flight work some hundredths of a second late, as it does through the
 aggregators. Each row of the output is one strategy: the share of calls whose first token is late,
 preemptions for each finished item, the mean time of an item and the number of items finished.
+
+Targets may work at different speeds and pause for short times. Hosts learn of a target's pace from
+the work done there in the last second, as they do through the aggregators.
 """
 
 from __future__ import annotations
@@ -11,17 +14,28 @@
 import argparse
 import heapq
 import itertools
+import math
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from statistics import mean
+from dataclasses import dataclass, field, replace
+from statistics import mean, median
+from typing import Any
 
 from gradepoint.gateway.choice import choose_target, sample_weighted
 from gradepoint.gateway.targets import ListedState, ListedTarget
 from gradepoint.gateway.targets import Target as GradepointTarget
-from gradepoint.ids import ServiceName, TargetId, TargetName
+from gradepoint.ids import ServiceName, TargetId, TargetName, TargetNumber
 from gradepoint.jobs.slot_sharing import allot_spare_slots, batch_slot_limit
+from gradepoint.routing.target_model import (
+    SAMPLE_S,
+    GapHistories,
+    TargetLoad,
+    choose_load,
+    compute_paces,
+    estimate_delay_s,
+    find_paced_load,
+)
 
 CALL_S = 0.7
 """Mean seconds that a call occupies a slot."""
@@ -36,6 +50,14 @@
 ITEM_RETRY_S = 0.3
 """Seconds until a preempted item may start again."""
 DOMAINS = 3
+PAUSE_INTERVALS = 997
+"""Intervals of the length of a pause after which the pauses repeat; more than a replay has."""
+PACE_REFRESH_S = 0.2
+"""Seconds between two digests with the paces of targets."""
+GOLDEN_RATIO = 0.618034
+"""Multiples of this have evenly spread fractional parts."""
+EVENT_GAP_S = 0.033
+"""Seconds between two events of an answer of a target of speed 1."""
 
 
 @dataclass(frozen=True)
@@ -47,6 +69,13 @@
     :param high: length in seconds and load factor of the high part of each wave.
     :param delay_s: mean delay with which hosts learn of each other's in-flight work.
     :param lost_share: share of the targets that are missing.
+    :param item_s: mean seconds that a batch item occupies a slot.
+    :param speeds: speeds of the targets, in turn.
+    :param pause_s: length of the pauses in seconds.
+    :param pause_share: share of the targets that pause at a time.
+    :param pause_factor: factor by which a pausing target is slower.
+    :param slowed: targets that are slow for a time: index, first and last second, and the factor
+        by which the target is slower.
     """
 
     hosts: int = 51
@@ -60,6 +89,12 @@
     length_s: float = 60.0
     delay_s: float = 0.075
     lost_share: float = 0.0
+    item_s: float = ITEM_S
+    speeds: tuple[float, ...] = (1.0,)
+    pause_s: float = 0.6
+    pause_share: float = 0.0
+    pause_factor: float = 2.5
+    slowed: tuple[tuple[int, float, float, float], ...] = ()
 
     def rate(self, now: float) -> float:
         """Return the calls a second at time *now*."""
@@ -68,6 +103,31 @@
         return self.calls_per_s * factor
 
 
+UNEVEN = Shape(
+    hosts=74,
+    targets=30,
+    calls_per_s=134.0,
+    jobs_per_s=1.71,
+    low=(3.6, 0.391),
+    high=(2.4, 1.91),
+    delay_s=0.09,
+    item_s=5.0,
+    speeds=(0.6, 1.0, 1.6),
+    pause_share=0.15,
+)
+"""Deployment A of docs/design/load.md: targets of three speeds that pause."""
+COMPETING = Shape(
+    hosts=68,
+    targets=45,
+    calls_per_s=202.0,
+    jobs_per_s=1.93,
+    low=(3.6, 0.391),
+    high=(2.4, 1.91),
+    delay_s=0.087,
+    item_s=5.0,
+)
+"""Deployment B of docs/design/load.md, without its organisations."""
+
 SHAPES = {
     "30 targets": Shape(),
     "a fifth gone": Shape(lost_share=0.2),
@@ -77,6 +137,10 @@
     "6 hosts, 6 targets": Shape(
         hosts=6, targets=6, calls_per_s=27.0, jobs_per_s=0.34, delay_s=0.035
     ),
+    "A": UNEVEN,
+    "A, a sixth gone": replace(UNEVEN, lost_share=1 / 6),
+    "B": COMPETING,
+    "B, a sixth gone": replace(COMPETING, lost_share=1 / 6),
 }
 
 
@@ -106,6 +170,7 @@
     waiting: deque[Work] = field(default_factory=deque)
 
 
+Compare = Callable[[list[TargetLoad]], int]
 Choose = Callable[[list[float], list[float], random.Random], int]
 
 
@@ -162,12 +227,60 @@
     :param patient: whether a call may wait for another call that ends soon, before an item is
         preempted.
     :param reserved: slots of each target that batch leaves free for calls.
+    :param compare: returns the index of the chosen one of the sampled targets. It takes precedence
+        over *choose*.
+    :param sampled: number of targets that are sampled for *compare*.
+    :param uneven_sampled: number of targets that are sampled while the targets' paces differ; 0 for
+        *sampled*.
+    :param draw_pace_power: power of the pace by which sampled targets are weighted.
+    :param item_pace_power: power of the pace by which targets of items are weighted.
+    :param classes: the targets' paces are replaced by those of this many quantiles; 0 keeps them.
     """
 
     choose: Choose | None
     home_weight: float = 3.0
     patient: bool = False
     reserved: int = 1
+    compare: Compare | None = None
+    sampled: int = 2
+    uneven_sampled: int = 0
+    draw_pace_power: float = 0.0
+    item_pace_power: float = 0.0
+    classes: int = 0
+
+
+Rank = Callable[[TargetLoad], tuple[float, ...]]
+
+
+def rank_by_load(target: TargetLoad) -> tuple[float, ...]:
+    """Return the calls and items in flight per slot."""
+    return ((target.calls + target.items) / target.slots,)
+
+
+def rank_by_paced_load(target: TargetLoad) -> tuple[float, ...]:
+    """Return the calls and items in flight per slot and pace."""
+    return (find_paced_load(target),)
+
+
+def rank_by_delay(target: TargetLoad) -> tuple[float, ...]:
+    """Return the expected delay, then the calls and items in flight per slot and pace."""
+    return (estimate_delay_s(target, CALL_S), find_paced_load(target))
+
+
+def choose_by(rank: Rank) -> Compare:
+    """Return a choice of the target with the smallest rank."""
+    return lambda loads: min(range(len(loads)), key=lambda index: rank(loads[index]))
+
+
+def choose_as_model(loads: list[TargetLoad]) -> int:
+    """Return the choice of gradepoint's target model."""
+    return choose_load(loads, CALL_S)
+
+
+def make_model(draw_pace_power: float = 1.0, **changes: Any) -> Strategy:
+    """Return gradepoint's target model, or a variant of it."""
+    model = Strategy(None, compare=choose_as_model, draw_pace_power=draw_pace_power)
+    return replace(model, **changes)
 
 
 STRATEGIES: dict[str, Strategy] = {
@@ -194,6 +307,18 @@
     "two, else the square": Strategy(emptier_of_two_or_weighted, reserved=2),
     "four, two reserved": Strategy(emptiest_of_sample(4), reserved=2),
     "three, two reserved": Strategy(emptiest_of_sample(3), reserved=2),
+    "load": Strategy(None, compare=choose_by(rank_by_load)),
+    "load / pace": Strategy(None, compare=choose_by(rank_by_paced_load)),
+    "delay, load / pace": Strategy(None, compare=choose_by(rank_by_delay)),
+    "two by pace": make_model(),
+    "two, not by pace": make_model(draw_pace_power=0),
+    "two by pace^2": make_model(draw_pace_power=2),
+    "three, not by pace": make_model(draw_pace_power=0, uneven_sampled=3),
+    "three by pace": make_model(uneven_sampled=3),
+    "three classes": make_model(classes=3),
+    "items by pace": make_model(item_pace_power=1),
+    "items by 1/pace": make_model(item_pace_power=-1),
+    "least delay of all": Strategy(None, compare=choose_by(rank_by_delay), sampled=1000),
 }
 
 
@@ -221,6 +346,19 @@
     item_seconds: list[float] = field(default_factory=list)
 
 
+def classify(paces: list[float], classes: int) -> list[float]:
+    """Return paces replaced by the median of their quantile; 0 classes leave them unchanged."""
+    if not classes:
+        return paces
+    ordered = sorted(range(len(paces)), key=lambda index: paces[index])
+    found = list(paces)
+    for number in range(classes):
+        members = ordered[len(ordered) * number // classes : len(ordered) * (number + 1) // classes]
+        for index in members:
+            found[index] = median(paces[member] for member in members)
+    return found
+
+
 def list_target(index: int, slots: int) -> GradepointTarget:
     """Return a target as gradepoint's own choice takes it."""
     row = ListedTarget(
@@ -239,7 +377,18 @@
 
     :ivar reported: calls and items in flight at each target, as reported to all hosts.
     :ivar own_in_flight: in-flight work of each host at each target, known to the host at once.
+    :ivar own_items: the items among :attr:`own_in_flight`.
     :ivar own_reported: the part of :attr:`reported` that stems from each host.
+    :ivar own_reported_items: the items among :attr:`own_reported`.
+    :ivar pauses: whether a target pauses, by target and number of the interval of the length of a
+        pause.
+    :ivar arrivals: draws the calls, so that every strategy gets the same ones.
+    :ivar jobs: draws the jobs.
+    :ivar paces: believed pace of each target.
+    :ivar gaps: samples of the targets' gaps between events.
+    :ivar measured_at: time up to which events are counted.
+    :ivar work_done: work of one slot of each target up to then, in seconds at speed 1.
+    :ivar next_digest: time at which hosts learn the paces next.
     :ivar pending_updates: changes that are not reported yet.
     :ivar open_items: items of each host that wait for a slot.
     :ivar preempted_at: time of the last preemption at each target.
@@ -251,7 +400,9 @@
         self.targets = [Target() for _ in range(count)]
         self.reported = [[0, 0] for _ in range(count)]
         self.own_in_flight = [[0] * count for _ in range(shape.hosts)]
+        self.own_items = [[0] * count for _ in range(shape.hosts)]
         self.own_reported = [[0] * count for _ in range(shape.hosts)]
+        self.own_reported_items = [[0] * count for _ in range(shape.hosts)]
         self.pending_updates: deque[tuple[float, int, int, int, bool]] = deque()
         self.events: list[tuple[float, int, str, Work]] = []
         self.numbers = itertools.count()
@@ -260,10 +411,77 @@
         self.preempted_at = [-1.0] * count
         self.listed = [list_target(index, shape.slots) for index in range(count)]
         self.figures = Figures()
+        pause_rng, self.arrivals = random.Random(seed), random.Random(seed)
+        self.jobs = random.Random(seed)
+        self.pauses = [
+            [pause_rng.random() < shape.pause_share for _ in range(PAUSE_INTERVALS)]
+            for _ in range(count)
+        ]
+        self.paces = [1.0] * count
+        self.gaps = GapHistories()
+        self.measured_at = self.next_digest = 0.0
+        self.work_done = [0.0] * count
+
+    def find_rate(self, index: int, now: float) -> tuple[float, float]:
+        """Return the speed of a target at time *now*, and until when it stays the same."""
+        shape = self.shape
+        rate, until = shape.speeds[index % len(shape.speeds)], float("inf")
+        if shape.pause_share:
+            # The tolerance keeps rounding from finding the interval that ends at this time.
+            interval = int(now / shape.pause_s + 1e-6)
+            until = (interval + 1) * shape.pause_s
+            rate /= shape.pause_factor if self.pauses[index][interval % PAUSE_INTERVALS] else 1.0
+        for slowed, start, end, factor in shape.slowed:
+            if slowed == index:
+                rate /= factor if start <= now < end else 1.0
+                until = min([until, *(edge for edge in (start, end) if edge > now)])
+        return rate, until
+
+    def work_between(self, index: int, start: float, end: float) -> float:
+        """Return the work of one slot of a target from *start* to *end*, in seconds at speed 1."""
+        done = 0.0
+        while start < end:
+            rate, until = self.find_rate(index, start)
+            done += rate * (min(until, end) - start)
+            start = until
+        return done
+
+    def find_end(self, index: int, now: float, work_s: float) -> float:
+        """Return when a slot has done *work_s* seconds of work at speed 1."""
+        while True:
+            rate, until = self.find_rate(index, now)
+            if now + work_s / rate <= until:
+                return now + work_s / rate
+            work_s -= rate * (until - now)
+            now = until
+
+    def measure_paces(self, now: float) -> None:
+        """Count the events of running work as the aggregators do, and let hosts learn the paces."""
+        end = max(0.0, now - self.shape.delay_s)
+        counts = {}
+        for index, target in enumerate(self.targets):
+            before = self.work_done[index] / EVENT_GAP_S
+            self.work_done[index] += self.work_between(index, self.measured_at, end)
+            after = self.work_done[index] / EVENT_GAP_S
+            # Each run has its own phase, and only complete events are counted.
+            phases = [work.run_number * GOLDEN_RATIO for work in target.running]
+            events = sum(math.floor(after + row) - math.floor(before + row) for row in phases)
+            ms = round(1000 * len(target.running) * (end - self.measured_at))
+            if ms:
+                counts[TargetNumber(index)] = (events, ms)
+        self.measured_at = end
+        self.gaps.add(counts, now)
+        self.gaps.close(now)
+        if now >= self.next_digest:
+            self.next_digest = now + PACE_REFRESH_S
+            paces = compute_paces(self.gaps.gaps)
+            found = [paces.get(TargetNumber(index), 1.0) for index in range(len(self.targets))]
+            self.paces = classify(found, self.strategy.classes)
 
     def record_change(self, now: float, work: Work, change: int) -> None:
         """Record a change of a host's in-flight work; the other hosts learn of it later."""
         self.own_in_flight[work.host][work.target] += change
+        self.own_items[work.host][work.target] += change if work.is_item else 0
         due = now + self.shape.delay_s * self.rng.uniform(0.6, 1.2)
         self.pending_updates.append((due, work.host, work.target, change, work.is_item))
 
@@ -273,6 +491,7 @@
             _, host, target, change, is_item = self.pending_updates.popleft()
             self.reported[target][is_item] += change
             self.own_reported[host][target] += change
+            self.own_reported_items[host][target] += change if is_item else 0
 
     def load(self, host: int, target: int) -> int:
         """Return a target's load as *host* knows it: its own work plus what others reported."""
@@ -282,6 +501,16 @@
             + self.own_in_flight[host][target]
         )
 
+    def see(self, host: int, target: int) -> TargetLoad:
+        """Return a target as *host* sees it."""
+        items = (
+            self.reported[target][1]
+            - self.own_reported_items[host][target]
+            + self.own_items[host][target]
+        )
+        calls = self.load(host, target) - items
+        return TargetLoad(calls, items, self.shape.slots, self.paces[target])
+
     def weigh_locations(self, host: int) -> list[float]:
         """Return a host's weight of each target by failure domain."""
         home_domain = host % DOMAINS
@@ -306,10 +535,11 @@
             work.run_number = next(self.numbers)
             target.running.append(work)
             if not work.is_item:
-                wait = now - work.arrived + FIRST_TOKEN_S
+                wait = self.find_end(index, now, FIRST_TOKEN_S) - work.arrived
                 self.figures.calls += 1
                 self.figures.late += wait > LATE_FIRST_TOKEN_S
-            heapq.heappush(self.events, (now + work.remaining_s, work.run_number, "end", work))
+            end = self.find_end(index, now, work.remaining_s)
+            heapq.heappush(self.events, (end, work.run_number, "end", work))
 
     def end(self, now: float, work: Work, run_number: int) -> None:
         """End a run, unless it was preempted before."""
@@ -344,7 +574,7 @@
             target.waiting.remove(work)
         else:
             target.running.remove(work)
-            work.remaining_s -= now - work.started
+            work.remaining_s -= self.work_between(work.target, work.started, now)
             self.figures.preemptions += 1
         self.record_change(now, work, -1)
         heapq.heappush(self.events, (now + ITEM_RETRY_S, next(self.numbers), "open", work))
@@ -361,7 +591,10 @@
             spare = sum(max(0, row) for row in free)
             count = allot_spare_slots(spare, len(items), waiting - len(items), self.rng)
             for _ in range(min(count, len(items))):
-                weights = [max(0, row) ** 2 for row in free]
+                weights = [
+                    max(0, row) ** 2 * pace**self.strategy.item_pace_power
+                    for row, pace in zip(free, self.paces, strict=True)
+                ]
                 if not any(weights):
                     break
                 index = self.rng.choices(range(len(free)), weights)[0]
@@ -372,8 +605,10 @@
 
     def call(self, now: float, host: int) -> None:
         """Let a call arrive at a host and send it to a target."""
-        work = Work(host, CALL_S * self.rng.uniform(0.6, 1.4), False, now)
-        if self.strategy.choose is None:
+        work = Work(host, CALL_S * self.arrivals.uniform(0.6, 1.4), False, now)
+        if self.strategy.compare is not None:
+            work.target = self.choose_sampled(host, self.strategy.compare)
+        elif self.strategy.choose is None:
             work.target = self.choose_as_gradepoint(host)
         else:
             slots = float(self.shape.slots)
@@ -381,6 +616,23 @@
             work.target = self.strategy.choose(free, self.weigh_locations(host), self.rng)
         self.send(now, work)
 
+    def choose_sampled(self, host: int, compare: Compare) -> int:
+        """Return the target that *compare* takes of a sample."""
+        indexes = list(range(len(self.targets)))
+        drawn = indexes
+        strategy = self.strategy
+        uneven = any(pace != 1.0 for pace in self.paces)
+        count = strategy.uneven_sampled if uneven and strategy.uneven_sampled else strategy.sampled
+        if count < len(indexes):
+            weights = [
+                weight * pace**strategy.draw_pace_power
+                for weight, pace in zip(self.weigh_locations(host), self.paces, strict=True)
+            ]
+            drawn = sample_weighted(indexes, weights, count, self.rng)
+        else:
+            self.rng.shuffle(drawn)
+        return drawn[compare([self.see(host, index) for index in drawn])]
+
     def choose_as_gradepoint(self, host: int) -> int:
         """Return the target that gradepoint's own decision takes with the knowledge of *host*."""
         for index, target in enumerate(self.listed):
@@ -398,10 +650,14 @@
     def run(self) -> Figures:
         """Simulate the load to its end."""
         now = next_call = next_job = next_feed = next_preemption_check = 0.0
+        next_paces = 0.0
         while now < self.shape.length_s:
             due = self.events[0][0] if self.events else float("inf")
             now = min(due, next_call, next_job, next_feed, next_preemption_check)
             self.apply_updates(now)
+            if now >= next_paces:
+                self.measure_paces(now)
+                next_paces = now + SAMPLE_S
             if now == due:
                 _, run_number, kind, work = heapq.heappop(self.events)
                 if kind == "end":
@@ -409,15 +665,15 @@
                 else:
                     self.open_items[work.host].append(work)
             elif now == next_call:
-                host = self.rng.choices(range(self.shape.hosts), self.weights)[0]
+                host = self.arrivals.choices(range(self.shape.hosts), self.weights)[0]
                 self.call(now, host)
-                next_call = now + self.rng.expovariate(self.shape.rate(now))
+                next_call = now + self.arrivals.expovariate(self.shape.rate(now))
             elif now == next_job:
-                host = self.rng.randrange(self.shape.hosts)
+                host = self.jobs.randrange(self.shape.hosts)
                 for _ in range(self.shape.items):
-                    work = Work(host, ITEM_S * self.rng.uniform(0.6, 1.4), True, now)
+                    work = Work(host, self.shape.item_s * self.jobs.uniform(0.6, 1.4), True, now)
                     self.open_items[host].append(work)
-                next_job = now + self.rng.expovariate(self.shape.jobs_per_s)
+                next_job = now + self.jobs.expovariate(self.shape.jobs_per_s)
             elif now == next_feed:
                 self.feed(now)
                 next_feed = now + self.shape.delay_s + 0.03
--- a/gradepoint/gateway/settings.py
+++ b/gradepoint/gateway/settings.py
@@ -109,6 +109,12 @@
         "Memory in MB that the process may use; 0 if unknown. Hosts with more aggregate.",
         may_be_zero=True,
     ),
+    Setting(
+        "target_model",
+        bool,
+        True,
+        "Whether targets are chosen by their measured speed; otherwise by load alone.",
+    ),
     Setting("metrics_port", int, 9464, "HTTP port of the metrics page."),
     Setting("log_level", str, "INFO", "Lowest log level that is written."),
     Setting("log_style", str, "json", "Format of log lines: 'json' or 'text'."),
@@ -140,6 +146,7 @@
     revoke_ms: float
     link_mbps: float
     memory_mb: float
+    target_model: bool
     metrics_port: int
     log_level: str
     log_style: str
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -142,6 +142,10 @@
             counts[item.target] = counts.get(item.target, 0) + 1
         return counts
 
+    def count_items(self, target: TargetId) -> int:
+        """Return how many items of this host are running at a target."""
+        return sum(item.target == target for item in self.running)
+
     def sum_waiting_weight(self) -> int:
         """Return the total weight of this host's items that could start now."""
         now = monotonic()
@@ -432,7 +436,11 @@
         candidates = self.forwarder.targets.candidates(service, now)
         excluded = {name for name, at in self.last_started_at.items() if now - at < propagation_s}
         excluded |= self.forwarder.suspicion.find_reserved()
-        return choose_batch_target(candidates, self.forwarder.remote_in_flight, excluded, self.rng)
+        loads = self.forwarder.loads
+        paces = loads.find_unusual_paces() if loads is not None else None
+        return choose_batch_target(
+            candidates, self.forwarder.remote_in_flight, excluded, self.rng, paces
+        )
 
     def _choose_trial(
         self, request: RequestIdentity, standing: Standing, service: ServiceName
