Leave slots free for the calls that are expected

Cause: half of the calls at a peak met a target whose slots were all taken, and waited for the preemption of an item, while batch left a slot idle at each target in a trough.

Change: routing/batch_headroom.py decides how many slots items leave free, by the calls that are expected until a preemption takes effect. Aggregators measure the rate of calls and send it to all hosts (Sums.call_rates); without a rate the former limits hold. The replay starts and preempts items in the order of the worker, and shows the items done in time. Its row "the product's" uses the new limits. Tests that called slot_sharing.batch_slot_limit now use find_start_limit without a rate, which has the same values.

--- a/bench/crest_replay.py
+++ b/bench/crest_replay.py
@@ -3,7 +3,8 @@
 Square waves of online calls are replayed beside batch items on a simulated fleet. A host learns of
 the other hosts' in-flight work some hundredths of a second late, as it does through the
 aggregators. Each row of the output is one strategy: the share of calls whose first token is late,
-preemptions for each finished item, the mean time of an item and the number of items finished.
+preemptions for each finished item, the mean time of an item, the number of items finished, and the
+share of the items that were done when they were due.
 
 Targets may work at different speeds and pause for short times. Hosts learn of a target's pace from
 the work done there in the last second, as they do through the aggregators.
@@ -24,7 +25,12 @@
 from gradepoint.gateway.targets import ListedState, ListedTarget
 from gradepoint.gateway.targets import Target as GradepointTarget
 from gradepoint.ids import ServiceName, TargetId, TargetName, TargetNumber
-from gradepoint.jobs.slot_sharing import allot_spare_slots, batch_slot_limit
+from gradepoint.jobs.slot_sharing import allot_spare_slots
+from gradepoint.routing.batch_headroom import (
+    CallArrivals,
+    find_preemption_limit,
+    find_start_limit,
+)
 from gradepoint.routing.target_model import (
     SAMPLE_S,
     GapHistories,
@@ -47,6 +53,10 @@
 """Calls at a target from which a patient strategy lets one more wait, since one ends soon."""
 ITEM_RETRY_S = 0.3
 """Seconds until a preempted item may start again."""
+DUE_S = 18.0
+"""Seconds from the arrival of a job in which its items are due."""
+DUE_MARGIN_S = 1.0
+"""Seconds that an item needs beyond its remaining time to start again and end before it is due."""
 DOMAINS = 3
 PAUSE_INTERVALS = 997
 """Intervals of the length of a pause after which the pauses repeat; more than a replay has."""
@@ -214,6 +224,50 @@
     return found if free[found] > 0 else weighted_by_free_slots(2)(free, weights, rng)
 
 
+Pick = Callable[["list[Held]", int, random.Random], "list[Held]"]
+
+
+@dataclass(frozen=True)
+class Held:
+    """An item at a target.
+
+    :param urgency: whether it is late, and when its job arrived; more urgent items sort first.
+    :param needed_s: seconds that it still needs there at the target's usual speed.
+    """
+
+    work: Work
+    urgency: tuple[bool, float]
+    needed_s: float
+
+
+def rank_by_urgency(held: Held) -> tuple[object, ...]:
+    """Return the sort key of an item; the last one is preempted, as in gradepoint."""
+    return (*held.urgency, held.work.started or float("inf"))
+
+
+def pick_by_host(items: list[Held], count: int, rng: random.Random) -> list[Held]:
+    """Pick hosts at random, and of each its least urgent item that started last."""
+    return pick_of_hosts(rank_by_urgency)(items, count, rng)
+
+
+def pick_of_hosts(rank: Callable[[Held], tuple[object, ...]]) -> Pick:
+    """Return a choice of hosts at random, and of each its last item by *rank*."""
+
+    def pick(items: list[Held], count: int, rng: random.Random) -> list[Held]:
+        hosts = sorted({held.work.host for held in items})
+        return [
+            max((held for held in items if held.work.host == host), key=rank)
+            for host in rng.sample(hosts, min(count, len(hosts)))
+        ]
+
+    return pick
+
+
+def pick_of_all(rank: Callable[[Held], tuple[object, ...]]) -> Pick:
+    """Return a choice of the last items of all hosts by *rank*."""
+    return lambda items, count, _: sorted(items, key=rank, reverse=True)[:count]
+
+
 @dataclass(frozen=True)
 class Strategy:
     """One strategy of target choice and preemption.
@@ -231,6 +285,12 @@
     :param draw_pace_power: power of the pace by which sampled targets are weighted.
     :param item_pace_power: power of the pace by which targets of items are weighted.
     :param classes: the targets' paces are replaced by those of this many quantiles; 0 keeps them.
+    :param ahead: slots of each target that preemption keeps free.
+    :param follows_rate: items leave slots free by the rate of calls, as gradepoint decides;
+        *reserved* and *ahead* do not apply.
+    :param pick: chooses the items to preempt.
+    :param near_end_s: items that need at most this many seconds are not preempted.
+    :param exempts_due: items that can only just end before they are due are not preempted.
     """
 
     choose: Choose | None
@@ -243,6 +303,11 @@
     draw_pace_power: float = 0.0
     item_pace_power: float = 0.0
     classes: int = 0
+    ahead: int = 0
+    follows_rate: bool = False
+    pick: Pick = pick_by_host
+    near_end_s: float = 0.0
+    exempts_due: bool = False
 
 
 Rank = Callable[[TargetLoad], tuple[float, ...]]
@@ -274,7 +339,7 @@
 
 
 STRATEGIES: dict[str, Strategy] = {
-    "the product's": Strategy(None),
+    "the product's": Strategy(None, follows_rate=True),
     "drawn by the square": Strategy(weighted_by_free_slots(2)),
     "by the cube": Strategy(weighted_by_free_slots(3)),
     "by the fourth power": Strategy(weighted_by_free_slots(4)),
@@ -319,6 +384,22 @@
     ),
     "least delay of all": Strategy(None, compare=choose_by(rank_by_delay), sampled=1000),
 }
+BY_PACE = STRATEGIES["model by pace"]
+BY_RATE = replace(BY_PACE, follows_rate=True)
+STRATEGIES |= {
+    "one slot ahead": replace(BY_PACE, ahead=1),
+    "one ahead, two reserved": replace(BY_PACE, ahead=1, reserved=2),
+    "two ahead, three res.": replace(BY_PACE, ahead=2, reserved=3),
+    "by rate": BY_RATE,
+    "by rate, near end kept": replace(BY_RATE, near_end_s=0.2),
+    "by rate, due kept": replace(BY_RATE, exempts_due=True),
+    "by rate, host's longest": replace(
+        BY_RATE, pick=pick_of_hosts(lambda held: (*held.urgency, held.needed_s))
+    ),
+    "by rate, longest": replace(BY_RATE, pick=pick_of_all(lambda held: (held.needed_s,))),
+    "by rate, least urgent": replace(BY_RATE, pick=pick_of_all(rank_by_urgency)),
+}
+"""Ways to preempt items, each with the choice of targets drawn by pace."""
 
 
 def count_items_to_preempt(calls: int, items: int, slots: int, *, patient: bool) -> int:
@@ -335,6 +416,8 @@
 
     :ivar late: calls whose first token was late.
     :ivar done: finished batch items.
+    :ivar due: items that are due before the end of the replay.
+    :ivar done_in_time: those of them that ended before they were due.
     :ivar item_seconds: seconds from arrival to end of each finished item.
     """
 
@@ -342,6 +425,8 @@
     late: int = 0
     preemptions: int = 0
     done: int = 0
+    due: int = 0
+    done_in_time: int = 0
     item_seconds: list[float] = field(default_factory=list)
 
 
@@ -390,6 +475,8 @@
     :ivar pending_updates: changes that are not reported yet.
     :ivar open_items: items of each host that wait for a slot.
     :ivar preempted_at: time of the last preemption at each target.
+    :ivar call_arrivals: calls that hosts have reported.
+    :ivar rate: calls per second at each target; None while it is unknown or does not matter.
     """
 
     def __init__(self, shape: Shape, strategy: Strategy, seed: int) -> None:
@@ -418,6 +505,8 @@
         self.paces = [1.0] * count
         self.gaps = GapHistories()
         self.measured_at = self.next_digest = 0.0
+        self.call_arrivals = CallArrivals()
+        self.rate: float | None = None
 
     def find_rate(self, index: int, now: float) -> tuple[float, float]:
         """Return the speed of a target at time *now*, and until when it stays the same."""
@@ -486,6 +575,11 @@
             self.reported[target][is_item] += change
             self.own_reported[host][target] += change
             self.own_reported_items[host][target] += change if is_item else 0
+            if not is_item:
+                self.call_arrivals.observe({}, {TargetNumber(target): max(0, change)}, now)
+        if self.strategy.follows_rate:
+            numbers = [TargetNumber(index) for index in range(len(self.targets))]
+            self.rate = self.call_arrivals.find_rate(numbers, now)
 
     def load(self, host: int, target: int) -> int:
         """Return a target's load as *host* knows it: its own work plus what others reported."""
@@ -544,22 +638,40 @@
         self.record_change(now, work, -1)
         if work.is_item:
             self.figures.done += 1
+            in_time = now - work.arrived <= DUE_S <= self.shape.length_s - work.arrived
+            self.figures.done_in_time += in_time
             self.figures.item_seconds.append(now - work.arrived)
         self.fill(now, work.target)
 
     def preempt_items(self, now: float) -> None:
-        """Preempt items at targets that have more work in flight than slots."""
+        """Preempt items at targets that have too much work in flight."""
+        strategy = self.strategy
+        limit = find_preemption_limit(self.shape.slots, self.rate) - strategy.ahead
         for index, (calls, items) in enumerate(self.reported):
             if now - self.preempted_at[index] < self.shape.delay_s + 0.03:
                 continue
-            count = count_items_to_preempt(
-                calls, items, self.shape.slots, patient=self.strategy.patient
-            )
-            target = self.targets[index]
-            held = [work for work in (*target.waiting, *target.running) if work.is_item]
-            for work in self.rng.sample(held, min(count, len(held))):
+            count = count_items_to_preempt(calls, items, limit, patient=strategy.patient)
+            if not count:
+                continue
+            for held in strategy.pick(self.list_preemptible(index, now), count, self.rng):
                 self.preempted_at[index] = now
-                self.preempt(now, work)
+                self.preempt(now, held.work)
+
+    def list_preemptible(self, index: int, now: float) -> list[Held]:
+        """Return the items at a target that may be preempted."""
+        speed = self.shape.speeds[index % len(self.shape.speeds)]
+        found = []
+        target = self.targets[index]
+        for work in (*target.waiting, *target.running):
+            if not work.is_item:
+                continue
+            begun = now if work.started is None else work.started
+            needed_s = (work.remaining_s - self.work_between(index, begun, now)) / speed
+            left_s = work.arrived + DUE_S - now
+            must_stay = self.strategy.exempts_due and 0 < left_s < needed_s + DUE_MARGIN_S
+            if needed_s > self.strategy.near_end_s and not must_stay:
+                found.append(Held(work, (left_s < 0, work.arrived), needed_s))
+        return found
 
     def preempt(self, now: float, work: Work) -> None:
         """Remove an item from its target; it resumes later with the time that remains."""
@@ -576,11 +688,12 @@
 
     def feed(self, now: float) -> None:
         """Start open items of each host in the slots that all hosts together leave free."""
-        most = batch_slot_limit(self.shape.slots) - (self.strategy.reserved - 1)
+        most = find_start_limit(self.shape.slots, self.rate) - (self.strategy.reserved - 1)
         waiting = sum(map(len, self.open_items))
         for host, items in enumerate(self.open_items):
             if not items:
                 continue
+            items.sort(key=lambda work: (now - work.arrived > DUE_S, work.arrived))
             free = [most - self.load(host, index) for index in range(len(self.targets))]
             spare = sum(max(0, row) for row in free)
             count = allot_spare_slots(spare, len(items), waiting - len(items), self.rng)
@@ -664,6 +777,8 @@
                 next_call = now + self.arrivals.expovariate(self.shape.rate(now))
             elif now == next_job:
                 host = self.jobs.randrange(self.shape.hosts)
+                if now + DUE_S <= self.shape.length_s:
+                    self.figures.due += self.shape.items
                 for _ in range(self.shape.items):
                     work = Work(host, self.shape.item_s * self.jobs.uniform(0.6, 1.4), True, now)
                     self.open_items[host].append(work)
@@ -695,11 +810,12 @@
             rows = [replay(SHAPES[name], strategy, seed) for seed in range(1, arguments.seeds + 1)]
             late = [100 * row.late / max(1, row.calls) for row in rows]
             preemptions = [row.preemptions / max(1, row.done) for row in rows]
+            in_time = [100 * row.done_in_time / max(1, row.due) for row in rows]
             item_seconds = [mean(row.item_seconds) if row.item_seconds else 0.0 for row in rows]
             print(
                 f"{name:24} {title:22} late {mean(late):6.2f}% ({min(late):.2f} to {max(late):.2f})"
                 f"  cuts an item {mean(preemptions):5.2f}  an item took {mean(item_seconds):5.2f} s"
-                f"  done {mean(row.done for row in rows):5.0f}"
+                f"  done {mean(row.done for row in rows):5.0f}  in time {mean(in_time):6.2f}%"
             )
 
 
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -149,7 +149,11 @@
             self.own.incarnation,
             lambda number: make_report(self, number),
             self.targets.record_remote_results,
-            Aggregation(self.targets.find_slots, self.make_ledger()),
+            Aggregation(
+                self.targets.find_slots,
+                self.make_ledger(),
+                lambda: self.targets.number_by_service(monotonic()),
+            ),
         )
         self.stall_detector = StallDetector(self.refresh_after_stall)
         self.crash_detector = CrashDetector(
@@ -190,6 +194,7 @@
             self.occupancy.must_preempt,
             lambda: self.occupancy.delay_s,
             self.occupancy.remote_waiting,
+            self.occupancy.find_call_rate,
         )
         self.intake = Intake(
             self.repository,
--- a/gradepoint/gateway/targets.py
+++ b/gradepoint/gateway/targets.py
@@ -343,6 +343,13 @@
         """Return the targets of all services that may get a call."""
         return [target for service in self.by_service for target in self.candidates(service, now)]
 
+    def number_by_service(self, now: float) -> dict[ServiceName, list[TargetNumber]]:
+        """Return the numbers of the targets of each service that may get a call."""
+        return {
+            service: [number_target(target.id) for target in self.candidates(service, now)]
+            for service in self.by_service
+        }
+
     def find_slots(self, number: TargetNumber) -> int | None:
         """Return a target's slots, at least 1; None for an unknown target."""
         target = self.by_number.get(number)
--- a/gradepoint/jobs/slot_sharing.py
+++ b/gradepoint/jobs/slot_sharing.py
@@ -11,27 +11,22 @@
     from ..gateway.targets import Target
     from ..ids import TargetId
 
-RESERVED_SLOTS = 1
-"""Slots of a target that batch items leave free, so that the next caller gets one at once. A batch
-item is preempted for the caller after it within one interval of the hosts' datagrams."""
 
-
-def batch_slot_limit(slots: int) -> int:
-    """Return how many of a target's slots may be in use once a batch item has started there."""
-    return max(1, slots - RESERVED_SLOTS)
-
-
-def count_spare_slots(targets: list[Target], in_flight_elsewhere: Callable[[TargetId], int]) -> int:
+def count_spare_slots(
+    targets: list[Target],
+    in_flight_elsewhere: Callable[[TargetId], int],
+    find_limit: Callable[[Target], int],
+) -> int:
     """Return how many items could start at *targets* without making a caller wait.
 
     :param in_flight_elsewhere: returns the requests that other hosts have in flight at a target.
+    :param find_limit: returns how many slots of a target may be in use once an item has started
+        there.
     """
     return sum(
         max(
             0,
-            batch_slot_limit(max(1, target.listed.slots))
-            - target.in_flight
-            - in_flight_elsewhere(target.id),
+            find_limit(target) - target.in_flight - in_flight_elsewhere(target.id),
         )
         for target in targets
     )
@@ -56,6 +51,7 @@
 def choose_batch_target(
     candidates: list[Target],
     in_flight_elsewhere: Callable[[TargetId], int],
+    find_limit: Callable[[Target], int],
     excluded: Collection[TargetId],
     rng: random.Random,
 ) -> Target | None:
@@ -66,6 +62,7 @@
     spare slots, and a target gets one item of a host at a time.
 
     :param in_flight_elsewhere: returns the requests that other hosts have in flight at a target.
+    :param find_limit: as of :func:`count_spare_slots`.
     :param excluded: targets that got an item of this host that the other hosts do not know of
         yet, or that are reserved for a single request.
     """
@@ -73,9 +70,7 @@
     weights = [
         max(
             0,
-            batch_slot_limit(max(1, target.listed.slots))
-            - target.in_flight
-            - in_flight_elsewhere(target.id),
+            find_limit(target) - target.in_flight - in_flight_elsewhere(target.id),
         )
         ** 2
         for target in remaining
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -16,6 +16,7 @@
 from ..gateway.forwarding import OtherInstance, TargetBusy, TargetFailed
 from ..gateway.suspicion import TRIAL_RETRY_S
 from ..kv.service import ABSENT
+from ..routing.batch_headroom import find_start_limit
 from ..routing.suspects import Standing
 from ..telemetry import metrics
 from ..telemetry.logs import emit
@@ -103,6 +104,8 @@
     :param propagation_delay_s: returns the seconds until other hosts know what this host has in
         flight.
     :param remote_waiting: returns the weight of the items that wait on other hosts.
+    :param find_call_rate: returns the mean calls per second that arrive at each target of a
+        service; None if it is unknown.
     :ivar last_started_at: monotonic time at which each target last got an item of this host.
     :ivar preempted_at: monotonic time at which this host last preempted an item at each target.
     :ivar jobs: jobs that this host runs, and finished ones that are kept for readers.
@@ -122,6 +125,7 @@
     must_preempt: Callable[[TargetId], bool]
     propagation_delay_s: Callable[[], float]
     remote_waiting: Callable[[], int]
+    find_call_rate: Callable[[ServiceName], float | None]
     last_started_at: dict[TargetId, float] = field(default_factory=dict)
     preempted_at: dict[TargetId, float] = field(default_factory=dict)
     jobs: dict[JobId, OwnedJob] = field(default_factory=dict)
@@ -436,7 +440,14 @@
         candidates = self.forwarder.targets.candidates(service, now)
         excluded = {name for name, at in self.last_started_at.items() if now - at < propagation_s}
         excluded |= self.forwarder.suspicion.find_reserved()
-        return choose_batch_target(candidates, self.forwarder.remote_in_flight, excluded, self.rng)
+        return choose_batch_target(
+            candidates, self.forwarder.remote_in_flight, self._find_limit, excluded, self.rng
+        )
+
+    def _find_limit(self, target: Target) -> int:
+        """Return how many slots of a target may be in use once an item has started there."""
+        rate = self.find_call_rate(target.listed.service)
+        return find_start_limit(max(1, target.listed.slots), rate)
 
     def _choose_trial(
         self, request: RequestIdentity, standing: Standing, service: ServiceName
@@ -460,7 +471,7 @@
             return
         self.last_shared_at = now
         targets = self.forwarder.targets.working(now)
-        spare = count_spare_slots(targets, self.forwarder.remote_in_flight)
+        spare = count_spare_slots(targets, self.forwarder.remote_in_flight, self._find_limit)
         own = self.sum_waiting_weight()
         self.start_allowance = allot_spare_slots(spare, own, self.remote_waiting(), self.rng)
 
--- a/gradepoint/peers/aggregation.py
+++ b/gradepoint/peers/aggregation.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ..routing.batch_headroom import CallArrivals, find_preemption_limit
 from ..routing.quota_ledger import QuotaLedger
 from ..routing.suspects import SuspectsMessage
 from ..util.clock import monotonic
@@ -18,7 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from ..ids import Incarnation, OrganisationNumber, RequestKey, TargetNumber
+    from ..ids import Incarnation, OrganisationNumber, RequestKey, ServiceName, TargetNumber
 
 RELIANCE_LIFETIME_S = 0.6
 """Seconds after its last report that a host still counts as relying on this aggregator: more than
@@ -28,21 +29,23 @@
 are two thirds of a digest, and successes only undo the effect of failures, so they can wait."""
 ROOM_UNITS_PER_CALL = 10
 """Units per call in which room is sent; a small organisation may have one call per second."""
+RATE_UNITS_PER_CALL = 10
+"""Units per call in which the rate of calls per target is sent; in a trough it is about one."""
 PERCENT = 100
 STALE_S = 0.9
 """Seconds after which a report or digest is outdated: at least three are missing then."""
 
 
 def choose_hosts_to_preempt(
-    load: int, slots: int, target: TargetNumber, holders: Iterable[Incarnation]
+    load: int, limit: int, target: TargetNumber, holders: Iterable[Incarnation]
 ) -> list[Incarnation]:
     """Return the hosts that must each preempt one item at an overloaded target.
 
     :param load: calls and items in flight there, over all hosts.
-    :param slots: sequences that the target runs at the same time.
+    :param limit: calls and items in flight above which items are preempted.
     :param holders: hosts that have an item there.
     """
-    surplus = load - slots
+    surplus = load - limit
     if surplus <= 0:
         return []
     ordered = sorted(holders, key=lambda host: score(host, str(target)), reverse=True)
@@ -83,8 +86,10 @@
 
     :param find_slots: returns a target's slots; None for a target that this host does not know.
     :param ledger: adds up the calls that hosts granted to organisations.
+    :param number_by_service: returns the targets of each service that may get a call.
     :ivar reports: newest report by host.
     :ivar loads: calls and items in flight by target.
+    :ivar arrivals: calls that hosts have begun lately.
     :ivar waiting: weight of the items that could start.
     :ivar changed: a report has changed since the last digest.
     :ivar results: results of all hosts by target since this aggregator started.
@@ -99,8 +104,10 @@
 
     find_slots: Callable[[TargetNumber], int | None]
     ledger: QuotaLedger = field(default_factory=make_empty_ledger)
+    number_by_service: Callable[[], dict[ServiceName, list[TargetNumber]]] = dict
     reports: dict[Incarnation, ReceivedReport] = field(default_factory=dict)
     loads: dict[TargetNumber, int] = field(default_factory=dict)
+    arrivals: CallArrivals = field(default_factory=CallArrivals)
     waiting: int = 0
     changed: bool = False
     results: dict[TargetNumber, ResultCount] = field(default_factory=dict)
@@ -117,6 +124,7 @@
             if report.number < former.report.number:
                 return
             self._add(former.report, -1)
+            self.arrivals.observe(former.report.calls, report.calls, monotonic())
         self._add(report, 1)
         heard = ReceivedReport(report, monotonic(), address)
         if former is not None:
@@ -171,20 +179,33 @@
         sends_all = now - self.results_sent_at >= RESULTS_GAP_S
         if sends_all:
             self.results_sent_at = now
+        rates = self._find_call_rates(now)
         return Sums(
             own,
             self.loads,
             self._find_results(sends_all=sends_all),
             self.waiting,
-            self._find_hosts_to_preempt(),
+            self._find_hosts_to_preempt(rates),
             self.relied_on,
             sends_all,
             self.make_suspects_message(),
             self._find_trials(),
             self._find_rooms(now),
             math.floor(self.ledger.find_heard_share(now) * PERCENT),
+            call_rates={
+                service: round(rate * RATE_UNITS_PER_CALL) for service, (rate, _) in rates.items()
+            },
         )
 
+    def _find_call_rates(self, now: float) -> dict[ServiceName, tuple[float, list[TargetNumber]]]:
+        """Return the mean calls per second at each target of a service, and these targets."""
+        found = {}
+        for service, targets in self.number_by_service().items():
+            rate = self.arrivals.find_rate(targets, now)
+            if rate is not None:
+                found[service] = rate, targets
+        return found
+
     def _find_rooms(self, now: float) -> dict[OrganisationNumber, int]:
         """Return the room of organisations near their limit, in units of
         1/:data:`ROOM_UNITS_PER_CALL` call."""
@@ -211,18 +232,28 @@
             found[target] = reported
         return found
 
-    def _find_hosts_to_preempt(self) -> dict[TargetNumber, list[int]]:
+    def _find_hosts_to_preempt(
+        self, rates: dict[ServiceName, tuple[float, list[TargetNumber]]]
+    ) -> dict[TargetNumber, list[int]]:
+        """Return short numbers of the hosts that must preempt an item, by target.
+
+        :param rates: as of :meth:`_find_call_rates`.
+        """
+        rate_by_target = {target: rate for rate, targets in rates.values() for target in targets}
         chosen = {}
         for target, load in self.loads.items():
             slots = self.find_slots(target)
-            if slots is None or load <= slots:
+            if slots is None:
+                continue
+            limit = find_preemption_limit(slots, rate_by_target.get(target))
+            if load <= limit:
                 continue
             holders = [
                 incarnation
                 for incarnation, row in self.reports.items()
                 if target in row.report.items
             ]
-            hosts = choose_hosts_to_preempt(load, slots, target, holders)
+            hosts = choose_hosts_to_preempt(load, limit, target, holders)
             if hosts:
                 chosen[target] = [hash32(host) for host in hosts]
         return chosen
--- a/gradepoint/peers/datagrams.py
+++ b/gradepoint/peers/datagrams.py
@@ -10,7 +10,14 @@
 import msgspec
 
 from .. import events
-from ..ids import ConfigVersion, Incarnation, OrganisationNumber, RequestKey, TargetNumber
+from ..ids import (
+    ConfigVersion,
+    Incarnation,
+    OrganisationNumber,
+    RequestKey,
+    ServiceName,
+    TargetNumber,
+)
 from ..routing.suspects import SuspectsMessage
 from ..telemetry.logs import emit
 from ..util.hashing import hash32
@@ -114,6 +121,8 @@
     :param refused: short numbers of the requests that any host refused lately for lack of room.
     :param shares: percentage of its calls that an organisation above its fair share may send, for
         those organisations only.
+    :param call_rates: mean tenths of calls per second that arrive at each target of a service;
+        empty until the aggregator has measured them.
     """
 
     aggregator: Incarnation
@@ -131,6 +140,7 @@
     paces: dict[TargetNumber, int] = {}
     refused: list[int] = []
     shares: dict[OrganisationNumber, int] = {}
+    call_rates: dict[ServiceName, int] = {}
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True, tag="digest"):
--- a/gradepoint/peers/occupancy.py
+++ b/gradepoint/peers/occupancy.py
@@ -23,14 +23,20 @@
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.hashing import hash32, rank
-from .aggregation import PERCENT, ROOM_UNITS_PER_CALL, STALE_S, Aggregation
+from .aggregation import (
+    PERCENT,
+    RATE_UNITS_PER_CALL,
+    ROOM_UNITS_PER_CALL,
+    STALE_S,
+    Aggregation,
+)
 from .datagrams import DATAGRAM_FORMAT, Digest, Report, Sums, number_target
 from .results import KnownResults, merge_results
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..ids import Incarnation, RequestKey, TargetId, TargetNumber
+    from ..ids import Incarnation, RequestKey, ServiceName, TargetId, TargetNumber
     from .datagrams import DatagramSocket
 
 AGGREGATOR_COUNT = 3
@@ -149,6 +155,15 @@
         """Return the weight of the items of other hosts that could start."""
         return max((heard.waiting for heard in self._find_relevant_sums()), default=0)
 
+    def find_call_rate(self, service: ServiceName) -> float | None:
+        """Return the mean calls per second that arrive at each target of a service.
+
+        None is returned if no aggregator has measured it.
+        """
+        heard = self.heard.get(self._find_authoritative_aggregator() or self.own)
+        rate = None if heard is None else heard.sums.call_rates.get(service)
+        return None if rate is None else rate / RATE_UNITS_PER_CALL
+
     def find_room_reports(self) -> list[RoomReport]:
         """Return the room reports on organisations near their limit."""
         return [heard.room_report for heard in self._find_relevant_sums()]
--- a/tests/test_jobs/test_jobs_decisions.py
+++ b/tests/test_jobs/test_jobs_decisions.py
@@ -25,12 +25,12 @@
 from gradepoint.jobs.repository import StoredJob
 from gradepoint.jobs.slot_sharing import (
     allot_spare_slots,
-    batch_slot_limit,
     choose_batch_target,
     count_spare_slots,
 )
 from gradepoint.peers.presence import PRESENCE_PREFIX, HostPresence, HostTable
 from gradepoint.peers.silence import SILENT_S, Silence
+from gradepoint.routing.batch_headroom import find_start_limit
 from gradepoint.standins.virtual_time import run_virtual
 
 RNG = random.Random(1)
@@ -46,13 +46,18 @@
     ]
 
 
+def find_limit(target: Target) -> int:
+    """Return the slots that items may fill while the rate of calls is unknown."""
+    return find_start_limit(target.listed.slots, None)
+
+
 @pytest.mark.parametrize(("slots", "most"), [(1, 1), (2, 1), (4, 3), (8, 7), (16, 15)])
 def test_batch_items_leave_reserved_slots_free(slots: int, most: int) -> None:
     """Without the reserve, a caller would have to queue behind batch items."""
-    assert batch_slot_limit(slots) == most
+    assert find_limit(make_targets(1, slots)[0]) == most
     (target,) = make_targets(1, slots)
     placed = 0
-    while choose_batch_target([target], lambda _: 0, (), RNG) is not None:
+    while choose_batch_target([target], lambda _: 0, find_limit, (), RNG) is not None:
         target.in_flight += 1
         placed += 1
     assert placed == most
@@ -67,7 +72,7 @@
     found = Counter(
         target.id
         for _ in range(900)
-        if (target := choose_batch_target(targets, lambda _: 0, (), RNG)) is not None
+        if (target := choose_batch_target(targets, lambda _: 0, find_limit, (), RNG)) is not None
     )
     assert len(found) == 9
     assert found.most_common(1)[0][1] < 200
@@ -79,10 +84,10 @@
     targets = make_targets(3)
     fed: set[TargetId] = set()
     for _ in range(3):
-        found = choose_batch_target(targets, lambda _: 0, fed, RNG)
+        found = choose_batch_target(targets, lambda _: 0, find_limit, fed, RNG)
         assert found is not None
         fed.add(found.id)
-    assert choose_batch_target(targets, lambda _: 0, fed, RNG) is None
+    assert choose_batch_target(targets, lambda _: 0, find_limit, fed, RNG) is None
 
 
 def test_hosts_share_spare_slots_by_weight() -> None:
@@ -99,8 +104,8 @@
     assert allot_spare_slots(30, 0, 50, rng) == 0
     assert allot_spare_slots(7, 20, 0, rng) == 7
     targets = make_targets(2)
-    assert count_spare_slots(targets, lambda _: 3) == 2 * (batch_slot_limit(8) - 3)
-    assert count_spare_slots(targets, lambda _: 20) == 0
+    assert count_spare_slots(targets, lambda _: 3, find_limit) == 2 * (7 - 3)
+    assert count_spare_slots(targets, lambda _: 20, find_limit) == 0
 
 
 def make_job(name: str, owner: Incarnation, *, ended: bool = False) -> StoredJob:
--- a/tests/test_peers/test_peers_occupancy.py
+++ b/tests/test_peers/test_peers_occupancy.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from gradepoint.ids import Incarnation, TargetId, TargetNumber
+from gradepoint.ids import Incarnation, ServiceName, TargetId, TargetNumber
 from gradepoint.peers.aggregation import (
     RESULTS_GAP_S,
     STALE_S,
@@ -24,6 +24,7 @@
 )
 from gradepoint.peers.occupancy import AGGREGATOR_COUNT, Occupancy, choose_aggregators
 from gradepoint.peers.results import ResultCount
+from gradepoint.routing.batch_headroom import RATE_WINDOW_S
 from gradepoint.standins.virtual_time import run_virtual
 from tests.support.datagram_net import LATENCY_S, DatagramNet
 
@@ -249,6 +250,31 @@
     run_virtual(main())
 
 
+def test_items_release_slots_when_calls_arrive_faster() -> None:
+    """At a rising peak a target has to have a free slot before the calls arrive that need it."""
+
+    async def main() -> None:
+        _, hosts = await start(6)
+        service = ServiceName("model")
+        for host in hosts:
+            host.occupancy.aggregation.number_by_service = lambda: {service: [NUMBER]}
+        hosts[0].set_load(0, SLOTS - 3)
+        await asyncio.sleep(1.0)
+        assert {host.occupancy.find_call_rate(service) for host in hosts} == {0.0}
+        assert not hosts[0].occupancy.must_preempt(TARGET)
+        for host in hosts[1:4]:
+            host.set_load(1)
+        await asyncio.sleep(0.1)
+        rates = {host.occupancy.find_call_rate(service) for host in hosts}
+        assert rates == {3 / RATE_WINDOW_S}
+        assert hosts[0].occupancy.must_preempt(TARGET)
+        await asyncio.sleep(1.0)
+        assert not hosts[0].occupancy.must_preempt(TARGET)
+        stop(hosts)
+
+    run_virtual(main())
+
+
 def test_hosts_that_hear_the_same_choose_the_same_aggregators() -> None:
     incarnations = [Incarnation(f"h{number}:x") for number in range(9)]
     chosen = choose_aggregators(frozenset(incarnations))
