Add the setting batch_headroom

Change: with batch_headroom off (default on), aggregators measure and send no rate of calls, and all hosts use the former limits.

--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -152,7 +152,10 @@
             Aggregation(
                 self.targets.find_slots,
                 self.make_ledger(),
-                lambda: self.targets.number_by_service(monotonic()),
+                # Without the services' targets, no rate of calls is measured or sent.
+                lambda: (
+                    self.targets.number_by_service(monotonic()) if settings.batch_headroom else {}
+                ),
             ),
         )
         self.stall_detector = StallDetector(self.refresh_after_stall)
--- a/gradepoint/gateway/settings.py
+++ b/gradepoint/gateway/settings.py
@@ -95,6 +95,12 @@
         5000.0,
         "Milliseconds from the removal of a key until 'revoke_strictly' applies.",
     ),
+    Setting(
+        "batch_headroom",
+        bool,
+        True,
+        "Whether batch items leave slots free by the rate of calls; otherwise always one.",
+    ),
     Setting("metrics_port", int, 9464, "HTTP port of the metrics page."),
     Setting("log_level", str, "INFO", "Lowest log level that is written."),
     Setting("log_style", str, "json", "Format of log lines: 'json' or 'text'."),
@@ -125,6 +131,7 @@
     quota_window_s: float
     revoke_strictly: bool
     revoke_ms: float
+    batch_headroom: bool
     metrics_port: int
     log_level: str
     log_style: str
