--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -156,7 +156,14 @@
             self.own.incarnation,
             lambda number: make_report(self, number),
             self.targets.record_remote_results,
-            Aggregation(self.targets.find_slots, self.make_ledger()),
+            Aggregation(
+                self.targets.find_slots,
+                self.make_ledger(),
+                # Without the services' targets, no rate of calls is measured or sent.
+                lambda: (
+                    self.targets.number_by_service(monotonic()) if settings.batch_headroom else {}
+                ),
+            ),
             lambda: {**self.heartbeats.capacities(), self.own.incarnation: self.capacity},
         )
         self.stall_detector = StallDetector(self.refresh_after_stall)
@@ -208,6 +215,7 @@
             lambda: self.occupancy.delay_s,
             self.occupancy.remote_waiting,
             self.may_start_items,
+            self.occupancy.find_call_rate,
         )
         self.intake = Intake(
             self.repository,
--- a/gradepoint/gateway/settings.py
+++ b/gradepoint/gateway/settings.py
@@ -115,6 +115,12 @@
         True,
         "Whether targets are chosen by their measured speed; otherwise by load alone.",
     ),
+    Setting(
+        "batch_headroom",
+        bool,
+        True,
+        "Whether batch items leave slots free by the rate of calls; otherwise always one.",
+    ),
     Setting("metrics_port", int, 9464, "HTTP port of the metrics page."),
     Setting("log_level", str, "INFO", "Lowest log level that is written."),
     Setting("log_style", str, "json", "Format of log lines: 'json' or 'text'."),
@@ -147,6 +153,7 @@
     link_mbps: float
     memory_mb: float
     target_model: bool
+    batch_headroom: bool
     metrics_port: int
     log_level: str
     log_style: str
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -15,6 +15,7 @@
 from ..gateway.forwarding import OtherInstance, TargetBusy, TargetFailed
 from ..gateway.suspicion import TRIAL_RETRY_S
 from ..kv.service import ABSENT
+from ..routing.batch_headroom import find_start_limit
 from ..routing.suspects import Standing
 from ..telemetry import metrics
 from ..telemetry.logs import emit
@@ -98,6 +99,8 @@
         flight.
     :param remote_waiting: returns the weight of the items that wait on other hosts.
     :param may_start_items: whether enough is known of the other hosts to start items.
+    :param find_call_rate: returns the mean calls per second that arrive at each target of a
+        service; None if it is unknown.
     :ivar last_started_at: monotonic time at which each target last got an item of this host.
     :ivar preempted_at: monotonic time at which this host last preempted an item at each target.
     :ivar jobs: jobs that this host runs, and finished ones that are kept for readers.
@@ -118,6 +121,7 @@
     propagation_delay_s: Callable[[], float]
     remote_waiting: Callable[[], int]
     may_start_items: Callable[[], bool]
+    find_call_rate: Callable[[ServiceName], float | None]
     last_started_at: dict[TargetId, float] = field(default_factory=dict)
     preempted_at: dict[TargetId, float] = field(default_factory=dict)
     jobs: dict[JobId, OwnedJob] = field(default_factory=dict)
@@ -439,9 +443,19 @@
         loads = self.forwarder.loads
         paces = loads.find_unusual_paces() if loads is not None else None
         return choose_batch_target(
-            candidates, self.forwarder.remote_in_flight, excluded, self.rng, paces
+            candidates,
+            self.forwarder.remote_in_flight,
+            self._find_limit,
+            excluded,
+            self.rng,
+            paces,
         )
 
+    def _find_limit(self, target: Target) -> int:
+        """Return how many slots of a target may be in use once an item has started there."""
+        rate = self.find_call_rate(target.listed.service)
+        return find_start_limit(max(1, target.listed.slots), rate)
+
     def _choose_trial(
         self, request: RequestIdentity, standing: Standing, service: ServiceName
     ) -> Target | None:
@@ -464,7 +478,7 @@
             return
         self.last_shared_at = now
         targets = self.forwarder.targets.working(now)
-        spare = count_spare_slots(targets, self.forwarder.remote_in_flight)
+        spare = count_spare_slots(targets, self.forwarder.remote_in_flight, self._find_limit)
         own = self.sum_waiting_weight()
         self.start_allowance = allot_spare_slots(spare, own, self.remote_waiting(), self.rng)
 
--- a/gradepoint/peers/occupancy.py
+++ b/gradepoint/peers/occupancy.py
@@ -24,7 +24,14 @@
 from ..util.clock import monotonic
 from ..util.hashing import hash32
 from ..util.structs import Struct, field
-from .aggregation import PERCENT, ROOM_UNITS_PER_CALL, STALE_S, Aggregation, add_counts
+from .aggregation import (
+    PERCENT,
+    RATE_UNITS_PER_CALL,
+    ROOM_UNITS_PER_CALL,
+    STALE_S,
+    Aggregation,
+    add_counts,
+)
 from .datagrams import DATAGRAM_FORMAT, Digest, RelayedDigest, Report, Sums, number_target
 from .relays import (
     MAX_DIRECT_RECEIVERS,
@@ -39,7 +46,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..ids import CapacityClass, Incarnation, RequestKey, TargetId, TargetNumber
+    from ..ids import CapacityClass, Incarnation, RequestKey, ServiceName, TargetId, TargetNumber
     from .aggregation import ReceivedReport
     from .datagrams import DatagramSocket
 
@@ -225,6 +232,15 @@
         """Return the weight of the items of other hosts that could start."""
         return max((heard.waiting for heard in self._find_relevant_sums()), default=0)
 
+    def find_call_rate(self, service: ServiceName) -> float | None:
+        """Return the mean calls per second that arrive at each target of a service.
+
+        None is returned if no aggregator has measured it.
+        """
+        heard = self.heard.get(self._find_authoritative_aggregator() or self.own)
+        rate = None if heard is None else heard.sums.call_rates.get(service)
+        return None if rate is None else rate / RATE_UNITS_PER_CALL
+
     def find_room_reports(self) -> list[RoomReport]:
         """Return the room reports on organisations near their limit."""
         return [heard.room_report for heard in self._find_relevant_sums()]
