Compute fair shares of organisations in a shortage and limit calls by them

Cause: while there is not room for all calls, an organisation with several times its usual load displaces the calls of all others alike.

Change: hosts report the demands of organisations while calls are refused for lack of room, the aggregator sends the percentage of its new calls that each organisation above the max-min level may send, and hosts admit that share evenly spaced. The rank of a call is the organisation's `priority`, or its route's. `gradepoint load` shows the state; refusals are counted by reason and organisation.

--- a/gradepoint/cmd/main.py
+++ b/gradepoint/cmd/main.py
@@ -26,6 +26,7 @@
 from ..errors import CATALOGUE
 from .explain import explain_request
 from .held import release_held, show_held
+from .load import show_load
 from .local import run_local
 from .quota import show_quotas
 from .reference import write_reference
@@ -199,6 +200,15 @@
         raise typer.Exit(EXIT_NEGATIVE)
 
 
+@app.command()
+def load(
+    gateway: Annotated[str, typer.Argument(help="IP:PORT of a gateway's metrics page.")],
+    as_json: JsonOption = False,
+) -> None:
+    """Show the load of targets, services and organisations, and recent refusals."""
+    show_load(partial(_call_api, AdminClient(f"http://{gateway}", "")), as_json=as_json)
+
+
 @app.command()
 def held(
     gateway: Annotated[str, typer.Argument(help="IP:PORT of a gateway's metrics page.")],
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -59,13 +59,16 @@
 from .quota_gate import QuotaGate
 from .quota_page import PAGE as QUOTA_PAGE
 from .quota_page import answer_quotas
+from .refusals import RecentRefusals
 from .retirement import Retirement
+from .share_limits import ShareLimits, compute_room, count_calls_by_organisation
 from .stall import StallDetector
 from .suspicion import Suspicion, connect_suspicion
 from .target_crashes import CrashDetector
 from .targets import TargetSet
 
 if TYPE_CHECKING:
+    from ..ids import OrganisationNumber
     from ..kv.relay import LongPollService
     from ..wire.http_types import Request
     from .configuration import Configuration
@@ -149,7 +152,12 @@
             self.own.incarnation,
             lambda number: make_report(self, number),
             self.targets.record_remote_results,
-            Aggregation(self.targets.find_slots, self.make_ledger()),
+            Aggregation(
+                self.targets.find_slots,
+                self.make_ledger(),
+                # Every target counts with the usual pace.
+                lambda: compute_room(self.targets.working(monotonic()), lambda _: 1.0),
+            ),
         )
         self.stall_detector = StallDetector(self.refresh_after_stall)
         self.crash_detector = CrashDetector(
@@ -181,6 +189,16 @@
         )
         self.configuration = ActiveConfiguration(platform.decode_configuration, self.apply_limits)
         self.quotas = self.make_quotas()
+        self.refusals = RecentRefusals()
+        self.share_limits = ShareLimits(
+            self.occupancy.find_shares,
+            self.occupancy.hears_shortage,
+            self.count_calls_by_organisation,
+            # A call refused per second counts as one slot.
+            lambda _: 1.0,
+            new_rng().random,
+            lambda: self.occupancy.changed.set(),
+        )
         self.repository = JobRepository(kv, settings.store_value_bytes)
         self.worker = Worker(
             self.repository,
@@ -247,6 +265,8 @@
                 RevocationTerms(settings.revoke_strictly, settings.revoke_ms / 1000),
             ),
             self.quotas,
+            self.refusals,
+            self.share_limits,
             self.forwarder,
             self.jobs,
             self.watchers.first_read,
@@ -306,6 +326,13 @@
         terms = QuotaTerms(settings.quota_window_s, settings.quota_excess, settings.quota_slack)
         return QuotaGate(self.configuration, host, terms)
 
+    def count_calls_by_organisation(self) -> dict[OrganisationNumber, int]:
+        """Return this host's calls in flight by organisation."""
+        current = self.configuration.current
+        return count_calls_by_organisation(
+            self.targets.by_id.values(), current.organisations if current else None
+        )
+
     def make_watchers(self) -> Watchers:
         """Return the watchers that keep configuration, targets and live hosts up to date."""
         platform = self.platform
--- a/gradepoint/gateway/calls.py
+++ b/gradepoint/gateway/calls.py
@@ -29,6 +29,8 @@
     from .forwarding import Forwarder
     from .organisations import Organisation
     from .quota_gate import QuotaGate
+    from .refusals import RecentRefusals
+    from .share_limits import ShareLimits
     from .stall import StallDetector
 
 STARTUP_WAIT_S = 0.15
@@ -38,6 +40,9 @@
 """``Retry-After`` in seconds from a host that has no configuration yet: the time of a few reads of
 the store."""
 
+NO_ROOM = "no_room"
+"""Code of refusals for lack of room, and beyond an organisation's fair share."""
+
 
 @dataclass
 class CallRouter:
@@ -45,6 +50,8 @@
 
     :param callers: finds the calling organisation and the route.
     :param quotas: enforces the call quotas of organisations.
+    :param refusals: counts refusals by reason and organisation.
+    :param share_limits: learns of calls that are refused for lack of room.
     :param first_read: set once every view of the store has been read.
     :param stall_detector: makes calls wait for fresh data after the process was paused.
     :ivar started_at: monotonic time at which this host began to listen.
@@ -57,6 +64,8 @@
     configuration: ActiveConfiguration
     callers: CallerCheck
     quotas: QuotaGate
+    refusals: RecentRefusals
+    share_limits: ShareLimits
     forwarder: Forwarder
     jobs: JobApi
     first_read: asyncio.Event
@@ -101,11 +110,26 @@
         if monotonic() >= self.refuses_from:
             raise GradepointError("host_stopping")
         call = create_call(self.forwarder, route, head, request, body)
-        if organisation is None:
-            return await call.answer()
-        name = organisation.name
-        call.is_still_authorised = lambda: self.callers.is_still_authorised(key, name)
-        return await self._answer_within_quota(call, organisation)
+        if organisation is not None:
+            name = organisation.name
+            call.is_still_authorised = lambda: self.callers.is_still_authorised(key, name)
+        try:
+            if organisation is None:
+                return await call.answer()
+            return await self._answer_within_quota(call, organisation)
+        except GradepointError as error:
+            if not call.may_have_run:
+                self._record_refusal(call, organisation, error)
+            raise
+
+    def _record_refusal(
+        self, call: LiveCall, organisation: Organisation | None, error: GradepointError
+    ) -> None:
+        self.refusals.record(error.code, organisation.name if organisation else None)
+        if error.code == NO_ROOM:
+            self.share_limits.record_refusal(
+                organisation.number if organisation else None, call.service
+            )
 
     async def _answer_within_quota(self, call: LiveCall, organisation: Organisation) -> Response:
         """Answer a call of an organisation and count it against the organisation's quota.
--- a/gradepoint/gateway/organisations.py
+++ b/gradepoint/gateway/organisations.py
@@ -39,11 +39,14 @@
 
     :param keys: digests of its API keys.
     :param quota: limit on its rate of calls; None sets no limit.
+    :param priority: rank of its calls in a shortage, 0 being the highest; None for that of the
+        route.
     """
 
     name: OrganisationName
     keys: tuple[KeyDigest, ...]
     quota: Quota | None = None
+    priority: int | None = None
 
     @property
     def number(self) -> OrganisationNumber:
--- a/gradepoint/gateway/outgoing.py
+++ b/gradepoint/gateway/outgoing.py
@@ -34,8 +34,8 @@
     """Return the report of this host to the aggregators.
 
     It contains calls and items in flight, waiting work, results of calls, suspected requests,
-    trials and granted calls. Items count as in flight at their targets too, so that they are
-    subtracted from the calls there.
+    trials, granted calls and, in a shortage, the demands of organisations. Items count as in
+    flight at their targets too, so that they are subtracted from the calls there.
 
     :param number: sequence number of the report.
     """
@@ -57,4 +57,5 @@
         suspects=gateway.suspicion.make_own_message(),
         trials=gateway.suspicion.list_own_trials(),
         grants=gateway.quotas.host.find_recent_grants(monotonic()),
+        demands=gateway.share_limits.find_demands(),
     )
--- a/gradepoint/peers/aggregation.py
+++ b/gradepoint/peers/aggregation.py
@@ -4,10 +4,11 @@
 
 import math
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
 
+from ..routing.fair_shares import compute_shares
 from ..routing.quota_ledger import QuotaLedger
 from ..routing.suspects import SuspectsMessage
 from ..util.clock import monotonic
@@ -20,6 +21,8 @@
 
     from ..ids import Incarnation, OrganisationNumber, RequestKey, TargetNumber
 
+Number = TypeVar("Number", bound=int)
+
 RELIANCE_LIFETIME_S = 0.6
 """Seconds after its last report that a host still counts as relying on this aggregator: more than
 two of the longest report gaps, so that the loss of one datagram changes nothing."""
@@ -29,6 +32,9 @@
 ROOM_UNITS_PER_CALL = 10
 """Units per call in which room is sent; a small organisation may have one call per second."""
 PERCENT = 100
+DEMAND_UNITS_PER_SLOT = 10
+"""Units per slot in which demands are sent. A host's part of an organisation's demand is often less
+than one slot."""
 STALE_S = 0.9
 """Seconds after which a report or digest is outdated: at least three are missing then."""
 
@@ -49,6 +55,16 @@
     return ordered[:surplus]
 
 
+def _add_counts(sums: dict[Number, int], counts: dict[Number, int], sign: int) -> None:
+    """Add *counts* times *sign* to *sums*, which has no entries of zero."""
+    for key, number in counts.items():
+        total = sums.get(key, 0) + sign * number
+        if total:
+            sums[key] = total
+        else:
+            sums.pop(key, None)
+
+
 def make_empty_ledger() -> QuotaLedger:
     """Return a quota ledger without organisations."""
     return QuotaLedger(lambda _: None, lambda _: None, list)
@@ -83,8 +99,11 @@
 
     :param find_slots: returns a target's slots; None for a target that this host does not know.
     :param ledger: adds up the calls that hosts granted to organisations.
+    :param find_room: returns the slots that all targets together offer to calls; infinite if
+        that is unknown, and then no organisation is limited.
     :ivar reports: newest report by host.
     :ivar loads: calls and items in flight by target.
+    :ivar demands: demand by organisation in 1/:data:`DEMAND_UNITS_PER_SLOT` slots.
     :ivar waiting: weight of the items that could start.
     :ivar changed: a report has changed since the last digest.
     :ivar results: results of all hosts by target since this aggregator started.
@@ -99,8 +118,10 @@
 
     find_slots: Callable[[TargetNumber], int | None]
     ledger: QuotaLedger = field(default_factory=make_empty_ledger)
+    find_room: Callable[[], float] = lambda: math.inf
     reports: dict[Incarnation, ReceivedReport] = field(default_factory=dict)
     loads: dict[TargetNumber, int] = field(default_factory=dict)
+    demands: dict[OrganisationNumber, int] = field(default_factory=dict)
     waiting: int = 0
     changed: bool = False
     results: dict[TargetNumber, ResultCount] = field(default_factory=dict)
@@ -142,15 +163,10 @@
         self.ledger.refresh_listed(monotonic())
 
     def _add(self, report: Report, sign: int) -> None:
-        loads = self.loads
         self.waiting += sign * report.waiting
-        for counts in (report.calls, report.items):
-            for target, number in counts.items():
-                load = loads.get(target, 0) + sign * number
-                if load:
-                    loads[target] = load
-                else:
-                    loads.pop(target, None)
+        _add_counts(self.loads, report.calls, sign)
+        _add_counts(self.loads, report.items, sign)
+        _add_counts(self.demands, report.demands, sign)
 
     def _add_results(self, report: Report) -> None:
         heard = self.known_results.setdefault(report.incarnation, {})
@@ -183,6 +199,17 @@
             self._find_trials(),
             self._find_rooms(now),
             math.floor(self.ledger.find_heard_share(now) * PERCENT),
+            shares=self._find_shares(),
+        )
+
+    def _find_shares(self) -> dict[OrganisationNumber, int]:
+        """Return the percentage of its new calls that each organisation above its fair share may
+        send."""
+        if not self.demands:
+            return {}
+        return compute_shares(
+            {number: units / DEMAND_UNITS_PER_SLOT for number, units in self.demands.items()},
+            self.find_room(),
         )
 
     def _find_rooms(self, now: float) -> dict[OrganisationNumber, int]:
--- a/gradepoint/peers/datagrams.py
+++ b/gradepoint/peers/datagrams.py
@@ -74,7 +74,8 @@
     :param paces: events received from a target and the milliseconds they took, in the last second,
         by target.
     :param refused: short numbers of the requests that the host refused lately for lack of room.
-    :param demands: calls in flight and lately refused, by organisation, while there is a shortage.
+    :param demands: demand of the host's largest organisations while there is a shortage, in tenths
+        of a slot: calls in flight, and refused calls per second times the seconds of a call.
     """
 
     format: int
--- a/gradepoint/peers/occupancy.py
+++ b/gradepoint/peers/occupancy.py
@@ -30,7 +30,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..ids import Incarnation, RequestKey, TargetId, TargetNumber
+    from ..ids import Incarnation, OrganisationNumber, RequestKey, TargetId, TargetNumber
     from .datagrams import DatagramSocket
 
 AGGREGATOR_COUNT = 3
@@ -54,6 +54,9 @@
 aggregator. After that the host relies on the next aggregator."""
 DISTRUST_S = 1.0
 """Seconds for which a host does not rely on an aggregator that left out a report."""
+SHARES_LIFETIME_S = 1.0
+"""Seconds for which the shares of a digest are valid. Without newer ones nothing is known of the
+demands, and no organisation is limited."""
 MILLISECONDS = 1000
 MAX_SENT_REPORTS = 200
 """Own reports that are kept to subtract this host's part from a digest: those of three seconds."""
@@ -153,6 +156,20 @@
         """Return the room reports on organisations near their limit."""
         return [heard.room_report for heard in self._find_relevant_sums()]
 
+    def find_shares(self) -> dict[OrganisationNumber, int]:
+        """Return the percentage of its new calls that each limited organisation may send."""
+        heard = self._find_authoritative_sums()
+        return {} if heard is None else heard.sums.shares
+
+    def hears_shortage(self) -> bool:
+        """Whether a host refused calls for lack of room lately, or organisations are limited."""
+        heard = self._find_authoritative_sums()
+        return heard is not None and bool(heard.sums.refused or heard.sums.shares)
+
+    def _find_authoritative_sums(self) -> ReceivedSums | None:
+        heard = self.heard.get(self._find_authoritative_aggregator() or self.own)
+        return heard if heard and monotonic() - heard.at <= SHARES_LIFETIME_S else None
+
     def find_trials(self) -> dict[RequestKey, TargetNumber]:
         """Return the targets that are reserved for trials of suspected requests, at any host."""
         trials: dict[RequestKey, TargetNumber] = {}
--- a/gradepoint/platform/configuration.py
+++ b/gradepoint/platform/configuration.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 
 from .. import events
@@ -78,6 +80,8 @@
     api_keys: list[str] = []
     rate_per_s: float = 0.0
     burst_size: float = 0.0
+    # Any type, since an invalid priority must not make the organisation's keys unknown.
+    priority: Any = None
 
 
 class _Configuration(msgspec.Struct):
@@ -125,10 +129,12 @@
         emit(events.ORGANISATION_UNREADABLE, index=index, reason=str(error))
         return None
     limited = row.rate_per_s > 0
+    priority = row.priority
     return Organisation(
         name=OrganisationName(row.name),
         keys=tuple(digest_key(key.encode()) for key in row.api_keys if key),
         quota=Quota(row.rate_per_s, max(0.0, row.burst_size)) if limited else None,
+        priority=max(0, priority) if type(priority) is int else None,
     )
 
 
