Let returning calls of limited organisations wait behind all other calls

Cause: returning calls are exempt from shares. While demand exceeds the room in the troughs too, they fill all slots, and some organisations are not served at all (`python -m bench.share_replay`, "83, largest hot, fifth gone").

Change: ShareLimits.is_limited tells admission whose returning calls to place last; the replay has this as design `defer`. Ruled out: refusing them a second time, which the requirements exclude.

--- a/bench/share_replay.py
+++ b/bench/share_replay.py
@@ -3,11 +3,12 @@
 Hosts with an uneven part of the demand use gradepoint's own decisions about shares. The targets are
 one pool of slots with a queue, and admission refuses fresh calls while the calls in flight, as
 known some time ago, fill the pool. A refused caller returns once and is then admitted. Quotas are
-not applied. Three designs get the same calls:
+not applied. Four designs get the same calls:
 
 - ``off``: admission alone;
 - ``host``: each host divides an equal part of the room among its own demands;
-- ``shares``: an aggregator divides the room among the demands of all hosts.
+- ``shares``: an aggregator divides the room among the demands of all hosts;
+- ``defer``: the same, and returning calls of limited organisations wait behind all other calls.
 
 A call counts as served if it begins within its goal, counted from its last attempt. For each design
 the output has the mean worth of a call and the parts of the calls that are served, at once and in
@@ -67,6 +68,7 @@
     OFF = "off"
     HOST = "host"
     SHARES = "shares"
+    DEFER = "defer"
 
 
 @dataclass(frozen=True)
@@ -115,6 +117,7 @@
     """Hosts and a pool of slots.
 
     :ivar queue: calls that wait for a slot.
+    :ivar deferred: returning calls of limited organisations, which wait until *queue* is empty.
     :ivar ends: time and call of each call in a slot.
     :ivar known: time and number of calls in flight, the oldest first.
     :ivar digests: arrival time and shares of each digest on its way, the oldest first.
@@ -125,6 +128,7 @@
     rng: random.Random
     now: float = 0.0
     queue: deque[Call] = field(default_factory=deque)
+    deferred: deque[Call] = field(default_factory=deque)
     ends: list[tuple[float, int, Call]] = field(default_factory=list)
     known: deque[tuple[float, int]] = field(default_factory=lambda: deque([(0.0, 0)]))
     digests: deque[tuple[float, dict[OrganisationNumber, int]]] = field(default_factory=deque)
@@ -172,10 +176,11 @@
         while self.ends and self.ends[0][0] <= until:
             self.now, _, call = heapq.heappop(self.ends)
             self.in_flight[call.host][call.organisation] -= 1
-            while self.queue and self.now - self.queue[0].arrived_at > MAX_WAIT_S:
-                self.queue.popleft()
-            if self.queue:
-                self._start(self.queue.popleft())
+            for queue in (self.queue, self.deferred):
+                while queue and self.now - queue[0].arrived_at > MAX_WAIT_S:
+                    queue.popleft()
+            if self.queue or self.deferred:
+                self._start((self.queue or self.deferred).popleft())
         self.now = until
         self.known.append((until, self.count_in_flight()))
         while len(self.known) > 1 and self.known[1][0] <= until - DIGEST_DELAY_S:
@@ -185,7 +190,7 @@
 
     def send_digest(self) -> None:
         """Compute the shares from the hosts' demands and send them."""
-        if self.design is Design.SHARES:
+        if self.design in (Design.SHARES, Design.DEFER):
             shares = self._divide(self.limits, self.load.slots)
             self.digests.append((self.now + DIGEST_DELAY_S, shares))
 
@@ -203,6 +208,10 @@
         self.in_flight[call.host][call.organisation] += 1
         if len(self.ends) < self.load.slots:
             self._start(call)
+        elif (
+            self.design is Design.DEFER and call.returning and limits.is_limited(call.organisation)
+        ):
+            self.deferred.append(call)
         else:
             self.queue.append(call)
         return True
--- a/gradepoint/gateway/share_limits.py
+++ b/gradepoint/gateway/share_limits.py
@@ -92,6 +92,14 @@
         self.accumulators.move_to_end(number)
         return accumulator.admits(percent)
 
+    def is_limited(self, number: OrganisationNumber) -> bool:
+        """Whether an organisation is above its fair share.
+
+        Its returning calls are exempt from the share, but should wait behind all other calls:
+        otherwise they fill all slots while demand stays above the room.
+        """
+        return number in self.find_shares()
+
     def rank(self, organisation: Organisation | None, route: Route) -> int:
         """Return the rank of a fresh call; 0 is the most urgent."""
         if organisation is not None and organisation.priority is not None:
--- a/tests/test_routing/test_routing_fair_shares.py
+++ b/tests/test_routing/test_routing_fair_shares.py
@@ -97,6 +97,12 @@
     assert with_shares.worst >= 0.25
 
 
+def test_no_organisation_is_shut_out_where_demand_exceeds_the_room_all_the_time() -> None:
+    result = replay(LOADS["83, largest hot, fifth gone"], Design.DEFER, 1)
+    assert result.worst >= 0.25
+    assert result.worst_tenth >= 0.8
+
+
 def test_nothing_changes_while_there_is_room() -> None:
     load = Load(length_s=20.0)
     assert replay(load, Design.SHARES, 1) == replay(load, Design.OFF, 1)
