--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -62,7 +62,9 @@
 from .quota_gate import QuotaGate
 from .quota_page import PAGE as QUOTA_PAGE
 from .quota_page import answer_quotas
+from .refusals import RecentRefusals
 from .retirement import Retirement
+from .share_limits import ShareLimits, compute_room, count_calls_by_organisation
 from .stall import StallDetector
 from .suspicion import Suspicion, connect_suspicion
 from .target_crashes import CrashDetector
@@ -72,6 +74,7 @@
 if TYPE_CHECKING:
     import socket
 
+    from ..ids import OrganisationNumber
     from ..kv.relay import LongPollService
     from ..wire.http_types import Request
     from .configuration import Configuration
@@ -163,6 +166,7 @@
                 lambda: (
                     self.targets.number_by_service(monotonic()) if settings.batch_headroom else {}
                 ),
+                lambda: compute_room(self.targets.working(monotonic()), self.loads.pace),
             ),
             lambda: {**self.heartbeats.capacities(), self.own.incarnation: self.capacity},
         )
@@ -205,6 +209,15 @@
         self.quotas = self.make_quotas()
         self.recovery_limits = RecoveryLimits(new_rng().random)
         self.item_starts = ItemStarts()
+        self.refusals = RecentRefusals()
+        self.share_limits = ShareLimits(
+            self.occupancy.find_shares,
+            self.occupancy.hears_shortage,
+            self.count_calls_by_organisation,
+            self.loads.call_s,
+            new_rng().random,
+            lambda: self.occupancy.changed.set(),
+        )
         self.repository = JobRepository(kv, settings.store_value_bytes)
         self.worker = Worker(
             self.repository,
@@ -275,6 +288,8 @@
                 RevocationTerms(settings.revoke_strictly, settings.revoke_ms / 1000),
             ),
             self.quotas,
+            self.refusals,
+            self.share_limits,
             self.forwarder,
             self.jobs,
             self.watchers.first_read,
@@ -337,6 +352,13 @@
         terms = QuotaTerms(settings.quota_window_s, settings.quota_excess, settings.quota_slack)
         return QuotaGate(self.configuration, host, terms)
 
+    def count_calls_by_organisation(self) -> dict[OrganisationNumber, int]:
+        """Return this host's calls in flight by organisation."""
+        current = self.configuration.current
+        return count_calls_by_organisation(
+            self.targets.by_id.values(), current.organisations if current else None
+        )
+
     def make_watchers(self) -> Watchers:
         """Return the watchers that keep configuration, targets and live hosts up to date."""
         platform = self.platform
--- a/gradepoint/gateway/outgoing.py
+++ b/gradepoint/gateway/outgoing.py
@@ -36,8 +36,9 @@
     """Return the report of this host to the aggregators.
 
     It contains calls and items in flight, waiting work, results of calls, suspected requests,
-    trials, granted calls, and the events of running answers since the last report. Items count as
-    in flight at their targets too, so that they are subtracted from the calls there.
+    trials, granted calls, the events of running answers since the last report and, in a shortage,
+    the demands of organisations. Items count as in flight at their targets too, so that they are
+    subtracted from the calls there.
 
     :param number: sequence number of the report.
     """
@@ -60,4 +61,5 @@
         trials=gateway.suspicion.list_own_trials(),
         grants=gateway.quotas.host.find_recent_grants(now),
         paces=count_events(gateway.forwarder.answers, now),
+        demands=gateway.share_limits.find_demands(),
     )
--- a/gradepoint/peers/aggregation.py
+++ b/gradepoint/peers/aggregation.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
 
 from ..routing.batch_headroom import CallArrivals, find_preemption_limit
+from ..routing.fair_shares import compute_shares
 from ..routing.quota_ledger import QuotaLedger
 from ..routing.suspects import SuspectsMessage
 from ..routing.target_model import GapHistories
@@ -29,6 +30,8 @@
 
     from ..ids import Incarnation, OrganisationNumber, RequestKey, ServiceName, TargetNumber
 
+Number = TypeVar("Number", bound=int)
+
 RELIANCE_LIFETIME_S = 0.6
 """Seconds after its last report that a host still counts as relying on this aggregator: more than
 two of the longest report gaps, so that the loss of one datagram changes nothing."""
@@ -40,6 +43,9 @@
 RATE_UNITS_PER_CALL = 10
 """Units per call in which the rate of calls per target is sent; in a trough it is about one."""
 PERCENT = 100
+DEMAND_UNITS_PER_SLOT = 10
+"""Units per slot in which demands are sent. A host's part of an organisation's demand is often less
+than one slot."""
 STALE_S = 0.9
 """Seconds after which a report or digest is outdated: at least three are missing then."""
 MAX_REPORTING_HOSTS = 2048
@@ -64,14 +70,14 @@
     return ordered[:surplus]
 
 
-def add_counts(sums: dict[TargetNumber, int], counts: dict[TargetNumber, int], sign: int) -> None:
-    """Add *counts*, multiplied by *sign*, to *sums*; targets whose sum is 0 are left out."""
-    for target, number in counts.items():
-        total = sums.get(target, 0) + sign * number
+def add_counts(sums: dict[Number, int], counts: dict[Number, int], sign: int) -> None:
+    """Add *counts* times *sign* to *sums*, which has no entries of zero."""
+    for key, number in counts.items():
+        total = sums.get(key, 0) + sign * number
         if total:
-            sums[target] = total
+            sums[key] = total
         else:
-            sums.pop(target, None)
+            sums.pop(key, None)
 
 
 def make_empty_ledger() -> QuotaLedger:
@@ -114,11 +120,14 @@
     :param find_slots: returns a target's slots; None for a target that this host does not know.
     :param ledger: adds up the calls that hosts granted to organisations.
     :param number_by_service: returns the targets of each service that may get a call.
+    :param find_room: returns the slots that all targets together offer to calls; infinite if
+        that is unknown, and then no organisation is limited.
     :ivar reports: newest report by host.
     :ivar loads: calls and items in flight by target.
     :ivar items: items among these.
     :ivar gaps: recent gaps between events by target.
     :ivar arrivals: calls that hosts have begun lately.
+    :ivar demands: demand by organisation in 1/:data:`DEMAND_UNITS_PER_SLOT` slots.
     :ivar waiting: weight of the items that could start.
     :ivar changed: a report has changed since the last digest.
     :ivar results: results of all hosts by target since this aggregator started.
@@ -134,11 +143,13 @@
     find_slots: Callable[[TargetNumber], int | None]
     ledger: QuotaLedger = field(default_factory=make_empty_ledger)
     number_by_service: Callable[[], dict[ServiceName, list[TargetNumber]]] = dict
+    find_room: Callable[[], float] = lambda: math.inf
     reports: dict[Incarnation, ReceivedReport] = field(default_factory=dict)
     loads: dict[TargetNumber, int] = field(default_factory=dict)
     items: dict[TargetNumber, int] = field(default_factory=dict)
     gaps: GapHistories = field(default_factory=GapHistories)
     arrivals: CallArrivals = field(default_factory=CallArrivals)
+    demands: dict[OrganisationNumber, int] = field(default_factory=dict)
     waiting: int = 0
     changed: bool = False
     results: dict[TargetNumber, ResultCount] = field(default_factory=dict)
@@ -200,6 +211,7 @@
         add_counts(self.loads, report.calls, sign)
         add_counts(self.loads, report.items, sign)
         add_counts(self.items, report.items, sign)
+        add_counts(self.demands, report.demands, sign)
 
     def _add_results(self, report: Report) -> None:
         heard = self.known_results.setdefault(report.incarnation, {})
@@ -242,6 +254,17 @@
             call_rates={
                 service: round(rate * RATE_UNITS_PER_CALL) for service, (rate, _) in rates.items()
             },
+            shares=self._find_shares(),
+        )
+
+    def _find_shares(self) -> dict[OrganisationNumber, int]:
+        """Return the percentage of its new calls that each organisation above its fair share may
+        send."""
+        if not self.demands:
+            return {}
+        return compute_shares(
+            {number: units / DEMAND_UNITS_PER_SLOT for number, units in self.demands.items()},
+            self.find_room(),
         )
 
     def _find_call_rates(self, now: float) -> dict[ServiceName, tuple[float, list[TargetNumber]]]:
--- a/tests/test_routing/test_routing_batch_headroom.py
+++ b/tests/test_routing/test_routing_batch_headroom.py
@@ -65,8 +65,8 @@
     fixed, by_rate = (
         [replay(SHAPES[shape], strategy, seed) for seed in (1, 2, 3)]
         for strategy in (
-            STRATEGIES["model by pace"],
-            replace(STRATEGIES["model by pace"], follows_rate=True),
+            STRATEGIES["two by pace"],
+            replace(STRATEGIES["two by pace"], follows_rate=True),
         )
     )
     late = [sum(row.late for row in rows) for rows in (fixed, by_rate)]
