Admit, delay or refuse calls by the expected delay of targets

Cause: at a peak with too few targets, every call is sent and queues in a target, so most calls are late although the trough a second later has room for them. Ruled out: a decision for each call by a scan of all targets. Where there is room, only the drawn target is looked at, without an added await. Refused requests are exchanged in Report.refused and Sums.refused.

--- a/gradepoint/cmd/explain.py
+++ b/gradepoint/cmd/explain.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from datetime import datetime, timedelta
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
@@ -46,3 +47,53 @@
         print(f"no line names {timeline.id}")
     else:
         print(f"cause: {timeline.cause.event} at {timeline.cause.host}: {timeline.cause.meaning}")
+    for line in timeline.lines:
+        if line.event == "no_room":
+            print(describe_refusal(line, timeline.lines))
+
+
+def describe_refusal(refusal: LogLine, lines: list[LogLine]) -> str:
+    """Return why a call was refused for lack of room, when it was asked to return, and when it did.
+
+    :param refusal: line of the event ``no_room``.
+    :param lines: the lines of the timeline.
+    """
+    fields = refusal.fields
+    age = fields.get("age_ms")
+    known = "no digest" if age is None else f"known {age} ms before"
+    why = {
+        "share": f"organisation {fields.get('organisation')} was above its fair share",
+        "unknown_occupancy": "the other hosts' calls were unknown, and this host's part was used",
+    }.get(
+        str(fields.get("reason")),
+        f"the least expected delay was {fields.get('delay_ms')} ms, with "
+        f"{fields.get('goal_left_ms')} ms left of the goal",
+    )
+    returned = next(
+        (
+            line
+            for line in lines
+            if line.event == "call_returned"
+            and line.fields.get("key") == fields.get("key")
+            and line.time >= refusal.time
+        ),
+        None,
+    )
+    seen = (
+        "no return is in these logs"
+        if returned is None
+        else f"returned at {returned.time} to {returned.host} as {returned.fields.get('request')}"
+    )
+    return (
+        f"refused for load at {refusal.host} after a wait of {fields.get('waited_ms')} ms: {why} "
+        f"(occupancy {fields.get('occupancy')}, room {fields.get('room')}, {known}; rank "
+        f"{fields.get('rank')}); asked to return after {fields.get('return_ms')} ms, at "
+        f"{_add_ms(refusal.time, fields.get('return_ms'))}; {seen}"
+    )
+
+
+def _add_ms(time: str, wait_ms: Any) -> str:
+    try:
+        return (datetime.fromisoformat(time) + timedelta(milliseconds=wait_ms)).isoformat()
+    except (ValueError, TypeError):
+        return "an unknown time"
--- a/gradepoint/errors.py
+++ b/gradepoint/errors.py
@@ -209,6 +209,14 @@
             1.0,
             "No target could be reached; come back after the given time.",
         ),
+        ErrorKind(
+            "no_room",
+            503,
+            _C.LIMIT,
+            _N,
+            1.0,
+            "No target can begin the call in time now; come back after the given time.",
+        ),
         ErrorKind(
             "target_refused",
             503,
--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -82,6 +82,15 @@
 QUOTA_REACHED = _declare(
     222, "quota_reached", "INFO", "An organisation exceeds its quota; see the remaining room."
 )
+NO_ROOM = _declare(
+    240,
+    "no_room",
+    "INFO",
+    "A call was refused for lack of room; the fields are what the decision was based on.",
+)
+CALL_RETURNED = _declare(
+    241, "call_returned", "INFO", "A call came back that was refused for lack of room before."
+)
 CALL_RETRIED = _declare(202, "call_retried", "INFO", "A call is retried at another target.")
 CALL_UNKNOWN = _declare(203, "call_unknown", "WARNING", "A call ended with outcome unknown.")
 STREAM_RESUMED = _declare(204, "stream_resumed", "INFO", "An interrupted stream is resumed.")
--- /dev/null
+++ b/gradepoint/gateway/admission_gate.py
@@ -0,0 +1,377 @@
+"""Admission of callers' calls on this host: their waits for room and their refusals.
+
+The decisions are made by :mod:`gradepoint.routing.admission`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Protocol
+
+from .. import events
+from ..errors import GradepointError, Outcome
+from ..routing.admission import (
+    FIRST_EVENT_S,
+    MAX_KNOWN_AGE_S,
+    MIN_COVERED_SHARE,
+    TREND_S,
+    CallTerms,
+    LoadTrend,
+    LoadView,
+    RefusedMemory,
+    ReturnSchedule,
+    Verdict,
+    begins_by,
+    decide,
+    estimate_earliest_return,
+    find_latest_return,
+    make_terms,
+)
+from ..telemetry import metrics
+from ..telemetry.logs import emit
+from ..util.clock import monotonic
+from ..util.rng import new_rng
+from .identity import format_key
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from ..ids import OrganisationNumber, RequestKey, ServiceName, TargetId
+    from .configuration import Route
+    from .live import LiveCall
+    from .organisations import Organisation
+    from .targets import Target
+
+NUMBER_MASK = 0xFFFFFFFF
+"""Bits of a request key that hosts send each other. Among the thousand requests that are remembered
+at a time, a fresh call is mistaken for one of them once in four million calls."""
+MILLISECONDS = 1000
+
+
+class TargetLoads(Protocol):
+    """What this host believes of the speed and load of targets."""
+
+    def pace(self, target_id: TargetId) -> float:
+        """Return the speed of a target relative to the others; 1.0 is usual."""
+
+    def expected_delay_s(self, target: Target) -> float:
+        """Return the seconds until a target is expected to begin a new call."""
+
+    def call_s(self, service: ServiceName) -> float:
+        """Return the mean seconds that a call of a service occupies a slot."""
+
+    def count_room(self, service: ServiceName) -> float:
+        """Return how many more calls the candidates of a service can run at once."""
+
+    def occupancy(self, service: ServiceName) -> float:
+        """Return calls in flight / (slots x pace) over all candidates of a service."""
+
+    def age_s(self) -> float:
+        """Return the seconds since the newest digest; infinite without one."""
+
+
+class RecoveryLimits(Protocol):
+    """Limits of a host that does not know the other hosts' calls."""
+
+    def may_admit(self, own_in_flight: int, slots: int, hosts: int) -> bool:
+        """Return whether the host may send a further call."""
+
+    def retry_after_s(self) -> float:
+        """Return the seconds after which a refused call should return."""
+
+
+class NoRecoveryLimits:
+    """Admits every call while occupancy is unknown."""
+
+    def may_admit(self, own_in_flight: int, slots: int, hosts: int) -> bool:
+        """Return True."""
+        return True
+
+    def retry_after_s(self) -> float:
+        """Return a time in which digests arrive."""
+        return MAX_KNOWN_AGE_S
+
+
+def get_route_priority(organisation: Organisation | None, route: Route) -> int:
+    """Return the rank of a call where organisations have none."""
+    return route.priority
+
+
+@dataclass
+class AdmissionGate:
+    """Admits calls, lets them wait for room, and refuses them.
+
+    :param find_candidates: returns the targets of a service that may get a call.
+    :param find_covered_share: returns the share of the listed hosts that a recent digest covers;
+        its argument is the maximum age in seconds.
+    :param count_hosts: returns the number of listed hosts.
+    :param on_refused: called after each refusal, so that other hosts learn of it at once.
+    :param recovery: limits while occupancy is unknown.
+    :param allows: returns whether the share of an organisation allows a fresh call; called once for
+        each call in a shortage.
+    :param find_rank: returns the rank of a call; 0 is the most urgent.
+    :ivar memory: refused requests of all hosts.
+    :ivar schedules: return times by service.
+    :ivar trends: change of the calls in flight by service.
+    :ivar waiting: futures of the waiting calls in order of arrival.
+    :ivar waking: the waiting calls are being woken one after another.
+    :ivar wake_again: occupancy changed while they were.
+    """
+
+    find_candidates: Callable[[ServiceName], list[Target]]
+    loads: TargetLoads
+    find_covered_share: Callable[[float], float]
+    count_hosts: Callable[[], int]
+    on_refused: Callable[[], None] = lambda: None
+    recovery: RecoveryLimits = field(default_factory=NoRecoveryLimits)
+    allows: Callable[[OrganisationNumber], bool] = lambda _: True
+    find_rank: Callable[[Organisation | None, Route], int] = get_route_priority
+    rng: random.Random = field(default_factory=new_rng)
+    memory: RefusedMemory = field(default_factory=RefusedMemory)
+    schedules: dict[ServiceName, ReturnSchedule] = field(default_factory=dict)
+    trends: dict[ServiceName, LoadTrend] = field(default_factory=dict)
+    waiting: dict[asyncio.Future[None], None] = field(default_factory=dict)
+    waking: bool = False
+    wake_again: bool = False
+
+    def has_room(self, call: LiveCall, target: Target) -> bool:
+        """Whether a call can be sent to the *target* that was drawn for it without a decision.
+
+        This is the way of every call where there is room: it looks at the drawn target only.
+        """
+        if target.listed.slots <= 0 or target.trial is not None:
+            # Without a number of slots, room is unknown; a trial of a suspected request has its
+            # own rules.
+            return True
+        now = monotonic()
+        self.memory.forget(now)
+        if self.memory.requests or not self.is_known():
+            return False
+        late = call.deadline - call.arrived_at < call.route.timeout_s - call.route.goal_s
+        goal_at = call.arrived_at + call.route.goal_s
+        return not late and begins_by(self.loads.expected_delay_s(target), now, goal_at)
+
+    def is_known(self) -> bool:
+        """Whether the occupancy of targets is known: by a recent digest that covers enough
+        hosts."""
+        if self.loads.age_s() > MAX_KNOWN_AGE_S:
+            return False
+        return self.find_covered_share(MAX_KNOWN_AGE_S) >= MIN_COVERED_SHARE
+
+    def find_delay_s(self, target: Target) -> float:
+        """Return the expected delay at a target; 0 if its number of slots is unknown."""
+        return 0.0 if target.listed.slots <= 0 else self.loads.expected_delay_s(target)
+
+    def take_sums(self, refused: list[int]) -> None:
+        """Take the refused requests of a digest, and let waiting calls decide again."""
+        now = monotonic()
+        for number in reversed(refused):
+            self.memory.add_remote(number, now)
+        self.notify()
+
+    def notify(self) -> None:
+        """Let waiting calls decide again, since the occupancy of targets changed.
+
+        They decide one after another, each after the former one's call counts as in flight.
+        """
+        if not self.waiting:
+            return
+        if self.waking:
+            self.wake_again = True
+            return
+        self.waking = True
+        asyncio.get_running_loop().call_soon(self._wake_next, list(self.waiting))
+
+    def _wake_next(self, futures: list[asyncio.Future[None]]) -> None:
+        while futures and futures[0].done():
+            futures.pop(0)
+        if not futures:
+            self.waking = False
+            if self.wake_again:
+                self.wake_again = False
+                self.notify()
+            return
+        futures.pop(0).set_result(None)
+        # The woken call decides in the next callback, and its sending task begins in the one after
+        # the callback that is scheduled here.
+        loop = asyncio.get_running_loop()
+        loop.call_soon(loop.call_soon, self._wake_next, futures)
+
+    async def wait(self, until: float) -> None:
+        """Wait until occupancy changes, at most until the monotonic time *until*."""
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.waiting[future] = None
+        try:
+            async with asyncio.timeout(max(0.0, until - monotonic())):
+                await future
+        except TimeoutError:
+            pass
+        finally:
+            del self.waiting[future]
+
+
+@dataclass
+class PendingCall:
+    """A call that is not admitted yet.
+
+    :ivar key: key of its request.
+    :ivar known: occupancy was known at the last decision.
+    :ivar allowed: the share of its organisation allowed it.
+    """
+
+    gate: AdmissionGate
+    call: LiveCall
+    terms: CallTerms
+    key: RequestKey
+    known: bool = True
+    allowed: bool = True
+
+    def choose(self, drawn: Target) -> Target | None:
+        """Return the target to send the call to, or None if it has to wait.
+
+        :param drawn: target that the usual choice takes.
+        :raises GradepointError: the call is refused.
+        """
+        gate, call, now = self.gate, self.call, monotonic()
+        if drawn.listed.slots <= 0 or drawn.trial is not None:
+            return self._admit(drawn)
+        self.known = gate.is_known()
+        drawn_delay_s = gate.find_delay_s(drawn)
+        if (
+            begins_by(drawn_delay_s, now, self.terms.goal_at)
+            and self._decide(drawn_delay_s, now) is Verdict.SEND
+        ):
+            return self._admit(drawn)
+        reserved = call.forwarder.suspicion.find_reserved()
+        delays = {
+            target.id: gate.find_delay_s(target)
+            for target in gate.find_candidates(call.service)
+            if target.id not in call.tried and target.id not in reserved
+        } or {drawn.id: drawn_delay_s}
+        least_delay_s = min(delays.values())
+        verdict = self._decide(least_delay_s, now)
+        if verdict is Verdict.WAIT:
+            return None
+        if verdict is Verdict.REFUSE:
+            raise self._refuse(least_delay_s, now)
+        if verdict is Verdict.EXPIRE:
+            metrics.shared().admission_returns.add(1, {"outcome": "expired"})
+            raise GradepointError("deadline_exceeded", outcome=Outcome.NOT_RUN)
+        limit = self.terms.goal_at if verdict is Verdict.SEND else float("-inf")
+
+        def accept(target: Target) -> bool:
+            delay_s = delays.get(target.id, float("inf"))
+            return delay_s <= least_delay_s or begins_by(delay_s, now, limit)
+
+        return self._admit(call.forwarder.choose(call.service, call.tried, accept) or drawn)
+
+    def _decide(self, least_delay_s: float, now: float) -> Verdict:
+        gate, call, terms = self.gate, self.call, self.terms
+        shortage = gate.memory.is_shortage(now)
+        uses_occupancy = terms.late or (shortage and terms.rank > 0)
+        may_admit = True
+        if not self.known:
+            candidates = gate.find_candidates(call.service)
+            may_admit = gate.recovery.may_admit(
+                sum(target.in_flight for target in candidates),
+                sum(target.listed.slots for target in candidates),
+                max(1, gate.count_hosts()),
+            )
+        view = LoadView(
+            least_delay_s,
+            gate.loads.occupancy(call.service) if uses_occupancy else 0.0,
+            gate.loads.call_s(call.service),
+            self.known,
+            may_admit,
+            shortage,
+            self.allowed,
+        )
+        return decide(terms, view, now)
+
+    def _admit(self, target: Target) -> Target:
+        if self.terms.returning:
+            metrics.shared().admission_returns.add(1, {"outcome": "sent"})
+            emit(
+                events.CALL_RETURNED,
+                request=self.call.head.request_id,
+                key=format_key(self.key),
+                target=target.id,
+                delay_ms=round(self.gate.find_delay_s(target) * MILLISECONDS),
+            )
+        return target
+
+    def _refuse(self, least_delay_s: float, now: float) -> GradepointError:
+        """Record a refusal, and return its error with the time to return."""
+        gate, call, loads = self.gate, self.call, self.gate.loads
+        reason = "unknown_occupancy" if not self.known else "room" if self.allowed else "share"
+        return_s = self._allocate_return(now)
+        occupancy, age_s = loads.occupancy(call.service), loads.age_s()
+        gate.memory.add_own(self.key & NUMBER_MASK, now)
+        metrics.shared().admission_refusals.add(1, {"reason": reason})
+        emit(
+            events.NO_ROOM,
+            request=call.head.request_id,
+            key=format_key(self.key),
+            route=call.route.name,
+            service=call.service,
+            reason=reason,
+            delay_ms=round(least_delay_s * MILLISECONDS),
+            goal_left_ms=round((self.terms.goal_at - now) * MILLISECONDS),
+            waited_ms=round((now - call.arrived_at) * MILLISECONDS),
+            room=round(loads.count_room(call.service), 1),
+            occupancy=round(occupancy, 2),
+            age_ms=round(age_s * MILLISECONDS) if age_s < float("inf") else None,
+            call_ms=round(loads.call_s(call.service) * MILLISECONDS),
+            organisation=call.organisation.name if call.organisation else None,
+            rank=self.terms.rank,
+            return_ms=round(return_s * MILLISECONDS),
+        )
+        gate.on_refused()
+        return GradepointError("no_room", retry_after=round(return_s, 3))
+
+    def _allocate_return(self, now: float) -> float:
+        """Return the seconds after which the refused call should come back."""
+        gate, service, loads = self.gate, self.call.service, self.gate.loads
+        latest_s = find_latest_return(self.terms.deadline - now)
+        if not self.known:
+            return min(gate.recovery.retry_after_s(), latest_s)
+        capacity = sum(
+            target.listed.slots * loads.pace(target.id) for target in gate.find_candidates(service)
+        )
+        in_flight = loads.occupancy(service) * capacity
+        call_s = loads.call_s(service)
+        completions_per_s = min(in_flight, capacity) / call_s if call_s > 0 else 0.0
+        queued = max(0.0, self.call.route.goal_s - FIRST_EVENT_S) * completions_per_s
+        trend = gate.trends.setdefault(service, LoadTrend())
+        trend.add(now, in_flight)
+        earliest_s = estimate_earliest_return(
+            max(0.0, in_flight - capacity - queued),
+            trend.find_growth(),
+            gate.memory.count_since(now - TREND_S) / TREND_S,
+        )
+        gap_s = gate.count_hosts() / completions_per_s if completions_per_s > 0 else 0.0
+        schedule = gate.schedules.setdefault(service, ReturnSchedule())
+        return schedule.allocate(now, earliest_s, latest_s, gap_s, gate.rng)
+
+
+def begin_admission(gate: AdmissionGate, call: LiveCall) -> PendingCall:
+    """Return the state of a call for which a decision has to be made."""
+    now = monotonic()
+    key = call.request.key
+    returning = gate.memory.take_return(key & NUMBER_MASK, now)
+    terms = make_terms(
+        call.arrived_at,
+        call.route.goal_s,
+        call.route.timeout_s,
+        call.deadline - call.arrived_at,
+        returning=returning,
+        rank=gate.find_rank(call.organisation, call.route),
+    )
+    pending = PendingCall(gate, call, terms, key)
+    organisation = call.organisation
+    if organisation is not None and not (terms.returning or terms.late):
+        shortage = gate.memory.is_shortage(now)
+        pending.allowed = not shortage or gate.allows(organisation.number)
+    return pending
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -48,6 +48,7 @@
 from ..wire.http_server import HttpServer
 from ..wire.http_types import Response
 from ..wire.ports import probe_port
+from .admission_gate import AdmissionGate
 from .caller_limits import DEFAULT_LIMITS, read_limits
 from .callers import CallerCheck, RevocationTerms
 from .calls import CallRouter
@@ -63,6 +64,7 @@
 from .stall import StallDetector
 from .suspicion import Suspicion, connect_suspicion
 from .target_crashes import CrashDetector
+from .target_loads import TargetLoads
 from .targets import TargetSet
 
 if TYPE_CHECKING:
@@ -140,7 +142,7 @@
         self.silence = Silence()
         self.targets = TargetSet(
             settings.drain_ms / 1000 * LINGER_SHARE,
-            lambda: self.occupancy.changed.set(),
+            self.note_load_change,
             # A call on an idle connection to the former incarnation would fail and lose an attempt.
             lambda former: self.forwarder.http.close_idle(split_address(former.address)),
         )
@@ -150,6 +152,7 @@
             lambda number: make_report(self, number),
             self.targets.record_remote_results,
             Aggregation(self.targets.find_slots, self.make_ledger()),
+            lambda refused: self.admission.take_sums(refused),
         )
         self.stall_detector = StallDetector(self.refresh_after_stall)
         self.crash_detector = CrashDetector(
@@ -179,6 +182,16 @@
             self.suspicion,
             wait_until_fresh=self.stall_detector.wait,
         )
+        self.admission = AdmissionGate(
+            lambda service: self.targets.candidates(service, monotonic()),
+            TargetLoads(
+                self.targets, self.occupancy.in_flight, self.occupancy.find_newest_digest_at
+            ),
+            self.occupancy.find_covered_share,
+            lambda: len(self.hosts.hosts),
+            lambda: self.occupancy.changed.set(),
+            rng=self.forwarder.rng,
+        )
         self.configuration = ActiveConfiguration(platform.decode_configuration, self.apply_limits)
         self.quotas = self.make_quotas()
         self.repository = JobRepository(kv, settings.store_value_bytes)
@@ -251,6 +264,7 @@
             self.jobs,
             self.watchers.first_read,
             self.stall_detector,
+            self.admission if settings.admission else None,
         )
         self.callers = HttpServer(self.calls.answer, DEFAULT_LIMITS)
         self.readiness = HttpServer(self.answer_ready)
@@ -286,6 +300,11 @@
             "peers", lambda: follow_peers(self.heartbeats, self.peer_http, self.configuration)
         )
 
+    def note_load_change(self) -> None:
+        """Report a change of this host's calls in flight, and let waiting calls decide again."""
+        self.occupancy.changed.set()
+        self.admission.notify()
+
     def make_ledger(self) -> QuotaLedger:
         """Return the ledger that sums the grants of all hosts while this host is an aggregator."""
         return QuotaLedger(
--- a/gradepoint/gateway/calls.py
+++ b/gradepoint/gateway/calls.py
@@ -23,6 +23,7 @@
     from ..jobs.api import JobApi
     from ..jobs.calls import JobDialect
     from ..wire.http_types import Request, Response
+    from .admission_gate import AdmissionGate
     from .callers import CallerCheck
     from .dialect import Dialect
     from .followers import ActiveConfiguration
@@ -47,6 +48,7 @@
     :param quotas: enforces the call quotas of organisations.
     :param first_read: set once every view of the store has been read.
     :param stall_detector: makes calls wait for fresh data after the process was paused.
+    :param admission: admits calls of routes with a latency goal; None admits all.
     :ivar started_at: monotonic time at which this host began to listen.
     :ivar refuses_from: monotonic time from which calls are refused because the process is about to
         stop.
@@ -61,6 +63,7 @@
     jobs: JobApi
     first_read: asyncio.Event
     stall_detector: StallDetector
+    admission: AdmissionGate | None = None
     started_at: float = float("-inf")
     refuses_from: float = float("inf")
 
@@ -101,6 +104,9 @@
         if monotonic() >= self.refuses_from:
             raise GradepointError("host_stopping")
         call = create_call(self.forwarder, route, head, request, body)
+        call.organisation = organisation
+        if route.goal_s > 0:
+            call.gate = self.admission
         if organisation is None:
             return await call.answer()
         name = organisation.name
--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -96,14 +96,24 @@
     wait_until_fresh: Callable[[], Awaitable[None]] = no_wait
     empty_since: dict[ServiceName, float] = field(default_factory=dict)
 
-    def choose(self, service: ServiceName, tried: set[TargetId]) -> Target | None:
-        """Return a target for a call, or None if no untried target of the service is available."""
+    def choose(
+        self,
+        service: ServiceName,
+        tried: set[TargetId],
+        accept: Callable[[Target], bool] | None = None,
+    ) -> Target | None:
+        """Return a target for a call, or None if no untried target of the service is available.
+
+        :param accept: returns whether a candidate may be chosen; all may be by default.
+        """
         now = monotonic()
         candidates = self.targets.candidates(service, now)
         if candidates:
             self.empty_since.pop(service, None)
         else:
             self.empty_since.setdefault(service, now)
+        if accept is not None:
+            candidates = [target for target in candidates if accept(target)]
         return choose_target(
             candidates,
             self.failure_domain,
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -18,6 +18,7 @@
 from ..util.clock import monotonic
 from ..wire.http_client import ConnectFailed, ResponseBroken
 from ..wire.http_types import Response
+from .admission_gate import begin_admission
 from .choice import get_load
 from .configuration import RouteKind
 from .event_stream import EventSplitter
@@ -30,9 +31,11 @@
 
     from ..ids import ServiceName, TargetId
     from ..wire.http_types import Request
+    from .admission_gate import AdmissionGate
     from .configuration import Route
     from .dialect import CallHead
     from .identity import RequestIdentity
+    from .organisations import Organisation
     from .targets import Target
 
 MAX_UNSENT_ATTEMPTS = 4
@@ -71,6 +74,9 @@
     :ivar tried: targets that were attempted, successfully or not.
     :ivar is_still_authorised: returns whether the caller's key is still valid; checked before each
         attempt until the call may have run, since the call may have waited.
+    :ivar gate: admits the call before its first attempt; None if it is not subject to admission.
+    :ivar organisation: the calling organisation; None without one.
+    :ivar waited_s: seconds for which it waited for room.
     """
 
     forwarder: Forwarder
@@ -85,6 +91,9 @@
     may_have_run: bool = False
     tried: set[TargetId] = field(default_factory=set)
     is_still_authorised: Callable[[], bool] = field(default_factory=lambda: allow_always)
+    gate: AdmissionGate | None = None
+    organisation: Organisation | None = None
+    waited_s: float = 0.0
 
     @property
     def remaining_s(self) -> float:
@@ -132,6 +141,10 @@
             if not self.may_have_run and not self.is_still_authorised():
                 raise GradepointError("unauthenticated", "The key was taken away meanwhile.")
             target = self._choose_target()
+            if self.gate is not None:
+                if not self.gate.has_room(self, target):
+                    target = await self._wait_for_room(self.gate, target)
+                self.gate = None
             self.tried.add(target.id)
             try:
                 return await self._try_target(target, resume_after)
@@ -153,6 +166,35 @@
                 self._log_retry(target, str(error))
                 await self.forwarder.crash_detector.wait(target)
 
+    async def _wait_for_room(self, gate: AdmissionGate, drawn: Target) -> Target:
+        """Return the target to send the call to; wait for room if admission says so.
+
+        :param drawn: target that the usual choice takes.
+        :raises GradepointError: the call is refused, or may not be sent after the wait.
+        """
+        pending = begin_admission(gate, self)
+        begun = monotonic()
+        waited, ended = False, "left"
+        try:
+            while True:
+                target = pending.choose(drawn)
+                if target is not None:
+                    ended = "sent"
+                    return target
+                waited = True
+                await gate.wait(pending.terms.wait_until)
+                await self.forwarder.wait_until_fresh()
+                if not self.is_still_authorised():
+                    raise GradepointError("unauthenticated", "The key was taken away meanwhile.")
+                drawn = self._choose_target()
+        except GradepointError:
+            ended = "refused"
+            raise
+        finally:
+            if waited:
+                self.waited_s = monotonic() - begun
+                metrics.shared().admission_waits.add(1, {"end": ended})
+
     async def _try_target(self, target: Target, resume_after: int | None) -> Exchange:
         """Send the call to *target*; if that fails, end the call's trial there, if any."""
         try:
@@ -274,7 +316,8 @@
         if self.route.kind is RouteKind.STREAM and exchange.head.status < 300:
             wait_s = MIN_STALL_TIMEOUT_S if self.may_retry else None
             first = await self._read_chunk(exchange, chunks, wait_s)
-            if monotonic() - self.arrived_at > self.route.goal_s * SLOW_FIRST_EVENT_GOALS:
+            took_s = monotonic() - self.arrived_at - self.waited_s
+            if took_s > self.route.goal_s * SLOW_FIRST_EVENT_GOALS:
                 exchange.target.record_failure("slow")
             stream = self._relay_events if self.route.resumable else self._relay_chunks
             return Response(
--- a/gradepoint/gateway/outgoing.py
+++ b/gradepoint/gateway/outgoing.py
@@ -57,4 +57,5 @@
         suspects=gateway.suspicion.make_own_message(),
         trials=gateway.suspicion.list_own_trials(),
         grants=gateway.quotas.host.find_recent_grants(monotonic()),
+        refused=gateway.admission.memory.list_reported(monotonic()),
     )
--- a/gradepoint/gateway/settings.py
+++ b/gradepoint/gateway/settings.py
@@ -95,6 +95,12 @@
         5000.0,
         "Milliseconds from the removal of a key until 'revoke_strictly' applies.",
     ),
+    Setting(
+        "admission",
+        bool,
+        True,
+        "Whether calls that no target can begin in time wait briefly and are then refused.",
+    ),
     Setting("metrics_port", int, 9464, "HTTP port of the metrics page."),
     Setting("log_level", str, "INFO", "Lowest log level that is written."),
     Setting("log_style", str, "json", "Format of log lines: 'json' or 'text'."),
@@ -125,6 +131,7 @@
     quota_window_s: float
     revoke_strictly: bool
     revoke_ms: float
+    admission: bool
     metrics_port: int
     log_level: str
     log_style: str
--- a/gradepoint/peers/aggregation.py
+++ b/gradepoint/peers/aggregation.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ..routing.admission import RefusedNumbers
 from ..routing.quota_ledger import QuotaLedger
 from ..routing.suspects import SuspectsMessage
 from ..util.clock import monotonic
@@ -95,6 +96,7 @@
         that crashed.
     :ivar on_suspects_message: takes a host's message about them, and that host's clock
         in milliseconds.
+    :ivar refused: numbers of the requests that hosts refused for lack of room.
     """
 
     find_slots: Callable[[TargetNumber], int | None]
@@ -109,6 +111,7 @@
     known_results: dict[Incarnation, dict[TargetNumber, KnownResults]] = field(default_factory=dict)
     make_suspects_message: Callable[[], SuspectsMessage] = SuspectsMessage
     on_suspects_message: Callable[[SuspectsMessage, int], None] = lambda _, __: None
+    refused: RefusedNumbers = field(default_factory=RefusedNumbers)
 
     def take(self, report: Report, address: str) -> None:
         """Replace a host's report; older reports that arrive late are ignored."""
@@ -128,6 +131,7 @@
         self.reports[report.incarnation] = heard
         self._add_results(report)
         self.ledger.take(report.incarnation, report.grants, heard.at)
+        self.refused.take(report.refused, heard.at)
         self.on_suspects_message(report.suspects, report.clock_ms)
 
     def forget_silent(self) -> None:
@@ -183,6 +187,7 @@
             self._find_trials(),
             self._find_rooms(now),
             math.floor(self.ledger.find_heard_share(now) * PERCENT),
+            refused=self.refused.list_summed(now),
         )
 
     def _find_rooms(self, now: float) -> dict[OrganisationNumber, int]:
--- a/gradepoint/peers/occupancy.py
+++ b/gradepoint/peers/occupancy.py
@@ -97,6 +97,8 @@
     :param on_results: called with a target and the numbers of other hosts' new successes and
         failures there.
     :param aggregation: the sums that this host computes while it is an aggregator.
+    :param on_sums: called after each digest with the numbers of the requests that hosts refused for
+        lack of room.
     :ivar aggregators: current aggregators, the preferred first.
     :ivar sent: this host's recent reports by number.
     :ivar heard: newest sums by aggregator.
@@ -119,6 +121,7 @@
     make_report: Callable[[int], Report]
     on_results: Callable[[TargetNumber, int, int], None]
     aggregation: Aggregation
+    on_sums: Callable[[list[int]], None] = lambda _: None
     aggregators: list[Incarnation] = field(default_factory=list)
     sent: OrderedDict[int, Report] = field(default_factory=OrderedDict)
     heard: dict[Incarnation, ReceivedSums] = field(default_factory=dict)
@@ -153,6 +156,21 @@
         """Return the room reports on organisations near their limit."""
         return [heard.room_report for heard in self._find_relevant_sums()]
 
+    def find_covered_share(self, max_age_s: float) -> float:
+        """Return the largest share of the listed hosts that a recent digest covers.
+
+        :param max_age_s: seconds after which a digest isn't recent.
+        """
+        oldest = monotonic() - max_age_s
+        return max(
+            (heard.room_report.heard_share for heard in self.heard.values() if heard.at >= oldest),
+            default=0.0,
+        )
+
+    def find_newest_digest_at(self) -> float:
+        """Return the monotonic time of the newest digest; minus infinity without one."""
+        return max((heard.at for heard in self.heard.values()), default=float("-inf"))
+
     def find_trials(self) -> dict[RequestKey, TargetNumber]:
         """Return the targets that are reserved for trials of suspected requests, at any host."""
         trials: dict[RequestKey, TargetNumber] = {}
@@ -317,6 +335,7 @@
         self._merge()
         self._notify_new_results(sums, own)
         self.aggregation.on_suspects_message(sums.suspects, digest.clock_ms)
+        self.on_sums(sums.refused)
 
     def forget_silent(self) -> None:
         """Drop outdated reports and sums, and distrust that has expired."""
--- a/gradepoint/telemetry/metrics.py
+++ b/gradepoint/telemetry/metrics.py
@@ -131,6 +131,9 @@
     def __init__(self) -> None:
         self.calls = BufferedCounter("gradepoint_calls", "Answers by outcome")
         self.refusals = BufferedCounter("gradepoint_refusals", "By reason")
+        self.admission_refusals = BufferedCounter("gradepoint_admission_refusals", "By reason")
+        self.admission_waits = BufferedCounter("gradepoint_admission_waits", "By how they ended")
+        self.admission_returns = BufferedCounter("gradepoint_admission_returns", "By outcome")
         self.retries = BufferedCounter("gradepoint_retries", "By reason")
         self.suspects = BufferedCounter("gradepoint_suspects", "Requests by new standing")
         self.held_calls = BufferedCounter("gradepoint_held_calls", "Calls answered as held back")
--- a/gradepoint/telemetry/timeline.py
+++ b/gradepoint/telemetry/timeline.py
@@ -44,7 +44,16 @@
 """State changes of targets, hosts and services. Those about a target or host that a timeline names
 are shown as its context."""
 
-KEY_EVENTS = frozenset(("target_ended", "request_suspected", "request_held", "request_cleared"))
+KEY_EVENTS = frozenset(
+    (
+        "target_ended",
+        "request_suspected",
+        "request_held",
+        "request_cleared",
+        "no_room",
+        "call_returned",
+    )
+)
 """Events that identify requests by key, since each attempt of a request has its own id."""
 
 
