--- a/gradepoint/gateway/admission_gate.py
+++ b/gradepoint/gateway/admission_gate.py
@@ -50,6 +50,8 @@
 at a time, a fresh call is mistaken for one of them once in four million calls."""
 DEFAULT_DELAY_S = 0.1
 """Seconds until hosts know of each other's calls where this is not measured."""
+MIN_CALL_S = 0.001
+"""Minimum mean seconds of a call, where the measured time is too short to matter."""
 MILLISECONDS = 1000
 
 
@@ -169,11 +171,11 @@
         items = self.find_own_items()
         capacity = sum(target.listed.slots * self.loads.pace(target.id) for target in candidates)
         return ServiceLoad(
-            calls=self.loads.occupancy(service) * capacity,
+            calls=self.loads.occupancy(service) * capacity if capacity else 0.0,
             capacity=capacity,
             own_calls=sum(target.in_flight - items.get(target.id, 0) for target in candidates),
             hosts=max(1, self.count_hosts()),
-            call_s=self.loads.call_s(service),
+            call_s=max(MIN_CALL_S, self.loads.call_s(service)),
             delay_s=self.find_delay_s(),
             goal_s=goal_s,
         )
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -172,6 +172,12 @@
         self.held = HeldRequests(kv, self.suspicion)
         self.suspicion.on_suspected = self.held.store
         self.suspicion.on_cleared = self.held.remove
+        self.loads = TargetLoads(
+            self.targets,
+            self.occupancy,
+            lambda target: self.worker.count_items(target),
+            enabled=settings.target_model,
+        )
         self.forwarder = Forwarder(
             self.targets,
             platform.dialect,
@@ -181,12 +187,11 @@
             self.crash_detector,
             self.suspicion,
             wait_until_fresh=self.stall_detector.wait,
+            loads=self.loads,
         )
         self.admission = AdmissionGate(
             lambda service: self.targets.candidates(service, monotonic()),
-            TargetLoads(
-                self.targets, self.occupancy.in_flight, self.occupancy.find_newest_digest_at
-            ),
+            self.loads,
             self.occupancy.find_covered_share,
             lambda: len(self.hosts.hosts),
             lambda: self.worker.in_flight(),
@@ -251,6 +256,8 @@
         )
         self.watchers = self.make_watchers()
         metrics.shared().view_age.read = self.watchers.proofs.read_ages_s
+        metrics.shared().target_pace.read = self.loads.read_paces
+        metrics.shared().target_delay.read = self.loads.read_delays_s
         self.calls = CallRouter(
             platform.dialect,
             platform.job_dialect,
--- a/gradepoint/gateway/settings.py
+++ b/gradepoint/gateway/settings.py
@@ -101,6 +101,12 @@
         True,
         "Whether calls that no target can begin in time wait briefly and are then refused.",
     ),
+    Setting(
+        "target_model",
+        bool,
+        True,
+        "Whether targets are chosen by their measured speed; otherwise by load alone.",
+    ),
     Setting("metrics_port", int, 9464, "HTTP port of the metrics page."),
     Setting("log_level", str, "INFO", "Lowest log level that is written."),
     Setting("log_style", str, "json", "Format of log lines: 'json' or 'text'."),
@@ -132,6 +138,7 @@
     revoke_strictly: bool
     revoke_ms: float
     admission: bool
+    target_model: bool
     metrics_port: int
     log_level: str
     log_style: str
