Count the work of an answer that is no stream from its sending

Cause: the mean call time ran from the head of an answer to its end. An answer that is no stream comes whole, so that its time was about 0, the expected delay at a full target was 0, and admission sent every call of such routes after the first one had completed. Ruled out: leaving such answers out, since the default of 0.7 s would refuse calls that take 0.05 s. Change: their time counts from the sending. It includes a wait in the target. Figures: test_free_drawn_target_used_without_looking_at_others fails before (200 instead of 503 at a full target) and passes after.

--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -77,6 +77,7 @@
     :ivar gate: admits the call before its first attempt; None if it is not subject to admission.
     :ivar organisation: the calling organisation; None without one.
     :ivar waited_s: seconds for which it waited for room.
+    :ivar sent_at: monotonic time of the last attempt.
     """
 
     forwarder: Forwarder
@@ -94,6 +95,7 @@
     gate: AdmissionGate | None = None
     organisation: Organisation | None = None
     waited_s: float = 0.0
+    sent_at: float = 0.0
 
     @property
     def remaining_s(self) -> float:
@@ -217,6 +219,7 @@
             remaining_ms=round(remaining * 1000),
             after_event=resume_after,
         )
+        self.sent_at = monotonic()
         sending = asyncio.ensure_future(
             self.forwarder.send(
                 target,
@@ -438,7 +441,11 @@
         exchange.close()
         exchange.target.record_success()
         if self.forwarder.loads is not None and self.sent == 1:
-            self.forwarder.loads.note_call(exchange.target, monotonic() - exchange.begun_at)
+            # An answer that is no stream comes whole at the end of the work, so that its work has
+            # to be counted from its sending; this includes a wait in the target.
+            is_stream = self.route.kind is RouteKind.STREAM
+            begun_at = exchange.begun_at if is_stream else self.sent_at
+            self.forwarder.loads.note_call(exchange.target, monotonic() - begun_at)
         self.forwarder.suspicion.note_answer(self.request)
         metrics.shared().calls.add(1, {"outcome": "complete"})
         emit(
--- a/tests/test_gateway/test_gateway_admission.py
+++ b/tests/test_gateway/test_gateway_admission.py
@@ -82,6 +82,22 @@
     run_in_virtual_time(work)
 
 
+def test_free_drawn_target_used_without_looking_at_others() -> None:
+    # Where there is room, a call takes the way that it takes without admission.
+    async def work(deployment: Deployment) -> None:
+        await start(deployment)
+        gate = deployment.gateways[0].admission
+        find, asked = gate.find_candidates, []
+        gate.find_candidates = lambda service: asked.append(service) or find(service)  # type: ignore[func-returns-value]
+        assert (await deployment.call("/plain/1")).status == 200
+        assert not asked
+        await fill(deployment)
+        assert (await deployment.call("/plain/2")).status == 503
+        assert asked
+
+    run_in_virtual_time(work)
+
+
 def test_waiting_call_sent_as_soon_as_a_slot_is_free() -> None:
     async def work(deployment: Deployment) -> None:
         await start(deployment, work_s=0.23)
