--- a/bench/load_replay.py
+++ b/bench/load_replay.py
@@ -37,11 +37,11 @@
     CALL_S,
     COMPETING,
     FIRST_TOKEN_S,
-    STRATEGIES,
     UNEVEN,
     Fleet,
     Shape,
     Work,
+    make_model,
 )
 
 GOAL_S = 0.3
@@ -169,7 +169,7 @@
     """
 
     def __init__(self, scenario: Scenario, way: Way, seed: int) -> None:
-        super().__init__(scenario.shape, STRATEGIES["model"], seed)
+        super().__init__(scenario.shape, make_model(), seed)
         self.way, self.outage = way, scenario.outage
         self.whole, self.after, self.during = Tally(), Tally(), Tally()
         self.host_states = [HostState() for _ in range(scenario.shape.hosts)]
@@ -320,8 +320,10 @@
             if verdict is not Verdict.SEND or not fits or not (load.has_ample_room or terms.late):
                 limit = terms.goal_at if verdict is Verdict.SEND else float("-inf")
                 weights = [
-                    weight if delay <= least or begins_by(delay, now, limit) else 0.0
-                    for weight, delay in zip(self.weigh_locations(host), delays, strict=True)
+                    weight * pace if delay <= least or begins_by(delay, now, limit) else 0.0
+                    for weight, pace, delay in zip(
+                        self.weigh_locations(host), self.paces, delays, strict=True
+                    )
                 ]
                 pair = self.rng.choices(range(len(delays)), weights, k=2)
                 drawn = min(pair, key=lambda index: delays[index])
