--- a/tests/test_gateway/test_gateway_admission.py
+++ b/tests/test_gateway/test_gateway_admission.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from gradepoint.cmd.explain import describe_refusal
+from gradepoint.gateway.live import SLOW_FIRST_EVENT_GOALS
 from gradepoint.routing.admission import WAIT_SHARE
 from gradepoint.telemetry.timeline import LogLine
 from gradepoint.util.clock import monotonic
@@ -109,6 +110,29 @@
     run_in_virtual_time(work)
 
 
+def test_waiting_call_decides_again_after_each_digest() -> None:
+    # Most of the calls that end are those of other hosts.
+    async def work(deployment: Deployment) -> None:
+        await start(deployment)
+        gate, decided_at = deployment.gateways[0].admission, []
+        await fill(deployment)
+        wait = gate.wait
+
+        async def record_wait(until: float) -> None:
+            decided_at.append(monotonic())
+            await wait(until)
+
+        gate.wait = record_wait  # type: ignore[method-assign]
+        call = asyncio.ensure_future(deployment.call("/plain/x"))
+        await until(lambda: bool(decided_at))
+        gate.take_sums([])
+        await until(lambda: len(decided_at) > 1)
+        assert decided_at[-1] - decided_at[0] < WAIT_SHARE * GOAL_S / 2
+        await call
+
+    run_in_virtual_time(work)
+
+
 def test_call_whose_caller_left_stops_waiting() -> None:
     # Otherwise, it would take a slot for an answer that nobody reads.
     async def work(deployment: Deployment) -> None:
@@ -151,11 +175,15 @@
 def test_late_call_waits_for_room_without_blaming_the_target() -> None:
     # Its earlier attempt met a host that was down. The time that it waited is not the target's.
     async def work(deployment: Deployment) -> None:
-        await start(deployment, work_s=1.0)
-        await deployment.configure(3, None, [route("plain", "safe", max_attempts=3)])
+        await start(deployment, work_s=1.2)
+        routes = [*ROUTES, route("stream", "streaming", max_attempts=1)]
+        await deployment.configure(3, None, routes)
         await fill(deployment)
-        answer = await deployment.call("/plain/x", request_id="late")
+        begun_at = monotonic()
+        answer = await deployment.call("/stream/x", request_id="late")
         assert answer.status == 200
+        # So long an answer of a target counts as a failure.
+        assert monotonic() - begun_at > GOAL_S * SLOW_FIRST_EVENT_GOALS - 0.1
         assert not deployment.gateways[0].admission.memory.requests
         target = next(iter(deployment.gateways[0].targets.by_id.values()))
         assert target.health.failure_share == 0
