--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -51,6 +51,7 @@
 from ..wire.http_server import HttpServer
 from ..wire.http_types import Response
 from ..wire.ports import probe_port
+from .admission_gate import AdmissionGate
 from .caller_limits import DEFAULT_LIMITS, read_limits
 from .callers import CallerCheck, RevocationTerms
 from .calls import CallRouter
@@ -150,7 +151,7 @@
         self.silence = Silence()
         self.targets = TargetSet(
             settings.drain_ms / 1000 * LINGER_SHARE,
-            lambda: self.occupancy.changed.set(),
+            self.note_load_change,
             # A call on an idle connection to the former incarnation would fail and lose an attempt.
             lambda former: self.forwarder.http.close_idle(split_address(former.address)),
         )
@@ -169,6 +170,7 @@
                 lambda: compute_room(self.targets.working(monotonic()), self.loads.pace),
             ),
             lambda: {**self.heartbeats.capacities(), self.own.incarnation: self.capacity},
+            lambda refused: self.admission.take_sums(refused),
         )
         self.stall_detector = StallDetector(self.refresh_after_stall)
         self.crash_detector = CrashDetector(
@@ -207,7 +209,6 @@
         )
         self.configuration = ActiveConfiguration(platform.decode_configuration, self.apply_limits)
         self.quotas = self.make_quotas()
-        self.recovery_limits = RecoveryLimits(new_rng().random)
         self.item_starts = ItemStarts()
         self.refusals = RecentRefusals()
         self.share_limits = ShareLimits(
@@ -218,6 +219,19 @@
             new_rng().random,
             lambda: self.occupancy.changed.set(),
         )
+        self.admission = AdmissionGate(
+            lambda service: self.targets.candidates(service, monotonic()),
+            self.loads,
+            lambda: self.knows_occupancy(),
+            lambda: len(self.hosts.hosts),
+            RecoveryLimits(new_rng().random),
+            lambda: self.worker.in_flight(),
+            lambda: self.occupancy.delay_s,
+            self.note_refused_call,
+            self.share_limits.allows,
+            self.share_limits.rank,
+            self.forwarder.rng,
+        )
         self.repository = JobRepository(kv, settings.store_value_bytes)
         self.worker = Worker(
             self.repository,
@@ -294,6 +308,7 @@
             self.jobs,
             self.watchers.first_read,
             self.stall_detector,
+            self.admission if settings.admission else None,
         )
         self.callers = HttpServer(self.calls.answer, DEFAULT_LIMITS)
         self.readiness = HttpServer(self.answer_ready)
@@ -332,6 +347,16 @@
             "peers", lambda: follow_peers(self.heartbeats, self.peer_http, self.configuration)
         )
 
+    def note_refused_call(self) -> None:
+        """Tell other hosts of a call refused for lack of room, and start no items for a while."""
+        self.occupancy.changed.set()
+        self.item_starts.note_refusal(monotonic())
+
+    def note_load_change(self) -> None:
+        """Report a change of this host's calls in flight, and let waiting calls decide again."""
+        self.occupancy.changed.set()
+        self.admission.notify()
+
     def make_ledger(self) -> QuotaLedger:
         """Return the ledger that sums the grants of all hosts while this host is an aggregator."""
         return QuotaLedger(
--- a/gradepoint/gateway/outgoing.py
+++ b/gradepoint/gateway/outgoing.py
@@ -62,4 +62,5 @@
         grants=gateway.quotas.host.find_recent_grants(now),
         paces=count_events(gateway.forwarder.answers, now),
         demands=gateway.share_limits.find_demands(),
+        refused=gateway.admission.memory.list_reported(now),
     )
--- a/gradepoint/gateway/settings.py
+++ b/gradepoint/gateway/settings.py
@@ -109,6 +109,12 @@
         "Memory in MB that the process may use; 0 if unknown. Hosts with more aggregate.",
         may_be_zero=True,
     ),
+    Setting(
+        "admission",
+        bool,
+        True,
+        "Whether calls that no target can begin in time wait briefly and are then refused.",
+    ),
     Setting(
         "target_model",
         bool,
@@ -152,6 +158,7 @@
     revoke_ms: float
     link_mbps: float
     memory_mb: float
+    admission: bool
     target_model: bool
     batch_headroom: bool
     metrics_port: int
--- a/gradepoint/peers/aggregation.py
+++ b/gradepoint/peers/aggregation.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ..routing.admission import RefusedNumbers
 from ..routing.batch_headroom import CallArrivals, find_preemption_limit
 from ..routing.fair_shares import compute_shares
 from ..routing.quota_ledger import QuotaLedger
@@ -138,6 +139,7 @@
         that crashed.
     :ivar on_suspects_message: takes a host's message about them, and that host's clock
         in milliseconds.
+    :ivar refused: numbers of the requests that hosts refused for lack of room.
     """
 
     find_slots: Callable[[TargetNumber], int | None]
@@ -158,6 +160,7 @@
     known_results: dict[Incarnation, dict[TargetNumber, KnownResults]] = field(default_factory=dict)
     make_suspects_message: Callable[[], SuspectsMessage] = SuspectsMessage
     on_suspects_message: Callable[[SuspectsMessage, int], None] = lambda _, __: None
+    refused: RefusedNumbers = field(default_factory=RefusedNumbers)
 
     def take(self, report: Report, address: str) -> None:
         """Replace a host's report; older reports that arrive late are ignored."""
@@ -181,6 +184,7 @@
         self._add_results(report)
         self.gaps.add(report.paces, heard.at)
         self.ledger.take(report.incarnation, report.grants, heard.at)
+        self.refused.take(report.refused, heard.at)
         self.on_suspects_message(report.suspects, report.clock_ms)
 
     def forget_silent(self) -> None:
@@ -249,6 +253,7 @@
             self._find_trials(),
             self._find_rooms(now),
             math.floor(self.ledger.find_heard_share(now) * PERCENT),
+            refused=self.refused.list_summed(now),
             items=self.items,
             paces=self.gaps.take_gaps(sends_all=sends_all),
             call_rates={
--- a/gradepoint/peers/occupancy.py
+++ b/gradepoint/peers/occupancy.py
@@ -171,6 +171,8 @@
         failures there.
     :param aggregation: the sums that this host computes while it is an aggregator.
     :param find_capacities: returns the capacity classes of this host and of those that are heard.
+    :param on_sums: called after each digest with the numbers of the requests that hosts refused for
+        lack of room.
     :ivar aggregators: current aggregators, the preferred first.
     :ivar sent: this host's recent reports by number.
     :ivar heard: newest sums by aggregator.
@@ -197,6 +199,7 @@
     on_results: Callable[[TargetNumber, int, int], None]
     aggregation: Aggregation
     find_capacities: Callable[[], dict[Incarnation, CapacityClass]] = dict
+    on_sums: Callable[[list[int]], None] = lambda _: None
     aggregators: list[Incarnation] = field(default_factory=list)
     sent: OrderedDict[int, Report] = field(default_factory=OrderedDict)
     heard: dict[Incarnation, ReceivedSums] = field(default_factory=dict)
@@ -526,6 +529,7 @@
         self._merge()
         self._notify_new_results(sums, own)
         self.aggregation.on_suspects_message(sums.suspects, digest.clock_ms)
+        self.on_sums(sums.refused)
 
     def forget_silent(self) -> None:
         """Drop outdated reports and sums, and distrust that has expired."""
--- a/gradepoint/telemetry/metrics.py
+++ b/gradepoint/telemetry/metrics.py
@@ -132,6 +132,9 @@
         self.organisation_refusals = BufferedCounter(
             "gradepoint_organisation_refusals", "Refused calls by reason and organisation"
         )
+        self.admission_refusals = BufferedCounter("gradepoint_admission_refusals", "By reason")
+        self.admission_waits = BufferedCounter("gradepoint_admission_waits", "By how they ended")
+        self.admission_returns = BufferedCounter("gradepoint_admission_returns", "By outcome")
         self.retries = BufferedCounter("gradepoint_retries", "By reason")
         self.suspects = BufferedCounter("gradepoint_suspects", "Requests by new standing")
         self.held_calls = BufferedCounter("gradepoint_held_calls", "Calls answered as held back")
