Serve the operators' page on load and declare the new records as structs

Change: the gateway answers /load from its own parts; waiting calls are counted by service; records of the modules that a gateway imports are structs as the others. The whole suite was not run yet.

--- a/gradepoint/gateway/admission_gate.py
+++ b/gradepoint/gateway/admission_gate.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
 from .. import events
@@ -31,6 +30,7 @@
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.rng import new_rng
+from ..util.structs import Struct, field
 from .identity import format_key
 
 if TYPE_CHECKING:
@@ -90,8 +90,7 @@
     return route.priority
 
 
-@dataclass
-class AdmissionGate:
+class AdmissionGate(Struct):
     """Admits calls, lets them wait for room, and refuses them.
 
     :param find_candidates: returns the targets of a service that may get a call.
@@ -108,7 +107,7 @@
     :ivar schedules: return times by service.
     :ivar pacings: turns of this host's calls by service, while there is no ample room.
     :ivar trends: change of the calls in flight by service.
-    :ivar waiting: futures of the waiting calls in order of arrival.
+    :ivar waiting: futures of the waiting calls in order of arrival, with the call's service.
     :ivar waking: the waiting calls are being woken one after another.
     :ivar wake_again: occupancy changed while they were.
     """
@@ -128,7 +127,7 @@
     schedules: dict[ServiceName, ReturnSchedule] = field(default_factory=dict)
     pacings: dict[ServiceName, Pacing] = field(default_factory=dict)
     trends: dict[ServiceName, LoadTrend] = field(default_factory=dict)
-    waiting: dict[asyncio.Future[None], None] = field(default_factory=dict)
+    waiting: dict[asyncio.Future[None], ServiceName] = field(default_factory=dict)
     waking: bool = False
     wake_again: bool = False
 
@@ -204,10 +203,10 @@
         loop = asyncio.get_running_loop()
         loop.call_soon(loop.call_soon, self._wake_next, futures)
 
-    async def wait(self, until: float) -> None:
+    async def wait(self, service: ServiceName, until: float) -> None:
         """Wait until occupancy changes, at most until the monotonic time *until*."""
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self.waiting[future] = None
+        self.waiting[future] = service
         try:
             async with asyncio.timeout(max(0.0, until - monotonic())):
                 await future
@@ -217,8 +216,7 @@
             del self.waiting[future]
 
 
-@dataclass
-class PendingCall:
+class PendingCall(Struct):
     """A call that is not admitted yet.
 
     :ivar key: key of its request.
--- a/gradepoint/gateway/answer_progress.py
+++ b/gradepoint/gateway/answer_progress.py
@@ -6,10 +6,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from ..peers.datagrams import number_target
+from ..util.structs import Struct
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -26,8 +26,7 @@
 MILLISECONDS = 1000
 
 
-@dataclass
-class AnswerProgress:
+class AnswerProgress(Struct):
     """Events of one answer.
 
     :ivar events: events received so far.
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -95,6 +95,8 @@
 is the shortest time in which a configuration has to be in force and a leaving target may get no
 more calls. For ``live``, it is about the time in which an ended job has to stop; the job's own host
 also learns of the end at each commit."""
+LOAD_PATH = "/load"
+"""Path of the operators' page on load (:mod:`.load_page`)."""
 SWEEP_S = 0.25
 """Seconds between sweeps for vanished targets, silent hosts and expired records."""
 STOP_LISTENING_S = 3.0
@@ -489,11 +491,16 @@
         return Response(200 if self.ready else 503)
 
     async def answer_metrics(self, request: Request) -> Response:
-        """Answer with metrics, or with the operators' page of held requests or of quotas."""
+        """Answer with metrics, or with a page for operators: held requests, quotas or load."""
         if request.path.startswith(PAGE):
             return await self.held.answer(request)
         if request.path == QUOTA_PAGE:
             return answer_quotas(self.quotas, request.query.get("organisation", ""))
+        if request.path == LOAD_PATH:
+            # Imported when it is first requested, since the import would delay the start.
+            from .load_page import answer_load, collect_sources
+
+            return answer_load(collect_sources(self))
         return Response(200, {"content-type": "text/plain; version=0.0.4"}, await metrics.render())
 
     async def answer_peer(self, request: Request) -> Response:
--- a/gradepoint/gateway/load_page.py
+++ b/gradepoint/gateway/load_page.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
@@ -14,12 +15,11 @@
     from collections.abc import Callable, Iterable, Mapping
 
     from ..ids import OrganisationNumber, ServiceName, TargetId
+    from .app import Gateway
     from .organisations import Organisations
     from .refusals import RecentRefusals
     from .targets import Target
 
-PAGE = "/load"
-
 
 class TargetLoadsView(Protocol):
     """What the page reads of the target model."""
@@ -126,6 +126,27 @@
     check_shortage: Callable[[], bool]
 
 
+def collect_sources(gateway: Gateway) -> LoadSources:
+    """Return the sources of a gateway's page."""
+    loads = gateway.loads
+
+    def find_organisations() -> Organisations | None:
+        current = gateway.configuration.current
+        return current.organisations if current else None
+
+    return LoadSources(
+        loads,
+        gateway.targets.by_id.values,
+        lambda target: loads.find_load(target).calls,
+        lambda target: loads.find_load(target).items,
+        lambda: Counter(gateway.admission.waiting.values()),
+        gateway.refusals,
+        gateway.occupancy.find_shares,
+        find_organisations,
+        gateway.share_limits.check_shortage,
+    )
+
+
 def answer_load(sources: LoadSources) -> Response:
     """Return the page."""
     targets = sorted(sources.list_targets(), key=lambda target: target.name)
--- a/gradepoint/gateway/refusals.py
+++ b/gradepoint/gateway/refusals.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ..telemetry import metrics
 from ..util.clock import monotonic
+from ..util.structs import Struct, field
 
 if TYPE_CHECKING:
     from ..ids import OrganisationName
@@ -25,8 +25,7 @@
 """Label of calls without an organisation."""
 
 
-@dataclass
-class RecentRefusals:
+class RecentRefusals(Struct):
     """Counts refusals by reason and organisation.
 
     :ivar labels: organisations with a label of their own.
--- a/gradepoint/gateway/share_limits.py
+++ b/gradepoint/gateway/share_limits.py
@@ -8,7 +8,6 @@
 
 import math
 from collections import Counter, OrderedDict, deque
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ..ids import OrganisationNumber
@@ -21,6 +20,7 @@
 )
 from ..util.clock import monotonic
 from ..util.hashing import hash32
+from ..util.structs import Struct, field
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
@@ -40,8 +40,7 @@
 """Refusals that are remembered for :data:`SHORTAGE_S`: several times what one host refuses."""
 
 
-@dataclass
-class ShareLimits:
+class ShareLimits(Struct):
     """Limits organisations above their fair share, and measures this host's part of the demands.
 
     :param find_shares: returns the percentage of its new calls that an organisation may send, for
--- a/gradepoint/gateway/target_loads.py
+++ b/gradepoint/gateway/target_loads.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ..peers.datagrams import number_target
@@ -16,6 +15,7 @@
     estimate_delay_s,
 )
 from ..util.clock import monotonic
+from ..util.structs import Struct, field
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,8 +32,7 @@
 count."""
 
 
-@dataclass
-class TargetLoads:
+class TargetLoads(Struct):
     """Paces and loads of the targets, as known from the aggregators and from this host's calls.
 
     :param sums: what other hosts have in flight, and the gaps between events.
@@ -68,7 +67,7 @@
 
     def expected_delay_s(self, target: Target) -> float:
         """Return the seconds that a new call is expected to wait for a slot of a target."""
-        return estimate_delay_s(self._find_load(target), self.call_s(target.listed.service))
+        return estimate_delay_s(self.find_load(target), self.call_s(target.listed.service))
 
     def call_s(self, service: ServiceName) -> float:
         """Return the mean seconds of a service's calls at a target of usual pace, from the first
@@ -94,7 +93,7 @@
 
     def choose(self, drawn: list[Target]) -> Target:
         """Return the target among *drawn* that a new call is sent to; all are of one service."""
-        loads = [self._find_load(target) for target in drawn]
+        loads = [self.find_load(target) for target in drawn]
         return drawn[choose_load(loads, self.call_s(drawn[0].listed.service))]
 
     def note_call(self, target: Target, seconds: float) -> None:
@@ -127,7 +126,8 @@
             paces.update((number, pace) for number, pace in found.items() if pace != USUAL_PACE)
         return paces
 
-    def _find_load(self, target: Target) -> TargetLoad:
+    def find_load(self, target: Target) -> TargetLoad:
+        """Return the calls and items in flight at a target over all hosts, its slots and pace."""
         total = target.in_flight + self.sums.in_flight(target.id)
         # Calls and items come from different digests if an aggregator is being replaced.
         items = self.count_own_items(target.id) + self.sums.items_in_flight(target.id)
@@ -136,8 +136,6 @@
 
     def _sum_up(self, service: ServiceName) -> tuple[int, float]:
         """Return the calls in flight at a service's candidates, and their slots times pace."""
-        loads = [
-            self._find_load(target) for target in self.targets.candidates(service, monotonic())
-        ]
+        loads = [self.find_load(target) for target in self.targets.candidates(service, monotonic())]
         capacity = sum(load.slots * load.pace for load in loads)
         return sum(load.calls for load in loads), capacity
--- a/gradepoint/routing/admission.py
+++ b/gradepoint/routing/admission.py
@@ -7,10 +7,11 @@
 from __future__ import annotations
 
 from collections import OrderedDict, deque
-from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from ..util.structs import Struct, field
+
 if TYPE_CHECKING:
     import random
 
@@ -84,8 +85,7 @@
     EXPIRE = "expire"
 
 
-@dataclass(frozen=True)
-class CallTerms:
+class CallTerms(Struct, frozen=True):
     """What is known of a call on its arrival; times are monotonic seconds.
 
     :param goal_at: time by which its first event is in time.
@@ -104,8 +104,7 @@
     rank: int = 0
 
 
-@dataclass(frozen=True)
-class LoadView:
+class LoadView(Struct, frozen=True):
     """What a host knows of the targets of a service when it decides about a call.
 
     :param least_delay_s: least expected delay of a new call at any candidate.
@@ -128,8 +127,7 @@
     in_turn: bool = True
 
 
-@dataclass(frozen=True)
-class ServiceLoad:
+class ServiceLoad(Struct, frozen=True):
     """Load of all targets of a service, as one host knows it.
 
     Where targets are full, all hosts see the same few free slots and would all use them. Then each
@@ -191,8 +189,7 @@
         return self.own_calls * self.hosts / self.capacity if self.capacity else 0.0
 
 
-@dataclass
-class Pacing:
+class Pacing(Struct):
     """Calls that a host may send while there is no ample room.
 
     :ivar calls: calls that it may send at once.
@@ -307,8 +304,7 @@
     return missing_s > terms.wait_until - now
 
 
-@dataclass
-class LoadTrend:
+class LoadTrend(Struct):
     """Change of the calls in flight of a service, from samples taken when calls find no room.
 
     :ivar samples: times and calls in flight, the oldest first.
@@ -355,8 +351,7 @@
     return RETURN_MARGIN * HONOURED_SHARE * max(0.0, remaining_s)
 
 
-@dataclass
-class ReturnSchedule:
+class ReturnSchedule(Struct):
     """Return times that one host has given to refused calls.
 
     :ivar next_at: earliest monotonic time of the next return.
@@ -383,8 +378,7 @@
         return at - now
 
 
-@dataclass
-class RefusedRequest:
+class RefusedRequest(Struct):
     """A request that was refused for lack of room.
 
     :ivar at: monotonic time at which this host refused it or learned of it.
@@ -397,8 +391,7 @@
     returned: bool = False
 
 
-@dataclass
-class RefusedMemory:
+class RefusedMemory(Struct):
     """Recently refused requests of all hosts, by the number that hosts send each other.
 
     :ivar requests: the requests in order of :attr:`RefusedRequest.at`.
@@ -466,8 +459,7 @@
         self.forget(now)
 
 
-@dataclass
-class RefusedNumbers:
+class RefusedNumbers(Struct):
     """Numbers of refused requests that an aggregator got from all hosts.
 
     :ivar heard_at: monotonic time at which each number was first heard, in this order.
--- a/gradepoint/routing/batch_headroom.py
+++ b/gradepoint/routing/batch_headroom.py
@@ -9,9 +9,9 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ..util.structs import Struct, field
 from .target_model import PREEMPTION_S
 
 if TYPE_CHECKING:
@@ -65,8 +65,7 @@
     return max(1, slots - count_headroom(slots, calls_per_s, PREEMPTION_S))
 
 
-@dataclass
-class CallArrivals:
+class CallArrivals(Struct):
     """Calls that arrived lately at each target.
 
     :ivar begun_at: time of the first observation; infinite before it.
--- a/gradepoint/routing/fair_shares.py
+++ b/gradepoint/routing/fair_shares.py
@@ -8,9 +8,10 @@
 
 import heapq
 import math
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from ..util.structs import Struct
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
@@ -80,8 +81,7 @@
     return {number: demand for demand, number in heapq.nlargest(MAX_DEMANDS, positive)}
 
 
-@dataclass
-class EvenAdmission:
+class EvenAdmission(Struct):
     """Admits a percentage of the calls of one organisation, evenly spaced.
 
     :param phase: per cent accumulated towards the next admitted call, from 0 to 99. Hosts start
--- a/gradepoint/routing/target_model.py
+++ b/gradepoint/routing/target_model.py
@@ -10,10 +10,11 @@
 
 from bisect import bisect_left, insort
 from collections import deque
-from dataclasses import dataclass, field
 from statistics import median
 from typing import TYPE_CHECKING, NamedTuple
 
+from ..util.structs import Struct, field
+
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
@@ -137,8 +138,7 @@
     ended_at: float
 
 
-@dataclass
-class GapHistory:
+class GapHistory(Struct):
     """The recent samples of one target's gap.
 
     :ivar samples: samples that count, the oldest first.
@@ -202,8 +202,7 @@
         return self.ordered[-1].gap
 
 
-@dataclass
-class GapHistories:
+class GapHistories(Struct):
     """The recent samples of all targets' gaps, which an aggregator keeps.
 
     :ivar gaps: known gaps by target, in units of 1/:data:`GAP_UNITS_PER_MS` ms.
