--- a/bench/load_replay.py
+++ b/bench/load_replay.py
@@ -15,6 +15,8 @@
 from enum import Enum
 from statistics import mean
 
+import msgspec
+
 from gradepoint.routing.admission import (
     SHORTAGE_S,
     TREND_S,
@@ -308,7 +310,7 @@
         verdict = decide(terms, view, now)
         if verdict is Verdict.SEND and not (load.has_ample_room or terms.returning or terms.late):
             if not self.host_states[host].pacing.take(load, now):
-                verdict = decide(terms, replace(view, in_turn=False), now)
+                verdict = decide(terms, msgspec.structs.replace(view, in_turn=False), now)
         if verdict is Verdict.WAIT:
             self.wait(now, call, terms.wait_until)
         elif verdict is Verdict.REFUSE:
