Preempt items at the hosts with the least urgent ones

Cause: the aggregator named the hosts that preempt by a hash, and a host has rarely two items at one target, so that the urgency of items hardly mattered. With a sixth of the targets of A gone, items were preempted again and again until they were late.

Change: Report.newest_jobs has the creation revision of the least urgent job with an item at a target; late jobs have the largest. choose_hosts_to_preempt takes the hosts with the largest. The replay does the same by default. The test of choose_hosts_to_preempt passes its hosts as a mapping; what it asserts is unchanged.

--- a/bench/crest_replay.py
+++ b/bench/crest_replay.py
@@ -245,9 +245,15 @@
     return (*held.urgency, held.work.started or float("inf"))
 
 
-def pick_by_host(items: list[Held], count: int, rng: random.Random) -> list[Held]:
-    """Pick hosts at random, and of each its least urgent item that started last."""
-    return pick_of_hosts(rank_by_urgency)(items, count, rng)
+def pick_least_urgent(items: list[Held], count: int, rng: random.Random) -> list[Held]:
+    """Return the last item by urgency of each of the hosts whose items are the least urgent.
+
+    Gradepoint chooses in the same way.
+    """
+    by_host: dict[int, Held] = {}
+    for held in sorted(rng.sample(items, len(items)), key=rank_by_urgency):
+        by_host[held.work.host] = held
+    return sorted(by_host.values(), key=lambda held: held.urgency, reverse=True)[:count]
 
 
 def pick_of_hosts(rank: Callable[[Held], tuple[object, ...]]) -> Pick:
@@ -305,7 +311,7 @@
     classes: int = 0
     ahead: int = 0
     follows_rate: bool = False
-    pick: Pick = pick_by_host
+    pick: Pick = pick_least_urgent
     near_end_s: float = 0.0
     exempts_due: bool = False
 
@@ -385,14 +391,18 @@
     "least delay of all": Strategy(None, compare=choose_by(rank_by_delay), sampled=1000),
 }
 BY_PACE = STRATEGIES["model by pace"]
+PICK_BY_HOST = pick_of_hosts(rank_by_urgency)
 BY_RATE = replace(BY_PACE, follows_rate=True)
+BY_HOST = replace(BY_RATE, pick=PICK_BY_HOST)
 STRATEGIES |= {
-    "one slot ahead": replace(BY_PACE, ahead=1),
-    "one ahead, two reserved": replace(BY_PACE, ahead=1, reserved=2),
-    "two ahead, three res.": replace(BY_PACE, ahead=2, reserved=3),
+    "fixed, host's choice": replace(BY_PACE, pick=PICK_BY_HOST),
+    "one slot ahead": replace(BY_PACE, ahead=1, pick=PICK_BY_HOST),
+    "one ahead, two reserved": replace(BY_PACE, ahead=1, reserved=2, pick=PICK_BY_HOST),
+    "two ahead, three res.": replace(BY_PACE, ahead=2, reserved=3, pick=PICK_BY_HOST),
+    "by rate, host's choice": BY_HOST,
+    "by rate, near end kept": replace(BY_HOST, near_end_s=0.2),
+    "by rate, due kept": replace(BY_HOST, exempts_due=True),
     "by rate": BY_RATE,
-    "by rate, near end kept": replace(BY_RATE, near_end_s=0.2),
-    "by rate, due kept": replace(BY_RATE, exempts_due=True),
     "by rate, host's longest": replace(
         BY_RATE, pick=pick_of_hosts(lambda held: (*held.urgency, held.needed_s))
     ),
--- a/gradepoint/gateway/outgoing.py
+++ b/gradepoint/gateway/outgoing.py
@@ -57,4 +57,7 @@
         suspects=gateway.suspicion.make_own_message(),
         trials=gateway.suspicion.list_own_trials(),
         grants=gateway.quotas.host.find_recent_grants(monotonic()),
+        newest_jobs={
+            number_target(name): created for name, created in worker.find_newest_jobs().items()
+        },
     )
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -151,6 +151,19 @@
             counts[item.target] = counts.get(item.target, 0) + 1
         return counts
 
+    def find_newest_jobs(self) -> dict[TargetId, int]:
+        """Return the creation revision of the least urgent job that has an item at each target.
+
+        Late jobs are the least urgent ones; they count as younger than all jobs in the service.
+        """
+        now = monotonic()
+        newest: dict[TargetId, int] = {}
+        for item in self.running:
+            is_late, created = self._sort_key(item.job, now)
+            order = NOT_YET_CREATED if is_late else created
+            newest[item.target] = max(order, newest.get(item.target, 0))
+        return newest
+
     def sum_waiting_weight(self) -> int:
         """Return the total weight of this host's items that could start now."""
         now = monotonic()
--- a/gradepoint/peers/aggregation.py
+++ b/gradepoint/peers/aggregation.py
@@ -17,7 +17,7 @@
 from .results import KnownResults, ReportedResults, ResultCount, merge_results
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Mapping
 
     from ..ids import Incarnation, OrganisationNumber, RequestKey, ServiceName, TargetNumber
 
@@ -37,18 +37,23 @@
 
 
 def choose_hosts_to_preempt(
-    load: int, limit: int, target: TargetNumber, holders: Iterable[Incarnation]
+    load: int, limit: int, target: TargetNumber, holders: Mapping[Incarnation, int]
 ) -> list[Incarnation]:
     """Return the hosts that must each preempt one item at an overloaded target.
 
+    The hosts with the least urgent items come first, so that old jobs meet their due times.
+
     :param load: calls and items in flight there, over all hosts.
     :param limit: calls and items in flight above which items are preempted.
-    :param holders: hosts that have an item there.
+    :param holders: hosts that have an item there, with the creation revision of the least urgent
+        job.
     """
     surplus = load - limit
     if surplus <= 0:
         return []
-    ordered = sorted(holders, key=lambda host: score(host, str(target)), reverse=True)
+    ordered = sorted(
+        holders, key=lambda host: (holders[host], score(host, str(target))), reverse=True
+    )
     return ordered[:surplus]
 
 
@@ -248,11 +253,11 @@
             limit = find_preemption_limit(slots, rate_by_target.get(target))
             if load <= limit:
                 continue
-            holders = [
-                incarnation
+            holders = {
+                incarnation: row.report.newest_jobs.get(target, 0)
                 for incarnation, row in self.reports.items()
                 if target in row.report.items
-            ]
+            }
             hosts = choose_hosts_to_preempt(load, limit, target, holders)
             if hosts:
                 chosen[target] = [hash32(host) for host in hosts]
--- a/gradepoint/peers/datagrams.py
+++ b/gradepoint/peers/datagrams.py
@@ -82,6 +82,9 @@
         by target.
     :param refused: short numbers of the requests that the host refused lately for lack of room.
     :param demands: calls in flight and lately refused, by organisation, while there is a shortage.
+    :param newest_jobs: creation revision of the least urgent job that has an item at a target, by
+        target; the largest for a late job. It stays the same over time, unlike an age, so that it
+        causes no reports.
     """
 
     format: int
@@ -99,6 +102,7 @@
     paces: dict[TargetNumber, tuple[int, int]] = {}
     refused: list[int] = []
     demands: dict[OrganisationNumber, int] = {}
+    newest_jobs: dict[TargetNumber, int] = {}
 
 
 class Sums(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_jobs/test_jobs_decisions.py
+++ b/tests/test_jobs/test_jobs_decisions.py
@@ -4,6 +4,8 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
+from types import SimpleNamespace
 from typing import Any
 
 import msgspec
@@ -13,6 +15,7 @@
 from gradepoint.ids import HostName, Incarnation, ItemId, JobId, ServiceName, TargetId, TargetName
 from gradepoint.jobs.adoption import ADOPTERS_PER_HOST, Adoption, choose_adopter
 from gradepoint.jobs.api import PAGE_BYTES, truncate_page
+from gradepoint.jobs.owned import OwnedJob
 from gradepoint.jobs.records import (
     Item,
     ItemOutcome,
@@ -28,10 +31,12 @@
     choose_batch_target,
     count_spare_slots,
 )
+from gradepoint.jobs.worker import NOT_YET_CREATED, RunningItem, Worker
 from gradepoint.peers.presence import PRESENCE_PREFIX, HostPresence, HostTable
 from gradepoint.peers.silence import SILENT_S, Silence
 from gradepoint.routing.batch_headroom import find_start_limit
 from gradepoint.standins.virtual_time import run_virtual
+from gradepoint.util.clock import monotonic
 
 RNG = random.Random(1)
 HOSTS = [Incarnation(f"h{number}") for number in range(4)]
@@ -108,6 +113,24 @@
     assert count_spare_slots(targets, lambda _: 20, find_limit) == 0
 
 
+def test_late_jobs_count_as_the_least_urgent_ones() -> None:
+    """Aggregators choose the hosts that preempt by this; late items must not keep their slots."""
+    config: Any = SimpleNamespace(
+        version=1, find_route_by_name=lambda _: SimpleNamespace(due_s=18.0)
+    )
+    stub: Any = None
+    worker = Worker(stub, stub, HOSTS[0], lambda: config, stub, stub, stub, stub)
+    now = monotonic()
+    jobs = [
+        OwnedJob(replace(make_job("j", HOSTS[0]), created=created), [], [], at)
+        for created, at in ((7, now), (9, now), (3, now - 60.0))
+    ]
+    one, two = TargetId("one"), TargetId("two")
+    for job, target in zip(jobs, (one, one, two), strict=True):
+        worker.running.append(RunningItem(job, 0, target, now))
+    assert worker.find_newest_jobs() == {one: 9, two: NOT_YET_CREATED}
+
+
 def make_job(name: str, owner: Incarnation, *, ended: bool = False) -> StoredJob:
     """Return a stored job with one item, owned by *owner*."""
     state = JobState("r", "h", owner, 1, [ItemId("i")], [10], ended=ended)
--- a/tests/test_peers/test_peers_occupancy.py
+++ b/tests/test_peers/test_peers_occupancy.py
@@ -225,14 +225,22 @@
 
 
 def test_as_many_hosts_preempt_as_the_surplus_requires() -> None:
-    holders = [Incarnation(f"h{number}") for number in range(4)]
+    names = [Incarnation(f"h{number}") for number in range(4)]
+    holders = dict.fromkeys(names, 7)
     assert choose_hosts_to_preempt(SLOTS, SLOTS, NUMBER, holders) == []
     one = choose_hosts_to_preempt(SLOTS + 1, SLOTS, NUMBER, holders)
-    two = choose_hosts_to_preempt(SLOTS + 2, SLOTS, NUMBER, reversed(holders))
+    two = choose_hosts_to_preempt(SLOTS + 2, SLOTS, NUMBER, dict.fromkeys(reversed(names), 7))
     assert len(one) == 1 and len(two) == 2 and one[0] in two
     assert set(choose_hosts_to_preempt(SLOTS + 9, SLOTS, NUMBER, holders)) == set(holders)
 
 
+def test_the_least_urgent_items_are_preempted_first() -> None:
+    """Otherwise items of old jobs lose their slots and end after they are due."""
+    created = {"a": 5, "b": 9, "c": 7}
+    holders = {Incarnation(name): revision for name, revision in created.items()}
+    assert choose_hosts_to_preempt(SLOTS + 2, SLOTS, NUMBER, holders) == ["b", "c"]
+
+
 def test_hosts_learn_that_they_must_preempt_an_item() -> None:
     async def main() -> None:
         _, hosts = await start(6)
--- a/tests/test_routing/test_routing_batch_headroom.py
+++ b/tests/test_routing/test_routing_batch_headroom.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -42,7 +40,7 @@
     slots: int, rate: float | None, load: int, holders: int
 ) -> None:
     limit = find_preemption_limit(slots, rate)
-    hosts = [Incarnation(f"h{number}") for number in range(holders)]
+    hosts = {Incarnation(f"h{number}"): number % 3 for number in range(holders)}
     chosen = choose_hosts_to_preempt(load, limit, ONE, hosts)
     assert len(chosen) == min(holders, max(0, load - limit))
 
@@ -63,13 +61,10 @@
 def test_headroom_lowers_late_calls_and_keeps_due_times(shape: str) -> None:
     """Items must meet their due times as often as without headroom, but for the noise of seeds."""
     fixed, by_rate = (
-        [replay(SHAPES[shape], strategy, seed) for seed in (1, 2, 3)]
-        for strategy in (
-            STRATEGIES["model by pace"],
-            replace(STRATEGIES["model by pace"], follows_rate=True),
-        )
+        [replay(SHAPES[shape], STRATEGIES[way], seed) for seed in (1, 2, 3)]
+        for way in ("fixed, host's choice", "by rate")
     )
     late = [sum(row.late for row in rows) for rows in (fixed, by_rate)]
     done = [sum(row.done_in_time for row in rows) for rows in (fixed, by_rate)]
     assert late[1] <= 0.9 * late[0]
-    assert done[1] >= 0.98 * done[0]
+    assert done[1] >= 0.99 * done[0]
