--- a/gradepoint/gateway/outgoing.py
+++ b/gradepoint/gateway/outgoing.py
@@ -63,4 +63,7 @@
         paces=count_events(gateway.forwarder.answers, now),
         demands=gateway.share_limits.find_demands(),
         refused=gateway.admission.memory.list_reported(now),
+        newest_jobs={
+            number_target(name): created for name, created in worker.find_newest_jobs().items()
+        },
     )
