Test paces through a real gateway, and items apart from calls

Guards against answers whose events are not counted, answers that stay registered after their end, reports that paces alone would cause, and items of others that are counted as calls.

--- a/tests/test_gateway/test_gateway_target_loads.py
+++ b/tests/test_gateway/test_gateway_target_loads.py
@@ -24,6 +24,7 @@
 from gradepoint.standins.virtual_time import run_virtual
 from gradepoint.util.clock import monotonic
 from tests.support.datagram_net import DatagramNet
+from tests.support.platform import Deployment, run_in_virtual_time
 from tests.support.targets import SERVICE, listed_target
 
 TARGETS = 6
@@ -260,3 +261,39 @@
     late = count_late("items by pace", shape)
     assert late < most
     assert late < 0.7 * count_late("the product's", shape)
+
+
+@pytest.mark.parametrize("path", ["/stream/1", "/resume/1"])
+def test_aggregator_measures_the_gap_of_a_real_stream(path: str) -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(targets=1, events=60, event_interval_s=0.03)
+        gateway = deployment.gateways[0]
+        answering = asyncio.ensure_future(deployment.call(path))
+        await asyncio.sleep(1.5)
+        gaps = gateway.occupancy.find_gaps()
+        assert gaps is not None
+        assert list(gaps.gaps.values()) == [pytest.approx(300, rel=0.15)]
+        assert (await answering).status == 200
+        assert not gateway.forwarder.answers
+        assert gateway.loads.call_s(SERVICE) == pytest.approx(59 * 0.03, rel=0.2)
+
+    run_in_virtual_time(work)
+
+
+def test_paces_alone_cause_no_datagrams() -> None:
+    async def main(host_changes: bool) -> int:
+        hosts = await start(lambda _, __: 1.0)
+        net = hosts[0].occupancy.socket.net  # type: ignore[attr-defined]
+        for host in hosts if not host_changes else []:
+            host.tasks.pop().cancel()
+        await asyncio.sleep(0.5)
+        before = net.sent
+        await asyncio.sleep(2.0)
+        for host in hosts:
+            for task in host.tasks:
+                task.cancel()
+        return int(net.sent - before)
+
+    # Each host reports to three aggregators and gets their digests at the longest interval.
+    assert run_virtual(main(False)) <= 2 * 3 * 12 * 2.0 / 0.25
+    assert run_virtual(main(True)) > 2 * 3 * 12 * 2.0 / 0.25
--- a/tests/test_peers/test_peers_occupancy.py
+++ b/tests/test_peers/test_peers_occupancy.py
@@ -145,6 +145,19 @@
     run_virtual(main())
 
 
+def test_hosts_tell_the_items_of_others_from_their_calls() -> None:
+    async def main() -> None:
+        _, hosts = await start(6)
+        hosts[0].set_load(2, 3)
+        hosts[1].set_load(1, 1)
+        await asyncio.sleep(0.2)
+        assert [host.occupancy.items_in_flight(TARGET) for host in hosts] == [1, 3, 4, 4, 4, 4]
+        assert [host.occupancy.in_flight(TARGET) for host in hosts[:3]] == [2, 5, 7]
+        stop(hosts)
+
+    run_virtual(main())
+
+
 def test_own_load_is_not_counted_as_another_hosts() -> None:
     async def main() -> None:
         _, hosts = await start(6)
