Digest gaps grow with the square root of the hosts where digests are relayed

Cause: with a gap of 0.1 s at most, the busiest host's bytes grew with a power of 0.9 of the hosts from 165 to 400, since a relay sends about the square root of the hosts as digests each time.

Ruled out: the former gaps (0.5 ms a host) give a power of 0.48, but a change is known after 114 ms at 300 hosts and 166 at 400. Fewer relays with more receivers each, and three levels, were not tried.

Change: beyond 80 hosts the gap grows with the square root of their number, from that of 80 hosts.

--- a/gradepoint/peers/occupancy.py
+++ b/gradepoint/peers/occupancy.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 from functools import lru_cache
@@ -55,9 +56,6 @@
 DIGEST_GAP_PER_PEER_S = 0.0005
 """Seconds that each peer adds to that gap. It limits an aggregator to 2,000 sent digests per
 second, which cost a few hundredths of a core, whatever the number of hosts."""
-MAX_DIGEST_GAP_S = 0.1
-"""Longest of these gaps: that of 170 hosts. More hosts than :data:`MAX_DIRECT_RECEIVERS` get their
-digests by relays, so that each host sends few of them."""
 MAX_GAP_S = 0.25
 """Seconds after which a report or digest is sent even if nothing changed; also the interval at
 which an aggregator gets reports and sends digests while nobody relies on it."""
@@ -89,8 +87,14 @@
 
 
 def find_digest_gap_s(hosts: int) -> float:
-    """Return the minimum seconds between two digests of one aggregator."""
-    return min(MAX_DIGEST_GAP_S, DIGEST_GAP_S + DIGEST_GAP_PER_PEER_S * hosts)
+    """Return the minimum seconds between two digests of one aggregator.
+
+    Where digests are relayed, it grows with the square root of the number of hosts, as the number
+    of digests that a relay sends each time: a relay sends the same number per second in each fleet.
+    """
+    direct = min(hosts, MAX_DIRECT_RECEIVERS)
+    gap_s = DIGEST_GAP_S + DIGEST_GAP_PER_PEER_S * direct
+    return gap_s * math.sqrt(max(1.0, hosts / MAX_DIRECT_RECEIVERS))
 
 
 def read_clock_ms() -> int:
