Hold late calls by the host's own calls for the length of a goal only

Cause: a host with more callers than the others held late calls for up to half of their time although targets had room, since its own calls times the hosts counted as occupancy. Change: the host's own calls count only until the call's goal has passed.

--- a/bench/load_replay.py
+++ b/bench/load_replay.py
@@ -302,7 +302,7 @@
         least = min(delays)
         load = self.sum_up(host)
         occupancy = load.calls / load.capacity
-        if terms.late:
+        if terms.late and now < terms.goal_at:
             occupancy = max(occupancy, load.own_occupancy)
         view = LoadView(least, occupancy, CALL_S, shortage=shortage)
         verdict = decide(terms, view, now)
--- a/gradepoint/gateway/admission_gate.py
+++ b/gradepoint/gateway/admission_gate.py
@@ -318,7 +318,8 @@
             load.own_calls, round(load.capacity), load.hosts
         )
         occupancy = load.calls / load.capacity if load.capacity else 0.0
-        if self.terms.late:
+        if self.terms.late and now < self.terms.goal_at:
+            # By then, digests include the calls that came to all hosts together with this one.
             occupancy = max(occupancy, load.own_occupancy)
         view = LoadView(
             least_delay_s,
--- a/tests/test_gateway/test_gateway_admission.py
+++ b/tests/test_gateway/test_gateway_admission.py
@@ -191,6 +191,25 @@
     run_in_virtual_time(work)
 
 
+def test_late_call_not_held_long_where_only_this_host_is_busy() -> None:
+    # A host with more callers than the others would otherwise hold late calls although targets have
+    # room.
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(targets=1, slots=8, work_s=LONG_S)
+        await until(lambda: deployment.gateways[0].admission.is_known())
+        await fill(deployment, 4)
+        gate = deployment.gateways[0].admission
+        gate.count_hosts = lambda: 10
+        call = asyncio.ensure_future(deployment.call("/plain/x", request_id="late"))
+        await until(lambda: bool(gate.waiting))
+        await asyncio.sleep(2 * GOAL_S)
+        assert not gate.waiting
+        assert deployment.targets[0].ran["late"] == 1
+        await call
+
+    run_in_virtual_time(work)
+
+
 def test_every_call_sent_at_once_without_admission() -> None:
     async def work(deployment: Deployment) -> None:
         deployment.gateway_settings = {"admission": False}
