Cancel tasks and connections in the order of their start

Tasks and connections were kept in sets, so that what is stopped together ended in the order of memory addresses. Ruled out: unseeded random choices; new delays draw from the seeded generators. Change: TaskGroup, HttpServer and the stand-ins keep them in dicts. The test runs with seeds 5, 6 and 7.

--- a/bench/soak/proxy.py
+++ b/bench/soak/proxy.py
@@ -41,7 +41,7 @@
     mode: ProxyMode = ProxyMode.PASS
     port: int = 0
     tasks: TaskGroup = field(default_factory=TaskGroup)
-    open_writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    open_writers: dict[asyncio.StreamWriter, None] = field(default_factory=dict)
 
     async def start(self, address: str, port: int = 0) -> None:
         """Listen on *port* of *address*; 0 picks a free port."""
@@ -76,11 +76,12 @@
         except OSError:
             writer.transport.abort()
             return
-        self.open_writers |= {writer, target_writer}
+        self.open_writers |= dict.fromkeys((writer, target_writer))
         forward_task = self.tasks.start(self._pump(reader, target_writer, forward=True))
         backward_task = self.tasks.start(self._pump(target_reader, writer, forward=False))
         await asyncio.wait([forward_task, backward_task])
-        self.open_writers -= {writer, target_writer}
+        for end in (writer, target_writer):
+            self.open_writers.pop(end, None)
 
     async def _pump(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, forward: bool
--- a/gradepoint/util/tasks.py
+++ b/gradepoint/util/tasks.py
@@ -24,11 +24,12 @@
 
     Unlike in :class:`asyncio.TaskGroup`, a failing task does not cancel the others.
 
-    :ivar tasks: tasks that have not ended. The references keep them from being garbage-collected.
+    :ivar tasks: tasks that have not ended, in the order of their start; their order in a set would
+        make runs with one seed differ. The references keep them from being garbage-collected.
     """
 
     def __init__(self) -> None:
-        self.tasks: set[asyncio.Task[Any]] = set()
+        self.tasks: dict[asyncio.Task[Any], None] = {}
 
     def start(self, work: Coroutine[Any, Any, Any], *, awaited: bool = False) -> asyncio.Task[Any]:
         """Run *work* in the background.
@@ -37,7 +38,7 @@
             the exception is logged here, as nothing else would report it.
         """
         task = asyncio.ensure_future(work)
-        self.tasks.add(task)
+        self.tasks[task] = None
         task.add_done_callback(self._discard if awaited else self._discard_and_log)
         return task
 
@@ -52,12 +53,12 @@
         return self.start(_run_with_restarts(name, make_work))
 
     def _discard(self, task: asyncio.Task[Any]) -> None:
-        self.tasks.discard(task)
+        self.tasks.pop(task, None)
         if not task.cancelled():
             task.exception()
 
     def _discard_and_log(self, task: asyncio.Task[Any]) -> None:
-        self.tasks.discard(task)
+        self.tasks.pop(task, None)
         error = None if task.cancelled() else task.exception()
         if error is not None:
             name = getattr(task.get_coro(), "__qualname__", "")
--- a/gradepoint/wire/http_server.py
+++ b/gradepoint/wire/http_server.py
@@ -53,7 +53,7 @@
 class HttpServer:
     """Listens on one address and passes each request to one handler.
 
-    :ivar connections: the open connections.
+    :ivar connections: the open connections, in the order of their start.
     :ivar stopping: requests are refused with the code ``stopping``.
     :ivar draining: requests are answered, but each connection is closed after its response.
     :ivar port: the port it listens on, once started.
@@ -63,7 +63,7 @@
         self.handler = handler
         self.limits = limits or ServerLimits()
         self.server: asyncio.Server | None = None
-        self.connections: set[Connection] = set()
+        self.connections: dict[Connection, None] = {}
         self.stopping = False
         self.draining = False
         self.port = 0
@@ -95,13 +95,13 @@
         if len(self.connections) >= self.limits.max_connections:
             await connection.refuse(GradepointError("too_many_connections"))
             return
-        self.connections.add(connection)
+        self.connections[connection] = None
         try:
             await connection.run()
         except (asyncio.CancelledError, OSError):
             writer.transport.abort()
         finally:
-            self.connections.discard(connection)
+            self.connections.pop(connection, None)
             if connection.disconnect_watcher is not None:
                 connection.disconnect_watcher.cancel()
             writer.close()
--- a/tests/support/virtual_network.py
+++ b/tests/support/virtual_network.py
@@ -286,7 +286,7 @@
         self.killed: set[str] = set()
         self.servers: dict[str, list[MemoryServer]] = defaultdict(list)
         self.transports: dict[str, list[MemoryTransport | MemoryDatagrams]] = defaultdict(list)
-        self.tasks: dict[str, set[asyncio.Task[Any]]] = defaultdict(set)
+        self.tasks: dict[str, dict[asyncio.Task[Any], None]] = defaultdict(dict)
         self.set_task_factory(self._make_task)
         self.last_port = FIRST_PORT
 
@@ -463,8 +463,9 @@
     def _make_task(self, _: Any, coroutine: Any, **options: Any) -> asyncio.Task[Any]:
         task: asyncio.Task[Any] = asyncio.Task(coroutine, loop=self, **options)
         if incarnation := PROGRAM_INCARNATION.get():
-            self.tasks[incarnation].add(task)
-            task.add_done_callback(self.tasks[incarnation].discard)
+            running = self.tasks[incarnation]
+            running[task] = None
+            task.add_done_callback(lambda ended: running.pop(ended, None))
         return task
 
 
--- a/tests/test_bench/test_bench_soak.py
+++ b/tests/test_bench/test_bench_soak.py
@@ -106,10 +106,12 @@
     assert soak.ledger.accepted
 
 
+@pytest.mark.parametrize("seed", [5, 6, 7])
 def test_soak_with_the_same_seed_is_reproducible(
-    tmp_path: FilePath, monkeypatch: pytest.MonkeyPatch
+    tmp_path: FilePath, monkeypatch: pytest.MonkeyPatch, seed: int
 ) -> None:
-    runs = [run_soak(7, tmp_path / str(number) / "soak", monkeypatch) for number in range(2)]
+    # Tasks and connections were cancelled in the order of their addresses, which differs by run.
+    runs = [run_soak(seed, tmp_path / str(number) / "soak", monkeypatch) for number in range(2)]
     for run in runs:
         assert run.ledger.outcomes == runs[0].ledger.outcomes
         assert run.ledger.results == runs[0].ledger.results
