Count grants of the millisecond before a report as reported

Cause: the time of a report was rounded down, so that calls granted in the same millisecond before it counted as not reported yet. Ruled out: grants lost by the aggregator (its window had them). Change: the time is rounded up. At most the grants of one millisecond count as reported too early.

--- a/gradepoint/peers/occupancy.py
+++ b/gradepoint/peers/occupancy.py
@@ -372,7 +372,10 @@
     def _send_report(
         self, report: Report, addresses: dict[Incarnation, str], *, sends_all: bool
     ) -> None:
-        self.sent[report.number] = msgspec.structs.replace(report, clock_ms=read_clock_ms())
+        # Rounded up: rounded down, calls granted in the same millisecond before the report would
+        # count as granted after it, and a small organisation would be refused below its quota.
+        sent_ms = math.ceil(monotonic() * MILLISECONDS)
+        self.sent[report.number] = msgspec.structs.replace(report, clock_ms=sent_ms)
         self._forget_sent_reports()
         relied_on = self.relied_on
         # Other hosts may still rely on aggregators that this host distrusts, so these get every
--- a/tests/test_gateway/test_gateway_admission.py
+++ b/tests/test_gateway/test_gateway_admission.py
@@ -196,7 +196,7 @@
     # room.
     async def work(deployment: Deployment) -> None:
         await deployment.start(targets=1, slots=8, work_s=LONG_S)
-        await until(lambda: deployment.gateways[0].admission.is_known())
+        await until(lambda: deployment.gateways[0].knows_occupancy())
         await fill(deployment, 4)
         gate = deployment.gateways[0].admission
         gate.count_hosts = lambda: 10
