Ask for an organisation's share only where room is short, and defer its returning calls

Admission asked for the share of every fresh call in a shortage, whatever the occupancy. Shares come up to a second after the demands that they follow from, so calls beyond them were refused while all slots were free. The share is now asked for once, when the call's decision sees that occupancy, and not on a host that does not know it.

--- a/gradepoint/gateway/admission_gate.py
+++ b/gradepoint/gateway/admission_gate.py
@@ -26,6 +26,7 @@
     find_latest_return,
     make_terms,
 )
+from ..routing.fair_shares import SHARES_FROM_OCCUPANCY
 from ..telemetry import metrics
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
@@ -100,8 +101,9 @@
     :param find_own_items: returns this host's batch items in flight by target.
     :param find_delay_s: returns the seconds until hosts know of each other's calls.
     :param on_refused: called after each refusal, so that other hosts learn of it at once.
-    :param allows: returns whether the share of an organisation allows a fresh call; called once for
-        each call in a shortage.
+    :param allows: returns whether the share of an organisation allows a fresh call; called at most
+        once for each call, in a shortage.
+    :param is_limited: returns whether an organisation is above its fair share.
     :param find_rank: returns the rank of a call; 0 is the most urgent.
     :ivar memory: refused requests of all hosts.
     :ivar schedules: return times by service.
@@ -121,6 +123,7 @@
     find_delay_s: Callable[[], float] = lambda: DEFAULT_DELAY_S
     on_refused: Callable[[], None] = lambda: None
     allows: Callable[[OrganisationNumber], bool] = lambda _: True
+    is_limited: Callable[[OrganisationNumber], bool] = lambda _: False
     find_rank: Callable[[Organisation | None, Route], int] = get_route_priority
     rng: random.Random = field(default_factory=new_rng)
     memory: RefusedMemory = field(default_factory=RefusedMemory)
@@ -221,7 +224,7 @@
 
     :ivar key: key of its request.
     :ivar known: occupancy was known at the last decision.
-    :ivar allowed: the share of its organisation allowed it.
+    :ivar allowed: the share of its organisation allowed it; None before it was asked for.
     """
 
     gate: AdmissionGate
@@ -229,7 +232,7 @@
     terms: CallTerms
     key: RequestKey
     known: bool = True
-    allowed: bool = True
+    allowed: bool | None = None
 
     def choose(self, drawn: Target) -> Target | None:
         """Return the target to send the call to, or None if it has to wait.
@@ -256,6 +259,8 @@
         least_delay_s = min(delays.values())
         load = gate.sum_up(call.service, call.route.goal_s)
         ample = load.has_ample_room
+        if shortage and self.known and load.occupancy >= SHARES_FROM_OCCUPANCY:
+            self._ask_for_share()
         verdict = self._decide(least_delay_s, load, now, shortage=shortage)
         if verdict is Verdict.SEND and not ample and not self.terms.returning:
             pacing = gate.pacings.setdefault(call.service, Pacing())
@@ -280,6 +285,13 @@
 
         return self._admit(call.forwarder.choose(call.service, call.tried, accept) or drawn)
 
+    def _ask_for_share(self) -> None:
+        """Find out once whether the share of the call's organisation allows the call."""
+        organisation, terms = self.call.organisation, self.terms
+        if self.allowed is None and organisation is not None:
+            exempt = terms.returning or terms.late
+            self.allowed = exempt or self.gate.allows(organisation.number)
+
     def _decide(
         self,
         least_delay_s: float,
@@ -293,7 +305,7 @@
         may_admit = self.known or gate.recovery.may_admit(
             load.own_calls, round(load.capacity), load.hosts
         )
-        occupancy = load.calls / load.capacity if load.capacity else 0.0
+        occupancy = load.occupancy
         if self.terms.late:
             occupancy = max(occupancy, load.own_occupancy)
         view = LoadView(
@@ -303,7 +315,7 @@
             self.known,
             may_admit,
             shortage,
-            self.allowed,
+            self.allowed is not False,
             in_turn,
         )
         return decide(self.terms, view, now)
@@ -323,7 +335,9 @@
     def _refuse(self, least_delay_s: float, load: ServiceLoad, now: float) -> GradepointError:
         """Record a refusal, and return its error with the time to return."""
         gate, call, loads = self.gate, self.call, self.gate.loads
-        reason = "unknown_occupancy" if not self.known else "room" if self.allowed else "share"
+        reason = (
+            "unknown_occupancy" if not self.known else "share" if self.allowed is False else "room"
+        )
         return_s = self._allocate_return(load, now)
         occupancy, age_s = loads.occupancy(call.service), loads.age_s()
         gate.memory.add_own(self.key & NUMBER_MASK, now)
@@ -373,17 +387,15 @@
     now = monotonic()
     key = call.request.key
     returning = gate.memory.take_return(key & NUMBER_MASK, now)
+    organisation = call.organisation
+    deferred = returning and organisation is not None and gate.is_limited(organisation.number)
     terms = make_terms(
         call.arrived_at,
         call.route.goal_s,
         call.route.timeout_s,
         call.deadline - call.arrived_at,
         returning=returning,
-        rank=gate.find_rank(call.organisation, call.route),
+        deferred=deferred,
+        rank=gate.find_rank(organisation, call.route),
     )
-    pending = PendingCall(gate, call, terms, key)
-    organisation = call.organisation
-    if organisation is not None and not (terms.returning or terms.late):
-        shortage = gate.memory.is_shortage(now)
-        pending.allowed = not shortage or gate.allows(organisation.number)
-    return pending
+    return PendingCall(gate, call, terms, key)
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -231,6 +231,7 @@
             lambda: self.occupancy.delay_s,
             self.note_refused_call,
             self.share_limits.allows,
+            self.share_limits.is_limited,
             self.share_limits.rank,
             self.forwarder.rng,
         )
--- a/gradepoint/gateway/share_limits.py
+++ b/gradepoint/gateway/share_limits.py
@@ -94,8 +94,8 @@
     def is_limited(self, number: OrganisationNumber) -> bool:
         """Whether an organisation is above its fair share.
 
-        Its returning calls are exempt from the share, but should wait behind all other calls:
-        otherwise they fill all slots while demand stays above the room.
+        Its returning calls are exempt from the share, but wait behind all other calls: otherwise
+        they fill all slots while demand stays above the room.
         """
         return number in self.find_shares()
 
--- a/gradepoint/routing/admission.py
+++ b/gradepoint/routing/admission.py
@@ -91,7 +91,8 @@
     :param goal_at: time by which its first event is in time.
     :param deadline: time by which its answer has to be complete.
     :param wait_until: time until which it may wait for room.
-    :param late: it cannot be in time, since an earlier attempt used up its goal.
+    :param late: it waits behind the calls that can be in time: an earlier attempt used up its goal,
+        or it is a returning call of an organisation above its fair share.
     :param returning: its request was refused for lack of room just before.
     :param rank: 0 is the most urgent.
     """
@@ -157,6 +158,11 @@
         queue_s = QUEUE_SHARE * max(0.0, self.goal_s - FIRST_EVENT_S)
         return self.capacity * (1.0 + queue_s / self.call_s) - self.calls
 
+    @property
+    def occupancy(self) -> float:
+        """Calls in flight per slot of usual pace; 0 if the slots are unknown."""
+        return self.calls / self.capacity if self.capacity else 0.0
+
     @property
     def completions_per_s(self) -> float:
         """Calls of all hosts that end per second."""
@@ -218,6 +224,7 @@
     remaining_s: float,
     *,
     returning: bool = False,
+    deferred: bool = False,
     rank: int = 0,
 ) -> CallTerms:
     """Return the terms of a call that arrives at *now*.
@@ -226,8 +233,10 @@
     :param timeout_s: the route's timeout, which a caller has for all attempts together.
     :param remaining_s: seconds until the caller's deadline.
     :param returning: its request was refused for lack of room just before.
+    :param deferred: it is a returning call that waits behind all others, since its organisation is
+        above its fair share. While demand exceeds the room, such calls fill all slots otherwise.
     """
-    late = remaining_s < timeout_s - goal_s and not returning
+    late = deferred or (remaining_s < timeout_s - goal_s and not returning)
     wait_s = LATE_WAIT_SHARE * remaining_s if late else min(WAIT_SHARE * goal_s, remaining_s)
     return CallTerms(
         goal_at=now + goal_s,
--- a/tests/test_gateway/test_gateway_admission.py
+++ b/tests/test_gateway/test_gateway_admission.py
@@ -7,11 +7,12 @@
 
 from gradepoint.cmd.explain import describe_refusal
 from gradepoint.gateway.live import SLOW_FIRST_EVENT_GOALS
-from gradepoint.ids import ServiceName
+from gradepoint.ids import OrganisationNumber, ServiceName
 from gradepoint.peers.occupancy import MAX_GAP_S
 from gradepoint.routing.admission import WAIT_SHARE
 from gradepoint.telemetry.timeline import LogLine
 from gradepoint.util.clock import monotonic
+from gradepoint.util.hashing import hash32
 from tests.support.platform import (
     CallAnswer,
     Deployment,
@@ -22,6 +23,7 @@
 )
 
 GOAL_S = 0.4
+SERVICE = ServiceName("model")
 ROUTES = [route("plain", "safe", timeout_ms=4000, max_attempts=3)]
 """The callers of these tests have 4 s, so that their calls are not late."""
 LONG_S = 1.5
@@ -251,17 +253,72 @@
     run_in_virtual_time(work)
 
 
-def test_organisation_above_its_share_refused_in_a_shortage_only() -> None:
+def test_organisation_above_its_share_refused_only_where_room_is_short() -> None:
+    # Shares come up to a second late. Before the occupancy was checked, calls beyond them were
+    # refused while all slots were free.
     async def work(deployment: Deployment) -> None:
         await start(deployment)
-        await deployment.configure(3, [organisation("large", "k")], ROUTES)
+        rows = [organisation("large", "k"), organisation("small", "s")]
+        await deployment.configure(3, rows, ROUTES)
         gate = deployment.gateways[0].admission
-        gate.allows = lambda _: False
-        assert (await deployment.call("/plain/1", x_credential="k")).status == 200
+        asked: list[OrganisationNumber] = []
+
+        def refuse_share(number: OrganisationNumber) -> bool:
+            asked.append(number)
+            return False
+
+        gate.allows = refuse_share
         gate.memory.add_own(77, monotonic())
-        assert (await deployment.call("/plain/2", x_credential="k")).status == 503
-        await asyncio.sleep(1.1)
-        assert (await deployment.call("/plain/3", x_credential="k")).status == 200
+        assert (await deployment.call("/plain/1", x_credential="k")).status == 200
+        assert not asked
+        running = [
+            asyncio.ensure_future(deployment.call(f"/plain/{n}", x_credential="s"))
+            for n in range(2)
+        ]
+        await asyncio.sleep(0.2)
+        # With calls this short, the full target can begin another one in time.
+        deployment.gateways[0].loads.call_seconds[SERVICE] = 0.1
+        sent = asyncio.ensure_future(deployment.call("/plain/2", x_credential="k"))
+        await asyncio.sleep(0.1)
+        assert not sent.done()
+        gate.memory.add_own(78, monotonic())
+        assert (await deployment.call("/plain/3", x_credential="k")).status == 503
+        assert len(asked) == 1
+        assert {answer.status for answer in await asyncio.gather(sent, *running)} == {200}
+
+    run_in_virtual_time(work)
+
+
+def test_returning_call_above_the_share_waits_behind_others() -> None:
+    # Returning calls are never refused, so those of a large organisation filled all slots in a
+    # shortage that lasts.
+    async def work(deployment: Deployment) -> None:
+        await start(deployment)
+        rows = [organisation("large", "k"), organisation("small", "s")]
+        await deployment.configure(3, rows, ROUTES)
+        gateway = deployment.gateways[0]
+        gate = gateway.admission
+        running = [
+            asyncio.ensure_future(deployment.call(f"/plain/{n}", x_credential="s"))
+            for n in range(2)
+        ]
+        await asyncio.sleep(0.2)
+        assert (await deployment.call("/plain/x", x_credential="k")).status == 503
+        limited = hash32("large")
+        gate.is_limited = lambda number: number == limited
+        gateway.loads.call_seconds[SERVICE] = 0.1
+        back = asyncio.ensure_future(
+            deployment.call("/plain/x", x_credential="k", request_id="back")
+        )
+        await asyncio.sleep(0.05)
+        assert gate.waiting
+        other = asyncio.ensure_future(
+            deployment.call("/plain/y", x_credential="s", request_id="other")
+        )
+        await asyncio.sleep(0.05)
+        assert len(gate.waiting) == 1
+        assert {answer.status for answer in await asyncio.gather(other, back, *running)} == {200}
+        assert list(deployment.targets[0].ran)[-2:] == ["other", "back"]
 
     run_in_virtual_time(work)
 
--- a/tests/test_routing/test_routing_admission.py
+++ b/tests/test_routing/test_routing_admission.py
@@ -91,6 +91,14 @@
     assert decide(make(4.0, returning=True), LoadView(0.0, 0.9, CALL_S), 0.0) is Verdict.SEND
 
 
+def test_deferred_return_displaces_no_call_that_can_be_in_time() -> None:
+    # Returns of an organisation above its share would fill all slots while demand exceeds the room.
+    deferred = make_terms(0.0, GOAL_S, TIMEOUT_S, 4.0, returning=True, deferred=True)
+    assert decide(deferred, LoadView(0.0, 0.9, CALL_S), 0.0) is Verdict.WAIT
+    assert decide(deferred, LoadView(0.0, 0.8, CALL_S), 0.0) is Verdict.SEND
+    assert decide(deferred, LoadView(1.0, 0.9, CALL_S), 2.0) is Verdict.SEND_LEAST
+
+
 def test_returning_call_expires_only_if_its_deadline_cannot_be_met() -> None:
     returning = make(3.0, returning=True, rank=3)
     assert returning.rank == 0
