Refuse no call whose goal cannot be met with any room

A call is refused if no target can begin it within its goal, and the time to a first event is taken as 60 ms. A route with a goal below that was refused at every call by an idle fleet. With a goal below 160 ms, calls were refused while items filled the slots, and no item is preempted for calls that are not sent. A call that met a free slot after a pause of the process was refused too, although its goal had passed and no return could gain anything.

The time allowed to a first event is now at least 0.2 s, and a free slot is used in any case. AdmissionGate.has_room and make_terms now share is_late, which stood in both. Goals of 0.2 s or more are decided as before while a call's goal has not passed. Ruled out: leaving such routes out of admission, since a full fleet is of no use to them either.

--- a/gradepoint/gateway/admission_gate.py
+++ b/gradepoint/gateway/admission_gate.py
@@ -24,6 +24,7 @@
     decide,
     estimate_earliest_return,
     find_latest_return,
+    is_late,
     make_terms,
 )
 from ..routing.fair_shares import SHARES_FROM_OCCUPANCY
@@ -147,10 +148,8 @@
         self.memory.forget(now)
         if self.memory.requests or not self.knows_occupancy():
             return False
-        late = call.deadline - call.arrived_at < call.route.timeout_s - call.route.goal_s
-        goal_at = call.arrived_at + call.route.goal_s
-        delay_s = self.loads.expected_delay_s(target)
-        return not late and delay_s <= 0.0 and begins_by(delay_s, now, goal_at)
+        late = is_late(call.route.goal_s, call.route.timeout_s, call.deadline - call.arrived_at)
+        return not late and self.loads.expected_delay_s(target) <= 0.0
 
     def sum_up(self, service: ServiceName, goal_s: float) -> ServiceLoad:
         """Return the load of all targets of a service."""
--- a/gradepoint/routing/admission.py
+++ b/gradepoint/routing/admission.py
@@ -18,6 +18,10 @@
 FIRST_EVENT_S = 0.06
 """Seconds from the start of a call on a slot to its first event, with the transmission both ways. A
 call is in time only if this still fits into its goal."""
+MIN_GOAL_S = 0.2
+"""Seconds to a first event that are always allowed: those of a call for which an item is preempted
+(0.1 s), :data:`FIRST_EVENT_S`, and a margin. Calls of a route with a shorter goal cannot meet it
+however much room there is, so a refusal would gain them nothing."""
 WAIT_SHARE = 0.2
 """Share of the goal for which a call may wait for room. A refusal is of use to the caller only
 within a quarter of the goal; the rest of the quarter is left for reading the call and for the
@@ -88,7 +92,8 @@
 class CallTerms(Struct, frozen=True):
     """What is known of a call on its arrival; times are monotonic seconds.
 
-    :param goal_at: time by which its first event is in time.
+    :param goal_at: time by which its first event is in time; at least :data:`MIN_GOAL_S` after its
+        arrival.
     :param deadline: time by which its answer has to be complete.
     :param wait_until: time until which it may wait for room.
     :param late: it waits behind the calls that can be in time: an earlier attempt used up its goal,
@@ -217,6 +222,16 @@
         return True
 
 
+def is_late(goal_s: float, timeout_s: float, remaining_s: float) -> bool:
+    """Return whether an earlier attempt of a call has used up its goal.
+
+    :param goal_s: the route's latency goal.
+    :param timeout_s: the route's timeout, which a caller has for all attempts together.
+    :param remaining_s: seconds until the caller's deadline, on the call's arrival.
+    """
+    return remaining_s < timeout_s - goal_s
+
+
 def make_terms(
     now: float,
     goal_s: float,
@@ -236,10 +251,10 @@
     :param deferred: it is a returning call that waits behind all others, since its organisation is
         above its fair share. While demand exceeds the room, such calls fill all slots otherwise.
     """
-    late = deferred or (remaining_s < timeout_s - goal_s and not returning)
+    late = deferred or (is_late(goal_s, timeout_s, remaining_s) and not returning)
     wait_s = LATE_WAIT_SHARE * remaining_s if late else min(WAIT_SHARE * goal_s, remaining_s)
     return CallTerms(
-        goal_at=now + goal_s,
+        goal_at=now + max(goal_s, MIN_GOAL_S),
         deadline=now + remaining_s,
         wait_until=now + max(0.0, wait_s),
         late=late,
@@ -268,7 +283,8 @@
     """Decide about a call that has not been sent yet."""
     if not view.known:
         return _decide_blind(terms, view, now)
-    in_time = begins_by(view.least_delay_s, now, terms.goal_at)
+    # A free slot cannot be improved on by waiting, nor by returning when the goal has passed.
+    in_time = view.least_delay_s <= 0.0 or begins_by(view.least_delay_s, now, terms.goal_at)
     if terms.late:
         if view.occupancy < LATE_OCCUPANCY:
             return Verdict.SEND if in_time else Verdict.SEND_LEAST
--- a/tests/test_gateway/test_gateway_admission.py
+++ b/tests/test_gateway/test_gateway_admission.py
@@ -103,6 +103,19 @@
     run_in_virtual_time(work)
 
 
+def test_goal_shorter_than_the_time_to_a_first_event_refuses_nobody() -> None:
+    # Every call of such a route was refused by an idle fleet, and so was a call after a pause of
+    # the process that used up its goal.
+    async def work(deployment: Deployment) -> None:
+        await start(deployment, work_s=0.1)
+        await deployment.configure(3, None, [route("plain", "safe", timeout_ms=4000, goal_ms=50)])
+        assert (await deployment.call("/plain/1")).status == 200
+        deployment.gateways[0].admission.memory.add_own(77, monotonic())
+        assert (await deployment.call("/plain/2")).status == 200
+
+    run_in_virtual_time(work)
+
+
 def test_waiting_call_sent_as_soon_as_a_slot_is_free() -> None:
     async def work(deployment: Deployment) -> None:
         await start(deployment, work_s=0.23)
