Keep references to the calls that fill a target in the tests of admission

The event loop refers to tasks weakly. A garbage collection in the middle of a test destroyed the calls of fill() that nothing awaited, which freed their slots: test_refused_call_reached_no_target got 200 instead of 503, depending on the modules that were imported before. Ruled out: a change of decisions; the same revision passed alone and failed together with test_gateway_quotas.py (2 of 2).

--- a/tests/test_gateway/test_gateway_admission.py
+++ b/tests/test_gateway/test_gateway_admission.py
@@ -26,6 +26,9 @@
 SERVICE = ServiceName("model")
 ROUTES = [route("plain", "safe", timeout_ms=4000, max_attempts=3)]
 """The callers of these tests have 4 s, so that their calls are not late."""
+RUNNING: set[asyncio.Task[CallAnswer]] = set()
+"""Calls of :func:`fill`. The event loop refers to tasks weakly, and a collected task frees its slot
+in the middle of a test."""
 LONG_S = 1.5
 """Seconds of a call that keeps its slot for the rest of a test."""
 
@@ -60,6 +63,9 @@
 async def fill(deployment: Deployment, count: int = 2) -> list[asyncio.Task[CallAnswer]]:
     """Start calls that take the slots of the target."""
     tasks = [asyncio.ensure_future(deployment.call(f"/plain/{n}")) for n in range(count)]
+    for task in tasks:
+        RUNNING.add(task)
+        task.add_done_callback(RUNNING.discard)
     await asyncio.sleep(0.2)
     return tasks
 
