Take back the quota of a call whose caller leaves while it waits for room

Only a refusal returned the grant. A call that was sent stays charged, since the target may have run it. Ruled out: using may_have_run, which is set only when the answer begins.

--- a/gradepoint/gateway/calls.py
+++ b/gradepoint/gateway/calls.py
@@ -139,7 +139,8 @@
     async def _answer_within_quota(self, call: LiveCall, organisation: Organisation) -> Response:
         """Answer a call of an organisation and count it against the organisation's quota.
 
-        A failed call that no target can have run is refunded.
+        A failed call that no target can have run is refunded, and so is one whose caller leaves
+        while it waits for room.
         """
         self.quotas.admit(organisation, call.head.request_id)
         try:
@@ -148,6 +149,10 @@
             if not call.may_have_run:
                 self.quotas.take_back(organisation)
             raise
+        except asyncio.CancelledError:
+            if not call.tried:
+                self.quotas.take_back(organisation)
+            raise
 
     async def _wait_for_first_read(self) -> None:
         """Delay a call that arrives right after the start until routes and targets are known.
--- a/tests/test_gateway/test_gateway_admission.py
+++ b/tests/test_gateway/test_gateway_admission.py
@@ -197,6 +197,33 @@
     run_in_virtual_time(work)
 
 
+def test_call_whose_caller_left_before_it_was_sent_is_not_charged_to_the_quota() -> None:
+    async def work(deployment: Deployment) -> None:
+        await start(deployment)
+        await deployment.configure(3, [organisation("small", "k", rate=9.0, burst=9.0)], ROUTES)
+        gateway = deployment.gateways[0]
+        number = OrganisationNumber(hash32("small"))
+        running = [
+            asyncio.ensure_future(deployment.call(f"/plain/{n}", x_credential="k"))
+            for n in range(2)
+        ]
+        await asyncio.sleep(0.2)
+        assert gateway.quotas.host.own[number].count == 2
+        waiting = asyncio.ensure_future(deployment.call("/plain/x", x_credential="k"))
+        await until(lambda: bool(gateway.admission.waiting))
+        assert gateway.quotas.host.own[number].count == 3
+        waiting.cancel()
+        await until(lambda: not gateway.admission.waiting)
+        assert gateway.quotas.host.own[number].count == 2
+        # These calls run, so they stay charged.
+        for call in running:
+            call.cancel()
+        await asyncio.sleep(0.2)
+        assert gateway.quotas.host.own[number].count == 2
+
+    run_in_virtual_time(work)
+
+
 def test_late_call_waits_for_room_without_blaming_the_target() -> None:
     # Its earlier attempt met a host that was down. The time that it waited is not the target's.
     async def work(deployment: Deployment) -> None:
