Forget the counts of a target's incomplete sample after 2 s

Cause: an aggregator dropped a target's history only if no counts of an incomplete sample were left. Each incarnation that ended in the middle of a sample (fewer than 8 events) left a history for as long as the process ran, and every digest visited all of them. A host that aggregated again later mixed such counts into its first sample, which alone decides the gap until more are complete.

Ruled out: dropping a sample by the time of its begin. A target that is slower than a sample is long would never complete one, and then count as usual.

Change: counts are dropped 2 s after the last one. Two tests fail without it; a third one holds the counts of a slow target.

--- a/gradepoint/routing/target_model.py
+++ b/gradepoint/routing/target_model.py
@@ -55,7 +55,7 @@
 MIN_COUNTED_S = 0.5
 """Seconds of samples before a target's gap is known. A new target that pauses is not slow."""
 MAX_SAMPLE_AGE_S = 2.0
-"""Seconds after which a sample does not count any more."""
+"""Seconds after which a sample, or the counts of an incomplete one, do not count any more."""
 GAP_UNITS_PER_MS = 10
 """Units per millisecond in which gaps are sent."""
 
@@ -145,6 +145,7 @@
     :ivar ordered: the same samples, ordered by gap.
     :ivar covered_s: seconds that they cover.
     :ivar begun_at: time at which the incomplete sample began.
+    :ivar counted_at: time of the last count.
     :ivar events: events counted in it.
     :ivar ms: milliseconds that these took, summed over the answers; 0 if it is empty.
     :ivar gap: median gap over the newest samples; None if they cover too little time.
@@ -154,19 +155,23 @@
     ordered: list[GapSample] = field(default_factory=list)
     covered_s: float = 0.0
     begun_at: float = float("-inf")
+    counted_at: float = float("-inf")
     events: int = 0
     ms: int = 0
     gap: int | None = None
 
     def add(self, events: int, ms: int, now: float) -> None:
         """Count events that answers received in *ms* milliseconds that have just passed."""
+        self._forget_old_counts(now)
         if not self.ms:
             self.begun_at = max(self.begun_at, now - MAX_COUNT_AGE_S)
+        self.counted_at = now
         self.events += events
         self.ms += ms
 
     def close(self, now: float) -> None:
         """Complete the current sample if it suffices, and forget samples that are too old."""
+        self._forget_old_counts(now)
         duration_s = now - self.begun_at
         gaps = GAP_UNITS_PER_MS * self.ms / (self.gap or DEFAULT_GAP)
         complete = self.events >= MIN_SAMPLE_EVENTS or gaps >= MAX_SAMPLE_GAPS
@@ -178,6 +183,12 @@
             self._drop_oldest()
         self.gap = self._find_median()
 
+    def _forget_old_counts(self, now: float) -> None:
+        """Drop an incomplete sample that got no count for long: the target is gone or idle, or this
+        host did not aggregate meanwhile."""
+        if now - self.counted_at > MAX_SAMPLE_AGE_S:
+            self.events = self.ms = 0
+
     def _append(self, sample: GapSample) -> None:
         self.samples.append(sample)
         insort(self.ordered, sample)
--- a/tests/test_routing/test_routing_target_model.py
+++ b/tests/test_routing/test_routing_target_model.py
@@ -9,12 +9,14 @@
 from gradepoint.ids import TargetNumber
 from gradepoint.routing.target_model import (
     COUNTED_S,
+    MAX_COUNT_AGE_S,
     MAX_PACE,
     MAX_SAMPLE_AGE_S,
     MIN_PACE,
     PREEMPTION_S,
     SAMPLE_S,
     GapHistories,
+    GapHistory,
     TargetLoad,
     choose_load,
     compute_paces,
@@ -86,3 +88,32 @@
     gaps = GapHistories()
     feed(gaps, USUAL, 0.0, 60.0, 25)
     assert len(gaps.by_target[USUAL].samples) <= COUNTED_S / SAMPLE_S + 1
+
+
+def test_counts_of_a_former_target_are_forgotten_although_their_sample_is_incomplete() -> None:
+    """Guards against one history for each former incarnation that an aggregator never drops."""
+    histories = GapHistories()
+    histories.add({USUAL: (3, 100)}, 0.0)
+    histories.close(SAMPLE_S)
+    assert histories.by_target
+    histories.close(MAX_SAMPLE_AGE_S + SAMPLE_S)
+    assert not histories.by_target
+
+
+def test_counts_from_before_a_break_do_not_count_as_the_present_gap() -> None:
+    """A host that aggregates again after a minute would take old counts for a present pause."""
+    histories = GapHistories()
+    histories.add({USUAL: (1, 4_000)}, 0.0)
+    histories.add({USUAL: (10, 330)}, 60.0)
+    histories.close(60.0)
+    assert [sample.gap for sample in histories.by_target[USUAL].samples] == [330]
+
+
+def test_incomplete_sample_of_a_slow_target_counts_as_long_as_events_arrive() -> None:
+    """Guards against a target that is too slow to complete a sample and then counts as usual."""
+    history = GapHistory(gap=4_000)
+    for step in range(24):
+        now = step * MAX_COUNT_AGE_S
+        history.add(step % 2, 250, now)
+        history.close(now)
+        assert history.samples or history.ms >= min(250 * (step + 1), MAX_SAMPLE_AGE_S * 1000)
