Measure the rate of calls anew after a break in the aggregation

Cause: the begin of the measurement was set once for each process. A host that aggregated again, or had been suspended, sent the rate of an empty window, near 0, for the first 0.3 s. Items then filled the slots that calls need at a peak; an unknown rate keeps one slot free.

Ruled out: a reset when the role changes. It does not cover a suspension.

Change: after 1 s without an observation the rate is unknown until the window is covered again. The test fails without it.

--- a/gradepoint/routing/batch_headroom.py
+++ b/gradepoint/routing/batch_headroom.py
@@ -30,6 +30,9 @@
 RATE_WINDOW_S = 0.3
 """Seconds over which the rate of calls is measured. At a rising peak, the rate over 1 s is too low
 for as long; over less than 0.3 s too few calls arrive for a useful mean."""
+MAX_OBSERVATION_GAP_S = 1.0
+"""Seconds between two observations beyond which measuring begins anew: four of the longest gaps
+between a host's reports. The host was suspended, or did not aggregate meanwhile."""
 
 
 def count_headroom(slots: int, calls_per_s: float, horizon_s: float) -> int:
@@ -68,12 +71,14 @@
 class CallArrivals(Struct):
     """Calls that arrived lately at each target.
 
-    :ivar begun_at: time of the first observation; infinite before it.
+    :ivar begun_at: time of the first observation without a long gap after it; infinite before it.
+    :ivar observed_at: time of the last observation.
     :ivar recent: time, target and number of calls of each observation within the window.
     :ivar counts: calls within the window by target.
     """
 
     begun_at: float = float("inf")
+    observed_at: float = float("-inf")
     recent: deque[tuple[float, TargetNumber, int]] = field(default_factory=deque)
     counts: dict[TargetNumber, int] = field(default_factory=dict)
 
@@ -87,7 +92,9 @@
 
         :param former: the host's calls in flight by target in its former report.
         """
-        self.begun_at = min(self.begun_at, now)
+        if now - self.observed_at > MAX_OBSERVATION_GAP_S:
+            self.begun_at = now
+        self.observed_at = now
         self.forget(now)
         for target, number in calls.items():
             begun = number - former.get(target, 0)
--- a/tests/test_routing/test_routing_batch_headroom.py
+++ b/tests/test_routing/test_routing_batch_headroom.py
@@ -10,6 +10,7 @@
 from gradepoint.ids import Incarnation, TargetNumber
 from gradepoint.peers.aggregation import choose_hosts_to_preempt
 from gradepoint.routing.batch_headroom import (
+    MAX_OBSERVATION_GAP_S,
     RATE_WINDOW_S,
     CallArrivals,
     find_preemption_limit,
@@ -57,6 +58,19 @@
     assert not arrivals.counts and not arrivals.recent
 
 
+def test_rate_is_unknown_when_a_host_aggregates_again() -> None:
+    """A rate of 0 from an empty window would let items fill all slots at a peak."""
+    arrivals = CallArrivals()
+    arrivals.observe({}, {ONE: 1}, 0.0)
+    again = 2 * MAX_OBSERVATION_GAP_S
+    arrivals.observe({}, {}, again)
+    assert arrivals.find_rate([ONE], again + 0.9 * RATE_WINDOW_S) is None
+    arrivals.observe({}, {ONE: 1}, again + RATE_WINDOW_S)
+    assert arrivals.find_rate([ONE], again + 1.1 * RATE_WINDOW_S) == pytest.approx(
+        1 / RATE_WINDOW_S
+    )
+
+
 @pytest.mark.parametrize("shape", ["A", "A, a sixth gone", "B", "B, a sixth gone"])
 def test_headroom_lowers_late_calls_and_keeps_due_times(shape: str) -> None:
     """Items must meet their due times as often as without headroom, but for the noise of seeds."""
