Ignore SIGHUP until the gateway can handle it, and use an address that changed meanwhile

Cause: a reload signal before the event loop's handler is set has its default action, which ends the process. Before the port was opened early this was so too, but then no calls waited. And the settings file is read twice, once to open the port: if callers_address changed in between, the process listened on the former address only.

Ruled out: remembering the signal and reloading later. A reload only logs a line, and the settings are read after the imports. SIGTERM keeps its default action, which ends the process at once; a test holds this.

Change: SIGHUP is ignored from the first line of the program on, and the port is opened again if the checked settings name another address. Two of the three tests fail without it.

--- a/gradepoint/cmd/gateway.py
+++ b/gradepoint/cmd/gateway.py
@@ -9,6 +9,7 @@
 
 import gc
 import json
+import signal
 import socket
 import sys
 from typing import TYPE_CHECKING
@@ -54,6 +55,8 @@
 
 def run() -> None:
     """Run the console entry point."""
+    # The default action would end the process; the settings are read after the imports anyway.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     listener = open_callers_port(sys.argv[1:])
     # Nothing that the imports create is garbage; looking for it takes 7 ms of processor time.
     gc.disable()
--- a/gradepoint/cmd/gateway_program.py
+++ b/gradepoint/cmd/gateway_program.py
@@ -14,6 +14,7 @@
 from ..platform import configuration, headers, jobs, retirement, store, targets
 from ..telemetry import logs
 from ..util.loop import run_coroutine
+from ..wire.addresses import split_address
 from .runner import require_settings, stop_event
 
 if TYPE_CHECKING:
@@ -44,7 +45,20 @@
     """
     checked = require_settings(load_gateway_settings(settings))
     logs.configure("gateway", checked.host, checked.log_level, checked.log_style)
-    run_coroutine(serve(checked, listener))
+    run_coroutine(serve(checked, keep_if_current(listener, checked.callers_address)))
+
+
+def keep_if_current(listener: socket.socket | None, address: str) -> socket.socket | None:
+    """Return *listener* if it listens on *address*; otherwise close it and return None.
+
+    The settings file may have changed since the port was opened.
+
+    :param address: ``IP:PORT``.
+    """
+    if listener is not None and listener.getsockname() != split_address(address):
+        listener.close()
+        return None
+    return listener
 
 
 async def serve(settings: GatewaySettings, listener: socket.socket | None) -> None:
--- a/tests/test_cmd/test_cmd_gateway_start.py
+++ b/tests/test_cmd/test_cmd_gateway_start.py
@@ -5,8 +5,10 @@
 import asyncio
 import json
 import os
+import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import pytest
@@ -89,6 +91,58 @@
     run_deployment(work)
 
 
+def wait_for_imports(path: Path) -> None:
+    """Return once a started program waits before its expensive imports."""
+    end = time.monotonic() + WAIT_S
+    while not path.with_suffix(".importing").exists():
+        assert time.monotonic() < end
+        time.sleep(0.005)
+
+
+def test_reload_signal_during_the_imports_does_not_end_the_process(tmp_path: Path) -> None:
+    # The default action of SIGHUP ends the process, and with it the calls that wait in the queue.
+    path = write_settings(tmp_path, "", free_port(), host=None)
+    process = start(path)
+    wait_for_imports(path)
+    process.send_signal(signal.SIGHUP)
+    process.communicate(b"\n", timeout=WAIT_S)
+    assert process.returncode == 2, "the exit code of the invalid settings, read after the signal"
+
+
+def test_stop_signal_during_the_imports_ends_the_process(tmp_path: Path) -> None:
+    path = write_settings(tmp_path, "", free_port())
+    process = start(path)
+    wait_for_imports(path)
+    process.terminate()
+    process.communicate(timeout=WAIT_S)
+    assert process.returncode == -signal.SIGTERM
+
+
+def test_address_that_changes_during_the_imports_is_used(tmp_path: Path) -> None:
+    # The process listened on the former address and no caller reached it.
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=0, targets=0)
+        former, changed = free_port(), free_port()
+        path = write_settings(tmp_path, deployment.store_address, former)
+        process = start(path)
+        try:
+            async with asyncio.timeout(WAIT_S):
+                await asyncio.to_thread(wait_for_imports, path)
+                write_settings(tmp_path, deployment.store_address, changed)
+                assert process.stdin is not None
+                process.stdin.write(b"\n")
+                process.stdin.flush()
+                _, writer = await connect(changed)
+                writer.close()
+            with pytest.raises(ConnectionRefusedError):
+                await asyncio.open_connection(LOOPBACK, former)
+        finally:
+            process.kill()
+            process.communicate()
+
+    run_deployment(work)
+
+
 def test_invalid_settings_are_all_printed_although_the_port_was_opened(tmp_path: Path) -> None:
     path = write_settings(tmp_path, "", free_port(), host=None, drain_ms=-1, unknown=1)
     process = start(path)
