Find the holders of items at overloaded targets in one pass

Cause: sum_up visited the reports of all hosts once for each overloaded target.

Change: one pass over the reports collects the holders of all of them; the choice and its order are the same.

--- a/gradepoint/peers/aggregation.py
+++ b/gradepoint/peers/aggregation.py
@@ -27,7 +27,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Container, Mapping
 
     from ..ids import Incarnation, OrganisationNumber, RequestKey, ServiceName, TargetNumber
 
@@ -320,20 +320,32 @@
         :param rates: as of :meth:`_find_call_rates`.
         """
         rate_by_target = {target: rate for rate, targets in rates.values() for target in targets}
-        chosen = {}
+        limits = {}
         for target, load in self.loads.items():
             slots = self.find_slots(target)
             if slots is None:
                 continue
             limit = find_preemption_limit(slots, rate_by_target.get(target))
-            if load <= limit:
-                continue
-            holders = {
-                incarnation: row.report.newest_jobs.get(target, 0)
-                for incarnation, row in self.reports.items()
-                if target in row.report.items
-            }
-            hosts = choose_hosts_to_preempt(load, limit, target, holders)
+            if load > limit:
+                limits[target] = limit
+        holders = self._find_holders(limits)
+        chosen = {}
+        for target, limit in limits.items():
+            load = self.loads[target]
+            hosts = choose_hosts_to_preempt(load, limit, target, holders.get(target, {}))
             if hosts:
                 chosen[target] = [hash32(host) for host in hosts]
         return chosen
+
+    def _find_holders(
+        self, targets: Container[TargetNumber]
+    ) -> dict[TargetNumber, dict[Incarnation, int]]:
+        """Return the hosts that have an item at each of *targets* where any host has one, with the
+        creation revision of the least urgent job."""
+        holders: dict[TargetNumber, dict[Incarnation, int]] = {}
+        for incarnation, heard in self.reports.items():
+            for target in heard.report.items:
+                if target in targets:
+                    revision = heard.report.newest_jobs.get(target, 0)
+                    holders.setdefault(target, {})[incarnation] = revision
+        return holders
