--- a/tests/test_gateway/test_gateway_admission.py
+++ b/tests/test_gateway/test_gateway_admission.py
@@ -7,6 +7,7 @@
 
 from gradepoint.cmd.explain import describe_refusal
 from gradepoint.gateway.live import SLOW_FIRST_EVENT_GOALS
+from gradepoint.ids import ServiceName
 from gradepoint.routing.admission import WAIT_SHARE
 from gradepoint.telemetry.timeline import LogLine
 from gradepoint.util.clock import monotonic
@@ -118,9 +119,9 @@
         await fill(deployment)
         wait = gate.wait
 
-        async def record_wait(until: float) -> None:
+        async def record_wait(service: ServiceName, until: float) -> None:
             decided_at.append(monotonic())
-            await wait(until)
+            await wait(service, until)
 
         gate.wait = record_wait  # type: ignore[method-assign]
         call = asyncio.ensure_future(deployment.call("/plain/x"))
