Choose watchers by name among listed and heard hosts

Cause: hosts that restart together begin to serve over 0.5 s. Each chose watchers among the few hosts that it heard 0.2 s after its first read, opened three watches and closed them when it heard more.

Change: watchers are ranked by host name in place of incarnation, for 0.8 s after the start also among the hosts that the first read lists, and a host that is not chosen does not watch in the place of others for 1.3 s. Views are proven after 1 s as before, whoever watches.

--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -420,6 +420,7 @@
                 "live": PrefixView(live),
             },
             MAX_VIEW_AGE_S,
+            lambda: set(self.hosts.hosts),
         )
 
     def find_data_hosts(self) -> list[str]:
--- a/gradepoint/peers/watchers.py
+++ b/gradepoint/peers/watchers.py
@@ -25,12 +25,13 @@
 from ..wire.addresses import split_address
 from ..wire.http_client import ConnectFailed, ResponseBroken
 from ..wire.http_types import Response
+from .presence import read_host
 from .proofs import Proof, Proofs
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..ids import Incarnation
+    from ..ids import HostName, Incarnation
     from ..kv.relay import RelayedKv
     from ..kv.service import RangeResult, WatchEvent
     from ..wire.http_client import HttpClient
@@ -57,8 +58,15 @@
 longer delay would leave its rate unused afterwards."""
 JOIN_DELAY_S = 0.2
 """Seconds after its first read in which a host does not watch. The current watchers are heard
-within that time, also after a start of all hosts; otherwise each start would open watches that are
-closed again."""
+within that time; otherwise each start would open watches that are closed again."""
+START_SPREAD_S = 0.8
+"""Seconds after its first read in which a host counts listed hosts that it does not hear among
+those that may watch. Hosts that got power together begin to serve over 0.5 s, and each of them
+would choose watchers among the few that it hears. Views are proven after 1 s, whoever watches."""
+STAND_IN_DELAY_S = 1.3
+"""Seconds after its first read in which a host that is not chosen does not watch, although it hears
+no watcher: the chosen hosts may have started 0.5 s later and may still choose among listed hosts. A
+host that gets no proof either reads a view after 1.5 s at the earliest."""
 MAX_HOSTS_ASKED = 2
 """Hosts that are asked for the same updates; one of them may have just stopped."""
 DISTRUST_S = 3.0
@@ -78,9 +86,12 @@
 
 
 @lru_cache(maxsize=8)
-def choose_watchers(incarnations: frozenset[Incarnation]) -> list[Incarnation]:
-    """Return the incarnations that watch; all hosts that hear the same hosts compute the same."""
-    return rank("watchers", incarnations)[:WATCHER_COUNT]
+def choose_watchers(hosts: frozenset[HostName]) -> list[HostName]:
+    """Return the hosts that watch; all hosts that know the same hosts compute the same.
+
+    They are chosen by name, so that a restart of all hosts changes no role.
+    """
+    return rank("watchers", hosts)[:WATCHER_COUNT]
 
 
 class EventNotifier(Struct):
@@ -107,6 +118,7 @@
     :param prefixes: prefix of each view.
     :param views: views by name; those without which no call is served come first.
     :param bounds_s: by view, seconds within which a change must be known.
+    :param listed: returns the names of the hosts listed in the key-value service.
     :ivar tasks: this host's watches.
     :ivar proof_tasks: running proofs.
     :ivar proving: names of the views being proven.
@@ -118,7 +130,7 @@
     :ivar watching: whether this host watches.
     :ivar distrusted_until: monotonic time until which this host watches the service directly
         because other hosts fail to provide updates.
-    :ivar no_watch_before: monotonic time before which this host does not watch.
+    :ivar started_at: monotonic time of this host's first read of all views.
     :ivar first_read: set once every view has been read.
     :ivar wake_up: set to check at once.
     """
@@ -130,6 +142,7 @@
     prefixes: dict[str, str]
     views: dict[str, PrefixView]
     bounds_s: dict[str, float]
+    listed: Callable[[], set[HostName]]
     tasks: TaskGroup = field(default_factory=TaskGroup)
     proof_tasks: TaskGroup = field(default_factory=TaskGroup)
     proving: set[str] = field(default_factory=set)
@@ -139,7 +152,7 @@
     behind_since: float | None = None
     watching: bool = False
     distrusted_until: float = 0.0
-    no_watch_before: float = 0.0
+    started_at: float = 0.0
     first_read: asyncio.Event = field(default_factory=asyncio.Event)
     wake_up: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -176,8 +189,7 @@
             await self._wait_for_update(self._prove_old_views())
 
     async def _read_first(self) -> None:
-        """Read every view once per run of the process, and leave time for other hosts to be
-        heard.
+        """Read every view once per run of the process.
 
         The views are read one after another. When all hosts start together, the service's rate of
         reads then goes first to the first views, without which a host serves no calls.
@@ -189,7 +201,7 @@
             await read_snapshot(self.kv, self.prefixes[name], view, FIRST_READ_BACKOFF_S)
             self.proofs.proven_at[name] = asked_at
         self.first_read.set()
-        self.no_watch_before = monotonic() + JOIN_DELAY_S
+        self.started_at = monotonic()
 
     async def _wait_for_update(self, longest_s: float) -> None:
         try:
@@ -200,30 +212,40 @@
         self.wake_up.clear()
 
     def must_watch(self) -> bool:
-        """Whether this host has to watch: it is one of the chosen watchers, or hears no watcher."""
+        """Whether this host has to watch: it is one of the chosen watchers, or hears no watcher.
+
+        A host that has just started leaves time for other hosts to be heard.
+        """
         now = monotonic()
         if now < self.distrusted_until:
             return True
-        if now < self.no_watch_before:
+        if now < self.started_at + JOIN_DELAY_S:
             return False
         if self._rank() is not None:
             return True
+        if now < self.started_at + STAND_IN_DELAY_S:
+            return False
         return not any(row.heartbeat.watching for row in self.heartbeats.heard.values())
 
     def _rank(self) -> int | None:
         """Return this host's rank among the chosen watchers; None if it is not one of them."""
         heard = self.heartbeats.heard
-        incarnations = {
-            incarnation for incarnation, row in heard.items() if row.heartbeat.reaches_store
+        own = read_host(self.own)
+        hosts = {
+            read_host(incarnation)
+            for incarnation, row in heard.items()
+            if row.heartbeat.reaches_store
         }
         if self.kv.reaches_store:
-            incarnations.add(self.own)
-        if not incarnations:
+            hosts.add(own)
+        if not hosts:
             # No host reaches the service, so choose from all: more watchers would not bring any
             # updates.
-            incarnations = {*heard, self.own}
-        chosen = choose_watchers(frozenset(incarnations))
-        return chosen.index(self.own) if self.own in chosen else None
+            hosts = {own, *map(read_host, heard)}
+        if monotonic() < self.started_at + START_SPREAD_S:
+            hosts |= self.listed() - set(map(read_host, heard)) - {own}
+        chosen = choose_watchers(frozenset(hosts))
+        return chosen.index(own) if own in chosen else None
 
     def _is_update_source(self, heard: ReceivedHeartbeat) -> bool:
         return heard.heartbeat.watching and heard.heartbeat.reaches_store
--- a/tests/test_peers/test_peers_start_of_all.py
+++ b/tests/test_peers/test_peers_start_of_all.py
@@ -45,7 +45,7 @@
     own = HostPresence(HostName(name), Incarnation(f"{name}:new"), "zone-a", "127.0.0.1:1")
     views = {view: PrefixView(IgnoredView()) for view in PREFIXES}
     bounds = dict.fromkeys(PREFIXES, 4.0)
-    watchers = Watchers(kv, own.incarnation, heartbeats, http, PREFIXES, views, bounds)
+    watchers = Watchers(kv, own.incarnation, heartbeats, http, PREFIXES, views, bounds, set)
     return watchers, Presence(kv, own)
 
 
--- /dev/null
+++ b/tests/test_peers/test_peers_watch_calls.py
@@ -0,0 +1,72 @@
+"""Watch calls, and the age of views, when many hosts start at the same time."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from gradepoint.peers.watchers import WATCHER_COUNT, choose_watchers
+from gradepoint.util.clock import monotonic
+from tests.support.platform import Deployment, configuration, run_in_virtual_time, until
+from tests.support.store_calls import (
+    SETTLE_S,
+    CountingStore,
+    prepare_hosts,
+    restart_hosts,
+)
+
+IN_FORCE_S = 2.0
+"""Seconds within which a configuration must be in force."""
+AWAY_S = 1.0
+STAND_INS = 3
+"""Hosts at most that watch for a moment in the place of chosen ones that do not return."""
+
+
+def open_watches(deployment: Deployment) -> int:
+    """Return the number of watches of the targets, of which none changes."""
+    assert isinstance(deployment.store, CountingStore)
+    return deployment.store.counted["watch servers/"]
+
+
+@pytest.mark.parametrize(("hosts", "seed"), [(9, 1), (9, 2), (9, 3), (70, 1)])
+def test_restart_of_all_hosts_opens_the_watches_of_three(hosts: int, seed: int) -> None:
+    # Hosts that chose watchers among the few that they heard opened watches and closed them again:
+    # 5 to 9 watches of each view in place of 3.
+    async def work(deployment: Deployment) -> None:
+        settings = await prepare_hosts(deployment, hosts, seed)
+        deployment.store.counted.clear()  # type: ignore[attr-defined]
+        await restart_hosts(deployment, settings, AWAY_S, seed)
+        await asyncio.sleep(SETTLE_S)
+        assert open_watches(deployment) == WATCHER_COUNT
+        assert sum(gateway.watchers.watching for gateway in deployment.gateways) == WATCHER_COUNT
+
+    run_in_virtual_time(work, seed)
+
+
+@pytest.mark.parametrize("change_after_s", [0.1, 0.5, 0.9, 1.4])
+@pytest.mark.parametrize("missing", [0, WATCHER_COUNT])
+def test_change_during_a_restart_of_all_hosts_is_in_force_in_time(
+    change_after_s: float, missing: int
+) -> None:
+    # Hosts that start wait before they watch. The bound on the age of views must hold meanwhile,
+    # also if the chosen hosts are listed but do not return.
+    async def work(deployment: Deployment) -> None:
+        settings = await prepare_hosts(deployment, 9, 1)
+        gone = choose_watchers(frozenset(own.host for own in settings))[:missing]
+        for gateway in [g for g in deployment.gateways if g.own.host in gone]:
+            await deployment.kill(gateway)
+        rest = [own for own in settings if own.host not in gone]
+        started = asyncio.ensure_future(restart_hosts(deployment, rest, AWAY_S, 1))
+        await asyncio.sleep(AWAY_S + change_after_s)
+        deployment.store.put("op/config", configuration(2))
+        changed_at = monotonic()
+        await until(lambda: started.done())
+        deployment.store.counted.clear()  # type: ignore[attr-defined]
+        for gateway in deployment.gateways:
+            await until(lambda g=gateway: g.configuration.current.version == 2)  # type: ignore[misc]
+        assert monotonic() - changed_at <= IN_FORCE_S
+        await asyncio.sleep(SETTLE_S)
+        assert open_watches(deployment) <= WATCHER_COUNT + STAND_INS
+
+    run_in_virtual_time(work)
--- a/tests/test_peers/test_peers_watchers.py
+++ b/tests/test_peers/test_peers_watchers.py
@@ -34,8 +34,7 @@
 
 def is_chosen(gateway: Gateway, gateways: list[Gateway]) -> bool:
     """Whether a gateway is one of the chosen watchers."""
-    incarnations = frozenset(other.own.incarnation for other in gateways)
-    return gateway.own.incarnation in choose_watchers(incarnations)
+    return gateway.own.host in choose_watchers(frozenset(other.own.host for other in gateways))
 
 
 def test_starting_host_does_not_watch_if_others_do() -> None:
