Read a job's results from the service only where its reader lacks some

Cause: while no host announces a job, each call of a reader read the job's state and all its results, also those that the reader has, and then slept for its wait time although a new owner might be announced meanwhile. After a restart of all hosts each such call cost two key reads.

Ruled out: one read at a time for a job on a host, and a cache on the host: not measured; readers that poll at different hosts would gain nothing. Waiting for heartbeats before the read: it would delay readers that lack listed results.

Change: the results are read only if the state lists some from the reader's position on, or the job is done. The rest of the wait time is spent at the new owner as soon as one is announced. Position and 404 are decided as before.

--- a/gradepoint/jobs/api.py
+++ b/gradepoint/jobs/api.py
@@ -58,6 +58,9 @@
 apply such a write seconds later."""
 MAX_HOSTS_ASKED = 3
 """Hosts that a stopping host asks to run a job, one after another, until one accepts."""
+OWNER_CHECK_GAP_S = 0.05
+"""Seconds between checks whether a host announces a job that a reader waits for: half of the time
+within which hosts announce that they have started to run a job."""
 MAX_CACHED_JOBS = 64
 """Finished jobs whose results stay in memory for readers."""
 
@@ -335,8 +338,8 @@
         :param wait_s: seconds to wait for a result if there is none at *position* yet.
         :raises KvError: the key-value service could not be read, and no host knows the job.
         """
-        own = self.worker.jobs.get(job_id)
-        if own is not None and self.may_answer_for(own):
+        own = self._find_own(job_id)
+        if own is not None:
             return await read_owned(own, position, wait_s)
         known = self.finished_cache.get(job_id)
         if known is None:
@@ -345,7 +348,7 @@
                 return reported
             waiting = reported or self._read_waiting(job_id)
             try:
-                known, stored = await self._load(job_id)
+                known, stored = await self._load(job_id, position)
             except KvError:
                 if waiting is None:
                     raise
@@ -353,9 +356,38 @@
                 await asyncio.sleep(wait_s if waiting is not None else 0.0)
                 return waiting
             if len(known.results) <= position and stored is not None and not stored.state.done:
-                await asyncio.sleep(wait_s)
+                reported = await self._wait_for_owner(job_id, position, wait_s)
+                if reported is not None:
+                    return reported
         return JobView(known.total, known.item_ids, truncate_page(known.results[position:]))
 
+    def _find_own(self, job_id: JobId) -> OwnedJob | None:
+        """Return a job that this host may answer for from memory, else None."""
+        own = self.worker.jobs.get(job_id)
+        return own if own is not None and self.may_answer_for(own) else None
+
+    async def _wait_for_owner(self, job_id: JobId, position: int, wait_s: float) -> JobView | None:
+        """Wait until this or another host announces a job, and read its results there.
+
+        A job whose owner was lost gets a new one within a second or two. Its readers then wait
+        there, and do not read the key-value service again.
+
+        :returns: None if *wait_s* seconds pass without an answer of the job's owner.
+        """
+        until = monotonic() + wait_s
+        while (left_s := until - monotonic()) > 0:
+            own = self._find_own(job_id)
+            if own is not None:
+                return await read_owned(own, position, left_s)
+            if self.find_owner(hash32(job_id)) is not None:
+                reported = await self._ask_owner(job_id, position, left_s)
+                if reported is not None and reported.entered:
+                    return reported
+                await asyncio.sleep(max(0.0, until - monotonic()))
+                return None
+            await asyncio.sleep(min(OWNER_CHECK_GAP_S, left_s))
+        return None
+
     def _read_waiting(self, job_id: JobId) -> JobView | None:
         """Return an empty set of results for a job that waits here to be created, else None."""
         waiting = self.intake.waiting.get(job_id)
@@ -378,12 +410,16 @@
             return True
         return not job.dropped and self.presence.holds_lease and not self.is_isolated()
 
-    async def _load(self, job_id: JobId) -> tuple[JobView | None, StoredJob | None]:
+    async def _load(self, job_id: JobId, position: int) -> tuple[JobView | None, StoredJob | None]:
+        """Read a job from the key-value service; no results if none is listed from *position* on
+        and the job is not done."""
         stored = await self.repository.load(job_id)
         if stored is None:
             return None, None
         self.sweep_if_owner_lost(stored)
-        results = await self.repository.load_results(stored)
+        results: list[Result] = []
+        if stored.state.done or len(stored.state.listed) > position:
+            results = await self.repository.load_results(stored)
         found = JobView(len(stored.state.item_ids), stored.state.item_ids, results)
         if stored.state.done:
             while len(self.finished_cache) >= MAX_CACHED_JOBS:
--- a/tests/support/store_calls.py
+++ b/tests/support/store_calls.py
@@ -29,8 +29,8 @@
 class CountingStore(PlatformStoreStandin):
     """A stand-in of the service that counts calls by path and prefix.
 
-    :ivar counted: number of calls by the last part of the path, with the prefix of the keys where
-        the call names one.
+    :ivar counted: number of calls by the last part of the path, with the prefix of the keys, or
+        the folder of the key, where the call names one.
     """
 
     counted: Counter[str] = field(default_factory=Counter)
@@ -38,7 +38,8 @@
     async def handle(self, request: Request) -> Response:
         """See :meth:`PlatformStoreStandin.handle`."""
         kind = request.path.removeprefix("/api/kv-").partition("/")[0]
-        prefix = request.query.get("path_prefix", "")
+        key = request.query.get("key_path", "")
+        prefix = request.query.get("path_prefix", key.rpartition("/")[0])
         self.counted[f"{kind} {prefix}".strip()] += 1
         return await super().handle(request)
 
