Look up the paces once when the load of all targets is summed up

Cause: TargetLoads.count_room and occupancy looked for the authoritative aggregator once for each target; admission calls them for each call that does not get a free slot at once.

Change: one look-up for all candidates; results are the same.

--- a/gradepoint/gateway/target_loads.py
+++ b/gradepoint/gateway/target_loads.py
@@ -128,14 +128,21 @@
 
     def find_load(self, target: Target) -> TargetLoad:
         """Return the calls and items in flight at a target over all hosts, its slots and pace."""
+        return self._count_load(target, self.pace(target.id))
+
+    def _count_load(self, target: Target, pace: float) -> TargetLoad:
         total = target.in_flight + self.sums.in_flight(target.id)
         # Calls and items come from different digests if an aggregator is being replaced.
         items = self.count_own_items(target.id) + self.sums.items_in_flight(target.id)
         items = min(total, max(0, items))
-        return TargetLoad(total - items, items, max(1, target.listed.slots), self.pace(target.id))
+        return TargetLoad(total - items, items, max(1, target.listed.slots), pace)
 
     def _sum_up(self, service: ServiceName) -> tuple[int, float]:
         """Return the calls in flight at a service's candidates, and their slots times pace."""
-        loads = [self.find_load(target) for target in self.targets.candidates(service, monotonic())]
+        paces = self.find_unusual_paces()
+        loads = [
+            self._count_load(target, paces.get(number_target(target.id), USUAL_PACE))
+            for target in self.targets.candidates(service, monotonic())
+        ]
         capacity = sum(load.slots * load.pace for load in loads)
         return sum(load.calls for load in loads), capacity
