A line that cannot be written fails no call, also without a reader of the standard error

Cause: since JSON lines are written without loguru, the traceback of a line that cannot be encoded was printed without a guard; with a closed pipe as standard error, the call that logged it failed. loguru guards it in the same way.

Change: OSError is suppressed there. The test fails without it.

--- a/gradepoint/telemetry/logs.py
+++ b/gradepoint/telemetry/logs.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import sys
 import traceback
 from datetime import datetime
@@ -79,8 +80,10 @@
         try:
             _write_json(event, fields)
         except Exception:
-            # A call must not fail because its log line cannot be written.
-            traceback.print_exc()
+            # A call must not fail because its log line cannot be written, nor because the standard
+            # error is a closed pipe.
+            with contextlib.suppress(OSError):
+                traceback.print_exc()
         return
     from loguru import logger
 
--- a/tests/test_telemetry/test_telemetry_lines.py
+++ b/tests/test_telemetry/test_telemetry_lines.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import io
 import os
 import re
+import sys
 from pathlib import Path
 
 import msgspec
+import pytest
 from typer.testing import CliRunner
 
 from bench.platform.target import TargetFault
+from gradepoint import events
 from gradepoint.cmd.main import app
 from gradepoint.standins.virtual_time import run_virtual
 from gradepoint.telemetry import logs
@@ -67,6 +71,22 @@
     run_virtual(main())
 
 
+def test_line_that_cannot_be_written_does_not_fail_its_call(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # The standard error may be a pipe whose reader has ended.
+    class BrokenPipe(io.StringIO):
+        def write(self, text: str) -> int:
+            raise BrokenPipeError
+
+    logs.configure("gateway", "host-0")
+    monkeypatch.setattr(sys, "stderr", BrokenPipe())
+    try:
+        logs.emit(events.PROGRAM_STARTED, address="\ud800")
+    finally:
+        logs.configure("tests", "tests", level="ERROR")
+
+
 def capture(work: object) -> list[str]:
     """Run *work* in a deployment and return its log lines."""
     lines: list[str] = []
