--- a/tests/test_jobs/test_jobs_path.py
+++ b/tests/test_jobs/test_jobs_path.py
@@ -372,6 +372,7 @@
         await gateway.worker.start_job(taken.job, items)
         job = gateway.worker.jobs[JobId("new")]
         gateway.worker.may_start_items = lambda: True
+        gateway.worker.must_hold_back = lambda _: False
         gateway.worker._maintain(job)
         gateway.worker._start_items()
         assert not job.pending and not job.running
