Keep the watchers after an outage of the key-value service

Cause: when the service answers again after it refused all hosts, hosts find out one after another. Watchers are chosen among the hosts that reach it, so the first ones opened watches that were closed when more hosts reached it.

Ruled out: choosing among all hosts while fewer than half reach the service. In a lasting partial outage hosts that cannot reach it would be chosen, from which no updates are fetched.

Change: for 1 s after a time in which no heard host reached the service, watchers are chosen among all heard hosts, so the former ones keep their role.

--- a/gradepoint/peers/watchers.py
+++ b/gradepoint/peers/watchers.py
@@ -67,6 +67,11 @@
 """Seconds after its first read in which a host that is not chosen does not watch, although it hears
 no watcher: the chosen hosts may have started 0.5 s later and may still choose among listed hosts. A
 host that gets no proof either reads a view after 1.5 s at the earliest."""
+REGAIN_S = 1.0
+"""Seconds after a time in which no heard host reached the service, in which all heard hosts count
+among those that may watch. Hosts find out within that time that the service is back, one after
+another, and the first ones would choose watchers among themselves. The former watchers keep their
+role."""
 MAX_HOSTS_ASKED = 2
 """Hosts that are asked for the same updates; one of them may have just stopped."""
 DISTRUST_S = 3.0
@@ -131,6 +136,7 @@
     :ivar distrusted_until: monotonic time until which this host watches the service directly
         because other hosts fail to provide updates.
     :ivar started_at: monotonic time of this host's first read of all views.
+    :ivar unreached_at: monotonic time at which no heard host reached the service last.
     :ivar first_read: set once every view has been read.
     :ivar wake_up: set to check at once.
     """
@@ -153,6 +159,7 @@
     watching: bool = False
     distrusted_until: float = 0.0
     started_at: float = 0.0
+    unreached_at: float = float("-inf")
     first_read: asyncio.Event = field(default_factory=asyncio.Event)
     wake_up: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -238,11 +245,14 @@
         }
         if self.kv.reaches_store:
             hosts.add(own)
+        now = monotonic()
         if not hosts:
+            self.unreached_at = now
+        if now < self.unreached_at + REGAIN_S:
             # No host reaches the service, so choose from all: more watchers would not bring any
             # updates.
             hosts = {own, *map(read_host, heard)}
-        if monotonic() < self.started_at + START_SPREAD_S:
+        if now < self.started_at + START_SPREAD_S:
             hosts |= self.listed() - set(map(read_host, heard)) - {own}
         chosen = choose_watchers(frozenset(hosts))
         return chosen.index(own) if own in chosen else None
--- a/tests/test_peers/test_peers_watch_calls.py
+++ b/tests/test_peers/test_peers_watch_calls.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from bench.platform.store import StoreFault
 from gradepoint.peers.watchers import WATCHER_COUNT, choose_watchers
 from gradepoint.util.clock import monotonic
 from tests.support.platform import Deployment, configuration, run_in_virtual_time, until
@@ -19,6 +20,7 @@
 IN_FORCE_S = 2.0
 """Seconds within which a configuration must be in force."""
 AWAY_S = 1.0
+OUTAGE_S = 5.0
 STAND_INS = 3
 """Hosts at most that watch for a moment in the place of chosen ones that do not return."""
 
@@ -70,3 +72,25 @@
         assert open_watches(deployment) <= WATCHER_COUNT + STAND_INS
 
     run_in_virtual_time(work)
+
+
+def test_hosts_that_reach_the_service_again_open_no_additional_watches() -> None:
+    # The hosts that reached the service again first chose watchers among themselves: 18 watches of
+    # the targets in place of 3.
+    async def work(deployment: Deployment) -> None:
+        await prepare_hosts(deployment, 70, 1)
+        former = {g.own.host for g in deployment.gateways if g.watchers.watching}
+        deployment.store.fault = StoreFault.BUSY
+        await asyncio.sleep(OUTAGE_S)
+        deployment.store.counted.clear()  # type: ignore[attr-defined]
+        deployment.store.fault = StoreFault.NONE
+        deployment.store.put("op/config", configuration(2))
+        changed_at = monotonic()
+        for gateway in deployment.gateways:
+            await until(lambda g=gateway: g.configuration.current.version == 2)  # type: ignore[misc]
+        assert monotonic() - changed_at <= IN_FORCE_S
+        await asyncio.sleep(SETTLE_S)
+        assert open_watches(deployment) <= WATCHER_COUNT
+        assert {g.own.host for g in deployment.gateways if g.watchers.watching} == former
+
+    run_in_virtual_time(work)
