Let non-watchers wait for proofs after an outage of the service

Cause: while no host reaches the service, only watchers prove the views. As soon as one host seemed to reach it again, every other host had overdue proofs and read all views at once. During an outage the last change that an old watch delivers has the same effect.

Change: at hosts that do not watch, a proof is due its usual time after the service was last unreachable for all heard hosts: 1.5 to 1.8 s for a bound of 2 s, 2.5 to 2.8 s for one of 4 s.

--- a/gradepoint/peers/proofs.py
+++ b/gradepoint/peers/proofs.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import TYPE_CHECKING
 
@@ -99,10 +100,14 @@
             if view is not None and view.digest == digest:
                 self._prove(name, now - age_ms / MILLISECONDS)
 
-    def due_in_s(self, name: str, rank: int | None) -> float:
+    def due_in_s(self, name: str, rank: int | None, reached_s: float = math.inf) -> float:
         """Return the seconds until this host has to prove a view; 0 or less means now.
 
+        After a time in which no host reached the service, the watchers prove the views at once. A
+        host that does not watch gives their proofs the usual time to arrive, within the bound.
+
         :param rank: this host's rank among the watchers; None if it does not watch.
+        :param reached_s: seconds since the last time at which no host reached the service.
         """
         due_age_s = self.bounds_s[name] * PROOF_SHARE
         if rank is None:
@@ -113,7 +118,8 @@
             due_age_s += self.answer_delay_s.get(name, 0.0)
         now = monotonic()
         since_try_s = now - self.tried_at.get(name, float("-inf"))
-        return due_age_s - min(self.age_s(name, now), since_try_s)
+        unproven_s = min(self.age_s(name, now), since_try_s)
+        return due_age_s - (min(unproven_s, reached_s) if rank is None else unproven_s)
 
     async def prove(self, name: str) -> bool:
         """Prove a view by reading its keys.
--- a/gradepoint/peers/watchers.py
+++ b/gradepoint/peers/watchers.py
@@ -304,9 +304,8 @@
         While no host reaches the service, only the watchers check whether it is back.
         """
         rank = self._rank()
-        if rank is None and not self.kv.is_available:
-            return CHECK_GAP_S
-        due = {name: self.proofs.due_in_s(name, rank) for name in self.views}
+        reached_s = monotonic() - self.unreached_at
+        due = {name: self.proofs.due_in_s(name, rank, reached_s) for name in self.views}
         for name in [name for name, due_s in due.items() if due_s <= 0]:
             if name not in self.proving:
                 self.proving.add(name)
--- a/tests/test_peers/test_peers_watch_calls.py
+++ b/tests/test_peers/test_peers_watch_calls.py
@@ -21,6 +21,8 @@
 """Seconds within which a configuration must be in force."""
 AWAY_S = 1.0
 OUTAGE_S = 5.0
+PROOF_GAP_S = 1.0
+"""Seconds between two proofs of the targets by one watcher."""
 STAND_INS = 3
 """Hosts at most that watch for a moment in the place of chosen ones that do not return."""
 
@@ -94,3 +96,24 @@
         assert {g.own.host for g in deployment.gateways if g.watchers.watching} == former
 
     run_in_virtual_time(work)
+
+
+def test_only_watchers_read_views_while_the_service_refuses() -> None:
+    # A watch that began before the outage delivered a change and showed the service as available.
+    # All 70 hosts, whose proofs were overdue, then read all views at once: 78 reads of the targets.
+    async def work(deployment: Deployment) -> None:
+        await prepare_hosts(deployment, 70, 1)
+        store = deployment.store
+        assert isinstance(store, CountingStore)
+        store.counted.clear()
+        store.fault = StoreFault.BUSY
+        await asyncio.sleep(OUTAGE_S)
+        assert store.counted["range servers/"] <= WATCHER_COUNT * (OUTAGE_S / PROOF_GAP_S + 1)
+        store.counted.clear()
+        store.fault = StoreFault.NONE
+        await asyncio.sleep(IN_FORCE_S)
+        ages = [g.watchers.proofs.age_s("targets", monotonic()) for g in deployment.gateways]
+        assert max(ages) <= IN_FORCE_S
+        assert store.counted["range servers/"] <= WATCHER_COUNT * (IN_FORCE_S / PROOF_GAP_S + 1)
+
+    run_in_virtual_time(work)
