Look up the load of each target once in a decision of admission

A decision looked up the load of each candidate for its expected delay, again for the occupancy, and a refusal twice more for its log line; each look-up chose the aggregator that gaps are taken from. TargetLoads.find_loads looks up all targets with one choice of gaps, and the service's load and the log line use its result. Targets with unknown slots no longer count in the occupancy; they counted with one slot in one part of the figure and with none in the other.

Ruled out: keeping loads between calls, since they change with each call of the host.

--- a/gradepoint/gateway/admission_gate.py
+++ b/gradepoint/gateway/admission_gate.py
@@ -28,6 +28,7 @@
     make_terms,
 )
 from ..routing.fair_shares import SHARES_FROM_OCCUPANCY
+from ..routing.target_model import estimate_delay_s
 from ..telemetry import metrics
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
@@ -37,9 +38,10 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
     from ..ids import OrganisationNumber, RequestKey, ServiceName, TargetId
+    from ..routing.target_model import TargetLoad
     from .configuration import Route
     from .live import LiveCall
     from .organisations import Organisation
@@ -58,8 +60,8 @@
 class TargetLoads(Protocol):
     """What this host believes of the speed and load of targets."""
 
-    def pace(self, target_id: TargetId) -> float:
-        """Return the speed of a target relative to the others; 1.0 is usual."""
+    def find_loads(self, targets: Iterable[Target]) -> list[TargetLoad]:
+        """Return the calls and items in flight at targets over all hosts, their slots and paces."""
 
     def expected_delay_s(self, target: Target) -> float:
         """Return the seconds until a target is expected to begin a new call."""
@@ -67,12 +69,6 @@
     def call_s(self, service: ServiceName) -> float:
         """Return the mean seconds that a call of a service occupies a slot."""
 
-    def count_room(self, service: ServiceName) -> float:
-        """Return how many more calls the candidates of a service can run at once."""
-
-    def occupancy(self, service: ServiceName) -> float:
-        """Return calls in flight / (slots x pace) over all candidates of a service."""
-
     def age_s(self) -> float:
         """Return the seconds since the newest digest; infinite without one."""
 
@@ -151,15 +147,19 @@
         late = is_late(call.route.goal_s, call.route.timeout_s, call.deadline - call.arrived_at)
         return not late and self.loads.expected_delay_s(target) <= 0.0
 
-    def sum_up(self, service: ServiceName, goal_s: float) -> ServiceLoad:
-        """Return the load of all targets of a service."""
-        candidates = self.find_candidates(service)
+    def sum_up(
+        self, service: ServiceName, goal_s: float, loads: list[tuple[Target, TargetLoad]]
+    ) -> ServiceLoad:
+        """Return the load of all targets of a service whose number of slots is known.
+
+        :param loads: the candidates of the service with their loads.
+        """
         items = self.find_own_items()
-        capacity = sum(target.listed.slots * self.loads.pace(target.id) for target in candidates)
+        known = [(target, load) for target, load in loads if target.listed.slots > 0]
         return ServiceLoad(
-            calls=self.loads.occupancy(service) * capacity if capacity else 0.0,
-            capacity=capacity,
-            own_calls=sum(target.in_flight - items.get(target.id, 0) for target in candidates),
+            calls=sum(load.calls for _, load in known),
+            capacity=sum(load.slots * load.pace for _, load in known),
+            own_calls=sum(target.in_flight - items.get(target.id, 0) for target, _ in known),
             hosts=max(1, self.count_hosts()),
             call_s=max(MIN_CALL_S, self.loads.call_s(service)),
             delay_s=self.find_delay_s(),
@@ -249,14 +249,19 @@
             view = LoadView(0.0, 0.0, gate.loads.call_s(call.service), self.known)
             if self.known and decide(self.terms, view, now) is Verdict.SEND:
                 return self._admit(drawn)
-        reserved = call.forwarder.suspicion.find_reserved()
+        # The load of each target is looked up once: with 45 targets, it is most of the decision's
+        # cost, and a waiting call decides at each digest.
+        candidates = gate.find_candidates(call.service)
+        loads = list(zip(candidates, gate.loads.find_loads(candidates), strict=True))
+        call_s = gate.loads.call_s(call.service)
+        excluded = call.forwarder.suspicion.find_reserved() | call.tried
         delays = {
-            target.id: gate.find_delay_to_begin(target)
-            for target in gate.find_candidates(call.service)
-            if target.id not in call.tried and target.id not in reserved
+            target.id: estimate_delay_s(load, call_s) if target.listed.slots > 0 else 0.0
+            for target, load in loads
+            if target.id not in excluded
         } or {drawn.id: drawn_delay_s}
         least_delay_s = min(delays.values())
-        load = gate.sum_up(call.service, call.route.goal_s)
+        load = gate.sum_up(call.service, call.route.goal_s, loads)
         ample = load.has_ample_room
         if shortage and self.known and load.occupancy >= SHARES_FROM_OCCUPANCY:
             self._ask_for_share()
@@ -333,12 +338,12 @@
 
     def _refuse(self, least_delay_s: float, load: ServiceLoad, now: float) -> GradepointError:
         """Record a refusal, and return its error with the time to return."""
-        gate, call, loads = self.gate, self.call, self.gate.loads
+        gate, call = self.gate, self.call
         reason = (
             "unknown_occupancy" if not self.known else "share" if self.allowed is False else "room"
         )
         return_s = self._allocate_return(load, now)
-        occupancy, age_s = loads.occupancy(call.service), loads.age_s()
+        age_s = gate.loads.age_s()
         gate.memory.add_own(self.key & NUMBER_MASK, now)
         metrics.shared().admission_refusals.add(1, {"reason": reason})
         emit(
@@ -351,10 +356,10 @@
             delay_ms=round(least_delay_s * MILLISECONDS),
             goal_left_ms=round((self.terms.goal_at - now) * MILLISECONDS),
             waited_ms=round((now - call.arrived_at) * MILLISECONDS),
-            room=round(loads.count_room(call.service), 1),
-            occupancy=round(occupancy, 2),
+            room=round(max(0.0, load.capacity - load.calls), 1),
+            occupancy=round(load.occupancy, 2),
             age_ms=round(age_s * MILLISECONDS) if age_s < float("inf") else None,
-            call_ms=round(loads.call_s(call.service) * MILLISECONDS),
+            call_ms=round(load.call_s * MILLISECONDS),
             organisation=call.organisation.name if call.organisation else None,
             rank=self.terms.rank,
             return_ms=round(return_s * MILLISECONDS),
--- a/gradepoint/gateway/target_loads.py
+++ b/gradepoint/gateway/target_loads.py
@@ -18,7 +18,7 @@
 from ..util.structs import Struct, field
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from ..ids import ServiceName, TargetId, TargetNumber
     from ..peers.occupancy import Occupancy, ReceivedGaps
@@ -92,8 +92,7 @@
 
     def choose(self, drawn: list[Target]) -> Target:
         """Return the target among *drawn* that a new call is sent to; all are of one service."""
-        loads = [self.find_load(target) for target in drawn]
-        return drawn[choose_load(loads, self.call_s(drawn[0].listed.service))]
+        return drawn[choose_load(self.find_loads(drawn), self.call_s(drawn[0].listed.service))]
 
     def note_call(self, target: Target, seconds: float) -> None:
         """Include a completed call in the mean call time of its service.
@@ -128,14 +127,23 @@
 
     def find_load(self, target: Target) -> TargetLoad:
         """Return the calls and items in flight at a target over all hosts, its slots and pace."""
-        total = target.in_flight + self.sums.in_flight(target.id)
-        # Calls and items come from different digests if an aggregator is being replaced.
-        items = self.count_own_items(target.id) + self.sums.items_in_flight(target.id)
-        items = min(total, max(0, items))
-        return TargetLoad(total - items, items, max(1, target.listed.slots), self.pace(target.id))
+        return self.find_loads([target])[0]
+
+    def find_loads(self, targets: Iterable[Target]) -> list[TargetLoad]:
+        """Return the loads of targets, as :meth:`find_load` does."""
+        paces = self.find_unusual_paces()
+        loads = []
+        for target in targets:
+            total = target.in_flight + self.sums.in_flight(target.id)
+            # Calls and items come from different digests if an aggregator is being replaced.
+            items = self.count_own_items(target.id) + self.sums.items_in_flight(target.id)
+            items = min(total, max(0, items))
+            pace = paces.get(number_target(target.id), USUAL_PACE)
+            loads.append(TargetLoad(total - items, items, max(1, target.listed.slots), pace))
+        return loads
 
     def _sum_up(self, service: ServiceName) -> tuple[int, float]:
         """Return the calls in flight at a service's candidates, and their slots times pace."""
-        loads = [self.find_load(target) for target in self.targets.candidates(service, monotonic())]
+        loads = self.find_loads(self.targets.candidates(service, monotonic()))
         capacity = sum(load.slots * load.pace for load in loads)
         return sum(load.calls for load in loads), capacity
--- a/tests/test_gateway/test_gateway_admission.py
+++ b/tests/test_gateway/test_gateway_admission.py
@@ -7,7 +7,7 @@
 
 from gradepoint.cmd.explain import describe_refusal
 from gradepoint.gateway.live import SLOW_FIRST_EVENT_GOALS
-from gradepoint.ids import OrganisationNumber, ServiceName
+from gradepoint.ids import OrganisationNumber, ServiceName, TargetId
 from gradepoint.peers.occupancy import MAX_GAP_S
 from gradepoint.routing.admission import WAIT_SHARE
 from gradepoint.telemetry.timeline import LogLine
@@ -109,6 +109,38 @@
     run_in_virtual_time(work)
 
 
+def test_decision_looks_at_each_target_once() -> None:
+    # At a peak, half of the calls look at all targets on half a core. A refusal looked up the load
+    # of each target four times.
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=1, targets=6, slots=1, work_s=LONG_S)
+        await deployment.configure(2, None, ROUTES)
+        gateway = deployment.gateways[0]
+        await until(gateway.knows_occupancy)
+        for number in range(6):
+            await fill(deployment, 1)
+            # A random choice of two does not find the last free targets.
+            for target in gateway.targets.by_id.values():
+                target.closed_at = monotonic() if target.in_flight else None
+            assert sum(target.in_flight for target in gateway.targets.by_id.values()) == number + 1
+        for target in gateway.targets.by_id.values():
+            target.closed_at = None
+        occupancy = gateway.occupancy
+        looked_up: list[TargetId] = []
+        find = occupancy.items_in_flight
+
+        def record(target: TargetId) -> int:
+            looked_up.append(target)
+            return find(target)
+
+        occupancy.items_in_flight = record  # type: ignore[method-assign]
+        assert (await deployment.call("/plain/x")).status == 503
+        # The drawn target is looked at before.
+        assert 6 <= len(looked_up) <= 8
+
+    run_in_virtual_time(work)
+
+
 def test_goal_shorter_than_the_time_to_a_first_event_refuses_nobody() -> None:
     # Every call of such a route was refused by an idle fleet, and so was a call after a pause of
     # the process that used up its goal.
