Let refusals hold back items only where calls take the slots

A refusal at any host held back the items of all services at all hosts for 0.5 s after the last digest that named it, 0.9 s in all; the sums of an aggregator that was lost counted until they were dropped. With a refusal every 0.5 s, items never started, also while all slots were free; an idle service waited for a full one. Now refusals count from the arrival of their digest, and hold back the items of a service only while its calls take half of its slots or more, or an unknown part. ItemStarts.may_start decides by knowledge alone. Ruled out: a limit in time, since items would then start in a shortage.

The test with refusals every 0.5 s times out without the change.

--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from .. import events
@@ -75,7 +76,7 @@
 if TYPE_CHECKING:
     import socket
 
-    from ..ids import OrganisationNumber
+    from ..ids import OrganisationNumber, ServiceName
     from ..kv.relay import LongPollService
     from ..wire.http_types import Request
     from .configuration import Configuration
@@ -172,7 +173,7 @@
                 lambda: compute_room(self.targets.working(monotonic()), self.loads.pace),
             ),
             lambda: {**self.heartbeats.capacities(), self.own.incarnation: self.capacity},
-            lambda refused: self.admission.take_sums(refused),
+            lambda refused: self.take_remote_refusals(refused),
         )
         self.stall_detector = StallDetector(self.refresh_after_stall)
         self.crash_detector = CrashDetector(
@@ -245,6 +246,7 @@
             lambda: self.occupancy.delay_s,
             self.occupancy.remote_waiting,
             self.may_start_items,
+            self.must_hold_back_items,
             self.occupancy.find_call_rate,
         )
         self.intake = Intake(
@@ -355,6 +357,12 @@
         self.occupancy.changed.set()
         self.item_starts.note_refusal(monotonic())
 
+    def take_remote_refusals(self, refused: list[int]) -> None:
+        """Process the numbers of refused requests that a digest lists."""
+        if refused:
+            self.item_starts.note_refusal(monotonic())
+        self.admission.take_sums(refused)
+
     def note_load_change(self) -> None:
         """Report a change of this host's calls in flight, and let waiting calls decide again."""
         self.occupancy.changed.set()
@@ -460,11 +468,16 @@
         )
 
     def may_start_items(self) -> bool:
-        """Whether batch items may start now."""
-        now = monotonic()
-        if any(heard.sums.refused for heard in self.occupancy.heard.values()):
-            self.item_starts.note_refusal(now)
-        return self.item_starts.may_start(now, known=self.knows_occupancy())
+        """Whether enough is known of the other hosts to start batch items."""
+        return self.item_starts.may_start(monotonic(), known=self.knows_occupancy())
+
+    def must_hold_back_items(self, service: ServiceName) -> bool:
+        """Whether items of a service have to leave the slots to callers that were refused."""
+
+        def find_occupancy() -> float:
+            return self.loads.occupancy(service) if self.knows_occupancy() else math.inf
+
+        return self.item_starts.are_held_back(monotonic(), find_occupancy)
 
     @property
     def ready(self) -> bool:
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -99,6 +99,7 @@
         flight.
     :param remote_waiting: returns the weight of the items that wait on other hosts.
     :param may_start_items: whether enough is known of the other hosts to start items.
+    :param must_hold_back: whether items of a service have to leave the slots to refused callers.
     :param find_call_rate: returns the mean calls per second that arrive at each target of a
         service; None if it is unknown.
     :ivar last_started_at: monotonic time at which each target last got an item of this host.
@@ -121,6 +122,7 @@
     propagation_delay_s: Callable[[], float]
     remote_waiting: Callable[[], int]
     may_start_items: Callable[[], bool]
+    must_hold_back: Callable[[ServiceName], bool]
     find_call_rate: Callable[[ServiceName], float | None]
     last_started_at: dict[TargetId, float] = field(default_factory=dict)
     preempted_at: dict[TargetId, float] = field(default_factory=dict)
@@ -430,6 +432,8 @@
                     job.record_result(Result(index, ItemOutcome.DEAD))
                     continue
                 service = route.pick_service(self.rng)
+                if self.must_hold_back(service):
+                    break
                 request = job.request_identity(index)
                 standing = self.forwarder.suspicion.find_standing(request)
                 if standing in (Standing.SUSPECTED, Standing.HELD):
--- a/gradepoint/routing/recovery.py
+++ b/gradepoint/routing/recovery.py
@@ -34,6 +34,10 @@
 REFUSAL_MEMORY_S = 0.5
 """Seconds after a refusal for lack of room in which no item starts: refused callers return after
 0.3 s or more, and an item would take the slot that they return for."""
+CROWDED_OCCUPANCY = 0.5
+"""Calls in flight per slot of a service from which refusals hold its items back. Below it, refused
+callers that return find slots without calls, and an item there is preempted within their goal.
+Without this limit, a host that refuses a call every 0.9 s would stop all items of the fleet."""
 MAX_ITEM_WAIT_S = 2.0
 """Seconds without knowledge after which items start all the same, so that a host that hears nobody
 does not stop its jobs. Hosts that start together hear each other within a second."""
@@ -97,16 +101,22 @@
         self.refused_at = now
 
     def may_start(self, now: float, *, known: bool) -> bool:
-        """Whether items may start now.
+        """Whether enough is known of the other hosts to start items.
 
         :param known: whether occupancy is known.
         """
         if known or now - self.asked_at > ASKING_GAP_S:
             self.unknown_since = None
         self.asked_at = now
-        if not known:
-            if self.unknown_since is None:
-                self.unknown_since = now
-            if now - self.unknown_since < MAX_ITEM_WAIT_S:
-                return False
-        return now - self.refused_at >= REFUSAL_MEMORY_S
+        if known:
+            return True
+        if self.unknown_since is None:
+            self.unknown_since = now
+        return now - self.unknown_since >= MAX_ITEM_WAIT_S
+
+    def are_held_back(self, now: float, find_occupancy: Callable[[], float]) -> bool:
+        """Whether the items of a service have to leave the slots to refused callers that return.
+
+        :param find_occupancy: returns the service's calls in flight per slot; infinite if unknown.
+        """
+        return now - self.refused_at < REFUSAL_MEMORY_S and find_occupancy() >= CROWDED_OCCUPANCY
--- a/tests/test_gateway/test_gateway_recovery.py
+++ b/tests/test_gateway/test_gateway_recovery.py
@@ -7,6 +7,7 @@
 import pytest
 
 from gradepoint.gateway.app import Gateway
+from gradepoint.util.clock import monotonic
 from tests.support.platform import Deployment, run_in_virtual_time, until
 
 from .test_gateway_suspended import add_host, read_on_host, suspend
@@ -77,3 +78,27 @@
         assert {row["state"] for row in rows} == {"complete"}
 
     run_in_virtual_time(work)
+
+
+def test_items_start_although_a_host_refuses_a_call_now_and_then() -> None:
+    # Each refusal stopped the items of all hosts for 0.9 s, also where all slots were free.
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=3, targets=2)
+        await until(lambda: all(gateway.knows_occupancy() for gateway in deployment.gateways))
+        refusing = deployment.gateways[0]
+
+        async def refuse() -> None:
+            for number in range(1000):
+                refusing.admission.memory.add_own(number, monotonic())
+                refusing.note_refused_call()
+                await asyncio.sleep(0.5)
+
+        refusals = asyncio.ensure_future(refuse())
+        assert (await deployment.submit("job", 2, gateway=1)).status == 202
+        begun_at = monotonic()
+        rows = await deployment.read_all_results("job", gateway=1)
+        refusals.cancel()
+        assert {row["state"] for row in rows} == {"complete"}
+        assert monotonic() - begun_at < 20.0
+
+    run_in_virtual_time(work)
