State the limits of ranks and the length of a shortage once

The steps of ranks stood in routing/admission.py and routing/fair_shares.py, where only tests used them; admission now uses compute_rank_room. SHORTAGE_S stood in admission and in share_limits.

--- a/gradepoint/gateway/share_limits.py
+++ b/gradepoint/gateway/share_limits.py
@@ -12,6 +12,7 @@
 
 from ..ids import OrganisationNumber
 from ..peers.aggregation import DEMAND_UNITS_PER_SLOT
+from ..routing.admission import SHORTAGE_S
 from ..routing.fair_shares import (
     MAX_SHARES,
     PERCENT,
@@ -30,9 +31,6 @@
     from .organisations import Organisation, Organisations
     from .targets import Target
 
-SHORTAGE_S = 1.0
-"""Seconds after a refusal for lack of room for which a shortage lasts: more than the time of a
-call, so that demand is measured over whole calls."""
 MAX_ACCUMULATORS = 4 * MAX_SHARES
 """Organisations whose accumulators are kept. The listed organisations change while the load
 does; one that is listed again within a few seconds continues where it was."""
--- a/gradepoint/routing/admission.py
+++ b/gradepoint/routing/admission.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from ..util.structs import Struct, field
+from .fair_shares import compute_rank_room
 
 if TYPE_CHECKING:
     import random
@@ -31,13 +32,10 @@
 LATE_OCCUPANCY = 0.85
 """Occupancy from which late calls wait. Below it, a target without a free slot is rarely drawn, so
 that a late call displaces no call that can be in time."""
-RANK_STEP = 0.1
-"""Share of the room that calls of each further rank leave to more urgent calls in a shortage."""
-MAX_RANK_STEPS = 3
-"""Ranks that lower the limit; less urgent calls have the limit of the last one."""
 SHORTAGE_S = 1.0
 """Seconds after a refusal for lack of room in which the shortage counts as present. Callers return
-after at least 0.3 s, so shorter gaps between refusals occur within one shortage."""
+after at least 0.3 s, so shorter gaps between refusals occur within one shortage. It is also more
+than the time of a call, so that the demands of organisations are measured over whole calls."""
 MIN_RETURN_S = 0.3
 """Minimum ``Retry-After`` in seconds: within it, all hosts get the number of the refused request
 and recognise it."""
@@ -276,7 +274,7 @@
     less than *goal_left_s*.
     """
     queued = max(0.0, goal_left_s - FIRST_EVENT_S) / call_s if call_s > 0 else 0.0
-    return (1.0 - RANK_STEP * min(max(rank, 0), MAX_RANK_STEPS)) * (1.0 + queued)
+    return compute_rank_room(1.0 + queued, rank)
 
 
 def decide(terms: CallTerms, view: LoadView, now: float) -> Verdict:
--- a/tests/test_gateway/test_gateway_share_limits.py
+++ b/tests/test_gateway/test_gateway_share_limits.py
@@ -16,7 +16,6 @@
 from gradepoint.gateway.refusals import MAX_LABELS, OTHER_ORGANISATIONS, SHOWN_S, RecentRefusals
 from gradepoint.gateway.share_limits import (
     MAX_ACCUMULATORS,
-    SHORTAGE_S,
     ShareLimits,
     compute_room,
 )
@@ -33,6 +32,7 @@
 from gradepoint.peers.datagrams import DATAGRAM_FORMAT, Digest, Message, Report
 from gradepoint.peers.occupancy import MAX_GAP_S, SHARES_LIFETIME_S, Occupancy
 from gradepoint.platform.configuration import decode_configuration
+from gradepoint.routing.admission import SHORTAGE_S
 from gradepoint.standins.virtual_time import run_virtual
 from tests.support.datagram_net import DatagramNet
 from tests.support.platform import configuration, organisation, route
