Spread the returns of calls refused by quota over the time that callers honour

Cause: in the seconds after a restart of all hosts, room of organisations is freed at their rate, and a host told every refused caller to return when one call had room (0.03 to 0.3 s later). Change: each host plans its part of the rate at which room is freed, up to a third of the time that the caller has left. Checks: the new test fails without the change; quotas, organisations, admission and refusals pass.

--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -386,7 +386,7 @@
             new_rng().random,
         )
         terms = QuotaTerms(settings.quota_window_s, settings.quota_excess, settings.quota_slack)
-        return QuotaGate(self.configuration, host, terms)
+        return QuotaGate(self.configuration, host, terms, self.forwarder.rng)
 
     def count_calls_by_organisation(self) -> dict[OrganisationNumber, int]:
         """Return this host's calls in flight by organisation."""
--- a/gradepoint/gateway/calls.py
+++ b/gradepoint/gateway/calls.py
@@ -142,7 +142,7 @@
         A failed call that no target can have run is refunded, and so is one whose caller leaves
         while it waits for room.
         """
-        self.quotas.admit(organisation, call.head.request_id)
+        self.quotas.admit(organisation, call.head.request_id, call.remaining_s)
         try:
             return await call.answer()
         except GradepointError:
--- a/gradepoint/gateway/quota_gate.py
+++ b/gradepoint/gateway/quota_gate.py
@@ -5,37 +5,49 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 from .. import events
 from ..errors import GradepointError
-from ..routing.quotas import Allowance, QuotaTerms, compute_allowance
+from ..routing.admission import ReturnSchedule, find_latest_return
+from ..routing.quotas import MIN_RETRY_AFTER_S, Allowance, QuotaTerms, compute_allowance
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.structs import Struct, field
 from .configuration import NO_VERSION
 
 if TYPE_CHECKING:
+    import random
+
     from ..ids import ConfigVersion, OrganisationNumber, RequestId
-    from ..routing.host_quotas import HostQuotas
+    from ..routing.host_quotas import HostQuotas, Refusal
     from .followers import ActiveConfiguration
     from .organisations import Organisation
 
 
+MAX_SCHEDULES = 256
+"""Organisations whose return times are kept: several times those that a host refuses at a time."""
+
+
 class QuotaGate(Struct):
     """Grants or refuses calls of organisations according to their quotas.
 
     :param host: this host's grants, and other hosts' grants as reported to it.
     :param terms: window and tolerated excess of quotas.
+    :param rng: spreads the return times of refused calls.
     :ivar allowances: cache of allowances by organisation, for configuration *version*; None stands
         for no limit.
+    :ivar schedules: return times by organisation, the one refused last at the end.
     """
 
     configuration: ActiveConfiguration
     host: HostQuotas
     terms: QuotaTerms
+    rng: random.Random
     allowances: dict[OrganisationNumber, Allowance | None] = field(default_factory=dict)
     version: ConfigVersion = NO_VERSION
+    schedules: OrderedDict[OrganisationNumber, ReturnSchedule] = field(default_factory=OrderedDict)
 
     def find_allowance(self, number: OrganisationNumber) -> Allowance | None:
         """Return the allowance of an organisation; None if it has no limit."""
@@ -71,9 +83,10 @@
         named = any(number in report.rooms for report in reports)
         return self.find_reported_room(number) if named else None
 
-    def admit(self, organisation: Organisation, request_id: RequestId) -> None:
+    def admit(self, organisation: Organisation, request_id: RequestId, remaining_s: float) -> None:
         """Grant a call and count it.
 
+        :param remaining_s: seconds that are left for the call.
         :raises GradepointError: ``organisation_rate`` with the time until a call is possible, or
             ``quota_unknown`` if this host has no valid room report.
         """
@@ -92,10 +105,30 @@
             blind=refused.isolated,
             version=self.version,
         )
-        if refused.isolated:
-            # Hosts that have valid room reports may still be able to grant the call.
-            raise GradepointError("quota_unknown", retry_after=refused.retry_after_s)
-        raise GradepointError("organisation_rate", retry_after=refused.retry_after_s)
+        # Hosts that have valid room reports may still be able to grant a call that this one can't.
+        code = "quota_unknown" if refused.isolated else "organisation_rate"
+        return_s = self._allocate_return(organisation.number, refused, allowance, remaining_s)
+        raise GradepointError(code, retry_after=round(return_s, 3))
+
+    def _allocate_return(
+        self,
+        number: OrganisationNumber,
+        refused: Refusal,
+        allowance: Allowance,
+        remaining_s: float,
+    ) -> float:
+        """Return the seconds after which a refused call should return.
+
+        Each host plans its part of the rate at which room is freed. After a restart of all hosts at
+        a peak, calls that all returned as soon as one call had room were refused again.
+        """
+        schedule = self.schedules.setdefault(number, ReturnSchedule())
+        self.schedules.move_to_end(number)
+        if len(self.schedules) > MAX_SCHEDULES:
+            self.schedules.popitem(last=False)
+        latest_s = max(MIN_RETRY_AFTER_S, find_latest_return(remaining_s))
+        gap_s = max(1, self.host.count_hosts()) / allowance.calls_per_s
+        return schedule.allocate(monotonic(), refused.retry_after_s, latest_s, gap_s, self.rng)
 
     def take_back(self, organisation: Organisation) -> None:
         """Refund a granted call that no target has run."""
--- a/tests/test_gateway/test_gateway_quotas.py
+++ b/tests/test_gateway/test_gateway_quotas.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 
 import msgspec
 import pytest
@@ -55,6 +56,26 @@
     run_in_virtual_time(work)
 
 
+def test_refused_calls_return_at_the_rate_at_which_room_is_freed() -> None:
+    # Calls that all return as soon as one of them has room are refused again.
+    async def work(deployment: Deployment) -> None:
+        deployment.gateway_settings = QUOTA_SETTINGS
+        await deployment.start(targets=2)
+        await deployment.configure(2, [SMALL])
+        await asyncio.sleep(6.0)
+        rows = await call_many(deployment, 60, "small-key", 1, 0.01)
+        returns = [wait_s for status, wait_s in rows if status != 200]
+        assert len(returns) > 20
+        # Callers honour a third of the time they have left.
+        assert max(returns) <= 5.0 / 3
+        # The first ones are apart by the time in which a call has room; the rest are spread.
+        gaps = [after - before for before, after in itertools.pairwise(returns)]
+        assert sum(gap > 0.5 / RATE for gap in gaps[:3]) == 3
+        assert sum(wait_s > 0.5 for wait_s in returns) > len(returns) / 2
+
+    run_in_virtual_time(work)
+
+
 def test_calls_that_did_not_run_are_not_charged() -> None:
     async def work(deployment: Deployment) -> None:
         deployment.gateway_settings = QUOTA_SETTINGS
