--- a/tests/test_peers/test_peers_watch_calls.py
+++ b/tests/test_peers/test_peers_watch_calls.py
@@ -36,7 +36,7 @@
 @pytest.mark.parametrize(("hosts", "seed"), [(9, 1), (9, 2), (9, 3), (70, 1)])
 def test_restart_of_all_hosts_opens_the_watches_of_three(hosts: int, seed: int) -> None:
     # Hosts that chose watchers among the few that they heard opened watches and closed them again:
-    # 5 to 9 watches of each view in place of 3.
+    # 5 to 11 watches of each view in place of 3.
     async def work(deployment: Deployment) -> None:
         settings = await prepare_hosts(deployment, hosts, seed)
         deployment.store.counted.clear()  # type: ignore[attr-defined]
