Reserve quota only for hosts that may have granted calls since the start

Cause: after a restart of all hosts, an aggregator reserved a second of grants for each listed incarnation that it had not heard. The list named the former incarnations of all hosts until it was read again, and grants before the start are assumed in each window anyway. Ruled out: more initial room (it would exceed what is tolerated where a third of the hosts is cut off); unknown occupancy. Change: a heard incarnation stands for a listed former one of its host, and an incarnation that was never heard counts from its listing, with 0.3 s in place of 1 s.

--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -373,7 +373,7 @@
         return QuotaLedger(
             lambda number: self.quotas.find_allowance(number),
             lambda number: self.quotas.find_reported_room(number),
-            lambda: self.hosts.incarnations,
+            lambda: self.hosts.find_current([self.own.incarnation, *self.heartbeats.heard]),
         )
 
     def make_quotas(self) -> QuotaGate:
--- a/gradepoint/peers/presence.py
+++ b/gradepoint/peers/presence.py
@@ -19,6 +19,8 @@
 from ..wire.addresses import split_address
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from ..kv.service import KeyValueService
 
 INCARNATION_DIGITS = 10
@@ -167,6 +169,21 @@
         """The incarnations that are listed now."""
         return {row.incarnation for row in self.hosts.values()}
 
+    def find_current(self, heard: Iterable[Incarnation]) -> set[Incarnation]:
+        """Return an incarnation for each listed host: the listed one, or another one of the same
+        host if that one is heard and the listed one is not.
+
+        After a restart of all hosts, the list names former incarnations until it is read again.
+
+        :param heard: incarnations whose datagrams arrive.
+        """
+        by_host = {read_host(incarnation): incarnation for incarnation in heard}
+        known = set(heard)
+        return {
+            row.incarnation if row.incarnation in known else by_host.get(row.host, row.incarnation)
+            for row in self.hosts.values()
+        }
+
     def is_replaced(self, incarnation: Incarnation) -> bool:
         """Whether another incarnation of the same host is listed, so that this one has ended."""
         row = self.hosts.get(read_host(incarnation))
--- a/gradepoint/routing/quota_ledger.py
+++ b/gradepoint/routing/quota_ledger.py
@@ -22,6 +22,11 @@
 DETECTION_DELAY_S = 1.0
 """Seconds for which an incarnation may be cut off before that is detected: slightly more than the
 time after which a host counts as silent."""
+LISTING_DELAY_S = 0.3
+"""Seconds for which an incarnation may grant calls before an aggregator finds it listed. What was
+granted before an aggregator started counts as unknown use of each window. Reserving
+:data:`DETECTION_DELAY_S` as well for each host that is not heard yet left organisations without
+room for the first second after a restart of all hosts."""
 INITIAL_ROOM_SHARE = 0.1
 """Initial share of an organisation's full room where earlier grants are unknown. It gives a small
 organisation one call, and keeps one that has just used all of its quota below the tolerated
@@ -54,7 +59,8 @@
 
     def count_seconds(self, window_s: float, now: float) -> float:
         """Return the seconds of the last window in which it may have granted calls unheard."""
-        return min(window_s, now - self.since + DETECTION_DELAY_S)
+        delay_s = DETECTION_DELAY_S if self.was_heard else LISTING_DELAY_S
+        return min(window_s, now - self.since + delay_s)
 
 
 class QuotaLedger(Struct):
--- a/tests/test_routing/test_routing_quotas.py
+++ b/tests/test_routing/test_routing_quotas.py
@@ -12,7 +12,7 @@
 from bench.quota_replay import HOT_PERIODS, LOADS, Fault, FaultPeriod, Load, replay
 from gradepoint.ids import Incarnation, OrganisationNumber
 from gradepoint.routing.host_quotas import HostQuotas, RoomReport
-from gradepoint.routing.quota_ledger import QuotaLedger
+from gradepoint.routing.quota_ledger import INITIAL_ROOM_SHARE, QuotaLedger
 from gradepoint.routing.quotas import (
     ROOM_REPORT_LIFETIME_S,
     Quota,
@@ -236,3 +236,18 @@
     assert (
         sum(host.admit(ORGANISATION, allowance, float(second)) is None for second in range(60)) == 1
     )
+
+
+def test_hosts_that_were_never_heard_take_no_room_of_the_time_before_the_start() -> None:
+    # After a restart of all hosts, the aggregator reserved a second of grants for each listed host
+    # that it had not heard yet, on top of the use that it assumes of unknown windows.
+    allowance = compute_allowance(QUOTA, TERMS)
+    listed = [Incarnation(f"h{number}:x") for number in range(60)]
+    ledger = QuotaLedger(lambda _: allowance, lambda _: None, lambda: listed)
+    ledger.refresh_listed(0.0)
+    for incarnation in listed[:31]:
+        ledger.take(incarnation, {ORGANISATION: 0}, 0.05)
+    ledger.refresh_listed(0.1)
+    ledger.take(listed[0], {ORGANISATION: 1}, 0.1)
+    room = ledger.find_low_rooms(0.15)[ORGANISATION]
+    assert 0 < room < allowance.max_calls * INITIAL_ROOM_SHARE
