Bound the updates that a watcher sends at once, and send no view twice

Hosts that start together read each view at another revision, so that each asked a watcher for the whole view, about 1 MB with 3,000 targets, at the same time. Ruled out: datagrams that wait for the link and quota windows, which are bounded by now. Change: a host tells the digest of its view, and gets no keys if the contents are the same; a watcher sends at most 16 MB of updates at once and tells other hosts to ask again.

--- a/gradepoint/kv/view.py
+++ b/gradepoint/kv/view.py
@@ -129,10 +129,16 @@
             return known is None
         return known is not None and known.revision >= event.revision
 
-    def make_update(self, revision: int) -> ViewUpdate | None:
-        """Return what a host whose view is at *revision* lacks; None if it lacks nothing."""
+    def make_update(self, revision: int, digest: int | None = None) -> ViewUpdate | None:
+        """Return what a host whose view is at *revision* lacks; None if it lacks nothing.
+
+        :param digest: digest of the host's view, if it is known. After a start of all hosts, most
+            views differ in the revision of their first read only.
+        """
         if not self.revision or revision >= self.revision:
             return None
+        if digest == self.digest:
+            return ViewUpdate(self.revision, False)
         if revision < self.recent_start_revision:
             return ViewUpdate(self.revision, True, items=list(self.items.values()))
         events = [event for event in self.recent if event.revision > revision]
--- a/gradepoint/peers/watchers.py
+++ b/gradepoint/peers/watchers.py
@@ -72,6 +72,13 @@
 among those that may watch. Hosts find out within that time that the service is back, one after
 another, and the first ones would choose watchers among themselves. The former watchers keep their
 role."""
+MAX_UPDATE_BYTES = 16 << 20
+"""Bytes of answers with updates that a watcher sends at once; beyond that, a host is told to ask
+again. With 3,000 targets a whole view has 1 MB, and 300 hosts that asked for it together after a
+start of all ended watchers of 200 MB."""
+BUSY_STATUS = 503
+DIGEST_FIELD = "-digest"
+"""Suffix of the query field with the digest of a view."""
 MAX_HOSTS_ASKED = 2
 """Hosts that are asked for the same updates; one of them may have just stopped."""
 DISTRUST_S = 3.0
@@ -139,6 +146,7 @@
     :ivar unreached_at: monotonic time at which no heard host reached the service last.
     :ivar first_read: set once every view has been read.
     :ivar wake_up: set to check at once.
+    :ivar update_bytes: bytes of the answers with updates that are being sent.
     """
 
     kv: RelayedKv
@@ -162,6 +170,7 @@
     unreached_at: float = float("-inf")
     first_read: asyncio.Event = field(default_factory=asyncio.Event)
     wake_up: asyncio.Event = field(default_factory=asyncio.Event)
+    update_bytes: int = 0
 
     def __post_init__(self) -> None:
         self.proofs = Proofs(self.kv, self.prefixes, self.views, self.bounds_s)
@@ -330,7 +339,12 @@
         now = monotonic()
         asked = [address for address in ahead if self.failed_until.get(address, 0.0) <= now]
         for address in random.sample(asked, min(MAX_HOSTS_ASKED, len(asked))):
-            if await self._fetch(address):
+            answered = await self._fetch(address)
+            if answered is None:
+                # It is asked again after :data:`CHECK_GAP_S`; proofs bound the age of the views.
+                ahead = []
+                continue
+            if answered:
                 ahead = []
                 break
             self.failed_until[address] = monotonic() + DISTRUST_S
@@ -353,13 +367,19 @@
             and any(revision > own.get(name, 0) for name, revision in row.heartbeat.views.items())
         ]
 
-    async def _fetch(self, address: str) -> bool:
-        """Fetch and apply updates from one watcher; return whether it answered."""
-        query = "&".join(f"{name}={revision}" for name, revision in self.revisions().items())
+    async def _fetch(self, address: str) -> bool | None:
+        """Fetch and apply updates from one watcher; return whether it answered, or None if it is
+        busy with the updates of other hosts."""
+        query = "&".join(
+            f"{name}={view.revision}&{name}{DIGEST_FIELD}={view.digest}"
+            for name, view in self.views.items()
+        )
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_S):
                 response = await self.http.send(split_address(address), "GET", f"/news?{query}")
                 raw = await response.read()
+            if response.status == BUSY_STATUS:
+                return None
             if response.status != 200:
                 raise ResponseBroken(f"news request answered with status {response.status}")
             updates = msgspec.msgpack.decode(raw, type=ViewUpdates)
@@ -383,10 +403,20 @@
     def answer_update_request(self, request: Request) -> Response:
         """Answer another host's request for updates with the changes it is missing."""
         parts = {}
+        query = request.query
         for name, view in self.views.items():
-            part = view.make_update(int(request.query.get(name, "0")))
+            digest = query.get(name + DIGEST_FIELD)
+            part = view.make_update(
+                int(query.get(name, "0")), None if digest is None else int(digest)
+            )
             if part is not None:
                 parts[name] = part
-        return Response(
-            200, body=msgspec.msgpack.encode(ViewUpdates(parts, self.proofs.list_proofs()))
-        )
+        body = msgspec.msgpack.encode(ViewUpdates(parts, self.proofs.list_proofs()))
+        if self.update_bytes and self.update_bytes + len(body) > MAX_UPDATE_BYTES:
+            return Response(BUSY_STATUS)
+        self.update_bytes += len(body)
+
+        def release() -> None:
+            self.update_bytes -= len(body)
+
+        return Response(200, body=body, release=release)
