Send all gaps between events less often where there are many targets

Cause: all gaps went out with each message that has all results, five times a second: 24 KB with 3,000 targets, 120 kB/s to each host. Change: all gaps are sent each 0.5 ms a target, at most 1.5 s apart; up to 400 targets nothing changes. Changed gaps are sent as before.

--- a/gradepoint/peers/aggregation.py
+++ b/gradepoint/peers/aggregation.py
@@ -245,6 +245,7 @@
         sends_all = now - self.results_sent_at >= RESULTS_GAP_S
         if sends_all:
             self.results_sent_at = now
+        sends_all_paces = sends_all and self.gaps.must_send_all(now)
         rates = self._find_call_rates(now)
         return Sums(
             own,
@@ -260,7 +261,8 @@
             math.floor(self.ledger.find_heard_share(now) * PERCENT),
             refused=self.refused.list_summed(now),
             items=self.items,
-            paces=self.gaps.take_gaps(sends_all=sends_all),
+            paces=self.gaps.take_gaps(now, sends_all=sends_all_paces),
+            all_paces=sends_all_paces,
             call_rates={
                 service: round(rate * RATE_UNITS_PER_CALL) for service, (rate, _) in rates.items()
             },
--- a/gradepoint/peers/datagrams.py
+++ b/gradepoint/peers/datagrams.py
@@ -128,12 +128,13 @@
     :param heard_percent: percentage of the listed hosts whose grants are included.
     :param items: batch items in flight, by target; they are included in *loads*.
     :param paces: median tenths of a millisecond between two events of an answer in about the last
-        second, by target; without all results, only those that have changed much.
+        second, by target.
     :param refused: short numbers of the requests that any host refused lately for lack of room.
     :param shares: percentage of its calls that an organisation above its fair share may send, for
         those organisations only.
     :param call_rates: mean tenths of calls per second that arrive at each target of a service;
         empty until the aggregator has measured them.
+    :param all_paces: *paces* contains all gaps; otherwise only those that have changed much.
     """
 
     aggregator: Incarnation
@@ -152,6 +153,7 @@
     refused: list[int] = []
     shares: dict[OrganisationNumber, int] = {}
     call_rates: dict[ServiceName, int] = {}
+    all_paces: bool = False
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True, tag="digest"):
--- a/gradepoint/peers/occupancy.py
+++ b/gradepoint/peers/occupancy.py
@@ -515,7 +515,7 @@
         )
         former = self.heard.get(sums.aggregator)
         gaps = None if former is None else former.gaps
-        if sums.all_results:
+        if sums.all_paces:
             gaps = ReceivedGaps(sums.paces, now)
         elif gaps is not None and sums.paces:
             gaps = ReceivedGaps({**gaps.gaps, **sums.paces}, gaps.at)
--- a/gradepoint/routing/target_model.py
+++ b/gradepoint/routing/target_model.py
@@ -54,6 +54,11 @@
 """Ratio of two gaps beyond which the new one is sent at once; smaller changes are mostly noise."""
 MIN_COUNTED_S = 0.5
 """Seconds of samples before a target's gap is known. A new target that pauses is not slow."""
+SEND_GAP_PER_TARGET_S = 0.0005
+"""Seconds that each target adds to the gap between two messages with all gaps: up to 400 targets
+they are sent with each message that has all results. With 3,000 targets they are 24 KB."""
+MAX_SEND_GAP_S = 1.5
+"""Most seconds between two messages with all gaps: less than the age at which these expire."""
 MAX_SAMPLE_AGE_S = 2.0
 """Seconds after which a sample, or the counts of an incomplete one, do not count any more."""
 GAP_UNITS_PER_MS = 10
@@ -219,12 +224,14 @@
     :ivar gaps: known gaps by target, in units of 1/:data:`GAP_UNITS_PER_MS` ms.
     :ivar sent: gaps last sent to the hosts.
     :ivar closed_at: time at which samples were last completed.
+    :ivar sent_all_at: time at which all gaps were last sent.
     """
 
     by_target: dict[TargetNumber, GapHistory] = field(default_factory=dict)
     gaps: dict[TargetNumber, int] = field(default_factory=dict)
     sent: dict[TargetNumber, int] = field(default_factory=dict)
     closed_at: float = float("-inf")
+    sent_all_at: float = float("-inf")
 
     def add(self, counts: Mapping[TargetNumber, tuple[int, int]], now: float) -> None:
         """Add a host's counts of events, and the milliseconds that these took, by target."""
@@ -253,10 +260,15 @@
         }
         return any(self._has_changed(target) for target in self.gaps)
 
-    def take_gaps(self, *, sends_all: bool) -> dict[TargetNumber, int]:
+    def must_send_all(self, now: float) -> bool:
+        """Whether enough time has passed for another message with all gaps."""
+        gap_s = min(MAX_SEND_GAP_S, SEND_GAP_PER_TARGET_S * len(self.gaps))
+        return now - self.sent_all_at >= gap_s
+
+    def take_gaps(self, now: float, *, sends_all: bool) -> dict[TargetNumber, int]:
         """Return the gaps to send now: all, or only those that have changed much."""
         if sends_all:
-            self.sent = self.gaps
+            self.sent, self.sent_all_at = self.gaps, now
             return self.gaps
         changed = {target: gap for target, gap in self.gaps.items() if self._has_changed(target)}
         self.sent = {**self.sent, **changed}
--- a/tests/test_peers/test_peers_updates.py
+++ b/tests/test_peers/test_peers_updates.py
@@ -45,7 +45,9 @@
 def make_watchers(view: PrefixView) -> Watchers:
     """Return the watchers of a host with one view."""
     stub: Any = None
-    return Watchers(stub, Incarnation("h:1"), stub, stub, {"targets": "t/"}, {"targets": view}, {}, set)
+    return Watchers(
+        stub, Incarnation("h:1"), stub, stub, {"targets": "t/"}, {"targets": view}, {}, set
+    )
 
 
 def ask(watchers: Watchers, query: str) -> Response:
