--- a/tests/test_bench/test_bench_load_replay.py
+++ b/tests/test_bench/test_bench_load_replay.py
@@ -31,6 +31,14 @@
     assert sum(tally.late for tally in on) <= sum(tally.late for tally in off) + 0.005 * calls
 
 
+def test_no_more_late_calls_on_the_first_two_seeds() -> None:
+    # The check above with the seeds it was first written for. An earlier form of admission did not
+    # pass it: 54 more of 9,678 calls were late, which is more than half of a call per 100.
+    on, off = run("A", Way.ON), run("A", Way.OFF)
+    calls = sum(tally.calls for tally in on)
+    assert sum(tally.late for tally in on) <= sum(tally.late for tally in off) + 0.005 * calls
+
+
 @pytest.mark.parametrize("name", ["A, a third gone", "B, a third gone"])
 def test_refusals_serve_more_calls_in_time_than_late_answers(name: str) -> None:
     on, off = run(name, Way.ON), run(name, Way.OFF)
