Log how the answers of targets are framed and how they end

call_answered, call_cut and stream_resumed now have framing, body_bytes, events and inside_event; gradepoint_answer_ends counts answers of calls and batch items by framing and end. The splitter of events belongs to the exchange, so that streams that may not be resumed are split too. No decision changes: what was relayed, retried or cut before still is.

--- a/gradepoint/gateway/event_stream.py
+++ b/gradepoint/gateway/event_stream.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
-from ..util.structs import Struct, field
+import re
 
-END_OF_EVENT = b"\n\n"
+from ..util.structs import Struct
+
+END_OF_EVENT = re.compile(rb"\n\n")
+"""The end of an event's last line and the blank line after it."""
 
 
 class StreamEvent(Struct, frozen=True):
@@ -27,13 +30,30 @@
     """
 
     rest: bytes = b""
-    events: list[StreamEvent] = field(default_factory=list)
+
+    @property
+    def inside_event(self) -> bool:
+        """Whether the body ends inside an event or a line.
+
+        Blank lines and complete comment lines do not begin an event.
+        """
+        lines = self.rest.split(b"\n")
+        return bool(lines[-1]) or any(line and not line.startswith(b":") for line in lines)
+
+    def split(self, chunk: bytes) -> list[bytes]:
+        """Return the bytes of the events that *chunk* completes, each with its blank line."""
+        data = self.rest + chunk
+        events: list[bytes] = []
+        start = 0
+        for end in END_OF_EVENT.finditer(data):
+            events.append(data[start : end.end()])
+            start = end.end()
+        self.rest = data[start:]
+        return events
 
     def feed(self, chunk: bytes) -> list[StreamEvent]:
         """Return the events that *chunk* completes."""
-        self.rest += chunk
-        *whole, self.rest = self.rest.split(END_OF_EVENT)
-        return [parse_event(raw + END_OF_EVENT) for raw in whole]
+        return [parse_event(raw) for raw in self.split(chunk)]
 
 
 def parse_event(raw: bytes) -> StreamEvent:
--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -5,8 +5,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from enum import Enum
+from typing import TYPE_CHECKING, Any
 
+from ..telemetry import metrics
 from ..util.clock import monotonic
 from ..util.rng import new_rng
 from ..util.structs import Struct, field
@@ -14,6 +16,7 @@
 from ..wire.http_client import ConnectFailed, ConnectRefused, HttpClient, ResponseBroken
 from .answer_progress import AnswerProgress
 from .choice import choose_target, get_load
+from .event_stream import EventSplitter
 
 if TYPE_CHECKING:
     import random
@@ -46,6 +49,19 @@
     """The answer broke, came too late or belongs to another call; the call may have run."""
 
 
+class AnswerEnd(Enum):
+    """How the body of a target's answer ended.
+
+    ``WHOLE`` is the end by the framing of the answer. ``INSIDE_EVENT`` is such an end inside an
+    event of a stream. ``BROKEN`` is a broken connection, ``SILENT`` a timeout.
+    """
+
+    WHOLE = "whole"
+    INSIDE_EVENT = "inside_event"
+    BROKEN = "broken"
+    SILENT = "silent"
+
+
 class Exchange(Struct, eq=False):
     """An answer of one target whose body is not yet read.
 
@@ -54,6 +70,7 @@
     :param sent_at: monotonic time at which the call was sent.
     :param on_close: called with this exchange when it is closed.
     :ivar progress: events received so far, which show the pace of the target.
+    :ivar splitter: splits the body into events, if it is an event stream.
     :ivar begun_at: monotonic time at which the head of the answer arrived.
     """
 
@@ -65,8 +82,23 @@
     on_close: Callable[[Exchange], None] = lambda _: None
     closed: bool = False
     progress: AnswerProgress = field(default_factory=AnswerProgress)
+    splitter: EventSplitter = field(default_factory=EventSplitter)
     begun_at: float = field(default_factory=monotonic)
 
+    def describe_body(self) -> dict[str, Any]:
+        """Return log fields that tell how the body is framed and how much of it has arrived."""
+        return {
+            "framing": self.response.framing.value,
+            "body_bytes": self.response.body_bytes,
+            "events": self.progress.events,
+            "inside_event": self.splitter.inside_event,
+        }
+
+    def count_end(self, end: AnswerEnd) -> None:
+        """Count how the answer ended, in the metrics."""
+        labels = {"framing": self.response.framing.value, "end": end.value}
+        metrics.shared().answer_ends.add(1, labels)
+
     def close(self) -> None:
         """Close the connection; if the answer is incomplete, the target stops working on the call.
 
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -21,8 +21,7 @@
 from .admission_gate import begin_admission
 from .choice import get_load
 from .configuration import RouteKind
-from .event_stream import END_OF_EVENT, EventSplitter
-from .forwarding import Exchange, Forwarder, OtherInstance, TargetBusy, TargetFailed
+from .forwarding import AnswerEnd, Exchange, Forwarder, OtherInstance, TargetBusy, TargetFailed
 from .identity import identify
 from .suspicion import TRIAL_RETRY_S
 
@@ -351,14 +350,20 @@
         wait = remaining if stall_timeout_s is None else min(remaining, stall_timeout_s)
         try:
             async with asyncio.timeout(wait):
-                return await anext(chunks, None)
+                chunk = await anext(chunks, None)
         except TimeoutError as error:
+            exchange.count_end(AnswerEnd.SILENT)
             exchange.target.record_failure("silent")
             raise TargetFailed("silent") from error
         except ResponseBroken as error:
+            exchange.count_end(AnswerEnd.BROKEN)
             self.forwarder.crash_detector.note_broken(exchange.target)
             exchange.target.record_failure(str(error))
             raise TargetFailed(str(error)) from error
+        if chunk is None:
+            inside = exchange.splitter.inside_event
+            exchange.count_end(AnswerEnd.INSIDE_EVENT if inside else AnswerEnd.WHOLE)
+        return chunk
 
     async def _relay_chunks(
         self, exchange: Exchange, chunks: AsyncIterator[bytes], chunk: bytes | None
@@ -367,7 +372,7 @@
         try:
             while chunk is not None:
                 if self.route.kind is RouteKind.STREAM:
-                    exchange.progress.events += chunk.count(END_OF_EVENT)
+                    exchange.progress.events += len(exchange.splitter.split(chunk))
                 yield chunk
                 chunk = await self._read_chunk(exchange, chunks)
             self._finish(exchange)
@@ -385,14 +390,13 @@
         An incomplete event is never sent, so that the new target can continue after the last
         complete one.
         """
-        splitter = EventSplitter()
         last = self.head.resume_after
         stall_timeout_s = max(MIN_STALL_TIMEOUT_S, STALL_EVENT_GAPS * self.route.event_gap_s)
         try:
             while True:
                 try:
                     while chunk is not None:
-                        found = splitter.feed(chunk)
+                        found = exchange.splitter.feed(chunk)
                         exchange.progress.events += len(found)
                         for event in found:
                             yield event.raw
@@ -411,12 +415,12 @@
                         target=exchange.target.id,
                         reason=str(error),
                         last_event=last,
+                        **exchange.describe_body(),
                     )
                     exchange = await self._reopen(exchange, last)
                     chunks = exchange.response.stream()
-                    splitter = EventSplitter()
                     chunk = b""
-            if splitter.rest:
+            if exchange.splitter.rest:
                 raise self._abort_stream(exchange, TargetFailed("ended within an event"))
             self._finish(exchange)
         finally:
@@ -451,6 +455,7 @@
             status=exchange.head.status,
             sent=self.sent,
             took_ms=round((monotonic() - self.arrived_at) * 1000),
+            **exchange.describe_body(),
         )
 
     def _abort_stream(self, exchange: Exchange, error: Exception) -> ConnectionAbortedError:
@@ -466,6 +471,7 @@
             target=exchange.target.id,
             reason=str(error),
             sent=self.sent,
+            **exchange.describe_body(),
         )
         return ConnectionAbortedError(str(error))
 
--- a/gradepoint/jobs/item_run.py
+++ b/gradepoint/jobs/item_run.py
@@ -6,8 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ..gateway.dialect import CallHead
-from ..gateway.event_stream import EventSplitter
-from ..gateway.forwarding import TargetFailed
+from ..gateway.forwarding import AnswerEnd, TargetFailed
 from ..ids import RequestId
 from ..wire.http_client import ResponseBroken
 
@@ -93,13 +92,15 @@
 
 async def _read_events(forwarder: Forwarder, exchange: Exchange, partial: PartialText) -> None:
     """Append every event of an answer to *partial*; return at the end of the answer."""
-    splitter = EventSplitter()
+    splitter = exchange.splitter
     chunks = exchange.response.stream()
     while True:
         try:
             async with asyncio.timeout(EVENT_TIMEOUT_S):
                 chunk = await anext(chunks, None)
         except (ResponseBroken, TimeoutError) as error:
+            silent = isinstance(error, TimeoutError)
+            exchange.count_end(AnswerEnd.SILENT if silent else AnswerEnd.BROKEN)
             forwarder.crash_detector.note_broken(exchange.target)
             exchange.target.record_failure(repr(error))
             raise TargetFailed(repr(error)) from error
@@ -110,7 +111,9 @@
         for event in found:
             _append(partial, event.number, event.data)
     if splitter.rest:
+        exchange.count_end(AnswerEnd.INSIDE_EVENT)
         raise TargetFailed("answer ended in the middle of an event")
+    exchange.count_end(AnswerEnd.WHOLE)
 
 
 def _append(partial: PartialText, number: int | None, data: bytes | None) -> None:
--- a/gradepoint/telemetry/metrics.py
+++ b/gradepoint/telemetry/metrics.py
@@ -128,6 +128,9 @@
 
     def __init__(self) -> None:
         self.calls = BufferedCounter("gradepoint_calls", "Answers by outcome")
+        self.answer_ends = BufferedCounter(
+            "gradepoint_answer_ends", "Answers of targets by framing and end"
+        )
         self.refusals = BufferedCounter("gradepoint_refusals", "By reason")
         self.organisation_refusals = BufferedCounter(
             "gradepoint_organisation_refusals", "Refused calls by reason and organisation"
--- a/gradepoint/wire/http_client.py
+++ b/gradepoint/wire/http_client.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import socket
+from enum import Enum
 from typing import TYPE_CHECKING
 from urllib.parse import urlsplit
 
@@ -40,6 +41,14 @@
     """The connection failed after bytes of the request may have been sent."""
 
 
+class BodyFraming(Enum):
+    """How the end of a response body is recognised (RFC 9112, section 6.3)."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    UNTIL_CLOSE = "until_close"
+
+
 class PooledConnection:
     """One connection to an origin, used for one request at a time.
 
@@ -97,6 +106,8 @@
     """A response whose head has been read. It must be read to the end or closed.
 
     :ivar trailers: trailing headers, in lower case; filled at the end of the body.
+    :ivar framing: how the end of the body is recognised.
+    :ivar body_bytes: bytes of the body read so far.
     """
 
     def __init__(
@@ -115,6 +126,8 @@
             name.decode("latin-1").lower(): value.decode("latin-1") for name, value in head.headers
         }
         self.trailers: dict[str, str] = {}
+        self.framing = _find_framing(self.headers)
+        self.body_bytes = 0
         self.finished = False
 
     async def stream(self) -> AsyncIterator[bytes]:
@@ -125,6 +138,7 @@
         while True:
             event = await _next_event(self.connection)
             if isinstance(event, h11.Data):
+                self.body_bytes += len(event.data)
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self.trailers = {
@@ -302,6 +316,12 @@
     connection.close()
 
 
+def _find_framing(headers: Mapping[str, str]) -> BodyFraming:
+    if "transfer-encoding" in headers:
+        return BodyFraming.CHUNKED
+    return BodyFraming.LENGTH if "content-length" in headers else BodyFraming.UNTIL_CLOSE
+
+
 def _keep_alive_s(headers: Mapping[str, str]) -> float:
     """Return the seconds during which an idle connection may be reused.
 
