Reproduce cut streams that reach callers as complete: tests that fail, known red

A target ends a stream inside an event, in a body that has neither a length nor chunks, or whose last chunk is regular.

Ruled out: a break that the gateway sees (a reset, or chunks without their end) and yet frames as complete; test_non_resumable_stream_is_truncated_for_the_caller passes.

--- /dev/null
+++ b/tests/test_gateway/test_gateway_answer_ends.py
@@ -0,0 +1,61 @@
+"""Tests of how the end of a target's answer is recognised.
+
+The end of a connection may also end the body of an answer, so it does not show by itself whether
+the answer is whole.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from bench.platform.target import complete_stream, event_bytes
+from gradepoint.wire.http_client import BodyFraming
+from tests.support.platform import Deployment, run_in_virtual_time, until
+from tests.support.scripted_target import ScriptedAnswer, ScriptedTarget
+
+EVENTS = 6
+EVENT_BYTES = len(event_bytes("id-1", 0))
+WHOLE = ScriptedAnswer(BodyFraming.CHUNKED)
+UNTIL_CLOSE = BodyFraming.UNTIL_CLOSE
+
+
+async def start_with_answers(deployment: Deployment, *answers: ScriptedAnswer) -> None:
+    """Start a gateway and two targets that share the order of *answers*."""
+    await deployment.start(targets=0)
+    shared = list(answers)
+    for number in range(2):
+        await deployment.add_target(ScriptedTarget(f"t{number}", events=EVENTS, answers=shared))
+    await until(lambda: len(deployment.gateways[0].targets.by_id) == 2)
+
+
+CUT_INSIDE_EVENT = [
+    pytest.param(ScriptedAnswer(UNTIL_CLOSE, 0, 1), id="first-byte"),
+    pytest.param(ScriptedAnswer(UNTIL_CLOSE, 2, 5), id="id-line"),
+    pytest.param(ScriptedAnswer(UNTIL_CLOSE, 2, 12), id="data-line"),
+    pytest.param(ScriptedAnswer(UNTIL_CLOSE, 5, EVENT_BYTES - 1), id="blank-line"),
+    pytest.param(
+        ScriptedAnswer(BodyFraming.CHUNKED, 2, 12, ends_regularly=True), id="regular-last-chunk"
+    ),
+]
+
+
+@pytest.mark.parametrize("cut", CUT_INSIDE_EVENT)
+def test_stream_cut_inside_event_is_not_framed_as_complete(cut: ScriptedAnswer) -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_with_answers(deployment, cut)
+        answer = await deployment.call("/stream/1")
+        assert (answer.status, answer.broken) == (200, True)
+        assert complete_stream(answer.request_id, EVENTS).startswith(answer.body)
+
+    run_in_virtual_time(work)
+
+
+@pytest.mark.parametrize("cut", CUT_INSIDE_EVENT)
+def test_resumable_stream_cut_inside_event_is_resumed(cut: ScriptedAnswer) -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_with_answers(deployment, cut, WHOLE)
+        answer = await deployment.call("/resume/1")
+        assert (answer.status, answer.broken) == (200, False)
+        assert answer.body == complete_stream(answer.request_id, EVENTS)
+
+    run_in_virtual_time(work)
