Treat an answer that ends inside an event as broken off

What callers saw: a stream that its target had broken off arrived with status 200, the target's signature and a regular end of the chunked body, so that nothing told them that events were missing. A stream that may be resumed was closed on them instead.

Cause: the gateway took the end of an answer's body for the end of the answer. The body of an answer without a length or chunks ends with its connection, and a target that breaks the answer off ends the connection just as well. Streams that may not be resumed were relayed without a look at their events; those that may were looked at, but only after the loop that resumes them, and the target was not counted as failing.

Ruled out: the gateway closing the connection itself while it relays (only the task that reads an answer closes it), and a break that was seen and framed as complete all the same.

Why it works: one check at the end of every body, for calls and items, that the events seen end with a blank line; its failure takes the way of every broken answer, so that streams are resumed or cut, items resumed, and the target is probed and counted.

--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -243,6 +243,21 @@
         self._check_head(exchange, head)
         return exchange
 
+    def check_end(self, exchange: Exchange) -> None:
+        """Check that an answer whose body has ended is whole.
+
+        A body without a length or chunks also ends when its target breaks it off.
+
+        :raises TargetFailed: the body ends inside an event.
+        """
+        if not exchange.splitter.inside_event:
+            exchange.count_end(AnswerEnd.WHOLE)
+            return
+        exchange.count_end(AnswerEnd.INSIDE_EVENT)
+        self.crash_detector.note_broken(exchange.target)
+        exchange.target.record_failure("ended inside an event")
+        raise TargetFailed("ended inside an event")
+
     def _check_head(self, exchange: Exchange, head: CallHead) -> None:
         answer = exchange.head
         if answer.request_id is not None and answer.request_id != head.request_id:
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -344,7 +344,8 @@
         """Return the next chunk of an answer, or None at its end.
 
         :param stall_timeout_s: maximum seconds to wait; None waits until the deadline.
-        :raises TargetFailed: the connection broke or nothing came in time.
+        :raises TargetFailed: the connection broke, nothing came in time, or the answer ended
+            inside an event.
         """
         remaining = self.remaining_s
         wait = remaining if stall_timeout_s is None else min(remaining, stall_timeout_s)
@@ -361,8 +362,7 @@
             exchange.target.record_failure(str(error))
             raise TargetFailed(str(error)) from error
         if chunk is None:
-            inside = exchange.splitter.inside_event
-            exchange.count_end(AnswerEnd.INSIDE_EVENT if inside else AnswerEnd.WHOLE)
+            self.forwarder.check_end(exchange)
         return chunk
 
     async def _relay_chunks(
@@ -421,7 +421,7 @@
                     chunks = exchange.response.stream()
                     chunk = b""
             if exchange.splitter.rest:
-                raise self._abort_stream(exchange, TargetFailed("ended within an event"))
+                yield exchange.splitter.rest
             self._finish(exchange)
         finally:
             self._log_abandoned(exchange)
--- a/gradepoint/jobs/item_run.py
+++ b/gradepoint/jobs/item_run.py
@@ -92,7 +92,6 @@
 
 async def _read_events(forwarder: Forwarder, exchange: Exchange, partial: PartialText) -> None:
     """Append every event of an answer to *partial*; return at the end of the answer."""
-    splitter = exchange.splitter
     chunks = exchange.response.stream()
     while True:
         try:
@@ -106,14 +105,11 @@
             raise TargetFailed(repr(error)) from error
         if chunk is None:
             break
-        found = splitter.feed(chunk)
+        found = exchange.splitter.feed(chunk)
         exchange.progress.events += len(found)
         for event in found:
             _append(partial, event.number, event.data)
-    if splitter.rest:
-        exchange.count_end(AnswerEnd.INSIDE_EVENT)
-        raise TargetFailed("answer ended in the middle of an event")
-    exchange.count_end(AnswerEnd.WHOLE)
+    forwarder.check_end(exchange)
 
 
 def _append(partial: PartialText, number: int | None, data: bytes | None) -> None:
--- a/tests/test_gateway/test_gateway_answer_ends.py
+++ b/tests/test_gateway/test_gateway_answer_ends.py
@@ -10,7 +10,7 @@
 
 from bench.platform.target import complete_stream, event_bytes
 from gradepoint.wire.http_client import BodyFraming
-from tests.support.platform import Deployment, run_in_virtual_time, until
+from tests.support.platform import Deployment, item_text, run_in_virtual_time, until
 from tests.support.scripted_target import ScriptedAnswer, ScriptedTarget
 
 EVENTS = 6
@@ -59,3 +59,25 @@
         assert answer.body == complete_stream(answer.request_id, EVENTS)
 
     run_in_virtual_time(work)
+
+
+@pytest.mark.parametrize("cut", CUT_INSIDE_EVENT)
+def test_item_cut_inside_event_is_resumed(cut: ScriptedAnswer) -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_with_answers(deployment, cut, WHOLE)
+        assert (await deployment.submit("job", 1)).status == 202
+        [result] = await deployment.read_all_results("job")
+        assert (result["state"], result["message"]) == ("complete", item_text("job-0", EVENTS))
+
+    run_in_virtual_time(work)
+
+
+def test_answer_cut_inside_event_counts_as_failure_of_target() -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_with_answers(deployment, ScriptedAnswer(UNTIL_CLOSE, 2, 5))
+        for _ in range(12):
+            await deployment.call("/stream/1")
+        targets = deployment.gateways[0].targets.by_id.values()
+        assert all(target.health.failure_share > 0.5 for target in targets)
+
+    run_in_virtual_time(work)
