Test whole and cut answers in every framing, position and way to end

A body may have a length, come in chunks, or end with its connection; it may be cut inside an event or between two, by a close, a reset or silence. Streams that may and may not be resumed, plain answers and items of batch jobs pass in each case that can be recognised.

The network in memory took an empty write for the end of the connection; transports ignore empty writes, and so does it now.

--- a/tests/support/scripted_target.py
+++ b/tests/support/scripted_target.py
@@ -38,6 +38,9 @@
     ends_regularly: bool = False
     newline: bytes = b"\n"
 
+    def __str__(self) -> str:
+        return f"{self.framing.value}-{self.stop_before}-{self.partial_bytes}-{self.end.value}"
+
     def events(self, request_id: str, first: int, count: int) -> list[bytes]:
         """Return the events from *first* on of a stream of *count*."""
         events = [event_bytes(request_id, number) for number in range(first, count)]
@@ -60,11 +63,15 @@
 
 
 class ScriptedServer:
-    """Serves one request per connection."""
+    """Serves one request per connection.
+
+    :ivar writers: writers of all connections; one that is collected closes its connection.
+    """
 
     def __init__(self, target: ScriptedTarget) -> None:
         self.target = target
         self.port = 0
+        self.writers: list[asyncio.StreamWriter] = []
 
     async def start(self, address: str, port: int) -> None:
         """Start listening; port 0 picks a free one."""
@@ -76,9 +83,10 @@
         self.listener.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
         try:
             head = await reader.readuntil(b"\r\n\r\n")
-        except asyncio.IncompleteReadError:
+        except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
             return
         headers = dict(
--- a/tests/support/virtual_network.py
+++ b/tests/support/virtual_network.py
@@ -129,7 +129,7 @@
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
         """See :meth:`asyncio.WriteTransport.write`."""
-        if self.closed:
+        if self.closed or not data:
             return
         self._send(self.peer.receive, bytes(data))
         if self.unacknowledged_s and (self.mute or self.peer.mute):
--- a/tests/test_gateway/test_gateway_answer_ends.py
+++ b/tests/test_gateway/test_gateway_answer_ends.py
@@ -11,7 +11,7 @@
 from bench.platform.target import complete_stream, event_bytes
 from gradepoint.wire.http_client import BodyFraming
 from tests.support.platform import Deployment, item_text, run_in_virtual_time, until
-from tests.support.scripted_target import ScriptedAnswer, ScriptedTarget
+from tests.support.scripted_target import BodyEnd, ScriptedAnswer, ScriptedTarget
 
 EVENTS = 6
 EVENT_BYTES = len(event_bytes("id-1", 0))
@@ -81,3 +81,53 @@
         assert all(target.health.failure_share > 0.5 for target in targets)
 
     run_in_virtual_time(work)
+
+
+@pytest.mark.parametrize("framing", BodyFraming)
+@pytest.mark.parametrize("path", ["/stream/1", "/resume/1", "/plain/1", "/single/1"])
+def test_whole_answer_delivered_for_every_framing(path: str, framing: BodyFraming) -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_with_answers(deployment, ScriptedAnswer(framing))
+        answer = await deployment.call(path)
+        assert (answer.status, answer.broken) == (200, False)
+        assert answer.body == complete_stream(answer.request_id, EVENTS)
+        targets = deployment.gateways[0].targets.by_id.values()
+        assert all(target.health.failure_share == 0.0 for target in targets)
+        assert sum(target.ran[answer.request_id] for target in deployment.targets) == 1
+
+    run_in_virtual_time(work)
+
+
+RECOGNISABLE_CUTS = [
+    ScriptedAnswer(framing, 2, partial_bytes, end)
+    for framing in BodyFraming
+    for end in BodyEnd
+    for partial_bytes in (0, 5)
+    # A close between two events ends a body without a length or chunks in order.
+    if (framing, end, partial_bytes) != (UNTIL_CLOSE, BodyEnd.CLOSE, 0)
+]
+
+
+@pytest.mark.parametrize("cut", RECOGNISABLE_CUTS, ids=str)
+def test_cut_stream_never_completed_for_caller(cut: ScriptedAnswer) -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_with_answers(deployment, cut)
+        answer = await deployment.call("/stream/1")
+        assert (answer.status, answer.broken) == (200, True)
+        assert complete_stream(answer.request_id, EVENTS).startswith(answer.body)
+
+    run_in_virtual_time(work)
+
+
+@pytest.mark.parametrize("cut", RECOGNISABLE_CUTS, ids=str)
+def test_cut_stream_and_cut_item_are_resumed(cut: ScriptedAnswer) -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_with_answers(deployment, cut, WHOLE, cut, WHOLE)
+        answer = await deployment.call("/resume/1")
+        assert not answer.broken
+        assert answer.body == complete_stream(answer.request_id, EVENTS)
+        await deployment.submit("job", 1)
+        [result] = await deployment.read_all_results("job")
+        assert (result["state"], result["message"]) == ("complete", item_text("job-0", EVENTS))
+
+    run_in_virtual_time(work)
