Split event streams whose lines end with CRLF

What callers saw: on a route whose streams may be resumed, nothing of a stream with CRLF line ends until its end, and then a closed connection; since the check of the end of an answer, the same at the end of streams that may not be resumed.

Cause: events were split at two line feeds only. The format allows CRLF as well.

Evidence: test_stream_with_crlf_line_ends_is_forwarded_unchanged failed on both routes before. The property test of the splitter draws the line end now; where a body ends inside an event is tested line by line.

--- a/gradepoint/gateway/event_stream.py
+++ b/gradepoint/gateway/event_stream.py
@@ -6,7 +6,7 @@
 
 from ..util.structs import Struct
 
-END_OF_EVENT = re.compile(rb"\n\n")
+END_OF_EVENT = re.compile(rb"\r?\n\r?\n")
 """The end of an event's last line and the blank line after it."""
 
 
@@ -37,7 +37,7 @@
 
         Blank lines and complete comment lines do not begin an event.
         """
-        lines = self.rest.split(b"\n")
+        lines = self.rest.replace(b"\r\n", b"\n").split(b"\n")
         return bool(lines[-1]) or any(line and not line.startswith(b":") for line in lines)
 
     def split(self, chunk: bytes) -> list[bytes]:
@@ -60,7 +60,7 @@
     """Decode one complete event."""
     number: int | None = None
     data: list[bytes] = []
-    for line in raw.split(b"\n"):
+    for line in raw.replace(b"\r\n", b"\n").split(b"\n"):
         name, _, value = line.partition(b":")
         value = value.removeprefix(b" ")
         if name == b"data":
--- a/tests/test_gateway/test_gateway_answer_ends.py
+++ b/tests/test_gateway/test_gateway_answer_ends.py
@@ -131,3 +131,15 @@
         assert (result["state"], result["message"]) == ("complete", item_text("job-0", EVENTS))
 
     run_in_virtual_time(work)
+
+
+@pytest.mark.parametrize("path", ["/stream/1", "/resume/1"])
+def test_stream_with_crlf_line_ends_is_forwarded_unchanged(path: str) -> None:
+    async def work(deployment: Deployment) -> None:
+        crlf = ScriptedAnswer(UNTIL_CLOSE, newline=b"\r\n")
+        await start_with_answers(deployment, crlf)
+        answer = await deployment.call(path)
+        assert not answer.broken
+        assert answer.body == complete_stream(answer.request_id, EVENTS).replace(b"\n", b"\r\n")
+
+    run_in_virtual_time(work)
--- a/tests/test_gateway/test_gateway_decisions.py
+++ b/tests/test_gateway/test_gateway_decisions.py
@@ -184,9 +184,16 @@
     assert choose_target(targets, "a", tried, lambda _: 0, rng) is None
 
 
-@given(st.lists(st.integers(1, 30), max_size=12), st.integers(1, 12))
-def test_event_splitter_reassembles_arbitrary_chunks(sizes: list[int], events: int) -> None:
+@given(
+    st.lists(st.integers(1, 30), max_size=12),
+    st.integers(1, 12),
+    st.sampled_from([b"\n", b"\r\n"]),
+)
+def test_event_splitter_reassembles_arbitrary_chunks(
+    sizes: list[int], events: int, newline: bytes
+) -> None:
     raw = b"".join(f"id: {n}\ndata: word {n}\n\n".encode() for n in range(events))
+    raw = raw.replace(b"\n", newline)
     splitter = EventSplitter()
     found = []
     start = 0
@@ -197,6 +204,27 @@
     assert [event.number for event in found] == list(range(events))
     assert [event.data for event in found] == [f"word {n}".encode() for n in range(events)]
     assert not splitter.rest
+    assert not splitter.inside_event
+
+
+@pytest.mark.parametrize(
+    ("rest", "inside"),
+    [
+        (b"", False),
+        (b"\n", False),
+        (b"\r\n", False),
+        (b": comment\n", False),
+        (b": comm", True),
+        (b"d", True),
+        (b"data: x\n", True),
+        (b"data: x\r\n\r", True),
+        (b": comment\ndata: x\n", True),
+    ],
+)
+def test_body_that_ends_inside_event_is_recognised(rest: bytes, inside: bool) -> None:
+    splitter = EventSplitter()
+    splitter.feed(b"id: 1\ndata: a\n\n" + rest)
+    assert splitter.inside_event is inside
 
 
 def test_parse_event_without_id_and_with_several_data_lines() -> None:
