Treat an answer as broken off if its target crashed as it ended

What callers saw: a stream or a plain answer without a length or chunks, cut between two events by a crash of its target, framed as complete. Items of batch jobs were listed as complete with a part of their text.

Cause: the system closes the connections of a process that dies in order, so that such an end looks like the end of the answer. Servers write whole events, so that a crash mostly cuts between two. The crash was not noticed either, and counted as a success of the request.

Evidence: test_answer_cut_between_events_by_a_crash_is_not_completed (three routes) and test_item_cut_between_events_by_a_crash_is_resumed failed before. Answers with a length or chunks are not probed.

Why it works: where only the end of the connection ends a body, the target's port is probed, for 50 ms at most. A closed port means a crash, which is also reported, so that requests that crash their targets are found; a draining or delisted target may end after its answer.

Left: a target that closes the connection between two events and goes on to run cannot be told from one whose answer is whole.

--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -13,7 +13,13 @@
 from ..util.rng import new_rng
 from ..util.structs import Struct, field
 from ..wire.addresses import split_address
-from ..wire.http_client import ConnectFailed, ConnectRefused, HttpClient, ResponseBroken
+from ..wire.http_client import (
+    BodyFraming,
+    ConnectFailed,
+    ConnectRefused,
+    HttpClient,
+    ResponseBroken,
+)
 from .answer_progress import AnswerProgress
 from .choice import choose_target, get_load
 from .event_stream import EventSplitter
@@ -53,15 +59,24 @@
     """How the body of a target's answer ended.
 
     ``WHOLE`` is the end by the framing of the answer. ``INSIDE_EVENT`` is such an end inside an
-    event of a stream. ``BROKEN`` is a broken connection, ``SILENT`` a timeout.
+    event of a stream, and ``CRASHED`` one that the crash of the target caused. ``BROKEN`` is a
+    broken connection, ``SILENT`` a timeout.
     """
 
     WHOLE = "whole"
     INSIDE_EVENT = "inside_event"
+    CRASHED = "crashed"
     BROKEN = "broken"
     SILENT = "silent"
 
 
+END_REASONS = {
+    AnswerEnd.INSIDE_EVENT: "ended inside an event",
+    AnswerEnd.CRASHED: "ended by a crash of its target",
+}
+"""Reasons, as logged, why a body that has ended is not whole."""
+
+
 class Exchange(Struct, eq=False):
     """An answer of one target whose body is not yet read.
 
@@ -243,20 +258,25 @@
         self._check_head(exchange, head)
         return exchange
 
-    def check_end(self, exchange: Exchange) -> None:
+    async def check_end(self, exchange: Exchange) -> None:
         """Check that an answer whose body has ended is whole.
 
-        A body without a length or chunks also ends when its target breaks it off.
+        A body without a length or chunks also ends when its target breaks it off or crashes.
 
-        :raises TargetFailed: the body ends inside an event.
+        :raises TargetFailed: the body ends inside an event, or its target has crashed.
         """
-        if not exchange.splitter.inside_event:
-            exchange.count_end(AnswerEnd.WHOLE)
-            return
-        exchange.count_end(AnswerEnd.INSIDE_EVENT)
-        self.crash_detector.note_broken(exchange.target)
-        exchange.target.record_failure("ended inside an event")
-        raise TargetFailed("ended inside an event")
+        end = AnswerEnd.WHOLE
+        if exchange.splitter.inside_event:
+            end = AnswerEnd.INSIDE_EVENT
+            self.crash_detector.note_broken(exchange.target)
+        elif exchange.response.framing is BodyFraming.UNTIL_CLOSE:
+            if not await self.crash_detector.confirm_running(exchange.target):
+                end = AnswerEnd.CRASHED
+        exchange.count_end(end)
+        if end is not AnswerEnd.WHOLE:
+            reason = END_REASONS[end]
+            exchange.target.record_failure(reason)
+            raise TargetFailed(reason)
 
     def _check_head(self, exchange: Exchange, head: CallHead) -> None:
         answer = exchange.head
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -362,7 +362,7 @@
             exchange.target.record_failure(str(error))
             raise TargetFailed(str(error)) from error
         if chunk is None:
-            self.forwarder.check_end(exchange)
+            await self.forwarder.check_end(exchange)
         return chunk
 
     async def _relay_chunks(
--- a/gradepoint/gateway/target_crashes.py
+++ b/gradepoint/gateway/target_crashes.py
@@ -167,10 +167,29 @@
         if probe_task is not None:
             await asyncio.wait([probe_task], timeout=MAX_PROBE_WAIT_S)
 
+    async def confirm_running(self, target: Target) -> bool:
+        """Whether a target still listens, after it closed a connection in order.
+
+        The system closes the connections of a process that dies in the same way. A target that is
+        draining or delisted may end after its last answer.
+        """
+        if _is_planned(target):
+            return True
+        if target.closed_at is None:
+            try:
+                async with asyncio.timeout(MAX_PROBE_WAIT_S):
+                    state = await self.probe(target.address)
+            except TimeoutError:
+                return True
+            if state is not PortState.CLOSED:
+                return True
+            self.note_broken(target)
+        return False
+
     async def _probe_broken(
         self, target: Target, requests: list[tuple[RequestIdentity, Trial]]
     ) -> None:
-        planned = target.listed.state is not ListedState.READY or target.vanished_at is not None
+        planned = _is_planned(target)
         try:
             state = await self.probe(target.address)
             if state is PortState.CLOSED:
@@ -222,3 +241,8 @@
             common=crash.common,
         )
         self.on_crash(crash)
+
+
+def _is_planned(target: Target) -> bool:
+    """Whether a target is draining or delisted, so that its end is planned."""
+    return target.listed.state is not ListedState.READY or target.vanished_at is not None
--- a/gradepoint/jobs/item_run.py
+++ b/gradepoint/jobs/item_run.py
@@ -109,7 +109,7 @@
         exchange.progress.events += len(found)
         for event in found:
             _append(partial, event.number, event.data)
-    forwarder.check_end(exchange)
+    await forwarder.check_end(exchange)
 
 
 def _append(partial: PartialText, number: int | None, data: bytes | None) -> None:
--- a/gradepoint/wire/http_client.py
+++ b/gradepoint/wire/http_client.py
@@ -24,6 +24,7 @@
 READ_SIZE_BYTES = 65536
 MAX_IDLE_PER_ORIGIN = 256
 MAX_INCOMPLETE_EVENT_BYTES = 1 << 20
+STATUSES_WITHOUT_BODY = (204, 304)
 KEEP_ALIVE_SHARE = 0.8
 """Share of the keep-alive time announced by the server during which an idle connection may be
 reused. The rest covers the time that a request takes to reach the server."""
@@ -126,7 +127,7 @@
             name.decode("latin-1").lower(): value.decode("latin-1") for name, value in head.headers
         }
         self.trailers: dict[str, str] = {}
-        self.framing = _find_framing(self.headers)
+        self.framing = _find_framing(self.status, self.headers)
         self.body_bytes = 0
         self.finished = False
 
@@ -316,7 +317,9 @@
     connection.close()
 
 
-def _find_framing(headers: Mapping[str, str]) -> BodyFraming:
+def _find_framing(status: int, headers: Mapping[str, str]) -> BodyFraming:
+    if status in STATUSES_WITHOUT_BODY:
+        return BodyFraming.LENGTH
     if "transfer-encoding" in headers:
         return BodyFraming.CHUNKED
     return BodyFraming.LENGTH if "content-length" in headers else BodyFraming.UNTIL_CLOSE
--- a/tests/test_gateway/test_gateway_answer_ends.py
+++ b/tests/test_gateway/test_gateway_answer_ends.py
@@ -143,3 +143,31 @@
         assert answer.body == complete_stream(answer.request_id, EVENTS).replace(b"\n", b"\r\n")
 
     run_in_virtual_time(work)
+
+
+@pytest.mark.parametrize("path", ["/stream/1", "/resume/1", "/plain/1"])
+def test_answer_cut_between_events_by_a_crash_is_not_completed(path: str) -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_with_answers(deployment, ScriptedAnswer(UNTIL_CLOSE, 2), WHOLE)
+        for target in deployment.targets:
+            target.crashes_at_end = True  # type: ignore[attr-defined]
+        answer = await deployment.call(path)
+        whole = complete_stream(answer.request_id, EVENTS)
+        if path == "/stream/1":
+            assert answer.broken and whole.startswith(answer.body)
+        else:
+            assert (answer.broken, answer.body) == (False, whole)
+
+    run_in_virtual_time(work)
+
+
+def test_item_cut_between_events_by_a_crash_is_resumed() -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_with_answers(deployment, ScriptedAnswer(UNTIL_CLOSE, 2), WHOLE)
+        for target in deployment.targets:
+            target.crashes_at_end = True  # type: ignore[attr-defined]
+        await deployment.submit("job", 1)
+        [result] = await deployment.read_all_results("job")
+        assert (result["state"], result["message"]) == ("complete", item_text("job-0", EVENTS))
+
+    run_in_virtual_time(work)
