Treat a stream without a length, chunks or events as broken off

What callers saw: 200 with an empty body where a target closed the connection after the head of a stream; an item of a batch job was listed as complete with an empty text.

Cause: an empty body that ends with its connection is well-formed, and no event was begun. A stream that starts anew has at least one event; one that is resumed may have none left.

Evidence: test_stream_without_any_event_is_not_completed (two routes) and test_item_without_any_event_is_retried failed before. The caller now gets 502, or the answer of another target where the route allows it. Whole answers in each framing: as before.

--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -59,12 +59,13 @@
     """How the body of a target's answer ended.
 
     ``WHOLE`` is the end by the framing of the answer. ``INSIDE_EVENT`` is such an end inside an
-    event of a stream, and ``CRASHED`` one that the crash of the target caused. ``BROKEN`` is a
-    broken connection, ``SILENT`` a timeout.
+    event of a stream, ``EMPTY`` one before its first event, and ``CRASHED`` one that the crash of
+    the target caused. ``BROKEN`` is a broken connection, ``SILENT`` a timeout.
     """
 
     WHOLE = "whole"
     INSIDE_EVENT = "inside_event"
+    EMPTY = "empty"
     CRASHED = "crashed"
     BROKEN = "broken"
     SILENT = "silent"
@@ -72,6 +73,7 @@
 
 END_REASONS = {
     AnswerEnd.INSIDE_EVENT: "ended inside an event",
+    AnswerEnd.EMPTY: "ended before its first event",
     AnswerEnd.CRASHED: "ended by a crash of its target",
 }
 """Reasons, as logged, why a body that has ended is not whole."""
@@ -86,6 +88,7 @@
     :param on_close: called with this exchange when it is closed.
     :ivar progress: events received so far, which show the pace of the target.
     :ivar splitter: splits the body into events, if it is an event stream.
+    :ivar needs_event: whether the body is an event stream that has at least one event.
     :ivar begun_at: monotonic time at which the head of the answer arrived.
     """
 
@@ -98,6 +101,7 @@
     closed: bool = False
     progress: AnswerProgress = field(default_factory=AnswerProgress)
     splitter: EventSplitter = field(default_factory=EventSplitter)
+    needs_event: bool = False
     begun_at: float = field(default_factory=monotonic)
 
     def describe_body(self) -> dict[str, Any]:
@@ -263,14 +267,18 @@
 
         A body without a length or chunks also ends when its target breaks it off or crashes.
 
-        :raises TargetFailed: the body ends inside an event, or its target has crashed.
+        :raises TargetFailed: the body ends inside an event or without any, or its target has
+            crashed.
         """
         end = AnswerEnd.WHOLE
         if exchange.splitter.inside_event:
             end = AnswerEnd.INSIDE_EVENT
             self.crash_detector.note_broken(exchange.target)
         elif exchange.response.framing is BodyFraming.UNTIL_CLOSE:
-            if not await self.crash_detector.confirm_running(exchange.target):
+            if exchange.needs_event and not exchange.progress.events:
+                end = AnswerEnd.EMPTY
+                self.crash_detector.note_broken(exchange.target)
+            elif not await self.crash_detector.confirm_running(exchange.target):
                 end = AnswerEnd.CRASHED
         exchange.count_end(end)
         if end is not AnswerEnd.WHOLE:
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -312,6 +312,7 @@
         headers = exchange.head.forwarded_headers
         chunks = exchange.response.stream()
         if self.route.kind is RouteKind.STREAM and exchange.head.status < 300:
+            exchange.needs_event = self.head.resume_after is None
             wait_s = MIN_STALL_TIMEOUT_S if self.may_retry else None
             first = await self._read_chunk(exchange, chunks, wait_s)
             took_s = monotonic() - self.arrived_at - self.waited_s
@@ -435,6 +436,7 @@
         if exchange.head.status >= 300:
             exchange.close()
             raise self._abort_stream(exchange, TargetFailed(f"resumed with {exchange.head.status}"))
+        exchange.needs_event = last is None
         return exchange
 
     def _finish(self, exchange: Exchange) -> None:
--- a/gradepoint/jobs/item_run.py
+++ b/gradepoint/jobs/item_run.py
@@ -92,6 +92,7 @@
 
 async def _read_events(forwarder: Forwarder, exchange: Exchange, partial: PartialText) -> None:
     """Append every event of an answer to *partial*; return at the end of the answer."""
+    exchange.needs_event = partial.last_event is None
     chunks = exchange.response.stream()
     while True:
         try:
--- a/tests/test_gateway/test_gateway_answer_ends.py
+++ b/tests/test_gateway/test_gateway_answer_ends.py
@@ -171,3 +171,28 @@
         assert (result["state"], result["message"]) == ("complete", item_text("job-0", EVENTS))
 
     run_in_virtual_time(work)
+
+
+EMPTY = ScriptedAnswer(UNTIL_CLOSE, stop_before=0)
+
+
+@pytest.mark.parametrize(("path", "status"), [("/stream/1", 502), ("/resume/1", 200)])
+def test_stream_without_any_event_is_not_completed(path: str, status: int) -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_with_answers(deployment, EMPTY, WHOLE)
+        answer = await deployment.call(path)
+        assert answer.status == status
+        if status == 200:
+            assert answer.body == complete_stream(answer.request_id, EVENTS)
+
+    run_in_virtual_time(work)
+
+
+def test_item_without_any_event_is_retried() -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_with_answers(deployment, EMPTY, WHOLE)
+        await deployment.submit("job", 1)
+        [result] = await deployment.read_all_results("job")
+        assert (result["state"], result["message"]) == ("complete", item_text("job-0", EVENTS))
+
+    run_in_virtual_time(work)
