Reset the connection of a caller of HTTP/1.0 whose answer breaks off

What callers saw: a caller of HTTP/1.0 gets streamed bodies without chunks, so that the orderly close after a broken answer was their regular end.

Evidence: test_cut_answer_is_recognised_by_caller_of_http_1_0 failed for the cut answer before; the whole one arrives as before, without chunks. Callers of HTTP/1.1 miss the last chunk and see no change.

Left: where the process of the gateway is killed, the system closes the connection in order.

--- a/gradepoint/wire/http_server.py
+++ b/gradepoint/wire/http_server.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from contextlib import aclosing
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -17,7 +19,6 @@
 from .http_types import Request, Response, error_response
 
 if TYPE_CHECKING:
-    import socket
     from collections.abc import AsyncIterator
 
     from .http_types import Handler
@@ -27,6 +28,8 @@
 """Most bytes of pipelined requests read while a request is answered; more stay in the socket."""
 WRITE_BUFFER_BYTES = 65536
 """Bytes of a response that may be buffered before writing waits for the caller to read."""
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of ``SO_LINGER`` with which a close resets the connection."""
 
 
 class ServerLimits(Struct, frozen=True):
@@ -309,14 +312,29 @@
 
     async def _send_stream(self, response: Response) -> None:
         assert response.stream is not None
-        async with aclosing(response.stream) as stream:  # type: ignore[type-var]
-            async for piece in stream:
-                if piece:
-                    await self._write(self.h11.send(h11.Data(data=piece)) or b"")
+        try:
+            async with aclosing(response.stream) as stream:  # type: ignore[type-var]
+                async for piece in stream:
+                    if piece:
+                        await self._write(self.h11.send(h11.Data(data=piece)) or b"")
+        except BaseException:
+            if self.h11.their_http_version == b"1.0":
+                self._reset()
+            raise
         trailers = response.trailers() if response.trailers else {}
         end = h11.EndOfMessage(headers=list(trailers.items()))
         await self._write(self.h11.send(end) or b"")
 
+    def _reset(self) -> None:
+        """Reset the connection.
+
+        A close in order would complete a body that has neither a length nor chunks.
+        """
+        raw_socket = self.writer.get_extra_info("socket")
+        if raw_socket is not None:
+            raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.writer.transport.abort()
+
     async def _write(self, data: bytes) -> None:
         """Write *data*; wait only if the caller reads too slowly.
 
--- /dev/null
+++ b/tests/test_wire/test_wire_answer_ends.py
@@ -0,0 +1,62 @@
+"""Tests of how the end of a body is told to callers and read from targets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from gradepoint.wire.http_server import HttpServer
+from gradepoint.wire.http_types import Request, Response
+
+BODY = b"data: 1\n\ndata: 2\n\n"
+
+
+async def answer_in_pieces(request: Request) -> Response:
+    """Send a streamed body; break it off where the path is ``/cut``."""
+
+    async def pieces() -> AsyncIterator[bytes]:
+        yield BODY[:9]
+        if request.path == "/cut":
+            await asyncio.sleep(0.02)
+            raise ConnectionAbortedError("the target broke off")
+        yield BODY[9:]
+
+    return Response(200, stream=pieces())
+
+
+async def read_to_end(port: int, head: bytes) -> tuple[bytes, bool]:
+    """Send a request; return all bytes of its answer, and whether the connection was reset."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(head)
+    received = b""
+    try:
+        while data := await reader.read(1000):
+            received += data
+    except ConnectionResetError:
+        return received, True
+    finally:
+        writer.close()
+    return received, False
+
+
+@pytest.mark.parametrize(("path", "is_reset"), [("/whole", False), ("/cut", True)])
+def test_cut_answer_is_recognised_by_caller_of_http_1_0(path: str, is_reset: bool) -> None:
+    """Such a caller gets no chunks, so that a close in order would complete the body."""
+
+    async def main() -> None:
+        server = HttpServer(answer_in_pieces)
+        await server.start("127.0.0.1", 0)
+        try:
+            head = f"GET {path} HTTP/1.0\r\nhost: h\r\n\r\n".encode()
+            received, was_reset = await read_to_end(server.port, head)
+        finally:
+            server.abort()
+        assert was_reset is is_reset
+        assert BODY.startswith(received.partition(b"\r\n\r\n")[2])
+        if not is_reset:
+            assert received.endswith(b"\r\n\r\n" + BODY)
+            assert b"transfer-encoding" not in received
+
+    asyncio.run(main())
