Report a response that was closed while it was read as broken

The reader of a body without a length or chunks took the end of input that a close of the response by another task causes for the end of the body.

Evidence: test_answer_closed_by_its_reader_is_not_complete failed before.

--- a/gradepoint/wire/http_client.py
+++ b/gradepoint/wire/http_client.py
@@ -134,14 +134,15 @@
     async def stream(self) -> AsyncIterator[bytes]:
         """Yield the body piece by piece.
 
-        :raises ResponseBroken: the connection failed before the end of the body.
+        :raises ResponseBroken: the connection failed, or the response was closed, before the end
+            of the body.
         """
         while True:
             event = await _next_event(self.connection)
             if isinstance(event, h11.Data):
                 self.body_bytes += len(event.data)
                 yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
+            elif isinstance(event, h11.EndOfMessage) and not self.finished:
                 self.trailers = {
                     name.decode("latin-1").lower(): value.decode("latin-1")
                     for name, value in event.headers
--- a/tests/test_wire/test_wire_answer_ends.py
+++ b/tests/test_wire/test_wire_answer_ends.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import pytest
 
+from gradepoint.wire.http_client import HttpClient, ResponseBroken
 from gradepoint.wire.http_server import HttpServer
 from gradepoint.wire.http_types import Request, Response
 
@@ -60,3 +61,37 @@
             assert b"transfer-encoding" not in received
 
     asyncio.run(main())
+
+
+def with_raw_answer(answer: bytes, work: Callable[[int], Awaitable[None]]) -> None:
+    """Run *work* with the port of a server that sends *answer* and leaves connections open."""
+
+    async def main() -> None:
+        writers = []
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writers.append(writer)
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        try:
+            await work(server.sockets[0].getsockname()[1])
+        finally:
+            server.close()
+            for writer in writers:
+                writer.transport.abort()
+
+    asyncio.run(main())
+
+
+def test_answer_closed_by_its_reader_is_not_complete() -> None:
+    async def work(port: int) -> None:
+        response = await HttpClient().send(("127.0.0.1", port), "GET", "/")
+        chunks = response.stream()
+        assert await anext(chunks) == b"data"
+        asyncio.get_running_loop().call_later(0.01, response.close)
+        with pytest.raises(ResponseBroken):
+            await anext(chunks)
+
+    with_raw_answer(b"HTTP/1.1 200 OK\r\n\r\ndata", work)
