Treat a service's answer as lost if its format shows that it was cut

What callers saw: a completion or a service's answer without a length or chunks, cut by an orderly close, was passed on with 200, and stored as the result of its idempotency key.

Cause: the same as for streams: the end of the connection ends such a body. JSON that cannot be decoded and event streams that end inside an event show it; other formats do not.

Streams of the engines' API end with their own last event and were right before. The rule of where a stream ends inside an event is now in one place, wire/sse.py.

--- a/gradepoint/gateway/event_stream.py
+++ b/gradepoint/gateway/event_stream.py
@@ -2,12 +2,8 @@
 
 from __future__ import annotations
 
-import re
-
 from ..util.structs import Struct
-
-END_OF_EVENT = re.compile(rb"\r?\n\r?\n")
-"""The end of an event's last line and the blank line after it."""
+from ..wire.sse import END_OF_EVENT, ends_inside_event
 
 
 class StreamEvent(Struct, frozen=True):
@@ -33,12 +29,8 @@
 
     @property
     def inside_event(self) -> bool:
-        """Whether the body ends inside an event or a line.
-
-        Blank lines and complete comment lines do not begin an event.
-        """
-        lines = self.rest.replace(b"\r\n", b"\n").split(b"\n")
-        return bool(lines[-1]) or any(line and not line.startswith(b":") for line in lines)
+        """Whether the body so far ends inside an event or a line."""
+        return ends_inside_event(self.rest)
 
     def split(self, chunk: bytes) -> list[bytes]:
         """Return the bytes of the events that *chunk* completes, each with its blank line."""
--- a/gradepoint/wire/sse.py
+++ b/gradepoint/wire/sse.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -11,6 +12,8 @@
 
 DONE = b"[DONE]"
 """Payload of the event that ends a complete stream."""
+END_OF_EVENT = re.compile(rb"\r?\n\r?\n")
+"""The end of an event's last line and the blank line after it."""
 
 
 def encode(value: Any) -> bytes:
@@ -38,6 +41,16 @@
                 yield payload
 
 
+def ends_inside_event(body: bytes) -> bool:
+    """Whether a body ends inside an event or a line.
+
+    Blank lines and complete comment lines do not begin an event.
+    """
+    rest = END_OF_EVENT.split(body)[-1]
+    lines = rest.replace(b"\r\n", b"\n").split(b"\n")
+    return bool(lines[-1]) or any(line and not line.startswith(b":") for line in lines)
+
+
 def _payload(event: bytes) -> bytes | None:
     lines = [line[5:].lstrip(b" ") for line in event.split(b"\n") if line.startswith(b"data:")]
     return b"\n".join(lines) if lines else None
--- a/gradepoint/wire/target_client.py
+++ b/gradepoint/wire/target_client.py
@@ -6,9 +6,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from ..errors import TargetFailure
 from . import sse
-from .http_client import ClientResponse, ConnectFailed, HttpClient, ResponseBroken
+from .http_client import BodyFraming, ClientResponse, ConnectFailed, HttpClient, ResponseBroken
+from .http_types import EVENT_STREAM_TYPE, JSON_TYPE
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, Mapping
@@ -80,11 +83,14 @@
         """
         response = await self._send(method, url, body, headers, timeout_s, fresh=fresh)
         try:
-            return TargetAnswer(response.status, response.headers, await response.read())
+            answer = TargetAnswer(response.status, response.headers, await response.read())
         except ResponseBroken as error:
             raise TargetFailure("target_lost", str(error), not_run=False) from error
         finally:
             response.close()
+        if method != "HEAD" and response.framing is BodyFraming.UNTIL_CLOSE and _is_cut(answer):
+            raise TargetFailure("target_lost", "the answer ended early", not_run=False)
+        return answer
 
     async def complete(
         self,
@@ -166,6 +172,22 @@
             raise TargetFailure("target_lost", str(error), not_run=False) from error
 
 
+def _is_cut(answer: TargetAnswer) -> bool:
+    """Whether the format of an answer shows that a part of it is missing."""
+    content_type = answer.headers.get("content-type", "").partition(";")[0].strip().lower()
+    if answer.status >= 300:
+        return False
+    if content_type == EVENT_STREAM_TYPE:
+        return sse.ends_inside_event(answer.body)
+    if content_type != JSON_TYPE:
+        return False
+    try:
+        msgspec.json.decode(answer.body)
+    except msgspec.DecodeError:
+        return True
+    return False
+
+
 async def _read(response: ClientResponse) -> bytes:
     try:
         return await response.read()
--- a/tests/test_wire/test_wire_answer_ends.py
+++ b/tests/test_wire/test_wire_answer_ends.py
@@ -7,9 +7,11 @@
 
 import pytest
 
+from gradepoint.errors import TargetFailure
 from gradepoint.wire.http_client import HttpClient, ResponseBroken
 from gradepoint.wire.http_server import HttpServer
 from gradepoint.wire.http_types import Request, Response
+from gradepoint.wire.target_client import TargetClient
 
 BODY = b"data: 1\n\ndata: 2\n\n"
 
@@ -63,8 +65,13 @@
     asyncio.run(main())
 
 
-def with_raw_answer(answer: bytes, work: Callable[[int], Awaitable[None]]) -> None:
-    """Run *work* with the port of a server that sends *answer* and leaves connections open."""
+def with_raw_answer(
+    answer: bytes, work: Callable[[int], Awaitable[None]], *, close: bool = False
+) -> None:
+    """Run *work* with the port of a server that sends *answer*.
+
+    :param close: whether the server closes connections in order after the answer.
+    """
 
     async def main() -> None:
         writers = []
@@ -73,6 +80,8 @@
             writers.append(writer)
             await reader.readuntil(b"\r\n\r\n")
             writer.write(answer)
+            if close:
+                writer.close()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         try:
@@ -95,3 +104,30 @@
             await anext(chunks)
 
     with_raw_answer(b"HTTP/1.1 200 OK\r\n\r\ndata", work)
+
+
+@pytest.mark.parametrize(
+    ("content_type", "body", "is_whole"),
+    [
+        ("application/json", b'{"id": 1}', True),
+        ("application/json; charset=utf-8", b'{"id": ', False),
+        ("application/json", b"", False),
+        ("text/event-stream", b"data: 1\n\n", True),
+        ("text/event-stream", b"data: 1\n\ndata", False),
+        ("text/plain", b"any", True),
+    ],
+)
+def test_target_answer_cut_in_its_format_is_not_complete(
+    content_type: str, body: bytes, is_whole: bool
+) -> None:
+    async def work(port: int) -> None:
+        calling = TargetClient().call("GET", f"http://127.0.0.1:{port}/", b"", {}, 5.0)
+        if is_whole:
+            assert (await calling).body == body
+        else:
+            with pytest.raises(TargetFailure) as raised:
+                await calling
+            assert not raised.value.not_run
+
+    head = f"HTTP/1.1 200 OK\r\ncontent-type: {content_type}\r\n\r\n"
+    with_raw_answer(head.encode() + body, work, close=True)
