Decode event streams whose CRLF is split between two pieces

Two events were taken for one, or a carriage return stayed in a payload, where a piece of the body ended between the two bytes of a line end (docs/findings.md, shown by a script there). test_events_decoded_whatever_the_line_end_and_the_pieces failed before.

--- a/gradepoint/wire/sse.py
+++ b/gradepoint/wire/sse.py
@@ -28,14 +28,10 @@
 
 async def decode(pieces: AsyncIterator[bytes]) -> AsyncGenerator[bytes, None]:
     """Yield the payload of each event in a body; comments and events without data are skipped."""
-    buffer = b""
+    rest = b""
     async for piece in pieces:
-        buffer += piece.replace(b"\r\n", b"\n")
-        while True:
-            event, separator, tail = buffer.partition(b"\n\n")
-            if not separator:
-                break
-            buffer = tail
+        *events, rest = END_OF_EVENT.split(rest + piece)
+        for event in events:
             payload = _payload(event)
             if payload is not None:
                 yield payload
@@ -52,5 +48,6 @@
 
 
 def _payload(event: bytes) -> bytes | None:
-    lines = [line[5:].lstrip(b" ") for line in event.split(b"\n") if line.startswith(b"data:")]
-    return b"\n".join(lines) if lines else None
+    lines = event.replace(b"\r\n", b"\n").split(b"\n")
+    data = [line[5:].lstrip(b" ") for line in lines if line.startswith(b"data:")]
+    return b"\n".join(data) if data else None
