Report an undecodable answer of the key-value service as uncertain

An answer without a length or chunks that is cut by an orderly close ends as JSON that cannot be decoded, and left the client as a decoding error, which no caller expects; a write may have been carried out. test_answer_cut_by_an_orderly_close_is_uncertain failed in both settings before. The client of the users' platform has reported it so already.

--- a/gradepoint/kv/etcd.py
+++ b/gradepoint/kv/etcd.py
@@ -143,7 +143,11 @@
             raise self._count_failure(kind, KvUnavailable(f"answered {response.status}"))
         if response.status != 200:
             raise self._count_failure(kind, KvUncertain(f"answered {response.status}"))
-        decoded: dict[str, Any] = msgspec.json.decode(raw)
+        try:
+            decoded: dict[str, Any] = msgspec.json.decode(raw)
+        except msgspec.DecodeError as error:
+            broken = KvUncertain(f"answer cannot be decoded: {error}")
+            raise self._count_failure(kind, broken) from error
         return decoded
 
     async def _send(self, kind: str, path: str, body: dict[str, Any]) -> ClientResponse:
