Look for events only in answers that can be event streams

Cause: the kind of the route alone decided that an answer has events. Its content type does now as well; an answer without one is taken for a stream. Where events are only counted, no more than 64 KiB of one that does not end are kept, so that a body without blank lines is neither held in memory nor scanned again with each piece.

--- a/gradepoint/gateway/event_stream.py
+++ b/gradepoint/gateway/event_stream.py
@@ -5,6 +5,9 @@
 from ..util.structs import Struct
 from ..wire.sse import END_OF_EVENT, ends_inside_event
 
+MAX_COUNTED_REST_BYTES = 65_536
+"""Bytes of an incomplete event that are kept if events are only counted."""
+
 
 class StreamEvent(Struct, frozen=True):
     """One event.
@@ -43,6 +46,12 @@
         self.rest = data[start:]
         return events
 
+    def count(self, chunk: bytes) -> int:
+        """Return the number of events that *chunk* completes, and trim a long incomplete one."""
+        events = self.split(chunk)
+        self.rest = self.rest[-MAX_COUNTED_REST_BYTES:]
+        return len(events)
+
     def feed(self, chunk: bytes) -> list[StreamEvent]:
         """Return the events that *chunk* completes."""
         return [parse_event(raw) for raw in self.split(chunk)]
--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -20,6 +20,7 @@
     HttpClient,
     ResponseBroken,
 )
+from ..wire.http_types import EVENT_STREAM_TYPE
 from .answer_progress import AnswerProgress
 from .choice import choose_target, get_load
 from .event_stream import EventSplitter
@@ -87,7 +88,7 @@
     :param sent_at: monotonic time at which the call was sent.
     :param on_close: called with this exchange when it is closed.
     :ivar progress: events received so far, which show the pace of the target.
-    :ivar splitter: splits the body into events, if it is an event stream.
+    :ivar splitter: splits the body into events; unused if it is no event stream.
     :ivar needs_event: whether the body is an event stream that has at least one event.
     :ivar begun_at: monotonic time at which the head of the answer arrived.
     """
@@ -104,6 +105,12 @@
     needs_event: bool = False
     begun_at: float = field(default_factory=monotonic)
 
+    @property
+    def may_be_event_stream(self) -> bool:
+        """Whether a successful answer has the content type of event streams, or none."""
+        content_type = self.response.headers.get("content-type", EVENT_STREAM_TYPE)
+        return self.head.status < 300 and content_type.startswith(EVENT_STREAM_TYPE)
+
     def describe_body(self) -> dict[str, Any]:
         """Return log fields that tell how the body is framed and how much of it has arrived."""
         return {
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -311,7 +311,7 @@
     async def _read_answer(self, exchange: Exchange) -> Response:
         headers = exchange.head.forwarded_headers
         chunks = exchange.response.stream()
-        if self.route.kind is RouteKind.STREAM and exchange.head.status < 300:
+        if self._is_event_stream(exchange):
             exchange.needs_event = self.head.resume_after is None
             wait_s = MIN_STALL_TIMEOUT_S if self.may_retry else None
             first = await self._read_chunk(exchange, chunks, wait_s)
@@ -339,6 +339,9 @@
             exchange.head.status, raw_headers=headers, stream=rest, release=exchange.close
         )
 
+    def _is_event_stream(self, exchange: Exchange) -> bool:
+        return self.route.kind is RouteKind.STREAM and exchange.may_be_event_stream
+
     async def _read_chunk(
         self, exchange: Exchange, chunks: AsyncIterator[bytes], stall_timeout_s: float | None = None
     ) -> bytes | None:
@@ -372,8 +375,8 @@
         """Relay an answer as it arrives; it can't be retried once its first bytes are sent."""
         try:
             while chunk is not None:
-                if self.route.kind is RouteKind.STREAM:
-                    exchange.progress.events += len(exchange.splitter.split(chunk))
+                if self._is_event_stream(exchange):
+                    exchange.progress.events += exchange.splitter.count(chunk)
                 yield chunk
                 chunk = await self._read_chunk(exchange, chunks)
             self._finish(exchange)
@@ -444,8 +447,7 @@
         exchange.target.record_success()
         if self.forwarder.loads is not None and self.sent == 1:
             # The head of a stream comes with its first event, that of another answer at its end.
-            is_stream = self.route.kind is RouteKind.STREAM
-            since = exchange.begun_at if is_stream else exchange.sent_at
+            since = exchange.begun_at if self._is_event_stream(exchange) else exchange.sent_at
             self.forwarder.loads.note_call(exchange.target, monotonic() - since)
         self.forwarder.suspicion.note_answer(self.request)
         metrics.shared().calls.add(1, {"outcome": "complete"})
--- a/tests/support/scripted_target.py
+++ b/tests/support/scripted_target.py
@@ -29,6 +29,8 @@
     :param partial_bytes: bytes sent of that event.
     :param ends_regularly: whether a chunked body gets its last chunk although events are missing.
     :param newline: the end of a line in the stream.
+    :param content_type: type of the body.
+    :param document: the body, if it is no event stream.
     """
 
     framing: BodyFraming
@@ -37,12 +39,16 @@
     end: BodyEnd = BodyEnd.CLOSE
     ends_regularly: bool = False
     newline: bytes = b"\n"
+    content_type: str = "text/event-stream"
+    document: bytes = b""
 
     def __str__(self) -> str:
         return f"{self.framing.value}-{self.stop_before}-{self.partial_bytes}-{self.end.value}"
 
     def events(self, request_id: str, first: int, count: int) -> list[bytes]:
-        """Return the events from *first* on of a stream of *count*."""
+        """Return the events from *first* on of a stream of *count*, or the document."""
+        if self.document:
+            return [self.document]
         events = [event_bytes(request_id, number) for number in range(first, count)]
         return [event.replace(b"\n", self.newline) for event in events]
 
@@ -117,7 +123,7 @@
             kept = max(0, answer.stop_before - first)
             sent = [*events[:kept], *(event[: answer.partial_bytes] for event in events[kept:][:1])]
         fields = [f"x-attempt-id: {request_id}", f"{SEAL}: {self.target.name}.{request_id}"]
-        fields += ["content-type: text/event-stream", "connection: close"]
+        fields += [f"content-type: {answer.content_type}", "connection: close"]
         if answer.framing is BodyFraming.LENGTH:
             fields.append(f"content-length: {len(b''.join(events))}")
         elif answer.framing is BodyFraming.CHUNKED:
--- a/tests/test_gateway/test_gateway_answer_ends.py
+++ b/tests/test_gateway/test_gateway_answer_ends.py
@@ -196,3 +196,20 @@
         assert (result["state"], result["message"]) == ("complete", item_text("job-0", EVENTS))
 
     run_in_virtual_time(work)
+
+
+@pytest.mark.parametrize("framing", BodyFraming)
+@pytest.mark.parametrize("path", ["/stream/1", "/resume/1"])
+def test_document_on_streaming_route_is_forwarded_whole(path: str, framing: BodyFraming) -> None:
+    """A caller may ask for its answer in one piece, which has no events."""
+    document = b'{"text": "whole"}'
+
+    async def work(deployment: Deployment) -> None:
+        await start_with_answers(
+            deployment,
+            ScriptedAnswer(framing, content_type="application/json", document=document),
+        )
+        answer = await deployment.call(path)
+        assert (answer.status, answer.broken, answer.body) == (200, False, document)
+
+    run_in_virtual_time(work)
--- a/tests/test_gateway/test_gateway_decisions.py
+++ b/tests/test_gateway/test_gateway_decisions.py
@@ -11,7 +11,7 @@
 
 from gradepoint.gateway.choice import choose_target
 from gradepoint.gateway.configuration import Configuration
-from gradepoint.gateway.event_stream import EventSplitter, parse_event
+from gradepoint.gateway.event_stream import MAX_COUNTED_REST_BYTES, EventSplitter, parse_event
 from gradepoint.gateway.health import FIRST_EJECTION_S, LONGEST_EJECTION_S, TargetHealth
 from gradepoint.gateway.targets import ListedState, Target, TargetSet
 from gradepoint.ids import ServiceName, TargetId, TargetName
@@ -227,6 +227,17 @@
     assert splitter.inside_event is inside
 
 
+def test_counting_events_keeps_a_bounded_part_of_a_long_one() -> None:
+    splitter = EventSplitter()
+    assert splitter.count(b"data: a\n\ndata: ") == 1
+    for _ in range(40):
+        assert splitter.count(b"x" * 10_000) == 0
+        assert len(splitter.rest) <= MAX_COUNTED_REST_BYTES
+    assert splitter.inside_event
+    assert splitter.count(b"\n\n") == 1
+    assert not splitter.inside_event
+
+
 def test_parse_event_without_id_and_with_several_data_lines() -> None:
     event = parse_event(b"weights: 3\ndata: a\ndata:b\n\n")
     assert (event.number, event.data) == (None, b"a\nb")
