--- a/bench/platform/target.py
+++ b/bench/platform/target.py
@@ -57,6 +57,9 @@
     :ivar seen: all requests received, in order; :attr:`bodies` has their bodies.
     :ivar working: number of streams that are being sent.
     :ivar rng: generator of the random faults.
+    :ivar unframed_share: share of streams that have neither a length nor chunks.
+    :ivar early_end_share: share of streams that end in order inside an event.
+    :ivar framing_rng: generator of the choices by the two shares.
     :ivar started_ms: start time in Unix milliseconds as announced in the store entry; None omits
         it.
     :ivar work_s: seconds that a plain response takes.
@@ -79,6 +82,9 @@
     bodies: list[bytes] = field(default_factory=list)
     working: int = 0
     rng: random.Random = field(default_factory=lambda: random.Random(1))
+    unframed_share: float = 0.0
+    early_end_share: float = 0.0
+    framing_rng: random.Random = field(default_factory=lambda: random.Random(1))
     started_ms: int | None = None
     work_s: float = 0.0
     harmful: set[bytes] = field(default_factory=set)
@@ -153,14 +159,26 @@
             return Response(200, headers, plain_response(request_id))
         headers["content-type"] = EVENT_STREAM_TYPE
         first = int(request.headers.get("last-event-id", "-1")) + 1
-        return Response(200, headers, stream=self._stream(request_id, first, fault))
+        if self.framing_rng.random() < self.unframed_share:
+            end_body_with_connection(request)
+        early_end = None
+        if self.framing_rng.random() < self.early_end_share:
+            early_end = self.framing_rng.randrange(first, self.events) if first < self.events else 0
+        return Response(200, headers, stream=self._stream(request_id, first, fault, early_end))
 
     async def _stream(
-        self, request_id: str, first: int, fault: TargetFault
+        self, request_id: str, first: int, fault: TargetFault, early_end: int | None
     ) -> AsyncIterator[bytes]:
+        """Yield the events of a stream.
+
+        :param early_end: number of the event in whose middle the stream ends in order.
+        """
         self.working += 1
         try:
             for number in range(first, self.events):
+                if number == early_end:
+                    yield event_bytes(request_id, number)[:9]
+                    return
                 if fault is TargetFault.CUT and number >= first + self.cut_after:
                     yield event_bytes(request_id, number)[:5]
                     raise ConnectionResetError
@@ -171,6 +189,12 @@
             self.working -= 1
 
 
+def end_body_with_connection(request: Request) -> None:
+    """Let the body of the response have neither a length nor chunks, as in HTTP/1.0."""
+    connection = request.body_source.__self__  # type: ignore[attr-defined]
+    connection.h11.their_http_version = b"1.0"
+
+
 def event_data(request_id: str, number: int) -> str:
     """Return the data of an event; it is the same on every target."""
     return sha256_hex(f"{request_id}.{number}".encode())[:16]
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -25,6 +25,9 @@
         bool, typer.Option(help="Callers use API keys of two organisations, one with a quota.")
     ] = False,
     harm: Annotated[bool, typer.Option(help="Send a request that crashes its targets.")] = False,
+    early_ends: Annotated[
+        bool, typer.Option(help="Targets end some streams inside an event, in order.")
+    ] = False,
     folder: Annotated[Path, typer.Option(help="Parent folder of the runs' logs.")] = Path(
         "run/soak"
     ),
@@ -40,6 +43,7 @@
             gateways=gateways,
             callers=callers,
             with_harm=harm,
+            with_early_ends=early_ends,
             organisations=Organisations() if organisations else None,
         )
         violations = asyncio.run(soak.run())
--- a/bench/soak/proxy.py
+++ b/bench/soak/proxy.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from dataclasses import dataclass, field
 from enum import Enum
 
 from gradepoint.util.tasks import TaskGroup
+from gradepoint.wire.http_server import RESET_ON_CLOSE
 
 CHUNK_BYTES = 65536
 
@@ -53,13 +55,13 @@
         self.mode = mode
         if mode is ProxyMode.RESET:
             for writer in list(self.open_writers):
-                writer.transport.abort()
+                reset(writer)
 
     def close(self) -> None:
         """Stop listening and abort every connection, as the exit of a process does."""
         self.server.close()
         for writer in list(self.open_writers):
-            writer.transport.abort()
+            reset(writer)
 
     async def stop(self) -> None:
         """Stop listening, abort every connection and wait for the forwarding tasks."""
@@ -69,12 +71,12 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.mode is ProxyMode.RESET:
-            writer.transport.abort()
+            reset(writer)
             return
         try:
             target_reader, target_writer = await asyncio.open_connection(*self.target)
         except OSError:
-            writer.transport.abort()
+            reset(writer)
             return
         self.open_writers |= dict.fromkeys((writer, target_writer))
         forward_task = self.tasks.start(self._pump(reader, target_writer, forward=True))
@@ -99,4 +101,12 @@
                 await writer.drain()
             writer.close()
         except OSError:
-            writer.transport.abort()
+            reset(writer)
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection; without the option, the abort of a transport closes it in order."""
+    raw_socket = writer.get_extra_info("socket")
+    if raw_socket is not None:
+        raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    writer.transport.abort()
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -47,6 +47,8 @@
     :param callers: number of concurrent callers.
     :param events: number of events in each stream.
     :param with_harm: whether a request that crashes its targets is sent beside the other calls.
+    :param with_early_ends: whether targets send streams without a length or chunks, and end some
+        streams in order inside an event.
     :param organisations: organisations whose API keys the callers use; None sends no keys.
     :param suspend: suspends a gateway's host for some seconds; None if hosts cannot be suspended.
     :param make_gateway: creates a gateway, which need not be a separate process.
@@ -67,6 +69,7 @@
     callers: int = 6
     events: int = 8
     with_harm: bool = False
+    with_early_ends: bool = False
     organisations: Organisations | None = None
     suspend: Callable[[GatewayProcess, float], None] | None = None
     make_gateway: Callable[..., GatewayProcess] = GatewayProcess
@@ -178,6 +181,9 @@
     async def _add_target(self, name: str) -> None:
         target = TargetStandin(name, events=self.events, event_interval_s=0.01)
         target.rng = random.Random(f"{self.seed} {name}")
+        if self.with_early_ends:
+            target.unframed_share, target.early_end_share = 0.5, 0.1
+            target.framing_rng = random.Random(f"{self.seed} {name} framing")
         ip, _, port = (await target.start()).rpartition(":")
         proxy = Proxy((ip, int(port)))
         await proxy.start(ip)
--- a/tests/test_bench/test_bench_soak.py
+++ b/tests/test_bench/test_bench_soak.py
@@ -27,6 +27,8 @@
 ORGANISATION_SEEDS = (801, 802, 803)
 """Seeds of soaks whose callers have API keys and quotas."""
 
+EARLY_END_SEEDS = (1100, 1101)
+"""Seeds of soaks in which targets end streams inside an event, in order."""
 SUSPENSION_SEEDS = (701, 702)
 """Seeds of soaks in which hosts are suspended."""
 
@@ -43,6 +45,7 @@
     patch: pytest.MonkeyPatch,
     *,
     with_harm: bool = False,
+    with_early_ends: bool = False,
     organisations: Organisations | None = None,
     suspend: Callable[[GatewayProcess, float], None] | None = None,
 ) -> Soak:
@@ -57,6 +60,7 @@
             gateways=2,
             callers=4,
             with_harm=with_harm,
+            with_early_ends=with_early_ends,
             organisations=organisations,
             suspend=suspend,
             make_gateway=LoopGateway,
@@ -207,6 +211,15 @@
     assert soak.harm is not None and max(map(len, soak.harm.crashes.values())) >= 3
 
 
+@pytest.mark.parametrize("seed", EARLY_END_SEEDS)
+def test_short_soak_with_streams_cut_in_order_violates_no_guarantee(
+    seed: int, tmp_path: FilePath, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    soak = run_soak(seed, tmp_path / "soak", monkeypatch, with_early_ends=True)
+    assert not soak.ledger.violations
+    assert soak.ledger.outcomes["stream cut"] > 0
+
+
 @pytest.mark.parametrize("with_harm", [False, True])
 @pytest.mark.parametrize("seed", SUSPENSION_SEEDS)
 def test_short_soak_with_suspended_hosts_violates_no_guarantee(
