--- a/bench/soak/proxy.py
+++ b/bench/soak/proxy.py
@@ -107,6 +107,6 @@
 def reset(writer: asyncio.StreamWriter) -> None:
     """Reset a connection; without the option, the abort of a transport closes it in order."""
     raw_socket = writer.get_extra_info("socket")
-    if raw_socket is not None:
+    if raw_socket is not None and not writer.is_closing():
         raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     writer.transport.abort()
