Log the software versions of targets and the attempts that callers resume

The logs of the incident did not tell at which version a stream began or went on, nor which stream a caller takes up, so that a choice within one answer and one after a takeover could not be told apart. The version is decoded with the target's row, the attempt with the call's head; neither is used for a decision yet.

--- a/gradepoint/gateway/dialect.py
+++ b/gradepoint/gateway/dialect.py
@@ -24,6 +24,8 @@
     :param caller: credentials of the caller; empty if it sent none.
     :param key: API key that may identify its organisation; empty if it sent none.
     :param organisation: the calling organisation, as this host determined it from the key.
+    :param resumed_request: ID of the earlier call that brought the first event of the stream which
+        this call resumes; None if the caller names none.
     """
 
     request_id: RequestId
@@ -34,6 +36,7 @@
     caller: bytes = b""
     key: bytes = b""
     organisation: OrganisationName | None = None
+    resumed_request: RequestId | None = None
 
 
 class AnswerHead(Struct, frozen=True):
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -214,6 +214,8 @@
             failing=round(target.health.failure_share, 2),
             remaining_ms=round(remaining * 1000),
             after_event=resume_after,
+            resumes=self.head.resumed_request,
+            version=target.listed.version,
         )
         sending = asyncio.ensure_future(
             self.forwarder.send(
@@ -419,6 +421,7 @@
                         target=exchange.target.id,
                         reason=str(error),
                         last_event=last,
+                        version=exchange.target.listed.version,
                         **exchange.describe_body(),
                     )
                     exchange = await self._reopen(exchange, last)
--- a/gradepoint/gateway/targets.py
+++ b/gradepoint/gateway/targets.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from .. import events
-from ..ids import TargetId
+from ..ids import SoftwareVersion, TargetId
 from ..peers.datagrams import number_target
 from ..peers.results import ResultCount
 from ..routing.suspects import Trial
@@ -54,6 +54,7 @@
     :param slots: calls that the target works on at once; 0 if unknown.
     :param born_ms: start of the target in Unix milliseconds, None if the row doesn't contain it. It
         only distinguishes incarnations and is never compared with a clock.
+    :param version: version of the target's software; empty if unknown.
     """
 
     name: TargetName
@@ -63,6 +64,7 @@
     slots: int
     state: ListedState
     born_ms: int | None = None
+    version: SoftwareVersion = SoftwareVersion("")
 
     @cached_property
     def id(self) -> TargetId:
@@ -238,7 +240,12 @@
         self.by_name[listed.name] = target
         self.by_number[number_target(listed.id)] = target
         self.by_service[listed.service].append(target)
-        emit(events.TARGET_LISTED, target=listed.id, address=listed.address)
+        emit(
+            events.TARGET_LISTED,
+            target=listed.id,
+            address=listed.address,
+            version=listed.version,
+        )
 
     def mark_vanished(self, name: TargetName, now: float) -> None:
         """Mark a target whose row was deleted; for *last_resort_s* seconds it is a last resort."""
--- a/gradepoint/ids.py
+++ b/gradepoint/ids.py
@@ -24,6 +24,8 @@
 """Name of a target, the same across restarts of the target."""
 TargetId = NewType("TargetId", str)
 """Identifies one incarnation of a target; a restarted target has a new one."""
+SoftwareVersion = NewType("SoftwareVersion", str)
+"""Version of a target's software, which is independent of the versions of its models."""
 TargetNumber = NewType("TargetNumber", int)
 """Short hash of a :data:`TargetId`, used in messages between hosts."""
 Incarnation = NewType("Incarnation", str)
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -552,6 +552,7 @@
             target=target.id,
             load=target.in_flight + self.forwarder.remote_in_flight(target.id),
             after_event=job.partial[index].last_event if index in job.partial else None,
+            version=target.listed.version,
         )
 
     async def _run_item(self, running: RunningItem, target: Target, max_failures: int) -> None:
--- a/gradepoint/platform/headers.py
+++ b/gradepoint/platform/headers.py
@@ -17,6 +17,7 @@
 ATTEMPT_ID = b"x-attempt-id"
 TIME_LEFT_MS = b"x-time-left-ms"
 LAST_EVENT_ID = b"last-event-id"
+RESUMED_ATTEMPT_ID = b"resumes"
 EXPECTED_INSTANCE = b"x-target-instance"
 API_KEY = b"x-credential"
 CREDENTIALS = (API_KEY, b"authorization")
@@ -49,6 +50,7 @@
     def read_call(self, headers: RawHeaders) -> CallHead:
         """See :meth:`Dialect.read_call`."""
         values = dict(headers)
+        resumed = values.get(RESUMED_ATTEMPT_ID, b"").strip()
         return CallHead(
             request_id=RequestId(values.get(ATTEMPT_ID, b"").decode("latin-1")),
             host=values.get(b"host", b"").decode("latin-1"),
@@ -59,6 +61,7 @@
             ],
             caller=b"\x00".join(values.get(name, b"") for name in CREDENTIALS),
             key=values.get(API_KEY, b"").strip(),
+            resumed_request=RequestId(resumed.decode("latin-1")) if resumed else None,
         )
 
     def set_caller(self, head: CallHead, organisation: OrganisationName | None) -> CallHead:
--- a/gradepoint/platform/targets.py
+++ b/gradepoint/platform/targets.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from ..gateway.targets import ListedState, ListedTarget
-from ..ids import ServiceName, TargetName
+from ..ids import ServiceName, SoftwareVersion, TargetName
 from ..wire.addresses import split_address
 
 TARGETS_PREFIX = "servers/"
@@ -60,6 +60,7 @@
         slots=entry.slot_count,
         state=ListedState(entry.state.value),
         born_ms=None if entry.born is msgspec.UNSET else entry.born,
+        version=SoftwareVersion(entry.version),
     )
 
 
