Reproduce streams joined from two software versions: tests that fail, known red

Targets of two versions serve one service. A stream whose target breaks off goes on at the other version, within one answer and where its caller takes it up at another host after a kill; where no target of its version is left, the other one goes on; a caller that names no known stream is served by any version. The text of a batch item is joined in the same way.

Ruled out: a call that reaches another target than the one it was sent to; each stand-in answers 421 to a call for another instance, and runs are counted by target.

--- a/bench/platform/target.py
+++ b/bench/platform/target.py
@@ -49,6 +49,7 @@
     :param events: number of events in each stream.
     :param event_interval_s: seconds between two events of a stream.
     :param slots: number of slots that the target's store entry announces.
+    :param version: software version that the entry announces.
     :ivar faults: faults of the next requests, one each; the last one applies to all later requests.
     :ivar fault_rate: share of requests that get a random fault; the others follow :attr:`faults`.
     :ivar cut_after: number of events after which :attr:`TargetFault.CUT` breaks a stream off.
@@ -73,6 +74,7 @@
     events: int = 6
     event_interval_s: float = 0.0
     slots: int = 8
+    version: str = "v1"
     faults: list[TargetFault] = field(default_factory=list)
     fault_rate: float = 0.0
     cut_after: int = 2
@@ -110,7 +112,7 @@
             "service": self.service,
             "addr": self.address(),
             "zone": "zone-a",
-            "version": "v1",
+            "version": self.version,
             "slot_count": self.slots,
             "state": state,
             "cold_left_ms": 0,
--- /dev/null
+++ b/tests/test_gateway/test_gateway_software_versions.py
@@ -0,0 +1,167 @@
+"""Tests of streams and items whose service has targets of several software versions.
+
+What targets of two versions generate doesn't fit together, and targets don't check it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from bench.platform.target import TargetFault, TargetStandin, complete_stream
+from gradepoint.gateway.app import Gateway
+from tests.support.platform import (
+    CallAnswer,
+    Deployment,
+    item_text,
+    run_in_virtual_time,
+    until,
+)
+
+EVENTS = 6
+EVENT_INTERVAL_S = 0.05
+STREAMS = 12
+
+
+async def start_versions(
+    deployment: Deployment, *versions: str, gateways: int = 1, **target: object
+) -> None:
+    """Start gateways and one target of each of *versions*, and wait until all of them are known.
+
+    :param target: options of each target stand-in.
+    """
+    await deployment.start(gateways=gateways, targets=0)
+    for number, version in enumerate(versions):
+        standin = TargetStandin(f"t{number}", events=EVENTS, version=version, **target)  # type: ignore[arg-type]
+        await deployment.add_target(standin)
+    for gateway in deployment.gateways:
+        await until(lambda gateway=gateway: len(gateway.targets.by_id) == len(versions))  # type: ignore[misc]
+
+
+def versions_run(deployment: Deployment, *request_ids: str) -> set[str]:
+    """Return the versions of the targets that ran any of these requests."""
+    return {
+        target.version
+        for target in deployment.targets
+        if any(target.ran[request_id] for request_id in request_ids)
+    }
+
+
+async def begin_stream(deployment: Deployment, request_id: str) -> tuple[CallAnswer, Gateway]:
+    """Begin a stream at the first gateway, and kill that gateway after a few events."""
+    call = asyncio.ensure_future(deployment.call("/resume/1", request_id=request_id))
+    await asyncio.sleep(EVENT_INTERVAL_S * 2.5)
+    killed = deployment.gateways[0]
+    await deployment.kill(killed)
+    answer = await call
+    assert answer.broken and answer.body
+    return answer, killed
+
+
+def last_event(body: bytes) -> int:
+    """Return the number of the last complete event in *body*."""
+    return body.count(b"\n\n") - 1
+
+
+async def take_up(
+    deployment: Deployment, begun: CallAnswer, gateway: int = 0, **headers: str
+) -> CallAnswer:
+    """Resume a stream at a gateway, as a caller does whose connection broke."""
+    named = {"resumes": begun.request_id, **headers}
+    return await deployment.call(
+        "/resume/1", gateway=gateway, last_event_id=str(last_event(begun.body)), **named
+    )
+
+
+def test_broken_stream_is_resumed_only_at_its_software_version() -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_versions(deployment, "v1", "v1", "v2", "v2")
+        for target in (deployment.targets[0], deployment.targets[2]):
+            target.faults = [TargetFault.CUT]
+        for _ in range(STREAMS):
+            answer = await deployment.call("/resume/1")
+            assert len(versions_run(deployment, answer.request_id)) == 1
+            if not answer.broken:
+                assert answer.body == complete_stream(answer.request_id, EVENTS)
+
+    run_in_virtual_time(work)
+
+
+@pytest.mark.parametrize("number", range(4))
+def test_stream_taken_up_at_another_host_goes_on_at_its_software_version(number: int) -> None:
+    async def work(deployment: Deployment) -> None:
+        versions = ("v1", "v1", "v2", "v2")
+        await start_versions(deployment, *versions, gateways=3, event_interval_s=EVENT_INTERVAL_S)
+        begun, _ = await begin_stream(deployment, f"stream-{number}")
+        for gateway in range(2):
+            answer = await take_up(deployment, begun, gateway)
+            assert (answer.status, answer.broken) == (200, False)
+            assert begun.body + answer.body == complete_body(begun, answer)
+            ids = begun.request_id, answer.request_id
+            assert len(versions_run(deployment, *ids)) == 1
+
+    run_in_virtual_time(work)
+
+
+def complete_body(begun: CallAnswer, resumed: CallAnswer) -> bytes:
+    """Return the events of a stream whose end was brought by another request."""
+    first = last_event(begun.body) + 1
+    events = complete_stream(resumed.request_id, EVENTS).split(b"\n\n")
+    return begun.body + b"\n\n".join(events[first:])
+
+
+def test_stream_of_unknown_software_version_is_refused_where_versions_differ() -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_versions(deployment, "v1", "v2")
+        begun = CallAnswer("unknown", 200, {}, complete_stream("unknown", 2), broken=True)
+        for headers in ({}, {"resumes": ""}):
+            answer = await take_up(deployment, begun, **headers)
+            assert answer.status == 503
+            assert not versions_run(deployment, answer.request_id)
+
+    run_in_virtual_time(work)
+
+
+def test_stream_is_not_resumed_if_no_target_of_its_software_version_is_left() -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_versions(deployment, "v1", "v2", "v2", event_interval_s=EVENT_INTERVAL_S)
+        for number in range(STREAMS):
+            call = asyncio.ensure_future(deployment.call("/resume/1", request_id=f"s{number}"))
+            await asyncio.sleep(EVENT_INTERVAL_S * 2.5)
+            target = deployment.targets[0]
+            if target.ran[f"s{number}"]:
+                break
+            await call
+        target.server.abort()
+        begun = await call
+        assert begun.broken
+        deployment.store.delete(f"servers/{target.name}")
+        await until(lambda: deployment.gateways[0].targets.by_name[target.name].vanished_at)  # type: ignore[arg-type,return-value]
+        started = asyncio.get_running_loop().time()
+        answer = await take_up(deployment, begun)
+        assert answer.status == 503
+        assert asyncio.get_running_loop().time() - started < 0.5
+        assert versions_run(deployment, begun.request_id, answer.request_id) == {"v1"}
+
+    run_in_virtual_time(work)
+
+
+def test_text_of_an_item_is_not_joined_from_two_software_versions() -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_versions(deployment, "v1", "v2")
+        deployment.targets[0].faults = [TargetFault.CUT]
+        assert (await deployment.submit("job", 8)).status == 202
+        for row in await deployment.read_all_results("job"):
+            assert (row["state"], row["message"]) == ("complete", item_text(row["id"], EVENTS))
+        # The last run that began anew wrote all of the text that is listed.
+        for index in range(8):
+            runs = [
+                (target.version, request.headers.get("last-event-id"))
+                for target in deployment.targets
+                for request in target.seen
+                if request.headers["x-attempt-id"] == f"job-{index}"
+            ]
+            assert not any(after for version, after in runs if version == "v2"), runs
+
+    run_in_virtual_time(work)
