Resume a broken stream only at a target of the software version that began it

Cause: a host that resumes a stream within one answer chose among all targets of the service. The version in a target's row was read and dropped.

Change: a call is pinned to the version of the target that brought its first event; the choice, trials of suspected requests and admission then consider targets of this version only. Before the first event any version will do. Where no other target has the version, a silent stream isn't given up, since nothing could go on with it. A row with another version under the same id is another target.

--- a/gradepoint/errors.py
+++ b/gradepoint/errors.py
@@ -201,6 +201,15 @@
             2.0,
             "No target serves this model now; check 'gradepoint status'.",
         ),
+        ErrorKind(
+            "no_target_of_version",
+            503,
+            _C.TARGET,
+            _N,
+            1.0,
+            "No target has the software version that began this stream; come back, or send the "
+            "request without Last-Event-Id.",
+        ),
         ErrorKind(
             "target_unreachable",
             503,
--- a/gradepoint/gateway/admission_gate.py
+++ b/gradepoint/gateway/admission_gate.py
@@ -282,7 +282,7 @@
         delays = {
             target.id: estimate_delay_s(load, call_s) if target.listed.slots > 0 else 0.0
             for target, load in loads
-            if target.id not in excluded
+            if target.id not in excluded and call.version in (None, target.listed.version)
         } or {drawn.id: drawn_delay_s}
         least_delay_s = min(delays.values())
         load = gate.sum_up(call.service, call.route.goal_s, loads)
@@ -314,7 +314,7 @@
             delay_s = delays.get(target.id, float("inf"))
             return delay_s <= least_delay_s or begins_by(delay_s, now, limit)
 
-        return self._admit(call.forwarder.choose(call.service, call.tried, accept) or drawn)
+        return self._admit(call.choose(accept) or drawn)
 
     def _ask_for_share(self) -> None:
         """Find out once whether the share of the call's organisation allows the call."""
--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -29,7 +29,7 @@
     import random
     from collections.abc import Awaitable, Callable
 
-    from ..ids import ServiceName, TargetId
+    from ..ids import ServiceName, SoftwareVersion, TargetId
     from ..wire.http_client import ClientResponse
     from .dialect import AnswerHead, CallHead, Dialect
     from .identity import RequestIdentity
@@ -105,6 +105,11 @@
     needs_event: bool = False
     begun_at: float = field(default_factory=monotonic)
 
+    @property
+    def version(self) -> SoftwareVersion:
+        """Software version of the target; a row with another one makes another target."""
+        return self.target.listed.version
+
     @property
     def may_be_event_stream(self) -> bool:
         """Whether a successful answer has the content type of event streams, or none."""
@@ -173,16 +178,18 @@
         service: ServiceName,
         tried: set[TargetId],
         accept: Callable[[Target], bool] | None = None,
+        version: SoftwareVersion | None = None,
     ) -> Target | None:
         """Return a target for a call, or None if no untried target of the service is available.
 
         :param accept: returns whether a candidate may be chosen; all may be by default.
+        :param version: software version that the target must have; None for any.
         """
         now = monotonic()
-        candidates = self.targets.candidates(service, now)
+        candidates = self.targets.candidates(service, now, version)
         if candidates:
             self.empty_since.pop(service, None)
-        else:
+        elif version is None:
             self.empty_since.setdefault(service, now)
         if accept is not None:
             candidates = [target for target in candidates if accept(target)]
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -1,7 +1,8 @@
 """One live call: target selection, retries, streaming and the final answer.
 
 A call that may have run is sent again only if its route is repeatable, or if its stream can be
-resumed after the last event that the caller got.
+resumed after the last event that the caller got. Targets of different software versions generate
+different events, so a stream is only resumed at a target of the version that began it.
 """
 
 from __future__ import annotations
@@ -28,7 +29,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
-    from ..ids import ServiceName, TargetId
+    from ..ids import ServiceName, SoftwareVersion, TargetId
     from ..wire.http_types import Request
     from .admission_gate import AdmissionGate
     from .configuration import Route
@@ -75,6 +76,8 @@
     :ivar gate: admits the call before its first attempt; None if it is not subject to admission.
     :ivar organisation: the calling organisation; None without one.
     :ivar waited_s: seconds for which it waited for room.
+    :ivar version: software version that began the stream, which all further targets must have; None
+        before the caller has an event.
     """
 
     forwarder: Forwarder
@@ -92,6 +95,7 @@
     gate: AdmissionGate | None = None
     organisation: Organisation | None = None
     waited_s: float = 0.0
+    version: SoftwareVersion | None = None
 
     @property
     def remaining_s(self) -> float:
@@ -260,7 +264,7 @@
         return await sending
 
     def _has_free_slot_elsewhere(self) -> bool:
-        other = self.forwarder.choose(self.service, self.tried)
+        other = self.choose()
         return other is not None and get_load(other, self.forwarder.remote_in_flight) < 1.0
 
     def _head_timeout_s(self) -> float:
@@ -277,15 +281,25 @@
         if standing is Standing.HELD:
             raise suspicion.make_held_error(self.request)
         if standing is Standing.SUSPECTED:
-            target = suspicion.choose_trial(self.request, self.service, self.tried)
+            target = suspicion.choose_trial(
+                self.request, self.service, self.tried, version=self.version
+            )
             if target is None:
                 raise self._make_refusal("request_suspected", TRIAL_RETRY_S)
             return target
-        target = self.forwarder.choose(self.service, self.tried)
+        target = self.choose()
         if target is None:
-            raise self._make_refusal("no_target", self.forwarder.estimate_wait_s(self.service))
+            code = "no_target" if self.version is None else "no_target_of_version"
+            raise self._make_refusal(code, self.forwarder.estimate_wait_s(self.service))
         return target
 
+    def choose(self, accept: Callable[[Target], bool] | None = None) -> Target | None:
+        """Return a target that may get the call next, or None if there is none.
+
+        :param accept: returns whether a target may be chosen; all may be by default.
+        """
+        return self.forwarder.choose(self.service, self.tried, accept, self.version)
+
     def _make_refusal(self, code: str, retry_after_s: float = RETRY_AFTER_S) -> GradepointError:
         """Return the error of a call that no further target accepts.
 
@@ -397,18 +411,20 @@
         complete one.
         """
         last = self.head.resume_after
-        stall_timeout_s = max(MIN_STALL_TIMEOUT_S, STALL_EVENT_GAPS * self.route.event_gap_s)
+        wait_s = self._find_stall_timeout_s()
         try:
             while True:
                 try:
                     while chunk is not None:
                         found = exchange.splitter.feed(chunk)
                         exchange.progress.events += len(found)
+                        if found and self.version is None:
+                            self.version = exchange.version
+                            wait_s = self._find_stall_timeout_s()
                         for event in found:
                             yield event.raw
                             last = event.number if event.number is not None else last
-                        wait = stall_timeout_s if self.may_retry else None
-                        chunk = await self._read_chunk(exchange, chunks, wait)
+                        chunk = await self._read_chunk(exchange, chunks, wait_s)
                     break
                 except TargetFailed as error:
                     exchange.close()
@@ -421,12 +437,13 @@
                         target=exchange.target.id,
                         reason=str(error),
                         last_event=last,
-                        version=exchange.target.listed.version,
+                        version=exchange.version,
                         **exchange.describe_body(),
                     )
                     exchange = await self._reopen(exchange, last)
                     chunks = exchange.response.stream()
                     chunk = b""
+                    wait_s = self._find_stall_timeout_s()
             if exchange.splitter.rest:
                 yield exchange.splitter.rest
             self._finish(exchange)
@@ -434,6 +451,19 @@
             self._log_abandoned(exchange)
             exchange.close()
 
+    def _find_stall_timeout_s(self) -> float | None:
+        """Return the seconds of silence after which a stream is resumed at another target.
+
+        None if it may not be resumed or no other target has the software version that began it.
+        """
+        if not self.may_retry:
+            return None
+        if self.version is not None:
+            targets = self.forwarder.targets.candidates(self.service, monotonic(), self.version)
+            if all(target.id in self.tried for target in targets):
+                return None
+        return max(MIN_STALL_TIMEOUT_S, STALL_EVENT_GAPS * self.route.event_gap_s)
+
     async def _reopen(self, broken: Exchange, last: int | None) -> Exchange:
         try:
             exchange = await self.open(last)
--- a/gradepoint/gateway/suspicion.py
+++ b/gradepoint/gateway/suspicion.py
@@ -24,7 +24,7 @@
     import random
     from collections.abc import Callable, Collection, Iterable
 
-    from ..ids import RequestKey, ServiceName, TargetId, TargetNumber
+    from ..ids import RequestKey, ServiceName, SoftwareVersion, TargetId, TargetNumber
     from ..peers.aggregation import Aggregation
     from ..routing.suspects import Change, SuspectsMessage
     from .identity import RequestIdentity
@@ -101,6 +101,7 @@
         tried: Collection[TargetId],
         *,
         needs_slot: bool = False,
+        version: SoftwareVersion | None = None,
     ) -> Target | None:
         """Reserve a target for a trial of a suspected request; None if no trial can start now.
 
@@ -108,11 +109,12 @@
 
         :param tried: targets that this call was already sent to.
         :param needs_slot: only a target with a free slot will do, so that the trial doesn't queue.
+        :param version: software version that the target must have; None for any.
         """
         trials = self._find_trials()
         if request.key in trials or not self._may_start_trial(service, len(trials)):
             return None
-        candidates = self.targets.candidates(service, monotonic())
+        candidates = self.targets.candidates(service, monotonic(), version)
         taken = {*tried, *self.find_reserved()}
         remaining = [target for target in candidates if target.id not in taken]
         target = choose_least_loaded(remaining, self.remote_in_flight, self.rng)
--- a/gradepoint/gateway/targets.py
+++ b/gradepoint/gateway/targets.py
@@ -72,6 +72,11 @@
         return TargetId(self.name if self.born_ms is None else f"{self.name}@{self.born_ms}")
 
 
+def is_same_target(first: ListedTarget, second: ListedTarget) -> bool:
+    """Whether two rows describe the same incarnation of a target."""
+    return (first.id, first.service, first.version) == (second.id, second.service, second.version)
+
+
 class RunningTrial(Struct, frozen=True):
     """A trial that is under way: a suspected request that runs alone at a reserved target.
 
@@ -221,11 +226,10 @@
     def put(self, listed: ListedTarget) -> None:
         """Add a new row or update a changed one.
 
-        A row with another ID or service replaces the known target of this name.
+        A row with another ID, service or software version replaces the known target of this name.
         """
         known = self.by_name.get(listed.name)
-        same_incarnation = known is not None and known.id == listed.id
-        if known is not None and same_incarnation and known.listed.service == listed.service:
+        if known is not None and is_same_target(known.listed, listed):
             if known.listed.state is not listed.state:
                 emit(events.TARGET_STATE, target=listed.id, state=listed.state.value)
             known.listed = listed
@@ -288,18 +292,24 @@
         self.by_number.pop(number_target(target.id), None)
         self.by_service[target.listed.service].remove(target)
 
-    def candidates(self, service: ServiceName, now: float) -> list[Target]:
+    def candidates(
+        self, service: ServiceName, now: float, version: SoftwareVersion | None = None
+    ) -> list[Target]:
         """Return the targets of *service* that may get a call.
 
         These are the ready, listed targets that aren't ejected. If they are less than
         :data:`MIN_CANDIDATE_SHARE` of the listed ones, the healthiest of all listed targets are
         returned up to this share. If no target is listed, those whose rows vanished recently are
         the last resort. A target whose port is closed is never returned.
+
+        :param version: software version that the targets must have; None for any.
         """
         ready = [
             t
             for t in self.by_service[service]
-            if t.listed.state is ListedState.READY and t.closed_at is None
+            if t.listed.state is ListedState.READY
+            and t.closed_at is None
+            and version in (None, t.listed.version)
         ]
         listed = [t for t in ready if t.vanished_at is None]
         working = [t for t in listed if t.health.ejected_until <= now]
