Continue the text of a batch item only at the software version that began it

What clients saw: the text of a batch item could be joined from events of two software versions.

Change: the text received so far has the version that generated it, also in the job's record, so that a host that takes the job over knows it. An item waits up to 1 s for a slot at a target of this version and begins anew elsewhere after that, or at once where no such target is left. A text of an older build, whose version is unknown, begins anew as well.

Evidence: test_text_of_an_item_is_not_joined_from_two_software_versions failed before (a target of v2 went on after event 1 of v1) and passes.

--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -188,6 +188,12 @@
     323, "adoption_failed", "WARNING", "The search for jobs of lost hosts failed; it is retried."
 )
 ITEM_STARTED = _declare(324, "item_started", "INFO", "An item was sent to a target.")
+ITEM_BEGUN_ANEW = _declare(
+    331,
+    "item_begun_anew",
+    "INFO",
+    "No target could continue an item's text, so the item begins anew at another software version.",
+)
 ITEM_ENDED = _declare(325, "item_ended", "INFO", "A target returned the whole text of an item.")
 JOB_SPOOLED = _declare(
     327, "job_spooled", "INFO", "Data hosts store a job until the service accepts it."
--- a/gradepoint/jobs/owned.py
+++ b/gradepoint/jobs/owned.py
@@ -9,14 +9,16 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from .. import events
 from ..gateway.identity import RequestIdentity
 from ..kv.service import ABSENT
+from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.structs import Struct, field
 from .records import ItemOutcome, PartialText, Result
 
 if TYPE_CHECKING:
-    from ..ids import ItemId, JobId
+    from ..ids import ItemId, JobId, SoftwareVersion
     from .records import Item
     from .repository import StoredJob
 
@@ -33,6 +35,8 @@
     :ivar partial: texts received so far for items that have not ended, by index.
     :ivar running: tasks of the running items, by index.
     :ivar not_before: monotonic time before which an item is not run again, by index.
+    :ivar waiting_since: monotonic time since which an item waits for a slot at a target that can
+        continue its text, by index.
     :ivar changed: set and replaced whenever results are listed or the job is stopped.
     :ivar dropped: this host does not run the job any more.
     :ivar pending_since: monotonic time at which the oldest pending item ended.
@@ -51,6 +55,7 @@
     partial: dict[int, PartialText] = field(default_factory=dict)
     running: dict[int, asyncio.Task[None]] = field(default_factory=dict)
     not_before: dict[int, float] = field(default_factory=dict)
+    waiting_since: dict[int, float] = field(default_factory=dict)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     dropped: bool = False
     pending_since: float = 0.0
@@ -93,6 +98,19 @@
             and self.not_before.get(index, 0.0) <= now
         ]
 
+    def find_version(self, index: int) -> SoftwareVersion | None:
+        """Return the software version that generated the text of an item so far; None without a
+        text."""
+        text = self.partial.get(index)
+        return None if text is None or text.empty else text.version
+
+    def begin_run(self, index: int, version: SoftwareVersion) -> None:
+        """Prepare the text of an item for a run at a target of a software version."""
+        self.waiting_since.pop(index, None)
+        text = self.partial.setdefault(index, PartialText())
+        if not text.continue_at(version):
+            emit(events.ITEM_BEGUN_ANEW, job=self.id, index=index, version=version)
+
     def count_events(self, index: int) -> int:
         """Return the events received so far for an item that has not ended."""
         text = self.partial.get(index)
@@ -122,11 +140,7 @@
 
     def copy_partial(self) -> dict[int, PartialText]:
         """Return a copy of the texts received so far for items that have not ended."""
-        return {
-            index: PartialText(text.last_event, list(text.data))
-            for index, text in self.partial.items()
-            if text.data
-        }
+        return {index: text.copy() for index, text in self.partial.items() if text.data}
 
     def record_result(self, result: Result) -> None:
         """Add an ended item to the pending results; later ends of the same item are ignored."""
--- a/gradepoint/jobs/records.py
+++ b/gradepoint/jobs/records.py
@@ -22,7 +22,14 @@
 import msgspec
 
 from ..errors import KvUnreadable
-from ..ids import ConfigVersion, Incarnation, ItemId, JobId, OrganisationName
+from ..ids import (
+    ConfigVersion,
+    Incarnation,
+    ItemId,
+    JobId,
+    OrganisationName,
+    SoftwareVersion,
+)
 
 T = TypeVar("T")
 
@@ -131,10 +138,33 @@
 
     :ivar last_event: number of the last complete event; None before the first.
     :ivar data: data of the events received.
+    :ivar version: software version of the targets that generated the text. Only targets of this
+        version can continue it; empty if it is unknown.
     """
 
     last_event: int | None = None
     data: list[str] = []
+    version: SoftwareVersion = SoftwareVersion("")
+
+    def copy(self) -> PartialText:
+        """Return an independent copy."""
+        return PartialText(self.last_event, list(self.data), self.version)
+
+    @property
+    def empty(self) -> bool:
+        """Whether no event has been received yet."""
+        return self.last_event is None and not self.data
+
+    def continue_at(self, version: SoftwareVersion) -> bool:
+        """Prepare for a run at a target of *version*; return whether the text was kept.
+
+        A text that such a target cannot continue is discarded.
+        """
+        kept = self.empty or self.version == version
+        if not kept:
+            self.last_event, self.data = None, []
+        self.version = version
+        return kept
 
 
 class Quota(msgspec.Struct, frozen=True, array_like=True):
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -30,7 +30,7 @@
 from ..wire.http_client import ConnectFailed
 from .item_run import ItemFailed, ItemUnprocessable, run_item
 from .owned import OwnedJob
-from .records import ItemOutcome, PartialText, Result
+from .records import ItemOutcome, Result
 from .repository import CommittedWork, StoredJob, Superseded
 from .slot_sharing import allot_spare_slots, choose_batch_target, count_spare_slots
 
@@ -42,7 +42,7 @@
     from ..gateway.forwarding import Forwarder
     from ..gateway.identity import RequestIdentity
     from ..gateway.targets import Target
-    from ..ids import Incarnation, JobId, ServiceName, TargetId
+    from ..ids import Incarnation, JobId, ServiceName, SoftwareVersion, TargetId
     from ..spool.records import SpooledJob
     from .records import Item
     from .repository import JobRepository
@@ -67,6 +67,10 @@
 MAX_ADVERTISED_JOBS = 32
 """Most jobs that this host announces to other hosts, the latest ones. Readers of older jobs are
 answered from the key-value service."""
+MAX_VERSION_WAIT_S = 1.0
+"""Seconds that an item waits for a slot at a target that can continue its text. Then it begins anew
+elsewhere, which takes a few seconds; the targets that can continue it may be full until the job is
+due."""
 ITEM_RETRY_S = 0.3
 """Seconds until an item is retried after a failed run or a preemption."""
 CHECKPOINT_INTERVAL_S = 2.5
@@ -474,7 +478,9 @@
                     job.not_before[index] = now + TRIAL_RETRY_S
                     continue
             else:
-                target = self._choose_target(service, now, propagation_s)
+                target, waits = self._choose_target_for(job, index, service, now, propagation_s)
+                if waits:
+                    continue
             if target is None:
                 without_slot.add(job.id)
                 continue
@@ -482,11 +488,30 @@
             self.start_allowance -= 1
             self._start(job, index, target, route.max_attempts)
 
+    def _choose_target_for(
+        self, job: OwnedJob, index: int, service: ServiceName, now: float, propagation_s: float
+    ) -> tuple[Target | None, bool]:
+        """Return a target with a spare slot for an item, or None, and whether the item has to wait
+        for a target that can continue its text."""
+        version = job.find_version(index)
+        if version is not None and self.forwarder.targets.candidates(service, now, version):
+            target = self._choose_target(service, now, propagation_s, version)
+            waiting_since = job.waiting_since.setdefault(index, now)
+            if target is not None:
+                return target, False
+            if now - waiting_since < MAX_VERSION_WAIT_S:
+                return None, True
+        return self._choose_target(service, now, propagation_s), False
+
     def _choose_target(
-        self, service: ServiceName, now: float, propagation_s: float
+        self,
+        service: ServiceName,
+        now: float,
+        propagation_s: float,
+        version: SoftwareVersion | None = None,
     ) -> Target | None:
         """Return a target with a spare slot, or None."""
-        candidates = self.forwarder.targets.candidates(service, now)
+        candidates = self.forwarder.targets.candidates(service, now, version)
         excluded = {name for name, at in self.last_started_at.items() if now - at < propagation_s}
         excluded |= self.forwarder.suspicion.find_reserved()
         loads = self.forwarder.loads
@@ -532,6 +557,7 @@
         self.start_allowance = allot_spare_slots(spare, own, self.remote_waiting(), self.rng)
 
     def _start(self, job: OwnedJob, index: int, target: Target, max_failures: int) -> None:
+        job.begin_run(index, target.listed.version)
         running = RunningItem(
             job, index, target.id, monotonic(), events_before=job.count_events(index)
         )
@@ -559,7 +585,7 @@
         job, index = running.job, running.index
         target.end()
         try:
-            partial = job.partial.setdefault(index, PartialText())
+            partial = job.partial[index]
             text = await run_item(
                 self.forwarder,
                 target,
--- a/tests/support/targets.py
+++ b/tests/support/targets.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from gradepoint.gateway.targets import ListedState, ListedTarget
-from gradepoint.ids import ServiceName, TargetName
+from gradepoint.ids import ServiceName, SoftwareVersion, TargetName
 
 SERVICE = ServiceName("model")
 
@@ -15,6 +15,16 @@
     *,
     slots: int = 8,
     born_ms: int | None = None,
+    version: str = "",
 ) -> ListedTarget:
     """Return one entry, whose address is the name with port 1."""
-    return ListedTarget(TargetName(name), SERVICE, f"{name}:1", domain, slots, state, born_ms)
+    return ListedTarget(
+        TargetName(name),
+        SERVICE,
+        f"{name}:1",
+        domain,
+        slots,
+        state,
+        born_ms,
+        SoftwareVersion(version),
+    )
--- a/tests/test_gateway/test_gateway_software_versions.py
+++ b/tests/test_gateway/test_gateway_software_versions.py
@@ -11,6 +11,9 @@
 
 from bench.platform.target import TargetFault, TargetStandin, complete_stream
 from gradepoint.gateway.app import Gateway
+from gradepoint.gateway.targets import TargetSet
+from gradepoint.ids import SoftwareVersion, TargetId
+from gradepoint.util.clock import monotonic
 from tests.support.platform import (
     CallAnswer,
     Deployment,
@@ -18,6 +21,7 @@
     run_in_virtual_time,
     until,
 )
+from tests.support.targets import SERVICE, listed_target
 
 EVENTS = 6
 EVENT_INTERVAL_S = 0.05
@@ -165,3 +169,52 @@
             assert not any(after for version, after in runs if version == "v2"), runs
 
     run_in_virtual_time(work)
+
+
+@pytest.mark.parametrize("free", [True, False])
+def test_item_goes_on_at_its_version_unless_that_has_no_slot_for_long(free: bool) -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_versions(deployment, "v1", "v1", event_interval_s=EVENT_INTERVAL_S)
+        for target in deployment.targets:
+            target.faults = [TargetFault.CUT, TargetFault.NONE]
+        await deployment.submit("job", 1)
+        await until(lambda: any(target.ran["job-0"] for target in deployment.targets))
+        second = TargetStandin("t2", events=EVENTS, version="v2")
+        await deployment.add_target(second)
+        if not free:
+            for listed in deployment.gateways[0].targets.by_id.values():
+                if listed.listed.version == "v1":
+                    listed.in_flight += 100
+        [row] = await deployment.read_all_results("job")
+        assert (row["state"], row["message"]) == ("complete", item_text("job-0", EVENTS))
+        resumed = [
+            (target.version, "last-event-id" in request.headers)
+            for target in deployment.targets
+            for request in target.seen
+        ]
+        assert sorted(resumed) == [("v1", False), ("v1", True) if free else ("v2", False)]
+
+    run_in_virtual_time(work)
+
+
+def test_row_with_another_version_is_another_target() -> None:
+    targets = TargetSet(last_resort_s=1.0)
+    targets.put(listed_target("t0", version="v1"))
+    first = targets.by_id[TargetId("t0")]
+    targets.put(listed_target("t0", version="v2"))
+    second = targets.by_id[TargetId("t0")]
+    assert first is not second
+    assert first.listed.version == "v1"
+    assert targets.candidates(SERVICE, 0.0) == [second]
+
+
+def test_candidates_of_a_version_include_its_ejected_targets_as_long_as_it_has_no_others() -> None:
+    targets = TargetSet(last_resort_s=1.0)
+    for name, version in (("t0", "v1"), ("t1", "v1"), ("t2", "v2"), ("t3", "v2")):
+        targets.put(listed_target(name, version=version))
+    for name in ("t0", "t1"):
+        targets.by_id[TargetId(name)].record_failure("closed", unreachable=True)
+    now = monotonic()
+    assert {target.id for target in targets.candidates(SERVICE, now)} == {"t2", "t3"}
+    assert len(targets.candidates(SERVICE, now, SoftwareVersion("v1"))) == 1
+    assert targets.candidates(SERVICE, now, SoftwareVersion("v3")) == []
