Resume a stream that a caller takes up only at the version that began it

Cause: only the first host had seen which target began the stream, and nothing read Resumes.

Change: before a host passes on the first event of a stream that may be resumed, it sends the stream's version to four other hosts, which follow from the id of the call by rendezvous hashing over the failure domains. A host where the stream is taken up asks eight such hosts, for 0.3 s at most. Without a record, the stream is resumed if all targets of the service have been of one version for as long as a stream lasts, by a list of targets read after the call arrived. Otherwise it is refused at once with 503 (stream_version_unknown), since it has not run. Where a target that broke the stream off is the only one of its version, it may go on with it.

The class is an identity that a host needs after another one has failed and that was kept by that one alone. Considered: records in the key-value service (one write a stream, 400 a second in all), asking all hosts (those that know are the ones that are gone), the version as a function of the id (no knowledge of the versions that served then).

CallerCheck's shared refresh is a class of its own now, since the list of targets needs the same.

--- a/gradepoint/errors.py
+++ b/gradepoint/errors.py
@@ -210,6 +210,15 @@
             "No target has the software version that began this stream; come back, or send the "
             "request without Last-Event-Id.",
         ),
+        ErrorKind(
+            "stream_version_unknown",
+            503,
+            _C.TARGET,
+            _N,
+            1.0,
+            "This host can't find out which software version began the stream; come back, or send "
+            "the request without Last-Event-Id.",
+        ),
         ErrorKind(
             "target_unreachable",
             503,
--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -93,6 +93,12 @@
 CALL_RETRIED = _declare(202, "call_retried", "INFO", "A call is retried at another target.")
 CALL_UNKNOWN = _declare(203, "call_unknown", "WARNING", "A call ended with outcome unknown.")
 STREAM_RESUMED = _declare(204, "stream_resumed", "INFO", "An interrupted stream is resumed.")
+STREAM_TAKEN_UP = _declare(
+    224,
+    "stream_taken_up",
+    "INFO",
+    "A caller resumes a stream; the source tells how its software version was found.",
+)
 TARGET_EJECTED = _declare(
     205, "target_ejected", "WARNING", "A target failed repeatedly and gets no calls for a while."
 )
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -24,6 +24,8 @@
     Message,
     RelayedDigest,
     Report,
+    StreamNotice,
+    StreamQuery,
 )
 from ..peers.heartbeats import Heartbeats
 from ..peers.occupancy import Occupancy
@@ -34,8 +36,10 @@
     HostTable,
     Presence,
     make_incarnation,
+    read_host,
 )
 from ..peers.silence import Silence
+from ..peers.stream_versions import StreamVersions
 from ..peers.watchers import Watchers
 from ..routing.host_quotas import HostQuotas
 from ..routing.quota_ledger import QuotaLedger
@@ -64,10 +68,12 @@
 from .quota_gate import QuotaGate
 from .quota_page import PAGE as QUOTA_PAGE
 from .quota_page import answer_quotas
+from .refresh import SharedRefresh
 from .refusals import RecentRefusals
 from .retirement import Retirement
 from .share_limits import ShareLimits, compute_room, count_calls_by_organisation
 from .stall import StallDetector
+from .stream_origins import StreamOrigins
 from .suspicion import Suspicion, connect_suspicion
 from .target_crashes import CrashDetector
 from .target_loads import TargetLoads
@@ -210,6 +216,18 @@
             wait_until_fresh=self.stall_detector.wait,
             loads=self.loads,
         )
+        self.stream_versions = StreamVersions(
+            self.socket,
+            self.own.host,
+            lambda: self.hosts.hosts.values(),
+            lambda: {read_host(incarnation) for incarnation in self.heartbeats.heard},
+        )
+        self.forwarder.origins = StreamOrigins(
+            self.stream_versions,
+            self.targets,
+            SharedRefresh(lambda: self.watchers.proofs.prove("targets")),
+            lambda: self.watchers.proofs.proven_at.get("targets", float("-inf")),
+        )
         self.configuration = ActiveConfiguration(platform.decode_configuration, self.apply_limits)
         self.quotas = self.make_quotas()
         self.item_starts = ItemStarts()
@@ -304,7 +322,7 @@
             CallerCheck(
                 self.configuration,
                 lambda: self.watchers.proofs.age_s("operator", monotonic()),
-                lambda: self.watchers.proofs.prove("operator"),
+                SharedRefresh(lambda: self.watchers.proofs.prove("operator")),
                 RevocationTerms(settings.revoke_strictly, settings.revoke_ms / 1000),
             ),
             self.quotas,
@@ -499,6 +517,10 @@
             self.occupancy.relay(message)
         elif isinstance(message, Report):
             self.occupancy.aggregation.take(message, address)
+        elif isinstance(message, StreamNotice):
+            self.stream_versions.receive(message, address)
+        elif isinstance(message, StreamQuery):
+            self.stream_versions.answer(message, address)
         else:
             self.heartbeats.receive(message, address)
 
@@ -542,6 +564,7 @@
             self.heartbeats.forget_silent()
             self.occupancy.forget_silent()
             self.suspicion.forget()
+            self.stream_versions.records.forget(monotonic())
             self.quotas.host.forget(monotonic())
             listed = self.hosts.incarnations - {self.own.incarnation}
             lost = self.silence.update(listed, self.heartbeats.heard, monotonic())
--- a/gradepoint/gateway/callers.py
+++ b/gradepoint/gateway/callers.py
@@ -6,25 +6,23 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, TypeVar
 
 from .. import events
 from ..errors import GradepointError
 from ..telemetry.logs import emit
-from ..util.clock import monotonic
 from ..util.structs import Struct, field
-from ..util.tasks import TaskGroup
 from .organisations import fingerprint
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Callable
 
     from ..ids import OrganisationName
     from .configuration import Configuration, Route
     from .dialect import CallHead
     from .followers import ActiveConfiguration
     from .organisations import Organisation
+    from .refresh import SharedRefresh
 
 T = TypeVar("T")
 
@@ -32,10 +30,6 @@
 """Maximum age in seconds of the data on which a host may answer that a key or route doesn't exist.
 It is the shortest time in which a new configuration has to be in force; older data may lack a key
 that was just issued."""
-REFRESH_S = 0.25
-"""Seconds that a call waits for a refresh, and minimum seconds between two refreshes of a host. It
-is many times the response time of the key-value service, and limits a flood of invalid keys to four
-reads per second and host."""
 RETRY_AFTER_S = 0.25
 """``Retry-After`` in seconds for a call that a host can neither serve nor reject because its data
 is stale."""
@@ -57,19 +51,13 @@
     """Finds the route and organisation of calls, and refuses calls that have none.
 
     :param age_s: returns the seconds since this host's configuration was last known to be current.
-    :param refresh: reads the operator's keys from the key-value service again; only one refresh
-        runs at a time.
-    :ivar refresh_started_at: monotonic time at which the last refresh started.
-    :ivar refresh_task: the last refresh; calls that need one share it.
+    :param refresh: reads the operator's keys from the key-value service again.
     """
 
     configuration: ActiveConfiguration
     age_s: Callable[[], float]
-    refresh: Callable[[], Awaitable[object]]
+    refresh: SharedRefresh
     terms: RevocationTerms = field(default_factory=RevocationTerms)
-    refresh_started_at: float = float("-inf")
-    refresh_task: asyncio.Task[object] | None = None
-    tasks: TaskGroup = field(default_factory=TaskGroup)
 
     @property
     def in_force(self) -> Configuration:
@@ -110,7 +98,7 @@
             self._log_refused(head)
             raise GradepointError("unauthenticated", "No organisation has this key.")
         if self.terms.strict and self.age_s() > self.terms.revoke_s:
-            await self._refresh()
+            await self.refresh.run()
             if self.age_s() > self.terms.revoke_s:
                 raise GradepointError("news_too_old", retry_after=RETRY_AFTER_S)
             found = self._find_organisation(head.key)
@@ -138,28 +126,12 @@
         found = find()
         if found is not None or self.age_s() <= MAX_DENIAL_AGE_S:
             return found
-        await self._refresh()
+        await self.refresh.run()
         found = find()
         if found is None and self.age_s() > MAX_DENIAL_AGE_S:
             raise GradepointError("news_too_old", retry_after=RETRY_AFTER_S)
         return found
 
-    async def _refresh(self) -> None:
-        """Refresh the configuration, or wait for the refresh that runs.
-
-        Returns without a refresh if the last one started less than :data:`REFRESH_S` ago.
-        """
-        now = monotonic()
-        if self.refresh_task is None or self.refresh_task.done():
-            if now - self.refresh_started_at < REFRESH_S:
-                return
-            self.refresh_started_at = now
-            self.refresh_task = self.tasks.start(self._run_refresh())
-        await asyncio.wait([self.refresh_task], timeout=REFRESH_S)
-
-    async def _run_refresh(self) -> object:
-        return await self.refresh()
-
     def _log_refused(self, head: CallHead) -> None:
         emit(
             events.CALLER_REFUSED,
--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -33,6 +33,7 @@
     from ..wire.http_client import ClientResponse
     from .dialect import AnswerHead, CallHead, Dialect
     from .identity import RequestIdentity
+    from .stream_origins import StreamOrigins
     from .suspicion import Suspicion
     from .target_crashes import CrashDetector
     from .target_loads import TargetLoads
@@ -156,6 +157,7 @@
     :param suspicion: tracks requests that may have crashed targets.
     :param wait_until_fresh: returns once this host's data is fresh enough to select targets.
     :param loads: pace and expected delay of the targets; None if targets are selected by load.
+    :param origins: software versions that began streams; None if they don't matter.
     :ivar answers: open answers to calls and items of this host.
     :ivar empty_since: monotonic time since which calls have found no target of a service.
     """
@@ -170,6 +172,7 @@
     rng: random.Random = field(default_factory=new_rng)
     wait_until_fresh: Callable[[], Awaitable[None]] = no_wait
     loads: TargetLoads | None = None
+    origins: StreamOrigins | None = None
     answers: set[Exchange] = field(default_factory=set)
     empty_since: dict[ServiceName, float] = field(default_factory=dict)
 
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -43,6 +43,9 @@
 refused. Each takes at most the connect timeout, so that the refusal comes early."""
 RETRY_AFTER_S = 0.05
 """Minimum ``Retry-After`` in seconds of a refused call: about the time to a first token."""
+MAX_STREAM_AGE_TIMEOUTS = 2
+"""Multiple of the route's timeout after which no caller resumes a stream any more: an answer ends
+by the timeout, and so does the one that resumes it."""
 MAX_BUFFERED_BODY_BYTES = 262_144
 """Maximum bytes of a non-streaming answer that are buffered until it is complete, so that a broken
 answer can be retried or replaced by an error. Longer answers are relayed as they arrive."""
@@ -112,6 +115,7 @@
 
         The body of a stream is read while it is sent to the caller.
         """
+        await self._find_version()
         while True:
             try:
                 exchange = await self.open(self.head.resume_after)
@@ -131,6 +135,25 @@
                 raise
             return response
 
+    async def _find_version(self) -> None:
+        """Find the software version that began the stream, if the caller resumes one.
+
+        :raises GradepointError: the version is not known.
+        """
+        origins, resumes = self.forwarder.origins, self.head.resume_after is not None
+        if origins is not None and resumes and self.route.kind is RouteKind.STREAM:
+            max_age_s = self.route.timeout_s * MAX_STREAM_AGE_TIMEOUTS
+            self.version = await origins.find_version(self.head, self.service, max_age_s)
+
+    def _begin_stream(self, version: SoftwareVersion) -> None:
+        """Note the software version that brings the first event of the stream."""
+        self.version = version
+        if self.forwarder.origins is not None:
+            remaining_s = self.head.remaining_s
+            if remaining_s is not None:
+                remaining_s -= monotonic() - self.arrived_at
+            self.forwarder.origins.record(self.head.request_id, version, remaining_s)
+
     async def open(self, resume_after: int | None) -> Exchange:
         """Send the call to one target after another until one answers.
 
@@ -288,6 +311,9 @@
                 raise self._make_refusal("request_suspected", TRIAL_RETRY_S)
             return target
         target = self.choose()
+        if target is None and self.version is not None:
+            # A target that broke the stream off may still be the only one that can continue it.
+            target = self.forwarder.choose(self.service, set(), None, self.version)
         if target is None:
             code = "no_target" if self.version is None else "no_target_of_version"
             raise self._make_refusal(code, self.forwarder.estimate_wait_s(self.service))
@@ -419,7 +445,7 @@
                         found = exchange.splitter.feed(chunk)
                         exchange.progress.events += len(found)
                         if found and self.version is None:
-                            self.version = exchange.version
+                            self._begin_stream(exchange.version)
                             wait_s = self._find_stall_timeout_s()
                         for event in found:
                             yield event.raw
--- a/gradepoint/gateway/targets.py
+++ b/gradepoint/gateway/targets.py
@@ -213,6 +213,9 @@
     :param on_replaced: called with the former row of a target that has restarted, whose health and
         calls in flight don't apply to the new incarnation.
     :ivar by_number: targets by the hash of their ID that hosts send each other.
+    :ivar known_since: monotonic time since which all changes of the list are known.
+    :ivar former_versions: by service, monotonic time at which the last target of each software
+        version was removed.
     """
 
     last_resort_s: float
@@ -222,6 +225,10 @@
     by_name: dict[TargetName, Target] = field(default_factory=dict)
     by_service: dict[ServiceName, list[Target]] = field(default_factory=lambda: defaultdict(list))
     by_number: dict[TargetNumber, Target] = field(default_factory=dict)
+    known_since: float = float("inf")
+    former_versions: dict[ServiceName, dict[SoftwareVersion, float]] = field(
+        default_factory=lambda: defaultdict(dict)
+    )
 
     def put(self, listed: ListedTarget) -> None:
         """Add a new row or update a changed one.
@@ -272,6 +279,7 @@
 
         :param unreadable: names of rows that cannot be read.
         """
+        self.known_since = min(self.known_since, now)
         listed = {row.name for row in rows}.union(unreadable)
         for row in rows:
             self.put(row)
@@ -291,6 +299,19 @@
         self.by_name.pop(target.name, None)
         self.by_number.pop(number_target(target.id), None)
         self.by_service[target.listed.service].remove(target)
+        self.former_versions[target.listed.service][target.listed.version] = monotonic()
+
+    def find_only_version(self, service: ServiceName, since: float) -> SoftwareVersion | None:
+        """Return the software version of all targets that a service has had since a time.
+
+        None if there were several or none, or if the list isn't known since then.
+        """
+        if self.known_since > since:
+            return None
+        former = self.former_versions[service]
+        versions = {target.listed.version for target in self.by_service[service]}
+        versions.update(version for version, removed_at in former.items() if removed_at >= since)
+        return versions.pop() if len(versions) == 1 else None
 
     def candidates(
         self, service: ServiceName, now: float, version: SoftwareVersion | None = None
--- a/gradepoint/ids.py
+++ b/gradepoint/ids.py
@@ -32,6 +32,8 @@
 """Identifies one run of a host's program, as ``HOST:RANDOM``; a restart makes a new one."""
 CapacityClass = NewType("CapacityClass", int)
 """Class of a host's link and memory; hosts of higher classes have more."""
+StreamKey = NewType("StreamKey", int)
+"""Hash of the id of the call that began a stream."""
 ItemId = NewType("ItemId", str)
 RequestKey = NewType("RequestKey", int)
 """Hash of everything that makes two calls the same request, regardless of their request ids."""
--- a/gradepoint/peers/datagrams.py
+++ b/gradepoint/peers/datagrams.py
@@ -17,6 +17,8 @@
     OrganisationNumber,
     RequestKey,
     ServiceName,
+    SoftwareVersion,
+    StreamKey,
     TargetNumber,
 )
 from ..routing.suspects import SuspectsMessage
@@ -186,7 +188,29 @@
     receivers: list[tuple[str, int]]
 
 
-Message = Heartbeat | Report | Digest | RelayedDigest
+class StreamNotice(msgspec.Struct, frozen=True, array_like=True, tag="stream"):
+    """The software version that began a stream, sent to the hosts that record it and as an answer
+    to :class:`StreamQuery`.
+
+    :param key: key of the stream.
+    :param version: None if the sender has no record.
+    :param expires_ms: milliseconds for which the caller may still resume the stream.
+    """
+
+    format: int
+    key: StreamKey
+    version: SoftwareVersion | None = None
+    expires_ms: int = 0
+
+
+class StreamQuery(msgspec.Struct, frozen=True, array_like=True, tag="stream-query"):
+    """Asks which software version began a stream."""
+
+    format: int
+    key: StreamKey
+
+
+Message = Heartbeat | Report | Digest | RelayedDigest | StreamNotice | StreamQuery
 
 MAX_DATAGRAM_BYTES = 65_507
 """Maximum payload of a UDP datagram over IPv4."""
--- a/gradepoint/peers/proofs.py
+++ b/gradepoint/peers/proofs.py
@@ -135,6 +135,7 @@
             emit(events.VIEW_NOT_PROVEN, view=name, reason=str(error))
             return False
         self._prove(name, asked_at)
+        self.proven_at[name] = max(self.proven_at[name], asked_at)
         self.count += 1
         return view.digest != known
 
--- a/gradepoint/telemetry/metrics.py
+++ b/gradepoint/telemetry/metrics.py
@@ -139,6 +139,9 @@
         self.admission_waits = BufferedCounter("gradepoint_admission_waits", "By how they ended")
         self.admission_returns = BufferedCounter("gradepoint_admission_returns", "By outcome")
         self.retries = BufferedCounter("gradepoint_retries", "By reason")
+        self.resumed_streams = BufferedCounter(
+            "gradepoint_resumed_streams", "Streams that callers resume, by source of their version"
+        )
         self.suspects = BufferedCounter("gradepoint_suspects", "Requests by new standing")
         self.held_calls = BufferedCounter("gradepoint_held_calls", "Calls answered as held back")
         self.kv_calls = BufferedCounter("gradepoint_kv_calls", "By kind")
--- a/gradepoint/util/hashing.py
+++ b/gradepoint/util/hashing.py
@@ -38,6 +38,11 @@
     return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=4).digest(), "big")
 
 
+def hash64(text: str) -> int:
+    """Return a 64-bit hash of *text*, for numbers that must not collide by chance."""
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
+
+
 def rank(key: str, members: Iterable[T]) -> list[T]:
     """Return *members* by descending rendezvous score (Thaler and Ravishankar, 1998).
 
--- a/tests/test_gateway/test_gateway_organisations.py
+++ b/tests/test_gateway/test_gateway_organisations.py
@@ -11,6 +11,7 @@
 from bench.platform.store import StoreFault
 from bench.platform.target import TargetFault
 from gradepoint.gateway.callers import MAX_DENIAL_AGE_S
+from gradepoint.gateway.refresh import SharedRefresh
 from gradepoint.platform.configuration import decode_configuration
 from gradepoint.util.clock import monotonic
 from tests.support.platform import (
@@ -161,7 +162,7 @@
             asked.append(monotonic())
             return False
 
-        check.age_s, check.refresh = (lambda: 10.0), ask
+        check.age_s, check.refresh = (lambda: 10.0), SharedRefresh(ask)
         started_at = monotonic()
         for index in range(5):
             calls = (
--- a/tests/test_gateway/test_gateway_software_versions.py
+++ b/tests/test_gateway/test_gateway_software_versions.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from bench.platform.store import StoreFault
 from bench.platform.target import TargetFault, TargetStandin, complete_stream
 from gradepoint.gateway.app import Gateway
 from gradepoint.gateway.targets import TargetSet
@@ -218,3 +219,59 @@
     assert {target.id for target in targets.candidates(SERVICE, now)} == {"t2", "t3"}
     assert len(targets.candidates(SERVICE, now, SoftwareVersion("v1"))) == 1
     assert targets.candidates(SERVICE, now, SoftwareVersion("v3")) == []
+
+
+async def resume_unnamed(deployment: Deployment) -> CallAnswer:
+    """Resume a stream without naming the call that began it, as older callers do."""
+    begun = CallAnswer("unnamed", 200, {}, complete_stream("unnamed", 2), broken=True)
+    return await take_up(deployment, begun, resumes="")
+
+
+def test_unnamed_stream_is_resumed_while_its_service_has_one_version() -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_versions(deployment, "v1", "v1")
+        # Its timeout is 5 s, so that a stream may have begun 10 s before.
+        await asyncio.sleep(10.1)
+        answers = await asyncio.gather(*(resume_unnamed(deployment) for _ in range(20)))
+        assert {(answer.status, answer.broken) for answer in answers} == {(200, False)}
+        deployment.store.fault = StoreFault.BUSY
+        assert (await resume_unnamed(deployment)).status == 503
+
+    run_in_virtual_time(work)
+
+
+def test_unnamed_stream_is_refused_after_a_change_of_the_version() -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_versions(deployment, "v1")
+        await asyncio.sleep(10.1)
+        await deployment.add_target(TargetStandin("new", events=EVENTS, version="v2"))
+        deployment.store.delete("servers/t0")
+        targets = deployment.gateways[0].targets
+        await until(lambda: len(targets.by_id) == 1 and "new" in targets.by_name)
+        assert (await resume_unnamed(deployment)).status == 503
+        assert not versions_run(deployment, "unnamed")
+        await asyncio.sleep(10.1)
+        assert (await resume_unnamed(deployment)).status == 200
+
+    run_in_virtual_time(work)
+
+
+def test_unnamed_stream_is_refused_by_a_host_that_has_just_started() -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_versions(deployment, "v1")
+        assert (await resume_unnamed(deployment)).status == 503
+
+    run_in_virtual_time(work)
+
+
+def test_stream_is_resumed_at_its_only_target_if_that_goes_on() -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_versions(deployment, "v1", "v2")
+        for _ in range(STREAMS):
+            for target in deployment.targets:
+                target.faults = [TargetFault.CUT, TargetFault.NONE]
+            answer = await deployment.call("/resume/1")
+            assert answer.body == complete_stream(answer.request_id, EVENTS)
+            assert len(versions_run(deployment, answer.request_id)) == 1
+
+    run_in_virtual_time(work)
