Soak two software versions of targets, and callers who resume streams

Targets of two versions serve side by side and replace each other; what they generate differs, so that each byte of a resumed stream and of an item's text shows its version.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -28,6 +28,10 @@
     early_ends: Annotated[
         bool, typer.Option(help="Targets end some streams inside an event, in order.")
     ] = False,
+    versions: Annotated[
+        bool,
+        typer.Option(help="Targets have two software versions, and callers resume broken streams."),
+    ] = False,
     folder: Annotated[Path, typer.Option(help="Parent folder of the runs' logs.")] = Path(
         "run/soak"
     ),
@@ -44,6 +48,7 @@
             callers=callers,
             with_harm=harm,
             with_early_ends=early_ends,
+            with_versions=versions,
             organisations=Organisations() if organisations else None,
         )
         violations = asyncio.run(soak.run())
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -29,8 +29,11 @@
 from .ledger import Ledger
 from .organisations import Organisations
 from .proxy import Proxy, ProxyMode
+from .resuming import ResumingCaller
 
 HOST = "soak.example"
+VERSIONS = ("v1", "v2")
+"""Software versions of the targets, in runs with several."""
 CALL_KINDS = {"single": "unsafe", "plain": "safe", "stream": "streaming", "resume": "streaming"}
 RECOVERY_LIMIT_S = 60.0
 """Seconds after the last fault within which every accepted item must be listed as a result."""
@@ -49,6 +52,8 @@
     :param with_harm: whether a request that crashes its targets is sent beside the other calls.
     :param with_early_ends: whether targets send streams without a length or chunks, and end some
         streams in order inside an event.
+    :param with_versions: whether targets of two software versions serve side by side and replace
+        each other, and callers resume streams that break.
     :param organisations: organisations whose API keys the callers use; None sends no keys.
     :param suspend: suspends a gateway's host for some seconds; None if hosts cannot be suspended.
     :param make_gateway: creates a gateway, which need not be a separate process.
@@ -57,6 +62,7 @@
     :ivar injected_faults: number of faults injected so far, by kind.
     :ivar gateway_start_times: loop times at which gateways were started again.
     :ivar version: version of the configuration written last.
+    :ivar replaced_targets: number of targets that were replaced by another version.
     :ivar last_id: number of the request id given out last.
     """
 
@@ -70,6 +76,7 @@
     events: int = 8
     with_harm: bool = False
     with_early_ends: bool = False
+    with_versions: bool = False
     organisations: Organisations | None = None
     suspend: Callable[[GatewayProcess, float], None] | None = None
     make_gateway: Callable[..., GatewayProcess] = GatewayProcess
@@ -86,11 +93,14 @@
     harm: HarmfulRequest | None = None
     version: int = 1
     calm: bool = False
+    replaced_targets: int = 0
     last_id: int = 0
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
         self.ledger = Ledger(self.targets, self.events)
+        if self.with_versions:
+            self.ledger.versions = VERSIONS
         self.folder.mkdir(parents=True, exist_ok=True)
 
     async def run(self) -> list[str]:
@@ -99,6 +109,7 @@
             await self._start()
             load_tasks = [self.tasks.start(self._call_forever()) for _ in range(self.callers)]
             load_tasks.append(self.tasks.start(self._submit_forever()))
+            load_tasks += self._start_resuming_callers()
             harm = self._start_harm()
             fault_tasks = [
                 self.tasks.start(self._inject_repeatedly(kind)) for kind in self._draw_fault_kinds()
@@ -143,6 +154,15 @@
             self.fleet.append(gateway)
         await self._wait_ready()
 
+    def _start_resuming_callers(self) -> list[asyncio.Task[None]]:
+        """Start callers who resume broken streams if this run has them."""
+        if not self.with_versions:
+            return []
+        caller = ResumingCaller(
+            self.ledger, lambda rng: rng.choice(self.fleet).callers, HOST, self.seed
+        )
+        return [self.tasks.start(caller.call_forever(n)) for n in range(self.callers)]
+
     def _start_harm(self) -> HarmfulRequest | None:
         """Start sending the harmful request if this run has one."""
         if not self.with_harm:
@@ -181,6 +201,9 @@
     async def _add_target(self, name: str) -> None:
         target = TargetStandin(name, events=self.events, event_interval_s=0.01)
         target.rng = random.Random(f"{self.seed} {name}")
+        if self.with_versions:
+            target.version = VERSIONS[len(self.targets) % len(VERSIONS)]
+            target.event_interval_s = 0.04
         if self.with_early_ends:
             target.unframed_share, target.early_end_share = 0.5, 0.1
             target.framing_rng = random.Random(f"{self.seed} {name} framing")
@@ -407,6 +430,8 @@
         kinds = ["kill", "pause", "term", "hup", "store", "store-path", "target-path"]
         kinds += ["target-fault", "target-leaves", "configuration", "history", "clock"]
         kinds += ["data-host", "disk"]
+        if self.with_versions:
+            return ["release", *self.rng.sample(kinds, self.rng.randint(4, len(kinds)))]
         return self.rng.sample(kinds, self.rng.randint(4, len(kinds)))
 
     async def _inject_repeatedly(self, kind: str) -> None:
@@ -466,6 +491,11 @@
             self._list_target(self.targets[number], self.proxies[number].port, "draining")
             await asyncio.sleep(duration_s)
             self._list_target(self.targets[number], self.proxies[number].port)
+        elif kind == "release":
+            number = self.rng.randrange(self.target_count)
+            self._list_target(self.targets[number], self.proxies[number].port, "draining")
+            await asyncio.sleep(duration_s / 4)
+            self._replace_target(number)
         elif kind == "configuration":
             self.version += 1
             self._write_configuration()
@@ -474,6 +504,18 @@
         elif kind == "clock":
             self.store.keys.expire()
 
+    def _replace_target(self, number: int) -> None:
+        """Replace a target by one of the other software version, at the same address.
+
+        Streams that run there end as they began.
+        """
+        target = self.targets[number]
+        self.store.delete(f"servers/{target.name}")
+        self.replaced_targets += 1
+        target.name = f"t{number}-{self.replaced_targets}"
+        target.version = VERSIONS[1 - VERSIONS.index(target.version)]
+        self._list_target(target, self.proxies[number].port)
+
     def _start_gateway(self, gateway: GatewayProcess) -> None:
         self.gateway_start_times.append(asyncio.get_running_loop().time())
         gateway.start()
