Treat a JSON answer without a length as broken off if its document has not ended

Cause: the end of the connection ends such a body, and only streams and services of the engines' API were asked whether their format shows that a part is missing.

Change: the brackets and strings of such a document are counted as it arrives; where it ends inside one, the answer is broken off like any other, so that a repeatable call is sent again, and others get 502. A document longer than what is buffered is relayed as it arrives, and its caller's connection is closed. Documents are not decoded, so that one that is malformed but has ended is passed on, as are formats without an end of their own.

--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -20,7 +20,8 @@
     HttpClient,
     ResponseBroken,
 )
-from ..wire.http_types import EVENT_STREAM_TYPE
+from ..wire.http_types import EVENT_STREAM_TYPE, is_json
+from ..wire.json_nesting import JsonNesting
 from .answer_progress import AnswerProgress
 from .choice import choose_target, get_load
 from .event_stream import EventSplitter
@@ -61,13 +62,15 @@
     """How the body of a target's answer ended.
 
     ``WHOLE`` is the end by the framing of the answer. ``INSIDE_EVENT`` is such an end inside an
-    event of a stream, ``EMPTY`` one before its first event, and ``CRASHED`` one that the crash of
-    the target caused. ``BROKEN`` is a broken connection, ``SILENT`` a timeout.
+    event of a stream, ``EMPTY`` one before its first event, ``INSIDE_DOCUMENT`` one inside a JSON
+    document, and ``CRASHED`` one that the crash of the target caused. ``BROKEN`` is a broken
+    connection, ``SILENT`` a timeout.
     """
 
     WHOLE = "whole"
     INSIDE_EVENT = "inside_event"
     EMPTY = "empty"
+    INSIDE_DOCUMENT = "inside_document"
     CRASHED = "crashed"
     BROKEN = "broken"
     SILENT = "silent"
@@ -76,6 +79,7 @@
 END_REASONS = {
     AnswerEnd.INSIDE_EVENT: "ended inside an event",
     AnswerEnd.EMPTY: "ended before its first event",
+    AnswerEnd.INSIDE_DOCUMENT: "ended inside its document",
     AnswerEnd.CRASHED: "ended by a crash of its target",
 }
 """Reasons, as logged, why a body that has ended is not whole."""
@@ -91,6 +95,7 @@
     :ivar progress: events received so far, which show the pace of the target.
     :ivar splitter: splits the body into events; unused if it is no event stream.
     :ivar needs_event: whether the body is an event stream that has at least one event.
+    :ivar document: the body so far, if it is a JSON document that the end of the connection ends.
     :ivar begun_at: monotonic time at which the head of the answer arrived.
     """
 
@@ -104,6 +109,7 @@
     progress: AnswerProgress = field(default_factory=AnswerProgress)
     splitter: EventSplitter = field(default_factory=EventSplitter)
     needs_event: bool = False
+    document: JsonNesting | None = None
     begun_at: float = field(default_factory=monotonic)
 
     @property
@@ -117,6 +123,14 @@
         content_type = self.response.headers.get("content-type", EVENT_STREAM_TYPE)
         return self.head.status < 300 and content_type.startswith(EVENT_STREAM_TYPE)
 
+    def follow_document(self) -> None:
+        """Follow the body if only its format can tell that its end is missing."""
+        if self.request.method == "HEAD" or self.head.status >= 300:
+            return
+        content_type = self.response.headers.get("content-type", "")
+        if self.response.framing is BodyFraming.UNTIL_CLOSE and is_json(content_type):
+            self.document = JsonNesting()
+
     def describe_body(self) -> dict[str, Any]:
         """Return log fields that tell how the body is framed and how much of it has arrived."""
         return {
@@ -284,8 +298,8 @@
 
         A body without a length or chunks also ends when its target breaks it off or crashes.
 
-        :raises TargetFailed: the body ends inside an event or without any, or its target has
-            crashed.
+        :raises TargetFailed: the body ends inside an event or a document, or without any event, or
+            its target has crashed.
         """
         end = AnswerEnd.WHOLE
         if exchange.splitter.inside_event:
@@ -295,6 +309,9 @@
             if exchange.needs_event and not exchange.progress.events:
                 end = AnswerEnd.EMPTY
                 self.crash_detector.note_broken(exchange.target)
+            elif exchange.document is not None and exchange.document.incomplete:
+                end = AnswerEnd.INSIDE_DOCUMENT
+                self.crash_detector.note_broken(exchange.target)
             elif not await self.crash_detector.confirm_running(exchange.target):
                 end = AnswerEnd.CRASHED
         exchange.count_end(end)
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -367,6 +367,7 @@
                 stream=stream(exchange, chunks, first),
                 release=exchange.close,
             )
+        exchange.follow_document()
         buffered: list[bytes] = []
         size = 0
         while size < MAX_BUFFERED_BODY_BYTES:
@@ -409,6 +410,8 @@
             raise TargetFailed(str(error)) from error
         if chunk is None:
             await self.forwarder.check_end(exchange)
+        elif exchange.document is not None:
+            exchange.document.feed(chunk)
         return chunk
 
     async def _relay_chunks(
--- a/gradepoint/wire/http_types.py
+++ b/gradepoint/wire/http_types.py
@@ -23,6 +23,13 @@
 HEADER_IDEMPOTENCY_KEY = "idempotency-key"
 JSON_TYPE = "application/json"
 EVENT_STREAM_TYPE = "text/event-stream"
+JSON_SUFFIX = "+json"
+
+
+def is_json(content_type: str) -> bool:
+    """Whether the value of a ``Content-Type`` header names a JSON format (RFC 6839)."""
+    media_type = content_type.partition(";")[0].strip().lower()
+    return media_type == JSON_TYPE or media_type.endswith(JSON_SUFFIX)
 
 
 class Request(Struct):
--- a/tests/test_gateway/test_gateway_answer_ends.py
+++ b/tests/test_gateway/test_gateway_answer_ends.py
@@ -213,3 +213,57 @@
         assert (answer.status, answer.broken, answer.body) == (200, False, document)
 
     run_in_virtual_time(work)
+
+
+DOCUMENT = b'{"text": "a [\\"bracket\\"", "rows": [1, {"n": 2}]}'
+LONG_DOCUMENT = b'{"rows": [' + b'{"text": "]"},' * 30_000 + b"{}]}"
+
+
+def cut_document(document: bytes, size: int) -> ScriptedAnswer:
+    """Return an answer that ends in order after the first bytes of a document."""
+    return ScriptedAnswer(
+        UNTIL_CLOSE, 0, size, content_type="application/json; charset=utf-8", document=document
+    )
+
+
+@pytest.mark.parametrize("path", ["/single/1", "/plain/1", "/stream/1", "/resume/1"])
+@pytest.mark.parametrize("size", [0, 1, 20, len(DOCUMENT) - 1])
+def test_document_cut_by_an_orderly_close_is_not_framed_as_complete(path: str, size: int) -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_with_answers(deployment, cut_document(DOCUMENT, size))
+        answer = await deployment.call(path)
+        assert answer.broken or answer.status == 502
+        assert "content-length" not in answer.headers or answer.status == 502
+
+    run_in_virtual_time(work)
+
+
+def test_cut_document_is_requested_again_where_the_route_allows_it() -> None:
+    async def work(deployment: Deployment) -> None:
+        whole = ScriptedAnswer(UNTIL_CLOSE, content_type="application/json", document=DOCUMENT)
+        await start_with_answers(deployment, cut_document(DOCUMENT, 20), whole)
+        answer = await deployment.call("/plain/1")
+        assert (answer.status, answer.body) == (200, DOCUMENT)
+
+    run_in_virtual_time(work)
+
+
+@pytest.mark.parametrize("missing", [0, 1, 3, 20, 100_000])
+def test_long_document_cut_by_an_orderly_close_is_not_framed_as_complete(missing: int) -> None:
+    async def work(deployment: Deployment) -> None:
+        size = len(LONG_DOCUMENT) - missing
+        await start_with_answers(deployment, cut_document(LONG_DOCUMENT, size))
+        answer = await deployment.call("/single/1")
+        assert answer.broken == bool(missing)
+        assert LONG_DOCUMENT[:size] == answer.body
+
+    run_in_virtual_time(work)
+
+
+def test_answer_of_a_format_without_an_end_of_its_own_is_forwarded() -> None:
+    async def work(deployment: Deployment) -> None:
+        answer = ScriptedAnswer(UNTIL_CLOSE, content_type="text/plain", document=b"no json")
+        await start_with_answers(deployment, answer)
+        assert (await deployment.call("/single/1")).body == b"no json"
+
+    run_in_virtual_time(work)
