--- a/gradepoint/routing/stream_versions.py
+++ b/gradepoint/routing/stream_versions.py
@@ -7,10 +7,11 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
 from ..ids import HostName, RequestId, SoftwareVersion, StreamKey
-from ..util.hashing import hash64, score
+from ..util.hashing import hash64, mix64
 from ..util.structs import Struct, field
 
 if TYPE_CHECKING:
@@ -65,13 +66,20 @@
     return StreamKey(hash64(request))
 
 
+@lru_cache(maxsize=4096)
+def _hash_host(host: HostName) -> int:
+    return hash64(host)
+
+
 def rank_holders(key: StreamKey, hosts: Iterable[tuple[HostName, str]]) -> list[HostName]:
     """Return the hosts in the order in which they keep the record of a stream.
 
     The order takes one host of each failure domain in turn, so that the loss of a domain leaves
     other holders. A host that joins or leaves changes the order of the others little.
     """
-    scored = sorted(((score(str(key), host), host, domain) for host, domain in hosts), reverse=True)
+    scored = sorted(
+        ((mix64(key ^ _hash_host(host)), host, domain) for host, domain in hosts), reverse=True
+    )
     seen: dict[str, int] = {}
     turns: list[tuple[int, int, HostName]] = []
     for position, (_, host, domain) in enumerate(scored):
--- a/gradepoint/util/hashing.py
+++ b/gradepoint/util/hashing.py
@@ -43,6 +43,16 @@
     return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
 
 
+def mix64(number: int) -> int:
+    """Return a well mixed 64-bit number (the finalizer of SplitMix64, Steele et al., 2014).
+
+    It scores numbers that are hashes already, in less than half of the time of :func:`score`.
+    """
+    number = ((number ^ (number >> 30)) * 0xBF58476D1CE4E5B9) & 0xFFFFFFFFFFFFFFFF
+    number = ((number ^ (number >> 27)) * 0x94D049BB133111EB) & 0xFFFFFFFFFFFFFFFF
+    return number ^ (number >> 31)
+
+
 def rank(key: str, members: Iterable[T]) -> list[T]:
     """Return *members* by descending rendezvous score (Thaler and Ravishankar, 1998).
 
