Give each run of an example deployment a loopback subnet of its own

Change: the addresses in the example's files are replaced by those of a subnet that a listening socket keeps for the run.

--- a/bench/process_costs.py
+++ b/bench/process_costs.py
@@ -173,7 +173,7 @@
 
 async def measure_stream_memory(tier: ProcessTier) -> dict[str, Any]:
     """Measure the entry's memory with 1,000 streaming calls that are queued or in progress."""
-    document = msgspec.json.decode((tier.folder / "config.json").read_bytes())
+    document = msgspec.json.decode(tier.read("config.json"))
     for target in document["targets"]:
         target["slots"] = 2000
     document["organisations"][0]["in_flight"] = 100000
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,13 +1,19 @@
 """Runs an example deployment as separate processes on separate loopback addresses.
 
+Each run replaces the addresses of the example by those of a loopback subnet of its own, so that
+several runs on one machine don't meet.
+
 Only the bench and the tests start processes; gradepoint's own programs start none.
 """
 
 from __future__ import annotations
 
 import os
+import random
+import re
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -23,6 +29,10 @@
 BIN = Path(sys.executable).parent
 READY_TIMEOUT_S = 60.0
 PROGRAMS = ("store", "control", "entry", "batch")
+EXAMPLE_SUBNET = re.compile(rb"127\.0\.\d+\.")
+"""Subnet of the addresses in the examples' files."""
+GUARD_HOST, GUARD_PORT = 254, 8399
+"""Address within a subnet that a run listens at to keep the subnet for itself."""
 
 
 @dataclass
@@ -56,8 +66,10 @@
 
     :param example: name of a folder below ``examples``.
     :param run_folder: folder for logs, settings and data; deleted at the start.
-    :ivar processes: all processes by name.
     :param overrides: settings that replace those of the example on every host.
+    :ivar processes: all processes by name.
+    :ivar subnet: first three parts of the addresses of this run, with a dot at the end.
+    :ivar guard: socket that keeps the subnet for this run.
     """
 
     example: str
@@ -65,6 +77,9 @@
     processes: dict[str, Process] = field(default_factory=dict)
     overrides: dict[str, Any] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self.subnet, self.guard = reserve_subnet()
+
     @property
     def folder(self) -> Path:
         """The example's folder."""
@@ -73,14 +88,21 @@
     @property
     def standins(self) -> dict[str, Any]:
         """Addresses, ports and keys of the example's stand-ins."""
-        decoded: dict[str, Any] = msgspec.json.decode((self.folder / "standins.json").read_bytes())
+        decoded: dict[str, Any] = msgspec.json.decode(self.read("standins.json"))
         return decoded
 
     def hosts(self) -> list[dict[str, Any]]:
         """Return the example's settings of every host, in the order of host numbers."""
         count = len(list((self.folder / "hosts").glob("*.json")))
-        paths = [self.folder / "hosts" / f"host-{n + 1}.json" for n in range(count)]
-        return [msgspec.json.decode(path.read_bytes()) for path in paths]
+        return [msgspec.json.decode(self.read(f"hosts/host-{n + 1}.json")) for n in range(count)]
+
+    def read(self, name: str) -> bytes:
+        """Return a file of the example, with addresses of this run's subnet."""
+        return self.localise((self.folder / name).read_bytes())
+
+    def localise(self, text: bytes) -> bytes:
+        """Return a text with addresses of this run's subnet in place of those of the example."""
+        return EXAMPLE_SUBNET.sub(self.subnet.encode(), text)
 
     def start(self) -> None:
         """Start all processes, apply the example's configuration and wait until all are ready."""
@@ -157,12 +179,15 @@
         return f"http://{endpoint['address']}:{endpoint['port']}"
 
     def apply(self, path: Path) -> None:
-        """Apply a configuration file with ``gradepoint apply``."""
+        """Apply a configuration file with ``gradepoint apply``; its addresses may be the
+        example's."""
+        localised = self.run_folder / path.name
+        localised.write_bytes(self.localise(path.read_bytes()))
         subprocess.run(
             [
                 str(BIN / "gradepoint"),
                 "apply",
-                str(path),
+                str(localised),
                 "--admin",
                 self.admin_url(),
                 "--key",
@@ -195,6 +220,20 @@
             except subprocess.TimeoutExpired:
                 process.kill()
             process.log.close()
+        self.guard.close()
+
+
+def reserve_subnet() -> tuple[str, socket.socket]:
+    """Return the beginning of the addresses of a free loopback subnet, and a socket that keeps it.
+
+    Other runs find the subnet taken until the socket is closed.
+    """
+    while True:
+        subnet = f"127.{random.randint(64, 127)}.{random.randint(0, 255)}."
+        try:
+            return subnet, socket.create_server((f"{subnet}{GUARD_HOST}", GUARD_PORT))
+        except OSError:
+            continue
 
 
 def _address_options(endpoint: dict[str, Any]) -> list[str]:
--- a/tests/test_tier/test_tier_path.py
+++ b/tests/test_tier/test_tier_path.py
@@ -115,3 +115,16 @@
         assert ledger.outcomes["complete"] == 2 * hosts + 1
     finally:
         tier.stop()
+
+
+def test_runs_of_an_example_at_the_same_time_have_addresses_of_their_own(tmp_path: Path) -> None:
+    tiers = [ProcessTier("kasitoo-turg", tmp_path / name) for name in ("a", "b")]
+    try:
+        assert tiers[0].subnet != tiers[1].subnet
+        for tier in tiers:
+            documents = [tier.read("config.json"), tier.read("standins.json")]
+            assert all(b"127.0." not in text and tier.subnet.encode() in text for text in documents)
+            assert all(url.startswith(f"http://{tier.subnet}") for url in tier.entry_urls())
+    finally:
+        for tier in tiers:
+            tier.stop()
