Read numbers of other programs in ASCII digits; keep a pool's new RPC client open

What was seen (read in the code, shown by a script): a number with superscripts, or of more than 4,300 digits, in a header, query or event raised an unexpected error in place of a refusal, since str.isdigit accepts what int refuses. A pool of RPC clients closed the client that it had just made and returned it, if all others had pending requests.

Change: one function reads such numbers; the pool leaves out the client that it returns.

--- a/gradepoint/admin/api.py
+++ b/gradepoint/admin/api.py
@@ -27,6 +27,7 @@
 from ..telemetry import metrics
 from ..telemetry.logs import emit
 from ..util.clock import wall_seconds
+from ..util.numbers import read_whole_number
 from ..wire.http_server import HttpServer, ServerLimits
 from ..wire.http_types import Response, error_response, json_response
 from ..wire.pages import answer_common_page
@@ -129,15 +130,16 @@
             return _invalid(checked.err_value)
         document = checked.ok_value
         operator = await self._authorise(request, document)
-        base = request.query.get("base")
-        if base is not None and not base.isdigit():
+        wanted = request.query.get("base")
+        base = None if wanted is None else read_whole_number(wanted)
+        if wanted is not None and base is None:
             raise GradepointError("bad_request", "'base' must be a version number.", param="base")
         try:
             applied = await apply_document(
                 self.control.kv,
                 document,
                 operator.name,
-                int(base) if base else None,
+                base,
                 request.query.get("note", "")[:500],
             )
         except GradepointError as error:
--- a/gradepoint/batch/app.py
+++ b/gradepoint/batch/app.py
@@ -19,6 +19,7 @@
 from ..telemetry.logs import emit
 from ..util.clock import monotonic, wall_seconds
 from ..util.hashing import short_identity
+from ..util.numbers import read_whole_number
 from ..wire.http_server import HttpServer, ServerLimits
 from ..wire.http_types import (
     HEADER_IDEMPOTENCY_KEY,
@@ -315,9 +316,10 @@
         names = [row["id"] for row in rows]
         rows = rows[names.index(after) + 1 :] if after in names else []
     wanted = request.query.get("limit", str(DEFAULT_PAGE_SIZE))
-    if not wanted.isdigit() or not 1 <= int(wanted) <= 10000:
+    limit = read_whole_number(wanted)
+    if limit is None or not 1 <= limit <= 10000:
         raise GradepointError("bad_request", "'limit' must be a positive number.", param="limit")
-    limit = min(int(wanted), MAX_PAGE_SIZE)
+    limit = min(limit, MAX_PAGE_SIZE)
     shown = rows[:limit]
     return json_response(
         {
--- a/gradepoint/gateway/event_stream.py
+++ b/gradepoint/gateway/event_stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ..util.numbers import read_whole_number
 from ..util.structs import Struct
 from ..wire.sse import END_OF_EVENT, ends_inside_event
 
@@ -66,6 +67,7 @@
         value = value.removeprefix(b" ")
         if name == b"data":
             data.append(value)
-        elif name == b"id" and value.isdigit():
-            number = int(value)
+        elif name == b"id":
+            read = read_whole_number(value)
+            number = number if read is None else read
     return StreamEvent(raw, number, b"\n".join(data) if data else None)
--- a/gradepoint/platform/headers.py
+++ b/gradepoint/platform/headers.py
@@ -8,6 +8,7 @@
 
 from ..gateway.dialect import AnswerHead, CallHead
 from ..ids import RequestId
+from ..util.numbers import read_whole_number
 
 if TYPE_CHECKING:
     from ..gateway.dialect import RawHeaders
@@ -138,4 +139,4 @@
 
 
 def _read_number(value: bytes | None) -> int | None:
-    return int(value) if value is not None and value.strip().isdigit() else None
+    return None if value is None else read_whole_number(value.strip())
--- a/gradepoint/platform/jobs.py
+++ b/gradepoint/platform/jobs.py
@@ -13,6 +13,7 @@
 from ..ids import ItemId
 from ..jobs.calls import EndJob, JobCall, ReadItem, ReadResults
 from ..jobs.records import Item, ItemOutcome
+from ..util.numbers import read_whole_number
 from .headers import WAIT_MS
 
 if TYPE_CHECKING:
@@ -98,12 +99,12 @@
 
 
 def _read_position(request: Request) -> int:
-    value = request.query.get("after_rev", "0")
-    if not value.isdigit():
+    position = read_whole_number(request.query.get("after_rev", "0"))
+    if position is None:
         raise GradepointError("bad_request", "The position must be a whole number from 0 on.")
-    return int(value)
+    return position
 
 
 def _read_wait(request: Request) -> float:
-    value = request.headers.get(WAIT_MS, "")
-    return min(MAX_READ_WAIT_S, int(value) / 1000) if value.isdigit() else 0.0
+    wait_ms = read_whole_number(request.headers.get(WAIT_MS, "")) or 0
+    return min(MAX_READ_WAIT_S, wait_ms / 1000)
--- a/gradepoint/wire/http_client.py
+++ b/gradepoint/wire/http_client.py
@@ -15,6 +15,7 @@
 import h11
 
 from ..util.clock import monotonic
+from ..util.numbers import read_whole_number
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Mapping, Sequence
@@ -333,8 +334,9 @@
     """
     for part in headers.get("keep-alive", "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.strip().lower() == "timeout" and value.strip().isdigit():
-            return int(value) * KEEP_ALIVE_SHARE
+        seconds = read_whole_number(value.strip())
+        if name.strip().lower() == "timeout" and seconds is not None:
+            return seconds * KEEP_ALIVE_SHARE
     return float("inf")
 
 
--- a/gradepoint/wire/rpc.py
+++ b/gradepoint/wire/rpc.py
@@ -198,7 +198,11 @@
         client = self.clients.pop(key, None) or RpcClient(address, port, self.reply_type)
         self.clients[key] = client
         if len(self.clients) > self.max_clients:
-            idle = [name for name, pooled in self.clients.items() if not pooled.pending]
+            idle = [
+                name
+                for name, pooled in self.clients.items()
+                if pooled is not client and not pooled.pending
+            ]
             for name in idle[: len(self.clients) - self.max_clients]:
                 self.clients.pop(name).close()
         return client
