Tell operators that an apply has succeeded whatever fails after it

Change: a failed read after the apply is logged, since the host gets the version like all others; only an answer that names hosts ends the wait.

--- a/gradepoint/admin/api.py
+++ b/gradepoint/admin/api.py
@@ -148,9 +148,14 @@
             raise
         if applied.changed:
             emit(events.CONFIG_APPLIED, version=applied.version, operator=operator.name)
-        record, _ = await read_current(self.control.kv)
-        if record is not None:
-            self.control.apply_config_record(record)
+        try:
+            record, _ = await read_current(self.control.kv)
+        except KvError as error:
+            # The version is applied; this host gets it as all others do.
+            emit(events.CONFIG_NOT_READ, version=applied.version, reason=str(error))
+        else:
+            if record is not None:
+                self.control.apply_config_record(record)
         return json_response({"version": applied.version, "changed": applied.changed})
 
     def _authorise_invalid(self, request: Request) -> None:
--- a/gradepoint/admin/client.py
+++ b/gradepoint/admin/client.py
@@ -67,14 +67,20 @@
     async def wait_in_force(self, version: int, timeout_s: float) -> list[str]:
         """Wait until every host has *version* in force.
 
+        An answer that is missing or tells no host is asked for again.
+
         :returns: the hosts that do not have it at the timeout; empty on success.
         """
         behind = ["(not asked)"]
         try:
             async with asyncio.timeout(timeout_s):
                 while behind:
-                    answer = await self.call("GET", "/admin/status")
-                    behind = hosts_behind(answer.body, version)
+                    try:
+                        answer = await self.call("GET", "/admin/status")
+                    except AdminUnreachable:
+                        answer = AdminAnswer(0, {})
+                    if answer.good and answer.body.get("hosts"):
+                        behind = hosts_behind(answer.body, version)
                     if behind:
                         await asyncio.sleep(0.2)
         except TimeoutError:
--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -250,6 +250,12 @@
 CONFIG_CONFLICT = _declare(
     503, "config_conflict", "WARNING", "Two operators applied a configuration at the same time."
 )
+CONFIG_NOT_READ = _declare(
+    509,
+    "config_not_read",
+    "WARNING",
+    "An applied version could not be read back; this host gets it as the others do.",
+)
 MEMBER_JOINED = _declare(510, "member_joined", "INFO", "A host is live.")
 MEMBER_LOST = _declare(
     511, "member_lost", "WARNING", "A host stopped its heartbeats or its lease ended."
