Resume streams of callers that name no call by the records of their request

Change: records belong to a request (host, method, path, body), from which the hosts that keep them follow, and to the call. A caller that names the call is answered by the record of its stream; one that doesn't goes on if all streams of its request that are known began at one version.

--- a/bench/soak/resuming.py
+++ b/bench/soak/resuming.py
@@ -12,6 +12,8 @@
 
 from .ledger import Ledger
 
+UNNAMED_SHARE = 0.3
+"""Share of streams whose caller does not name the call that began them."""
 LEAVE_SHARE = 0.3
 """Share of streams whose caller loses its connection after some events."""
 MAX_TRIES = 4
@@ -49,9 +51,14 @@
         """Get one stream, with several tries."""
         begun: tuple[str, bytes] | None = None
         events = 0
+        named = rng.random() >= UNNAMED_SHARE
         for attempt in range(MAX_TRIES):
             request_id = f"{name}-{attempt}"
-            status, body, cut = await self._try(http, rng, request_id, begun, events)
+            headers = [("host", self.host), ("x-attempt-id", request_id)]
+            if begun is not None:
+                headers.append(("last-event-id", str(events - 1)))
+                headers += [("resumes", begun[0])] if named else []
+            status, body, cut = await self._try(http, rng, f"/resume/{name}", headers)
             if begun is None:
                 self.ledger.record_call("resume", request_id, status, body, cut)
             else:
@@ -67,17 +74,9 @@
             await asyncio.sleep(rng.random() * 0.1)
 
     async def _try(
-        self,
-        http: HttpClient,
-        rng: random.Random,
-        request_id: str,
-        begun: tuple[str, bytes] | None,
-        events: int,
+        self, http: HttpClient, rng: random.Random, path: str, headers: list[tuple[str, str]]
     ) -> tuple[int, bytes, bool]:
         """Send one call; return its status and body, and whether the body broke off."""
-        headers = [("host", self.host), ("x-attempt-id", request_id), ("x-time-left-ms", "3000")]
-        if begun is not None:
-            headers += [("resumes", begun[0]), ("last-event-id", str(events - 1))]
         status, pieces, cut = 0, [], True
         leave_after = rng.randint(1, 6) if rng.random() < LEAVE_SHARE else None
         try:
@@ -85,9 +84,9 @@
                 response = await http.send(
                     self.choose_gateway(rng),
                     "POST",
-                    f"/resume/{request_id}",
+                    path,
                     b"prompt",
-                    headers,
+                    [*headers, ("x-time-left-ms", "3000")],
                     timeout_s=TIMEOUT_S,
                 )
                 status = response.status
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -143,7 +143,9 @@
         origins, resumes = self.forwarder.origins, self.head.resume_after is not None
         if origins is not None and resumes and self.route.kind is RouteKind.STREAM:
             max_age_s = self.route.timeout_s * MAX_STREAM_AGE_TIMEOUTS
-            self.version = await origins.find_version(self.head, self.service, max_age_s)
+            self.version = await origins.find_version(
+                self.head, self.request, self.service, max_age_s
+            )
 
     def _begin_stream(self, version: SoftwareVersion) -> None:
         """Note the software version that brings the first event of the stream."""
@@ -152,7 +154,7 @@
             remaining_s = self.head.remaining_s
             if remaining_s is not None:
                 remaining_s -= monotonic() - self.arrived_at
-            self.forwarder.origins.record(self.head.request_id, version, remaining_s)
+            self.forwarder.origins.record(self.head, self.request, version, remaining_s)
 
     async def open(self, resume_after: int | None) -> Exchange:
         """Send the call to one target after another until one answers.
--- a/gradepoint/gateway/stream_origins.py
+++ b/gradepoint/gateway/stream_origins.py
@@ -7,6 +7,7 @@
 
 from .. import events
 from ..errors import GradepointError
+from ..routing.stream_versions import make_stream_key, make_stream_request
 from ..telemetry import metrics
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
@@ -15,9 +16,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..ids import RequestId, ServiceName, SoftwareVersion
+    from ..ids import ServiceName, SoftwareVersion, StreamRequest
     from ..peers.stream_versions import StreamVersions
     from .dialect import CallHead
+    from .identity import RequestIdentity
     from .refresh import SharedRefresh
     from .targets import TargetSet
 
@@ -55,19 +57,26 @@
     proven_at: Callable[[], float]
 
     def record(
-        self, request: RequestId, version: SoftwareVersion, remaining_s: float | None
+        self,
+        head: CallHead,
+        request: RequestIdentity,
+        version: SoftwareVersion,
+        remaining_s: float | None,
     ) -> None:
         """Record the version that begins a stream, before the caller gets the first event.
 
-        :param request: id of the call; empty if the caller sent none and can't resume the stream.
         :param remaining_s: seconds that the caller still waits; None if it doesn't say.
         """
-        if request:
-            lifetime_s = DEFAULT_LIFETIME_S if remaining_s is None else max(0.0, remaining_s)
-            self.versions.record(request, version, lifetime_s + LIFETIME_MARGIN_S)
+        lifetime_s = DEFAULT_LIFETIME_S if remaining_s is None else max(0.0, remaining_s)
+        self.versions.record(
+            hash_request(request),
+            make_stream_key(head.request_id),
+            version,
+            lifetime_s + LIFETIME_MARGIN_S,
+        )
 
     async def find_version(
-        self, head: CallHead, service: ServiceName, max_age_s: float
+        self, head: CallHead, request: RequestIdentity, service: ServiceName, max_age_s: float
     ) -> SoftwareVersion:
         """Return the version that began the stream which a call resumes.
 
@@ -75,9 +84,10 @@
         :raises GradepointError: ``stream_version_unknown``.
         """
         arrived_at = monotonic()
-        version, source = None, OriginSource.RECORD
-        if head.resumed_request is not None:
-            version = await self.versions.find(head.resumed_request)
+        resumed = head.resumed_request
+        key = None if resumed is None else make_stream_key(resumed)
+        version = await self.versions.find(hash_request(request), key)
+        source = OriginSource.RECORD
         if version is None:
             version = await self._find_only_version(service, arrived_at, max_age_s)
             source = OriginSource.UNKNOWN if version is None else OriginSource.ONLY_VERSION
@@ -85,7 +95,7 @@
         emit(
             events.STREAM_TAKEN_UP,
             request=head.request_id,
-            resumes=head.resumed_request,
+            resumes=resumed,
             after_event=head.resume_after,
             version=version,
             source=source.value,
@@ -110,3 +120,8 @@
         if self.proven_at() < arrived_at:
             return None
         return self.targets.find_only_version(service, since)
+
+
+def hash_request(request: RequestIdentity) -> StreamRequest:
+    """Return the hash of a request without its caller, whose credentials may change meanwhile."""
+    return make_stream_request(request.host, request.method, request.path, request.body)
--- a/gradepoint/ids.py
+++ b/gradepoint/ids.py
@@ -34,6 +34,8 @@
 """Class of a host's link and memory; hosts of higher classes have more."""
 StreamKey = NewType("StreamKey", int)
 """Hash of the id of the call that began a stream."""
+StreamRequest = NewType("StreamRequest", int)
+"""Hash of what all calls for one stream have in common."""
 ItemId = NewType("ItemId", str)
 RequestKey = NewType("RequestKey", int)
 """Hash of everything that makes two calls the same request, regardless of their request ids."""
--- a/gradepoint/peers/datagrams.py
+++ b/gradepoint/peers/datagrams.py
@@ -19,6 +19,7 @@
     ServiceName,
     SoftwareVersion,
     StreamKey,
+    StreamRequest,
     TargetNumber,
 )
 from ..routing.suspects import SuspectsMessage
@@ -188,26 +189,38 @@
     receivers: list[tuple[str, int]]
 
 
-class StreamNotice(msgspec.Struct, frozen=True, array_like=True, tag="stream"):
-    """The software version that began a stream, sent to the hosts that record it and as an answer
-    to :class:`StreamQuery`.
+class StreamRow(msgspec.Struct, frozen=True, array_like=True):
+    """The software version that began a stream.
 
-    :param key: key of the stream.
-    :param version: None if the sender has no record.
     :param expires_ms: milliseconds for which the caller may still resume the stream.
     """
 
-    format: int
     key: StreamKey
-    version: SoftwareVersion | None = None
-    expires_ms: int = 0
+    version: SoftwareVersion
+    expires_ms: int
+
+
+class StreamNotice(msgspec.Struct, frozen=True, array_like=True, tag="stream"):
+    """Streams of one request, sent to the hosts that record them and as an answer to
+    :class:`StreamQuery`.
+
+    :param rows: the streams; empty if the sender has no record.
+    """
+
+    format: int
+    request: StreamRequest
+    rows: list[StreamRow] = []
 
 
 class StreamQuery(msgspec.Struct, frozen=True, array_like=True, tag="stream-query"):
-    """Asks which software version began a stream."""
+    """Asks which software version began a stream.
+
+    :param key: None asks for the newest stream of each version.
+    """
 
     format: int
-    key: StreamKey
+    request: StreamRequest
+    key: StreamKey | None = None
 
 
 Message = Heartbeat | Report | Digest | RelayedDigest | StreamNotice | StreamQuery
--- a/gradepoint/util/hashing.py
+++ b/gradepoint/util/hashing.py
@@ -38,9 +38,9 @@
     return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=4).digest(), "big")
 
 
-def hash64(text: str) -> int:
-    """Return a 64-bit hash of *text*, for numbers that must not collide by chance."""
-    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
+def hash64(data: bytes) -> int:
+    """Return a 64-bit hash of *data*, for numbers that must not collide by chance."""
+    return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest(), "big")
 
 
 def mix64(number: int) -> int:
--- a/tests/test_gateway/test_gateway_software_versions.py
+++ b/tests/test_gateway/test_gateway_software_versions.py
@@ -93,14 +93,17 @@
     run_in_virtual_time(work)
 
 
+@pytest.mark.parametrize("named", [True, False])
 @pytest.mark.parametrize("number", range(4))
-def test_stream_taken_up_at_another_host_goes_on_at_its_software_version(number: int) -> None:
+def test_stream_taken_up_at_another_host_goes_on_at_its_software_version(
+    number: int, named: bool
+) -> None:
     async def work(deployment: Deployment) -> None:
         versions = ("v1", "v1", "v2", "v2")
         await start_versions(deployment, *versions, gateways=3, event_interval_s=EVENT_INTERVAL_S)
         begun, _ = await begin_stream(deployment, f"stream-{number}")
         for gateway in range(2):
-            answer = await take_up(deployment, begun, gateway)
+            answer = await take_up(deployment, begun, gateway, **({} if named else {"resumes": ""}))
             assert (answer.status, answer.broken) == (200, False)
             [version] = versions_run(deployment, begun.request_id, answer.request_id)
             first = last_event(begun.body) + 1
