Take a stream of a split route up at the service that began it

What callers saw (read in the code, while the cause was looked for elsewhere): a stream of a route that is split over services was taken up at any of them by their weights, and so was the text of an item, also at another model's targets of the same version.

Change: a target's software is its service and version; a resumed stream or item goes to the service of its version. Where no target has the version, callers are told to return after 0.5 s, since a target that crashed needs some seconds.

Evidence: test_stream_of_a_split_route_is_taken_up_at_the_service_that_began_it (4 settings) and test_text_of_an_item_of_a_split_route_is_of_one_service failed before and pass.

--- a/gradepoint/gateway/configuration.py
+++ b/gradepoint/gateway/configuration.py
@@ -84,6 +84,11 @@
             return self.resumable
         return self.kind in (RouteKind.REPEATABLE, RouteKind.BATCH)
 
+    @property
+    def services(self) -> list[ServiceName]:
+        """The services that may get calls of the route."""
+        return [share.service for share in self.shares]
+
     def pick_service(self, rng: random.Random) -> ServiceName:
         """Return a service by the weights of the split."""
         if len(self.shares) == 1:
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -43,6 +43,9 @@
 refused. Each takes at most the connect timeout, so that the refusal comes early."""
 RETRY_AFTER_S = 0.05
 """Minimum ``Retry-After`` in seconds of a refused call: about the time to a first token."""
+VERSION_RETRY_AFTER_S = 0.5
+"""``Retry-After`` in seconds if no target has the software version of a stream. One that crashed is
+back within some seconds, for which callers wait."""
 MAX_STREAM_AGE_TIMEOUTS = 2
 """Multiple of the route's timeout after which no caller resumes a stream any more: an answer ends
 by the timeout, and so does the one that resumes it."""
@@ -143,9 +146,10 @@
         origins, resumes = self.forwarder.origins, self.head.resume_after is not None
         if origins is not None and resumes and self.route.kind is RouteKind.STREAM:
             max_age_s = self.route.timeout_s * MAX_STREAM_AGE_TIMEOUTS
-            self.version = await origins.find_version(
-                self.head, self.request, self.service, max_age_s
-            )
+            services = self.route.services
+            self.version = await origins.find_version(self.head, self.request, services, max_age_s)
+            found = self.forwarder.targets.find_service(services, self.version)
+            self.service = found or self.service
 
     def _begin_stream(self, version: SoftwareVersion) -> None:
         """Note the software version that brings the first event of the stream."""
@@ -317,8 +321,9 @@
             # A target that broke the stream off may still be the only one that can continue it.
             target = self.forwarder.choose(self.service, set(), None, self.version)
         if target is None:
-            code = "no_target" if self.version is None else "no_target_of_version"
-            raise self._make_refusal(code, self.forwarder.estimate_wait_s(self.service))
+            if self.version is not None:
+                raise self._make_refusal("no_target_of_version", VERSION_RETRY_AFTER_S)
+            raise self._make_refusal("no_target", self.forwarder.estimate_wait_s(self.service))
         return target
 
     def choose(self, accept: Callable[[Target], bool] | None = None) -> Target | None:
--- a/gradepoint/gateway/stream_origins.py
+++ b/gradepoint/gateway/stream_origins.py
@@ -7,10 +7,12 @@
 
 from .. import events
 from ..errors import GradepointError
+from ..ids import RequestId
 from ..routing.stream_versions import make_stream_key, make_stream_request
 from ..telemetry import metrics
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
+from ..util.hashing import new_token
 from ..util.structs import Struct
 
 if TYPE_CHECKING:
@@ -68,18 +70,25 @@
         :param remaining_s: seconds that the caller still waits; None if it doesn't say.
         """
         lifetime_s = DEFAULT_LIFETIME_S if remaining_s is None else max(0.0, remaining_s)
+        # Streams of calls without an id must not replace each other's records.
+        call = head.request_id or RequestId(new_token())
         self.versions.record(
             hash_request(request),
-            make_stream_key(head.request_id),
+            make_stream_key(call),
             version,
             lifetime_s + LIFETIME_MARGIN_S,
         )
 
     async def find_version(
-        self, head: CallHead, request: RequestIdentity, service: ServiceName, max_age_s: float
+        self,
+        head: CallHead,
+        request: RequestIdentity,
+        services: list[ServiceName],
+        max_age_s: float,
     ) -> SoftwareVersion:
         """Return the version that began the stream which a call resumes.
 
+        :param services: services that may have begun it.
         :param max_age_s: seconds since which the stream may have begun.
         :raises GradepointError: ``stream_version_unknown``.
         """
@@ -89,7 +98,7 @@
         version = await self.versions.find(hash_request(request), key)
         source = OriginSource.RECORD
         if version is None:
-            version = await self._find_only_version(service, arrived_at, max_age_s)
+            version = await self._find_only_version(services, arrived_at, max_age_s)
             source = OriginSource.UNKNOWN if version is None else OriginSource.ONLY_VERSION
         metrics.shared().resumed_streams.add(1, {"source": source.value})
         emit(
@@ -105,7 +114,7 @@
         return version
 
     async def _find_only_version(
-        self, service: ServiceName, arrived_at: float, max_age_s: float
+        self, services: list[ServiceName], arrived_at: float, max_age_s: float
     ) -> SoftwareVersion | None:
         """Return the version of all targets that may have begun a stream, if they share one.
 
@@ -113,13 +122,13 @@
         that only other hosts know.
         """
         since = arrived_at - max_age_s
-        if self.targets.find_only_version(service, since) is None:
+        if self.targets.find_only_version(services, since) is None:
             return None
         if self.proven_at() < arrived_at:
             await self.refresh.run_since(arrived_at)
         if self.proven_at() < arrived_at:
             return None
-        return self.targets.find_only_version(service, since)
+        return self.targets.find_only_version(services, since)
 
 
 def hash_request(request: RequestIdentity) -> StreamRequest:
--- a/gradepoint/gateway/targets.py
+++ b/gradepoint/gateway/targets.py
@@ -25,7 +25,7 @@
 from .health import TargetHealth
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection
+    from collections.abc import Callable, Collection, Iterable
 
     from ..ids import ServiceName, TargetName, TargetNumber
     from ..peers.results import ReportedResults
@@ -301,18 +301,31 @@
         self.by_service[target.listed.service].remove(target)
         self.former_versions[target.listed.service][target.listed.version] = monotonic()
 
-    def find_only_version(self, service: ServiceName, since: float) -> SoftwareVersion | None:
-        """Return the software version of all targets that a service has had since a time.
+    def find_only_version(
+        self, services: Iterable[ServiceName], since: float
+    ) -> SoftwareVersion | None:
+        """Return the software version of all targets that services have had since a time.
 
         None if there were several or none, or if the list isn't known since then.
         """
         if self.known_since > since:
             return None
-        former = self.former_versions[service]
-        versions = {target.listed.version for target in self.by_service[service]}
-        versions.update(version for version, removed_at in former.items() if removed_at >= since)
+        versions: set[SoftwareVersion] = set()
+        for service in services:
+            former = self.former_versions[service].items()
+            versions.update(target.listed.version for target in self.by_service[service])
+            versions.update(version for version, removed_at in former if removed_at >= since)
         return versions.pop() if len(versions) == 1 else None
 
+    def find_service(
+        self, services: Iterable[ServiceName], version: SoftwareVersion
+    ) -> ServiceName | None:
+        """Return the service among *services* that has targets of a software version."""
+        for service in services:
+            if any(target.listed.version == version for target in self.by_service[service]):
+                return service
+        return None
+
     def candidates(
         self, service: ServiceName, now: float, version: SoftwareVersion | None = None
     ) -> list[Target]:
--- a/gradepoint/ids.py
+++ b/gradepoint/ids.py
@@ -25,7 +25,8 @@
 TargetId = NewType("TargetId", str)
 """Identifies one incarnation of a target; a restarted target has a new one."""
 SoftwareVersion = NewType("SoftwareVersion", str)
-"""Version of a target's software, which is independent of the versions of its models."""
+"""A target's software: its service and version, which is independent of the versions of its models.
+Targets of equal software continue each other's streams."""
 TargetNumber = NewType("TargetNumber", int)
 """Short hash of a :data:`TargetId`, used in messages between hosts."""
 Incarnation = NewType("Incarnation", str)
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -30,7 +30,7 @@
 from ..wire.http_client import ConnectFailed
 from .item_run import ItemFailed, ItemUnprocessable, run_item
 from .owned import OwnedJob
-from .records import ItemOutcome, Result
+from .records import ItemOutcome, PartialText, Result
 from .repository import CommittedWork, StoredJob, Superseded
 from .slot_sharing import allot_spare_slots, choose_batch_target, count_spare_slots
 
@@ -38,7 +38,7 @@
     import random
     from collections.abc import Callable
 
-    from ..gateway.configuration import Configuration
+    from ..gateway.configuration import Configuration, Route
     from ..gateway.forwarding import Forwarder
     from ..gateway.identity import RequestIdentity
     from ..gateway.targets import Target
@@ -465,7 +465,7 @@
             if route is None:
                 job.record_result(Result(index, ItemOutcome.DEAD))
                 continue
-            service = route.pick_service(self.rng)
+            service = self._pick_service(route, job.find_version(index))
             if self.must_hold_back(service):
                 without_slot.add(job.id)
                 continue
@@ -488,6 +488,13 @@
             self.start_allowance -= 1
             self._start(job, index, target, route.max_attempts)
 
+    def _pick_service(self, route: Route, version: SoftwareVersion | None) -> ServiceName:
+        """Return the service for an item: the one that can continue its text, if there is one."""
+        found = None
+        if version is not None:
+            found = self.forwarder.targets.find_service(route.services, version)
+        return found or route.pick_service(self.rng)
+
     def _choose_target_for(
         self, job: OwnedJob, index: int, service: ServiceName, now: float, propagation_s: float
     ) -> tuple[Target | None, bool]:
@@ -585,7 +592,7 @@
         job, index = running.job, running.index
         target.end()
         try:
-            partial = job.partial[index]
+            partial = job.partial.setdefault(index, PartialText(version=target.listed.version))
             text = await run_item(
                 self.forwarder,
                 target,
--- a/gradepoint/platform/targets.py
+++ b/gradepoint/platform/targets.py
@@ -60,7 +60,7 @@
         slots=entry.slot_count,
         state=ListedState(entry.state.value),
         born_ms=None if entry.born is msgspec.UNSET else entry.born,
-        version=SoftwareVersion(entry.version),
+        version=SoftwareVersion(f"{entry.service}@{entry.version}"),
     )
 
 
--- a/tests/test_gateway/test_gateway_software_versions.py
+++ b/tests/test_gateway/test_gateway_software_versions.py
@@ -19,6 +19,7 @@
     CallAnswer,
     Deployment,
     item_text,
+    route,
     run_in_virtual_time,
     until,
 )
@@ -173,7 +174,7 @@
         await deployment.add_target(second)
         if not free:
             for listed in deployment.gateways[0].targets.by_id.values():
-                if listed.listed.version == "v1":
+                if listed.listed.version == "model@v1":
                     listed.in_flight += 100
         [row] = await deployment.read_all_results("job")
         assert row["message"] == item_text("job-0", EVENTS, "v1" if free else "v2")
@@ -264,3 +265,65 @@
             assert answer.body == complete_stream(answer.request_id, EVENTS, version)
 
     run_in_virtual_time(work)
+
+
+SPLIT = {
+    "service": None,
+    "traffic_split": [{"service": "model", "weight": 50}, {"service": "other", "weight": 50}],
+}
+
+
+async def start_split_services(deployment: Deployment, **target: object) -> None:
+    """Start two gateways, and two targets of each of two services that share all routes."""
+    await start_versions(deployment, "v1", "v1", gateways=2, **target)
+    for number in range(2):
+        standin = TargetStandin(f"o{number}", service="other", events=EVENTS, **target)  # type: ignore[arg-type]
+        await deployment.add_target(standin)
+    routes = [
+        route("resume", "streaming", max_attempts=3, resumable=True, **SPLIT),
+        route("night", "batch", due_ms=18000, retention_s=60, max_attempts=2, **SPLIT),
+    ]
+    await deployment.configure(2, None, routes)
+    for gateway in deployment.gateways:
+        await until(lambda gateway=gateway: len(gateway.targets.by_id) == 4)  # type: ignore[misc]
+
+
+def services_run(deployment: Deployment, *request_ids: str) -> set[str]:
+    """Return the services whose targets ran any of these requests."""
+    return {
+        target.service
+        for target in deployment.targets
+        if any(target.ran[request_id] for request_id in request_ids)
+    }
+
+
+@pytest.mark.parametrize("number", range(4))
+def test_stream_of_a_split_route_is_taken_up_at_the_service_that_began_it(number: int) -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_split_services(deployment, event_interval_s=EVENT_INTERVAL_S)
+        begun, _ = await begin_stream(deployment, f"stream-{number}")
+        for _ in range(4):
+            answer = await take_up(deployment, begun)
+            assert answer.status == 200
+            assert len(services_run(deployment, begun.request_id, answer.request_id)) == 1
+
+    run_in_virtual_time(work)
+
+
+def test_text_of_an_item_of_a_split_route_is_of_one_service() -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_split_services(deployment)
+        for target in deployment.targets:
+            target.faults = [TargetFault.CUT, TargetFault.NONE]
+        assert (await deployment.submit("job", 8)).status == 202
+        await deployment.read_all_results("job")
+        for index in range(8):
+            begun, resumed = set(), set()
+            for target in deployment.targets:
+                for request in target.seen:
+                    if request.headers["x-attempt-id"] == f"job-{index}":
+                        runs = resumed if "last-event-id" in request.headers else begun
+                        runs.add(target.service)
+            assert resumed <= begun
+
+    run_in_virtual_time(work)
