Look once a round for slots of a software version without one

An item that waits for a target of its version looked at all targets in each round, and each item of a job by itself; before items had versions, a job's first item without a slot ended the round for all of its items. Now the version is looked at once a round for all items.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -47,6 +47,27 @@
 ONLINE = "tests/test_online"
 
 MUTATIONS: tuple[Mutation, ...] = (
+    Mutation(
+        "stream is resumed at any software version",
+        "gateway/live.py",
+        "return self.forwarder.choose(self.service, self.tried, accept, self.version)",
+        "return self.forwarder.choose(self.service, self.tried, accept)",
+        f"{GATEWAY}/test_gateway_software_versions.py",
+    ),
+    Mutation(
+        "stream is recorded at no other host",
+        "peers/stream_versions.py",
+        "for address in find_holders(request, live, HOLDERS):",
+        "for address in find_holders(request, live, 0):",
+        f"{GATEWAY}/test_gateway_software_versions.py",
+    ),
+    Mutation(
+        "text of an item is continued by any software version",
+        "jobs/records.py",
+        "kept = self.empty or self.version == version",
+        "kept = True",
+        f"{GATEWAY}/test_gateway_software_versions.py",
+    ),
     Mutation(
         "chunk is written without a revision check",
         "batch/repository.py",
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -454,6 +454,7 @@
         propagation_s = PROPAGATION_MARGIN_S + self.propagation_delay_s()
         self._share_slots(now, propagation_s)
         without_slot: set[JobId] = set()
+        full: dict[SoftwareVersion, bool] = {}
         for _, _, job, index in sorted(self._list_open_items(now), key=itemgetter(0, 1)):
             if not self.start_allowance:
                 return
@@ -478,7 +479,9 @@
                     job.not_before[index] = now + TRIAL_RETRY_S
                     continue
             else:
-                target, waits = self._choose_target_for(job, index, service, now, propagation_s)
+                target, waits = self._choose_target_for(
+                    job, index, service, now, propagation_s, full
+                )
                 if waits:
                     continue
             if target is None:
@@ -496,17 +499,28 @@
         return found or route.pick_service(self.rng)
 
     def _choose_target_for(
-        self, job: OwnedJob, index: int, service: ServiceName, now: float, propagation_s: float
+        self,
+        job: OwnedJob,
+        index: int,
+        service: ServiceName,
+        now: float,
+        propagation_s: float,
+        full: dict[SoftwareVersion, bool],
     ) -> tuple[Target | None, bool]:
         """Return a target with a spare slot for an item, or None, and whether the item has to wait
-        for a target that can continue its text."""
+        for a target that can continue its text.
+
+        :param full: versions without a spare slot in this round, and whether they have targets.
+        """
         version = job.find_version(index)
-        if version is not None and self.forwarder.targets.candidates(service, now, version):
-            target = self._choose_target(service, now, propagation_s, version)
+        if version is not None:
+            if version not in full:
+                target = self._choose_target(service, now, propagation_s, version)
+                if target is not None:
+                    return target, False
+                full[version] = bool(self.forwarder.targets.candidates(service, now, version))
             waiting_since = job.waiting_since.setdefault(index, now)
-            if target is not None:
-                return target, False
-            if now - waiting_since < MAX_VERSION_WAIT_S:
+            if full[version] and now - waiting_since < MAX_VERSION_WAIT_S:
                 return None, True
         return self._choose_target(service, now, propagation_s), False
 
