Log the prompt parts of requests on a crashed target

The logs of the incident could not tell whether the requests on crashed targets shared a part of their prompts (hypothesis 1) or were one prompt under changing paths (hypothesis 2): nothing read the header that lists the parts. Calls and batch items now carry the parts that others may share, all but the last, and target_ended lists them per request. They decide nothing yet. At most 32 parts are read, so that one header cannot fill a log line or a table.

--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -111,7 +111,10 @@
     "A target restarted; the state of its former incarnation is discarded.",
 )
 TARGET_ENDED = _declare(
-    215, "target_ended", "WARNING", "A target crashed while it ran the named requests of this host."
+    215,
+    "target_ended",
+    "WARNING",
+    "A target crashed while it ran the named requests of this host, with these prompt parts.",
 )
 REQUEST_SUSPECTED = _declare(
     217,
--- a/gradepoint/gateway/dialect.py
+++ b/gradepoint/gateway/dialect.py
@@ -7,7 +7,7 @@
 from ..util.structs import Struct
 
 if TYPE_CHECKING:
-    from ..ids import OrganisationName, RequestId, TargetName
+    from ..ids import OrganisationName, PromptPart, RequestId, TargetName
     from ..wire.http_client import ClientResponse
 
 RawHeaders = list[tuple[bytes, bytes]]
@@ -26,6 +26,7 @@
     :param organisation: the calling organisation, as this host determined it from the key.
     :param resumed_request: ID of the earlier call that brought the first event of the stream which
         this call resumes; None if the caller names none.
+    :param prompt_parts: parts of its prompt that other calls may share.
     """
 
     request_id: RequestId
@@ -37,6 +38,7 @@
     key: bytes = b""
     organisation: OrganisationName | None = None
     resumed_request: RequestId | None = None
+    prompt_parts: tuple[PromptPart, ...] = ()
 
 
 class AnswerHead(Struct, frozen=True):
@@ -61,6 +63,10 @@
     def read_call(self, headers: RawHeaders) -> CallHead:
         """Decode a caller's headers."""
 
+    def read_prompt_parts(self, headers: RawHeaders) -> tuple[PromptPart, ...]:
+        """Return the parts of a prompt that other calls may share, from the headers of a call or
+        batch item."""
+
     def set_caller(self, head: CallHead, organisation: OrganisationName | None) -> CallHead:
         """Set the organisation of a call, if the configuration has organisations.
 
--- a/gradepoint/gateway/identity.py
+++ b/gradepoint/gateway/identity.py
@@ -13,6 +13,7 @@
 from ..util.structs import Struct
 
 if TYPE_CHECKING:
+    from ..ids import PromptPart
     from .dialect import CallHead
 
 KEY_BYTES = 8
@@ -26,6 +27,8 @@
 
     Objects are compared by identity, so that two calls of the same request remain distinct. The
     key is computed when it is first needed: after a complete answer, or when a target crashes.
+
+    :param prompt_parts: parts of the prompt that other requests may share.
     """
 
     host: str
@@ -33,6 +36,7 @@
     method: str
     path: str
     body: bytes
+    prompt_parts: tuple[PromptPart, ...] = ()
 
     @cached_property
     def key(self) -> RequestKey:
@@ -46,8 +50,8 @@
 
 
 def identify(head: CallHead, method: str, path: str, body: bytes) -> RequestIdentity:
-    """Return the identity of a call or batch item."""
-    return RequestIdentity(head.host, head.caller, method, path, body)
+    """Return the identity of a call."""
+    return RequestIdentity(head.host, head.caller, method, path, body, head.prompt_parts)
 
 
 def format_key(key: RequestKey) -> str:
--- a/gradepoint/gateway/target_crashes.py
+++ b/gradepoint/gateway/target_crashes.py
@@ -237,6 +237,7 @@
             requests=[
                 format_key(request.key) for request, _ in crash.requests[:MAX_LOGGED_REQUESTS]
             ],
+            parts=[request.prompt_parts for request, _ in crash.requests[:MAX_LOGGED_REQUESTS]],
             planned=crash.planned,
             common=crash.common,
         )
--- a/gradepoint/jobs/item_run.py
+++ b/gradepoint/jobs/item_run.py
@@ -57,10 +57,7 @@
         host=request.host,
         remaining_s=None,
         resume_after=None,
-        forwarded_headers=[
-            (name.lower().encode("latin-1"), value.encode("latin-1"))
-            for name, value in item.headers
-        ],
+        forwarded_headers=item.encode_headers(),
     )
     if organisation is not None:
         head = forwarder.dialect.set_caller(head, organisation)
--- a/gradepoint/jobs/owned.py
+++ b/gradepoint/jobs/owned.py
@@ -18,7 +18,10 @@
 from .records import ItemOutcome, PartialText, Result
 
 if TYPE_CHECKING:
-    from ..ids import ItemId, JobId, SoftwareVersion
+    from collections.abc import Callable
+
+    from ..gateway.dialect import RawHeaders
+    from ..ids import ItemId, JobId, PromptPart, SoftwareVersion
     from .records import Item
     from .repository import StoredJob
 
@@ -30,6 +33,7 @@
         the job is created there.
     :param results: listed results with their texts, by position.
     :param accepted_at: monotonic time of the job's acceptance, at any host.
+    :param read_prompt_parts: returns the shared parts of an item's prompt, from its headers.
     :ivar pending: ended items that no commit has listed yet.
     :ivar failures: failed attempts by index.
     :ivar partial: texts received so far for items that have not ended, by index.
@@ -50,6 +54,7 @@
     items: list[Item]
     results: list[Result]
     accepted_at: float
+    read_prompt_parts: Callable[[RawHeaders], tuple[PromptPart, ...]] = lambda _: ()
     pending: list[Result] = field(default_factory=list)
     failures: dict[int, int] = field(default_factory=dict)
     partial: dict[int, PartialText] = field(default_factory=dict)
@@ -129,8 +134,9 @@
         known = self.identities.get(index)
         if known is None:
             item, host = self.items[index], self.stored.state.host
+            parts = self.read_prompt_parts(item.encode_headers("replace"))
             known = self.identities[index] = RequestIdentity(
-                host, b"", "POST", item.path, item.body
+                host, b"", "POST", item.path, item.body, parts
             )
         return known
 
--- a/gradepoint/jobs/records.py
+++ b/gradepoint/jobs/records.py
@@ -63,6 +63,16 @@
     body: bytes
     tokens: int
 
+    def encode_headers(self, errors: str = "strict") -> list[tuple[bytes, bytes]]:
+        """Return the headers with lowercase names, as on a connection.
+
+        :param errors: treatment of characters that a header can't have, as of :meth:`str.encode`.
+        """
+        return [
+            (name.lower().encode("latin-1", errors), value.encode("latin-1", errors))
+            for name, value in self.headers
+        ]
+
 
 class Result(msgspec.Struct, frozen=True, array_like=True):
     """The result of an ended item.
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -226,7 +226,9 @@
         partial = await self.repository.load_partial(stored)
         if stored.id in self.jobs:
             return
-        job = OwnedJob(stored, items, results, monotonic() - stored.state.age_s)
+        accepted_at = monotonic() - stored.state.age_s
+        read_prompt_parts = self.forwarder.dialect.read_prompt_parts
+        job = OwnedJob(stored, items, results, accepted_at, read_prompt_parts)
         job.failures = dict(stored.state.failures)
         job.partial = partial
         self._add(job)
@@ -241,7 +243,8 @@
         if spooled.id in self.jobs or self.stopping:
             return
         stored = StoredJob(spooled.id, spooled.state, ABSENT, created=NOT_YET_CREATED)
-        self._add(OwnedJob(stored, spooled.items, [], monotonic()))
+        read_prompt_parts = self.forwarder.dialect.read_prompt_parts
+        self._add(OwnedJob(stored, spooled.items, [], monotonic(), read_prompt_parts))
 
     def _mark_entered(self, stored: StoredJob) -> bool:
         """Continue a job that was started early, now that the key-value service has it.
--- a/gradepoint/platform/headers.py
+++ b/gradepoint/platform/headers.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ..gateway.dialect import AnswerHead, CallHead
-from ..ids import RequestId
+from ..ids import PromptPart, RequestId
 from ..util.numbers import read_whole_number
 
 if TYPE_CHECKING:
@@ -23,6 +23,9 @@
 API_KEY = b"x-credential"
 CREDENTIALS = (API_KEY, b"authorization")
 ORGANISATION = b"x-tenant"
+PROMPT_PARTS = b"x-prompt-prefix"
+MAX_PROMPT_PARTS = 32
+"""Parts of a prompt that are read; the table of suspects is bounded by them."""
 NOT_RUN = "x-not-run"
 WAIT_MS = "x-wait-ms"
 MISDIRECTED_STATUS = 421
@@ -63,8 +66,21 @@
             caller=b"\x00".join(values.get(name, b"") for name in CREDENTIALS),
             key=values.get(API_KEY, b"").strip(),
             resumed_request=RequestId(resumed.decode("latin-1")) if resumed else None,
+            prompt_parts=self.read_prompt_parts(headers) if PROMPT_PARTS in values else (),
         )
 
+    def read_prompt_parts(self, headers: RawHeaders) -> tuple[PromptPart, ...]:
+        """See :meth:`Dialect.read_prompt_parts`.
+
+        The last part of a prompt belongs to the call or its session alone, and is left out.
+        """
+        value = b",".join(value for name, value in headers if name == PROMPT_PARTS)
+        names = [
+            row.partition(":")[0].strip().lower() for row in value.decode("latin-1").split(",")
+        ]
+        shared = dict.fromkeys(name for name in names[:-1] if name)
+        return tuple(PromptPart(name) for name in shared)[:MAX_PROMPT_PARTS]
+
     def set_caller(self, head: CallHead, organisation: OrganisationName | None) -> CallHead:
         """See :meth:`Dialect.set_caller`."""
         return msgspec.structs.replace(
