--- a/bench/platform/target.py
+++ b/bench/platform/target.py
@@ -66,6 +66,8 @@
         it.
     :ivar work_s: seconds that a plain response takes.
     :ivar harmful: request bodies that crash the target *crash_delay_s* seconds after their arrival.
+    :ivar harmful_parts: parts of prompts that crash the target in the same way, if a prompt has one
+        before its last part. A stream has begun by then.
     :ivar on_crash: called with the path of the harmful request; has to end the target.
     :ivar on_request: called with path and body of each request.
     """
@@ -91,6 +93,7 @@
     started_ms: int | None = None
     work_s: float = 0.0
     harmful: set[bytes] = field(default_factory=set)
+    harmful_parts: set[str] = field(default_factory=set)
     crash_delay_s: float = 0.01
     on_crash: Callable[[str], None] = lambda _: None
     on_request: Callable[[str, bytes], None] = lambda _, __: None
@@ -147,6 +150,11 @@
         if body in self.harmful:
             asyncio.get_running_loop().call_later(self.crash_delay_s, self.on_crash, request.path)
             await asyncio.Event().wait()
+        crashes = not self.harmful_parts.isdisjoint(read_shared_parts(request))
+        if crashes:
+            asyncio.get_running_loop().call_later(self.crash_delay_s, self.on_crash, request.path)
+            if "/plain/" in request.path:
+                await asyncio.Event().wait()
         echoed = "another" if fault is TargetFault.OTHER_ID else request_id
         headers = {"x-attempt-id": echoed, SEAL: f"{self.name}.{request_id}"}
         if fault is TargetFault.ERROR:
@@ -167,7 +175,8 @@
         early_end = None
         if self.framing_rng.random() < self.early_end_share:
             early_end = self.framing_rng.randrange(first, self.events) if first < self.events else 0
-        return Response(200, headers, stream=self._stream(request_id, first, fault, early_end))
+        stream = self._stream(request_id, first, fault, early_end)
+        return Response(200, headers, stream=hang_after_first(stream) if crashes else stream)
 
     async def _stream(
         self, request_id: str, first: int, fault: TargetFault, early_end: int | None
@@ -193,6 +202,18 @@
             self.working -= 1
 
 
+def read_shared_parts(request: Request) -> list[str]:
+    """Return the parts of a request's prompt without the last, which only this request has."""
+    rows = request.headers.get("x-prompt-prefix", "").split(",")
+    return [row.partition(":")[0] for row in rows[:-1]]
+
+
+async def hang_after_first(stream: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+    """Yield the first event of a stream, and never end."""
+    yield await anext(stream)
+    await asyncio.Event().wait()
+
+
 def end_body_with_connection(request: Request) -> None:
     """Let the body of the response have neither a length nor chunks, as in HTTP/1.0."""
     connection = request.body_source.__self__  # type: ignore[attr-defined]
--- /dev/null
+++ b/tests/test_gateway/test_gateway_harmful_parts.py
@@ -0,0 +1,123 @@
+"""Tests with prompts of which one part crashes the targets that run them.
+
+Each call that has the part differs from all others in every other respect, so that crashes only add
+up if they are counted by part. Sound calls share their caller and their other parts with them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+import pytest
+
+from tests.support.harmful_parts import (
+    LATE_RUNS,
+    SETTLED_CRASHES,
+    send_part_traffic,
+    start_part_traffic,
+)
+from tests.support.platform import (
+    ROUTES,
+    Deployment,
+    job_item,
+    route,
+    run_in_virtual_time,
+)
+
+HARMFUL = "bad0c0de"
+OTHER_HARMFUL = "bad1feed"
+LONG_ROUTE = route("long", "safe", max_attempts=3, goal_ms=3000)
+ITEMS = 24
+ITEMS_READ_S = 12.0
+"""Seconds in which all sound items have to be complete: well before the job is due."""
+
+
+@pytest.mark.parametrize("position", [0, 1, 2])
+def test_crashing_prompt_part_held_at_any_position(position: int) -> None:
+    async def work(deployment: Deployment) -> None:
+        traffic = await start_part_traffic(deployment, 4, 12, [HARMFUL], position=position)
+        await send_part_traffic(traffic)
+        traffic.check()
+
+    run_in_virtual_time(work)
+
+
+def test_crashing_prompt_part_held_with_few_targets() -> None:
+    async def work(deployment: Deployment) -> None:
+        traffic = await start_part_traffic(deployment, 6, 6, [HARMFUL])
+        await send_part_traffic(traffic, 0.25)
+        traffic.check()
+
+    run_in_virtual_time(work)
+
+
+def test_two_crashing_prompt_parts_held_at_once() -> None:
+    async def work(deployment: Deployment) -> None:
+        traffic = await start_part_traffic(deployment, 4, 12, [HARMFUL, OTHER_HARMFUL])
+        await send_part_traffic(traffic)
+        traffic.check()
+
+    run_in_virtual_time(work)
+
+
+@pytest.mark.parametrize(
+    "paths",
+    [
+        ["single/plain"],
+        ["resume"],
+        ["stream"],
+        ["resume", "stream", "plain/plain"],
+    ],
+)
+def test_crashing_prompt_part_held_on_routes_of_every_kind(paths: list[str]) -> None:
+    async def work(deployment: Deployment) -> None:
+        traffic = await start_part_traffic(deployment, 4, 12, [HARMFUL], paths=paths)
+        await send_part_traffic(traffic)
+        traffic.check()
+
+    run_in_virtual_time(work)
+
+
+def test_rarely_sent_crashing_prompt_part_held() -> None:
+    async def work(deployment: Deployment) -> None:
+        traffic = await start_part_traffic(deployment, 4, 12, [HARMFUL])
+        await send_part_traffic(traffic, 2.0)
+        traffic.check()
+
+    run_in_virtual_time(work)
+
+
+def test_crashing_prompt_part_held_beside_long_answers() -> None:
+    async def work(deployment: Deployment) -> None:
+        paths = ["long/plain"]
+        traffic = await start_part_traffic(deployment, 4, 12, [HARMFUL], paths=paths, work_s=1.5)
+        await deployment.configure(2, None, [*ROUTES, LONG_ROUTE])
+        await send_part_traffic(traffic)
+        traffic.check()
+
+    run_in_virtual_time(work)
+
+
+def test_batch_items_with_crashing_prompt_part_wait_while_others_complete() -> None:
+    async def work(deployment: Deployment) -> None:
+        traffic = await start_part_traffic(deployment, 3, 6, [HARMFUL])
+        items = []
+        for index in range(ITEMS):
+            harmful = HARMFUL if index % 3 == 0 else None
+            item = job_item("job", index)
+            item["headers"]["X-Prompt-Prefix"] = traffic.make_prompt(index, harmful)
+            items.append(item)
+        body = msgspec.json.encode({"items": items})
+        assert (await deployment.call("/night/job", body=body, request_id="job")).status == 202
+        states: dict[str, str] = {}
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        while len(states) < ITEMS * 2 // 3 and loop.time() < started_at + ITEMS_READ_S:
+            for row in (await deployment.read_results("job", len(states)))["results"]:
+                states[row["id"]] = row["state"]
+        print(f"runs {len(traffic.runs[HARMFUL])}, states {states}")
+        assert states == {f"job-{i}": "complete" for i in range(ITEMS) if i % 3}
+        assert len(traffic.runs[HARMFUL]) <= SETTLED_CRASHES + LATE_RUNS
+
+    run_in_virtual_time(work)
