--- a/gradepoint/cmd/held.py
+++ b/gradepoint/cmd/held.py
@@ -1,4 +1,5 @@
-"""``gradepoint held``: requests suspected of crashing targets or held back for it."""
+"""``gradepoint held``: requests and parts of prompts suspected of crashing targets or held back for
+it."""
 
 from __future__ import annotations
 
@@ -14,7 +15,7 @@
 
 
 def show_held(ask: Callable[[str, str], AdminAnswer], *, as_json: bool) -> None:
-    """Print the requests that a gateway suspects or holds back.
+    """Print the requests and parts of prompts that a gateway suspects or holds back.
 
     :param ask: sends a request with a method and a path to a gateway.
     :param as_json: whether to print JSON.
@@ -28,11 +29,11 @@
 
 
 def release_held(ask: Callable[[str, str], AdminAnswer], key: str) -> bool:
-    """Release a request, so that it is served normally again.
+    """Release a request or a part of prompts, so that it is served normally again.
 
     :param ask: sends a request with a method and a path to a gateway.
-    :param key: key of the request.
-    :returns: whether the gateway knew the request as suspected or held back.
+    :param key: key of the request or part.
+    :returns: whether the gateway knew it as suspected or held back.
     """
     answer = ask("DELETE", f"/held/{key}")
     if not answer.good:
@@ -43,4 +44,6 @@
 def _render(row: dict[str, Any]) -> str:
     ended = ", ".join(row["ended"])
     request = f"{row['method']} {row['host']}{row['path']}".strip() or "(request unknown)"
+    if row.get("part"):
+        request = f"prompts with part {row['part']}, such as {request}"
     return f"{row['key']} {row['standing']:>9} {request} ended: {ended}"
--- a/gradepoint/errors.py
+++ b/gradepoint/errors.py
@@ -260,6 +260,15 @@
             "Do not send this request again: it has run, and ended its targets. Change it, or "
             "give its key to the operator, who can let it go.",
         ),
+        ErrorKind(
+            "prompt_part_held",
+            502,
+            _C.TARGET,
+            _U,
+            None,
+            "Do not send prompts with this part again: they end their targets. Change it, or give "
+            "its key to the operator, who can let it go.",
+        ),
         ErrorKind(
             "retry_budget",
             503,
--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -120,22 +120,28 @@
     217,
     "request_suspected",
     "WARNING",
-    "Targets crashed while they ran a request; it is retried alone.",
+    "Targets crashed while they ran a request, or prompts with a part; they are tried alone.",
 )
 REQUEST_HELD = _declare(
-    218, "request_held", "WARNING", "A request crashed its targets again and is held back."
+    218,
+    "request_held",
+    "WARNING",
+    "A request, or a part of prompts, crashed targets again and is held back.",
 )
 REQUEST_CLEARED = _declare(
-    219, "request_cleared", "INFO", "A request is served normally again; see its standing."
+    219,
+    "request_cleared",
+    "INFO",
+    "A request, or a part of prompts, is served normally again; see its standing.",
 )
 HELD_NOT_KEPT = _declare(
     220,
     "held_not_kept",
     "WARNING",
-    "The service did not store a change of a held request; hosts still share it.",
+    "The service did not store a change of a held request or part; hosts still share it.",
 )
 HELD_UNREADABLE = _declare(
-    221, "held_unreadable", "ERROR", "The record of a held request cannot be decoded."
+    221, "held_unreadable", "ERROR", "The record of a held request or part cannot be decoded."
 )
 TARGET_CLOSED = _declare(
     216, "target_closed", "WARNING", "Nothing listens at a target's address; it gets no calls."
--- a/gradepoint/gateway/held.py
+++ b/gradepoint/gateway/held.py
@@ -1,4 +1,4 @@
-"""Storage of suspected and held requests, and the operators' page for them.
+"""Storage of suspected and held requests and parts of prompts, and the operators' page for them.
 
 The key-value service keeps them over a restart of all hosts.
 """
@@ -22,25 +22,27 @@
 from .identity import format_key, parse_key
 
 if TYPE_CHECKING:
-    from ..ids import RequestKey
+    from ..ids import SuspectKey
     from ..kv.service import KeyValueService
     from ..wire.http_types import Request
     from .identity import RequestIdentity
     from .suspicion import SuspectRow, Suspicion
 
 HELD_PREFIX = LIVE_PREFIX + "held/"
-"""Prefix of the keys of suspected requests; every host watches it."""
+"""Prefix of the keys of suspected requests and parts; every host watches it."""
 HELD_TTL_S = CRASH_LIFETIME_S
 """Lifetime of a key in seconds: as long as hosts remember a crash. Its lease is not renewed."""
 PAGE = "/held"
 
 
 class HeldRow(msgspec.Struct, frozen=True):
-    """Stored record of a suspected request.
+    """Stored record of a suspected request, or of a suspected part of prompts.
 
+    :param host: Host header of the request, or of one with this part; so are *method* and *path*.
     :param ended: IDs of the target incarnations that crashed while running it, as known to the host
         that wrote the record.
     :param ends: numbers of these incarnations, each with the weight of the trial.
+    :param part: the part of prompts; empty for a request.
     """
 
     host: str
@@ -48,10 +50,11 @@
     path: str
     ended: list[str]
     ends: list[tuple[TargetNumber, int]]
+    part: str = ""
 
 
 class ListedRequest(msgspec.Struct, frozen=True):
-    """One row of the operators' list of suspected and held requests."""
+    """One row of the operators' list of suspected and held requests and parts of prompts."""
 
     key: str
     standing: str
@@ -59,35 +62,40 @@
     method: str
     path: str
     ended: list[str]
+    part: str
 
 
 class HeldRequests(Struct):
-    """Stores suspected requests, restores them after a restart and serves operators.
+    """Stores suspected requests and parts of prompts, restores them after a restart and serves
+    operators.
 
-    :ivar rows: stored records by request.
+    :ivar rows: stored records by suspect.
     :ivar removed: records that this host has deleted, though the service may still list them.
     """
 
     kv: KeyValueService
     suspicion: Suspicion
-    rows: dict[RequestKey, HeldRow] = field(default_factory=dict)
-    removed: dict[RequestKey, HeldRow] = field(default_factory=dict)
+    rows: dict[SuspectKey, HeldRow] = field(default_factory=dict)
+    removed: dict[SuspectKey, HeldRow] = field(default_factory=dict)
     tasks: TaskGroup = field(default_factory=TaskGroup)
 
     def store(self, request: RequestIdentity, known: SuspectRow) -> None:
-        """Store a suspected request when this host sees a target crash while running it."""
-        row = HeldRow(request.host, request.method, request.path, known.crashed, known.crashes)
-        self.rows[request.key] = row
-        self.tasks.start(self._write(request.key, row))
-
-    def remove(self, key: RequestKey) -> None:
-        """Delete the record of a request that has been cleared."""
+        """Store a suspect of a request when this host sees a target crash while running it."""
+        part = request.suspects[known.key] or ""
+        row = HeldRow(
+            request.host, request.method, request.path, known.crashed, known.crashes, part
+        )
+        self.rows[known.key] = row
+        self.tasks.start(self._write(known.key, row))
+
+    def remove(self, key: SuspectKey) -> None:
+        """Delete the record of a suspect that has been cleared."""
         row = self.rows.pop(key, None)
         if row is not None:
             self.removed[key] = row
             self.tasks.start(self._delete(key))
 
-    async def _write(self, key: RequestKey, row: HeldRow) -> None:
+    async def _write(self, key: SuspectKey, row: HeldRow) -> None:
         """Write a record under its own lease.
 
         A failure is only logged, since the other hosts get the information by messages as well.
@@ -99,7 +107,7 @@
         except KvError as error:
             emit(events.HELD_NOT_KEPT, key=format_key(key), reason=str(error))
 
-    async def _delete(self, key: RequestKey) -> None:
+    async def _delete(self, key: SuspectKey) -> None:
         try:
             await self.kv.transact(Transaction((), (), (Delete(HELD_PREFIX + format_key(key)),)))
         except KvError as error:
@@ -112,7 +120,7 @@
         """
         key = parse_key(name.removeprefix(HELD_PREFIX))
         if key is None:
-            emit(events.HELD_UNREADABLE, key=name, reason="not a request key")
+            emit(events.HELD_UNREADABLE, key=name, reason="not the key of a suspect")
             return
         if value is None:
             self.rows.pop(key, None)
@@ -123,14 +131,14 @@
         except msgspec.DecodeError as error:
             emit(events.HELD_UNREADABLE, key=name, reason=str(error))
             return
-        # The same row is read repeatedly. Restoring it again would undo that the request was
+        # The same row is read repeatedly. Restoring it again would undo that the suspect was
         # cleared.
         if row not in (self.rows.get(key), self.removed.get(key)):
             self.rows[key] = row
             self.suspicion.restore(key, row.ends)
 
     async def answer(self, request: Request) -> Response:
-        """Answer an operator: list the suspected and held requests, or clear one."""
+        """Answer an operator: list the suspected and held requests and parts, or clear one."""
         if request.path == PAGE and request.method == "GET":
             return Response(
                 200,
@@ -155,11 +163,12 @@
                     row.method,
                     row.path,
                     row.ended or suspect.crashed,
+                    row.part,
                 )
             )
         return listed
 
-    async def _release(self, key: RequestKey) -> Response:
-        """Clear a request; the other hosts are informed as well."""
-        known = self.suspicion.clear_request(key)
+    async def _release(self, key: SuspectKey) -> Response:
+        """Clear a suspect; the other hosts are informed as well."""
+        known = self.suspicion.release(key)
         return json_response({"known": known}, 200 if known else 404)
--- a/gradepoint/gateway/identity.py
+++ b/gradepoint/gateway/identity.py
@@ -1,6 +1,7 @@
 """Identity of requests: two calls are the same request if caller, method, path and body are equal.
 
-Hosts recognise a request that crashes targets by this identity.
+Hosts recognise a request that crashes targets by this identity, and prompts that do so by a part
+that they share.
 """
 
 from __future__ import annotations
@@ -9,7 +10,7 @@
 from functools import cached_property
 from typing import TYPE_CHECKING
 
-from ..ids import RequestKey
+from ..ids import RequestKey, SuspectKey
 from ..util.structs import Struct
 
 if TYPE_CHECKING:
@@ -48,19 +49,34 @@
         digest.update(self.body)
         return RequestKey(int.from_bytes(digest.digest(), "big"))
 
+    @cached_property
+    def suspects(self) -> dict[SuspectKey, PromptPart | None]:
+        """What may crash the targets of this request: itself (None) and the shared parts of its
+        prompt."""
+        parts: dict[SuspectKey, PromptPart | None] = {
+            hash_part(part): part for part in self.prompt_parts
+        }
+        return {SuspectKey(self.key): None, **parts}
+
+
+def hash_part(part: PromptPart) -> SuspectKey:
+    """Return the key of a part of prompts; equal on each host."""
+    digest = hashlib.blake2b(part.encode(), digest_size=KEY_BYTES, person=b"prompt part")
+    return SuspectKey(int.from_bytes(digest.digest(), "big"))
+
 
 def identify(head: CallHead, method: str, path: str, body: bytes) -> RequestIdentity:
     """Return the identity of a call."""
     return RequestIdentity(head.host, head.caller, method, path, body, head.prompt_parts)
 
 
-def format_key(key: RequestKey) -> str:
+def format_key(key: RequestKey | SuspectKey) -> str:
     """Format a key for logs and operators."""
     return f"{key:016x}"
 
 
-def parse_key(text: str) -> RequestKey | None:
+def parse_key(text: str) -> SuspectKey | None:
     """Parse the output of :func:`format_key`; return None for any other text."""
     if len(text) != 2 * KEY_BYTES or not set(text) <= set("0123456789abcdef"):
         return None
-    return RequestKey(int(text, 16))
+    return SuspectKey(int(text, 16))
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -518,7 +518,7 @@
             # The head of a stream comes with its first event, that of another answer at its end.
             since = exchange.begun_at if self._is_event_stream(exchange) else exchange.sent_at
             self.forwarder.loads.note_call(exchange.target, monotonic() - since)
-        self.forwarder.suspicion.note_answer(self.request)
+        self.forwarder.suspicion.note_answer(self.request, is_success=exchange.head.status < 300)
         metrics.shared().calls.add(1, {"outcome": "complete"})
         emit(
             events.CALL_ANSWERED,
--- a/gradepoint/gateway/suspicion.py
+++ b/gradepoint/gateway/suspicion.py
@@ -1,6 +1,6 @@
-"""Tracking and trials of requests that may have crashed targets.
+"""Tracking and trials of requests, and of parts of their prompts, that may have crashed targets.
 
-:mod:`~gradepoint.routing.suspects` decides about the standing of each request. This module
+:mod:`~gradepoint.routing.suspects` decides about the standing of each. This module
 connects the decision to targets, to the messages of other hosts and to the log.
 """
 
@@ -11,7 +11,7 @@
 from .. import events
 from ..errors import GradepointError
 from ..peers.datagrams import number_target
-from ..routing.suspects import MILLISECONDS, Standing, Suspects, Trial
+from ..routing.suspects import MILLISECONDS, Standing, Suspects, Trial, Verdict
 from ..telemetry import metrics
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
@@ -24,7 +24,14 @@
     import random
     from collections.abc import Callable, Collection, Iterable
 
-    from ..ids import RequestKey, ServiceName, SoftwareVersion, TargetId, TargetNumber
+    from ..ids import (
+        PromptPart,
+        ServiceName,
+        SoftwareVersion,
+        SuspectKey,
+        TargetId,
+        TargetNumber,
+    )
     from ..peers.aggregation import Aggregation
     from ..routing.suspects import Change, SuspectsMessage
     from .identity import RequestIdentity
@@ -41,58 +48,73 @@
 wait until one of the three is back."""
 
 
+MAX_PART_NAMES = 1024
+"""Parts of prompts whose names are remembered; a crash has up to about thirty."""
+
+
 class SuspectRow(Struct, frozen=True):
-    """A suspected or held request.
+    """A suspected or held request or part of prompts.
 
     :param crashed: IDs of the target incarnations that crashed while running it, as far as they are
         listed here; ``#number`` for others.
     :param crashes: numbers of these incarnations, each with the weight of the trial.
     """
 
-    key: RequestKey
+    key: SuspectKey
     standing: Standing
     crashed: list[str]
     crashes: list[tuple[TargetNumber, int]]
 
 
 class Suspicion(Struct):
-    """Requests that may have crashed targets, and their trials.
+    """Requests, and parts of their prompts, that may have crashed targets, and their trials.
 
-    A suspected request is served only as a trial: by one host at a time, at a target that is
-    reserved for it. A complete answer clears it; further crashes make it held, and it is refused.
+    A request that is suspected or has a suspected part is served only as a trial: by one host at a
+    time, at a target that is reserved for it. A complete answer clears the suspects; further
+    crashes make them held, and requests with them are refused.
 
     :param remote_in_flight: returns the number of calls that other hosts have in flight at a
         target.
-    :param remote_trials: returns the trials that other hosts report, as targets by request.
+    :param remote_trials: returns the trials that other hosts report, as targets by suspect.
     :param on_update: called when other hosts have to be informed.
     :param on_reported_crash: called with a target that another host reports as crashed.
-    :param on_suspected: called with a suspected request when this host sees one more target crash
-        while running it.
-    :param on_cleared: called with the key of a suspected or held request that is cleared here.
+    :param on_suspected: called with a request that is suspected or has a suspected part, and with
+        the suspect, when this host sees one more target crash while running it.
+    :param on_cleared: called with the key of a suspected or held suspect that is cleared here.
+    :ivar part_names: parts of prompts that this host saw on crashed targets, by key.
     """
 
     targets: TargetSet
     remote_in_flight: Callable[[TargetId], int]
     rng: random.Random
-    remote_trials: Callable[[], dict[RequestKey, TargetNumber]] = dict
+    remote_trials: Callable[[], dict[SuspectKey, TargetNumber]] = dict
     on_update: Callable[[], None] = lambda: None
     on_suspected: Callable[[RequestIdentity, SuspectRow], None] = lambda _, __: None
-    on_cleared: Callable[[RequestKey], None] = lambda _: None
+    on_cleared: Callable[[SuspectKey], None] = lambda _: None
     on_reported_crash: Callable[[Target], None] = lambda _: None
     suspects: Suspects = field(default_factory=Suspects)
+    part_names: dict[SuspectKey, PromptPart] = field(default_factory=dict)
 
-    def find_standing(self, request: RequestIdentity) -> Standing:
-        """Return the standing of a request; CLEAR for an unknown one."""
+    def judge(self, request: RequestIdentity) -> Verdict:
+        """Return how to treat a request."""
         if not self.suspects.records:
-            return Standing.CLEAR
-        return self.suspects.find_standing(request.key, monotonic())
+            return Verdict(Standing.CLEAR)
+        return self.suspects.judge(request.suspects, monotonic())
+
+    def find_standing(self, request: RequestIdentity) -> Standing:
+        """Return the standing of a request, which is the highest one of its suspects."""
+        return self.judge(request).standing
 
     def make_held_error(self, request: RequestIdentity) -> GradepointError:
         """Count a refused call of a held request and return its error."""
         metrics.shared().held_calls.add(1)
-        key = format_key(request.key)
-        message = f"Targets ended each time they ran this request ({key})."
-        return GradepointError("request_held", message, request_key=key)
+        held = self.judge(request).keys[0]
+        key, part = format_key(held), request.suspects[held]
+        if part is None:
+            message = f"Targets ended each time they ran this request ({key})."
+            return GradepointError("request_held", message, request_key=key)
+        message = f"Targets ended each time they ran a prompt with the part {part} ({key})."
+        return GradepointError("prompt_part_held", message, request_key=key)
 
     def choose_trial(
         self,
@@ -111,8 +133,12 @@
         :param needs_slot: only a target with a free slot will do, so that the trial doesn't queue.
         :param version: software version that the target must have; None for any.
         """
+        suspects = self.judge(request).keys
         trials = self._find_trials()
-        if request.key in trials or not self._may_start_trial(service, len(trials)):
+        under_trial = len(set(trials.values()))
+        if not trials.keys().isdisjoint(suspects) or not self._may_start_trial(
+            service, under_trial
+        ):
             return None
         candidates = self.targets.candidates(service, monotonic(), version)
         taken = {*tried, *self.find_reserved()}
@@ -123,7 +149,8 @@
         load = get_load(target, self.remote_in_flight)
         if needs_slot and load >= 1.0:
             return None
-        target.trial = RunningTrial(request, Trial.ACCOMPANIED if load else Trial.ALONE)
+        kind = Trial.ACCOMPANIED if load else Trial.ALONE
+        target.trial = RunningTrial(request, kind, suspects)
         self.on_update()
         return target
 
@@ -133,11 +160,11 @@
         numbers = self._find_trials().values()
         return {by_number[number].id for number in numbers if number in by_number}
 
-    def _find_trials(self) -> dict[RequestKey, TargetNumber]:
-        """Return the targets of running trials by request.
+    def _find_trials(self) -> dict[SuspectKey, TargetNumber]:
+        """Return the targets of running trials by suspect.
 
         A remote trial at a target whose port is closed is left out: it probably crashed the target,
-        and would block the next trial of the same request.
+        and would block the next trial of the same suspect.
         """
         by_number = self.targets.by_number
         reported = {
@@ -153,12 +180,13 @@
         minimum = max(int(known * MIN_REMAINING_SHARE), min(1, known - 1))
         return working - trials - 1 >= minimum
 
-    def list_own_trials(self) -> dict[RequestKey, TargetNumber]:
-        """Return the targets of this host's running trials by request."""
+    def list_own_trials(self) -> dict[SuspectKey, TargetNumber]:
+        """Return the targets of this host's running trials by suspect."""
         return {
-            target.trial.request.key: number
+            key: number
             for number, target in self.targets.by_number.items()
             if target.trial is not None
+            for key in target.trial.suspects
         }
 
     def note_crash(self, crash: TargetCrash) -> None:
@@ -169,20 +197,38 @@
         if crash.planned or crash.common:
             return
         incarnation = number_target(crash.target.id)
-        requests = [(request.key, kind) for request, kind in crash.requests]
-        changes = self.suspects.note_crash(incarnation, requests, monotonic())
+        suspects = [(key, kind) for request, kind in crash.requests for key in request.suspects]
+        self._remember_parts(crash)
+        changes = self.suspects.note_crash(incarnation, suspects, monotonic())
         self._log(changes)
         suspected = {row.key: row for row in self.list_suspected()}
         for request, _ in crash.requests:
-            if request.key in suspected:
-                self.on_suspected(request, suspected.pop(request.key))
+            for key in request.suspects:
+                if key in suspected:
+                    self.on_suspected(request, suspected.pop(key))
         self.on_update()
 
-    def note_answer(self, request: RequestIdentity) -> None:
-        """Record a complete answer to a request, which clears it."""
-        self._clear(request.key)
+    def _remember_parts(self, crash: TargetCrash) -> None:
+        """Remember the parts of prompts on a crashed target, for the log and for operators."""
+        for request, _ in crash.requests:
+            for key, part in request.suspects.items():
+                if part is not None:
+                    self.part_names.pop(key, None)
+                    self.part_names[key] = part
+        while len(self.part_names) > MAX_PART_NAMES:
+            del self.part_names[next(iter(self.part_names))]
+
+    def note_answer(self, request: RequestIdentity, *, is_success: bool) -> None:
+        """Record a complete answer to a request, which clears it.
+
+        A successful one also clears the parts of its prompt. A target may answer with an error
+        before it begins to work on the prompt.
+        """
+        for key, part in request.suspects.items():
+            if part is None or is_success:
+                self._clear(key)
 
-    def _clear(self, key: RequestKey) -> None:
+    def _clear(self, key: SuspectKey) -> None:
         changes = self.suspects.note_answer(key, monotonic())
         self._log(changes)
         if any(change.former in STANDING_EVENTS for change in changes):
@@ -194,21 +240,21 @@
         """Revoke the reported crash of a target that is still running."""
         self._log(self.suspects.note_alive(number_target(target.id), monotonic()))
 
-    def restore(self, key: RequestKey, crashes: list[tuple[TargetNumber, int]]) -> None:
-        """Add the crashes of a request that are stored in the key-value service."""
+    def restore(self, key: SuspectKey, crashes: list[tuple[TargetNumber, int]]) -> None:
+        """Add the crashes of a suspect that are stored in the key-value service."""
         known = [(incarnation, Trial(kind)) for incarnation, kind in crashes]
         self._log(self.suspects.restore(key, known, monotonic()))
         self._probe_reported_crashes()
 
-    def clear_request(self, key: RequestKey) -> bool:
-        """Clear a request by an operator's order; return whether it was suspected or held."""
+    def release(self, key: SuspectKey) -> bool:
+        """Clear a suspect by an operator's order; return whether it was suspected or held."""
         if self.suspects.find_standing(key, monotonic()) not in STANDING_EVENTS:
             return False
         self._clear(key)
         return True
 
     def list_suspected(self) -> list[SuspectRow]:
-        """Return the suspected and held requests."""
+        """Return the suspected and held requests and parts of prompts."""
         now = monotonic()
         standings = ((k, r, r.classify(now)) for k, r in self.suspects.records.items())
         return [
@@ -258,6 +304,7 @@
 
     def _log(self, changes: Iterable[Change]) -> None:
         for change in changes:
+            record, now = change.record, monotonic()
             event = STANDING_EVENTS.get(change.standing)
             if change.standing.value < change.former.value:
                 event = events.REQUEST_CLEARED if change.former in STANDING_EVENTS else None
@@ -266,7 +313,11 @@
                     event,
                     key=format_key(change.key),
                     standing=change.standing.name.lower(),
-                    ended=self._name_incarnations(change.crashes),
+                    part=self.part_names.get(change.key),
+                    ended=self._name_incarnations(record.crashes),
+                    ages_s=[round(now - at, 1) for at, _ in record.crashes.values()],
+                    trials=[trial.value for _, trial in record.crashes.values()],
+                    answered_s=record.find_answer_age_s(now),
                 )
                 metrics.shared().suspects.add(1, {"standing": change.standing.name.lower()})
 
--- a/gradepoint/gateway/targets.py
+++ b/gradepoint/gateway/targets.py
@@ -27,7 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable
 
-    from ..ids import ServiceName, TargetName, TargetNumber
+    from ..ids import ServiceName, SuspectKey, TargetName, TargetNumber
     from ..peers.results import ReportedResults
     from .identity import RequestIdentity
 
@@ -81,10 +81,12 @@
     """A trial that is under way: a suspected request that runs alone at a reserved target.
 
     :param kind: whether the target was empty when the trial began.
+    :param suspects: keys of the request or parts of its prompt that are suspected.
     """
 
     request: RequestIdentity
     kind: Trial
+    suspects: tuple[SuspectKey, ...] = ()
 
 
 class Target(Struct):
--- a/gradepoint/ids.py
+++ b/gradepoint/ids.py
@@ -40,6 +40,8 @@
 ItemId = NewType("ItemId", str)
 RequestKey = NewType("RequestKey", int)
 """Hash of everything that makes two calls the same request, regardless of their request ids."""
+SuspectKey = NewType("SuspectKey", int)
+"""Hash of what may crash targets: a request, or a part of prompts."""
 PromptPart = NewType("PromptPart", str)
 """ID of a part of a prompt that other prompts may share."""
 OrganisationName = NewType("OrganisationName", str)
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -620,7 +620,7 @@
             )
             job.record_result(Result(index, ItemOutcome.COMPLETE, text))
             target.record_success()
-            self.forwarder.suspicion.note_answer(job.request_identity(index))
+            self.forwarder.suspicion.note_answer(job.request_identity(index), is_success=True)
             self.item_times.note_end(
                 len(partial.data),
                 len(partial.data) - running.events_before,
@@ -630,12 +630,12 @@
             took_ms = round((monotonic() - running.started) * 1000)
             emit(events.ITEM_ENDED, job=job.id, index=index, target=target.id, took_ms=took_ms)
         except ItemUnprocessable:
-            self.forwarder.suspicion.note_answer(job.request_identity(index))
+            self.forwarder.suspicion.note_answer(job.request_identity(index), is_success=False)
             job.record_result(Result(index, ItemOutcome.DEAD))
             emit(events.ITEM_DEAD, job=job.id, index=index, reason="impossible")
             metrics.shared().items.add(1, {"result": "dead"})
         except ItemFailed as error:
-            self.forwarder.suspicion.note_answer(job.request_identity(index))
+            self.forwarder.suspicion.note_answer(job.request_identity(index), is_success=False)
             self._count_failure(job, index, max_failures, str(error))
         except (ConnectFailed, OtherInstance, TargetBusy, TargetFailed) as error:
             job.not_before[index] = monotonic() + ITEM_RETRY_S
--- a/gradepoint/peers/aggregation.py
+++ b/gradepoint/peers/aggregation.py
@@ -29,7 +29,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Container, Mapping
 
-    from ..ids import Incarnation, OrganisationNumber, RequestKey, ServiceName, TargetNumber
+    from ..ids import Incarnation, OrganisationNumber, ServiceName, SuspectKey, TargetNumber
 
 Number = TypeVar("Number", bound=int)
 
@@ -294,7 +294,7 @@
         rooms = self.ledger.find_low_rooms(now)
         return {number: math.floor(room * ROOM_UNITS_PER_CALL) for number, room in rooms.items()}
 
-    def _find_trials(self) -> dict[RequestKey, TargetNumber]:
+    def _find_trials(self) -> dict[SuspectKey, TargetNumber]:
         """Return the targets that are reserved for trials of suspected requests."""
         trials = {}
         for heard in self.reports.values():
--- a/gradepoint/peers/datagrams.py
+++ b/gradepoint/peers/datagrams.py
@@ -15,11 +15,11 @@
     ConfigVersion,
     Incarnation,
     OrganisationNumber,
-    RequestKey,
     ServiceName,
     SoftwareVersion,
     StreamKey,
     StreamRequest,
+    SuspectKey,
     TargetNumber,
 )
 from ..routing.suspects import SuspectsMessage
@@ -106,7 +106,7 @@
     results: dict[TargetNumber, ReportedResults]
     relies: bool = False
     suspects: SuspectsMessage = msgspec.field(default_factory=SuspectsMessage)
-    trials: dict[RequestKey, TargetNumber] = {}
+    trials: dict[SuspectKey, TargetNumber] = {}
     clock_ms: int = 0
     grants: dict[OrganisationNumber, int] = {}
     paces: dict[TargetNumber, tuple[int, int]] = {}
@@ -148,7 +148,7 @@
     relied_on: bool = True
     all_results: bool = True
     suspects: SuspectsMessage = msgspec.field(default_factory=SuspectsMessage)
-    trials: dict[RequestKey, TargetNumber] = {}
+    trials: dict[SuspectKey, TargetNumber] = {}
     rooms: dict[OrganisationNumber, int] = {}
     heard_percent: int = 100
     items: dict[TargetNumber, int] = {}
--- a/gradepoint/peers/occupancy.py
+++ b/gradepoint/peers/occupancy.py
@@ -50,8 +50,8 @@
         CapacityClass,
         Incarnation,
         OrganisationNumber,
-        RequestKey,
         ServiceName,
+        SuspectKey,
         TargetId,
         TargetNumber,
     )
@@ -276,9 +276,9 @@
         heard = self.heard.get(self._find_authoritative_aggregator() or self.own)
         return heard if heard and monotonic() - heard.at <= SHARES_LIFETIME_S else None
 
-    def find_trials(self) -> dict[RequestKey, TargetNumber]:
+    def find_trials(self) -> dict[SuspectKey, TargetNumber]:
         """Return the targets that are reserved for trials of suspected requests, at any host."""
-        trials: dict[RequestKey, TargetNumber] = {}
+        trials: dict[SuspectKey, TargetNumber] = {}
         for heard in self._find_relevant_sums():
             trials.update(heard.sums.trials)
         return trials
--- a/gradepoint/routing/suspects.py
+++ b/gradepoint/routing/suspects.py
@@ -1,16 +1,21 @@
-"""Decide which requests crash the targets that run them, without I/O or clocks.
+"""Decide what crashes the targets, without I/O or clocks: a request, or a part of prompts.
 
-A target *crashes* when its process dies. Each request that it was running may be the cause; most
-are not. Sending them again separates them: the cause crashes the next target as well, while the
-others get their answers. Crashes are therefore counted first, and then suspected requests are tried
+A target *crashes* when its process dies. Each request that it was running may be the cause, and so
+may each part of its prompt that other prompts share; most are not. These *suspects* are separated
+by later requests that have them: the cause crashes the next target as well, while the others get
+their answers. Crashes are therefore counted first, and then requests with a suspect are tried
 alone.
 
-- Each request collects the crashes of targets that ran it. One complete answer clears it.
-- After :data:`SUSPECTED_CRASHES` crashes it is suspected. It is still served, but in trials: by one
-  host at a time, and if possible at a target that runs nothing else.
-- After :data:`HELD_CRASHES` crashes, trials among them, it is held back. Crashes from
-  before it was suspected never suffice: a request that many callers send at once may run on many
-  targets that crash for another reason.
+- Each suspect collects the crashes of targets that ran a request with it. One complete answer to
+  such a request clears it.
+- After :data:`SUSPECTED_CRASHES` crashes it is suspected. Requests with it are still served, but in
+  trials: by one host at a time, and if possible at a target that runs nothing else.
+- After :data:`HELD_CRASHES` crashes, trials among them, requests with it are held back. Crashes
+  from before it was suspected never suffice: a request that many callers send at once may run on
+  many targets that crash for another reason.
+- A crash that a held suspect explains is not counted against another suspect in a request without
+  the held one. Suspects that always come together are held together; a request that has only one of
+  them is tried.
 
 Hosts exchange crashes and complete answers. Both are only ever added, so updates may arrive late,
 twice and in any order.
@@ -23,43 +28,43 @@
 
 import msgspec
 
-from ..ids import RequestKey, TargetNumber
+from ..ids import SuspectKey, TargetNumber
 from ..util.structs import Struct, field
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
 SUSPECTED_CRASHES = 2
-"""Crashes after which a request is tried alone. A request that ran beside the cause has one crash;
-it gets a second one only if both run on the same target again."""
+"""Crashes after which a suspect is tried alone. One that ran beside the cause has one crash; it
+gets a second one only if both run on the same target again."""
 HELD_CRASHES = 4
-"""Crashes after which a request is held back, if trials are among them. A harmless request that ran
+"""Crashes after which a suspect is held back, if trials are among them. A harmless request that ran
 on three targets that crashed is still tried and answered."""
 HELD_TRIAL_WEIGHT = 2
 """Minimum total weight of the trials among these crashes: one trial alone, or two beside other
 calls."""
 CRASH_LIFETIME_S = 600.0
-"""Seconds for which a crash counts. Afterwards a request that was held back is tried again: this
+"""Seconds for which a crash counts. Afterwards a suspect that was held back is tried again: this
 costs one target in ten minutes, and shows whether a new version or new weights can run it."""
 ANSWERED_S = 5.0
-"""Seconds after a complete answer in which the request is not blamed for a crash. A request that
-many callers send runs on every target that crashes. The time is limited because new weights may
-make a harmless request harmful."""
+"""Seconds after a complete answer in which a suspect is not blamed for a crash. A request that many
+callers send runs on every target that crashes, and so does a part of many prompts. The time is
+limited because new weights may make a harmless one harmful."""
 MAX_RECORDS = 4096
-"""Requests whose crashes are remembered: 5.9 MB when full (``tracemalloc``). Those with the fewest
+"""Suspects whose crashes are remembered: 5.9 MB when full (``tracemalloc``). Those with the fewest
 and oldest crashes are evicted first, so that a flood of different requests never evicts one that
 crashed targets repeatedly."""
 EVICTION_DIVISOR = 16
 """One in this many records is evicted at a time, so that a flood causes one sort per some hundred
 requests."""
 MAX_ANSWERED = 2048
-"""Requests whose last complete answer is remembered: more than the number of widely sent requests
-that a host gets within :data:`ANSWERED_S`."""
+"""Suspects whose last complete answer is remembered: more than the number of widely sent requests
+and widely used parts of prompts that a host gets within :data:`ANSWERED_S`."""
 MAX_CRASHES_PER_REQUEST = 8
-"""Crashes kept for one request: twice the number that counts, since some may be revoked."""
+"""Crashes kept for one suspect: twice the number that counts, since some may be revoked."""
 MAX_REPORTED = 24
-"""Maximum requests in one message: those of three crashed targets with eight slots each, in at most
-2.2 KB."""
+"""Maximum suspects in one message, in at most 2.2 KB. Messages take turns if there are more, and
+those that were sent longest ago come first."""
 MAX_ALIVE = 256
 """Target incarnations whose revoked crashes are remembered and sent, 5 bytes each: those of a
 failure domain whose targets were all taken for crashed. Beyond that the oldest is dropped, and
@@ -70,7 +75,7 @@
 REPORT_OWN_S = 10.0
 """Seconds for which a host reports its own observations; it may be cut off for part of them."""
 REPEAT_GAP_S = 1.0
-"""Seconds between messages that repeat suspected requests, for hosts that have just started."""
+"""Seconds between messages that repeat suspected ones, for hosts that have just started."""
 SAME_MOMENT_S = 0.05
 """Seconds by which two times must differ to count as different: transmission delays vary by
 less."""
@@ -78,7 +83,7 @@
 
 
 class Standing(Enum):
-    """State of a request, by rising suspicion.
+    """State of a suspect, by rising suspicion.
 
     ``CLEAR``: no counted crashes. ``SEEN``: some crashes, too few for a suspicion. ``SUSPECTED``:
     served only in trials. ``HELD``: held back. A complete answer leads back to ``CLEAR``; crashes
@@ -92,7 +97,7 @@
 
 
 class Trial(Enum):
-    """How a request ran on a target that crashed; the value is its weight.
+    """How a request with a suspect ran on a target that crashed; the value is its weight.
 
     ``NONE``: no trial. ``ACCOMPANIED``: a trial beside other calls. ``ALONE``: a trial with no
     other call at the target.
@@ -104,7 +109,7 @@
 
 
 class ReportedCrash(msgspec.Struct, frozen=True, array_like=True):
-    """The crash of a target's incarnation while it ran a request.
+    """The crash of a target's incarnation while it ran a request with a suspect.
 
     :param incarnation: short number of the target's incarnation.
     :param at_ms: time of the crash in milliseconds, by the sender's clock.
@@ -117,19 +122,19 @@
 
 
 class ReportedSuspect(msgspec.Struct, frozen=True, array_like=True):
-    """One request in a message between hosts.
+    """One suspect in a message between hosts.
 
     :param answered_ms: time of its last complete answer by the sender's clock; None if there is
         none.
     """
 
-    key: RequestKey
+    key: SuspectKey
     answered_ms: int | None
     crashes: list[ReportedCrash]
 
 
 class SuspectsMessage(msgspec.Struct, frozen=True, array_like=True):
-    """A host's message about requests.
+    """A host's message about suspects.
 
     :param alive: target incarnations that were reported as crashed but have answered since.
     """
@@ -139,25 +144,38 @@
 
 
 class Change(Struct, frozen=True):
-    """A change of a request's standing.
+    """A change of a suspect's standing.
 
-    :param crashes: target incarnations that crashed while running the request.
+    :param record: the crashes and answers that decide it.
     """
 
-    key: RequestKey
+    key: SuspectKey
     former: Standing
     standing: Standing
-    crashes: tuple[TargetNumber, ...]
+    record: Record
+
+
+class Verdict(Struct, frozen=True):
+    """How a request has to be treated.
+
+    :param standing: highest standing of its suspects.
+    :param keys: the suspects that have this standing.
+    """
+
+    standing: Standing
+    keys: tuple[SuspectKey, ...] = ()
 
 
 class Record(Struct):
-    """Crashes and answers of one request.
+    """Crashes and answers of one suspect.
 
     :ivar crashes: time and trial by target incarnation that crashed.
     :ivar answered_at: time of its last complete answer.
     :ivar standing: standing at the last update, for detecting changes.
     :ivar changed_at: time of the last change.
     :ivar observed_at: time of the last change that this host observed itself.
+    :ivar reported_at: time at which it was last in a message of own observations.
+    :ivar relayed_at: time at which it was last in a relayed message.
     """
 
     crashes: dict[TargetNumber, tuple[float, Trial]] = field(default_factory=dict)
@@ -165,21 +183,37 @@
     standing: Standing = Standing.CLEAR
     changed_at: float = float("-inf")
     observed_at: float = float("-inf")
+    reported_at: float = float("-inf")
+    relayed_at: float = float("-inf")
 
-    def find_counted_crashes(self, now: float) -> list[tuple[float, Trial]]:
+    def find_counted_crashes(self, now: float) -> dict[TargetNumber, Trial]:
         """Return the crashes that count: neither expired nor just after a complete answer."""
         oldest = max(now - CRASH_LIFETIME_S, self.answered_at + ANSWERED_S)
-        return [crash for crash in self.crashes.values() if crash[0] > oldest]
+        return {number: trial for number, (at, trial) in self.crashes.items() if at > oldest}
 
     def classify(self, now: float) -> Standing:
-        """Return the request's standing at time *now*."""
-        crashes = self.find_counted_crashes(now)
-        weight = sum(trial.value for _, trial in crashes)
-        if len(crashes) >= HELD_CRASHES and weight >= HELD_TRIAL_WEIGHT:
-            return Standing.HELD
-        if len(crashes) >= SUSPECTED_CRASHES:
-            return Standing.SUSPECTED
-        return Standing.SEEN if crashes else Standing.CLEAR
+        """Return the suspect's standing at time *now*."""
+        return classify_crashes(self.find_counted_crashes(now).values())
+
+    @property
+    def newest_crash_at(self) -> float:
+        """Time of the newest crash."""
+        return max((at for at, _ in self.crashes.values()), default=float("-inf"))
+
+    def find_answer_age_s(self, now: float) -> float | None:
+        """Return the seconds since its last complete answer; None if there is none."""
+        return None if self.answered_at == float("-inf") else round(now - self.answered_at, 1)
+
+    def note_answer(self, at: float) -> bool:
+        """Take a complete answer into account; return whether it refutes any crash.
+
+        Further answers to requests that have a common part of prompts need not be reported.
+        """
+        if self.newest_crash_at <= self.answered_at and self.standing is Standing.CLEAR:
+            return False
+        if at > self.answered_at + SAME_MOMENT_S:
+            self.answered_at = self.observed_at = at
+        return True
 
     def add(self, incarnation: TargetNumber, at: float, trial: Trial) -> bool:
         """Add a crash; return whether it adds information.
@@ -197,55 +231,103 @@
         return not known or trial is not former_trial
 
 
+def weigh_trials(trials: Iterable[Trial]) -> int:
+    """Return the total weight of the trials among some crashes."""
+    return sum(trial.value for trial in trials)
+
+
+def classify_crashes(trials: Collection[Trial]) -> Standing:
+    """Return the standing of a suspect after some crashes.
+
+    :param trials: kind of trial of each crash.
+    """
+    if len(trials) >= HELD_CRASHES and weigh_trials(trials) >= HELD_TRIAL_WEIGHT:
+        return Standing.HELD
+    if len(trials) >= SUSPECTED_CRASHES:
+        return Standing.SUSPECTED
+    return Standing.SEEN if trials else Standing.CLEAR
+
+
 class Suspects(Struct):
-    """All requests that this host knows to have run on targets that crashed.
+    """All suspects that this host knows to have been on targets that crashed.
 
-    :ivar records: crashes and answers by request.
+    :ivar records: crashes and answers by suspect.
+    :ivar held: crashes of the suspects that are held back.
     :ivar answered: times of the last complete answers, the oldest first.
     :ivar alive: time by target incarnation that was reported as crashed but has answered since.
     :ivar reported_crashes: incarnations that other hosts reported as crashed, until
         :meth:`take_reported_crashes` takes them.
-    :ivar repeated_at: time at which suspected requests were last repeated.
-    :ivar repeat_position: position in the suspected requests from which the next message repeats
-        them.
+    :ivar repeated_at: time at which suspected ones were last repeated.
+    :ivar repeat_position: position in the suspected ones from which the next message repeats them.
     """
 
-    records: dict[RequestKey, Record] = field(default_factory=dict)
-    answered: dict[RequestKey, float] = field(default_factory=dict)
+    records: dict[SuspectKey, Record] = field(default_factory=dict)
+    held: dict[SuspectKey, frozenset[TargetNumber]] = field(default_factory=dict)
+    answered: dict[SuspectKey, float] = field(default_factory=dict)
     alive: dict[TargetNumber, float] = field(default_factory=dict)
     reported_crashes: set[TargetNumber] = field(default_factory=set)
     repeated_at: float = float("-inf")
     repeat_position: int = 0
 
-    def find_standing(self, key: RequestKey, now: float) -> Standing:
-        """Return a request's standing at time *now*."""
+    def find_standing(self, key: SuspectKey, now: float) -> Standing:
+        """Return a suspect's standing at time *now*."""
         record = self.records.get(key)
         return Standing.CLEAR if record is None else record.classify(now)
 
+    def judge(self, keys: Collection[SuspectKey], now: float) -> Verdict:
+        """Decide how to treat a request that has the suspects *keys*."""
+        standings = {
+            key: self._judge_suspect(self.records[key], keys, now)
+            for key in keys
+            if key in self.records
+        }
+        worst = max(standings.values(), key=lambda standing: standing.value, default=Standing.CLEAR)
+        return Verdict(worst, tuple(key for key in standings if standings[key] is worst))
+
+    def _judge_suspect(self, record: Record, keys: Collection[SuspectKey], now: float) -> Standing:
+        """Return the standing of one suspect of a request that has the suspects *keys*."""
+        crashes = record.find_counted_crashes(now)
+        standing = classify_crashes(crashes.values())
+        if standing.value < Standing.SUSPECTED.value:
+            return standing
+        explained: set[TargetNumber] = set()
+        for key, incarnations in self.held.items():
+            if key not in keys:
+                explained |= incarnations
+        rest = [trial for incarnation, trial in crashes.items() if incarnation not in explained]
+        if standing is Standing.HELD:
+            # Both suspects may be the cause, which a trial of this request decides.
+            is_confirmed = weigh_trials(rest) >= HELD_TRIAL_WEIGHT
+            return Standing.HELD if is_confirmed else Standing.SUSPECTED
+        return classify_crashes(rest)
+
     def note_crash(
-        self, incarnation: TargetNumber, requests: Iterable[tuple[RequestKey, Trial]], now: float
+        self, incarnation: TargetNumber, suspects: Iterable[tuple[SuspectKey, Trial]], now: float
     ) -> list[Change]:
-        """Record the crash of a target that ran *requests*, observed by this host."""
+        """Record the crash of a target, observed by this host.
+
+        :param suspects: suspects of the requests that it ran, each with the kind of trial.
+        """
         changes = []
-        for key, trial in requests:
+        for key, trial in suspects:
+            if key not in self.records and now < self._find_answered_at(key) + ANSWERED_S:
+                # Most parts of prompts are in use all the time, and need no record.
+                continue
             record = self._get_or_create(key)
             if record.add(incarnation, now, trial):
                 record.observed_at = now
             changes += self._update(key, record, now)
         return changes
 
-    def note_answer(self, key: RequestKey, now: float) -> list[Change]:
-        """Record a complete answer that this host got."""
+    def note_answer(self, key: SuspectKey, now: float) -> list[Change]:
+        """Record a complete answer that this host got to a request with a suspect."""
         self.answered.pop(key, None)
         self.answered[key] = now
         if len(self.answered) > MAX_ANSWERED:
             del self.answered[next(iter(self.answered))]
         record = self.records.get(key)
-        if record is None:
+        if record is None or not record.note_answer(now):
             return []
-        if now > record.answered_at + SAME_MOMENT_S:
-            record.answered_at = now
-            record.observed_at = now
         return self._update(key, record, now)
 
     def note_alive(self, incarnation: TargetNumber, now: float) -> list[Change]:
@@ -262,11 +344,11 @@
         return changes
 
     def has_crashed(self, incarnation: TargetNumber) -> bool:
-        """Whether an incarnation is recorded as crashed under any request."""
+        """Whether an incarnation is recorded as crashed under any suspect."""
         return any(incarnation in record.crashes for record in self.records.values())
 
     def restore(
-        self, key: RequestKey, crashes: Iterable[tuple[TargetNumber, Trial]], now: float
+        self, key: SuspectKey, crashes: Iterable[tuple[TargetNumber, Trial]], now: float
     ) -> list[Change]:
         """Add crashes that were stored before this host started."""
         record = self._get_or_create(key)
@@ -276,8 +358,8 @@
                 self.reported_crashes.add(incarnation)
         return self._update(key, record, now)
 
-    def find(self, standing: Standing, now: float) -> list[RequestKey]:
-        """Return the requests with the given standing."""
+    def find(self, standing: Standing, now: float) -> list[SuspectKey]:
+        """Return the suspects with the given standing."""
         return [key for key, record in self.records.items() if record.classify(now) is standing]
 
     def forget(self, now: float) -> None:
@@ -287,31 +369,40 @@
         }
         for key, record in list(self.records.items()):
             must_report = now - record.changed_at < REPORT_OWN_S
-            if record.classify(now) is Standing.CLEAR and not must_report:
+            standing = record.classify(now)
+            if standing is Standing.CLEAR and not must_report:
                 del self.records[key]
+            if standing is not Standing.HELD:
+                self.held.pop(key, None)
 
     def make_own_message(self, now: float) -> SuspectsMessage:
         """Return a message with this host's own recent observations."""
         keys = [
             key for key, record in self.records.items() if now - record.observed_at < REPORT_OWN_S
         ]
-        keys.sort(key=lambda key: self.records[key].observed_at, reverse=True)
-        return self._build_report(keys[:MAX_REPORTED])
+        keys.sort(key=lambda key: _rank(self.records[key], self.records[key].reported_at))
+        chosen = keys[:MAX_REPORTED]
+        for key in chosen:
+            self.records[key].reported_at = now
+        return self._build_report(chosen)
 
     def make_relay_message(self, now: float) -> SuspectsMessage:
-        """Return a message with recent changes and, from time to time, suspected requests in
+        """Return a message with recent changes and, from time to time, suspected ones in
         rotation."""
         keys = [
             key for key, record in self.records.items() if now - record.changed_at < RELAY_CHANGES_S
         ]
-        keys.sort(key=lambda key: self.records[key].changed_at, reverse=True)
+        keys.sort(key=lambda key: _rank(self.records[key], self.records[key].relayed_at))
         if now - self.repeated_at >= REPEAT_GAP_S:
             self.repeated_at = now
             keys = list(dict.fromkeys([*keys[: MAX_REPORTED // 2], *self._next_suspected(now)]))
-        return self._build_report(keys[:MAX_REPORTED])
+        chosen = keys[:MAX_REPORTED]
+        for key in chosen:
+            self.records[key].relayed_at = now
+        return self._build_report(chosen)
 
-    def _next_suspected(self, now: float) -> list[RequestKey]:
-        """Return the next suspected requests in rotation."""
+    def _next_suspected(self, now: float) -> list[SuspectKey]:
+        """Return the next suspected ones in rotation."""
         least = Standing.SUSPECTED.value
         keys = [key for key, record in self.records.items() if record.classify(now).value >= least]
         if not keys:
@@ -320,9 +411,9 @@
         self.repeat_position = start + MAX_REPORTED // 2
         return [*keys[start:], *keys[:start]][: MAX_REPORTED // 2]
 
-    def _build_report(self, keys: Iterable[RequestKey]) -> SuspectsMessage:
+    def _build_report(self, keys: Iterable[SuspectKey]) -> SuspectsMessage:
         return SuspectsMessage(
-            [_encode_record(key, self.records[key]) for key in keys], [*self.alive]
+            [_encode_record(key, self.records[key]) for key in sorted(keys)], [*self.alive]
         )
 
     def receive(self, message: SuspectsMessage, offset_s: float, now: float) -> list[Change]:
@@ -356,41 +447,54 @@
         reported, self.reported_crashes = self.reported_crashes, set()
         return reported
 
-    def _get_or_create(self, key: RequestKey) -> Record:
+    def _find_answered_at(self, key: SuspectKey) -> float:
+        """Return the time of the last complete answer that this host got."""
+        return self.answered.get(key, float("-inf"))
+
+    def _get_or_create(self, key: SuspectKey) -> Record:
         record = self.records.get(key)
         if record is None:
-            answered_at = self.answered.get(key)
             record = self.records[key] = Record()
-            if answered_at is not None:
-                # The answer has not been reported to other hosts yet.
-                record.answered_at = record.observed_at = answered_at
             if len(self.records) > MAX_RECORDS:
                 self._make_room(key)
+        answered_at = self._find_answered_at(key)
+        if answered_at > record.answered_at:
+            # The answer has not been reported to other hosts yet.
+            record.answered_at = record.observed_at = answered_at
         return record
 
-    def _make_room(self, newest: RequestKey) -> None:
+    def _make_room(self, newest: SuspectKey) -> None:
         """Evict the records with the least evidence, several at once because this requires a
         sort."""
         others = [key for key in self.records if key != newest]
         others.sort(key=lambda key: _eviction_key(self.records[key]))
         for key in others[: MAX_RECORDS // EVICTION_DIVISOR]:
             del self.records[key]
+            self.held.pop(key, None)
 
-    def _update(self, key: RequestKey, record: Record, now: float) -> list[Change]:
+    def _update(self, key: SuspectKey, record: Record, now: float) -> list[Change]:
         record.changed_at = now
         former, record.standing = record.standing, record.classify(now)
+        if record.standing is Standing.HELD:
+            self.held[key] = frozenset(record.find_counted_crashes(now))
+        else:
+            self.held.pop(key, None)
         if former is record.standing:
             return []
-        return [Change(key, former, record.standing, tuple(record.crashes))]
+        return [Change(key, former, record.standing, record)]
 
 
 def _eviction_key(record: Record) -> tuple[int, float]:
     """Return the sort key for eviction; the records with the least evidence come first."""
-    newest = max((at for at, _ in record.crashes.values()), default=float("-inf"))
-    return len(record.crashes), newest
+    return len(record.crashes), record.newest_crash_at
+
+
+def _rank(record: Record, sent_at: float) -> tuple[float, int]:
+    """Return the sort key for messages: what was sent longest ago first, then most crashes."""
+    return sent_at, -len(record.crashes)
 
 
-def _encode_record(key: RequestKey, record: Record) -> ReportedSuspect:
+def _encode_record(key: SuspectKey, record: Record) -> ReportedSuspect:
     answered = record.answered_at
     return ReportedSuspect(
         key,
--- a/tests/test_peers/test_peers_memory_bounds.py
+++ b/tests/test_peers/test_peers_memory_bounds.py
@@ -14,7 +14,7 @@
     ConfigVersion,
     Incarnation,
     OrganisationNumber,
-    RequestKey,
+    SuspectKey,
     TargetId,
     TargetNumber,
 )
@@ -304,7 +304,7 @@
     known = Suspects()
     for number in range(10):
         target = TargetNumber(number)
-        known.note_crash(target, [(RequestKey(1), Trial.NONE)], 1.0)
+        known.note_crash(target, [(SuspectKey(1), Trial.NONE)], 1.0)
         known.note_alive(target, 1.0)
     assert [*known.alive] == [6, 7, 8, 9]
 
--- a/tests/test_peers/test_peers_suspects.py
+++ b/tests/test_peers/test_peers_suspects.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from gradepoint.ids import Incarnation, RequestKey, TargetNumber
+from gradepoint.ids import Incarnation, SuspectKey, TargetNumber
 from gradepoint.peers.aggregation import Aggregation
 from gradepoint.peers.datagrams import DATAGRAM_FORMAT, Digest, Message, RelayedDigest, Report
 from gradepoint.peers.occupancy import Occupancy
@@ -26,7 +26,7 @@
 """Share of the datagrams that a lossy failure domain loses, in both directions."""
 MAX_SPREAD_S = 1.5
 """Seconds within which every host must know: half of what the requirement for callers allows."""
-KEY = RequestKey(7)
+KEY = SuspectKey(7)
 
 
 class Host:
@@ -75,7 +75,7 @@
             self.suspects.forget(monotonic())
 
     def note_crash(
-        self, incarnation: int, trial: Trial = Trial.ALONE, key: RequestKey = KEY
+        self, incarnation: int, trial: Trial = Trial.ALONE, key: SuspectKey = KEY
     ) -> None:
         """Record the crash of a target under a request at this host."""
         self.suspects.note_crash(TargetNumber(incarnation), [(key, trial)], monotonic())
@@ -177,7 +177,7 @@
             for key in range(suspected):
                 for incarnation in range(HELD_CRASHES):
                     name = f"host-{(key + incarnation) % size}"
-                    cluster.hosts[name].note_crash(100 * key + incarnation, key=RequestKey(key))
+                    cluster.hosts[name].note_crash(100 * key + incarnation, key=SuspectKey(key))
             await asyncio.sleep(12.0)
             cluster.net.bytes_by_host.clear()
             await asyncio.sleep(3.0)
--- a/tests/test_routing/test_routing_suspects.py
+++ b/tests/test_routing/test_routing_suspects.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 
-from gradepoint.ids import RequestKey, TargetNumber
+from gradepoint.ids import SuspectKey, TargetNumber
 from gradepoint.routing.suspects import (
     ANSWERED_S,
     CRASH_LIFETIME_S,
@@ -24,8 +24,8 @@
 
 SYNC_DELAY_S = REPEAT_GAP_S + 0.7
 """Seconds after its start until a host of this model has received the suspected requests."""
-KEY = RequestKey(1)
-OTHER = RequestKey(2)
+KEY = SuspectKey(1)
+OTHER = SuspectKey(2)
 
 
 def note_crash_of(
@@ -35,7 +35,7 @@
     suspects.note_crash(TargetNumber(incarnation), [(KEY, trial)], now)
 
 
-def make_held(suspects: Suspects, key: RequestKey, now: float = 1.0) -> None:
+def make_held(suspects: Suspects, key: SuspectKey, now: float = 1.0) -> None:
     """Record crashes and trials until a request is held back."""
     for number in range(HELD_CRASHES):
         trial = Trial.NONE if number < 2 else Trial.ALONE
@@ -132,14 +132,14 @@
     for incarnation in range(4):
         note_crash_of(suspects, 100 + incarnation, 1.0, Trial.ALONE)
     for number in range(2 * MAX_RECORDS):
-        suspects.note_crash(TargetNumber(number), [(RequestKey(10 + number), Trial.NONE)], 2.0)
+        suspects.note_crash(TargetNumber(number), [(SuspectKey(10 + number), Trial.NONE)], 2.0)
     assert len(suspects.records) <= MAX_RECORDS
     assert suspects.find_standing(KEY, 3.0) is Standing.HELD
 
 
 def test_messages_are_bounded_and_rotate_through_suspected_requests() -> None:
     sender, receiver = Suspects(), Suspects()
-    keys = [RequestKey(number) for number in range(1, 3 * MAX_REPORTED)]
+    keys = [SuspectKey(number) for number in range(1, 3 * MAX_REPORTED)]
     for key in keys:
         make_held(sender, key)
     now = 100.0
@@ -154,6 +154,81 @@
     assert not sender.make_relay_message(now + 0.1).suspects
 
 
+def test_each_of_many_observations_is_reported_soon() -> None:
+    # A burst of crashes has more suspects than one message, and each may be the cause.
+    sender, receiver = Suspects(), Suspects()
+    keys = [SuspectKey(number) for number in range(3 * MAX_REPORTED)]
+    for number, key in enumerate(keys):
+        sender.note_crash(TargetNumber(number), [(key, Trial.NONE)], 0.0)
+    for number in range(3):
+        receiver.receive(sender.make_own_message(0.1 * number), 0.0, 0.1 * number)
+    assert set(receiver.find(Standing.SEEN, 1.0)) == set(keys)
+
+
+def test_common_part_is_not_recorded_while_requests_with_it_are_answered() -> None:
+    suspects = Suspects()
+    suspects.note_answer(KEY, 0.0)
+    note_crash_of(suspects, 1, ANSWERED_S / 2)
+    assert not suspects.records
+
+
+def test_answer_of_another_host_clears_a_common_part() -> None:
+    crashed, answered = Suspects(), Suspects()
+    for incarnation in range(3):
+        note_crash_of(crashed, incarnation, 1.0)
+    answered.note_answer(KEY, 0.5)
+    answered.receive(crashed.make_own_message(1.1), 0.0, 1.1)
+    crashed.receive(answered.make_own_message(1.2), 0.0, 1.2)
+    assert answered.find_standing(KEY, 1.2) is Standing.CLEAR
+    assert crashed.find_standing(KEY, 1.2) is Standing.CLEAR
+
+
+def make_held_together(suspects: Suspects) -> None:
+    """Record crashes of targets that always ran both :data:`KEY` and :data:`OTHER`."""
+    for incarnation in range(HELD_CRASHES):
+        trial = Trial.NONE if incarnation < 2 else Trial.ALONE
+        suspects.note_crash(TargetNumber(incarnation), [(KEY, trial), (OTHER, trial)], 1.0)
+
+
+def test_suspects_that_always_come_together_are_held_together() -> None:
+    suspects = Suspects()
+    make_held_together(suspects)
+    verdict = suspects.judge([KEY, OTHER], 2.0)
+    assert verdict.standing is Standing.HELD
+    assert set(verdict.keys) == {KEY, OTHER}
+
+
+@pytest.mark.parametrize("harmful", [True, False])
+def test_trial_decides_between_suspects_that_came_together(harmful: bool) -> None:
+    suspects = Suspects()
+    make_held_together(suspects)
+    assert suspects.judge([OTHER], 2.0).standing is Standing.SUSPECTED
+    if harmful:
+        suspects.note_crash(TargetNumber(9), [(OTHER, Trial.ALONE)], 2.0)
+        assert suspects.judge([OTHER], 2.0).standing is Standing.HELD
+    else:
+        suspects.note_answer(OTHER, 2.0)
+        assert suspects.judge([OTHER], 2.0).standing is Standing.CLEAR
+        assert suspects.judge([KEY], 2.0).standing is Standing.HELD
+
+
+def test_crashes_explained_by_a_held_suspect_do_not_count_against_its_neighbours() -> None:
+    suspects = Suspects()
+    make_held(suspects, KEY)
+    neighbour = SuspectKey(3)
+    for incarnation in suspects.records[KEY].crashes:
+        suspects.note_crash(incarnation, [(neighbour, Trial.NONE)], 1.0)
+    assert suspects.find_standing(neighbour, 1.0) is Standing.SUSPECTED
+    assert suspects.judge([neighbour], 1.0).standing is Standing.CLEAR
+    for incarnation in range(2):
+        suspects.note_crash(TargetNumber(incarnation), [(neighbour, Trial.NONE)], 1.0)
+    assert suspects.judge([neighbour], 1.0).standing is Standing.SUSPECTED
+    # Once the held one is cleared, it explains nothing any more.
+    suspects.note_answer(KEY, 1.1)
+    suspects.note_crash(TargetNumber(9), [(neighbour, Trial.ALONE)], 1.2)
+    assert suspects.judge([neighbour], 1.2).standing is Standing.HELD
+
+
 @dataclass
 class ClusterModel:
     """Hosts that observe crashes and answers and exchange messages in any order.
@@ -203,7 +278,7 @@
         for _, to, message in due:
             self.hosts[to].receive(message, self.rng.uniform(-0.02, 0.02), self.now)
 
-    def send_harmful(self, key: RequestKey) -> None:
+    def send_harmful(self, key: SuspectKey) -> None:
         """Send the harmful request through a random host, beside harmless ones."""
         number = self.rng.randrange(len(self.hosts))
         host = self.hosts[number]
@@ -221,9 +296,9 @@
             requests += [(self.draw_harmless(), Trial.NONE) for _ in range(self.rng.randint(0, 7))]
         host.note_crash(TargetNumber(self.incarnation), requests, self.now)
 
-    def draw_harmless(self) -> RequestKey:
+    def draw_harmless(self) -> SuspectKey:
         """Return a harmless request; low keys are drawn more often, so that requests repeat."""
-        return RequestKey(1000 + min(self.rng.randrange(400), self.rng.randrange(400)))
+        return SuspectKey(1000 + min(self.rng.randrange(400), self.rng.randrange(400)))
 
     def send_harmless(self) -> None:
         """Send a harmless request; two in a hundred run on a target that crashes for another
