Name the suspect in the refusal of a call that waits for a trial

Operators could not get from call_refused with request_suspected to the crashes that decided it: the line had no key, while that of a held request has one. It is named now, and the text says that a part of the prompt may be the cause. Errors call it suspect_key, since it may be either.

--- a/gradepoint/errors.py
+++ b/gradepoint/errors.py
@@ -249,7 +249,8 @@
             _C.TARGET,
             _N,
             1.0,
-            "Targets ended while they ran this request; it is tried alone. Come back.",
+            "Targets ended while they ran this request or others with a part of its prompt; it is "
+            "tried alone. Come back.",
         ),
         ErrorKind(
             "request_held",
@@ -444,8 +445,8 @@
     :param param: name of the invalid field, if there is one.
     :param retry_after: seconds; overrides the value of the catalogue.
     :param outcome: overrides the outcome of the catalogue.
-    :param request_key: key of a request that is suspected of crashing targets or held back for
-        it; operators release the request by this key.
+    :param suspect_key: key of a request, or of a part of its prompt, that is suspected of crashing
+        targets or held back for it; operators release it by this key.
     """
 
     def __init__(
@@ -456,10 +457,10 @@
         param: str | None = None,
         retry_after: float | None = None,
         outcome: Outcome | None = None,
-        request_key: str | None = None,
+        suspect_key: str | None = None,
     ) -> None:
         self.kind = CATALOGUE[code]
-        self.request_key = request_key
+        self.suspect_key = suspect_key
         self.message = message or self.kind.remedy
         self.param = param
         self.retry_after = retry_after if retry_after is not None else self.kind.retry_after
--- a/gradepoint/gateway/calls.py
+++ b/gradepoint/gateway/calls.py
@@ -88,7 +88,7 @@
                 code=error.code,
                 status=error.kind.status,
                 reason=error.message,
-                key=error.request_key,
+                key=error.suspect_key,
             )
             return refuse(error)
 
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -24,7 +24,6 @@
 from .configuration import RouteKind
 from .forwarding import AnswerEnd, Exchange, Forwarder, OtherInstance, TargetBusy, TargetFailed
 from .identity import identify
-from .suspicion import TRIAL_RETRY_S
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -314,7 +313,9 @@
                 self.request, self.service, self.tried, version=self.version
             )
             if target is None:
-                raise self._make_refusal("request_suspected", TRIAL_RETRY_S)
+                if self.may_have_run:
+                    raise GradepointError("target_lost")
+                raise suspicion.make_trial_error(self.request)
             return target
         target = self.choose()
         if target is None and self.version is not None:
--- a/gradepoint/gateway/suspicion.py
+++ b/gradepoint/gateway/suspicion.py
@@ -112,9 +112,15 @@
         key, part = format_key(held), request.suspects[held]
         if part is None:
             message = f"Targets ended each time they ran this request ({key})."
-            return GradepointError("request_held", message, request_key=key)
+            return GradepointError("request_held", message, suspect_key=key)
         message = f"Targets ended each time they ran a prompt with the part {part} ({key})."
-        return GradepointError("prompt_part_held", message, request_key=key)
+        return GradepointError("prompt_part_held", message, suspect_key=key)
+
+    def make_trial_error(self, request: RequestIdentity) -> GradepointError:
+        """Return the error of a call whose trial cannot start now."""
+        keys = self.judge(request).keys
+        key = format_key(keys[0]) if keys else None
+        return GradepointError("request_suspected", retry_after=TRIAL_RETRY_S, suspect_key=key)
 
     def choose_trial(
         self,
