--- a/gradepoint/routing/suspects.py
+++ b/gradepoint/routing/suspects.py
@@ -56,7 +56,7 @@
 callers send runs on every target that crashes, and so does a part of many prompts. The time is
 limited because new weights may make a harmless one harmful."""
 MAX_RECORDS = 4096
-"""Suspects whose crashes are remembered: 5.9 MB when full (``tracemalloc``). Those with the fewest
+"""Suspects whose crashes are remembered: 7.2 MB when full (``tracemalloc``). Those with the fewest
 and oldest crashes are evicted first, so that a flood of different requests never evicts one that
 crashed targets repeatedly."""
 EVICTION_DIVISOR = 16
@@ -68,7 +68,7 @@
 MAX_CRASHES_PER_REQUEST = 8
 """Crashes kept for one suspect: twice the number that counts, since some may be revoked."""
 MAX_REPORTED = 24
-"""Maximum suspects in one message, in at most 2.2 KB. Messages take turns if there are more, and
+"""Maximum suspects in one message, in at most 2.8 KB. Messages take turns if there are more, and
 those that were sent longest ago come first."""
 MAX_ALIVE = 256
 """Target incarnations whose revoked crashes are remembered and sent, 5 bytes each: those of a
