Close connections unread where a host's event loop is late

When most new connections of a region went to one host, all of its calls slowed down, and it answered 503 for lack of room that the targets had: its own calls in flight lasted many times as long.

Cause: a host accepted every connection at once, whatever its loop could do.

A host whose loop is late by over 0.05 s at three checks in a row now resets part of the new connections before anything is read, so that callers try another host at once; the part follows the loop by additive increase and multiplicative decrease, and never exceeds nine tenths. A single host accepts all.

Not chosen: a 503 after the request is read, which takes one of the caller's few retries and the time to read it; turning unready, which hands the load whole to the next host.

--- a/bench/hot_host.py
+++ b/bench/hot_host.py
@@ -177,6 +177,8 @@
     ):
         rows = [row for row in results if first <= row.second < last]
         print(f"{name}: {describe(rows)}; {dict(Counter(row.status for row in rows))}")
+    unserved = Counter(row.attempts for row in results if not row.status)
+    print(f"no complete answer, by attempts: {dict(unserved)}")
 
 
 def describe(rows: list[CallResult]) -> str:
--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -71,6 +71,15 @@
     "WARNING",
     "This host was suspended or blocked; it refreshes its state first.",
 )
+HOST_OVERLOADED = _declare(
+    110,
+    "host_overloaded",
+    "WARNING",
+    "The event loop is late; part of the new connections are closed before they are read.",
+)
+HOST_RELIEVED = _declare(
+    111, "host_relieved", "INFO", "The event loop keeps up again; all connections are accepted."
+)
 CALL_REFUSED = _declare(201, "call_refused", "INFO", "A call was refused; see the code.")
 CALLER_REFUSED = _declare(
     223,
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -56,6 +56,7 @@
 from ..wire.http_server import HttpServer
 from ..wire.http_types import Response
 from ..wire.ports import probe_port
+from .accept_gate import AcceptGate
 from .admission_gate import AdmissionGate
 from .caller_limits import DEFAULT_LIMITS, read_limits
 from .callers import CallerCheck, RevocationTerms
@@ -336,6 +337,9 @@
             self.admission if settings.admission else None,
         )
         self.callers = HttpServer(self.calls.answer, DEFAULT_LIMITS)
+        self.accept_gate = AcceptGate(lambda: len(self.hosts.hosts))
+        self.callers.may_accept = self.accept_gate.accept
+        self.stall_detector.on_lag = self.accept_gate.note_lag
         self.readiness = HttpServer(self.answer_ready)
         self.peer_server = HttpServer(self.answer_peer)
         self.metrics_server = HttpServer(self.answer_metrics)
--- a/gradepoint/gateway/stall.py
+++ b/gradepoint/gateway/stall.py
@@ -34,12 +34,14 @@
     refresh.
 
     :param refresh: reads the data that decides about calls again; it may take long or fail.
+    :param on_lag: called at each check with the seconds by which the event loop is late.
     :ivar last_check_at: monotonic time of the last check.
     :ivar refresh_task: the refresh after the last stall; calls wait for it until
         *wait_deadline*.
     """
 
     refresh: Callable[[], Awaitable[None]]
+    on_lag: Callable[[float], None] = lambda _: None
     last_check_at: float = field(default_factory=monotonic)
     refresh_task: asyncio.Task[None] | None = None
     wait_deadline: float = 0.0
@@ -49,7 +51,9 @@
         """Check for a stall every :data:`TICK_S` seconds, forever."""
         while True:
             self._check_gap()
+            due_at = monotonic() + TICK_S
             await asyncio.sleep(TICK_S)
+            self.on_lag(max(0.0, monotonic() - due_at))
 
     async def wait(self) -> None:
         """Wait for the refresh after a stall; return at once if there was none.
--- a/gradepoint/telemetry/metrics.py
+++ b/gradepoint/telemetry/metrics.py
@@ -152,6 +152,9 @@
         self.orders = BufferedCounter("gradepoint_orders", "By kind and result")
         self.dropped_datagrams = BufferedCounter("gradepoint_dropped_datagrams", "By reason")
         self.control_bytes = BufferedCounter("gradepoint_control_bytes", unit="By")
+        self.refused_connections = BufferedCounter(
+            "gradepoint_refused_connections", "Connections closed unread by an overloaded host"
+        )
         self.call_time = BufferedHistogram("gradepoint_call_time", "s")
         self.view_age = CallbackGauge("gradepoint_view_age", "s")
         self.target_pace = CallbackGauge("gradepoint_target_pace", "1")
--- a/gradepoint/wire/http_server.py
+++ b/gradepoint/wire/http_server.py
@@ -19,7 +19,7 @@
 from .http_types import Request, Response, error_response
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from .http_types import Handler
 
@@ -53,12 +53,42 @@
     cancel_on_disconnect: bool = False
 
 
+def accept_always() -> bool:
+    """Return True; used by servers that accept all connections."""
+    return True
+
+
+class CallerProtocol(asyncio.StreamReaderProtocol):
+    """Protocol of one connection, which resets the connection if the server doesn't accept it."""
+
+    def __init__(self, server: HttpServer) -> None:
+        reader = asyncio.StreamReader(limit=READ_SIZE_BYTES * 4)
+        super().__init__(reader, server.serve)
+        self.server = server
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """See :meth:`asyncio.BaseProtocol.connection_made`; nothing has been read by then."""
+        if self.server.may_accept():
+            super().connection_made(transport)
+        elif isinstance(transport, asyncio.Transport):
+            reset_connection(transport)
+
+
+def reset_connection(transport: asyncio.WriteTransport) -> None:
+    """Close a connection with a reset; a connection that is already closed stays as it is."""
+    connection = transport.get_extra_info("socket")
+    if connection is not None and not transport.is_closing():
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    transport.abort()
+
+
 class HttpServer:
     """Listens on one address and passes each request to one handler.
 
     :ivar connections: the open connections, in the order of their start.
     :ivar stopping: requests are refused with the code ``stopping``.
     :ivar draining: requests are answered, but each connection is closed after its response.
+    :ivar may_accept: decides about each new connection; others are reset before they are read.
     :ivar port: the port it listens on, once started.
     """
 
@@ -69,6 +99,7 @@
         self.connections: dict[Connection, None] = {}
         self.stopping = False
         self.draining = False
+        self.may_accept: Callable[[], bool] = accept_always
         self.port = 0
 
     @property
@@ -88,12 +119,13 @@
         :param listener: a socket that listens on the address already, or None to open one.
         """
         where = {"host": address, "port": port} if listener is None else {"sock": listener}
-        self.server = await asyncio.start_server(
-            self._serve, **where, backlog=1024, limit=READ_SIZE_BYTES * 4
+        self.server = await asyncio.get_running_loop().create_server(
+            lambda: CallerProtocol(self), **where, backlog=1024
         )
         self.port = self.server.sockets[0].getsockname()[1]
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one accepted connection until it ends."""
         connection = Connection(self, reader, writer)
         if len(self.connections) >= self.limits.max_connections:
             await connection.refuse(GradepointError("too_many_connections"))
@@ -319,22 +351,13 @@
                         await self._write(self.h11.send(h11.Data(data=piece)) or b"")
         except BaseException:
             if self.h11.their_http_version == b"1.0":
-                self._reset()
+                # A close in order would complete a body that has neither a length nor chunks.
+                reset_connection(self.writer.transport)
             raise
         trailers = response.trailers() if response.trailers else {}
         end = h11.EndOfMessage(headers=list(trailers.items()))
         await self._write(self.h11.send(end) or b"")
 
-    def _reset(self) -> None:
-        """Reset the connection.
-
-        A close in order would complete a body that has neither a length nor chunks.
-        """
-        raw_socket = self.writer.get_extra_info("socket")
-        if raw_socket is not None:
-            raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        self.writer.transport.abort()
-
     async def _write(self, data: bytes) -> None:
         """Write *data*; wait only if the caller reads too slowly.
 
