Count simultaneous crashes by prompt part unless idle targets crashed too

If several requests with one harmful part came at the same moment, their targets crashed within 0.05 s of each other.

Many simultaneous crashes still blame no request, but they count for the shared parts of the prompts that ran there, without the weight of a trial: a part is tried, and not held back for them alone. If two idle targets crashed as well, it is a loss of power, and nothing counts.

--- a/gradepoint/gateway/suspicion.py
+++ b/gradepoint/gateway/suspicion.py
@@ -19,6 +19,7 @@
 from ..util.structs import Struct, field
 from .choice import choose_least_loaded, get_load
 from .identity import format_key
+from .target_crashes import CrashExtent
 from .targets import RunningTrial
 
 if TYPE_CHECKING:
@@ -202,15 +203,18 @@
     def note_crash(self, crash: TargetCrash) -> None:
         """Record the crash of a target that this host detected.
 
-        A planned or common crash is ignored, since no request is its cause.
+        A planned crash or a loss of power is ignored. If several targets crashed together, the
+        cause is no single request, but it may be a part of several prompts.
         """
-        if crash.planned or crash.common:
+        if crash.planned or crash.extent is CrashExtent.POWER_LOSS:
             return
         incarnation, now = number_target(crash.target.id), monotonic()
         trials: list[tuple[SuspectKey, Trial]] = []
         ages_s: dict[SuspectKey, float] = {}
         for running in crash.requests:
-            for key in running.request.suspects:
+            for key, part in running.request.suspects.items():
+                if part is None and crash.extent is CrashExtent.SEVERAL:
+                    continue
                 trials.append((key, running.trial))
                 ages_s[key] = min(now - running.sent_at, ages_s.get(key, math.inf))
         self._remember_parts(crash)
--- a/gradepoint/gateway/target_crashes.py
+++ b/gradepoint/gateway/target_crashes.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import math
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from .. import events
@@ -57,18 +58,37 @@
 """Maximum number of requests in one log line: twice the slots of a typical target."""
 
 
+class CrashExtent(Enum):
+    """What else crashed together with a target.
+
+    ``SINGLE``: hardly any other target. ``SEVERAL``: many other targets, which a loss of power may
+    have caused, or prompts with the same part. ``POWER_LOSS``: idle targets among them, which no
+    request can have crashed.
+    """
+
+    SINGLE = "single"
+    SEVERAL = "several"
+    POWER_LOSS = "power_loss"
+
+
 class TargetCrash(Struct):
     """The crash of one incarnation of a target.
 
     :param requests: requests of this host that were running there.
     :param planned: the target was draining or delisted, so that no request is the cause.
-    :param common: other targets crashed at the same time, so that no single request is the cause.
+    :param extent: what else crashed at the same time.
     """
 
     target: Target
     requests: list[RunningRequest]
     planned: bool
-    common: bool
+    extent: CrashExtent = CrashExtent.SINGLE
+
+    @property
+    def common(self) -> bool:
+        """Whether other targets crashed at the same time, so that no single request is the
+        cause."""
+        return self.extent is not CrashExtent.SINGLE
 
 
 class CrashDetector(Struct):
@@ -190,18 +210,15 @@
             state = await self.probe(target.address)
             if state is PortState.CLOSED:
                 self.note_closed(target)
-                common = await self._have_others_crashed(target)
-                self._report_crash(TargetCrash(target, requests, planned, common))
+                extent = await self._find_extent(target)
+                self._report_crash(TargetCrash(target, requests, planned, extent))
         finally:
             del self.probe_tasks[target.id]
         if state is PortState.OPEN:
             self.tasks.start(self._await_successor(target, requests, planned=planned))
 
-    async def _have_others_crashed(self, target: Target) -> bool:
-        """Whether a loss of power is the cause of a target's crash, and no request.
-
-        This is assumed if many other targets, or several idle ones, crashed at the same time.
-        """
+    async def _find_extent(self, target: Target) -> CrashExtent:
+        """Find out what else crashed together with a target."""
         others = self.targets.find_other_targets(target)
         open_before = [other for other in others if other.closed_at is None][:MAX_PROBED_NEIGHBOURS]
         states = await asyncio.gather(*(self.probe(other.address) for other in open_before))
@@ -211,7 +228,9 @@
         oldest = monotonic() - COMMON_CRASH_WINDOW_S
         crashed = [o for o in others if o.closed_at is not None and o.closed_at >= oldest]
         min_crashed = max(MIN_COMMON_CRASHES, math.ceil(len(others) * COMMON_CRASH_SHARE))
-        return len(crashed) >= min_crashed or sum(map(self._was_idle, crashed)) >= MIN_IDLE_CRASHES
+        if sum(map(self._was_idle, crashed)) >= MIN_IDLE_CRASHES:
+            return CrashExtent.POWER_LOSS
+        return CrashExtent.SEVERAL if len(crashed) >= min_crashed else CrashExtent.SINGLE
 
     def _was_idle(self, target: Target) -> bool:
         """Whether a target had no calls when it crashed, as far as this host knows."""
@@ -224,7 +243,7 @@
         """Report a target as crashed if another incarnation is listed soon."""
         await asyncio.sleep(SUCCESSOR_TIMEOUT_S)
         if self.targets.has_successor(target):
-            self._report_crash(TargetCrash(target, requests, planned, common=False))
+            self._report_crash(TargetCrash(target, requests, planned))
 
     def _report_crash(self, crash: TargetCrash) -> None:
         logged = [running.request for running in crash.requests[:MAX_LOGGED_REQUESTS]]
@@ -235,6 +254,7 @@
             parts=[request.prompt_parts for request in logged],
             planned=crash.planned,
             common=crash.common,
+            extent=crash.extent.value,
         )
         self.on_crash(crash)
 
--- a/tests/test_gateway/test_gateway_harmful_parts.py
+++ b/tests/test_gateway/test_gateway_harmful_parts.py
@@ -7,13 +7,19 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 import msgspec
 import pytest
 
+from gradepoint.gateway.identity import hash_part
 from tests.support.harmful_parts import (
+    CONTACT_S,
+    DOCUMENT_PARTS,
     LATE_RUNS,
+    SERVED_SHARE,
     SETTLED_CRASHES,
+    SYSTEM_PART,
     send_part_traffic,
     start_part_traffic,
 )
@@ -99,6 +105,51 @@
     run_in_virtual_time(work)
 
 
+def test_crashes_of_one_prompt_part_at_the_same_moment_add_up() -> None:
+    async def work(deployment: Deployment) -> None:
+        traffic = await start_part_traffic(deployment, 6, 6, [HARMFUL])
+
+        async def send_at_once() -> None:
+            await asyncio.sleep(traffic.harmful_from_s)
+            await asyncio.gather(*(traffic.call_harmful(HARMFUL) for _ in range(16)))
+
+        await asyncio.gather(send_part_traffic(traffic, 0.25), send_at_once())
+        late = traffic.count_late_runs(HARMFUL)
+        share = traffic.find_served_share(traffic.harmful_from_s + 2 * CONTACT_S)
+        print(f"runs {len(traffic.runs[HARMFUL])}, late {late}, sound calls served {share:.3f}")
+        assert late <= LATE_RUNS
+        assert share >= SERVED_SHARE
+
+    run_in_virtual_time(work)
+
+
+@pytest.mark.parametrize("lost", [2, 5, 9])
+def test_losses_of_power_blame_no_prompt_part(lost: int) -> None:
+    async def work(deployment: Deployment) -> None:
+        traffic = await start_part_traffic(deployment, 4, 12, [], work_s=0.3)
+        rng = random.Random(lost)
+
+        async def lose_power() -> None:
+            for _ in range(4):
+                await asyncio.sleep(5.0)
+                for target in rng.sample(deployment.targets, lost):
+                    traffic.crasher.crash(target)
+
+        await asyncio.gather(send_part_traffic(traffic), lose_power())
+        held = [
+            row
+            for gateway in deployment.gateways
+            for row in gateway.suspicion.list_suspected()
+            if row.key in {hash_part(part) for part in (SYSTEM_PART, *DOCUMENT_PARTS)}
+        ]
+        share = traffic.find_served_share(0.0)
+        print(f"lost {lost}, sound calls served {share:.3f}")
+        assert not held
+        assert share >= SERVED_SHARE
+
+    run_in_virtual_time(work)
+
+
 def test_first_part_served_if_its_first_answers_are_long() -> None:
     # No answer with the first part of every prompt is complete when the crashes begin.
     async def work(deployment: Deployment) -> None:
