Lead from a refused call to the crashes under a part of its prompt

explain-request followed the key of a refused call to lines with that key, but target_ended names the parts of prompts themselves. The lines that name key and part of a suspect connect them now; a part can be given in place of an id as well. The new test failed before; another one lists and releases a held part.

--- a/gradepoint/telemetry/timeline.py
+++ b/gradepoint/telemetry/timeline.py
@@ -54,7 +54,8 @@
         "call_returned",
     )
 )
-"""Events that identify requests by key, since each attempt of a request has its own id."""
+"""Events that identify requests and parts of prompts by key, since each attempt of a request has an
+id of its own."""
 
 
 @dataclass(frozen=True)
@@ -120,10 +121,10 @@
     """Build the timeline of a request, job or item.
 
     Lines may come from several hosts, in any order, and may be truncated. The lines of a request
-    that was held back name its key; the key leads to the crashes of targets that ran other
-    attempts of this request.
+    that was held back name its key, or that of a part of its prompt. The key leads to the crashes
+    of targets that ran other attempts of this request, or prompts with this part.
 
-    :param wanted: id of a request, job or item, or the key of a request.
+    :param wanted: id of a request, job or item, the key of a request or part, or a part of prompts.
     """
     timeline = Timeline(wanted)
     context_lines: list[LogLine] = []
@@ -139,6 +140,11 @@
         elif line.event in KEY_EVENTS:
             key_lines.append(line)
     keys = {wanted, *(line.fields.get("key") for line in timeline.lines)} - {None}
+    keys |= {
+        line.fields["part"]
+        for line in (*timeline.lines, *key_lines)
+        if line.fields.get("key") in keys and line.fields.get("part")
+    }
     timeline.lines += [line for line in key_lines if keys & _read_keys(line)]
     timeline.lines.sort(key=lambda line: line.time)
     timeline.context = _choose_context(timeline.lines, context_lines)
@@ -146,9 +152,14 @@
 
 
 def _read_keys(line: LogLine) -> set[object]:
-    """Return the request keys that a line names."""
-    named = line.fields.get("requests")
-    return {line.fields.get("key"), *(named if isinstance(named, list) else ())}
+    """Return the keys of requests and the parts of prompts that a line names."""
+    requests, parts = line.fields.get("requests"), line.fields.get("parts")
+    return {
+        line.fields.get("key"),
+        line.fields.get("part"),
+        *(requests if isinstance(requests, list) else ()),
+        *(part for row in (parts if isinstance(parts, list) else ()) for part in row),
+    }
 
 
 def _choose_context(lines: list[LogLine], context_lines: list[LogLine]) -> list[LogLine]:
--- a/tests/test_gateway/test_gateway_held_requests.py
+++ b/tests/test_gateway/test_gateway_held_requests.py
@@ -10,7 +10,8 @@
 from gradepoint.admin.client import AdminAnswer
 from gradepoint.cmd.held import release_held, show_held
 from gradepoint.gateway.identity import format_key
-from gradepoint.routing.suspects import Standing
+from gradepoint.routing.suspects import HELD_CRASHES, Standing
+from tests.support.harmful_parts import start_part_traffic
 from tests.support.platform import Deployment, run_in_virtual_time, until
 
 from .test_gateway_suspicion import HARM, count_harmful_sends, send_until_held, start_deployment
@@ -123,3 +124,25 @@
     assert release_held(ask, "00ff")
     assert asked == [("GET", "/held"), ("DELETE", "/held/00ff")]
     assert not release_held(lambda *_: AdminAnswer(404, {}), "00ff")
+
+
+def test_held_prompt_part_is_listed_and_released_for_all_requests_with_it() -> None:
+    async def work(deployment: Deployment) -> None:
+        part = "bad0c0de"
+        traffic = await start_part_traffic(deployment, 3, 8, [part])
+        for number in range(60):
+            await traffic.call(part if number % 3 == 0 else None)
+            await asyncio.sleep(0.3)
+        answer = await traffic.call(part)
+        assert answer.status == 502 and b"prompt_part_held" in answer.body
+        row = next(row for row in await list_held(deployment) if row["part"] == part)
+        assert row["standing"] == "held" and len(row["ended"]) == HELD_CRASHES  # type: ignore[arg-type]
+        for target in deployment.targets:
+            target.harmful_parts = set()
+        status, _ = await ask(deployment, "DELETE", f"/held/{row['key']}")
+        assert status == 200
+        await asyncio.sleep(0.5)
+        for _ in range(6):
+            assert (await traffic.call(part)).status == 200
+
+    run_in_virtual_time(work)
--- a/tests/test_telemetry/test_telemetry_lines.py
+++ b/tests/test_telemetry/test_telemetry_lines.py
@@ -199,3 +199,22 @@
             "call_refused",
         ]
     assert [row.fields["target"] for row in build_timeline("00cc", lines).lines] == ["t2"]
+
+
+def test_timeline_of_a_held_prompt_part_includes_crashes_of_other_requests() -> None:
+    def line(second: int, host: str, event: str, **fields: object) -> str:
+        row = {"time": f"2026-05-12T16:21:{second:02}", "host": host, "event_name": event}
+        return msgspec.json.encode({**row, **fields}).decode()
+
+    lines = [
+        line(1, "h1", "target_ended", target="t0", requests=["00aa"], parts=[["5c1e", "bad0"]]),
+        line(2, "h2", "target_ended", target="t1", requests=["00bb"], parts=[["5c1e"], ["bad0"]]),
+        line(3, "h2", "target_ended", target="t2", requests=["00cc"], parts=[["5c1e"]]),
+        line(4, "h2", "request_held", key="00ff", part="bad0", ended=["t0", "t1"]),
+        line(5, "h3", "request_held", key="00ff", part=None, ended=["t0", "t1"]),
+        line(6, "h3", "call_refused", request="r9", code="prompt_part_held", key="00ff"),
+    ]
+    for wanted in ("r9", "00ff"):
+        timeline = build_timeline(wanted, lines)
+        assert [row.time[-2:] for row in timeline.lines] == ["01", "02", "04", "05", "06"]
+    assert [row.time[-2:] for row in build_timeline("bad0", lines).lines] == ["01", "02", "04"]
