--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -25,6 +25,9 @@
         bool, typer.Option(help="Callers use API keys of two organisations, one with a quota.")
     ] = False,
     harm: Annotated[bool, typer.Option(help="Send a request that crashes its targets.")] = False,
+    harmful_part: Annotated[
+        bool, typer.Option(help="Send requests of which one part of the prompt crashes targets.")
+    ] = False,
     early_ends: Annotated[
         bool, typer.Option(help="Targets end some streams inside an event, in order.")
     ] = False,
@@ -47,6 +50,7 @@
             gateways=gateways,
             callers=callers,
             with_harm=harm,
+            with_harmful_part=harmful_part,
             with_early_ends=early_ends,
             with_versions=versions,
             organisations=Organisations() if organisations else None,
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -50,6 +50,7 @@
     :param callers: number of concurrent callers.
     :param events: number of events in each stream.
     :param with_harm: whether a request that crashes its targets is sent beside the other calls.
+    :param with_harmful_part: whether such requests share only a part of their prompts.
     :param with_early_ends: whether targets send streams without a length or chunks, and end some
         streams in order inside an event.
     :param with_versions: whether targets of two software versions serve side by side and replace
@@ -75,6 +76,7 @@
     callers: int = 6
     events: int = 8
     with_harm: bool = False
+    with_harmful_part: bool = False
     with_early_ends: bool = False
     with_versions: bool = False
     organisations: Organisations | None = None
@@ -165,10 +167,14 @@
 
     def _start_harm(self) -> HarmfulRequest | None:
         """Start sending the harmful request if this run has one."""
-        if not self.with_harm:
+        if not self.with_harm and not self.with_harmful_part:
             return None
         harm = HarmfulRequest(
-            self.seed, self.targets, self.proxies[: self.target_count], self._relist_target
+            self.seed,
+            self.targets,
+            self.proxies[: self.target_count],
+            self._relist_target,
+            by_part=self.with_harmful_part,
         )
         self.harm = harm
         self.tasks.start(harm.send_forever(lambda: harm.rng.choice(self.fleet).callers, HOST))
--- a/tests/test_bench/test_bench_soak.py
+++ b/tests/test_bench/test_bench_soak.py
@@ -21,6 +21,7 @@
 REGRESSION_SEEDS: tuple[int, ...] = (6, 9, 418)
 """Seeds that once violated a guarantee; docs/findings.md gives the cause of each."""
 
+HARMFUL_PART_SEEDS = [1500, 1501]
 HARM_SEEDS = (602, 621, 632)
 """Seeds of soaks with a request that crashes its targets; each once violated a guarantee."""
 
@@ -49,6 +50,7 @@
     patch: pytest.MonkeyPatch,
     *,
     with_harm: bool = False,
+    with_harmful_part: bool = False,
     with_early_ends: bool = False,
     with_versions: bool = False,
     gateways: int = 2,
@@ -66,6 +68,7 @@
             gateways=gateways,
             callers=4,
             with_harm=with_harm,
+            with_harmful_part=with_harmful_part,
             with_early_ends=with_early_ends,
             with_versions=with_versions,
             organisations=organisations,
@@ -233,6 +236,15 @@
     assert soak.harm is not None and max(map(len, soak.harm.crashes.values())) >= 3
 
 
+@pytest.mark.parametrize("seed", HARMFUL_PART_SEEDS)
+def test_short_soak_with_a_harmful_prompt_part_violates_no_guarantee(
+    seed: int, tmp_path: FilePath, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    soak = run_soak(seed, tmp_path / "soak", monkeypatch, with_harmful_part=True, gateways=4)
+    assert not soak.ledger.violations
+    assert soak.harm is not None and max(map(len, soak.harm.crashes.values())) >= 3
+
+
 @pytest.mark.parametrize("seed", EARLY_END_SEEDS)
 def test_short_soak_with_streams_cut_in_order_violates_no_guarantee(
     seed: int, tmp_path: FilePath, monkeypatch: pytest.MonkeyPatch
