Test held parts of prompts over a restart of all hosts and in adopted jobs

Both pass on the code as it is; a job of which one host was killed sent 8 items with the harmful part, which is the most that the rule allows.

--- a/tests/test_gateway/test_gateway_harmful_parts.py
+++ b/tests/test_gateway/test_gateway_harmful_parts.py
@@ -20,6 +20,7 @@
     SERVED_SHARE,
     SETTLED_CRASHES,
     SYSTEM_PART,
+    PartTraffic,
     send_part_traffic,
     start_part_traffic,
 )
@@ -29,6 +30,7 @@
     job_item,
     route,
     run_in_virtual_time,
+    until,
 )
 
 HARMFUL = "bad0c0de"
@@ -162,25 +164,55 @@
     run_in_virtual_time(work)
 
 
+async def submit_with_prompts(traffic: PartTraffic, gateway: int = 0) -> None:
+    """Submit a job of which every third item has the harmful part."""
+    items = []
+    for index in range(ITEMS):
+        item = job_item("job", index)
+        harmful = HARMFUL if index % 3 == 0 else None
+        item["headers"]["X-Prompt-Prefix"] = traffic.make_prompt(index, harmful)
+        items.append(item)
+    body = msgspec.json.encode({"items": items})
+    answer = await traffic.deployment.call(
+        "/night/job", body=body, request_id="job", gateway=gateway
+    )
+    assert answer.status == 202
+
+
+async def read_sound_items(traffic: PartTraffic) -> dict[str, str]:
+    """Return the states of the items that end within :data:`ITEMS_READ_S`."""
+    states: dict[str, str] = {}
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    while len(states) < ITEMS * 2 // 3 and loop.time() < started_at + ITEMS_READ_S:
+        for row in (await traffic.deployment.read_results("job", len(states)))["results"]:
+            states[row["id"]] = row["state"]
+    return states
+
+
+SOUND_ITEMS_COMPLETE = {f"job-{index}": "complete" for index in range(ITEMS) if index % 3}
+
+
 def test_batch_items_with_crashing_prompt_part_wait_while_others_complete() -> None:
     async def work(deployment: Deployment) -> None:
         traffic = await start_part_traffic(deployment, 3, 6, [HARMFUL])
-        items = []
-        for index in range(ITEMS):
-            harmful = HARMFUL if index % 3 == 0 else None
-            item = job_item("job", index)
-            item["headers"]["X-Prompt-Prefix"] = traffic.make_prompt(index, harmful)
-            items.append(item)
-        body = msgspec.json.encode({"items": items})
-        assert (await deployment.call("/night/job", body=body, request_id="job")).status == 202
-        states: dict[str, str] = {}
-        loop = asyncio.get_running_loop()
-        started_at = loop.time()
-        while len(states) < ITEMS * 2 // 3 and loop.time() < started_at + ITEMS_READ_S:
-            for row in (await deployment.read_results("job", len(states)))["results"]:
-                states[row["id"]] = row["state"]
+        await submit_with_prompts(traffic)
+        states = await read_sound_items(traffic)
         print(f"runs {len(traffic.runs[HARMFUL])}, states {states}")
-        assert states == {f"job-{i}": "complete" for i in range(ITEMS) if i % 3}
+        assert states == SOUND_ITEMS_COMPLETE
+        assert len(traffic.runs[HARMFUL]) <= SETTLED_CRASHES + LATE_RUNS
+
+    run_in_virtual_time(work)
+
+
+def test_adopted_job_sends_no_more_items_with_a_held_prompt_part() -> None:
+    async def work(deployment: Deployment) -> None:
+        traffic = await start_part_traffic(deployment, 3, 6, [HARMFUL])
+        await submit_with_prompts(traffic, gateway=2)
+        await until(lambda: len(traffic.runs.get(HARMFUL, ())) >= SETTLED_CRASHES - 1)
+        await deployment.kill(deployment.gateways[2])
+        assert await read_sound_items(traffic) == SOUND_ITEMS_COMPLETE
+        print(f"runs {len(traffic.runs[HARMFUL])}")
         assert len(traffic.runs[HARMFUL]) <= SETTLED_CRASHES + LATE_RUNS
 
     run_in_virtual_time(work)
--- a/tests/test_gateway/test_gateway_held_requests.py
+++ b/tests/test_gateway/test_gateway_held_requests.py
@@ -126,6 +126,27 @@
     assert not release_held(lambda *_: AdminAnswer(404, {}), "00ff")
 
 
+def test_held_prompt_part_survives_restart_of_all_hosts() -> None:
+    async def work(deployment: Deployment) -> None:
+        part = "bad0c0de"
+        traffic = await start_part_traffic(deployment, 3, 8, [part])
+        for number in range(60):
+            await traffic.call(part if number % 3 == 0 else None)
+            await asyncio.sleep(0.3)
+        runs = len(traffic.runs[part])
+        for gateway in list(deployment.gateways):
+            await deployment.kill(gateway)
+        for number in range(3):
+            await deployment.add_gateway(f"host-{number}")
+        for _ in range(9):
+            assert (await traffic.call()).status == 200
+            answer = await traffic.call(part)
+            assert answer.status == 502 and b"prompt_part_held" in answer.body
+        assert len(traffic.runs[part]) == runs
+
+    run_in_virtual_time(work)
+
+
 def test_held_prompt_part_is_listed_and_released_for_all_requests_with_it() -> None:
     async def work(deployment: Deployment) -> None:
         part = "bad0c0de"
