Show all calls for one stream in explain-request

Operators saw the calls of a stream that its caller had taken up only if they gave the id of each, since the field that names the first call was not followed. It is now, from any of the calls. test_timeline_of_a_stream_includes_all_calls_that_took_it_up failed before.

--- a/gradepoint/telemetry/timeline.py
+++ b/gradepoint/telemetry/timeline.py
@@ -122,18 +122,24 @@
 
     Lines may come from several hosts, in any order, and may be truncated. The lines of a request
     that was held back name its key, or that of a part of its prompt. The key leads to the crashes
-    of targets that ran other attempts of this request, or prompts with this part.
+    of targets that ran other attempts of this request, or prompts with this part. A stream that its
+    caller took up again has the lines of all calls for it.
 
     :param wanted: id of a request, job or item, the key of a request or part, or a part of prompts.
     """
     timeline = Timeline(wanted)
     context_lines: list[LogLine] = []
     key_lines: list[LogLine] = []
+    decoded: list[LogLine] = []
     for text in lines:
         line = _read_line(text)
         if line is None:
             timeline.bad_lines += bool(text.strip())
-        elif any(line.fields.get(name) == wanted for name in ID_FIELDS):
+        else:
+            decoded.append(line)
+    attempts = _find_attempts(wanted, decoded)
+    for line in decoded:
+        if any(line.fields.get(name) in attempts for name in ID_FIELDS):
             timeline.lines.append(line)
         elif line.event in CONTEXT_EVENTS:
             context_lines.append(line)
@@ -151,6 +157,18 @@
     return timeline
 
 
+def _find_attempts(wanted: str, lines: list[LogLine]) -> set[object]:
+    """Return the ids of all calls for the stream of the call *wanted*, or only this one.
+
+    Callers that take a stream up name the call that began it.
+    """
+    taken_up = [line for line in lines if line.fields.get("resumes")]
+    first = {line.fields["resumes"] for line in taken_up if line.fields.get("request") == wanted}
+    first.add(wanted)
+    later = {line.fields.get("request") for line in taken_up if line.fields["resumes"] in first}
+    return {*first, *later} - {None}
+
+
 def _read_keys(line: LogLine) -> set[object]:
     """Return the keys of requests and the parts of prompts that a line names."""
     requests, parts = line.fields.get("requests"), line.fields.get("parts")
--- a/tests/test_telemetry/test_telemetry_lines.py
+++ b/tests/test_telemetry/test_telemetry_lines.py
@@ -218,3 +218,20 @@
         timeline = build_timeline(wanted, lines)
         assert [row.time[-2:] for row in timeline.lines] == ["01", "02", "04", "05", "06"]
     assert [row.time[-2:] for row in build_timeline("bad0", lines).lines] == ["01", "02", "04"]
+
+
+def test_timeline_of_a_stream_includes_all_calls_that_took_it_up() -> None:
+    def line(second: int, host: str, event: str, **fields: object) -> str:
+        row = {"time": f"2026-05-12T16:21:{second:02}", "host": host, "event_name": event}
+        return msgspec.json.encode({**row, **fields}).decode()
+
+    lines = [
+        line(1, "h1", "call_sent", request="r1", resumes=None),
+        line(2, "h2", "stream_taken_up", request="r2", resumes="r1"),
+        line(3, "h3", "call_sent", request="r3", resumes="r1"),
+        line(4, "h3", "call_answered", request="r3"),
+        line(5, "h3", "call_sent", request="r9", resumes="r8"),
+    ]
+    for wanted in ("r1", "r2", "r3"):
+        seconds = [row.time[-2:] for row in build_timeline(wanted, lines).lines]
+        assert seconds == ["01", "02", "03", "04"]
