Keep the text of an item if a target of another version does not run it

An item whose version had no free slot for long was sent to a target of another version, and its text was dropped before the target took it; if that one refused it as full, the events so far were lost, which cost their targets the same work again. The text is restored where the item was certainly not run: a failed connection, another incarnation, or a refusal. test_item_keeps_its_text_if_a_target_of_another_version_does_not_run_it failed before.

--- a/gradepoint/jobs/owned.py
+++ b/gradepoint/jobs/owned.py
@@ -109,12 +109,23 @@
         text = self.partial.get(index)
         return None if text is None or text.empty else text.version
 
-    def begin_run(self, index: int, version: SoftwareVersion) -> None:
-        """Prepare the text of an item for a run at a target of a software version."""
+    def begin_run(self, index: int, version: SoftwareVersion) -> PartialText | None:
+        """Prepare the text of an item for a run at a target of a software version.
+
+        :returns: the text that such a target cannot continue, which the item has lost if it runs.
+        """
         self.waiting_since.pop(index, None)
         text = self.partial.setdefault(index, PartialText())
-        if not text.continue_at(version):
-            emit(events.ITEM_BEGUN_ANEW, job=self.id, index=index, version=version)
+        former = text.copy()
+        if text.continue_at(version):
+            return None
+        emit(events.ITEM_BEGUN_ANEW, job=self.id, index=index, version=version)
+        return former
+
+    def restore_text(self, index: int, former: PartialText) -> None:
+        """Restore the text of an item that a target of another version did not run."""
+        if index in self.partial and self.partial[index].empty:
+            self.partial[index] = former
 
     def count_events(self, index: int) -> int:
         """Return the events received so far for an item that has not ended."""
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -88,6 +88,7 @@
 
     :ivar started: monotonic time at which the run started.
     :ivar events_before: events of the item that former runs produced.
+    :ivar former_text: text that this run discards, since its target has another software version.
     """
 
     job: OwnedJob
@@ -96,6 +97,7 @@
     started: float
     task: asyncio.Task[None] | None = None
     events_before: int = 0
+    former_text: PartialText | None = None
 
 
 class Worker(Struct):
@@ -581,9 +583,14 @@
         self.start_allowance = allot_spare_slots(spare, own, self.remote_waiting(), self.rng)
 
     def _start(self, job: OwnedJob, index: int, target: Target, max_failures: int) -> None:
-        job.begin_run(index, target.listed.version)
+        former_text = job.begin_run(index, target.listed.version)
         running = RunningItem(
-            job, index, target.id, monotonic(), events_before=job.count_events(index)
+            job,
+            index,
+            target.id,
+            monotonic(),
+            events_before=job.count_events(index),
+            former_text=former_text,
         )
         # The task counts the request as in flight only once it first runs, so target.begin() below
         # counts it until then.
@@ -638,6 +645,8 @@
             self.forwarder.suspicion.note_answer(job.request_identity(index), is_success=False)
             self._count_failure(job, index, max_failures, str(error))
         except (ConnectFailed, OtherInstance, TargetBusy, TargetFailed) as error:
+            if running.former_text is not None and not isinstance(error, TargetFailed):
+                job.restore_text(index, running.former_text)
             job.not_before[index] = monotonic() + ITEM_RETRY_S
             metrics.shared().retries.add(1, {"reason": type(error).__name__})
             emit(
--- a/tests/test_gateway/test_gateway_software_versions.py
+++ b/tests/test_gateway/test_gateway_software_versions.py
@@ -188,6 +188,33 @@
     run_in_virtual_time(work)
 
 
+def test_item_keeps_its_text_if_a_target_of_another_version_does_not_run_it() -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_versions(deployment, "v1", "v1", event_interval_s=EVENT_INTERVAL_S)
+        for target in deployment.targets:
+            target.faults = [TargetFault.CUT, TargetFault.NONE]
+        await deployment.submit("job", 1)
+        await until(lambda: any(target.ran["job-0"] for target in deployment.targets))
+        listed = list(deployment.gateways[0].targets.by_id.values())
+        for target in listed:
+            target.in_flight += 100
+        second = TargetStandin("t2", events=EVENTS, version="v2", faults=[TargetFault.BUSY])
+        await deployment.add_target(second)
+        await until(lambda: bool(second.seen))
+        for target in listed:
+            target.in_flight -= 100
+        [row] = await deployment.read_all_results("job")
+        assert row["message"] == item_text("job-0", EVENTS, "v1")
+        resumed = [
+            request.headers.get("last-event-id")
+            for target in deployment.targets[:2]
+            for request in target.seen
+        ]
+        assert len(resumed) == 2 and None in resumed and resumed != [None, None]
+
+    run_in_virtual_time(work)
+
+
 def test_row_with_another_version_is_another_target() -> None:
     targets = TargetSet(last_resort_s=1.0)
     targets.put(listed_target("t0", version="v1"))
