--- a/gradepoint/routing/suspects.py
+++ b/gradepoint/routing/suspects.py
@@ -65,7 +65,7 @@
 MAX_ANSWERED = 2048
 """Suspects whose last complete answer is remembered: more than the number of widely sent requests
 and widely used parts of prompts that a host gets within :data:`ANSWERED_S`."""
-MAX_CRASHES_PER_REQUEST = 8
+MAX_CRASHES_PER_SUSPECT = 8
 """Crashes kept for one suspect: twice the number that counts, since some may be revoked."""
 MAX_REPORTED = 24
 """Maximum suspects in one message, in at most 2.8 KB. Messages take turns if there are more, and
@@ -251,7 +251,7 @@
                 min(crash.age_s, former.age_s),
             )
         self.crashes[incarnation] = crash
-        if len(self.crashes) > MAX_CRASHES_PER_REQUEST:
+        if len(self.crashes) > MAX_CRASHES_PER_SUSPECT:
             del self.crashes[min(self.crashes, key=lambda other: (self.crashes[other].at, other))]
         return former is None or crash[1:] != former[1:]
 
@@ -318,7 +318,7 @@
                 explained |= incarnations
         rest = [crash for incarnation, crash in crashes.items() if incarnation not in explained]
         if standing is Standing.HELD:
-            # Both suspects may be the cause, which a trial of this request decides.
+            # The suspect may have been held for crashes of the other one; a trial decides.
             is_confirmed = weigh_trials(rest) >= HELD_TRIAL_WEIGHT
             return Standing.HELD if is_confirmed else Standing.SUSPECTED
         return classify_crashes(rest)
--- a/tests/support/harmful_parts.py
+++ b/tests/support/harmful_parts.py
@@ -9,8 +9,9 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 
 from bench.platform.target import TargetStandin, read_shared_parts
 
@@ -181,20 +182,22 @@
     traffic.begun_at = asyncio.get_running_loop().time()
     senders = [_send_every(traffic.call_sound, SOUND_INTERVAL_S, TRAFFIC_S)]
     for part in traffic.harmful:
-        call = lambda part=part: traffic.call_harmful(part)  # noqa: E731
-        senders.append(
-            _send_every(call, harmful_interval_s, TRAFFIC_S - harmful_from_s, harmful_from_s)
-        )
+        call = partial(traffic.call_harmful, part)
+        seconds = TRAFFIC_S - harmful_from_s
+        senders.append(_send_every(call, harmful_interval_s, seconds, harmful_from_s))
     await asyncio.gather(*senders)
 
 
 async def _send_every(
-    call: Callable[[], object], interval_s: float, seconds: float, delay_s: float = 0.0
+    call: Callable[[], Coroutine[None, None, None]],
+    interval_s: float,
+    seconds: float,
+    delay_s: float = 0.0,
 ) -> None:
     """Start a call every *interval_s*, and wait until all have ended."""
     await asyncio.sleep(delay_s)
     calls = []
     for _ in range(int(seconds / interval_s)):
-        calls.append(asyncio.ensure_future(call()))  # type: ignore[call-overload]
+        calls.append(asyncio.ensure_future(call()))
         await asyncio.sleep(interval_s)
     await asyncio.gather(*calls)
