Test that only successful answers clear a prompt part, and add mutations

Six mistakes in what is new: parts that are never suspects, parts cleared by errors, crashes that a held suspect explains counted against others, answers being written ignored, simultaneous crashes ignored, and an overloaded host that accepts all.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -46,7 +46,52 @@
 ROUTING = "tests/test_routing"
 ONLINE = "tests/test_online"
 
-MUTATIONS: tuple[Mutation, ...] = (
+MUTATIONS: tuple[
+    Mutation(
+        "prompt parts are never suspects",
+        "gateway/identity.py",
+        "return {SuspectKey(self.key): None, **parts}",
+        "return {SuspectKey(self.key): None}",
+        f"{GATEWAY}/test_gateway_harmful_parts.py",
+    ),
+    Mutation(
+        "an error answer clears the parts of its prompt",
+        "gateway/suspicion.py",
+        "if part is None or is_success:",
+        "if part is None or True:",
+        f"{GATEWAY}/test_gateway_harmful_parts.py",
+    ),
+    Mutation(
+        "crashes that a held suspect explains count against others",
+        "routing/suspects.py",
+        "explained |= incarnations",
+        "explained |= set()",
+        "tests/test_routing/test_routing_suspects.py",
+    ),
+    Mutation(
+        "answers being written clear no part",
+        "gateway/app.py",
+        "self.suspicion.find_writing = self.forwarder.find_writing",
+        "self.suspicion.find_writing = dict",
+        f"{GATEWAY}/test_gateway_harmful_parts.py",
+    ),
+    Mutation(
+        "simultaneous crashes blame no part",
+        "gateway/suspicion.py",
+        "if crash.planned or crash.extent is CrashExtent.POWER_LOSS:",
+        "if crash.planned or crash.common:",
+        f"{GATEWAY}/test_gateway_harmful_parts.py",
+    ),
+    Mutation(
+        "an overloaded host accepts all connections",
+        "gateway/accept_gate.py",
+        "if self.limiter.accept() or self.count_hosts() < 2:",
+        "if self.limiter.accept() or True:",
+        f"{GATEWAY}/test_gateway_overload.py",
+    ),
+    Mutation,
+    ...,
+] = (
     Mutation(
         "stream is resumed at any software version",
         "gateway/live.py",
--- a/tests/test_gateway/test_gateway_harmful_parts.py
+++ b/tests/test_gateway/test_gateway_harmful_parts.py
@@ -12,7 +12,10 @@
 import msgspec
 import pytest
 
+from bench.platform.target import TargetFault
 from gradepoint.gateway.identity import hash_part
+from gradepoint.ids import PromptPart, TargetNumber
+from gradepoint.routing.suspects import Standing, Trial
 from tests.support.harmful_parts import (
     CONTACT_S,
     DOCUMENT_PARTS,
@@ -152,6 +155,26 @@
     run_in_virtual_time(work)
 
 
+@pytest.mark.parametrize("status", [200, 422, 500])
+def test_only_a_successful_answer_clears_a_prompt_part(status: int) -> None:
+    # A target may answer with an error before it works on the prompt.
+    async def work(deployment: Deployment) -> None:
+        traffic = await start_part_traffic(deployment, 1, 4, [], paths=["stream"])
+        faults = {200: TargetFault.NONE, 422: TargetFault.IMPOSSIBLE, 500: TargetFault.ERROR}
+        for target in deployment.targets:
+            target.faults = [faults[status]]
+        suspects, key = deployment.gateways[0].suspicion.suspects, hash_part(PromptPart(HARMFUL))
+        loop = asyncio.get_running_loop()
+        for number in range(2):
+            suspects.note_crash(TargetNumber(number), [(key, Trial.NONE)], loop.time())
+        answer = await traffic.call(HARMFUL)
+        assert answer.status == status
+        standing = suspects.find_standing(key, loop.time())
+        assert standing is (Standing.CLEAR if status == 200 else Standing.SUSPECTED)
+
+    run_in_virtual_time(work)
+
+
 def test_first_part_served_if_its_first_answers_are_long() -> None:
     # No answer with the first part of every prompt is complete when the crashes begin.
     async def work(deployment: Deployment) -> None:
