--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -46,7 +46,7 @@
 ROUTING = "tests/test_routing"
 ONLINE = "tests/test_online"
 
-MUTATIONS: tuple[
+MUTATIONS: tuple[Mutation, ...] = (
     Mutation(
         "prompt parts are never suspects",
         "gateway/identity.py",
@@ -89,9 +89,6 @@
         "if self.limiter.accept() or True:",
         f"{GATEWAY}/test_gateway_overload.py",
     ),
-    Mutation,
-    ...,
-] = (
     Mutation(
         "stream is resumed at any software version",
         "gateway/live.py",
