Review: only the cases are folders of review/

Cause: the stand-ins lay in a folder beside those of the cases, and the scripts left compiled files.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,8 +6,8 @@
 import time
 from pathlib import Path
 
-from review.standins.deployment import Deployment, batch_route, make_items, run_case
-from review.standins.runner import whole_text
+from review.deployment import Deployment, batch_route, make_items, run_case
+from review.runner import whole_text
 
 JOB = "7c41e09b52d6a3f8"
 EVENTS, SIZE, EVENT_MS = 268, 55, 9.0
--- a/review/standins/deployment.py
+++ b/review/deployment.py
@@ -22,13 +22,13 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from .http import Answer, call
+from .messages import Answer, call
 from .store import Store
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 ZONES = ("ulemiste", "kopli", "lasnamae")
 HOST = "nony24.example"
 SERVICE = "huvo11a"
@@ -220,7 +220,7 @@
         """Start a runner, and keep its entry in the store."""
         ip = f"127.0.3.{len(self.runners) + 1}"
         listen = f"{ip}:{free_port(ip)}"
-        command = [sys.executable, "-m", "review.standins.runner", "--name", name]
+        command = [sys.executable, "-B", "-m", "review.runner", "--name", name]
         runner = Program(name, [*command, "--listen", listen, *arguments], self.folder)
         entry = {
             "service": SERVICE,
--- a/review/standins/runner.py
+++ b/review/runner.py
@@ -12,7 +12,7 @@
 import sys
 import time
 
-from .http import Answer, Request, serve
+from .messages import Answer, Request, serve
 
 SLOTS = 8
 QUEUE = 24
--- a/review/standins/store.py
+++ b/review/store.py
@@ -8,7 +8,7 @@
 import time
 from dataclasses import dataclass, field
 
-from .http import Answer, Request, answer_json, serve
+from .messages import Answer, Request, answer_json, serve
 
 PAGE_ITEMS = 500
 PAGE_BYTES = 1_000_000
