Refuse in the stand-ins of the store what the store refuses

The stand-ins took a value, a key or a transaction of any size, served any rate, and paged range reads by keys only. A write beyond a limit of the real service, and what the product does when it is refused, was therefore tested nowhere: not by the suite, not by the soak.

Limits, by default: 1 MiB a value, 200 bytes a key, 32 entries a transaction with its conditions, 400 writes and 2,000 reads a second, 1 MB a page of a range read, no writes below the prefixes of the operator and the targets. The status for a value that is too large is not specified; the stand-in answers 413, and 400 for the other limits. KvRejected is raised by the in-memory client only; the client of the platform's store still reports a 413 as KvUnavailable.

--- a/bench/platform/store.py
+++ b/bench/platform/store.py
@@ -7,12 +7,15 @@
 
 import asyncio
 import base64
+import itertools
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
 
 import msgspec
 
+from gradepoint.errors import KvRejected
+from gradepoint.kv.limits import check_transaction
 from gradepoint.kv.service import Delete, Expect, Put, Transaction, WatchEvent
 from gradepoint.standins.memory_kv import MemoryKv
 from gradepoint.util.clock import monotonic
@@ -23,6 +26,12 @@
 """Seconds between two looks of a waiting watch at the history."""
 PAGE_ITEMS = 50
 """Keys in one page of a range read."""
+PAGE_BYTES = 1_000_000
+"""Most bytes of values in one page of a range read, unless its first value is larger."""
+WRITES_PER_S, READS_PER_S = 400.0, 2000.0
+"""Default rates of the calls of all clients together."""
+FOREIGN_PREFIXES = ("op/", "servers/")
+"""Prefixes below which only the operator and the targets may write."""
 LEASE_LOOK_S = 0.05
 READ_PATHS = frozenset({"/api/kv-key", "/api/kv-range", "/api/kv-watch"})
 
@@ -87,6 +96,7 @@
     :ivar calls: number of calls by path, refused ones included.
     :ivar reads: limit of the rate of reads and watches; calls beyond it get 429.
     :ivar writes: limit of the rate of all other calls.
+    :ivar rejected: transactions that were refused because they exceed a limit, in order.
     """
 
     keys: MemoryKv = field(default_factory=MemoryKv)
@@ -98,8 +108,9 @@
     watches_muted: bool = False
     reset_count: int = 0
     calls: dict[str, int] = field(default_factory=dict)
-    reads: RateLimit = field(default_factory=lambda: RateLimit(0))
-    writes: RateLimit = field(default_factory=lambda: RateLimit(0))
+    reads: RateLimit = field(default_factory=lambda: RateLimit(READS_PER_S))
+    writes: RateLimit = field(default_factory=lambda: RateLimit(WRITES_PER_S))
+    rejected: list[KvRejected] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.server = HttpServer(self.handle)
@@ -190,8 +201,11 @@
 
     def _range(self, prefix: str, after: str) -> Response:
         names = sorted(name for name in self.keys.keys if name.startswith(prefix) and name > after)
-        rows = [_row(self.keys.keys[name]) for name in names[:PAGE_ITEMS]]
-        more = len(names) > PAGE_ITEMS
+        items = [self.keys.keys[name] for name in names[:PAGE_ITEMS]]
+        sizes = itertools.accumulate(len(item.value) for item in items)
+        fitting = sum(size <= PAGE_BYTES for size in sizes)
+        rows = [_row(item) for item in items[: max(1, fitting)]]
+        more = len(names) > len(rows)
         return json_response({"items": rows, "has_more": more, "timestamp": self.keys.revision})
 
     async def _watch(self, query: dict[str, str]) -> Response:
@@ -235,7 +249,15 @@
             return Response(404)
         expects = tuple(Expect(row["key_path"], row["rev"]) for row in call["expect_rev"])
         deletes = tuple(Delete(key) for key in call["remove"])
-        result = self.keys.apply(Transaction(expects, puts, deletes))
+        if any(row.key.startswith(FOREIGN_PREFIXES) for row in (*puts, *deletes)):
+            return Response(403)
+        transaction = Transaction(expects, puts, deletes)
+        try:
+            check_transaction(transaction, self.keys.limits)
+        except KvRejected as error:
+            self.rejected.append(error)
+            return Response(413 if error.reason == "value too large" else 400)
+        result = self.keys.apply(transaction)
         if result.succeeded:
             return json_response({"rev": result.revision})
         return json_response({"items": [_row(item) for item in result.current]}, 412)
--- a/gradepoint/errors.py
+++ b/gradepoint/errors.py
@@ -481,6 +481,24 @@
     """The service could not be reached, so the operation did not take effect."""
 
 
+class KvRejected(KvError):
+    """The service refused a call that it will refuse again; the call did not take effect.
+
+    :param reason: why the call was refused, as far as the service says it.
+    :param key: the key that exceeds a limit; else the key with the largest value of the call.
+    :param size: size of that key or its value in bytes, or the number of entries.
+    :param limit: the largest *size* that is accepted; None if the service does not name it.
+    """
+
+    def __init__(self, reason: str, key: str, size: int, limit: int | None = None) -> None:
+        self.reason = reason
+        self.key = key
+        self.size = size
+        self.limit = limit
+        bound = "" if limit is None else f", limit {limit}"
+        super().__init__(f"{reason}: {key} ({size}{bound})")
+
+
 class KvLeaseLapsed(KvError):
     """A write referred to an expired or revoked lease and did not take effect."""
 
--- a/gradepoint/standins/memory_kv.py
+++ b/gradepoint/standins/memory_kv.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from ..errors import KvUnavailable, KvUncertain
+from ..kv.limits import KvLimits, check_transaction
 from ..kv.service import (
     CallCounts,
     KeyValue,
@@ -46,6 +47,7 @@
 class MemoryKv:
     """Store of keys with revisions, leases and a history of changes for watches.
 
+    :param limits: limits of the transactions that clients send.
     :ivar leases: lifetime in seconds and monotonic expiry time of each lease.
     """
 
@@ -54,6 +56,7 @@
     history: list[WatchEvent] = field(default_factory=list)
     leases: dict[int, tuple[float, float]] = field(default_factory=dict)
     next_lease: int = 100
+    limits: KvLimits = field(default_factory=KvLimits)
 
     def apply(self, transaction: Transaction) -> TransactionResult:
         """Apply a transaction atomically and return its result."""
@@ -153,6 +156,7 @@
             raise KvUnavailable("down")
         if fault is KvFault.LOST_BEFORE:
             raise KvUncertain("lost before the write")
+        check_transaction(transaction, self.store.limits)
         if fault is KvFault.LATE:
             loop = asyncio.get_running_loop()
             loop.call_later(self.late_s, self.store.apply, transaction)
