List results in as many writes as they need

Cause: a commit wrote all results that were waiting into one value, gp/result/ID/N. Nothing bounds their number or size: an outage holds back every result of a job, and many targets end a wave of items within the 1.2 s for which a result waits. Once the value exceeds the store's limit, the write is refused, the same results and further ones are written again 0.5 s later, and that can never succeed. Evidence: the store of the case logs the same key with 1.4 to 3 MB for each refused write.

Ruled out: the outage itself (the write is refused without one when more results end at once) and the listing of the other host (the state in the store lists nothing).

Fix: a commit groups results into values of at most 0.7 of the limit and lists the leading ones that fit into one transaction; the worker commits the rest at once, small results first. The state already counts keys and not commits, so that hosts of the former version read and continue such jobs. A job is released only with its last commit. A single result above the limit is not covered here.

The fake of event_bytes in test_event_with_invalid_text_is_requested_again takes the new argument of the function that it replaces; the test checks the same.

--- a/bench/platform/target.py
+++ b/bench/platform/target.py
@@ -21,6 +21,8 @@
 
 SEAL = "x-server-seal"
 FIRST_VERSION = "v1"
+EVENT_DATA_BYTES = 16
+"""Default size in bytes of the data of an event."""
 
 
 class TargetFault(Enum):
@@ -49,6 +51,7 @@
     :param service: service that the target belongs to.
     :param events: number of events in each stream.
     :param event_interval_s: seconds between two events of a stream.
+    :param data_bytes: size of the data of each event.
     :param slots: number of slots that the target's store entry announces.
     :param version: software version that the entry announces.
     :ivar faults: faults of the next requests, one each; the last one applies to all later requests.
@@ -76,6 +79,7 @@
     service: str = "model"
     events: int = 6
     event_interval_s: float = 0.0
+    data_bytes: int = EVENT_DATA_BYTES
     slots: int = 8
     version: str = FIRST_VERSION
     faults: list[TargetFault] = field(default_factory=list)
@@ -190,12 +194,12 @@
         try:
             for number in range(first, self.events):
                 if number == early_end:
-                    yield event_bytes(request_id, number, version)[:9]
+                    yield event_bytes(request_id, number, version, self.data_bytes)[:9]
                     return
                 if fault is TargetFault.CUT and number >= first + self.cut_after:
-                    yield event_bytes(request_id, number, version)[:5]
+                    yield event_bytes(request_id, number, version, self.data_bytes)[:5]
                     raise ConnectionResetError
-                yield event_bytes(request_id, number, version)
+                yield event_bytes(request_id, number, version, self.data_bytes)
                 await asyncio.sleep(self.event_interval_s)
             self.completed_runs[request_id] += 1
         finally:
@@ -220,14 +224,19 @@
     connection.h11.their_http_version = b"1.0"
 
 
-def event_data(request_id: str, number: int, version: str = FIRST_VERSION) -> str:
+def event_data(
+    request_id: str, number: int, version: str = FIRST_VERSION, size: int = EVENT_DATA_BYTES
+) -> str:
     """Return the data of an event; it is the same on every target of a software version."""
-    return sha256_hex(f"{request_id}.{number}.{version}".encode())[:16]
+    digest = sha256_hex(f"{request_id}.{number}.{version}".encode())[:16]
+    return (digest * (size // len(digest) + 1))[:size]
 
 
-def event_bytes(request_id: str, number: int, version: str = FIRST_VERSION) -> bytes:
+def event_bytes(
+    request_id: str, number: int, version: str = FIRST_VERSION, size: int = EVENT_DATA_BYTES
+) -> bytes:
     """Return an event as it is encoded in a stream."""
-    return f"id: {number}\ndata: {event_data(request_id, number, version)}\n\n".encode()
+    return f"id: {number}\ndata: {event_data(request_id, number, version, size)}\n\n".encode()
 
 
 def complete_stream(
--- a/gradepoint/jobs/records.py
+++ b/gradepoint/jobs/records.py
@@ -4,8 +4,8 @@
 
 - ``gp/job/ID``: the job's state, changed only by compare-and-swap;
 - ``gp/input/ID/N``: part N of its items, written once, in the transaction that creates the state;
-- ``gp/result/ID/N``: results of the Nth commit, written once, in the transaction that lists them in
-  the state;
+- ``gp/result/ID/N``: part N of its results, written once, in the transaction that lists them in the
+  state;
 - ``gp/partial/ID``: texts received so far for items that have not ended, overwritten by commits.
 
 ``gp/quota/ROUTE`` bounds the tokens that wait on a route, and ``gp/live/end/ID`` tells all hosts
@@ -97,7 +97,7 @@
     :param item_ids: ids by index.
     :param item_tokens: tokens by index.
     :param listed: results in the order of their positions, without their texts.
-    :param commits: number of result keys written so far.
+    :param commits: number of result keys written so far; a commit may write several.
     :param failures: failed attempts by index, for items that are not listed.
     :param ended: the client ended the job.
     :param released: the owner gave the job up; any other host may adopt it at once.
@@ -275,7 +275,8 @@
 
 def split_items(items: list[Item], max_bytes: int) -> list[bytes]:
     """Encode items into parts of about *max_bytes* at most; a larger item gets its own part."""
-    return _split([msgspec.msgpack.encode(item) for item in items], max_bytes)
+    rows = [msgspec.msgpack.encode(item) for item in items]
+    return [encode_part(part) for part in split_rows(rows, max_bytes)]
 
 
 def join_items(parts: list[bytes]) -> list[Item]:
@@ -294,7 +295,11 @@
     return [result for part in parts for result in decode_value(part, list[Result])]
 
 
-def _split(rows: list[bytes], max_bytes: int) -> list[bytes]:
+def split_rows(rows: list[bytes], max_bytes: int) -> list[list[bytes]]:
+    """Group encoded rows, in order, into parts of *max_bytes* at most.
+
+    A larger row gets its own part. The array header that :func:`encode_part` adds is not counted.
+    """
     parts: list[list[bytes]] = [[]]
     size = 0
     for row in rows:
@@ -303,4 +308,9 @@
             size = 0
         parts[-1].append(row)
         size += len(row)
-    return [msgspec.msgpack.encode([msgspec.Raw(row) for row in part]) for part in parts]
+    return parts
+
+
+def encode_part(rows: list[bytes]) -> bytes:
+    """Encode the rows of one part as the value of its key."""
+    return msgspec.msgpack.encode([msgspec.Raw(row) for row in rows])
--- a/gradepoint/jobs/repository.py
+++ b/gradepoint/jobs/repository.py
@@ -27,6 +27,7 @@
     Result,
     decode_state,
     decode_value,
+    encode_part,
     encode_state,
     end_key,
     input_prefix,
@@ -38,6 +39,7 @@
     quota_key,
     result_prefix,
     split_items,
+    split_rows,
 )
 
 if TYPE_CHECKING:
@@ -50,6 +52,11 @@
 MAX_INPUT_PARTS = 24
 """Most parts of a job's items: a transaction takes 32 entries, and the job's state and the quota
 need some of them."""
+MAX_RESULT_PARTS = 24
+"""Most parts of results in one commit, for the same reason."""
+MAX_COMMIT_BYTES = 2 << 20
+"""Most bytes of results in one commit, unless its first result is larger. A write that takes long
+to transfer times out, and other hosts relay requests of up to 8 MB only."""
 NO_LIMIT = 1 << 62
 """Stands for the limit of a route without one; larger than any number of tokens."""
 MAX_CONFLICT_ATTEMPTS = 20
@@ -95,9 +102,9 @@
 
 
 class CommittedWork(Struct, frozen=True):
-    """The data that one commit writes.
+    """The data that a commit is to write.
 
-    :param results: items that ended, with their texts.
+    :param results: items that ended, with their texts, in the order in which they are listed.
     :param failures: failed attempts by index.
     :param partial: texts received so far for items that have not ended, by index.
     :param age_s: see :class:`JobState`.
@@ -132,6 +139,11 @@
     value_bytes: int
     quota_cache: dict[str, KeyValue] = field(default_factory=dict)
 
+    @property
+    def part_bytes(self) -> int:
+        """Most bytes of items or results in one value."""
+        return int(self.value_bytes * MAX_PART_SHARE)
+
     async def accept(
         self, job_id: JobId, state: JobState, items: list[Item], max_tokens: int
     ) -> Submission:
@@ -141,7 +153,7 @@
         :raises KvUnavailable: nothing was written and nothing will be.
         :raises KvUncertain: the job may have been created, or may be later.
         """
-        parts = split_items(items, int(self.value_bytes * MAX_PART_SHARE))
+        parts = split_items(items, self.part_bytes)
         if len(parts) > MAX_INPUT_PARTS:
             raise GradepointError("body_too_large", "The job's items do not fit; split the job.")
         state = msgspec.structs.replace(state, input_parts=len(parts))
@@ -279,31 +291,50 @@
     ) -> StoredJob:
         """Append results to the listed ones, and store the texts of unfinished items.
 
-        :param released: give the job up, so that any other host may adopt it.
+        Only the leading results that fit into one transaction are listed; the caller commits the
+        others next.
 
+        :param released: give the job up, so that any other host may adopt it. Ignored while results
+            remain.
+        :returns: the job with the results that were listed.
         :raises Superseded: another writer changed the job; nothing was listed.
         :raises KvError: no definite answer.
         """
         state = job.state
-        puts: list[Put] = []
-        if work.results:
-            key = part_key(result_prefix(job.id), state.commits)
-            puts.append(Put(key, msgspec.msgpack.encode(work.results)))
+        parts = self._select_parts(work.results)
+        listed = work.results[: sum(map(len, parts))]
+        prefix = result_prefix(job.id)
+        puts = [
+            Put(part_key(prefix, number), encode_part(part))
+            for number, part in enumerate(parts, state.commits)
+        ]
         raw = msgspec.msgpack.encode(work.partial)
-        keep_partial = bool(work.partial) and len(raw) <= self.value_bytes * MAX_PART_SHARE
+        keep_partial = bool(work.partial) and len(raw) <= self.part_bytes
         if keep_partial:
             puts.append(Put(partial_key(job.id), raw))
         changed = msgspec.structs.replace(
             state,
-            listed=state.listed + [Result(row.index, row.end) for row in work.results],
-            commits=state.commits + bool(work.results),
+            listed=state.listed + [Result(row.index, row.end) for row in listed],
+            commits=state.commits + len(parts),
             failures={index: count for index, count in work.failures.items() if count},
-            released=released,
+            released=released and len(listed) == len(work.results),
             partial=keep_partial,
             age_s=max(state.age_s, work.age_s),
         )
         return await self._replace_state(job, changed, *puts)
 
+    def _select_parts(self, results: list[Result]) -> list[list[bytes]]:
+        """Encode and group the leading results that fit into one transaction, at least one."""
+        rows: list[bytes] = []
+        size = 0
+        for result in results:
+            row = msgspec.msgpack.encode(result)
+            size += len(row)
+            if rows and size > MAX_COMMIT_BYTES:
+                break
+            rows.append(row)
+        return split_rows(rows, self.part_bytes)[:MAX_RESULT_PARTS] if rows else []
+
     async def adopt(self, job: StoredJob, owner: Incarnation) -> StoredJob:
         """Make *owner* the owner of the job.
 
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -373,14 +373,13 @@
         return bool(job.running) and now - job.committed_at >= CHECKPOINT_INTERVAL_S
 
     async def _commit(self, job: OwnedJob, *, released: bool = False) -> None:
-        pending = list(job.pending)
+        """Commit the items that have ended, in as many transactions as they need."""
+        # Small results are listed first, so that the transfer of large ones does not delay them.
+        pending = sorted(job.pending, key=lambda row: len(row.text))
         try:
-            age_s = monotonic() - job.accepted_at
-            work = CommittedWork(pending, job.failures, job.copy_partial(), age_s)
-            stored = await self.repository.commit(job.stored, work, released=released)
-            job.apply_commit(stored, pending)
-            metrics.shared().commits.add(1, {"result": "listed"})
-            emit(events.ITEMS_LISTED, job=job.id, items=len(pending), listed=len(job.results))
+            await self._commit_next(job, pending, released)
+            while pending:
+                await self._commit_next(job, pending, released)
         except Superseded as error:
             self._reconcile(job, error.job)
         except KvError as error:
@@ -395,6 +394,22 @@
         if job.done and job.id in self.jobs:
             job.stop()
 
+    async def _commit_next(self, job: OwnedJob, pending: list[Result], released: bool) -> None:
+        """Commit the leading results of *pending* that fit, and remove them from it.
+
+        :raises Superseded: see :meth:`JobRepository.commit`.
+        :raises KvError: likewise.
+        """
+        age_s = monotonic() - job.accepted_at
+        work = CommittedWork(pending, job.failures, job.copy_partial(), age_s)
+        before = len(job.stored.state.listed)
+        stored = await self.repository.commit(job.stored, work, released=released)
+        listed = len(stored.state.listed) - before
+        job.apply_commit(stored, pending[:listed])
+        del pending[:listed]
+        metrics.shared().commits.add(1, {"result": "listed"})
+        emit(events.ITEMS_LISTED, job=job.id, items=listed, listed=len(job.results))
+
     def _reconcile(self, job: OwnedJob, stored: StoredJob | None) -> None:
         """Continue from another writer's state, or drop the job if this host does not own it.
 
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -14,7 +14,7 @@
 import pytest
 
 from bench.platform.store import PlatformStoreStandin
-from bench.platform.target import FIRST_VERSION, TargetStandin, event_data
+from bench.platform.target import EVENT_DATA_BYTES, FIRST_VERSION, TargetStandin, event_data
 from gradepoint.cmd.gateway_program import PLATFORM
 from gradepoint.gateway.app import Gateway
 from gradepoint.gateway.settings import GatewaySettings, check_gateway_settings
@@ -340,9 +340,11 @@
     }
 
 
-def item_text(item_id: str, events: int, version: str = FIRST_VERSION) -> str:
-    """Return the complete answer text of an item, which has *events* events."""
-    return "\n".join(event_data(item_id, number, version) for number in range(events))
+def item_text(
+    item_id: str, events: int, version: str = FIRST_VERSION, size: int = EVENT_DATA_BYTES
+) -> str:
+    """Return the complete answer text of an item, which has *events* events of *size* bytes."""
+    return "\n".join(event_data(item_id, number, version, size) for number in range(events))
 
 
 async def until(holds: Callable[[], bool]) -> None:
--- /dev/null
+++ b/tests/test_jobs/test_jobs_large_results.py
@@ -0,0 +1,55 @@
+"""Results that outgrow one value of the key-value service are listed all the same."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from bench.platform.store import StoreFault
+from gradepoint.ids import JobId
+from gradepoint.kv.limits import KvLimits
+from tests.support.platform import Deployment, item_text, run_in_virtual_time
+
+ITEMS = 48
+EVENTS = 8
+KIB = 1 << 10
+
+
+def limit_values(deployment: Deployment, value_bytes: int) -> None:
+    """Set the largest value that the store takes, in the store and in the settings."""
+    deployment.store.keys.limits = KvLimits(value_bytes=value_bytes)
+    deployment.gateway_settings["store_value_bytes"] = value_bytes
+
+
+def check_listed(job_id: str, rows: list[dict[str, Any]], items: int, data_bytes: int) -> None:
+    """Check that each item is listed once, with its complete text."""
+    assert sorted(row["id"] for row in rows) == sorted(f"{job_id}-{n}" for n in range(items))
+    for row in rows:
+        assert row["state"] == "complete"
+        assert row["message"] == item_text(row["id"], EVENTS, size=data_bytes)
+
+
+@pytest.mark.parametrize("value_bytes", [64 * KIB, 1024 * KIB])
+@pytest.mark.parametrize("outage_s", [0.0, 6.0])
+def test_results_beyond_one_value_are_not_lost(value_bytes: int, outage_s: float) -> None:
+    """All results of a commit were written as one value. Results that an outage held up, or that
+    many targets returned at once, exceeded its size limit, and the store refused each retry.
+    """
+    data_bytes = value_bytes // ITEMS // 4
+
+    async def work(deployment: Deployment) -> None:
+        limit_values(deployment, value_bytes)
+        await deployment.start(gateways=2, targets=6, events=EVENTS, data_bytes=data_bytes)
+        assert (await deployment.submit("job", ITEMS)).status == 202
+        if outage_s:
+            deployment.store.fault = StoreFault.BUSY
+            await asyncio.sleep(outage_s)
+            job = deployment.gateways[0].worker.jobs[JobId("job")]
+            assert len(job.pending) == ITEMS
+            deployment.store.fault = StoreFault.NONE
+        check_listed("job", await deployment.read_all_results("job", gateway=1), ITEMS, data_bytes)
+        assert not deployment.store.rejected
+
+    run_in_virtual_time(work)
--- a/tests/test_jobs/test_jobs_path.py
+++ b/tests/test_jobs/test_jobs_path.py
@@ -226,11 +226,11 @@
     """
     spoiled = [2]
 
-    def spoil(request_id: str, number: int, version: str) -> bytes:
+    def spoil(request_id: str, number: int, version: str, size: int) -> bytes:
         if number in spoiled:
             spoiled.remove(number)
             return b"id: %d\ndata: \xff\xfe\n\n" % number
-        return event_bytes(request_id, number, version)
+        return event_bytes(request_id, number, version, size)
 
     async def work(deployment: Deployment) -> None:
         await deployment.start(gateways=1)
