Store items and texts that exceed one value of the store as chunks

With a small item beside it, none of the job was listed.

Cause: an item larger than an input part got a part of its own, of whatever size. The store refuses a value above its limit. The client reports the 413 as KvUnavailable, so that the intake took it for an outage, kept the job on data hosts, answered 202, and the gateway and the data hosts wrote the same value again and again. The same holds for the text of one item in a commit, and for items that need more than 24 values: the refusal meant for these was raised inside the creation and taken for an outage as well. Evidence: the store of the case logs gp/input/ID/000000 with 1,200,120 bytes for each refusal.

Ruled out: refusing such items.

Chunks come first, in transactions of their own; a repeated, concurrent or late write of them changes nothing, and a host that dies before the state is written leaves chunks that nothing names. Items that need more values than one transaction takes, or more bytes than hosts relay, are one chunked part. Chunks are written only once the tokens fit the limit. Jobs of the former version are read as before. The former version takes a job with chunks for unreadable (a part that is a map and not an array) and does not run it.

--- a/gradepoint/jobs/records.py
+++ b/gradepoint/jobs/records.py
@@ -6,6 +6,7 @@
 - ``gp/input/ID/N``: part N of its items, written once, in the transaction that creates the state;
 - ``gp/result/ID/N``: part N of its results, written once, in the transaction that lists them in the
   state;
+- ``gp/large/ID/DIGEST/N``: chunk N of a part that exceeds one value;
 - ``gp/partial/ID``: texts received so far for items that have not ended, overwritten by commits.
 
 ``gp/quota/ROUTE`` bounds the tokens that wait on a route, and ``gp/live/end/ID`` tells all hosts
@@ -17,7 +18,7 @@
 import hashlib
 import re
 from enum import Enum
-from typing import TypeVar
+from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
 
@@ -31,11 +32,15 @@
     SoftwareVersion,
 )
 
+if TYPE_CHECKING:
+    from types import UnionType
+
 T = TypeVar("T")
 
 JOB_PREFIX = "gp/job/"
 INPUT_PREFIX = "gp/input/"
 RESULT_PREFIX = "gp/result/"
+LARGE_PREFIX = "gp/large/"
 PARTIAL_PREFIX = "gp/partial/"
 QUOTA_PREFIX = "gp/quota/"
 END_PREFIX = "gp/live/end/"
@@ -177,6 +182,22 @@
         return kept
 
 
+class ChunkedPart(msgspec.Struct, frozen=True):
+    """Names the chunks of a part that exceeds one value.
+
+    It is encoded as a map, unlike a part, which is an array. Software that does not know it takes
+    the job for unreadable.
+
+    :param digest: SHA-256 of the part in hexadecimal digits.
+    :param size: size of the part in bytes.
+    :param chunks: number of its chunks.
+    """
+
+    digest: str
+    size: int
+    chunks: int
+
+
 class Quota(msgspec.Struct, frozen=True, array_like=True):
     """Upper bound of the tokens that wait under one limit, over all hosts.
 
@@ -227,6 +248,11 @@
     return f"{RESULT_PREFIX}{job_id}/"
 
 
+def chunk_prefix(job_id: JobId, digest: str) -> str:
+    """Return the prefix of the chunks of a part of a job."""
+    return f"{LARGE_PREFIX}{job_id}/{digest}/"
+
+
 def partial_key(job_id: JobId) -> str:
     """Return the key of the texts received so far for a job's unfinished items."""
     return PARTIAL_PREFIX + job_id
@@ -249,7 +275,7 @@
     return QUOTA_PREFIX + _join_key_safe(route, organisation)
 
 
-def decode_value(raw: bytes, kind: type[T]) -> T:
+def decode_value(raw: bytes, kind: type[T] | UnionType) -> T:
     """Decode a value of the key-value service.
 
     :raises KvUnreadable: *raw* is not a valid *kind*; a foreign writer may have written it.
--- a/gradepoint/jobs/repository.py
+++ b/gradepoint/jobs/repository.py
@@ -7,17 +7,19 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from enum import Enum
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from .. import events
-from ..errors import GradepointError, KvUnavailable, KvUncertain, KvUnreadable
+from ..errors import KvUnavailable, KvUncertain, KvUnreadable
 from ..ids import JobId
 from ..kv.service import ABSENT, Expect, KeyValue, Put, Transaction
 from ..telemetry.logs import emit
 from ..util.structs import Struct, field
+from .chunks import MAX_WRITE_BYTES, ChunkStore
 from .records import (
     JOB_PREFIX,
     Item,
@@ -47,16 +49,15 @@
     from ..kv.service import KeyValueService, TransactionResult
 
 MAX_PART_SHARE = 0.7
-"""Share of the largest value that one part may fill. The rest is a margin, because items are not
-split and the encoding adds a few bytes."""
+"""Share of the largest value that one part may fill. The rest is a margin: the encoding adds a few
+bytes, and a service may count the base64 form of a value, which is a third larger."""
 MAX_INPUT_PARTS = 24
 """Most parts of a job's items: a transaction takes 32 entries, and the job's state and the quota
 need some of them."""
+MAX_INPUT_BYTES = 6 << 20
+"""Most bytes of items in the transaction that creates a job: hosts relay requests of up to 8 MB."""
 MAX_RESULT_PARTS = 24
 """Most parts of results in one commit, for the same reason."""
-MAX_COMMIT_BYTES = 2 << 20
-"""Most bytes of results in one commit, unless its first result is larger. A write that takes long
-to transfer times out, and other hosts relay requests of up to 8 MB only."""
 NO_LIMIT = 1 << 62
 """Stands for the limit of a route without one; larger than any number of tokens."""
 MAX_CONFLICT_ATTEMPTS = 20
@@ -139,6 +140,11 @@
     value_bytes: int
     quota_cache: dict[str, KeyValue] = field(default_factory=dict)
 
+    @property
+    def chunks(self) -> ChunkStore:
+        """Store of the parts that exceed one value."""
+        return ChunkStore(self.kv)
+
     @property
     def part_bytes(self) -> int:
         """Most bytes of items or results in one value."""
@@ -154,19 +160,17 @@
         :raises KvUncertain: the job may have been created, or may be later.
         """
         parts = split_items(items, self.part_bytes)
-        if len(parts) > MAX_INPUT_PARTS:
-            raise GradepointError("body_too_large", "The job's items do not fit; split the job.")
+        if len(parts) > MAX_INPUT_PARTS or sum(map(len, parts)) > MAX_INPUT_BYTES:
+            parts = split_items(items, sys.maxsize)
         state = msgspec.structs.replace(state, input_parts=len(parts))
-        prefix = input_prefix(job_id)
-        puts = [Put(job_key(job_id), encode_state(state))]
-        puts += [Put(part_key(prefix, number), part) for number, part in enumerate(parts)]
         # Tokens are charged even without a limit, so that a limit that is configured later starts
         # from the right count.
-        return await self._create_within_quota(job_id, state, puts, max_tokens or NO_LIMIT)
+        return await self._create_within_quota(job_id, state, parts, max_tokens or NO_LIMIT)
 
     async def _create_within_quota(
-        self, job_id: JobId, state: JobState, puts: list[Put], max_tokens: int
+        self, job_id: JobId, state: JobState, parts: list[bytes], max_tokens: int
     ) -> Submission:
+        puts: list[Put] = []
         key = quota_key(state.route, state.organisation)
         absent = Expect(job_key(job_id), ABSENT)
         tokens = sum(state.item_tokens)
@@ -181,6 +185,7 @@
                 recounted = True
                 if waiting + tokens > max_tokens:
                     return await self._refuse_unless_known(job_id)
+            puts = puts or await self._prepare_creation(job_id, state, parts)
             expects = (absent, Expect(key, quota.revision if quota else ABSENT))
             raw = msgspec.msgpack.encode(Quota(waiting + tokens))
             transaction = Transaction(expects, (*puts, Put(key, raw)))
@@ -194,6 +199,17 @@
             self._cache_quota(key, current.get(key))
         raise KvUnavailable("every attempt lost a race against another host's submission")
 
+    async def _prepare_creation(
+        self, job_id: JobId, state: JobState, parts: list[bytes]
+    ) -> list[Put]:
+        """Store the chunks of large parts; return the writes that create the job."""
+        values = await self.chunks.store_large_parts(job_id, parts, self.part_bytes)
+        prefix = input_prefix(job_id)
+        return [
+            Put(job_key(job_id), encode_state(state)),
+            *(Put(part_key(prefix, number), value) for number, value in enumerate(values)),
+        ]
+
     async def _refuse_unless_known(self, job_id: JobId) -> Submission:
         known = await self.load(job_id)
         return Submission(Admission.NO_ROOM if known is None else Admission.KNOWN, known)
@@ -245,7 +261,8 @@
 
         :raises KvError: they could not be read.
         """
-        return join_items(await self._load_parts(input_prefix(job.id), job.state.input_parts))
+        prefix = input_prefix(job.id)
+        return join_items(await self._load_parts(job.id, prefix, job.state.input_parts))
 
     async def load_results(self, job: StoredJob) -> list[Result]:
         """Return a job's results with their texts, as many as *job* lists.
@@ -254,7 +271,7 @@
         """
         if not job.state.commits:
             return []
-        parts = await self._load_parts(result_prefix(job.id), job.state.commits)
+        parts = await self._load_parts(job.id, result_prefix(job.id), job.state.commits)
         return join_results(parts)[: len(job.state.listed)]
 
     async def load_partial(self, job: StoredJob) -> dict[int, PartialText]:
@@ -266,7 +283,7 @@
             return {}
         return decode_value(item.value, dict[int, PartialText])
 
-    async def _load_parts(self, prefix: str, count: int) -> list[bytes]:
+    async def _load_parts(self, job_id: JobId, prefix: str, count: int) -> list[bytes]:
         if count == 1:
             item = await self.kv.get(part_key(prefix, 0))
             found: tuple[KeyValue, ...] = () if item is None else (item,)
@@ -274,7 +291,7 @@
             found = (await self.kv.range(prefix)).items[:count]
         if len(found) < count:
             raise KvUnavailable(f"{len(found)} of {count} parts found below {prefix}")
-        return [item.value for item in found]
+        return await self.chunks.load_large_parts(job_id, [item.value for item in found])
 
     async def list_jobs(self) -> list[StoredJob]:
         """Return every job whose state can be decoded; log the others."""
@@ -304,9 +321,12 @@
         parts = self._select_parts(work.results)
         listed = work.results[: sum(map(len, parts))]
         prefix = result_prefix(job.id)
+        values = await self.chunks.store_large_parts(
+            job.id, [encode_part(part) for part in parts], self.part_bytes
+        )
         puts = [
-            Put(part_key(prefix, number), encode_part(part))
-            for number, part in enumerate(parts, state.commits)
+            Put(part_key(prefix, number), value)
+            for number, value in enumerate(values, state.commits)
         ]
         raw = msgspec.msgpack.encode(work.partial)
         keep_partial = bool(work.partial) and len(raw) <= self.part_bytes
@@ -330,7 +350,7 @@
         for result in results:
             row = msgspec.msgpack.encode(result)
             size += len(row)
-            if rows and size > MAX_COMMIT_BYTES:
+            if rows and size > MAX_WRITE_BYTES:
                 break
             rows.append(row)
         return split_rows(rows, self.part_bytes)[:MAX_RESULT_PARTS] if rows else []
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -124,9 +124,12 @@
     return check_gateway_settings(values).unwrap()
 
 
-def make_data_settings(host: str, store_address: str, folder: Path) -> DataHostSettings:
+def make_data_settings(
+    host: str, store_address: str, folder: Path, **settings: Any
+) -> DataHostSettings:
     """Return the settings of a data host on loopback."""
     values = {
+        **settings,
         "host": host,
         "failure_domain": "zone-a",
         "address": LOOPBACK,
@@ -145,6 +148,7 @@
     """The stand-ins, gateways and data hosts of one test.
 
     :ivar gateway_settings: settings of gateways that are made from now on, beside the defaults.
+    :ivar data_host_settings: the same for data hosts.
     :ivar ids: numbers of request ids of calls that name none.
     """
 
@@ -153,6 +157,7 @@
     gateways: list[Gateway] = field(default_factory=list)
     data_hosts: list[DataHost] = field(default_factory=list)
     gateway_settings: dict[str, Any] = field(default_factory=dict)
+    data_host_settings: dict[str, Any] = field(default_factory=dict)
     http: HttpClient = field(default_factory=HttpClient)
     ids: Any = field(default_factory=lambda: itertools.count(1))
 
@@ -195,7 +200,8 @@
 
     async def add_data_host(self, host: str, folder: Path) -> DataHost:
         """Start a data host and wait until all gateways know its incarnation."""
-        settings = make_data_settings(host, self.store_address, folder)
+        values = self.data_host_settings
+        settings = make_data_settings(host, self.store_address, folder, **values)
         kv = PlatformStore(self.store_address, settings.store_timeout_s, settings.store_history_s)
         data_host = DataHost(settings, kv)
         await data_host.start()
--- a/tests/test_jobs/test_jobs_repository.py
+++ b/tests/test_jobs/test_jobs_repository.py
@@ -1,8 +1,8 @@
 """Randomized model check of the job and quota records.
 
-Several hosts accept, run, commit, end, adopt and resubmit jobs. By turns their store loses answers,
-applies writes late or is down. An oracle records what every caller was told, and compares all later
-answers with it.
+Several hosts accept, run, commit, end, adopt and resubmit jobs, some of whose items and texts
+exceed one value of the store. By turns their store loses answers, applies writes late or is down.
+An oracle records what every caller was told, and compares all later answers with it.
 """
 
 from __future__ import annotations
@@ -25,6 +25,7 @@
     StoredJob,
     Superseded,
 )
+from gradepoint.kv.limits import KvLimits
 from gradepoint.standins.memory_kv import KvFault, MemoryKv, MemoryKvClient
 from gradepoint.standins.virtual_time import run_virtual
 
@@ -38,6 +39,7 @@
 TOKENS = 10
 MAX_TOKENS = 6 * ITEMS * TOKENS
 HOSTS = 4
+VALUE_BYTES = 1000
 
 
 @dataclass(frozen=True)
@@ -94,8 +96,13 @@
 
 
 def expected_text(job_id: JobId, index: int) -> str:
-    """Return the text of an item."""
-    return f"{job_id} {index}"
+    """Return the text of an item; the last item's text exceeds one value of the store."""
+    return f"{job_id} {index}" * (1 + 200 * (index == ITEMS - 1))
+
+
+def item_body(index: int) -> bytes:
+    """Return the body of an item; the first item's body exceeds one value of the store."""
+    return b"b" * (1 if index else 2 * VALUE_BYTES)
 
 
 class Host:
@@ -108,7 +115,7 @@
         self.fault_rate = 0.25
         client = MemoryKvClient(store, self.fault)
         client.late_s = 0.4
-        self.repository = JobRepository(client, 1000)
+        self.repository = JobRepository(client, VALUE_BYTES)
         self.jobs: dict[JobId, StoredJob] = {}
         self.texts: dict[JobId, dict[int, Result]] = defaultdict(dict)
 
@@ -132,8 +139,9 @@
 
     async def submit(self, job_id: JobId) -> None:
         """Submit a job, which may exist already."""
-        items = [Item(ItemId(f"{job_id}-{n}"), "/p", [], b"b", TOKENS) for n in range(ITEMS)]
-        state = JobState(ROUTE, "h", self.name, 0, [i.id for i in items], [TOKENS] * ITEMS)
+        ids = [ItemId(f"{job_id}-{n}") for n in range(ITEMS)]
+        items = [Item(name, "/p", [], item_body(n), TOKENS) for n, name in enumerate(ids)]
+        state = JobState(ROUTE, "h", self.name, 0, ids, [TOKENS] * ITEMS)
         caller_view = self.oracle.caller_view(job_id)
         self.oracle.in_flight[job_id] += 1
         try:
@@ -156,7 +164,11 @@
         """Read a job as its client does."""
         caller_view = self.oracle.caller_view(job_id)
         job = await self.repository.load(job_id)
-        results = await self.repository.load_results(job) if job is not None else []
+        results = []
+        if job is not None:
+            results = await self.repository.load_results(job)
+            bodies = [item.body for item in await self.repository.load_items(job)]
+            assert bodies == [item_body(index) for index in range(ITEMS)]
         self.oracle.check_read(caller_view, job, job_id, results)
 
     async def commit(self, job_id: JobId) -> None:
@@ -218,7 +230,7 @@
 
     async def main() -> None:
         rng = random.Random(seed)
-        store = MemoryKv()
+        store = MemoryKv(limits=KvLimits(VALUE_BYTES))
         oracle = Oracle()
         hosts = [Host(number, store, rng, oracle) for number in range(HOSTS)]
         names = [JobId(f"j{number}") for number in range(40)]
