Give the claims of idempotency keys the limits of their own service

That limit is the one of the users' store. The claims are kept by the programs that run on etcd, which takes 128 operations a transaction by default, and MAX_CLAIMS_PER_GROUP (32) needs 64. The stand-in of this suite now has etcd's limits; the checks are the same.

--- a/gradepoint/standins/memory_kv.py
+++ b/gradepoint/standins/memory_kv.py
@@ -27,6 +27,10 @@
     from collections.abc import AsyncIterator, Callable
 
 
+ETCD_LIMITS = KvLimits(value_bytes=1536 << 10, key_bytes=1536 << 10, entries=128)
+"""Limits that etcd v3 has by default; it bounds the size of a request, not of a key or value."""
+
+
 class KvFault(Enum):
     """How one call fails.
 
--- a/tests/test_online/test_online_claims.py
+++ b/tests/test_online/test_online_claims.py
@@ -13,7 +13,7 @@
 
 from gradepoint.errors import GradepointError, Outcome
 from gradepoint.online.claims import ClaimStore, HeldClaim, StoredAnswer
-from gradepoint.standins.memory_kv import KvFault, MemoryKv, MemoryKvClient
+from gradepoint.standins.memory_kv import ETCD_LIMITS, KvFault, MemoryKv, MemoryKvClient
 from gradepoint.standins.virtual_time import run_virtual
 
 HOSTS = ("h1", "h2", "h3")
@@ -22,7 +22,7 @@
 def make_stores(seed: int, rate: float) -> list[ClaimStore]:
     """Return one claim store per host, all over one service that fails at *rate*."""
     rng = random.Random(seed)
-    service = MemoryKv()
+    service = MemoryKv(limits=ETCD_LIMITS)
 
     def fault(kind: str) -> KvFault:
         if rng.random() >= rate:
