Tell a refused write from an outage of the store

Callers saw: a write that the store refuses was repeated for ever (two to three times a second), its host counted the store as lost and sent further calls through other hosts, and a new job went to data hosts, was answered 202 and could never be entered. A refused job at a data host ended its round of entries.

Only 429 and 503 mean that.

Fix: other 4xx raise KvRejected with reason, key, size and limit. It does not count against the health of the store, is not relayed, reaches a host through a relay unchanged, and ends a settled write. A transaction that exceeds the known limits is not sent. The client logs kv_rejected and counts gradepoint_kv_rejections. Parts of a job are written again in half the size, down to 4 KiB, and a host keeps to that size for a minute. What can't be made smaller is tried again after a minute, since the service does not say whether its state is the reason; meanwhile other jobs go on. The one value that grows and can't be split is the state of a job, through the ids of its items: a job whose state could exceed 0.7 of the limit is refused with 413 when it is submitted, before any call, so that each host does the same, in an outage too. An answer kept for an idempotency key is left out when it is refused, and an apply is reported as not done.

Evidence, and what was ruled out: an older host that relays answers 503 as before, and an older caller takes the new status of a relay for an unknown outcome, which is safe. Hosts of both kinds were not run side by side for this change.

Tests before the change: of the new tests in four files 13 fail for this reason (statuses 400, 403, 408, 413, 422; the relay; a settled write; refused values, results and commits); the others name what is new. test_call_to_an_unreachable_store and the other tests of passing errors are unchanged.

--- a/gradepoint/batch/repository.py
+++ b/gradepoint/batch/repository.py
@@ -10,7 +10,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from ..errors import GradepointError, KvError
+from ..errors import GradepointError, KvError, KvRejected
 from ..kv.service import ABSENT, Delete, Expect, Put, Transaction
 from ..kv.settle import WriteOutcome, WriteOutcomeUnknown, settle
 from ..util.clock import wall_seconds
@@ -270,6 +270,8 @@
         except WriteOutcomeUnknown as error:
             code = "service_uncertain" if error.may_have_applied else "service_unavailable"
             raise GradepointError(code, str(error)) from error
+        except KvRejected as error:
+            raise _unavailable(error) from error
         except KvError as error:
             raise GradepointError("service_uncertain", str(error)) from error
         return settled
--- a/gradepoint/cmd/data_host.py
+++ b/gradepoint/cmd/data_host.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from .. import events
+from ..kv.limits import KvLimits
 from ..platform import store
 from ..spool.app import DataHost
 from ..spool.settings import DataHostSettings, load_data_host_settings
@@ -29,7 +30,10 @@
     """Run the data host until a stop signal arrives."""
     stop_requested = stop_event()
     kv = store.PlatformStore(
-        settings.store_address, settings.store_timeout_s, settings.store_history_s
+        settings.store_address,
+        settings.store_timeout_s,
+        settings.store_history_s,
+        KvLimits(settings.store_value_bytes),
     )
     data_host = DataHost(settings, kv)
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, lambda: None)
--- a/gradepoint/cmd/gateway_program.py
+++ b/gradepoint/cmd/gateway_program.py
@@ -11,6 +11,7 @@
 from ..gateway.app import Gateway
 from ..gateway.parts import PlatformAdapter
 from ..gateway.settings import GatewaySettings, load_gateway_settings
+from ..kv.limits import KvLimits
 from ..platform import configuration, headers, jobs, retirement, store, targets
 from ..telemetry import logs
 from ..util.loop import run_coroutine
@@ -65,7 +66,10 @@
     """Run the gateway until a stop signal arrives; SIGHUP reloads its settings."""
     stop_requested = stop_event()
     kv = store.PlatformStore(
-        settings.store_address, settings.store_timeout_s, settings.store_history_s
+        settings.store_address,
+        settings.store_timeout_s,
+        settings.store_history_s,
+        KvLimits(settings.store_value_bytes),
     )
     gateway = Gateway(settings, kv, PLATFORM)
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, gateway.reload)
--- a/gradepoint/errors.py
+++ b/gradepoint/errors.py
@@ -498,6 +498,11 @@
         bound = "" if limit is None else f", limit {limit}"
         super().__init__(f"{reason}: {key} ({size}{bound})")
 
+    @property
+    def log_fields(self) -> dict[str, str | int | None]:
+        """Fields of a log line about the refusal."""
+        return {"reason": self.reason, "key": self.key, "size": self.size, "limit": self.limit}
+
 
 class KvLeaseLapsed(KvError):
     """A write referred to an expired or revoked lease and did not take effect."""
--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -237,6 +237,24 @@
     413, "spool_forgotten", "INFO", "The copy of a job is no longer needed and was deleted."
 )
 SPOOL_UNREADABLE = _declare(414, "spool_unreadable", "ERROR", "A spooled job cannot be decoded.")
+COMMIT_REJECTED = _declare(
+    332,
+    "commit_rejected",
+    "ERROR",
+    "The service refuses a commit for good; its job goes on, but lists nothing until it accepts.",
+)
+PARTS_REDUCED = _declare(
+    333,
+    "parts_reduced",
+    "WARNING",
+    "The service refused a value; smaller ones are written. Compare the setting with its limit.",
+)
+SPOOL_REJECTED = _declare(
+    415,
+    "spool_rejected",
+    "ERROR",
+    "The service refuses a spooled job for good; it stays on the data hosts.",
+)
 JOB_IDLE = _declare(326, "job_idle", "WARNING", "A live host does not run a job that it owns.")
 OBJECT_CORRUPT = _declare(
     401, "object_corrupt", "ERROR", "A copy failed its hash check; see object_repaired."
@@ -332,5 +350,11 @@
 KV_HISTORY_LOST = _declare(
     703, "kv_history_lost", "INFO", "The service discarded changes; the prefix is read again."
 )
+KV_REJECTED = _declare(
+    706,
+    "kv_rejected",
+    "ERROR",
+    "The service refuses a call for good; key, size and limit say why. It is not an outage.",
+)
 STORE_LOST = _declare(704, "store_lost", "WARNING", "The service does not answer this host.")
 STORE_REGAINED = _declare(705, "store_regained", "INFO", "The service answers this host again.")
--- a/gradepoint/jobs/api.py
+++ b/gradepoint/jobs/api.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from .. import events
-from ..errors import GradepointError, KvError, KvUnavailable, KvUncertain
+from ..errors import GradepointError, KvError, KvRejected, KvUnavailable, KvUncertain
 from ..gateway.configuration import NO_VERSION
 from ..ids import ItemId, JobId
 from ..peers.presence import read_host
@@ -143,9 +143,17 @@
             organisation=head.organisation,
         )
         try:
+            self.repository.check_size(job_id, state)
             submission = await self.intake.accept(
                 job_id, state, items, route.max_waiting_tokens, route.goal_s
             )
+        except KvRejected as error:
+            emit(events.JOB_REFUSED, job=job_id, **error.log_fields)
+            if error.limit is None:
+                raise GradepointError("service_unavailable", retry_after=RETRY_AFTER_S) from error
+            raise GradepointError(
+                "body_too_large", f"The job cannot be stored: {error}."
+            ) from error
         except KvUnavailable as error:
             emit(events.JOB_REFUSED, job=job_id, reason=str(error))
             raise GradepointError("service_unavailable", retry_after=RETRY_AFTER_S) from error
--- a/gradepoint/jobs/intake.py
+++ b/gradepoint/jobs/intake.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from .. import events
-from ..errors import KvError, KvUncertain
+from ..errors import KvError, KvRejected, KvUncertain
 from ..spool.client import SpoolOutcome
 from ..spool.records import SpooledJob
 from ..telemetry.logs import emit
@@ -19,7 +19,7 @@
 from ..util.hashing import hash32
 from ..util.structs import Struct, field
 from ..util.tasks import TaskGroup
-from .repository import Admission, Submission
+from .repository import REJECTED_RETRY_S, Admission, Submission
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -82,6 +82,7 @@
         :param goal_s: seconds in which the client expects its answer.
         :raises KvUnavailable: the job is not stored anywhere and will not be.
         :raises KvUncertain: the job may be stored, or may be later.
+        :raises KvRejected: the service refuses the job, which is not an outage; it is not stored.
         """
         if job_id in self.waiting:
             return Submission(Admission.SPOOLED, None)
@@ -91,7 +92,7 @@
         create_task = self.tasks.start(creation, awaited=True)
         wait_s = goal_s * SPOOL_AFTER_SHARE if self.reaches_service() else 0.0
         await asyncio.wait([create_task], timeout=wait_s)
-        if create_task.done() and create_task.exception() is None:
+        if create_task.done() and (create_task.exception() is None or is_refused(create_task)):
             return create_task.result()
         if await self.is_run_elsewhere(job_id):
             # If it were spooled here too, this host would report the job to readers as one without
@@ -112,6 +113,11 @@
         if is_created(create_task):
             self.tasks.start(self._forget(keep_task, job.id))
             return create_task.result()
+        if is_refused(create_task):
+            await self._forget(keep_task, job.id)
+            if keep_task.result() is SpoolOutcome.NOT_KEPT:
+                return create_task.result()
+            raise KvUncertain("a data host may keep a job that the service refuses")
         if keep_task.result() is SpoolOutcome.KEPT:
             emit(events.JOB_SPOOLED, job=job.id, items=len(job.items))
             self.waiting[job.id] = job
@@ -146,6 +152,9 @@
             try:
                 # Limit 0: the tokens are charged, but an accepted job cannot be refused any more.
                 submission = await self.repository.accept(job.id, state, job.items, 0)
+            except KvRejected as error:
+                emit(events.SPOOL_REJECTED, job=job.id, **error.log_fields)
+                await asyncio.sleep(REJECTED_RETRY_S)
             except KvError as error:
                 emit(events.SPOOL_WAITS, job=job.id, reason=str(error))
                 await asyncio.sleep(ENTRY_RETRY_S)
@@ -160,6 +169,12 @@
         return create_task.result() if is_created(create_task) else None
 
 
+def is_refused(create_task: asyncio.Task[Submission]) -> bool:
+    """Whether a creation has ended with an error that is not an outage of the service."""
+    error = create_task.exception() if create_task.done() else None
+    return error is not None and (isinstance(error, KvRejected) or not isinstance(error, KvError))
+
+
 def is_created(create_task: asyncio.Task[Submission]) -> bool:
     """Whether a creation has ended with the job in the key-value service."""
     if not create_task.done() or create_task.cancelled() or create_task.exception() is not None:
--- a/gradepoint/jobs/repository.py
+++ b/gradepoint/jobs/repository.py
@@ -14,15 +14,21 @@
 import msgspec
 
 from .. import events
-from ..errors import KvUnavailable, KvUncertain, KvUnreadable
+from ..errors import KvRejected, KvUnavailable, KvUncertain, KvUnreadable
 from ..ids import JobId
 from ..kv.service import ABSENT, Expect, KeyValue, Put, Transaction
 from ..telemetry.logs import emit
+from ..util.clock import monotonic
 from ..util.structs import Struct, field
 from .chunks import MAX_WRITE_BYTES, ChunkStore
 from .records import (
+    INPUT_PREFIX,
     JOB_PREFIX,
+    LARGE_PREFIX,
+    PARTIAL_PREFIX,
+    RESULT_PREFIX,
     Item,
+    ItemOutcome,
     JobState,
     PartialText,
     Quota,
@@ -58,6 +64,15 @@
 """Most bytes of items in the transaction that creates a job: hosts relay requests of up to 8 MB."""
 MAX_RESULT_PARTS = 24
 """Most parts of results in one commit, for the same reason."""
+PART_PREFIXES = (INPUT_PREFIX, RESULT_PREFIX, LARGE_PREFIX, PARTIAL_PREFIX)
+"""Prefixes of the keys whose values can be made smaller."""
+MIN_PART_BYTES = 4 << 10
+"""Size of a part below which it is not made smaller, although the service rejects it."""
+REDUCTION_S = 60.0
+"""Seconds for which parts stay smaller after a rejection; the reason for it may be gone then."""
+REJECTED_RETRY_S = 60.0
+"""Seconds until a write that the service rejected is sent again. The service does not say whether
+its state or the write is the reason."""
 NO_LIMIT = 1 << 62
 """Stands for the limit of a route without one; larger than any number of tokens."""
 MAX_CONFLICT_ATTEMPTS = 20
@@ -134,11 +149,15 @@
     :param value_bytes: size of the largest value that the key-value service takes.
     :ivar quota_cache: quota records by key, as last read or written here; a stale one only fails
         a comparison.
+    :ivar reduced_part_bytes: most bytes of a part since the service rejected a larger one.
+    :ivar reduced_at: monotonic time of that rejection.
     """
 
     kv: KeyValueService
     value_bytes: int
     quota_cache: dict[str, KeyValue] = field(default_factory=dict)
+    reduced_part_bytes: int = sys.maxsize
+    reduced_at: float = float("-inf")
 
     @property
     def chunks(self) -> ChunkStore:
@@ -148,7 +167,41 @@
     @property
     def part_bytes(self) -> int:
         """Most bytes of items or results in one value."""
-        return int(self.value_bytes * MAX_PART_SHARE)
+        configured = int(self.value_bytes * MAX_PART_SHARE)
+        if monotonic() - self.reduced_at < REDUCTION_S:
+            return min(configured, self.reduced_part_bytes)
+        return configured
+
+    def _reduce_parts(self, error: KvRejected) -> bool:
+        """Make parts smaller than the value that the service rejected.
+
+        :returns: whether the rejected value was a part that can be made smaller.
+        """
+        if not error.key.startswith(PART_PREFIXES) or error.size <= MIN_PART_BYTES:
+            return False
+        self.reduced_part_bytes = max(MIN_PART_BYTES, min(self.part_bytes, error.size) // 2)
+        self.reduced_at = monotonic()
+        emit(
+            events.PARTS_REDUCED,
+            key=error.key,
+            size=error.size,
+            limit=error.limit,
+            part_bytes=self.reduced_part_bytes,
+        )
+        return True
+
+    def check_size(self, job_id: JobId, state: JobState) -> None:
+        """Check that a job's state fits into one value, whatever becomes of its items.
+
+        The check needs no call, so that it has the same result at all hosts and in an outage.
+
+        :raises KvRejected: it does not.
+        """
+        listed = [Result(index, ItemOutcome.COMPLETE) for index in range(len(state.item_ids))]
+        size = len(encode_state(msgspec.structs.replace(state, listed=listed)))
+        limit = int(self.value_bytes * MAX_PART_SHARE)
+        if size > limit:
+            raise KvRejected("state of the job too large", job_key(job_id), size, limit)
 
     async def accept(
         self, job_id: JobId, state: JobState, items: list[Item], max_tokens: int
@@ -158,7 +211,18 @@
         :param max_tokens: most tokens that may wait under the job's limit; 0 for no limit.
         :raises KvUnavailable: nothing was written and nothing will be.
         :raises KvUncertain: the job may have been created, or may be later.
+        :raises KvRejected: the service refuses the job.
         """
+        while True:
+            try:
+                return await self._create(job_id, state, items, max_tokens)
+            except KvRejected as error:
+                if not self._reduce_parts(error):
+                    raise
+
+    async def _create(
+        self, job_id: JobId, state: JobState, items: list[Item], max_tokens: int
+    ) -> Submission:
         parts = split_items(items, self.part_bytes)
         if len(parts) > MAX_INPUT_PARTS or sum(map(len, parts)) > MAX_INPUT_BYTES:
             parts = split_items(items, sys.maxsize)
@@ -243,7 +307,7 @@
                 return await self.kv.transact(transaction)
             except KvUncertain as error:
                 uncertain = error
-            except KvUnavailable:
+            except (KvUnavailable, KvRejected):
                 if uncertain is None:
                     raise
             if attempt + 1 < MAX_UNCERTAIN_ATTEMPTS:
@@ -315,8 +379,17 @@
             remain.
         :returns: the job with the results that were listed.
         :raises Superseded: another writer changed the job; nothing was listed.
+        :raises KvRejected: the service refuses the state; nothing was listed.
         :raises KvError: no definite answer.
         """
+        while True:
+            try:
+                return await self._commit(job, work, released=released)
+            except KvRejected as error:
+                if not self._reduce_parts(error):
+                    raise
+
+    async def _commit(self, job: StoredJob, work: CommittedWork, *, released: bool) -> StoredJob:
         state = job.state
         parts = self._select_parts(work.results)
         listed = work.results[: sum(map(len, parts))]
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING
 
 from .. import events
-from ..errors import KvError, KvUnreadable
+from ..errors import KvError, KvRejected, KvUnreadable
 from ..gateway.forwarding import OtherInstance, TargetBusy, TargetFailed
 from ..gateway.suspicion import TRIAL_RETRY_S
 from ..kv.service import ABSENT
@@ -31,7 +31,7 @@
 from .item_run import ItemFailed, ItemUnprocessable, run_item
 from .owned import OwnedJob
 from .records import ItemOutcome, PartialText, Result
-from .repository import CommittedWork, StoredJob, Superseded
+from .repository import REJECTED_RETRY_S, CommittedWork, StoredJob, Superseded
 from .slot_sharing import allot_spare_slots, choose_batch_target, count_spare_slots
 
 if TYPE_CHECKING:
@@ -382,6 +382,10 @@
                 await self._commit_next(job, pending, released)
         except Superseded as error:
             self._reconcile(job, error.job)
+        except KvRejected as error:
+            metrics.shared().commits.add(1, {"result": "rejected"})
+            emit(events.COMMIT_REJECTED, job=job.id, items=len(pending), **error.log_fields)
+            job.commit_after = monotonic() + REJECTED_RETRY_S
         except KvError as error:
             metrics.shared().commits.add(1, {"result": "no-answer"})
             emit(events.COMMIT_FAILED, job=job.id, items=len(pending), reason=str(error))
--- a/gradepoint/kv/etcd.py
+++ b/gradepoint/kv/etcd.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from ..errors import KvUnavailable, KvUncertain
+from ..errors import KvRejected, KvUnavailable, KvUncertain
 from ..telemetry import metrics
 from ..wire.http_client import ConnectFailed, HttpClient, ResponseBroken
 from .service import (
@@ -34,6 +34,12 @@
 # included, the gateway cannot tell whether the write had already been proposed to the cluster,
 # so its outcome is uncertain.
 REJECTED_STATUSES = range(400, 500)
+STATUS_OVERLOADED = 429
+"""Status of a request that may succeed later; other rejected ones would be rejected again."""
+
+
+MAX_REASON_BYTES = 200
+"""Most bytes of a rejection's message that are kept for the log."""
 
 
 class EtcdClient:
@@ -139,8 +145,16 @@
         except ResponseBroken as error:
             raise self._count_failure(kind, KvUncertain(f"answer broken: {error}")) from error
         self.counts.bytes_received += len(raw)
-        if response.status in REJECTED_STATUSES:
+        if response.status == STATUS_OVERLOADED:
             raise self._count_failure(kind, KvUnavailable(f"answered {response.status}"))
+        if response.status in REJECTED_STATUSES:
+            metrics.shared().kv_rejections.add(1, {"kind": kind})
+            reason = (
+                f"answered {response.status}: {raw[:MAX_REASON_BYTES].decode(errors='replace')}"
+            )
+            raise self._count_failure(
+                kind, KvRejected(reason, path, len(msgspec.json.encode(body)))
+            )
         if response.status != 200:
             raise self._count_failure(kind, KvUncertain(f"answered {response.status}"))
         try:
--- a/gradepoint/kv/relay.py
+++ b/gradepoint/kv/relay.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from .. import events
-from ..errors import KvHistoryLost, KvLeaseLapsed, KvUnavailable, KvUncertain
+from ..errors import KvHistoryLost, KvLeaseLapsed, KvRejected, KvUnavailable, KvUncertain
 from ..telemetry import metrics
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
@@ -58,6 +58,7 @@
 STATUS_UNCERTAIN = 504
 STATUS_HISTORY_LOST = 410
 STATUS_LEASE_EXPIRED = 404
+STATUS_REJECTED = 422
 """HTTP statuses of the answer to a relayed call, one for each error that the caller raises."""
 
 
@@ -80,6 +81,15 @@
         """
 
 
+class Rejection(msgspec.Struct, frozen=True):
+    """A :class:`~gradepoint.errors.KvRejected` in the answer to a relayed call."""
+
+    reason: str
+    key: str
+    size: int
+    limit: int | None
+
+
 class GetCall(msgspec.Struct, tag="get"):
     """Relayed form of :meth:`KeyValueService.get`."""
 
@@ -303,6 +313,9 @@
                 raise KvHistoryLost("changes are forgotten")
             if response.status == STATUS_LEASE_EXPIRED:
                 raise KvLeaseLapsed("the lease of a write has lapsed")
+            if response.status == STATUS_REJECTED:
+                found = msgspec.msgpack.decode(body, type=Rejection)
+                raise KvRejected(found.reason, found.key, found.size, found.limit)
             if response.status != STATUS_NOT_APPLIED:
                 raise KvUncertain("the host that relayed the call got no answer")
         raise KvUnavailable("neither this host nor another reaches the service")
@@ -318,6 +331,9 @@
             return Response(STATUS_HISTORY_LOST)
         except KvLeaseLapsed:
             return Response(STATUS_LEASE_EXPIRED)
+        except KvRejected as error:
+            found = Rejection(error.reason, error.key, error.size, error.limit)
+            return Response(STATUS_REJECTED, body=msgspec.msgpack.encode(found))
         except KvUnavailable:
             return Response(STATUS_NOT_APPLIED)
         except KvUncertain:
--- a/gradepoint/kv/service.py
+++ b/gradepoint/kv/service.py
@@ -1,8 +1,9 @@
 """Interface to the platform's key-value service.
 
 The methods follow the etcd v3 calls that gradepoint needs. A call that fails raises
-:class:`~gradepoint.errors.KvUnavailable` (it had no effect) or
-:class:`~gradepoint.errors.KvUncertain` (it may have taken effect).
+:class:`~gradepoint.errors.KvUnavailable` (it had no effect and may succeed later),
+:class:`~gradepoint.errors.KvUncertain` (it may have taken effect) or
+:class:`~gradepoint.errors.KvRejected` (it had no effect and would be refused again).
 :class:`~gradepoint.errors.KvHistoryLost` and :class:`~gradepoint.errors.KvLeaseLapsed` report
 watches and writes that cannot succeed by retrying.
 """
--- a/gradepoint/kv/settle.py
+++ b/gradepoint/kv/settle.py
@@ -12,7 +12,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from ..errors import KvUnavailable, KvUncertain
+from ..errors import KvRejected, KvUnavailable, KvUncertain
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -55,6 +55,7 @@
     :returns: the outcome and the revision of the write (0 if the write lost the race, or if its
         success was only found by reading).
     :raises WriteOutcomeUnknown: no attempt had a definite outcome.
+    :raises KvRejected: the service refuses the write.
     """
     uncertain = False
     backoff_s = INITIAL_BACKOFF_S
@@ -70,6 +71,10 @@
             uncertain = True
         except KvUnavailable:
             pass
+        except KvRejected:
+            if not uncertain:
+                raise
+            break
         if attempt + 1 < max_attempts:
             await asyncio.sleep(backoff_s)
             backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
--- a/gradepoint/online/claims.py
+++ b/gradepoint/online/claims.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from .. import events
-from ..errors import GradepointError, KvError, Outcome
+from ..errors import GradepointError, KvError, KvRejected, Outcome
 from ..kv.service import ABSENT, Delete, Expect, Put, Transaction
 from ..kv.settle import WriteOutcome, WriteOutcomeUnknown, settle
 from ..telemetry.logs import emit
@@ -294,6 +294,11 @@
                 took_effect,
                 max_attempts=2,
             )
+        except KvRejected as error:
+            emit(events.ANSWER_NOT_KEPT, key=held.key, error=str(error))
+            if answer is not None:
+                await self._finish(held, state, reason, None)
+                return
         except (WriteOutcomeUnknown, KvError) as error:
             emit(events.ANSWER_NOT_KEPT, key=held.key, error=str(error))
             self.tasks.start(self._retry_finish(held, put))
@@ -306,6 +311,9 @@
             try:
                 await self.service.transact(transaction)
                 return
+            except KvRejected as error:
+                emit(events.ANSWER_NOT_KEPT, key=held.key, error=str(error))
+                return
             except KvError:
                 continue
 
--- a/gradepoint/peers/presence.py
+++ b/gradepoint/peers/presence.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from .. import events
-from ..errors import KvError, KvUnavailable
+from ..errors import KvError, KvRejected, KvUnavailable
 from ..ids import HostName, Incarnation
 from ..kv.service import Put, Transaction
 from ..telemetry.logs import emit
@@ -121,7 +121,7 @@
             put = Put(key, msgspec.json.encode(self.own), self.granted)
             try:
                 await self.kv.transact(Transaction((), (put,)))
-            except KvUnavailable:
+            except (KvUnavailable, KvRejected):
                 # The lease was not used, so the next attempt needs no new one.
                 raise
             except KvError:
--- a/gradepoint/platform/store.py
+++ b/gradepoint/platform/store.py
@@ -10,9 +10,20 @@
 
 import msgspec
 
-from ..errors import KvHistoryLost, KvLeaseLapsed, KvUnavailable, KvUncertain
-from ..kv.service import CallCounts, KeyValue, RangeResult, TransactionResult, WatchEvent, WatchPage
+from .. import events
+from ..errors import KvHistoryLost, KvLeaseLapsed, KvRejected, KvUnavailable, KvUncertain
+from ..kv.limits import KvLimits, check_transaction
+from ..kv.service import (
+    CallCounts,
+    KeyValue,
+    Put,
+    RangeResult,
+    TransactionResult,
+    WatchEvent,
+    WatchPage,
+)
 from ..telemetry import metrics
+from ..telemetry.logs import emit
 from ..wire.addresses import split_address
 from ..wire.http_client import ConnectFailed, HttpClient, ResponseBroken
 
@@ -23,10 +34,13 @@
 
 T = TypeVar("T")
 
-NOT_APPLIED_STATUSES = frozenset((*range(400, 500), 503))
-"""Statuses that mean that a call had no effect; after any other error it is uncertain."""
 STATUS_OVER_RATE = 429
 """Status of a call above the rate that all hosts share; it had no effect."""
+PASSING_STATUSES = frozenset((STATUS_OVER_RATE, 503))
+"""Statuses of calls that had no effect and may succeed later."""
+REJECTED_STATUSES = range(400, 500)
+"""Other statuses in this range mean that a call had no effect and would be refused again. The
+protocol specifies a few of them only. After any other error the outcome is uncertain."""
 PAGE_RETRY_S = (0.04, 0.08)
 """Shortest and longest delay in seconds until a refused page is read again. 300 hosts that each
 wait for one page then make 5,000 calls per second, below the store's rate of 6,000 reads."""
@@ -45,6 +59,7 @@
 """Idle connections kept to the store; a host has two or three calls in flight at once."""
 CONNECT_TIMEOUT_S = 1.0
 """Connect timeout in seconds; the store answers within milliseconds."""
+DEFAULT_LIMITS = KvLimits()
 TCP_USER_TIMEOUT_MS = 2_000
 """Milliseconds that sent data may stay unacknowledged until the connection counts as broken."""
 
@@ -114,15 +129,19 @@
     :param address: ``IP:PORT`` of the store.
     :param timeout_s: seconds after which a call times out; its outcome is uncertain then.
     :param history_s: seconds for which the store keeps changes for watches.
+    :param limits: limits of the store; a transaction that exceeds them is not sent.
     :ivar watch_s: seconds that a watch call waits for a change.
     """
 
-    def __init__(self, address: str, timeout_s: float, history_s: float) -> None:
+    def __init__(
+        self, address: str, timeout_s: float, history_s: float, limits: KvLimits = DEFAULT_LIMITS
+    ) -> None:
         self.base_url = f"http://{address}"
         self.origin = split_address(address)
         self.timeout_s = timeout_s
         self.watch_s = min(MAX_WATCH_WAIT_S, history_s * WATCH_WAIT_SHARE_OF_HISTORY)
         self.http = HttpClient(CONNECT_TIMEOUT_S, TCP_USER_TIMEOUT_MS, MAX_IDLE_CONNECTIONS)
+        self.limits = limits
         self.counts = CallCounts()
 
     async def get(self, key: str) -> KeyValue | None:
@@ -132,7 +151,7 @@
         status, body = await self._call("get", "GET", f"/api/kv-key?{query}")
         if status == 404:
             return None
-        self._check_status(status, 200, "get")
+        self._check_status(status, 200, "get", key)
         return _read_item(_decode(body, _ItemAnswer))
 
     async def range(self, prefix: str, limit: int = 0) -> RangeResult:
@@ -161,7 +180,7 @@
                 retries += 1
                 await asyncio.sleep(random.uniform(*PAGE_RETRY_S))
                 status, body = await self._read_page(target)
-            self._check_status(status, 200, "range")
+            self._check_status(status, 200, "range", prefix)
             page = _decode(body, _RangeAnswer)
             revision = revision or page.timestamp
             found.extend(_read_item(item) for item in page.items)
@@ -176,6 +195,10 @@
 
     async def transact(self, transaction: Transaction) -> TransactionResult:
         """See :meth:`KeyValueService.transact`."""
+        try:
+            check_transaction(transaction, self.limits)
+        except KvRejected as error:
+            raise self._count_rejection("txn", error) from error
         self.counts.writes += 1
         call = _TransactionCall(
             expect_rev=[_Expect(row.key, row.revision) for row in transaction.expects],
@@ -189,7 +212,9 @@
             return TransactionResult(False, 0, current)
         if status == 404:
             raise KvLeaseLapsed("the lease of a write has lapsed")
-        self._check_status(status, 200, "txn")
+        if status != 200:
+            largest = max(transaction.puts, key=lambda put: len(put.value), default=Put("", b""))
+            self._check_status(status, 200, "txn", largest.key, len(largest.value))
         return TransactionResult(True, _decode(body, _TransactionAnswer).rev)
 
     async def watch(self, prefix: str, start_revision: int) -> AsyncIterator[WatchEvent]:
@@ -221,7 +246,7 @@
         )
         if status == 410:
             raise KvHistoryLost(f"changes after revision {revision} are forgotten")
-        self._check_status(status, 200, "watch")
+        self._check_status(status, 200, "watch", prefix)
         answer = _decode(body, _WatchAnswer)
         return WatchPage(tuple(_read_event(row) for row in answer.events), answer.timestamp)
 
@@ -249,12 +274,20 @@
         if status != 404:
             self._check_status(status, 200, "revoke")
 
-    def _check_status(self, status: int, expected: int, kind: str) -> None:
-        """Raise the error that *status* stands for, unless it is *expected*."""
+    def _check_status(
+        self, status: int, expected: int, kind: str, key: str = "", size: int = 0
+    ) -> None:
+        """Raise the error that *status* stands for, unless it is *expected*.
+
+        :param key: the key or prefix of the call; the one with the largest value of a transaction.
+        :param size: size of that value in bytes.
+        """
         if status == expected:
             return
-        if status in NOT_APPLIED_STATUSES:
+        if status in PASSING_STATUSES:
             raise self._count_failure(kind, KvUnavailable(f"answered {status}"))
+        if status in REJECTED_STATUSES:
+            raise self._count_rejection(kind, KvRejected(f"answered {status}", key, size))
         raise self._count_failure(kind, KvUncertain(f"answered {status}"))
 
     async def _call(
@@ -292,6 +325,12 @@
         metrics.shared().kv_failures.add(1, {"kind": kind})
         return error
 
+    def _count_rejection(self, kind: str, error: KvRejected) -> KvRejected:
+        """Count and log a call that the store refuses for good; return *error*."""
+        emit(events.KV_REJECTED, kind=kind, **error.log_fields)
+        metrics.shared().kv_rejections.add(1, {"kind": kind})
+        return error
+
 
 def _decode(body: bytes, kind: type[T]) -> T:
     try:
--- a/gradepoint/spool/host.py
+++ b/gradepoint/spool/host.py
@@ -13,9 +13,9 @@
 import msgspec
 
 from .. import events
-from ..errors import KvError, StoreError
+from ..errors import KvError, KvRejected, StoreError
 from ..ids import JobId
-from ..jobs.repository import Admission
+from ..jobs.repository import REJECTED_RETRY_S, Admission
 from ..peers.presence import PRESENCE_PREFIX, HostTable
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
@@ -144,6 +144,9 @@
                 held.next_try_at = now + ENTRY_RETRY_S
                 try:
                     await self._enter(held)
+                except KvRejected as error:
+                    held.next_try_at = now + REJECTED_RETRY_S
+                    emit(events.SPOOL_REJECTED, job=held.job.id, **error.log_fields)
                 except KvError as error:
                     emit(events.SPOOL_WAITS, job=held.job.id, reason=str(error))
                     # The service does not answer, so other jobs would fail too.
--- a/gradepoint/telemetry/metrics.py
+++ b/gradepoint/telemetry/metrics.py
@@ -146,6 +146,7 @@
         self.held_calls = BufferedCounter("gradepoint_held_calls", "Calls answered as held back")
         self.kv_calls = BufferedCounter("gradepoint_kv_calls", "By kind")
         self.kv_failures = BufferedCounter("gradepoint_kv_failures", "By kind")
+        self.kv_rejections = BufferedCounter("gradepoint_kv_rejections", "By kind")
         self.items = BufferedCounter("gradepoint_batch_items", "By result")
         self.commits = BufferedCounter("gradepoint_batch_commits", "By result")
         self.objects = BufferedCounter("gradepoint_objects", "By operation")
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -18,6 +18,7 @@
 from gradepoint.cmd.gateway_program import PLATFORM
 from gradepoint.gateway.app import Gateway
 from gradepoint.gateway.settings import GatewaySettings, check_gateway_settings
+from gradepoint.kv.limits import KvLimits
 from gradepoint.platform.store import PlatformStore
 from gradepoint.spool.app import DataHost
 from gradepoint.spool.settings import DataHostSettings, check_data_host_settings
@@ -108,6 +109,12 @@
     )
 
 
+def connect_store(address: str, settings: GatewaySettings | DataHostSettings) -> PlatformStore:
+    """Return the client of the store that a program with these settings uses."""
+    limits = KvLimits(settings.store_value_bytes)
+    return PlatformStore(address, settings.store_timeout_s, settings.store_history_s, limits)
+
+
 def make_settings(host: str, store_address: str, **settings: Any) -> GatewaySettings:
     """Return the settings of a gateway on loopback."""
     values = {
@@ -182,7 +189,7 @@
     def make_gateway(self, host: str) -> Gateway:
         """Return a gateway that is not started yet."""
         settings = make_settings(host, self.store_address, **self.gateway_settings)
-        kv = PlatformStore(self.store_address, settings.store_timeout_s, settings.store_history_s)
+        kv = connect_store(self.store_address, settings)
         return Gateway(settings, kv, PLATFORM)
 
     async def add_gateway(self, host: str) -> Gateway:
@@ -202,7 +209,7 @@
         """Start a data host and wait until all gateways know its incarnation."""
         values = self.data_host_settings
         settings = make_data_settings(host, self.store_address, folder, **values)
-        kv = PlatformStore(self.store_address, settings.store_timeout_s, settings.store_history_s)
+        kv = connect_store(self.store_address, settings)
         data_host = DataHost(settings, kv)
         await data_host.start()
         self.data_hosts.append(data_host)
--- a/tests/support/soak_hosts.py
+++ b/tests/support/soak_hosts.py
@@ -14,10 +14,10 @@
 from gradepoint.cmd.gateway_program import PLATFORM
 from gradepoint.gateway.app import Gateway
 from gradepoint.gateway.settings import check_gateway_settings
-from gradepoint.platform.store import PlatformStore
 from gradepoint.spool.app import DataHost
 from gradepoint.spool.settings import check_data_host_settings
 
+from .platform import connect_store
 from .virtual_network import PROGRAM_INCARNATION, NetworkLoop
 
 
@@ -111,7 +111,7 @@
     def make_program(self, settings: dict[str, object], rng: random.Random) -> Gateway:
         """See :meth:`LoopProgram.make_program`."""
         checked = check_gateway_settings(settings).unwrap()
-        kv = PlatformStore(checked.store_address, checked.store_timeout_s, checked.store_history_s)
+        kv = connect_store(checked.store_address, checked)
         gateway = Gateway(checked, kv, PLATFORM)
         for part in (gateway.kv, gateway.worker, gateway.forwarder):
             part.rng.seed(rng.random())
@@ -128,5 +128,5 @@
     def make_program(self, settings: dict[str, object], _: random.Random) -> DataHost:
         """See :meth:`LoopProgram.make_program`."""
         checked = check_data_host_settings(settings).unwrap()
-        kv = PlatformStore(checked.store_address, checked.store_timeout_s, checked.store_history_s)
+        kv = connect_store(checked.store_address, checked)
         return DataHost(checked, kv)
--- a/tests/support/store_calls.py
+++ b/tests/support/store_calls.py
@@ -11,9 +11,8 @@
 from bench.platform.store import PlatformStoreStandin
 from gradepoint.cmd.gateway_program import PLATFORM
 from gradepoint.gateway.app import Gateway
-from gradepoint.platform.store import PlatformStore
 
-from .platform import Deployment, make_settings, until
+from .platform import Deployment, connect_store, make_settings, until
 
 if TYPE_CHECKING:
     from gradepoint.gateway.settings import GatewaySettings
@@ -50,7 +49,7 @@
 
 def make_gateway(settings: GatewaySettings, deployment: Deployment) -> Gateway:
     """Return a gateway with given settings, which may be those of a killed one."""
-    kv = PlatformStore(deployment.store_address, settings.store_timeout_s, settings.store_history_s)
+    kv = connect_store(deployment.store_address, settings)
     return Gateway(settings, kv, PLATFORM)
 
 
--- a/tests/test_kv/test_kv_relay.py
+++ b/tests/test_kv/test_kv_relay.py
@@ -1,15 +1,22 @@
-"""Watches of :class:`RelayedKv`: how many calls they make for a group of changes."""
+"""Watches of :class:`RelayedKv`, and refused calls that it relays."""
 
 from __future__ import annotations
 
 import asyncio
+from contextlib import closing
 from typing import TYPE_CHECKING
 
+import pytest
+
+from gradepoint.errors import KvRejected
+from gradepoint.kv.limits import KvLimits
 from gradepoint.kv.relay import WATCH_BATCH_DELAY_S, RelayedKv
-from gradepoint.kv.service import RangeResult, WatchEvent, WatchPage
-from gradepoint.standins.memory_kv import MemoryKv, MemoryKvClient
+from gradepoint.kv.service import Put, RangeResult, Transaction, WatchEvent, WatchPage
+from gradepoint.standins.memory_kv import KvFault, MemoryKv, MemoryKvClient
 from gradepoint.standins.virtual_time import run_virtual
 from gradepoint.wire.http_client import HttpClient
+from gradepoint.wire.http_server import HttpServer
+from tests.support.virtual_network import run_on_network
 
 if TYPE_CHECKING:
     from gradepoint.kv.relay import LongPollService
@@ -63,3 +70,29 @@
         watching.cancel()
 
     run_virtual(work())
+
+
+def test_refused_write_is_not_an_outage_and_keeps_its_key_through_a_relay() -> None:
+    """A host that took a refusal for an outage sent all of its calls through other hosts."""
+
+    async def work() -> None:
+        store = MemoryKv(limits=KvLimits(value_bytes=4))
+        helper = RelayedKv(LongPollClient(store), HttpClient(), list)
+        server = HttpServer(helper.answer_peer)
+        await server.start("127.0.0.1", 0)
+        with closing(HttpClient()) as http:
+            cut_off = RelayedKv(
+                LongPollClient(store, lambda _: KvFault.DOWN),
+                http,
+                lambda: [f"127.0.0.1:{server.port}"],
+            )
+            large = Transaction((), (Put("k", b"12345"),))
+            for caller in (helper, cut_off):
+                with pytest.raises(KvRejected) as caught:
+                    await caller.transact(large)
+                assert (caught.value.key, caught.value.size, caught.value.limit) == ("k", 5, 4)
+            assert helper.reaches_store
+            assert (await cut_off.transact(Transaction((), (Put("k", b"1234"),)))).succeeded
+        server.abort()
+
+    run_on_network(work(), 1)
--- a/tests/test_kv/test_kv_settle.py
+++ b/tests/test_kv/test_kv_settle.py
@@ -16,7 +16,8 @@
     decode_record,
     read_current,
 )
-from gradepoint.errors import GradepointError
+from gradepoint.errors import GradepointError, KvRejected
+from gradepoint.kv.limits import KvLimits
 from gradepoint.kv.service import Expect, Put, Transaction
 from gradepoint.kv.settle import WriteOutcome, WriteOutcomeUnknown, settle
 from gradepoint.standins.memory_kv import KvFault, MemoryKv, MemoryKvClient
@@ -39,6 +40,32 @@
     return Document(1, name, [Model("m", [ModelVersion("v1", "w")], "v1")], [], [])
 
 
+@pytest.mark.parametrize(
+    ("faults", "error", "writes"),
+    [
+        ((), KvRejected, 1),
+        ((KvFault.DOWN,), KvRejected, 2),
+        ((KvFault.LOST_BEFORE,), WriteOutcomeUnknown, 2),
+    ],
+)
+def test_refused_write_is_not_retried(
+    faults: tuple[KvFault, ...], error: type[Exception], writes: int
+) -> None:
+    """After an attempt without an answer, the refusal of the next one does not settle the first."""
+
+    async def main() -> None:
+        client = client_with_faults(MemoryKv(limits=KvLimits(value_bytes=4)), *faults)
+
+        async def is_ours() -> bool:
+            return False
+
+        with pytest.raises(error):
+            await settle(client, Transaction((), (Put("k", b"12345"),)), is_ours, max_attempts=5)
+        assert client.counts.writes == writes
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize(
     ("faults", "wanted"),
     [
--- a/tests/test_online/test_online_claims.py
+++ b/tests/test_online/test_online_claims.py
@@ -9,10 +9,12 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 
 from gradepoint.errors import GradepointError, Outcome
-from gradepoint.online.claims import ClaimStore, HeldClaim, StoredAnswer
+from gradepoint.kv.limits import KvLimits
+from gradepoint.online.claims import Claim, ClaimState, ClaimStore, HeldClaim, StoredAnswer
 from gradepoint.standins.memory_kv import ETCD_LIMITS, KvFault, MemoryKv, MemoryKvClient
 from gradepoint.standins.virtual_time import run_virtual
 
@@ -94,6 +96,25 @@
     run_virtual(main())
 
 
+def test_answer_that_the_service_refuses_is_not_written_forever() -> None:
+    """The call has run: its claim must end, without the answer that is too large."""
+
+    async def main() -> None:
+        service = MemoryKv(limits=KvLimits(value_bytes=800))
+        client = MemoryKvClient(service)
+        store = ClaimStore(client, HOSTS[0], lambda: list(HOSTS))
+        held = await store.claim("org", "k", "d", repeatable=True)
+        assert isinstance(held, HeldClaim)
+        await store.store_answer(held, StoredAnswer(200, {}, bytes(1000)))
+        written = client.counts.writes
+        await asyncio.sleep(60.0)
+        assert client.counts.writes == written
+        raw = service.keys[held.key].value
+        assert msgspec.json.decode(raw, type=Claim).state is ClaimState.DONE
+
+    run_virtual(main())
+
+
 def test_claim_of_a_lost_host_is_unknown_and_does_not_run_again() -> None:
     async def main() -> None:
         stores = make_stores(1, 0.0)
--- a/tests/test_platform/test_platform_store.py
+++ b/tests/test_platform/test_platform_store.py
@@ -8,10 +8,19 @@
 import pytest
 
 from bench.platform.store import PAGE_ITEMS, PlatformStoreStandin, StoreFault
-from gradepoint.errors import KvHistoryLost, KvLeaseLapsed, KvUnavailable, KvUncertain
+from gradepoint.errors import (
+    KvError,
+    KvHistoryLost,
+    KvLeaseLapsed,
+    KvRejected,
+    KvUnavailable,
+    KvUncertain,
+)
 from gradepoint.kv.follow import follow, read_snapshot
+from gradepoint.kv.limits import KvLimits
 from gradepoint.kv.service import ABSENT, Delete, Expect, Put, RangeResult, Transaction, WatchEvent
 from gradepoint.platform.store import PlatformStore
+from gradepoint.wire.http_types import Request, Response
 from tests.support.platform import until
 
 Work = Callable[[PlatformStoreStandin, PlatformStore], Awaitable[None]]
@@ -89,6 +98,56 @@
     with_store(work)
 
 
+@pytest.mark.parametrize(
+    ("status", "error"),
+    [
+        (400, KvRejected),
+        (403, KvRejected),
+        (408, KvRejected),
+        (413, KvRejected),
+        (422, KvRejected),
+        (429, KvUnavailable),
+        (503, KvUnavailable),
+        (500, KvUncertain),
+        (502, KvUncertain),
+    ],
+)
+def test_status_tells_final_from_passing_refusals(status: int, error: type[KvError]) -> None:
+    """A refusal that is final was taken for an outage, and the same call was made again forever."""
+
+    async def work(store: PlatformStoreStandin, client: PlatformStore) -> None:
+        async def refuse(_: Request) -> Response:
+            return Response(status)
+
+        store.server.handler = refuse
+        puts = (Put("small", b"1"), Put("large", b"12345"))
+        with pytest.raises(error) as caught:
+            await client.transact(Transaction((), puts))
+        if isinstance(caught.value, KvRejected):
+            assert (caught.value.key, caught.value.size) == ("large", 5)
+            assert str(status) in caught.value.reason
+        with pytest.raises(error):
+            await client.get("k")
+
+    with_store(work)
+
+
+def test_write_above_the_known_limit_is_not_sent() -> None:
+    async def work(store: PlatformStoreStandin, client: PlatformStore) -> None:
+        client.limits = KvLimits(value_bytes=4)
+        with pytest.raises(KvRejected) as caught:
+            await client.transact(write("k", b"12345"))
+        assert caught.value.log_fields == {
+            "reason": "value too large",
+            "key": "k",
+            "size": 5,
+            "limit": 4,
+        }
+        assert not store.calls
+
+    with_store(work)
+
+
 def test_call_to_an_unreachable_store_has_no_effect() -> None:
     async def work(store: PlatformStoreStandin, client: PlatformStore) -> None:
         store.server.abort()
