Bound the results that wait for the store

A host runs the items of its jobs throughout an outage of the store, and keeps every text until a commit lists it. Nothing bounded these texts: 200 items of any length, for each job that the host owns.

A tenth of the memory that the settings name (150 MB where they name none) may be taken by results that wait. When it is reached, no further item is started and results_wait is logged; running items end, and items go on once commits have listed enough. The bound counts texts only, not those of running items, which the slots of the targets bound.

--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -249,6 +249,12 @@
     "WARNING",
     "The service refused a value; smaller ones are written. Compare the setting with its limit.",
 )
+RESULTS_WAIT = _declare(
+    334,
+    "results_wait",
+    "WARNING",
+    "Results that are not listed yet fill their share of memory; no further items are started.",
+)
 SPOOL_REJECTED = _declare(
     415,
     "spool_rejected",
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -269,6 +269,7 @@
             self.may_start_items,
             self.must_hold_back_items,
             self.occupancy.find_call_rate,
+            settings.max_waiting_bytes,
         )
         self.intake = Intake(
             self.repository,
--- a/gradepoint/gateway/settings.py
+++ b/gradepoint/gateway/settings.py
@@ -12,6 +12,13 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+MEGABYTE = 1_000_000
+ASSUMED_MEMORY_MB = 150.0
+"""Memory in MB that counts where the settings do not name it."""
+RESULTS_MEMORY_SHARE = 0.1
+"""Share of a process's memory that results of batch items may take until they are listed. A commit
+holds further copies of some of them."""
+
 TABLE: tuple[Setting, ...] = (
     Setting("host", str, REQUIRED, "Name of this host, unique in the fleet."),
     Setting("failure_domain", str, REQUIRED, "Failure domain of this host."),
@@ -175,6 +182,11 @@
         """
         return 0 if self.regions_lost else max(self.hosts_lost, self.domains_lost) + 1
 
+    @property
+    def max_waiting_bytes(self) -> int:
+        """Memory in bytes that results of batch items may take until they are listed."""
+        return int((self.memory_mb or ASSUMED_MEMORY_MB) * MEGABYTE * RESULTS_MEMORY_SHARE)
+
     @property
     def peer_port(self) -> int:
         """First port between hosts; it serves TCP and UDP."""
--- a/gradepoint/jobs/owned.py
+++ b/gradepoint/jobs/owned.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from typing import TYPE_CHECKING
 
 from .. import events
@@ -35,6 +36,7 @@
     :param accepted_at: monotonic time of the job's acceptance, at any host.
     :param read_prompt_parts: returns the shared parts of an item's prompt, from its headers.
     :ivar pending: ended items that no commit has listed yet.
+    :ivar pending_bytes: memory in bytes that their texts take.
     :ivar failures: failed attempts by index.
     :ivar partial: texts received so far for items that have not ended, by index.
     :ivar running: tasks of the running items, by index.
@@ -56,6 +58,7 @@
     accepted_at: float
     read_prompt_parts: Callable[[RawHeaders], tuple[PromptPart, ...]] = lambda _: ()
     pending: list[Result] = field(default_factory=list)
+    pending_bytes: int = 0
     failures: dict[int, int] = field(default_factory=dict)
     partial: dict[int, PartialText] = field(default_factory=dict)
     running: dict[int, asyncio.Task[None]] = field(default_factory=dict)
@@ -166,6 +169,7 @@
         if not self.pending:
             self.pending_since = monotonic()
         self.pending.append(result)
+        self.pending_bytes += sys.getsizeof(result.text)
         self.partial.pop(result.index, None)
         self.failures.pop(result.index, None)
 
@@ -176,6 +180,7 @@
         self.results += committed
         listed = {row.index for row in committed}
         self.pending = [row for row in self.pending if row.index not in listed]
+        self.pending_bytes = sum(sys.getsizeof(row.text) for row in self.pending)
         self.pending_since = monotonic() if self.pending else 0.0
         self._notify()
 
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -111,6 +111,8 @@
     :param remote_waiting: returns the weight of the items that wait on other hosts.
     :param may_start_items: whether enough is known of the other hosts to start items.
     :param must_hold_back: whether items of a service have to leave the slots to refused callers.
+    :param max_waiting_bytes: memory in bytes that results may take until a commit lists them. Items
+        that run when it is reached still end.
     :param find_call_rate: returns the mean calls per second that arrive at each target of a
         service; None if it is unknown.
     :ivar last_started_at: monotonic time at which each target last got an item of this host.
@@ -124,6 +126,7 @@
     :ivar work_available: set when there is a job to run.
     :ivar stopping: no further item is started.
     :ivar item_times: how long items take.
+    :ivar results_wait: whether no item is started because of the results that wait for a commit.
     """
 
     repository: JobRepository
@@ -136,6 +139,7 @@
     may_start_items: Callable[[], bool]
     must_hold_back: Callable[[ServiceName], bool]
     find_call_rate: Callable[[ServiceName], float | None]
+    max_waiting_bytes: int
     last_started_at: dict[TargetId, float] = field(default_factory=dict)
     preempted_at: dict[TargetId, float] = field(default_factory=dict)
     jobs: dict[JobId, OwnedJob] = field(default_factory=dict)
@@ -148,6 +152,7 @@
     stopping: bool = False
     tasks: TaskGroup = field(default_factory=TaskGroup)
     item_times: ItemTimes = field(default_factory=ItemTimes)
+    results_wait: bool = False
 
     def announced_job_numbers(self) -> list[int]:
         """Return the short numbers of the jobs that this host announces to other hosts."""
@@ -473,7 +478,7 @@
     def _start_items(self) -> None:
         now = monotonic()
         # Hosts that restart together and do not know of each other would all fill the same slots.
-        if self.stopping or not self.may_start_items():
+        if self.stopping or not self.may_start_items() or self._must_wait_for_commits():
             return
         propagation_s = PROPAGATION_MARGIN_S + self.propagation_delay_s()
         self._share_slots(now, propagation_s)
@@ -515,6 +520,15 @@
             self.start_allowance -= 1
             self._start(job, index, target, route.max_attempts)
 
+    def _must_wait_for_commits(self) -> bool:
+        """Return whether the results that wait for a commit fill their share of memory."""
+        waiting_bytes = sum(job.pending_bytes for job in self.jobs.values())
+        results_wait = waiting_bytes >= self.max_waiting_bytes
+        if results_wait and not self.results_wait:
+            emit(events.RESULTS_WAIT, bytes=waiting_bytes, limit=self.max_waiting_bytes)
+        self.results_wait = results_wait
+        return results_wait
+
     def _pick_service(self, route: Route, version: SoftwareVersion | None) -> ServiceName:
         """Return the service for an item: the one that can continue its text, if there is one."""
         found = None
--- a/tests/test_jobs/test_jobs_decisions.py
+++ b/tests/test_jobs/test_jobs_decisions.py
@@ -119,7 +119,7 @@
         version=1, find_route_by_name=lambda _: SimpleNamespace(due_s=18.0)
     )
     stub: Any = None
-    worker = Worker(stub, stub, HOSTS[0], lambda: config, stub, stub, stub, stub, stub, stub)
+    worker = Worker(stub, stub, HOSTS[0], lambda: config, stub, stub, stub, stub, stub, stub, 1)
     now = monotonic()
     jobs = [
         OwnedJob(msgspec.structs.replace(make_job("j", HOSTS[0]), created=created), [], [], at)
@@ -137,7 +137,7 @@
         version=1, find_route_by_name=lambda _: SimpleNamespace(due_s=18.0)
     )
     stub: Any = None
-    worker = Worker(stub, stub, HOSTS[0], lambda: config, stub, stub, stub, stub, stub, stub)
+    worker = Worker(stub, stub, HOSTS[0], lambda: config, stub, stub, stub, stub, stub, stub, 1)
     worker.item_times.note_end(events=100, run_events=100, run_s=5.0)
     now = monotonic()
     items: Any = [None]
--- a/tests/test_jobs/test_jobs_large_results.py
+++ b/tests/test_jobs/test_jobs_large_results.py
@@ -53,3 +53,28 @@
         assert not deployment.store.rejected
 
     run_in_virtual_time(work)
+
+
+def test_results_of_an_outage_do_not_fill_memory() -> None:
+    """A host ran items throughout an outage and kept all of their texts, whatever their size."""
+    data_bytes = 4 * KIB
+    text_bytes = EVENTS * data_bytes
+
+    async def work(deployment: Deployment) -> None:
+        deployment.gateway_settings["memory_mb"] = 2.0
+        await deployment.start(gateways=1, targets=2, events=EVENTS, data_bytes=data_bytes, slots=4)
+        gateway = deployment.gateways[0]
+        limit = gateway.worker.max_waiting_bytes
+        assert limit < ITEMS * text_bytes / 4
+        assert (await deployment.submit("job", ITEMS)).status == 202
+        deployment.store.fault = StoreFault.BUSY
+        await asyncio.sleep(6.0)
+        job = gateway.worker.jobs[JobId("job")]
+        slots = sum(target.slots for target in deployment.targets)
+        assert limit <= job.pending_bytes <= limit + slots * 2 * text_bytes
+        assert not job.running
+        deployment.store.fault = StoreFault.NONE
+        check_listed("job", await deployment.read_all_results("job"), ITEMS, data_bytes)
+        assert job.pending_bytes == 0
+
+    run_in_virtual_time(work)
