Keep the longest texts of unfinished items that fit into one value

Callers saw later results: when the texts of a job's running items exceeded one value together, the checkpoint left all of them out and cleared the former one. The next owner of the job then ran every item from its beginning.

The checkpoint now keeps the longest texts that fit, since they took longest to generate. test_checkpoint_keeps_the_longest_texts_that_fit failed before (nothing kept).

--- a/gradepoint/jobs/records.py
+++ b/gradepoint/jobs/records.py
@@ -45,6 +45,9 @@
 QUOTA_PREFIX = "gp/quota/"
 END_PREFIX = "gp/live/end/"
 
+MAX_MAP_HEADER_BYTES = MAX_INDEX_BYTES = 5
+"""Most bytes that the header of a map, and an index as a key in it, take in msgpack."""
+
 KEY_SAFE_ID = re.compile(r"[A-Za-z0-9_-]{1,100}")
 
 
@@ -337,6 +340,21 @@
     return parts
 
 
+def encode_partial(texts: dict[int, PartialText], max_bytes: int) -> bytes | None:
+    """Encode the texts of unfinished items as one value; None if none of them fits.
+
+    If not all of them fit, the longest that do are kept, since they took longest to generate.
+    """
+    rows = {index: msgspec.msgpack.encode(text) for index, text in texts.items()}
+    kept: dict[int, msgspec.Raw] = {}
+    left = max_bytes - MAX_MAP_HEADER_BYTES
+    for index, row in sorted(rows.items(), key=lambda entry: len(entry[1]), reverse=True):
+        if len(row) + MAX_INDEX_BYTES <= left:
+            left -= len(row) + MAX_INDEX_BYTES
+            kept[index] = msgspec.Raw(row)
+    return msgspec.msgpack.encode(kept) if kept else None
+
+
 def encode_part(rows: list[bytes]) -> bytes:
     """Encode the rows of one part as the value of its key."""
     return msgspec.msgpack.encode([msgspec.Raw(row) for row in rows])
--- a/gradepoint/jobs/repository.py
+++ b/gradepoint/jobs/repository.py
@@ -36,6 +36,7 @@
     decode_state,
     decode_value,
     encode_part,
+    encode_partial,
     encode_state,
     end_key,
     input_prefix,
@@ -401,17 +402,16 @@
             Put(part_key(prefix, number), value)
             for number, value in enumerate(values, state.commits)
         ]
-        raw = msgspec.msgpack.encode(work.partial)
-        keep_partial = bool(work.partial) and len(raw) <= self.part_bytes
-        if keep_partial:
-            puts.append(Put(partial_key(job.id), raw))
+        partial = encode_partial(work.partial, self.part_bytes)
+        if partial is not None:
+            puts.append(Put(partial_key(job.id), partial))
         changed = msgspec.structs.replace(
             state,
             listed=state.listed + [Result(row.index, row.end) for row in listed],
             commits=state.commits + len(parts),
             failures={index: count for index, count in work.failures.items() if count},
             released=released and len(listed) == len(work.results),
-            partial=keep_partial,
+            partial=partial is not None,
             age_s=max(state.age_s, work.age_s),
         )
         return await self._replace_state(job, changed, *puts)
--- a/tests/test_jobs/test_jobs_large_items.py
+++ b/tests/test_jobs/test_jobs_large_items.py
@@ -18,6 +18,7 @@
     Item,
     ItemOutcome,
     JobState,
+    PartialText,
     Result,
     decode_value,
 )
@@ -250,3 +251,21 @@
     """Software that does not know chunks must not read such a part as one without rows."""
     with pytest.raises(KvUnreadable):
         decode_value(msgspec.msgpack.encode(ChunkedPart("00", 1, 1)), kind)
+
+
+def test_checkpoint_keeps_the_longest_texts_that_fit() -> None:
+    """When the texts of unfinished items exceeded one value together, none of them was kept, and
+    the next owner of the job ran all of the items from their beginning.
+    """
+
+    async def main() -> None:
+        store = MemoryKv(limits=KvLimits(1000))
+        repository = make_repository(store)
+        job = await create_job(store, "host/1")
+        texts = {index: PartialText(1, ["x" * size]) for index, size in enumerate((300, 600, 5000))}
+        for kept in ({}, {0: texts[0]}, {1: texts[1]}):
+            offered = {0: texts[0], 1: texts[1]} if 1 in kept else {**kept, 2: texts[2]}
+            job = await repository.commit(job, CommittedWork([], partial=offered))
+            assert await repository.load_partial(job) == kept
+
+    run_virtual(main())
