Limit a page of results by its bytes

A page of results was limited by the characters of its texts. Its answer is JSON, where a line feed or a quote takes two bytes and a control character six, and where the ids of the items count as well. Measured with 200 texts of 10,000 characters: 703,117 bytes with 'x', 1,403,117 with line feeds, quotes or 'ü', 2,803,117 with a character of four bytes, 4,203,117 with a control character; the limit of an answer is 1 MB. Texts of many short events come near the second figure.

The page now counts ids and texts as JSON. test_page_of_results_stays_within_one_megabyte covers these characters with short and long ids; the former code exceeds the limit in 10 of its 12 settings.

--- a/gradepoint/jobs/api.py
+++ b/gradepoint/jobs/api.py
@@ -46,9 +46,9 @@
     from .repository import JobRepository, StoredJob
     from .worker import Worker
 
-PAGE_BYTES = 700_000
-"""Largest sum of result text lengths in one answer. The answer itself is limited to 1 MB; the
-difference leaves room for JSON escaping."""
+PAGE_BYTES = 900_000
+"""Most bytes of ids and texts in one answer, as JSON. The answer itself is limited to 1 MB; the
+difference leaves room for the rest of its rows."""
 PEER_TIMEOUT_S = 0.5
 """Seconds that another host has to answer, in addition to the time it may wait for a result."""
 RETRY_AFTER_S = 0.2
@@ -367,7 +367,8 @@
                 reported = await self._wait_for_owner(job_id, position, wait_s)
                 if reported is not None:
                     return reported
-        return JobView(known.total, known.item_ids, truncate_page(known.results[position:]))
+        results = truncate_page(known.results[position:], known.item_ids)
+        return JobView(known.total, known.item_ids, results)
 
     def _find_own(self, job_id: JobId) -> OwnedJob | None:
         """Return a job that this host may answer for from memory, else None."""
@@ -546,15 +547,18 @@
                 await job.changed.wait()
         except TimeoutError:
             pass
-    results = truncate_page(job.results[position:])
-    return JobView(len(job.items), job.stored.state.item_ids, results)
+    item_ids = job.stored.state.item_ids
+    return JobView(len(job.items), item_ids, truncate_page(job.results[position:], item_ids))
 
 
-def truncate_page(results: list[Result]) -> list[Result]:
-    """Return the leading results that fit into one answer, at least one if there are any."""
+def truncate_page(results: list[Result], item_ids: list[ItemId]) -> list[Result]:
+    """Return the leading results that fit into one answer, at least one if there are any.
+
+    :param item_ids: ids of the job's items by index.
+    """
     size = 0
     for number, row in enumerate(results):
-        size += len(row.text)
+        size += len(msgspec.json.encode((item_ids[row.index], row.text)))
         if number and size > PAGE_BYTES:
             return results[:number]
     return results
--- a/tests/test_jobs/test_jobs_decisions.py
+++ b/tests/test_jobs/test_jobs_decisions.py
@@ -10,10 +10,15 @@
 import msgspec
 import pytest
 
+from gradepoint.cmd.gateway_program import PLATFORM
 from gradepoint.gateway.targets import ListedState, ListedTarget, Target
 from gradepoint.ids import HostName, Incarnation, ItemId, JobId, ServiceName, TargetId, TargetName
 from gradepoint.jobs.adoption import ADOPTERS_PER_HOST, Adoption, choose_adopter
-from gradepoint.jobs.api import PAGE_BYTES, truncate_page
+from gradepoint.jobs.api import (
+    PAGE_BYTES,
+    truncate_page,
+)
+from gradepoint.jobs.calls import ResultPage
 from gradepoint.jobs.owned import OwnedJob
 from gradepoint.jobs.records import (
     Item,
@@ -212,10 +217,24 @@
 
 def test_page_has_at_least_one_result_and_bounded_size() -> None:
     """An empty page would keep a reader from ever getting past a large result."""
-    rows = [Result(n, ItemOutcome.COMPLETE, "x" * (PAGE_BYTES // 2)) for n in range(5)]
-    assert len(truncate_page(rows)) == 2
-    assert len(truncate_page([Result(0, ItemOutcome.COMPLETE, "x" * (PAGE_BYTES * 2))])) == 1
-    assert truncate_page([]) == []
+    ids = [ItemId(str(n)) for n in range(5)]
+    rows = [Result(n, ItemOutcome.COMPLETE, "x" * (PAGE_BYTES // 2 - 20)) for n in range(5)]
+    assert len(truncate_page(rows, ids)) == 2
+    assert len(truncate_page([Result(0, ItemOutcome.COMPLETE, "x" * (PAGE_BYTES * 2))], ids)) == 1
+    assert truncate_page([], ids) == []
+
+
+@pytest.mark.parametrize("character", ["x", "ü", "\n", '"', "\x01", "\U0001f600"])
+@pytest.mark.parametrize("id_bytes", [1, 3000])
+def test_page_of_results_stays_within_one_megabyte(character: str, id_bytes: int) -> None:
+    """The page was limited by the characters of the texts. In JSON, one character takes up to six
+    bytes, and ids take their own share.
+    """
+    ids = [ItemId(f"{n:{id_bytes}}") for n in range(200)]
+    rows = [Result(n, ItemOutcome.COMPLETE, character * 10_000) for n in range(200)]
+    shown = truncate_page(rows, ids)
+    raw = PLATFORM.job_dialect.encode_page(ResultPage(200, 0, shown, ids))
+    assert 700_000 < len(raw) <= 1_000_000
 
 
 def test_job_ids_are_safe_in_keys() -> None:
