Bound the results of finished jobs that a host keeps for readers

A host that reads a finished job from the store keeps its results for further pages, of up to 64 jobs whatever their size. With texts of any length these may exceed the memory of the process. The oldest are removed above 16 MiB of texts, but for the newest job.

test_cache_of_finished_jobs_is_bounded_by_bytes names the new function, so that it can't run on the former code, which has no bound in bytes.

--- a/gradepoint/jobs/api.py
+++ b/gradepoint/jobs/api.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from typing import TYPE_CHECKING
 from urllib.parse import urlencode
 
@@ -62,7 +63,9 @@
 """Seconds between checks whether a host announces a job that a reader waits for: half of the time
 within which hosts announce that they have started to run a job."""
 MAX_CACHED_JOBS = 64
-"""Finished jobs whose results stay in memory for readers."""
+"""Most finished jobs whose results stay in memory for readers."""
+MAX_CACHED_BYTES = 16 << 20
+"""Most memory in bytes that their texts take, except for the newest job."""
 
 
 class JobView(msgspec.Struct, frozen=True):
@@ -431,9 +434,8 @@
             results = await self.repository.load_results(stored)
         found = JobView(len(stored.state.item_ids), stored.state.item_ids, results)
         if stored.state.done:
-            while len(self.finished_cache) >= MAX_CACHED_JOBS:
-                del self.finished_cache[next(iter(self.finished_cache))]
             self.finished_cache[job_id] = found
+            evict_oldest(self.finished_cache)
         return found, stored
 
     async def _ask_owner(self, job_id: JobId, position: int, wait_s: float) -> JobView | None:
@@ -551,6 +553,13 @@
     return JobView(len(job.items), item_ids, truncate_page(job.results[position:], item_ids))
 
 
+def evict_oldest(cache: dict[JobId, JobView]) -> None:
+    """Remove the oldest jobs of a cache that exceeds its bounds, but not its newest."""
+    sizes = [sum(sys.getsizeof(row.text) for row in job.results) for job in cache.values()]
+    while len(cache) > 1 and (len(cache) > MAX_CACHED_JOBS or sum(sizes) > MAX_CACHED_BYTES):
+        del cache[next(iter(cache))], sizes[0]
+
+
 def truncate_page(results: list[Result], item_ids: list[ItemId]) -> list[Result]:
     """Return the leading results that fit into one answer, at least one if there are any.
 
--- a/tests/test_jobs/test_jobs_decisions.py
+++ b/tests/test_jobs/test_jobs_decisions.py
@@ -15,7 +15,11 @@
 from gradepoint.ids import HostName, Incarnation, ItemId, JobId, ServiceName, TargetId, TargetName
 from gradepoint.jobs.adoption import ADOPTERS_PER_HOST, Adoption, choose_adopter
 from gradepoint.jobs.api import (
+    MAX_CACHED_BYTES,
+    MAX_CACHED_JOBS,
     PAGE_BYTES,
+    JobView,
+    evict_oldest,
     truncate_page,
 )
 from gradepoint.jobs.calls import ResultPage
@@ -322,3 +326,21 @@
     assert silence.isolated and not silence.lost(99.0)
     assert not silence.update(incarnations, incarnations, 9.5)
     assert not silence.isolated and not silence.since
+
+
+def test_cache_of_finished_jobs_is_bounded_by_bytes() -> None:
+    """The cache was bounded by jobs only, whatever the size of their texts."""
+    cache: dict[JobId, JobView] = {}
+    for number in range(8):
+        row = Result(0, ItemOutcome.COMPLETE, str(number) * (MAX_CACHED_BYTES // 3))
+        cache[JobId(str(number))] = JobView(1, [ItemId("a")], [row])
+        evict_oldest(cache)
+    assert list(cache) == ["6", "7"]
+    row = Result(0, ItemOutcome.COMPLETE, "x" * MAX_CACHED_BYTES)
+    cache[JobId("large")] = JobView(1, [ItemId("a")], [row])
+    evict_oldest(cache)
+    assert list(cache) == ["large"]
+    for number in range(MAX_CACHED_JOBS * 2):
+        cache[JobId(str(number))] = JobView(1, [ItemId("a")], [])
+        evict_oldest(cache)
+    assert len(cache) == MAX_CACHED_JOBS
