Draw sizes of items, texts and store values in the soak

Every soak had items of four bytes, texts of 135 bytes and a store without limits. Beside the promises of before, the run checks bodies that are read back, and that no program sends a refused write again unchanged. The final check reads on from the last known result, since a page holds few large ones; random earlier positions are read during the run.

--- a/bench/platform/target.py
+++ b/bench/platform/target.py
@@ -240,10 +240,20 @@
 
 
 def complete_stream(
-    request_id: str, events: int, version: str = FIRST_VERSION, *, first: int = 0
+    request_id: str,
+    events: int,
+    version: str = FIRST_VERSION,
+    *,
+    first: int = 0,
+    size: int = EVENT_DATA_BYTES,
 ) -> bytes:
-    """Return the bytes of a complete stream, from the event *first* on."""
-    return b"".join(event_bytes(request_id, number, version) for number in range(first, events))
+    """Return the bytes of a complete stream, from the event *first* on.
+
+    :param size: size in bytes of the data of each event.
+    """
+    return b"".join(
+        event_bytes(request_id, number, version, size) for number in range(first, events)
+    )
 
 
 def plain_response(request_id: str) -> bytes:
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -35,6 +35,9 @@
         bool,
         typer.Option(help="Targets have two software versions, and callers resume broken streams."),
     ] = False,
+    sizes: Annotated[
+        bool, typer.Option(help="Draw sizes of items, texts and the store's values from the seed.")
+    ] = False,
     folder: Annotated[Path, typer.Option(help="Parent folder of the runs' logs.")] = Path(
         "run/soak"
     ),
@@ -53,6 +56,7 @@
             with_harmful_part=harmful_part,
             with_early_ends=early_ends,
             with_versions=versions,
+            with_sizes=sizes,
             organisations=Organisations() if organisations else None,
         )
         violations = asyncio.run(soak.run())
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -28,6 +28,7 @@
     """One program on one host; its address and ports stay the same across restarts.
 
     :ivar store: proxy through which the program reaches the metadata store.
+    :ivar more_settings: settings beside the program's own.
     :ivar incarnation: incarnation number of the process: 0 before the first start, then 1, 2, ...
     :ivar ports: four reserved ports: callers' HTTP, readiness, peers and metrics.
     :cvar module: module that is run as the program.
@@ -40,6 +41,7 @@
     incarnation: int = 0
     process: subprocess.Popen[bytes] | None = None
     ports: list[int] = field(default_factory=list)
+    more_settings: dict[str, object] = field(default_factory=dict)
     module = ""
 
     def __post_init__(self) -> None:
@@ -60,6 +62,7 @@
             "peer_ports": str(peers),
             "metrics_port": metrics,
             "store_address": f"{self.address}:{self.store.port}",
+            **self.more_settings,
         }
 
     def start(self) -> None:
--- a/bench/soak/ledger.py
+++ b/bench/soak/ledger.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from ..platform.target import (
+    EVENT_DATA_BYTES,
     FIRST_VERSION,
     TargetStandin,
     complete_stream,
@@ -22,6 +23,7 @@
 
     :param events: number of events in each complete stream.
     :param versions: software versions of the targets.
+    :param data_bytes: size of the data of each event.
     :ivar violations: a message for each violated guarantee.
     :ivar outcomes: number of calls by kind and status; ``cut`` stands for a truncated response.
     :ivar told_not_run: the requests of :attr:`at_most_once` whose response says that they have not
@@ -35,6 +37,7 @@
     targets: list[TargetStandin]
     events: int
     versions: tuple[str, ...] = (FIRST_VERSION,)
+    data_bytes: int = EVENT_DATA_BYTES
     violations: list[str] = field(default_factory=list)
     outcomes: Counter[str] = field(default_factory=Counter)
     told_not_run: set[str] = field(default_factory=set)
@@ -65,7 +68,8 @@
             expected = [plain_response(request_id)]
         else:
             expected = [
-                complete_stream(request_id, self.events, version) for version in self.versions
+                complete_stream(request_id, self.events, version, size=self.data_bytes)
+                for version in self.versions
             ]
         if cut and not any(whole.startswith(body) for whole in expected):
             self.violations.append(f"{request_id}: a truncated response has wrong bytes")
@@ -116,7 +120,10 @@
             if known.setdefault(position + offset, row) != row:
                 self.violations.append(f"{job}: position {position + offset} changed")
             texts = [
-                "\n".join(event_data(row["id"], number, version) for number in range(self.events))
+                "\n".join(
+                    event_data(row["id"], number, version, self.data_bytes)
+                    for number in range(self.events)
+                )
                 for version in self.versions
             ]
             if row["state"] == "complete" and row["message"] not in texts:
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import base64
 import random
 import shutil
 import signal
@@ -24,12 +23,13 @@
 
 from ..platform.store import PlatformStoreStandin, StoreFault
 from ..platform.target import TargetStandin
-from .fleet import DataHostProcess, GatewayProcess
+from .fleet import DataHostProcess, GatewayProcess, ProgramProcess
 from .harm import HarmfulRequest
 from .ledger import Ledger
 from .organisations import Organisations
 from .proxy import Proxy, ProxyMode
 from .resuming import ResumingCaller
+from .sizes import Sizes, encode_submission, find_repeated_rejections
 
 HOST = "soak.example"
 VERSIONS = ("v1", "v2")
@@ -55,6 +55,7 @@
         streams in order inside an event.
     :param with_versions: whether targets of two software versions serve side by side and replace
         each other, and callers resume streams that break.
+    :param with_sizes: whether sizes of items, texts and values are drawn from the seed.
     :param organisations: organisations whose API keys the callers use; None sends no keys.
     :param suspend: suspends a gateway's host for some seconds; None if hosts cannot be suspended.
     :param make_gateway: creates a gateway, which need not be a separate process.
@@ -79,6 +80,7 @@
     with_harmful_part: bool = False
     with_early_ends: bool = False
     with_versions: bool = False
+    with_sizes: bool = False
     organisations: Organisations | None = None
     suspend: Callable[[GatewayProcess, float], None] | None = None
     make_gateway: Callable[..., GatewayProcess] = GatewayProcess
@@ -93,6 +95,7 @@
     injected_faults: Counter[str] = field(default_factory=Counter)
     gateway_start_times: list[float] = field(default_factory=list)
     harm: HarmfulRequest | None = None
+    sizes: Sizes | None = None
     version: int = 1
     calm: bool = False
     replaced_targets: int = 0
@@ -103,6 +106,10 @@
         self.ledger = Ledger(self.targets, self.events)
         if self.with_versions:
             self.ledger.versions = VERSIONS
+        if self.with_sizes:
+            self.sizes = Sizes(self.seed, self.events)
+            self.store.keys.limits = self.sizes.limits
+            self.ledger.data_bytes = self.sizes.data_bytes
         self.folder.mkdir(parents=True, exist_ok=True)
 
     async def run(self) -> list[str]:
@@ -131,6 +138,8 @@
                 self.ledger.violations += harm.find_violations(self.gateway_start_times)
             if self.organisations is not None:
                 self.ledger.violations += self.organisations.violations
+            lives = sum(program.incarnation for program in (*self.fleet, *self.data_hosts))
+            self.ledger.violations += find_repeated_rejections(self.store.rejected, lives)
             return self.ledger.close()
         finally:
             await self._stop()
@@ -146,16 +155,22 @@
             address = f"127.0.2.{number + 1}"
             proxy = await self._open_proxy(store_address, address)
             data_host = self.make_data_host(f"data-{number}", address, self.folder, proxy)
+            self._set_sizes(data_host)
             data_host.start()
             self.data_hosts.append(data_host)
         for number in range(self.gateways):
             address = f"127.0.1.{number + 1}"
             proxy = await self._open_proxy(store_address, address)
             gateway = self.make_gateway(f"host-{number}", address, self.folder, proxy)
+            self._set_sizes(gateway)
             gateway.start()
             self.fleet.append(gateway)
         await self._wait_ready()
 
+    def _set_sizes(self, program: ProgramProcess) -> None:
+        if self.sizes is not None:
+            program.more_settings.update(self.sizes.settings)
+
     def _start_resuming_callers(self) -> list[asyncio.Task[None]]:
         """Start callers who resume broken streams if this run has them."""
         if not self.with_versions:
@@ -206,6 +221,7 @@
 
     async def _add_target(self, name: str) -> None:
         target = TargetStandin(name, events=self.events, event_interval_s=0.01)
+        target.data_bytes = self.ledger.data_bytes
         target.rng = random.Random(f"{self.seed} {name}")
         if self.with_versions:
             target.version = VERSIONS[len(self.targets) % len(VERSIONS)]
@@ -352,24 +368,16 @@
         with closing(HttpClient()) as http:
             while True:
                 job = f"job-{self._next_id()}"
-                items = self.rng.randint(1, 6)
-                if await self._submit(http, job, items):
-                    self.ledger.accepted[job] = items
+                bodies = [b"item"] * self.rng.randint(1, 6)
+                if self.sizes is not None:
+                    bodies = self.sizes.draw_bodies(job)
+                if await self._submit(http, job, bodies):
+                    self.ledger.accepted[job] = len(bodies)
                     self.tasks.start(self._poll_results(job))
                 await asyncio.sleep(self.rng.uniform(0.1, 0.4))
 
-    async def _submit(self, http: HttpClient, job: str, items: int) -> bool:
-        rows = [
-            {
-                "id": f"{job}.{index}",
-                "path": f"/night/{index}",
-                "headers": {},
-                "body": base64.b64encode(b"item").decode(),
-                "tokens": 10,
-            }
-            for index in range(items)
-        ]
-        body = msgspec.json.encode({"items": rows})
+    async def _submit(self, http: HttpClient, job: str, bodies: list[bytes]) -> bool:
+        body = encode_submission(job, bodies)
         for _ in range(3):
             gateway = self.rng.choice(self.fleet)
             try:
@@ -390,10 +398,16 @@
                 return True
         return False
 
-    async def _read_results(self, http: HttpClient, job: str) -> int | None:
-        """Read results from a random position up to the known end; return how many are known."""
+    async def _read_results(
+        self, http: HttpClient, job: str, position: int | None = None
+    ) -> int | None:
+        """Read a page of results; return how many are known.
+
+        :param position: position of the first one; None for a random one up to the known end.
+        """
         known = self.ledger.results.get(job, {})
-        position = self.rng.randint(0, len(known))
+        if position is None:
+            position = self.rng.randint(0, len(known))
         gateway = self.rng.choice(self.fleet)
         headers = [*self._headers(job), ("x-wait-ms", "500")]
         target = f"/api/lots/{job}?after_rev={position}"
@@ -409,6 +423,10 @@
         if response.status != 200:
             return None
         self.ledger.record_results(job, position, msgspec.json.decode(raw)["results"])
+        if self.sizes is not None:
+            self.ledger.violations += await self.sizes.find_wrong_bodies(
+                http, gateway.callers, job, self._headers(job)
+            )
         return len(self.ledger.results.get(job, {}))
 
     async def _poll_results(self, job: str) -> None:
@@ -425,13 +443,20 @@
                 await self._check_job(http, job, items, until)
 
     async def _check_job(self, http: HttpClient, job: str, items: int, until: float) -> None:
-        while (await self._read_results(http, job) or 0) < items:
+        while (await self._read_results(http, job, self._next_position(job)) or 0) < items:
             if asyncio.get_running_loop().time() > until:
                 results = len(self.ledger.results.get(job, {}))
                 self.ledger.record_missing(job, f"{items - results} of {items} items not listed")
                 return
             await asyncio.sleep(0.05)
 
+    def _next_position(self, job: str) -> int | None:
+        """Return the position to read next; None for a random one.
+
+        A page holds few large results: random positions would rarely show further ones.
+        """
+        return None if self.sizes is None else len(self.ledger.results.get(job, {}))
+
     def _draw_fault_kinds(self) -> list[str]:
         kinds = ["kill", "pause", "term", "hup", "store", "store-path", "target-path"]
         kinds += ["target-fault", "target-leaves", "configuration", "history", "clock"]
--- a/tests/support/soak_hosts.py
+++ b/tests/support/soak_hosts.py
@@ -35,6 +35,7 @@
         self.incarnation = 0
         self.running = False
         self.program: Any = None
+        self.more_settings = {}
         self.ports = [self.loop.next_port() for _ in range(4)]
 
     @property
--- a/tests/test_bench/test_bench_soak.py
+++ b/tests/test_bench/test_bench_soak.py
@@ -34,6 +34,9 @@
 VERSION_SEEDS = (1200, 1201, 1202)
 """Seeds of soaks with targets of two software versions and callers who resume streams."""
 
+SIZE_SEEDS = (1700, 1701, 1702, 1703)
+"""Seeds of soaks that draw sizes from below to above the limits of the store."""
+
 SUSPENSION_SEEDS = (701, 702)
 """Seeds of soaks in which hosts are suspended."""
 
@@ -53,6 +56,7 @@
     with_harmful_part: bool = False,
     with_early_ends: bool = False,
     with_versions: bool = False,
+    with_sizes: bool = False,
     gateways: int = 2,
     organisations: Organisations | None = None,
     suspend: Callable[[GatewayProcess, float], None] | None = None,
@@ -71,6 +75,7 @@
             with_harmful_part=with_harmful_part,
             with_early_ends=with_early_ends,
             with_versions=with_versions,
+            with_sizes=with_sizes,
             organisations=organisations,
             suspend=suspend,
             make_gateway=LoopGateway,
@@ -264,6 +269,15 @@
     assert soak.ledger.outcomes["taken up 200"] > 0
 
 
+@pytest.mark.parametrize("seed", SIZE_SEEDS)
+def test_short_soak_with_sizes_around_the_limits_violates_no_guarantee(
+    seed: int, tmp_path: FilePath, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    soak = run_soak(seed, tmp_path / "soak", monkeypatch, with_sizes=True)
+    assert not soak.ledger.violations
+    assert soak.ledger.accepted
+
+
 @pytest.mark.parametrize("with_harm", [False, True])
 @pytest.mark.parametrize("seed", SUSPENSION_SEEDS)
 def test_short_soak_with_suspended_hosts_violates_no_guarantee(
