Test that the next owner goes on between two writes of a commit

Results that need several transactions may be half listed when their host dies. The test kills the host after the first of them: the next owner lists each item once, and the listed items run once.

--- a/tests/test_jobs/test_jobs_large_results.py
+++ b/tests/test_jobs/test_jobs_large_results.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from typing import Any
 
 import pytest
@@ -10,7 +11,7 @@
 from bench.platform.store import StoreFault
 from gradepoint.ids import JobId
 from gradepoint.kv.limits import KvLimits
-from tests.support.platform import Deployment, item_text, run_in_virtual_time
+from tests.support.platform import Deployment, item_text, run_in_virtual_time, until
 
 ITEMS = 48
 EVENTS = 8
@@ -78,3 +79,37 @@
         assert job.pending_bytes == 0
 
     run_in_virtual_time(work)
+
+
+def test_next_owner_goes_on_between_two_writes_of_a_commit(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Results that need several writes may be half listed when their host dies. The next owner must
+    neither list an item twice nor run the listed ones again.
+    """
+    data_bytes = 4 * KIB
+
+    async def work(deployment: Deployment) -> None:
+        limit_values(deployment, 64 * KIB)
+        await deployment.start(gateways=2, targets=6, events=EVENTS, data_bytes=data_bytes)
+        owner = deployment.gateways[0]
+        commit, first_written = owner.repository.commit, asyncio.Event()
+
+        async def commit_once(*arguments: Any, **options: Any) -> Any:
+            await commit(*arguments, **options)
+            first_written.set()
+            await asyncio.Event().wait()
+
+        monkeypatch.setattr(owner.repository, "commit", commit_once)
+        assert (await deployment.submit("job", ITEMS)).status == 202
+        await first_written.wait()
+        await deployment.kill(owner)
+        await until(lambda: JobId("job") in deployment.gateways[0].worker.jobs)
+        taken = deployment.gateways[0].worker.jobs[JobId("job")]
+        listed = {f"job-{row.index}" for row in taken.results}
+        assert 0 < len(listed) < ITEMS
+        check_listed("job", await deployment.read_all_results("job"), ITEMS, data_bytes)
+        runs = sum((target.completed_runs for target in deployment.targets), start=Counter())
+        assert all(runs[item] == 1 for item in listed)
+
+    run_in_virtual_time(work)
