Show refused writes in the timeline of their job

explain-request lists the lines that have an id in a field of their own. The line of a refused write has the key of the store, of which the job's id is a part, so that it was left out. One search now leads from a job to the refused key, its size and the limit.

test_timeline_of_a_job_includes_refused_writes_of_its_keys fails without the change: it finds job_accepted only.

--- a/gradepoint/telemetry/timeline.py
+++ b/gradepoint/telemetry/timeline.py
@@ -58,6 +58,10 @@
 id of its own."""
 
 
+STORE_KEY_EVENTS = frozenset(("kv_rejected", "parts_reduced"))
+"""Events about a key of the key-value service, one part of which is the id of a job."""
+
+
 @dataclass(frozen=True)
 class LogLine:
     """One log line.
@@ -141,6 +145,9 @@
     for line in decoded:
         if any(line.fields.get(name) in attempts for name in ID_FIELDS):
             timeline.lines.append(line)
+        elif line.event in STORE_KEY_EVENTS:
+            if wanted in str(line.fields.get("key")).split("/"):
+                timeline.lines.append(line)
         elif line.event in CONTEXT_EVENTS:
             context_lines.append(line)
         elif line.event in KEY_EVENTS:
--- a/tests/test_telemetry/test_telemetry_lines.py
+++ b/tests/test_telemetry/test_telemetry_lines.py
@@ -176,6 +176,24 @@
     assert answered is not None and answered.event == "call_answered"
 
 
+def test_timeline_of_a_job_includes_refused_writes_of_its_keys() -> None:
+    # The line of a refused write has the key, its size and the limit, but no field for the job.
+    def line(second: int, event: str, **fields: object) -> str:
+        row = {"time": f"2026-05-12T16:21:{second:02}", "host": "h1", "event_name": event}
+        return msgspec.json.encode({**row, "level": "ERROR", **fields}).decode()
+
+    refused = {"kind": "txn", "reason": "answered 413", "size": 5000, "limit": None}
+    lines = [
+        line(1, "job_accepted", job="night-1"),
+        line(2, "kv_rejected", key="gp/result/night-1/000000", **refused),
+        line(3, "kv_rejected", key="gp/result/night-12/000000", **refused),
+        line(4, "parts_reduced", key="gp/large/night-1/00ff/000002", part_bytes=2500),
+    ]
+    timeline = build_timeline("night-1", lines)
+    assert [row.event for row in timeline.lines] == ["job_accepted", "kv_rejected", "parts_reduced"]
+    assert timeline.lines[1].fields["size"] == 5000
+
+
 def test_timeline_of_a_held_request_includes_crashes_of_other_attempts() -> None:
     # The attempts of a request that crashed targets have ids of their own. Only the request key
     # connects the refused call with the crashes before.
