Name the fragments of a part by their size too

Two hosts may cut the same part into fragments of different sizes: their settings differ, or one was refused a larger value. Both wrote below the same digest, so that the second overwrote fragments of a part that was listed already, and it could not be read any more. The key of a fragment now contains the size too. test_fragments_of_another_size_do_not_damage_a_part fails without that (KvUnreadable).

Chunks are called fragments, since a chunk is a range of items of a file elsewhere in this project.

--- a/gradepoint/jobs/records.py
+++ b/gradepoint/jobs/records.py
@@ -6,7 +6,7 @@
 - ``gp/input/ID/N``: part N of its items, written once, in the transaction that creates the state;
 - ``gp/result/ID/N``: part N of its results, written once, in the transaction that lists them in the
   state;
-- ``gp/large/ID/DIGEST/N``: chunk N of a part that exceeds one value;
+- ``gp/large/ID/DIGEST/SIZE/N``: fragment N of a part that exceeds one value;
 - ``gp/partial/ID``: texts received so far for items that have not ended, overwritten by commits.
 
 ``gp/quota/ROUTE`` bounds the tokens that wait on a route, and ``gp/live/end/ID`` tells all hosts
@@ -185,20 +185,20 @@
         return kept
 
 
-class ChunkedPart(msgspec.Struct, frozen=True):
-    """Names the chunks of a part that exceeds one value.
+class FragmentedPart(msgspec.Struct, frozen=True):
+    """Names the fragments of a part that exceeds one value.
 
     It is encoded as a map, unlike a part, which is an array. Software that does not know it takes
     the job for unreadable.
 
     :param digest: SHA-256 of the part in hexadecimal digits.
     :param size: size of the part in bytes.
-    :param chunks: number of its chunks.
+    :param fragment_bytes: size of its fragments but for the last.
     """
 
     digest: str
     size: int
-    chunks: int
+    fragment_bytes: int
 
 
 class Quota(msgspec.Struct, frozen=True, array_like=True):
@@ -251,9 +251,13 @@
     return f"{RESULT_PREFIX}{job_id}/"
 
 
-def chunk_prefix(job_id: JobId, digest: str) -> str:
-    """Return the prefix of the chunks of a part of a job."""
-    return f"{LARGE_PREFIX}{job_id}/{digest}/"
+def fragment_prefix(job_id: JobId, part: FragmentedPart) -> str:
+    """Return the prefix of the fragments of a part of a job.
+
+    Fragments of different sizes have different keys: the size follows from settings and from what
+    the service rejected, which may differ between hosts.
+    """
+    return f"{LARGE_PREFIX}{job_id}/{part.digest}/{part.fragment_bytes}/"
 
 
 def partial_key(job_id: JobId) -> str:
--- a/gradepoint/jobs/repository.py
+++ b/gradepoint/jobs/repository.py
@@ -20,7 +20,7 @@
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.structs import Struct, field
-from .chunks import MAX_WRITE_BYTES, ChunkStore
+from .fragments import MAX_WRITE_BYTES, FragmentStore
 from .records import (
     INPUT_PREFIX,
     JOB_PREFIX,
@@ -161,9 +161,9 @@
     reduced_at: float = float("-inf")
 
     @property
-    def chunks(self) -> ChunkStore:
+    def fragments(self) -> FragmentStore:
         """Store of the parts that exceed one value."""
-        return ChunkStore(self.kv)
+        return FragmentStore(self.kv)
 
     @property
     def part_bytes(self) -> int:
@@ -267,8 +267,8 @@
     async def _prepare_creation(
         self, job_id: JobId, state: JobState, parts: list[bytes]
     ) -> list[Put]:
-        """Store the chunks of large parts; return the writes that create the job."""
-        values = await self.chunks.store_large_parts(job_id, parts, self.part_bytes)
+        """Store the fragments of large parts; return the writes that create the job."""
+        values = await self.fragments.store_large_parts(job_id, parts, self.part_bytes)
         prefix = input_prefix(job_id)
         return [
             Put(job_key(job_id), encode_state(state)),
@@ -356,7 +356,7 @@
             found = (await self.kv.range(prefix)).items[:count]
         if len(found) < count:
             raise KvUnavailable(f"{len(found)} of {count} parts found below {prefix}")
-        return await self.chunks.load_large_parts(job_id, [item.value for item in found])
+        return await self.fragments.load_large_parts(job_id, [item.value for item in found])
 
     async def list_jobs(self) -> list[StoredJob]:
         """Return every job whose state can be decoded; log the others."""
@@ -395,7 +395,7 @@
         parts = self._select_parts(work.results)
         listed = work.results[: sum(map(len, parts))]
         prefix = result_prefix(job.id)
-        values = await self.chunks.store_large_parts(
+        values = await self.fragments.store_large_parts(
             job.id, [encode_part(part) for part in parts], self.part_bytes
         )
         puts = [
--- a/tests/test_jobs/test_jobs_large_items.py
+++ b/tests/test_jobs/test_jobs_large_items.py
@@ -14,7 +14,7 @@
 from gradepoint.ids import Incarnation, ItemId, JobId
 from gradepoint.jobs.records import (
     LARGE_PREFIX,
-    ChunkedPart,
+    FragmentedPart,
     Item,
     ItemOutcome,
     JobState,
@@ -171,7 +171,7 @@
         rows = await deployment.read_all_results("job", gateway=1)
         check_complete(rows, "job", 2, text_bytes // EVENTS)
         assert not deployment.store.rejected
-        # A host that does not run the job reads the chunks.
+        # A host that does not run the job reads the fragments.
         for gateway in deployment.gateways:
             gateway.worker.jobs.clear()
         check_complete(
@@ -197,15 +197,15 @@
     return submission.job
 
 
-def test_job_continues_after_its_host_died_between_chunks_and_state() -> None:
-    """Chunks without a state that names them must neither be listed nor stop the next owner."""
+def test_job_continues_after_its_host_died_between_fragments_and_state() -> None:
+    """Fragments without a state that names them must neither be listed nor stop the next owner."""
 
     async def main() -> None:
         store = MemoryKv(limits=KvLimits(1000))
         job = await create_job(store, "host/1")
         first, second = make_repository(store), make_repository(store)
         large = Result(0, ItemOutcome.COMPLETE, "x" * 5000)
-        await first.chunks.store_large_parts(job.id, [msgspec.msgpack.encode([large])], 700)
+        await first.fragments.store_large_parts(job.id, [msgspec.msgpack.encode([large])], 700)
         assert await first.load_results(job) == []
         adopted = await second.adopt(job, Incarnation("host/2"))
         other = Result(1, ItemOutcome.COMPLETE, "y" * 5000)
@@ -216,14 +216,14 @@
     run_virtual(main())
 
 
-def test_late_write_of_chunks_does_not_change_a_listed_result() -> None:
+def test_late_write_of_fragments_does_not_change_a_listed_result() -> None:
     """A write without an answer may be applied seconds later, after another host's commit."""
 
     async def main() -> None:
         store = MemoryKv(limits=KvLimits(1000))
         job = await create_job(store, "host/1")
         row = Result(0, ItemOutcome.COMPLETE, "x" * 5000)
-        with pytest.raises(Exception, match="chunks"):
+        with pytest.raises(Exception, match="fragments"):
             await make_repository(store, KvFault.LATE).commit(job, CommittedWork([row]))
         listed = await make_repository(store).commit(
             job, CommittedWork([Result(0, ItemOutcome.COMPLETE, "z" * 5000)])
@@ -234,12 +234,28 @@
     run_virtual(main())
 
 
-def test_missing_chunk_is_reported_and_not_read_as_a_shorter_part() -> None:
+def test_fragments_of_another_size_do_not_damage_a_part() -> None:
+    """Hosts may cut the same part differently, after a change of settings or a rejection."""
+
+    async def main() -> None:
+        store = MemoryKv(limits=KvLimits(1000))
+        job = await create_job(store, "host/1", b"b" * 3000)
+        stored = await make_repository(store).load_items(job)
+        other = make_repository(store)
+        for max_bytes in (100, 350, 699):
+            parts = [msgspec.msgpack.encode([item]) for item in stored]
+            await other.fragments.store_large_parts(job.id, parts, max_bytes)
+            assert await make_repository(store).load_items(job) == stored
+
+    run_virtual(main())
+
+
+def test_missing_fragment_is_reported_and_not_read_as_a_shorter_part() -> None:
     async def main() -> None:
         store = MemoryKv(limits=KvLimits(1000))
         job = await create_job(store, "host/1", b"b" * 3000)
-        chunks = sorted(key for key in store.keys if key.startswith(LARGE_PREFIX))
-        store.apply(Transaction((), (), (Delete(chunks[1]),)))
+        fragments = sorted(key for key in store.keys if key.startswith(LARGE_PREFIX))
+        store.apply(Transaction((), (), (Delete(fragments[1]),)))
         with pytest.raises(KvUnreadable):
             await make_repository(store).load_items(job)
 
@@ -247,10 +263,10 @@
 
 
 @pytest.mark.parametrize("kind", [list[Item], list[Result]])
-def test_former_version_takes_chunked_part_for_unreadable(kind: type) -> None:
-    """Software that does not know chunks must not read such a part as one without rows."""
+def test_former_version_takes_fragmented_part_for_unreadable(kind: type) -> None:
+    """Software that does not know fragments must not read such a part as one without rows."""
     with pytest.raises(KvUnreadable):
-        decode_value(msgspec.msgpack.encode(ChunkedPart("00", 1, 1)), kind)
+        decode_value(msgspec.msgpack.encode(FragmentedPart("00", 1, 1)), kind)
 
 
 def test_checkpoint_keeps_the_longest_texts_that_fit() -> None:
