Load only the parts of a large job that a page of results needs

Callers saw: at a host that does not run the job, each page of a job with many large texts took more than a second, and results that were listed 20 s after the last fault were not read within a minute.

Fix: a commit notes in the state how many results and bytes each of its keys holds. If they are more than 4 MiB together, a page reads only the keys from its position on, until it is full; otherwise all are read with one call, as before. A former version drops the sizes when it writes the state, and readers then load all results.

Tests: test_page_of_a_large_job_does_not_load_all_of_its_results and test_state_of_a_former_version_is_read_without_sizes_of_parts.

--- a/gradepoint/jobs/api.py
+++ b/gradepoint/jobs/api.py
@@ -29,7 +29,7 @@
 from ..wire.http_types import JSON_TYPE, Response
 from .calls import EndJob, JobCall, ReadItem, ReadResults, ResultPage
 from .records import JobState, Result, make_job_id
-from .repository import Admission, Superseded
+from .repository import Admission, Superseded, has_large_results
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -353,25 +353,25 @@
         if own is not None:
             return await read_owned(own, position, wait_s)
         known = self.finished_cache.get(job_id)
+        if known is not None:
+            return make_page(known, known.results[position:])
+        reported = await self._ask_owner(job_id, position, wait_s)
+        if reported is not None and reported.entered:
+            return reported
+        waiting = reported or self._read_waiting(job_id)
+        try:
+            known, stored = await self._load(job_id, position)
+        except KvError:
+            if waiting is None:
+                raise
         if known is None:
-            reported = await self._ask_owner(job_id, position, wait_s)
-            if reported is not None and reported.entered:
+            await asyncio.sleep(wait_s if waiting is not None else 0.0)
+            return waiting
+        if not known.results and stored is not None and not stored.state.done:
+            reported = await self._wait_for_owner(job_id, position, wait_s)
+            if reported is not None:
                 return reported
-            waiting = reported or self._read_waiting(job_id)
-            try:
-                known, stored = await self._load(job_id, position)
-            except KvError:
-                if waiting is None:
-                    raise
-            if known is None:
-                await asyncio.sleep(wait_s if waiting is not None else 0.0)
-                return waiting
-            if len(known.results) <= position and stored is not None and not stored.state.done:
-                reported = await self._wait_for_owner(job_id, position, wait_s)
-                if reported is not None:
-                    return reported
-        results = truncate_page(known.results[position:], known.item_ids)
-        return JobView(known.total, known.item_ids, results)
+        return make_page(known, known.results)
 
     def _find_own(self, job_id: JobId) -> OwnedJob | None:
         """Return a job that this host may answer for from memory, else None."""
@@ -423,20 +423,24 @@
         return not job.dropped and self.presence.holds_lease and not self.is_isolated()
 
     async def _load(self, job_id: JobId, position: int) -> tuple[JobView | None, StoredJob | None]:
-        """Read a job from the key-value service; no results if none is listed from *position* on
-        and the job is not done."""
+        """Read a job from the key-value service, with results from *position* on.
+
+        All results of a finished job are kept for readers, unless they are many bytes.
+        """
         stored = await self.repository.load(job_id)
         if stored is None:
             return None, None
         self.sweep_if_owner_lost(stored)
-        results: list[Result] = []
-        if stored.state.done or len(stored.state.listed) > position:
+        total, item_ids = len(stored.state.item_ids), stored.state.item_ids
+        if stored.state.done and not has_large_results(stored.state):
             results = await self.repository.load_results(stored)
-        found = JobView(len(stored.state.item_ids), stored.state.item_ids, results)
-        if stored.state.done:
-            self.finished_cache[job_id] = found
+            self.finished_cache[job_id] = JobView(total, item_ids, results)
             evict_oldest(self.finished_cache)
-        return found, stored
+            return JobView(total, item_ids, results[position:]), stored
+        results = []
+        if len(stored.state.listed) > position:
+            results = await self.repository.load_page(stored, position, PAGE_BYTES)
+        return JobView(total, item_ids, results), stored
 
     async def _ask_owner(self, job_id: JobId, position: int, wait_s: float) -> JobView | None:
         """Ask the host that announces the job; None if there is none or it does not answer."""
@@ -553,6 +557,11 @@
     return JobView(len(job.items), item_ids, truncate_page(job.results[position:], item_ids))
 
 
+def make_page(job: JobView, results: list[Result]) -> JobView:
+    """Return a page with the leading ones of *results* that fit into one answer."""
+    return JobView(job.total, job.item_ids, truncate_page(results, job.item_ids))
+
+
 def evict_oldest(cache: dict[JobId, JobView]) -> None:
     """Remove the oldest jobs of a cache that exceeds its bounds, but not its newest."""
     sizes = [sum(sys.getsizeof(row.text) for row in job.results) for job in cache.values()]
--- a/gradepoint/jobs/records.py
+++ b/gradepoint/jobs/records.py
@@ -116,6 +116,8 @@
         clock differences and never more than the true age.
     :param organisation: organisation that the job belongs to; None if the configuration had no
         organisations.
+    :param part_sizes: number of results and size in bytes of each result key. Shorter than
+        *commits* if a former version, which does not know it, has written the state.
     """
 
     route: str
@@ -133,6 +135,12 @@
     config_version: ConfigVersion = ConfigVersion(0)
     age_s: float = 0.0
     organisation: OrganisationName | None = None
+    part_sizes: list[tuple[int, int]] = []
+
+    @property
+    def knows_part_sizes(self) -> bool:
+        """Whether :attr:`part_sizes` covers all result keys."""
+        return len(self.part_sizes) == self.commits
 
     @property
     def done(self) -> bool:
--- a/gradepoint/jobs/repository.py
+++ b/gradepoint/jobs/repository.py
@@ -74,6 +74,8 @@
 REJECTED_RETRY_S = 60.0
 """Seconds until a write that the service rejected is sent again. The service does not say whether
 its state or the write is the reason."""
+MAX_LOADED_BYTES = 4 << 20
+"""Most bytes of results that a reader of one page loads, if the sizes of the parts are known."""
 NO_LIMIT = 1 << 62
 """Stands for the limit of a route without one; larger than any number of tokens."""
 MAX_CONFLICT_ATTEMPTS = 20
@@ -198,8 +200,11 @@
 
         :raises KvRejected: it does not.
         """
-        listed = [Result(index, ItemOutcome.COMPLETE) for index in range(len(state.item_ids))]
-        size = len(encode_state(msgspec.structs.replace(state, listed=listed)))
+        count = len(state.item_ids)
+        listed = [Result(index, ItemOutcome.COMPLETE) for index in range(count)]
+        part_sizes = [(1, self.value_bytes)] * count
+        full = msgspec.structs.replace(state, listed=listed, commits=count, part_sizes=part_sizes)
+        size = len(encode_state(full))
         limit = int(self.value_bytes * MAX_PART_SHARE)
         if size > limit:
             raise KvRejected("state of the job too large", job_key(job_id), size, limit)
@@ -339,6 +344,30 @@
         parts = await self._load_parts(job.id, result_prefix(job.id), job.state.commits)
         return join_results(parts)[: len(job.state.listed)]
 
+    async def load_page(self, job: StoredJob, position: int, page_bytes: int) -> list[Result]:
+        """Return results with their texts from *position* on, at least one if there are any.
+
+        :param page_bytes: bytes of results that the caller needs; more may be returned.
+        :raises KvError: they could not be read.
+        """
+        if not has_large_results(job.state):
+            return (await self.load_results(job))[position:]
+        found: list[Result] = []
+        loaded_bytes = first = 0
+        for number, (count, part_bytes) in enumerate(job.state.part_sizes):
+            if first + count > position and (not found or loaded_bytes < page_bytes):
+                found += (await self._load_result_part(job, number))[max(0, position - first) :]
+                loaded_bytes += part_bytes
+            first += count
+        return found
+
+    async def _load_result_part(self, job: StoredJob, number: int) -> list[Result]:
+        key = part_key(result_prefix(job.id), number)
+        item = await self.kv.get(key)
+        if item is None:
+            raise KvUnavailable(f"{key} is missing")
+        return join_results(await self.fragments.load_large_parts(job.id, [item.value]))
+
     async def load_partial(self, job: StoredJob) -> dict[int, PartialText]:
         """Return the texts of unfinished items as the last commit wrote them, by index."""
         if not job.state.partial:
@@ -395,9 +424,8 @@
         parts = self._select_parts(work.results)
         listed = work.results[: sum(map(len, parts))]
         prefix = result_prefix(job.id)
-        values = await self.fragments.store_large_parts(
-            job.id, [encode_part(part) for part in parts], self.part_bytes
-        )
+        encoded = [encode_part(part) for part in parts]
+        values = await self.fragments.store_large_parts(job.id, encoded, self.part_bytes)
         puts = [
             Put(part_key(prefix, number), value)
             for number, value in enumerate(values, state.commits)
@@ -414,6 +442,9 @@
             partial=partial is not None,
             age_s=max(state.age_s, work.age_s),
         )
+        if state.knows_part_sizes:
+            sizes = [(len(part), len(raw)) for part, raw in zip(parts, encoded, strict=True)]
+            changed = msgspec.structs.replace(changed, part_sizes=state.part_sizes + sizes)
         return await self._replace_state(job, changed, *puts)
 
     def _select_parts(self, results: list[Result]) -> list[list[bytes]]:
@@ -481,6 +512,11 @@
         raise Superseded(current)
 
 
+def has_large_results(state: JobState) -> bool:
+    """Whether the results of a job are known to be too large to load all of them for one page."""
+    return state.knows_part_sizes and sum(size for _, size in state.part_sizes) > MAX_LOADED_BYTES
+
+
 def _read_quota(item: KeyValue | None) -> int:
     """Return the upper bound of the waiting tokens.
 
--- a/tests/test_jobs/test_jobs_large_results.py
+++ b/tests/test_jobs/test_jobs_large_results.py
@@ -6,11 +6,18 @@
 from collections import Counter
 from typing import Any
 
+import msgspec
 import pytest
 
 from bench.platform.store import StoreFault
-from gradepoint.ids import JobId
+from gradepoint.ids import Incarnation, ItemId, JobId
+from gradepoint.jobs.api import PAGE_BYTES
+from gradepoint.jobs.records import Item, ItemOutcome, JobState, Result, encode_state
+from gradepoint.jobs.repository import CommittedWork, JobRepository, has_large_results
 from gradepoint.kv.limits import KvLimits
+from gradepoint.kv.service import Put, Transaction
+from gradepoint.standins.memory_kv import MemoryKv, MemoryKvClient
+from gradepoint.standins.virtual_time import run_virtual
 from tests.support.platform import Deployment, item_text, run_in_virtual_time, until
 
 ITEMS = 48
@@ -113,3 +120,59 @@
         assert all(runs[item] == 1 for item in listed)
 
     run_in_virtual_time(work)
+
+
+def test_page_of_a_large_job_does_not_load_all_of_its_results() -> None:
+    """A host that does not run a job loaded all results for each page, so that a job of many large
+    texts took longer to read than its results are kept.
+    """
+    data_bytes = 24 * KIB
+
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=1, targets=6, events=EVENTS, data_bytes=data_bytes)
+        assert (await deployment.submit("job", ITEMS)).status == 202
+        rows = await deployment.read_all_results("job")
+        gateway = deployment.gateways[0]
+        gateway.worker.jobs.clear()
+        deployment.store.calls.clear()
+        check_listed("job", await deployment.read_all_results("job"), ITEMS, data_bytes)
+        pages = ITEMS * EVENTS * data_bytes / PAGE_BYTES + 1
+        reads = deployment.store.calls["/api/kv-key"]
+        # Each page reads the state and at most the results of two commits' parts.
+        assert reads <= 4 * pages
+        assert "/api/kv-range" not in deployment.store.calls
+        for position in (1, ITEMS // 2, ITEMS - 1):
+            page = await deployment.read_results("job", position)
+            assert page["results"] == rows[position : position + len(page["results"])]
+
+    run_in_virtual_time(work)
+
+
+def test_state_of_a_former_version_is_read_without_sizes_of_parts() -> None:
+    """Hosts of the former version drop the sizes when they write the state."""
+
+    async def main() -> None:
+        store = MemoryKv()
+        repository = JobRepository(MemoryKvClient(store), 1 << 20)
+        names = [ItemId(str(number)) for number in range(8)]
+        items = [Item(name, "/night/0", [], b"", 1) for name in names]
+        state = JobState("night", "h", Incarnation("host/1"), 0, names, [1] * 8)
+        created = await repository.accept(JobId("job"), state, items, 0)
+        assert created.job is not None
+        rows = [Result(n, ItemOutcome.COMPLETE, str(n) * 1_000_000) for n in range(8)]
+        job = created.job
+        while len(job.state.listed) < 6:
+            left = rows[len(job.state.listed) : 6]
+            job = await repository.commit(job, CommittedWork(left))
+        assert has_large_results(job.state)
+        former = msgspec.structs.replace(job.state, part_sizes=[])
+        store.apply(Transaction((), (Put("gp/job/job", encode_state(former)),)))
+        seen = await repository.load(JobId("job"))
+        assert seen is not None and not seen.state.knows_part_sizes
+        job = await repository.commit(seen, CommittedWork(rows[6:]))
+        assert not has_large_results(job.state)
+        for position in range(8):
+            page = await repository.load_page(job, position, 1)
+            assert page[0] == rows[position]
+
+    run_virtual(main())
