--- a/tests/test_bench/test_bench_soak.py
+++ b/tests/test_bench/test_bench_soak.py
@@ -34,7 +34,7 @@
 VERSION_SEEDS = (1200, 1201, 1202)
 """Seeds of soaks with targets of two software versions and callers who resume streams."""
 
-SIZE_SEEDS = (1700, 1702, 1703, 1762)
+SIZE_SEEDS = (1700, 1701, 1702, 1703, 1762)
 """Seeds of soaks that draw sizes from below to above the limits of the store."""
 
 SUSPENSION_SEEDS = (701, 702)
