Stop making parts smaller once they have the smallest size

A write that is refused before it is sent, and whose values are not made smaller by a smaller part size, would be tried again without an end and without a pause. No such write exists: all values of these keys follow the part size. Found by a mutation that writes large parts whole; the loop then held the event loop of its test for ever. The mutation is killed now.

--- a/gradepoint/jobs/repository.py
+++ b/gradepoint/jobs/repository.py
@@ -182,6 +182,8 @@
         """
         if not error.key.startswith(PART_PREFIXES) or error.size <= MIN_PART_BYTES:
             return False
+        if self.part_bytes <= MIN_PART_BYTES:
+            return False
         self.reduced_part_bytes = max(MIN_PART_BYTES, min(self.part_bytes, error.size) // 2)
         self.reduced_at = monotonic()
         emit(
