--- a/tests/test_jobs/test_jobs_large_results.py
+++ b/tests/test_jobs/test_jobs_large_results.py
@@ -176,3 +176,25 @@
             assert page[0] == rows[position]
 
     run_virtual(main())
+
+
+def test_job_is_released_only_with_its_last_commit() -> None:
+    """A stopping host lists results in several writes. A host that adopted the job after the first
+    of them would run the other items again.
+    """
+
+    async def main() -> None:
+        repository = JobRepository(MemoryKvClient(MemoryKv()), 1 << 20)
+        names = [ItemId("a"), ItemId("b")]
+        items = [Item(name, "/night/0", [], b"", 1) for name in names]
+        state = JobState("night", "h", Incarnation("host/1"), 0, names, [1] * 2)
+        created = await repository.accept(JobId("job"), state, items, 0)
+        assert created.job is not None
+        job = created.job
+        texts = [Result(n, ItemOutcome.COMPLETE, "x" * 1_500_000) for n in range(2)]
+        job = await repository.commit(job, CommittedWork(texts), released=True)
+        assert len(job.state.listed) == 1 and not job.state.released
+        job = await repository.commit(job, CommittedWork(texts[1:]), released=True)
+        assert len(job.state.listed) == 2 and job.state.released
+
+    run_virtual(main())
--- a/tests/test_jobs/test_jobs_rejections.py
+++ b/tests/test_jobs/test_jobs_rejections.py
@@ -214,3 +214,19 @@
         assert found[0]["size"] > found[0]["limit"]
 
     run_limited(tmp_path, work, 8 * KIB, settings=8 * KIB)
+
+
+def test_refused_job_is_not_kept_on_data_hosts(tmp_path: Path) -> None:
+    """Data hosts could never enter a job that the store refuses, although its caller had a 202."""
+
+    async def work(deployment: Deployment) -> None:
+        deployment.store.keys.limits = KvLimits(value_bytes=16)
+        answer = await submit(deployment, "job", 10)
+        assert answer.status == 503
+        assert not any(host.spool.held for host in deployment.data_hosts)
+        deployment.store.keys.limits = KvLimits()
+        await asyncio.sleep(REJECTED_RETRY_S)
+        assert deployment.store.read("gp/job/job") is None
+        assert not any(target.ran for target in deployment.targets)
+
+    run_limited(tmp_path, work, 64 * KIB)
