--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -422,8 +422,8 @@
     Mutation(
         "disconnect of the client cancels the acceptance of its job",
         "jobs/api.py",
-        "return await asyncio.shield(self.tasks.start(self._submit(route, head, body)))",
-        "return await self._submit(route, head, body)",
+        "await asyncio.shield(self.tasks.start(self._submit(route, head, body), awaited=True))",
+        "await self._submit(route, head, body)",
         JOBS,
     ),
     Mutation(
@@ -521,7 +521,7 @@
     Mutation(
         "a host counts its own calls as another's",
         "peers/occupancy.py",
-        "remote_in_flight[target] = remote_in_flight.get(target, 0) - number",
+        "add_counts(remote_in_flight, own.calls, -1)",
         "pass",
         PEERS,
     ),
@@ -535,7 +535,7 @@
     Mutation(
         "soak: results are listed again after a takeover",
         "jobs/repository.py",
-        "parts = await self._load_parts(result_prefix(job.id), job.state.commits)",
+        "parts = await self._load_parts(job.id, result_prefix(job.id), job.state.commits)",
         "parts: list[bytes] = []",
         SOAK,
     ),
