Make writes smaller that get no answer in time

On a slow or busy link, a transaction may take longer to transfer than the timeout of a call: 2 MiB of results are 2.8 MB on the wire, 1 s at 22 Mbit/s without other traffic, and a timeout is 1.5 s. It gets no answer and was sent again in the same size, so that a job was never created, or its results never listed: the same class as a refused write.

A large transaction without an answer halves the host's limit for the next ones, down to 256 KiB, and answers raise it again in steps of 64 KiB. Parts and fragments follow it, and items beyond it are stored as fragments before the job is created. Transactions of less than 256 KiB do not change the limit, so that outages without answers leave usual jobs as they are.

Weighed: smaller transactions for all (more calls, and still too large for some link); the link's rate from the settings (it is shared, and it may be squeezed).

test_writes_that_time_out_are_made_smaller: with the limit held (the new mutation) it fails, no answer in ten attempts; with the change it passes.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -588,6 +588,13 @@
         "waiting_bytes < 0",
         f"{JOBS}/test_jobs_large_results.py",
     ),
+    Mutation(
+        "writes that time out keep their size",
+        "jobs/fragments.py",
+        "if transaction.value_bytes > MIN_WRITE_BYTES:",
+        "if transaction.value_bytes < 0:",
+        f"{JOBS}/test_jobs_large_results.py",
+    ),
     Mutation(
         "a refused commit is repeated each half second",
         "jobs/worker.py",
--- a/gradepoint/jobs/fragments.py
+++ b/gradepoint/jobs/fragments.py
@@ -25,16 +25,52 @@
 MAX_FRAGMENTS_PER_WRITE = 24
 """Most fragments in one transaction, which takes 32 entries."""
 MAX_WRITE_BYTES = 2 << 20
-"""Most bytes in one transaction, unless its first value is larger. A write that takes long to
-transfer times out, and other hosts relay requests of up to 8 MB only."""
+"""Most bytes in one transaction, unless its first value is larger: other hosts relay requests of up
+to 8 MB only."""
+MIN_WRITE_BYTES = 256 << 10
+"""Bytes of a transaction below which it is not made smaller although it gets no answer."""
+LIMIT_STEP_BYTES = 64 << 10
+"""Bytes by which the limit is raised. Small steps make few writes exceed what gets through."""
 MAX_WRITE_ATTEMPTS = 3
-"""Most attempts of a write that gets no answer."""
+"""Most attempts in a row that get no answer."""
+
+
+class WriteLimit(Struct):
+    """Limit of the bytes in one transaction of a host.
+
+    A transaction that takes longer to transfer than the timeout of a call never gets an answer,
+    however often it is sent. On a slow or busy link, the limit follows what gets through.
+
+    :ivar max_bytes: most bytes in the next transaction.
+    """
+
+    max_bytes: int = MAX_WRITE_BYTES
+
+    @property
+    def is_reduced(self) -> bool:
+        """Whether large transactions got no answer lately."""
+        return self.max_bytes < MAX_WRITE_BYTES
+
+    def note_answer(self, transaction: Transaction) -> None:
+        """Raise the limit a little after an answer to a transaction close to it."""
+        if transaction.value_bytes * 2 >= self.max_bytes:
+            self.max_bytes = min(MAX_WRITE_BYTES, self.max_bytes + LIMIT_STEP_BYTES)
+
+    def note_timeout(self, transaction: Transaction) -> None:
+        """Halve the limit if a large transaction got no answer."""
+        if transaction.value_bytes > MIN_WRITE_BYTES:
+            exceeded = min(self.max_bytes, transaction.value_bytes)
+            self.max_bytes = max(MIN_WRITE_BYTES, exceeded // 2)
 
 
 class FragmentStore(Struct):
-    """Writes and reads the fragments of large parts."""
+    """Writes and reads the fragments of large parts.
+
+    :param limit: limit of the transactions of this host.
+    """
 
     kv: KeyValueService
+    limit: WriteLimit
 
     async def store_large_parts(
         self, job_id: JobId, parts: list[bytes], max_bytes: int
@@ -57,20 +93,23 @@
         puts = [
             Put(part_key(prefix, number), fragment) for number, fragment in enumerate(fragments)
         ]
-        per_write = max(1, min(MAX_FRAGMENTS_PER_WRITE, MAX_WRITE_BYTES // max_bytes))
-        for start in range(0, len(puts), per_write):
-            await self._write(tuple(puts[start : start + per_write]))
-        return msgspec.msgpack.encode(fragmented)
-
-    async def _write(self, puts: tuple[Put, ...]) -> None:
-        for _ in range(MAX_WRITE_ATTEMPTS):
+        attempts = 0
+        while puts:
+            per_write = max(1, min(MAX_FRAGMENTS_PER_WRITE, self.limit.max_bytes // max_bytes))
+            transaction = Transaction((), tuple(puts[:per_write]))
             try:
-                await self.kv.transact(Transaction((), puts))
-                return
+                await self.kv.transact(transaction)
             except KvUncertain as error:
-                uncertain = error
-        # Nothing names the fragments yet, so a late write of them has no effect on the job.
-        raise KvUnavailable(f"fragments could not be written: {uncertain}") from uncertain
+                self.limit.note_timeout(transaction)
+                attempts += 1
+                if attempts == MAX_WRITE_ATTEMPTS:
+                    # Nothing names the fragments yet, so a late write of them has no effect.
+                    raise KvUnavailable(f"fragments could not be written: {error}") from error
+                continue
+            self.limit.note_answer(transaction)
+            attempts = 0
+            del puts[:per_write]
+        return msgspec.msgpack.encode(fragmented)
 
     async def load_large_parts(self, job_id: JobId, values: list[bytes]) -> list[bytes]:
         """Return the parts that *values* hold, or that they name.
--- a/gradepoint/jobs/repository.py
+++ b/gradepoint/jobs/repository.py
@@ -20,7 +20,7 @@
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.structs import Struct, field
-from .fragments import MAX_WRITE_BYTES, FragmentStore
+from .fragments import FragmentStore, WriteLimit
 from .records import (
     INPUT_PREFIX,
     JOB_PREFIX,
@@ -62,7 +62,8 @@
 """Most parts of a job's items: a transaction takes 32 entries, and the job's state and the quota
 need some of them."""
 MAX_INPUT_BYTES = 6 << 20
-"""Most bytes of items in the transaction that creates a job: hosts relay requests of up to 8 MB."""
+"""Most bytes of items in the transaction that creates a job, since hosts relay requests of up to
+8 MB; less where large ones got no answer lately. More items are stored as fragments before it."""
 MAX_RESULT_PARTS = 24
 """Most parts of results in one commit, for the same reason."""
 PART_PREFIXES = (INPUT_PREFIX, RESULT_PREFIX, LARGE_PREFIX, PARTIAL_PREFIX)
@@ -152,6 +153,7 @@
     :param value_bytes: size of the largest value that the key-value service takes.
     :ivar quota_cache: quota records by key, as last read or written here; a stale one only fails
         a comparison.
+    :ivar write_limit: limit of the bytes in one transaction.
     :ivar reduced_part_bytes: most bytes of a part since the service rejected a larger one.
     :ivar reduced_at: monotonic time of that rejection.
     """
@@ -159,21 +161,22 @@
     kv: KeyValueService
     value_bytes: int
     quota_cache: dict[str, KeyValue] = field(default_factory=dict)
+    write_limit: WriteLimit = field(default_factory=WriteLimit)
     reduced_part_bytes: int = sys.maxsize
     reduced_at: float = float("-inf")
 
     @property
     def fragments(self) -> FragmentStore:
         """Store of the parts that exceed one value."""
-        return FragmentStore(self.kv)
+        return FragmentStore(self.kv, self.write_limit)
 
     @property
     def part_bytes(self) -> int:
         """Most bytes of items or results in one value."""
-        configured = int(self.value_bytes * MAX_PART_SHARE)
+        most = min(int(self.value_bytes * MAX_PART_SHARE), self.write_limit.max_bytes)
         if monotonic() - self.reduced_at < REDUCTION_S:
-            return min(configured, self.reduced_part_bytes)
-        return configured
+            return min(most, self.reduced_part_bytes)
+        return most
 
     def _reduce_parts(self, error: KvRejected) -> bool:
         """Make parts smaller than the value that the service rejected.
@@ -232,7 +235,9 @@
         self, job_id: JobId, state: JobState, items: list[Item], max_tokens: int
     ) -> Submission:
         parts = split_items(items, self.part_bytes)
-        if len(parts) > MAX_INPUT_PARTS or sum(map(len, parts)) > MAX_INPUT_BYTES:
+        limit = self.write_limit
+        max_bytes = limit.max_bytes if limit.is_reduced else MAX_INPUT_BYTES
+        if len(parts) > MAX_INPUT_PARTS or sum(map(len, parts)) > max_bytes:
             parts = split_items(items, sys.maxsize)
         state = msgspec.structs.replace(state, input_parts=len(parts))
         # Tokens are charged even without a limit, so that a limit that is configured later starts
@@ -312,8 +317,11 @@
         uncertain: KvUncertain | None = None
         for attempt in range(MAX_UNCERTAIN_ATTEMPTS):
             try:
-                return await self.kv.transact(transaction)
+                result = await self.kv.transact(transaction)
+                self.write_limit.note_answer(transaction)
+                return result
             except KvUncertain as error:
+                self.write_limit.note_timeout(transaction)
                 uncertain = error
             except (KvUnavailable, KvRejected):
                 if uncertain is None:
@@ -456,7 +464,7 @@
         for result in results:
             row = msgspec.msgpack.encode(result)
             size += len(row)
-            if rows and size > MAX_WRITE_BYTES:
+            if rows and size > self.write_limit.max_bytes:
                 break
             rows.append(row)
         return split_rows(rows, self.part_bytes)[:MAX_RESULT_PARTS] if rows else []
@@ -503,7 +511,12 @@
         key = job_key(job.id)
         raw = encode_state(state)
         transaction = Transaction((Expect(key, job.revision),), (Put(key, raw), *puts))
-        result = await self.kv.transact(transaction)
+        try:
+            result = await self.kv.transact(transaction)
+        except KvUncertain:
+            self.write_limit.note_timeout(transaction)
+            raise
+        self.write_limit.note_answer(transaction)
         if result.succeeded:
             return StoredJob(job.id, state, result.revision, job.created)
         current = await self.load(job.id)
--- a/gradepoint/kv/service.py
+++ b/gradepoint/kv/service.py
@@ -64,6 +64,11 @@
     puts: tuple[Put, ...] = ()
     deletes: tuple[Delete, ...] = ()
 
+    @property
+    def value_bytes(self) -> int:
+        """Size of all values in bytes."""
+        return sum(len(put.value) for put in self.puts)
+
 
 class TransactionResult(Struct, frozen=True):
     """Result of a transaction.
--- a/tests/test_jobs/test_jobs_large_results.py
+++ b/tests/test_jobs/test_jobs_large_results.py
@@ -4,22 +4,26 @@
 
 import asyncio
 from collections import Counter
-from typing import Any
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
 
 import msgspec
 import pytest
 
 from bench.platform.store import StoreFault
+from gradepoint.errors import KvUnavailable, KvUncertain
 from gradepoint.ids import Incarnation, ItemId, JobId
 from gradepoint.jobs.api import PAGE_BYTES
 from gradepoint.jobs.records import Item, ItemOutcome, JobState, Result, encode_state
 from gradepoint.jobs.repository import CommittedWork, JobRepository, has_large_results
 from gradepoint.kv.limits import KvLimits
-from gradepoint.kv.service import Put, Transaction
+from gradepoint.kv.service import Put, Transaction, TransactionResult
 from gradepoint.standins.memory_kv import MemoryKv, MemoryKvClient
 from gradepoint.standins.virtual_time import run_virtual
 from tests.support.platform import Deployment, item_text, run_in_virtual_time, until
 
+T = TypeVar("T")
+
 ITEMS = 48
 EVENTS = 8
 KIB = 1 << 10
@@ -198,3 +202,53 @@
         assert len(job.state.listed) == 2 and job.state.released
 
     run_virtual(main())
+
+
+class SlowLinkClient(MemoryKvClient):
+    """Client whose transactions get no answer if they are large, as on a slow link.
+
+    :ivar max_bytes: most bytes of a transaction that is answered; larger ones are not applied.
+    """
+
+    max_bytes = 600_000
+
+    async def transact(self, transaction: Transaction) -> TransactionResult:
+        """See :meth:`KeyValueService.transact`."""
+        if transaction.value_bytes > self.max_bytes:
+            await asyncio.sleep(1.5)
+            raise KvUncertain("no answer in time")
+        return await super().transact(transaction)
+
+
+@pytest.mark.parametrize("texts", [[2_000_000], [50_000] * 60, [700_000, 900_000]])
+def test_writes_that_time_out_are_made_smaller(texts: list[int]) -> None:
+    """On a slow link, a large write timed out each time. It was repeated in the same size, and the
+    job was never created, or its results never listed.
+    """
+
+    async def main() -> None:
+        repository = JobRepository(SlowLinkClient(MemoryKv()), 1 << 20)
+        names = [ItemId(str(number)) for number in range(len(texts))]
+        items = [Item(name, "/p", [], bytes(n), 1) for name, n in zip(names, texts, strict=True)]
+        state = JobState("night", "h", Incarnation("host/1"), 0, names, [1] * len(names))
+        job = await retry(lambda: repository.accept(JobId("job"), state, items, 0))
+        assert job.job is not None
+        stored = job.job
+        assert await repository.load_items(stored) == items
+        rows = [Result(n, ItemOutcome.COMPLETE, "x" * size) for n, size in enumerate(texts)]
+        while len(stored.state.listed) < len(rows):
+            work = CommittedWork(rows[len(stored.state.listed) :])
+            stored = await retry(lambda work=work, job=stored: repository.commit(job, work))  # type: ignore[misc]
+        assert await repository.load_results(stored) == rows
+
+    run_virtual(main())
+
+
+async def retry(call: Callable[[], Awaitable[T]]) -> T:
+    """Make a call until it has an answer, at most ten times, as hosts do."""
+    for _ in range(10):
+        try:
+            return await call()
+        except (KvUncertain, KvUnavailable):
+            continue
+    raise AssertionError("no answer in ten attempts")
