--- a/gradepoint/gateway/settings.py
+++ b/gradepoint/gateway/settings.py
@@ -113,8 +113,8 @@
         "memory_mb",
         float,
         0.0,
-        "Memory in MB that the process may use; 0 if unknown. Hosts with more aggregate; a tenth of "
-        "it may hold batch results that are not listed yet.",
+        "Memory in MB that the process may use; 0 if unknown. Hosts with more aggregate; a tenth "
+        "of it may hold batch results that are not listed yet.",
         may_be_zero=True,
     ),
     Setting(
