--- a/bench/soak/ledger.py
+++ b/bench/soak/ledger.py
@@ -87,10 +87,14 @@
         began = {
             version
             for version in self.versions
-            if complete_stream(begun[0], self.events, version).startswith(begun[1])
+            if complete_stream(begun[0], self.events, version, size=self.data_bytes).startswith(
+                begun[1]
+            )
         }
         rests = {
-            version: complete_stream(request_id, self.events, version, first=first)
+            version: complete_stream(
+                request_id, self.events, version, first=first, size=self.data_bytes
+            )
             for version in self.versions
         }
         went_on = {
