--- a/tests/test_jobs/test_jobs_large_items.py
+++ b/tests/test_jobs/test_jobs_large_items.py
@@ -39,6 +39,7 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
     from pathlib import Path
 
 VALUE_BYTES = 64 << 10
@@ -75,7 +76,9 @@
         assert row["message"] == item_text(row["id"], EVENTS, size=data_bytes)
 
 
-def run_limited(work: Any, tmp_path: Path | None = None, **target: Any) -> None:
+def run_limited(
+    work: Callable[[Deployment], Awaitable[None]], tmp_path: Path | None = None, **target: Any
+) -> None:
     """Run *work* on a deployment whose store takes values of 64 KiB.
 
     :param tmp_path: folder of the data hosts; None for a deployment without any.
@@ -85,11 +88,11 @@
         deployment.store.keys.limits = KvLimits(VALUE_BYTES)
         deployment.gateway_settings = {"store_value_bytes": VALUE_BYTES}
         deployment.data_host_settings = {"store_value_bytes": VALUE_BYTES}
-        if tmp_path is not None:
-            deployment.gateway_settings |= {"hosts_lost": 1, "quota_excess": 0.5}
+        deployment.gateway_settings |= {"hosts_lost": 1, "quota_excess": 0.5}
         await deployment.start(gateways=2, events=EVENTS, **target)
-        for number in range(3 if tmp_path is not None else 0):
-            await deployment.add_data_host(f"data-{number}", tmp_path / str(number))  # type: ignore[operator]
+        if tmp_path is not None:
+            for number in range(3):
+                await deployment.add_data_host(f"data-{number}", tmp_path / str(number))
         await work(deployment)
 
     run_in_virtual_time(main)
--- a/tests/test_jobs/test_jobs_rejections.py
+++ b/tests/test_jobs/test_jobs_rejections.py
@@ -175,9 +175,7 @@
     return SpooledJob(JobId(name), state, [item])
 
 
-def test_refused_commit_is_not_sent_again_unchanged(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_refused_commit_is_not_sent_again_unchanged(tmp_path: Path) -> None:
     """A commit that the store refuses was repeated each half second."""
 
     async def work(deployment: Deployment) -> None:
