Run the tests of the store's client in virtual time

Callers saw nothing; product code is not touched.

Cause: these tests ran on loopback and on the real clock with a timeout of 0.3 s. A process that does not run for longer than that meets its own timer and the answer in the same iteration of the event loop, and the timeout wins.

Evidence: with the test process suspended for 0.4 s again and again (SIGSTOP, SIGCONT), the former tests fail with the same error in the first run, at the test of StoreFault.BUSY. In virtual time all tests of both files pass in the same script, and in 5 of 5 plain runs.

Ruled out: the status 429 itself, which the client maps without a wait; the other real-time tests of gateways, jobs and wire, which passed once each under the same suspension. One other test did not, test_call_during_the_imports_is_served (503 where 200 is expected): it starts a real process, which can't run in virtual time, and its stand-ins are suspended with it. It stays as it is.

Why it works: in virtual time a timer fires only once nothing else is due before it. The same statements are checked; no bound or timeout changed.

--- a/tests/test_platform/test_platform_store.py
+++ b/tests/test_platform/test_platform_store.py
@@ -22,12 +22,13 @@
 from gradepoint.platform.store import PlatformStore
 from gradepoint.wire.http_types import Request, Response
 from tests.support.platform import until
+from tests.support.virtual_network import run_on_network
 
 Work = Callable[[PlatformStoreStandin, PlatformStore], Awaitable[None]]
 
 
 def with_store(work: Work, timeout_s: float = 0.3) -> None:
-    """Run *work* with a stand-in server and a client of it."""
+    """Run *work* in virtual time with a stand-in server and a client of it."""
 
     async def main() -> None:
         store = PlatformStoreStandin()
@@ -38,7 +39,7 @@
             client.http.close()
             store.server.abort()
 
-    asyncio.run(main())
+    run_on_network(main(), seed=1)
 
 
 def write(key: str, value: bytes, revision: int = ABSENT, lease: int = 0) -> Transaction:
--- a/tests/test_standins/test_standins_limits.py
+++ b/tests/test_standins/test_standins_limits.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 
 import pytest
@@ -110,4 +109,4 @@
         client.http.close()
         store.server.abort()
 
-    asyncio.run(work())
+    run_on_network(work(), 1)
