Give each count of answer ends an address of its own

Two runs of bench.answer_ends at once counted each other's targets: of 480 streams after SIGKILL, 24 were followed by an answer of another incarnation, and 8 of 80 sound ones had a closed port. A port is found free some time before the target listens at it, and both runs had chosen the same ones.

Each run now has a loopback subnet of its own, as the example deployments have, and a round begins only once the target itself has answered. Targets end by _exit, so that the system closes their connections, as in a crash.

--- a/bench/answer_ends.py
+++ b/bench/answer_ends.py
@@ -27,13 +27,14 @@
 
 import typer
 
-from gradepoint.standins.ports import LOOPBACK, free_port
+from gradepoint.standins.ports import free_port
 from gradepoint.util.structs import Struct, field
+from gradepoint.wire.addresses import split_address
 from gradepoint.wire.http_types import Request, Response
 from gradepoint.wire.ports import PortState, probe_port
 
 from .platform.target import TargetFault, TargetStandin
-from .processes import ROOT
+from .processes import ROOT, reserve_subnet
 from .soak.proxy import Proxy, ProxyMode
 
 DELAYS_S = (0.0, 0.005, 0.02, 0.1, 0.5)
@@ -85,6 +86,7 @@
     Ending.DRAINED: signal.SIGTERM,
     Ending.REPLACED: signal.SIGKILL,
 }
+LINK_MODES = {Ending.LINK_RESET: ProxyMode.RESET, Ending.LINK_SILENT: ProxyMode.SILENCE}
 
 
 class EndingTarget(TargetStandin):
@@ -112,7 +114,7 @@
             yield event
 
 
-async def run_target(name: str, port: int, ending: Ending, memory_mb: int) -> None:
+async def run_target(name: str, ip: str, port: int, ending: Ending, memory_mb: int) -> None:
     """Serve until the process is told to end, as *ending* says."""
     memory = bytearray(b"x" * (memory_mb << 20))
     target = EndingTarget(
@@ -122,7 +124,7 @@
     stopped = asyncio.Event()
     if ending is not Ending.TERMINATED:
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopped.set)
-    await target.start(LOOPBACK, port)
+    await target.start(ip, port)
     while not stopped.is_set():
         print("heartbeat", flush=True)
         with suppress(TimeoutError):
@@ -130,32 +132,29 @@
     target.stopped = True
     if ending is Ending.DRAINED:
         await asyncio.sleep(DRAIN_S)
-        # The end of the event loop would reset the connections.
-        os._exit(0)
-    while target.working:
-        await asyncio.sleep(0.001)
+    else:
+        while target.working:
+            await asyncio.sleep(0.001)
     if ending is Ending.STOPPED:
         await asyncio.sleep(EXIT_S)
     del memory
+    # The end of the event loop would reset connections; the system closes them in order.
+    os._exit(0)
 
 
 class TargetProcess(Struct):
     """A target that runs as a process.
 
+    :param address: address that it listens at.
     :ivar heartbeats: number of updates of its store entry.
     """
 
     name: str
-    port: int
+    address: str
     process: asyncio.subprocess.Process
     heartbeats: int = 0
     reading: asyncio.Task[None] | None = None
 
-    @property
-    def address(self) -> str:
-        """The address that the target listens at, as ``IP:PORT``."""
-        return f"{LOOPBACK}:{self.port}"
-
     async def read_heartbeats(self) -> None:
         """Count the lines on the target's standard output until it ends."""
         assert self.process.stdout is not None
@@ -171,13 +170,13 @@
             await self.reading
 
 
-async def start_target(name: str, port: int, ending: Ending, memory_mb: int) -> TargetProcess:
+async def start_target(name: str, address: str, ending: Ending, memory_mb: int) -> TargetProcess:
     """Start a target; return at once, before it listens."""
-    command = [sys.executable, "-m", "bench.answer_ends", "--target", name, "--port", str(port)]
+    command = [sys.executable, "-m", "bench.answer_ends", "--target", name, "--address", address]
     command += ["--ending", ending.name, "--memory-mb", str(memory_mb)]
     pipe = asyncio.subprocess.PIPE
     process = await asyncio.create_subprocess_exec(*command, stdout=pipe, cwd=ROOT)
-    target = TargetProcess(name, port, process)
+    target = TargetProcess(name, address, process)
     target.reading = asyncio.ensure_future(target.read_heartbeats())
     return target
 
@@ -235,10 +234,9 @@
 
 async def read_instance(address: str) -> str:
     """Return the incarnation that answers a request, or an empty string if none does."""
-    ip, _, port = address.rpartition(":")
     try:
         async with asyncio.timeout(PROBE_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(ip, int(port))
+            reader, writer = await asyncio.open_connection(*split_address(address))
             try:
                 writer.write(b"GET /health HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n")
                 answer = (await reader.read()).decode()
@@ -304,21 +302,34 @@
 
 
 async def observe_later(
-    count: Count, target: TargetProcess, other: int, request_id: str, events: int, delay_s: float
+    count: Count,
+    target: TargetProcess,
+    other: tuple[str, int],
+    request_id: str,
+    events: int,
+    delay_s: float,
 ) -> None:
     """Count all signs *delay_s* seconds after the end of a stream."""
     heartbeats = target.heartbeats
     await asyncio.sleep(delay_s)
     updated = target.heartbeats > heartbeats
-    signs = await observe_end(target.address, (LOOPBACK, other), request_id, events)
+    signs = await observe_end(target.address, other, request_id, events)
     count.add(delay_s, signs, target.name, entry_updated=updated)
 
 
 async def follow_stream(
-    count: Count, target: TargetProcess, port: int, other: int, request_id: str
+    count: Count,
+    target: TargetProcess,
+    address: tuple[str, int],
+    other: tuple[str, int],
+    request_id: str,
 ) -> None:
-    """Read one stream and, if its connection was closed in order, all signs after its end."""
-    seen = await read_stream((LOOPBACK, port), request_id)
+    """Read one stream and, if its connection was closed in order, all signs after its end.
+
+    :param address: address at which the target is reached.
+    :param other: address of another target.
+    """
+    seen = await read_stream(address, request_id)
     count.ends[seen.end, seen.inside_event] += 1
     if seen.end is ConnectionEnd.ORDERLY and not seen.inside_event:
         count.cut += seen.events < EVENTS
@@ -340,37 +351,42 @@
     memory_mb: int
 
 
-async def play_round(ending: Ending, count: Count, load: Load, number: int, other: int) -> None:
-    """Start a target, let its streams end in the given way, and count what is seen."""
-    port = free_port()
-    target = await start_target(f"t{number}", port, ending, load.memory_mb)
+async def play_round(
+    ending: Ending, count: Count, load: Load, name: str, other: tuple[str, int]
+) -> None:
+    """Start a target, let its streams end in the given way, and count what is seen.
+
+    :param other: address of another target; the new one listens at the same IP address.
+    """
+    listener = (other[0], free_port(other[0]))
+    address = f"{listener[0]}:{listener[1]}"
+    target = await start_target(name, address, ending, load.memory_mb)
     async with asyncio.timeout(START_TIMEOUT_S):
-        while await probe_port(target.address, PROBE_TIMEOUT_S) is not PortState.OPEN:
+        while await read_instance(address) != name:
             await asyncio.sleep(0.02)
-    proxy = Proxy((LOOPBACK, port))
-    await proxy.start(LOOPBACK)
-    idle = [await asyncio.open_connection(LOOPBACK, port) for _ in range(load.connections)]
-    is_link = ending in (Ending.LINK_RESET, Ending.LINK_SILENT)
-    used = proxy.port if is_link else port
+    proxy = Proxy(listener)
+    await proxy.start(other[0])
+    idle = [await asyncio.open_connection(*listener) for _ in range(load.connections)]
+    link = LINK_MODES.get(ending)
+    used = listener if link is None else (other[0], proxy.port)
     streams = [
-        asyncio.ensure_future(follow_stream(count, target, used, other, f"{number}-{stream}"))
+        asyncio.ensure_future(follow_stream(count, target, used, other, f"{name}-{stream}"))
         for stream in range(load.streams)
     ]
     await asyncio.sleep(EVENTS_BEFORE_END * EVENT_INTERVAL_S)
     if ending in SIGNALS:
         target.process.send_signal(SIGNALS[ending])
-    if is_link:
-        proxy.set_mode(ProxyMode.RESET if ending is Ending.LINK_RESET else ProxyMode.SILENCE)
-    successor = None
+    if link is not None:
+        proxy.set_mode(link)
+    processes = [target]
     if ending is Ending.REPLACED:
-        successor = await start_target(f"t{number}-next", port, ending, 0)
+        processes.append(await start_target(f"{name}-next", address, ending, 0))
     await asyncio.gather(*streams)
     for _, writer in idle:
         writer.transport.abort()
     await proxy.stop()
-    for process in (target, successor):
-        if process is not None:
-            await process.end()
+    for process in processes:
+        await process.end()
 
 
 def print_counts(counts: dict[Ending, Count]) -> None:
@@ -391,14 +407,17 @@
 
 async def measure(rounds: int, load: Load, endings: list[Ending]) -> None:
     """Play all rounds of each way of ending and print what was counted."""
+    subnet, guard = reserve_subnet()
+    ip = f"{subnet}1"
     other = TargetStandin("other", events=EVENTS, unframed_share=1.0)
-    await other.start(LOOPBACK)
+    await other.start(ip)
     counts = {ending: Count() for ending in endings}
     for number in range(rounds):
-        for place, ending in enumerate(endings):
-            identity = number * len(endings) + place
-            await play_round(ending, counts[ending], load, identity, other.server.port)
+        for ending in endings:
+            name = f"{ending.name.lower()}-{number}"
+            await play_round(ending, counts[ending], load, name, (ip, other.server.port))
     other.server.abort()
+    guard.close()
     print_counts(counts)
 
 
@@ -409,11 +428,11 @@
     memory_mb: Annotated[int, typer.Option(help="memory of a target in MiB")] = 0,
     ending: Annotated[str, typer.Option(help="only this way of ending, by its name")] = "",
     target: Annotated[str, typer.Option(hidden=True)] = "",
-    port: Annotated[int, typer.Option(hidden=True)] = 0,
+    address: Annotated[str, typer.Option(hidden=True)] = "",
 ) -> None:
     """Count the signs of complete and of cut answers, or run one target."""
     if target:
-        asyncio.run(run_target(target, port, Ending[ending], memory_mb))
+        asyncio.run(run_target(target, *split_address(address), Ending[ending], memory_mb))
         return
     endings = [Ending[ending]] if ending else list(Ending)
     asyncio.run(measure(rounds, Load(streams, connections, memory_mb), endings))
