Let targets of the soak end while they send streams without a length

As with a killed process, connections are closed in order and the port accepts connections for up to 30 ms more; then a new incarnation starts at the same address.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -38,6 +38,9 @@
     sizes: Annotated[
         bool, typer.Option(help="Draw sizes of items, texts and the store's values from the seed.")
     ] = False,
+    crashes: Annotated[
+        bool, typer.Option(help="Targets end while they send streams without a length.")
+    ] = False,
     folder: Annotated[Path, typer.Option(help="Parent folder of the runs' logs.")] = Path(
         "run/soak"
     ),
@@ -57,6 +60,7 @@
             with_early_ends=early_ends,
             with_versions=versions,
             with_sizes=sizes,
+            with_crashes=crashes,
             organisations=Organisations() if organisations else None,
         )
         violations = asyncio.run(soak.run())
--- a/bench/soak/proxy.py
+++ b/bench/soak/proxy.py
@@ -18,7 +18,7 @@
 
     ``RESET`` aborts open and new connections. ``SILENCE`` holds bytes back in both directions,
     ``ONE_WAY`` only those that the target sends. Bytes held back are forwarded later; none are
-    dropped.
+    dropped. ``DYING`` accepts connections and never reads from them.
     """
 
     PASS = "pass"
@@ -26,6 +26,7 @@
     RESET = "reset"
     SILENCE = "silence"
     ONE_WAY = "one-way"
+    DYING = "dying"
 
 
 @dataclass
@@ -57,6 +58,14 @@
             for writer in list(self.open_writers):
                 reset(writer)
 
+    def start_dying(self) -> None:
+        """Close every connection in order, as the system does for a killed process; call
+        :meth:`close` afterwards.
+        """
+        self.mode = ProxyMode.DYING
+        for writer in list(self.open_writers):
+            writer.close()
+
     def close(self) -> None:
         """Stop listening and abort every connection, as the exit of a process does."""
         self.server.close()
@@ -73,6 +82,9 @@
         if self.mode is ProxyMode.RESET:
             reset(writer)
             return
+        if self.mode is ProxyMode.DYING:
+            self.open_writers[writer] = None
+            return
         try:
             target_reader, target_writer = await asyncio.open_connection(*self.target)
         except OSError:
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -23,6 +23,7 @@
 
 from ..platform.store import PlatformStoreStandin, StoreFault
 from ..platform.target import TargetStandin
+from .crashes import TargetCrashes
 from .fleet import DataHostProcess, GatewayProcess, ProgramProcess
 from .harm import HarmfulRequest
 from .ledger import Ledger
@@ -56,6 +57,8 @@
     :param with_versions: whether targets of two software versions serve side by side and replace
         each other, and callers resume streams that break.
     :param with_sizes: whether sizes of items, texts and values are drawn from the seed.
+    :param with_crashes: whether targets send streams without a length or chunks and are killed, or
+        drain and end, while they send them.
     :param organisations: organisations whose API keys the callers use; None sends no keys.
     :param suspend: suspends a gateway's host for some seconds; None if hosts cannot be suspended.
     :param make_gateway: creates a gateway, which need not be a separate process.
@@ -81,6 +84,7 @@
     with_early_ends: bool = False
     with_versions: bool = False
     with_sizes: bool = False
+    with_crashes: bool = False
     organisations: Organisations | None = None
     suspend: Callable[[GatewayProcess, float], None] | None = None
     make_gateway: Callable[..., GatewayProcess] = GatewayProcess
@@ -95,6 +99,7 @@
     injected_faults: Counter[str] = field(default_factory=Counter)
     gateway_start_times: list[float] = field(default_factory=list)
     harm: HarmfulRequest | None = None
+    crashes: TargetCrashes | None = None
     sizes: Sizes | None = None
     version: int = 1
     calm: bool = False
@@ -123,6 +128,8 @@
             fault_tasks = [
                 self.tasks.start(self._inject_repeatedly(kind)) for kind in self._draw_fault_kinds()
             ]
+            if self.with_crashes:
+                fault_tasks.append(self.tasks.start(self._make_crashes().crash_forever()))
             if self.suspend is not None:
                 fault_tasks.append(self.tasks.start(self._suspend_hosts(self.suspend)))
             await asyncio.sleep(self.faults_s)
@@ -195,6 +202,18 @@
         self.tasks.start(harm.send_forever(lambda: harm.rng.choice(self.fleet).callers, HOST))
         return harm
 
+    def _make_crashes(self) -> TargetCrashes:
+        crashes = TargetCrashes(
+            self.seed,
+            self.targets,
+            self.proxies[: self.target_count],
+            self._relist_target,
+            lambda name: self.store.delete(f"servers/{name}"),
+            self.tasks,
+        )
+        self.crashes = crashes
+        return crashes
+
     async def _suspend_hosts(self, suspend: Callable[[GatewayProcess, float], None]) -> None:
         """Suspend random hosts, one at a time, for 0.5 to 6 seconds.
 
@@ -209,9 +228,9 @@
             self.injected_faults["suspension"] += 1
             await asyncio.sleep(seconds)
 
-    def _relist_target(self, number: int) -> None:
-        """Write the store entry of a target that has started again."""
-        self._list_target(self.targets[number], self.proxies[number].port)
+    def _relist_target(self, number: int, state: str = "ready") -> None:
+        """Write the store entry of a target that has started again or changed its state."""
+        self._list_target(self.targets[number], self.proxies[number].port, state)
 
     async def _open_proxy(self, destination: tuple[str, int], address: str) -> Proxy:
         proxy = Proxy(destination)
--- a/tests/test_bench/test_bench_soak.py
+++ b/tests/test_bench/test_bench_soak.py
@@ -37,6 +37,9 @@
 SIZE_SEEDS = (1700, 1701, 1702, 1703, 1762)
 """Seeds of soaks that draw sizes from below to above the limits of the store."""
 
+CRASH_SEEDS = (2000, 2019, 2022)
+"""Seeds of soaks in which targets end while they send streams without a length."""
+
 SUSPENSION_SEEDS = (701, 702)
 """Seeds of soaks in which hosts are suspended."""
 
@@ -57,6 +60,7 @@
     with_early_ends: bool = False,
     with_versions: bool = False,
     with_sizes: bool = False,
+    with_crashes: bool = False,
     gateways: int = 2,
     organisations: Organisations | None = None,
     suspend: Callable[[GatewayProcess, float], None] | None = None,
@@ -76,6 +80,7 @@
             with_early_ends=with_early_ends,
             with_versions=with_versions,
             with_sizes=with_sizes,
+            with_crashes=with_crashes,
             organisations=organisations,
             suspend=suspend,
             make_gateway=LoopGateway,
@@ -222,6 +227,27 @@
     asyncio.run(main())
 
 
+def test_proxy_of_a_dying_target_closes_in_order_and_accepts_until_it_is_closed() -> None:
+    async def main() -> None:
+        server = await asyncio.start_server(lambda _, writer: writer.write(b"one"), "127.0.0.1", 0)
+        proxy = Proxy(server.sockets[0].getsockname())
+        await proxy.start("127.0.0.1")
+        reader, _ = await asyncio.open_connection("127.0.0.1", proxy.port)
+        assert await reader.readexactly(3) == b"one"
+        proxy.start_dying()
+        assert await reader.read() == b""
+        accepted, _ = await asyncio.open_connection("127.0.0.1", proxy.port)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await accepted.read()
+        proxy.close()
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection("127.0.0.1", proxy.port)
+        server.close()
+
+    run_on_network(main(), 1)
+
+
 def test_host_started_twice_leaves_no_process_behind(tmp_path: FilePath) -> None:
     gateway = GatewayProcess("host", "127.0.0.1", tmp_path, Proxy(("127.0.0.1", 1)))
     gateway.start()
@@ -278,6 +304,16 @@
     assert soak.ledger.accepted
 
 
+@pytest.mark.parametrize("seed", CRASH_SEEDS)
+def test_short_soak_with_crashing_targets_violates_no_guarantee(
+    seed: int, tmp_path: FilePath, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The port of a dying target accepted a connection, and its cut answer was taken for whole."""
+    soak = run_soak(seed, tmp_path / "soak", monkeypatch, with_crashes=True)
+    assert soak.crashes is not None and soak.crashes.counts["kill"] > 0
+    assert not soak.ledger.violations
+
+
 @pytest.mark.parametrize("with_harm", [False, True])
 @pytest.mark.parametrize("seed", SUSPENSION_SEEDS)
 def test_short_soak_with_suspended_hosts_violates_no_guarantee(
