--- a/bench/answer_ends.py
+++ b/bench/answer_ends.py
@@ -41,7 +41,7 @@
 EVENTS = 60
 EVENT_INTERVAL_S = 0.01
 EVENTS_BEFORE_END = 25
-"""Events of the first stream before the way of ending begins."""
+"""Events that each stream has time for before its end is brought about."""
 HEARTBEAT_S = 0.2
 """Seconds between updates of a target's store entry, which are lines on its standard output."""
 DRAIN_S = 0.15
@@ -116,6 +116,7 @@
 
 async def run_target(name: str, ip: str, port: int, ending: Ending, memory_mb: int) -> None:
     """Serve until the process is told to end, as *ending* says."""
+    # The system frees the memory of a killed process before it is gone.
     memory = bytearray(b"x" * (memory_mb << 20))
     target = EndingTarget(
         name, events=EVENTS, event_interval_s=EVENT_INTERVAL_S, unframed_share=1.0
@@ -202,11 +203,12 @@
 
 
 async def read_stream(
-    address: tuple[str, int], request_id: str, last_event: int | None = None, enough: int = EVENTS
+    address: tuple[str, int], request_id: str, last_event: int | None = None, stop_at: int = 0
 ) -> StreamEnd:
-    """Read a stream to its end, or until it has *enough* events.
+    """Read a stream to its end.
 
     :param last_event: number of the last event that is already known.
+    :param stop_at: number of events after which to stop reading; 0 for no limit.
     """
     reader, writer = await asyncio.open_connection(*address)
     head = f"POST /stream/1 HTTP/1.1\r\nhost: h\r\nx-attempt-id: {request_id}\r\n"
@@ -216,7 +218,7 @@
     received = b""
     end = ConnectionEnd.ORDERLY
     try:
-        while received.partition(b"\r\n\r\n")[2].count(b"\n\n") < enough + 1:
+        while not stop_at or received.partition(b"\r\n\r\n")[2].count(b"\n\n") < stop_at:
             async with asyncio.timeout(SILENT_AFTER_S):
                 data = await reader.read(65536)
             if not data:
@@ -269,7 +271,7 @@
     port, instance, rest = await asyncio.gather(
         probe_port(address, PROBE_TIMEOUT_S),
         read_instance(address),
-        read_stream(other, request_id, events - 1, enough=0),
+        read_stream(other, request_id, events - 1, stop_at=1),
     )
     return Signs(port, instance, rest.events > 0)
 
