Log why items wait, and count them by reason

Users found accepted items that nothing worked on while targets had room, and no log told why: a held item, one whose trial cannot start, one without a free slot and one without an owner looked alike. item_waits names an item that has not run for three seconds although targets of its service have spare slots, with the reason and the seconds, at most eight lines a second and host. The gauges gradepoint_waiting_items (by reason) and gradepoint_oldest_waiting_item_seconds count full targets as well. item_retried, item_gave_way and item_ended carry the item's id, so that one search leads from it to the reason. The reasons are computed once a second, apart from the decision itself, which is unchanged.

--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -211,6 +211,12 @@
 ADOPTION_FAILED = _declare(
     323, "adoption_failed", "WARNING", "The search for jobs of lost hosts failed; it is retried."
 )
+ITEM_WAITS = _declare(
+    339,
+    "item_waits",
+    "WARNING",
+    "An item waits although targets have room; see reason and waits_s.",
+)
 ITEM_STARTED = _declare(324, "item_started", "INFO", "An item was sent to a target.")
 ITEM_BEGUN_ANEW = _declare(
     331,
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -318,6 +318,9 @@
         metrics.shared().view_age.read = self.watchers.proofs.read_ages_s
         metrics.shared().target_pace.read = self.loads.read_paces
         metrics.shared().target_delay.read = self.loads.read_delays_s
+        waiting_items = self.worker.waiting_items
+        metrics.shared().waiting_items.read = waiting_items.read_counts
+        metrics.shared().oldest_waiting_item.read = lambda: waiting_items.read_oldest_s(monotonic())
         self.calls = CallRouter(
             platform.dialect,
             platform.job_dialect,
--- a/gradepoint/jobs/owned.py
+++ b/gradepoint/jobs/owned.py
@@ -25,6 +25,7 @@
     from ..ids import ItemId, JobId, PromptPart, SoftwareVersion
     from .records import Item
     from .repository import StoredJob
+    from .waiting_items import WaitReason
 
 
 class OwnedJob(Struct):
@@ -43,7 +44,10 @@
     :ivar not_before: monotonic time before which an item is not run again, by index.
     :ivar waiting_since: monotonic time since which an item waits for a slot at a target that can
         continue its text, by index.
+    :ivar idle_since: monotonic time at which the last run of an item ended, by index.
+    :ivar logged_waits: reason and monotonic time of the last log line that an item waits, by index.
     :ivar changed: set and replaced whenever results are listed or the job is stopped.
+    :ivar taken_at: monotonic time at which this host began to run the job.
     :ivar dropped: this host does not run the job any more.
     :ivar pending_since: monotonic time at which the oldest pending item ended.
     :ivar commit_after: monotonic time before which no commit is tried.
@@ -64,12 +68,15 @@
     running: dict[int, asyncio.Task[None]] = field(default_factory=dict)
     not_before: dict[int, float] = field(default_factory=dict)
     waiting_since: dict[int, float] = field(default_factory=dict)
+    idle_since: dict[int, float] = field(default_factory=dict)
+    logged_waits: dict[int, tuple[WaitReason, float]] = field(default_factory=dict)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     dropped: bool = False
     pending_since: float = 0.0
     commit_after: float = 0.0
     committed_at: float = field(default_factory=monotonic)
     committing: bool = False
+    taken_at: float = field(default_factory=monotonic)
     commit_task: asyncio.Task[None] | None = None
     identities: dict[int, RequestIdentity] = field(default_factory=dict)
 
@@ -96,14 +103,17 @@
 
     def open_indices(self, now: float) -> list[int]:
         """Return the indices of items that may be started at time *now*, in ascending order."""
+        return [i for i in self.idle_indices() if self.not_before.get(i, 0.0) <= now]
+
+    def idle_indices(self) -> list[int]:
+        """Return the indices of items that have not ended and are not running, in ascending
+        order."""
         ended = {row.index for row in self.stored.state.listed}
         ended.update(row.index for row in self.pending)
         return [
             index
             for index in range(len(self.items))
-            if index not in ended
-            and index not in self.running
-            and self.not_before.get(index, 0.0) <= now
+            if index not in ended and index not in self.running
         ]
 
     def find_version(self, index: int) -> SoftwareVersion | None:
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -33,10 +33,11 @@
 from .records import ItemOutcome, PartialText, Result
 from .repository import REJECTED_RETRY_S, CommittedWork, StoredJob, Superseded
 from .slot_sharing import allot_spare_slots, choose_batch_target, count_spare_slots
+from .waiting_items import ServiceRoom, WaitingItem, WaitingItems, WaitReason
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from ..gateway.configuration import Configuration, Route
     from ..gateway.forwarding import Forwarder
@@ -127,6 +128,7 @@
     :ivar stopping: no further item is started.
     :ivar item_times: how long items take.
     :ivar results_wait: whether no item is started because of the results that wait for a commit.
+    :ivar waiting_items: why items wait, and since when.
     """
 
     repository: JobRepository
@@ -153,6 +155,7 @@
     tasks: TaskGroup = field(default_factory=TaskGroup)
     item_times: ItemTimes = field(default_factory=ItemTimes)
     results_wait: bool = False
+    waiting_items: WaitingItems = field(default_factory=WaitingItems)
 
     def announced_job_numbers(self) -> list[int]:
         """Return the short numbers of the jobs that this host announces to other hosts."""
@@ -320,6 +323,7 @@
             self._preempt_items()
             await self.forwarder.wait_until_fresh()
             self._start_items()
+            self._report_waiting_items()
             for job in list(self.jobs.values()):
                 if job.done and monotonic() - job.committed_at > FINISHED_JOB_RETENTION_S:
                     del self.jobs[job.id]
@@ -467,6 +471,7 @@
             events.ITEM_GAVE_WAY,
             job=item.job.id,
             index=item.index,
+            item=item.job.items[item.index].id,
             target=item.target,
             load=own + self.forwarder.remote_in_flight(item.target),
         )
@@ -520,6 +525,66 @@
             self.start_allowance -= 1
             self._start(job, index, target, route.max_attempts)
 
+    def _report_waiting_items(self) -> None:
+        """Update the metrics of waiting items, and log those that wait although targets have
+        room."""
+        now = monotonic()
+        if self.waiting_items.is_due(now):
+            self.waiting_items.update(self._list_waiting_items(now), now)
+
+    def _list_waiting_items(self, now: float) -> list[WaitingItem]:
+        waiting = []
+        rooms: dict[Sequence[ServiceName], ServiceRoom] = {}
+        for job in self.jobs.values():
+            if job.dropped or job.done:
+                continue
+            for index in job.idle_indices():
+                services = self._find_services(job, index)
+                if services not in rooms:
+                    rooms[services] = self._find_room(services, now)
+                reason = self._find_wait_reason(job, index, rooms[services], now)
+                since = job.idle_since.get(index, job.taken_at)
+                waiting.append(WaitingItem(job, index, reason, since, rooms[services].spare_slots))
+        return waiting
+
+    def _find_services(self, job: OwnedJob, index: int) -> tuple[ServiceName, ...]:
+        """Return the services that may run an item; none while its route is not known."""
+        config = self._configuration_for(job)
+        path = job.items[index].path.partition("?")[0]
+        route = None if config is None else config.find_route(job.stored.state.host, path)
+        return () if route is None else tuple(route.services)
+
+    def _find_room(self, services: Sequence[ServiceName], now: float) -> ServiceRoom:
+        targets = [t for name in services for t in self.forwarder.targets.candidates(name, now)]
+        spare = count_spare_slots(targets, self.forwarder.remote_in_flight, self._find_limit)
+        return ServiceRoom(len(targets), spare, all(map(self.must_hold_back, services)))
+
+    def _find_wait_reason(
+        self, job: OwnedJob, index: int, room: ServiceRoom, now: float
+    ) -> WaitReason:
+        if self.stopping:
+            return WaitReason.STOPPING
+        if not self.may_start_items():
+            return WaitReason.NOT_READY
+        if self.results_wait:
+            return WaitReason.RESULTS
+        if not self._find_services(job, index):
+            return WaitReason.CONFIGURATION
+        if not room.targets:
+            return WaitReason.NO_TARGET
+        if room.held_back:
+            return WaitReason.CALLERS
+        standing = self.forwarder.suspicion.find_standing(job.request_identity(index))
+        if standing is Standing.HELD:
+            return WaitReason.HELD
+        if standing is Standing.SUSPECTED:
+            return WaitReason.SUSPECTED
+        if job.not_before.get(index, 0.0) > now:
+            return WaitReason.RETRY
+        if index in job.waiting_since:
+            return WaitReason.VERSION
+        return WaitReason.SHARE if room.spare_slots else WaitReason.FULL
+
     def _must_wait_for_commits(self) -> bool:
         """Return whether the results that wait for a commit fill their share of memory."""
         waiting_bytes = sum(job.pending_bytes for job in self.jobs.values())
@@ -668,7 +733,14 @@
             )
             metrics.shared().items.add(1, {"result": "complete"})
             took_ms = round((monotonic() - running.started) * 1000)
-            emit(events.ITEM_ENDED, job=job.id, index=index, target=target.id, took_ms=took_ms)
+            emit(
+                events.ITEM_ENDED,
+                job=job.id,
+                index=index,
+                item=job.items[index].id,
+                target=target.id,
+                took_ms=took_ms,
+            )
         except ItemUnprocessable:
             self.forwarder.suspicion.note_answer(job.request_identity(index), is_success=False)
             job.record_result(Result(index, ItemOutcome.DEAD))
@@ -686,6 +758,7 @@
                 events.ITEM_RETRIED,
                 job=job.id,
                 index=index,
+                item=job.items[index].id,
                 target=target.id,
                 reason=repr(error),
             )
@@ -695,6 +768,7 @@
         finally:
             self.running.remove(running)
             job.running.pop(index, None)
+            job.idle_since[index] = monotonic()
 
     def _count_failure(self, job: OwnedJob, index: int, max_failures: int, reason: str) -> None:
         count = job.failures.get(index, 0) + 1
--- a/gradepoint/telemetry/metrics.py
+++ b/gradepoint/telemetry/metrics.py
@@ -160,6 +160,8 @@
         self.view_age = CallbackGauge("gradepoint_view_age", "s")
         self.target_pace = CallbackGauge("gradepoint_target_pace", "1")
         self.target_delay = CallbackGauge("gradepoint_target_delay", "s")
+        self.waiting_items = CallbackGauge("gradepoint_waiting_items", "1")
+        self.oldest_waiting_item = CallbackGauge("gradepoint_oldest_waiting_item", "s")
         self.connected = False
 
     def connect(self) -> None:
