Send no calls to the former incarnation at a target's address

Callers and jobs lost time and attempts: after a crash, a target is back at its address under another name while the row of the former one stays for some seconds.

A target gets no calls for 5 s once a newer row has its address, or once it answers that another incarnation is there and the list or its formerly closed port confirms this. A rejection alone is not believed, since targets also reject calls whose caller expects another software version. Two rows that a host reads at once are told apart by the first answer. After 5 s the target is tried again, so that a wrong guess ends by itself.

--- a/gradepoint/gateway/followers.py
+++ b/gradepoint/gateway/followers.py
@@ -126,7 +126,7 @@
         if row is None:
             self.targets.mark_unreadable(self.read_name(event.key))
         else:
-            self.targets.put(row)
+            self.targets.add(row, monotonic())
 
     def _decode(self, key: str, value: bytes) -> ListedTarget | None:
         try:
--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -342,6 +342,7 @@
             raise TargetFailed("an answer to another call")
         if answer.other_instance:
             exchange.close()
+            self.targets.note_other_instance(exchange.target)
             raise OtherInstance
         self.crash_detector.note_answer(exchange.target)
         if answer.not_run and answer.status in (429, 503):
--- a/gradepoint/gateway/targets.py
+++ b/gradepoint/gateway/targets.py
@@ -34,6 +34,9 @@
 MIN_CANDIDATE_SHARE = 0.5
 """Fraction of a service's listed targets that stay candidates however unhealthy they are. A wrong
 health signal, or an overload that delays all answers, must not leave a service without targets."""
+REPLACED_RETRY_S = 5.0
+"""Seconds for which a target gets no calls after another incarnation was found at its address. Its
+row is usually deleted within this time; otherwise it is tried again."""
 
 
 class ListedState(Enum):
@@ -114,6 +117,8 @@
         port is open again, which sets None.
     :ivar crash_doubted: it was reported as crashed, but its port is open, so that an answer from it
         revokes the report.
+    :ivar replaced_at: monotonic time at which another incarnation was found at its address; it gets
+        no calls for :data:`REPLACED_RETRY_S` then.
     :ivar last_call_ended_at: monotonic time at which the last call of this host ended there.
     :ivar trial: the trial of this host that the target is reserved for.
     """
@@ -127,6 +132,7 @@
     running: dict[RequestIdentity, float] = field(default_factory=dict)
     closed_at: float | None = None
     crash_doubted: bool = False
+    replaced_at: float | None = None
     last_call_ended_at: float = float("-inf")
     trial: RunningTrial | None = None
 
@@ -145,6 +151,10 @@
         """``IP:PORT``."""
         return self.listed.address
 
+    def is_replaced(self, now: float) -> bool:
+        """Whether another incarnation was found at the target's address lately."""
+        return self.replaced_at is not None and now - self.replaced_at < REPLACED_RETRY_S
+
     def begin(self, request: RequestIdentity | None = None) -> None:
         """Count a call or item of this host as in flight.
 
@@ -227,6 +237,7 @@
     :param on_change: called when this host's calls in flight or its trial at any target change.
     :param on_replaced: called with the former row of a target that has restarted, whose health and
         calls in flight don't apply to the new incarnation.
+    :ivar by_address: targets by address, in the order in which they were listed.
     :ivar by_number: targets by the hash of their ID that hosts send each other.
     :ivar known_since: monotonic time since which all changes of the list are known.
     :ivar former_versions: by service, monotonic time at which the last target of each software
@@ -239,6 +250,7 @@
     by_id: dict[TargetId, Target] = field(default_factory=dict)
     by_name: dict[TargetName, Target] = field(default_factory=dict)
     by_service: dict[ServiceName, list[Target]] = field(default_factory=lambda: defaultdict(list))
+    by_address: dict[str, list[Target]] = field(default_factory=lambda: defaultdict(list))
     by_number: dict[TargetNumber, Target] = field(default_factory=dict)
     known_since: float = float("inf")
     former_versions: dict[ServiceName, dict[SoftwareVersion, float]] = field(
@@ -254,6 +266,9 @@
         if known is not None and is_same_target(known.listed, listed):
             if known.listed.state is not listed.state:
                 emit(events.TARGET_STATE, target=listed.id, state=listed.state.value)
+            if known.address != listed.address:
+                self._remove_address(known)
+                self.by_address[listed.address].append(known)
             known.listed = listed
             known.vanished_at = None
             return
@@ -266,6 +281,7 @@
         self.by_name[listed.name] = target
         self.by_number[number_target(listed.id)] = target
         self.by_service[listed.service].append(target)
+        self.by_address[listed.address].append(target)
         emit(
             events.TARGET_LISTED,
             target=listed.id,
@@ -273,6 +289,49 @@
             version=listed.version,
         )
 
+    def add(self, listed: ListedTarget, now: float) -> None:
+        """Add or update a row that has just been written.
+
+        If it is new, other targets at its address have been replaced: two processes cannot listen
+        there, and the row of a crashed one stays for some seconds.
+        """
+        former = set(self.by_id)
+        self.put(listed)
+        if listed.id not in former:
+            self._mark_replaced(former, now, {listed.address})
+
+    def note_other_instance(self, target: Target) -> None:
+        """Handle the answer that another incarnation has the address of a target.
+
+        It is believed if another row has the address, or if the port was closed before. A call may
+        also be rejected for what its caller expects of the target.
+        """
+        others = [t for t in self.by_address.get(target.address, ()) if t is not target]
+        if others or target.crash_doubted:
+            target.replaced_at = monotonic()
+            for other in others:
+                other.replaced_at = None
+
+    def _mark_replaced(
+        self, former: Collection[TargetId], now: float, addresses: Collection[str] | None = None
+    ) -> None:
+        """Mark the *former* targets that have a newer one at their address as replaced.
+
+        :param addresses: the addresses to look at; None for all.
+        """
+        for address in list(self.by_address) if addresses is None else addresses:
+            targets = self.by_address[address]
+            if len(targets) > 1 and any(target.id not in former for target in targets):
+                for target in targets:
+                    if target.id in former:
+                        target.replaced_at = now
+
+    def _remove_address(self, target: Target) -> None:
+        targets = self.by_address[target.address]
+        targets.remove(target)
+        if not targets:
+            del self.by_address[target.address]
+
     def mark_vanished(self, name: TargetName, now: float) -> None:
         """Mark a target whose row was deleted; for *last_resort_s* seconds it is a last resort."""
         target = self.by_name.get(name)
@@ -296,8 +355,10 @@
         """
         self.known_since = min(self.known_since, now)
         listed = {row.name for row in rows}.union(unreadable)
+        former = set(self.by_id)
         for row in rows:
             self.put(row)
+        self._mark_replaced(former, now)
         for name in unreadable:
             self.mark_unreadable(name)
         for name in [known for known in self.by_name if known not in listed]:
@@ -314,6 +375,7 @@
         self.by_name.pop(target.name, None)
         self.by_number.pop(number_target(target.id), None)
         self.by_service[target.listed.service].remove(target)
+        self._remove_address(target)
         self.former_versions[target.listed.service][target.listed.version] = monotonic()
 
     def find_only_version(
@@ -349,7 +411,8 @@
         These are the ready, listed targets that aren't ejected. If they are less than
         :data:`MIN_CANDIDATE_SHARE` of the listed ones, the healthiest of all listed targets are
         returned up to this share. If no target is listed, those whose rows vanished recently are
-        the last resort. A target whose port is closed is never returned.
+        the last resort. A target whose port is closed is never returned, nor one that was
+        replaced at its address.
 
         :param version: software version that the targets must have; None for any.
         """
@@ -358,6 +421,7 @@
             for t in self.by_service[service]
             if t.listed.state is ListedState.READY
             and t.closed_at is None
+            and not t.is_replaced(now)
             and version in (None, t.listed.version)
         ]
         listed = [t for t in ready if t.vanished_at is None]
--- a/tests/support/targets.py
+++ b/tests/support/targets.py
@@ -16,12 +16,13 @@
     slots: int = 8,
     born_ms: int | None = None,
     version: str = "",
+    address: str | None = None,
 ) -> ListedTarget:
-    """Return one entry, whose address is the name with port 1."""
+    """Return one entry, whose address is by default the name with port 1."""
     return ListedTarget(
         TargetName(name),
         SERVICE,
-        f"{name}:1",
+        address or f"{name}:1",
         domain,
         slots,
         state,
--- a/tests/test_gateway/test_gateway_target_restarts.py
+++ b/tests/test_gateway/test_gateway_target_restarts.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 import msgspec
 import pytest
 
 from bench.platform.target import TargetFault, TargetStandin
-from gradepoint.gateway.targets import TargetSet
+from gradepoint.gateway.targets import REPLACED_RETRY_S, TargetSet
 from gradepoint.ids import Incarnation, TargetId, TargetName
 from gradepoint.peers.datagrams import DATAGRAM_FORMAT, Digest, Sums, number_target
+from gradepoint.standins.virtual_time import run_virtual
+from gradepoint.util.clock import monotonic
+from tests.support.crasher import TargetCrasher
 from tests.support.platform import Deployment, run_in_virtual_time, until
 from tests.support.targets import SERVICE, listed_target
 
@@ -140,3 +144,62 @@
             await until(lambda targets=targets: len(targets.working(0.0)) == 2)  # type: ignore[misc]
 
     run_in_virtual_time(work)
+
+
+def test_target_with_a_newer_one_at_its_address_gets_no_calls() -> None:
+    """Items were sent to the former incarnation until its row expired, 0.3 s apart."""
+    targets = TargetSet(last_resort_s=1.5)
+    targets.replace([listed_target("a", address="t:1"), listed_target("b", address="t:2")], 0.0)
+    targets.add(listed_target("c", address="t:1"), 1.0)
+    assert {t.name for t in targets.candidates(SERVICE, 1.1)} == {"b", "c"}
+    assert {t.name for t in targets.candidates(SERVICE, 1.1 + REPLACED_RETRY_S)} == {"a", "b", "c"}
+    targets.mark_vanished(TargetName("a"), 2.0)
+    targets.sweep(4.0)
+    assert list(targets.by_address["t:1"]) == [targets.by_name[TargetName("c")]]
+
+
+def test_answer_of_another_incarnation_tells_which_of_two_rows_is_current() -> None:
+    # A host that reads the whole list cannot tell which of the rows is older.
+    async def main() -> None:
+        targets = TargetSet(last_resort_s=1.5)
+        rows = [listed_target("a", address="t:1"), listed_target("b", address="t:1")]
+        targets.replace(rows, 0.0)
+        now = asyncio.get_running_loop().time()
+        assert {t.name for t in targets.candidates(SERVICE, now)} == {"a", "b"}
+        for stale, current in (("b", "a"), ("a", "b")):
+            targets.note_other_instance(targets.by_name[TargetName(stale)])
+            assert [t.name for t in targets.candidates(SERVICE, now)] == [current]
+
+    run_virtual(main())
+
+
+def test_other_instance_without_a_sign_of_a_crash_excludes_no_target() -> None:
+    # Targets also reject calls whose caller expects another software version.
+    targets = TargetSet(last_resort_s=1.5)
+    targets.add(listed_target("a", address="t:1"), 0.0)
+    target = targets.by_name[TargetName("a")]
+    targets.note_other_instance(target)
+    assert targets.candidates(SERVICE, 0.0) == [target]
+    target.crash_doubted = True
+    targets.note_other_instance(target)
+    assert not targets.candidates(SERVICE, monotonic())
+
+
+def test_crashed_target_that_restarts_under_another_name_rejects_few_items() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2, targets=0)
+        crasher = TargetCrasher(deployment, restart_delay_s=0.4)
+        crasher.renames_on_restart = True
+        await crasher.add_targets(6, events=20, event_interval_s=0.1)
+        assert (await deployment.submit("job", 24)).status == 202
+        rng = random.Random(1)
+        for _ in range(10):
+            crasher.crash(rng.choice(deployment.targets))
+            await asyncio.sleep(0.4)
+        await deployment.read_all_results("job")
+        requests = [request for target in deployment.targets for request in target.seen]
+        runs = sum(target.ran.total() for target in deployment.targets)
+        crashes = sum(crasher.crash_counts.values())
+        assert len(requests) - runs <= crashes
+
+    run_in_virtual_time(work)
