Place batch items again whatever crashed under them

Callers lost accepted items: an item that had been on four crashed targets, or a part of whose prompt was held back, got no target for ten minutes, until its retention ended, although all was calm and targets had room. Nothing could clear it, since only an answer clears a suspect and a held one gets none. Items of some seconds are on four targets soon when a third of them crash every 0.4 s.

Items never crash targets by themselves and are owed. They are no suspects any more, and no standing keeps them from targets.

--- a/gradepoint/gateway/identity.py
+++ b/gradepoint/gateway/identity.py
@@ -30,6 +30,8 @@
     key is computed when it is first needed: after a complete answer, or when a target crashes.
 
     :param prompt_parts: parts of the prompt that other requests may share.
+    :param is_item: whether it is an item of a batch job. Items never crash targets, so that neither
+        an item nor its prompt is blamed for a crash under it.
     """
 
     host: str
@@ -38,6 +40,7 @@
     path: str
     body: bytes
     prompt_parts: tuple[PromptPart, ...] = ()
+    is_item: bool = False
 
     @cached_property
     def key(self) -> RequestKey:
--- a/gradepoint/gateway/suspicion.py
+++ b/gradepoint/gateway/suspicion.py
@@ -38,7 +38,7 @@
     from ..routing.suspects import Change, SuspectsMessage
     from .identity import RequestIdentity
     from .target_crashes import CrashDetector, TargetCrash
-    from .targets import Target, TargetSet
+    from .targets import RunningRequest, Target, TargetSet
 
 TRIAL_RETRY_S = 1.0
 """``Retry-After`` in seconds of a suspected request for which no trial can start now. A trial takes
@@ -204,32 +204,34 @@
         """Record the crash of a target that this host detected.
 
         A planned crash or a loss of power is ignored. If several targets crashed together, the
-        cause is no single request, but it may be a part of several prompts.
+        cause is no single request, but it may be a part of several prompts. Batch items are never
+        the cause.
         """
         if crash.planned or crash.extent is CrashExtent.POWER_LOSS:
             return
         incarnation, now = number_target(crash.target.id), monotonic()
         trials: list[tuple[SuspectKey, Trial]] = []
         ages_s: dict[SuspectKey, float] = {}
-        for running in crash.requests:
+        requests = [running for running in crash.requests if not running.request.is_item]
+        for running in requests:
             for key, part in running.request.suspects.items():
                 if part is None and crash.extent is CrashExtent.SEVERAL:
                     continue
                 trials.append((key, running.trial))
                 ages_s[key] = min(now - running.sent_at, ages_s.get(key, math.inf))
-        self._remember_parts(crash)
+        self._remember_parts(requests)
         changes = self.suspects.note_crash(incarnation, trials, now, ages_s)
         self._log([*changes, *self.suspects.note_writing(self.find_writing(), now)])
         suspected = {row.key: row for row in self.list_suspected()}
-        for running in crash.requests:
+        for running in requests:
             for key in running.request.suspects:
                 if key in suspected:
                     self.on_suspected(running.request, suspected.pop(key))
         self.on_update()
 
-    def _remember_parts(self, crash: TargetCrash) -> None:
+    def _remember_parts(self, requests: list[RunningRequest]) -> None:
         """Remember the parts of prompts on a crashed target, for the log and for operators."""
-        for running in crash.requests:
+        for running in requests:
             for key, part in running.request.suspects.items():
                 if part is not None:
                     self.part_names.pop(key, None)
--- a/gradepoint/jobs/owned.py
+++ b/gradepoint/jobs/owned.py
@@ -160,7 +160,7 @@
             item, host = self.items[index], self.stored.state.host
             parts = self.read_prompt_parts(item.encode_headers("replace"))
             known = self.identities[index] = RequestIdentity(
-                host, b"", "POST", item.path, item.body, parts
+                host, b"", "POST", item.path, item.body, parts, is_item=True
             )
         return known
 
--- a/gradepoint/jobs/waiting_items.py
+++ b/gradepoint/jobs/waiting_items.py
@@ -32,10 +32,10 @@
     ``STOPPING``: its host is stopping. ``NOT_READY``: its host does not know enough of the other
     hosts. ``RESULTS``: results wait for a commit. ``CONFIGURATION``: the configuration in force is
     older than the job. ``CALLERS``: refused callers get the free slots first. ``RETRY``: a run
-    failed shortly before. ``SUSPECTED``, ``HELD``: the item or a part of its prompt was on crashed
-    targets. ``VERSION``: only targets of one software version can continue its text, and
-    all of them are full. ``NO_TARGET``: the service has no target. ``FULL``: no target has a spare
-    slot. ``SHARE``: the spare slots are shared between hosts, and this host has used its share.
+    failed shortly before. ``CRASHES``: targets crashed under it or under items with a part of its
+    prompt. ``VERSION``: only targets of one software version can continue its text, and all of them
+    are full. ``NO_TARGET``: the service has no target. ``FULL``: no target has a spare slot.
+    ``SHARE``: the spare slots are shared between hosts, and this host has used its share.
     """
 
     STOPPING = "stopping"
@@ -44,8 +44,7 @@
     CONFIGURATION = "configuration"
     CALLERS = "callers"
     RETRY = "retry"
-    SUSPECTED = "suspected"
-    HELD = "held"
+    CRASHES = "crashes"
     VERSION = "version"
     NO_TARGET = "no_target"
     FULL = "full"
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -15,11 +15,11 @@
 from .. import events
 from ..errors import KvError, KvRejected, KvUnreadable
 from ..gateway.forwarding import OtherInstance, TargetBusy, TargetFailed
-from ..gateway.suspicion import TRIAL_RETRY_S
 from ..kv.service import ABSENT
+from ..peers.datagrams import number_target
 from ..routing.batch_headroom import find_start_limit
+from ..routing.crash_backoff import EARLY_CRASH_S, CrashBackoff
 from ..routing.item_times import ItemTimes
-from ..routing.suspects import Standing
 from ..telemetry import metrics
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
@@ -41,7 +41,6 @@
 
     from ..gateway.configuration import Configuration, Route
     from ..gateway.forwarding import Forwarder
-    from ..gateway.identity import RequestIdentity
     from ..gateway.targets import Target
     from ..ids import Incarnation, JobId, ServiceName, SoftwareVersion, TargetId
     from ..spool.records import SpooledJob
@@ -90,6 +89,7 @@
     :ivar started: monotonic time at which the run started.
     :ivar events_before: events of the item that former runs produced.
     :ivar former_text: text that this run discards, since its target has another software version.
+    :ivar lasting: whether the run has outlasted the time in which an early crash ends it.
     """
 
     job: OwnedJob
@@ -99,6 +99,7 @@
     task: asyncio.Task[None] | None = None
     events_before: int = 0
     former_text: PartialText | None = None
+    lasting: bool = False
 
 
 class Worker(Struct):
@@ -129,6 +130,7 @@
     :ivar item_times: how long items take.
     :ivar results_wait: whether no item is started because of the results that wait for a commit.
     :ivar waiting_items: why items wait, and since when.
+    :ivar crash_backoff: delays items under which targets crash soon after the start.
     """
 
     repository: JobRepository
@@ -156,6 +158,7 @@
     item_times: ItemTimes = field(default_factory=ItemTimes)
     results_wait: bool = False
     waiting_items: WaitingItems = field(default_factory=WaitingItems)
+    crash_backoff: CrashBackoff = field(default_factory=CrashBackoff)
 
     def announced_job_numbers(self) -> list[int]:
         """Return the short numbers of the jobs that this host announces to other hosts."""
@@ -321,6 +324,7 @@
             await asyncio.sleep(POLL_INTERVAL_S)
             self._reload_jobs()
             self._preempt_items()
+            self._note_lasting_runs()
             await self.forwarder.wait_until_fresh()
             self._start_items()
             self._report_waiting_items()
@@ -463,6 +467,15 @@
                     )
                 )
 
+    def _note_lasting_runs(self) -> None:
+        """Tell the backoff which runs have lasted longer than the time of early crashes."""
+        now = monotonic()
+        for item in self.running:
+            if not item.lasting and now - item.started >= EARLY_CRASH_S:
+                item.lasting = True
+                keys = item.job.request_identity(item.index).suspects
+                self.crash_backoff.note_running(keys, now)
+
     def _preempt(self, item: RunningItem) -> None:
         """Cancel a running item; it resumes later after its last event."""
         target = self.forwarder.targets.by_id.get(item.target)
@@ -504,20 +517,11 @@
             if self.must_hold_back(service):
                 without_slot.add(job.id)
                 continue
-            request = job.request_identity(index)
-            standing = self.forwarder.suspicion.find_standing(request)
-            if standing in (Standing.SUSPECTED, Standing.HELD):
-                target = self._choose_trial(request, standing, service)
-                if target is None:
-                    # The job's other items can still be started.
-                    job.not_before[index] = now + TRIAL_RETRY_S
-                    continue
-            else:
-                target, waits = self._choose_target_for(
-                    job, index, service, now, propagation_s, full
-                )
-                if waits:
-                    continue
+            if not self.crash_backoff.may_start(job.request_identity(index).suspects, now):
+                continue
+            target, waits = self._choose_target_for(job, index, service, now, propagation_s, full)
+            if waits:
+                continue
             if target is None:
                 without_slot.add(job.id)
                 continue
@@ -574,13 +578,10 @@
             return WaitReason.NO_TARGET
         if room.held_back:
             return WaitReason.CALLERS
-        standing = self.forwarder.suspicion.find_standing(job.request_identity(index))
-        if standing is Standing.HELD:
-            return WaitReason.HELD
-        if standing is Standing.SUSPECTED:
-            return WaitReason.SUSPECTED
         if job.not_before.get(index, 0.0) > now:
             return WaitReason.RETRY
+        if not self.crash_backoff.may_start(job.request_identity(index).suspects, now):
+            return WaitReason.CRASHES
         if index in job.waiting_since:
             return WaitReason.VERSION
         return WaitReason.SHARE if room.spare_slots else WaitReason.FULL
@@ -654,18 +655,6 @@
         rate = self.find_call_rate(target.listed.service)
         return find_start_limit(max(1, target.listed.slots), rate)
 
-    def _choose_trial(
-        self, request: RequestIdentity, standing: Standing, service: ServiceName
-    ) -> Target | None:
-        """Return a target for an item that is suspected of crashing targets, or None if it has to
-        wait.
-
-        Such an item was running on targets that crashed.
-        """
-        if standing is Standing.HELD:
-            return None
-        return self.forwarder.suspicion.choose_trial(request, service, (), needs_slot=True)
-
     def _share_slots(self, now: float, propagation_s: float) -> None:
         """Compute how many of the spare slots of all targets this host may fill.
 
@@ -690,12 +679,11 @@
             events_before=job.count_events(index),
             former_text=former_text,
         )
+        self.crash_backoff.note_start(job.request_identity(index).suspects, running.started)
         # The task counts the request as in flight only once it first runs, so target.begin() below
         # counts it until then.
         task = self.tasks.start(self._run_item(running, target, max_failures))
         running.task = task
-        # A callback also runs if the task is cancelled before it starts.
-        task.add_done_callback(lambda _: target.end_trial(job.request_identity(index)))
         job.running[index] = task
         self.running.append(running)
         target.begin()
@@ -712,6 +700,7 @@
 
     async def _run_item(self, running: RunningItem, target: Target, max_failures: int) -> None:
         job, index = running.job, running.index
+        crashed = False
         target.end()
         try:
             partial = job.partial.setdefault(index, PartialText(version=target.listed.version))
@@ -752,6 +741,7 @@
         except (ConnectFailed, OtherInstance, TargetBusy, TargetFailed) as error:
             if running.former_text is not None and not isinstance(error, TargetFailed):
                 job.restore_text(index, running.former_text)
+            crashed = isinstance(error, TargetFailed) and await self._has_crashed(target)
             job.not_before[index] = monotonic() + ITEM_RETRY_S
             metrics.shared().retries.add(1, {"reason": type(error).__name__})
             emit(
@@ -761,6 +751,7 @@
                 item=job.items[index].id,
                 target=target.id,
                 reason=repr(error),
+                crashed=crashed,
             )
         except Exception:
             job.not_before[index] = monotonic() + ITEM_RETRY_S
@@ -769,6 +760,16 @@
             self.running.remove(running)
             job.running.pop(index, None)
             job.idle_since[index] = monotonic()
+            keys = job.request_identity(index).suspects
+            if crashed:
+                number, now = number_target(target.id), monotonic()
+                self.crash_backoff.note_crash(number, keys, running.started, now)
+            self.crash_backoff.note_end(keys, running.started)
+
+    async def _has_crashed(self, target: Target) -> bool:
+        """Return whether the target of a run that broke off has crashed."""
+        await self.forwarder.crash_detector.wait(target)
+        return target.closed_at is not None
 
     def _count_failure(self, job: OwnedJob, index: int, max_failures: int, reason: str) -> None:
         count = job.failures.get(index, 0) + 1
