Leave answers of targets that never end

Callers and jobs suffered while one target sent bytes without end: repeatable calls ended cut, 502 or 503 although another target was sound, items were not listed, and the host's memory grew with what it held of an event without an end. With tiny chunks, the event loop handled one connection's chunks alone.

Each answer has bounds now: 64 MB in all, declared or received; 512 KB without an event that has a number or data; the events that the call's tokens allow; 512 KB of a body without a length while another target can answer; 8 MB for an item; 1,024 chunks of less than two bytes. Beyond them the connection is closed, the target is charged, and the call goes on as after a broken answer. 32 HTTP events of one connection are handled before other tasks run. Nothing of a stream is passed on, not even its head, before its first event, and an answer that names no call is not an answer. An item whose answer was beyond the bounds begins anew, and so does a text whose events have no numbers: it was appended to itself on a retry.

--- a/gradepoint/gateway/dialect.py
+++ b/gradepoint/gateway/dialect.py
@@ -27,6 +27,7 @@
     :param resumed_request: ID of the earlier call that brought the first event of the stream which
         this call resumes; None if the caller names none.
     :param prompt_parts: parts of its prompt that other calls may share.
+    :param max_events: most events that an answer may have; None if the caller doesn't say.
     """
 
     request_id: RequestId
@@ -39,6 +40,7 @@
     organisation: OrganisationName | None = None
     resumed_request: RequestId | None = None
     prompt_parts: tuple[PromptPart, ...] = ()
+    max_events: int | None = None
 
 
 class AnswerHead(Struct, frozen=True):
@@ -67,6 +69,10 @@
         """Return the parts of a prompt that other calls may share, from the headers of a call or
         batch item."""
 
+    def read_max_events(self, headers: RawHeaders) -> int | None:
+        """Return the most events that an answer may have, from the headers of a call or batch item;
+        None if they don't say."""
+
     def set_caller(self, head: CallHead, organisation: OrganisationName | None) -> CallHead:
         """Set the organisation of a call, if the configuration has organisations.
 
--- a/gradepoint/gateway/event_stream.py
+++ b/gradepoint/gateway/event_stream.py
@@ -8,6 +8,15 @@
 
 MAX_COUNTED_REST_BYTES = 65_536
 """Bytes of an incomplete event that are kept if events are only counted."""
+MAX_EVENT_BYTES = 512 << 10
+"""Maximum bytes of an event, and of comments and blank lines in a row. A target that sends more
+does not send the answer to a call."""
+LONGEST_END_BYTES = 4
+"""Bytes of the longest end of an event: two line ends of two bytes each."""
+
+
+class EventTooLong(Exception):
+    """A stream has more than :data:`MAX_EVENT_BYTES` without an event that has a number or data."""
 
 
 class StreamEvent(Struct, frozen=True):
@@ -27,9 +36,11 @@
     """Collects chunks of a body and returns events once they are complete.
 
     :ivar rest: bytes after the last complete event.
+    :ivar idle_bytes: bytes since the last complete event with a number or data.
     """
 
     rest: bytes = b""
+    idle_bytes: int = 0
 
     @property
     def inside_event(self) -> bool:
@@ -37,27 +48,51 @@
         return ends_inside_event(self.rest)
 
     def split(self, chunk: bytes) -> list[bytes]:
-        """Return the bytes of the events that *chunk* completes, each with its blank line."""
+        """Return the bytes of the events that *chunk* completes, each with its blank line.
+
+        :raises EventTooLong: the stream makes no progress.
+        """
+        searched = max(0, len(self.rest) - LONGEST_END_BYTES)
         data = self.rest + chunk
         events: list[bytes] = []
         start = 0
-        for end in END_OF_EVENT.finditer(data):
+        self.idle_bytes += len(chunk)
+        for end in END_OF_EVENT.finditer(data, searched):
             events.append(data[start : end.end()])
             start = end.end()
+            if has_content(events[-1]):
+                self.idle_bytes = len(data) - start
         self.rest = data[start:]
+        if self.idle_bytes > MAX_EVENT_BYTES:
+            raise EventTooLong
         return events
 
-    def count(self, chunk: bytes) -> int:
-        """Return the number of events that *chunk* completes, and trim a long incomplete one."""
+    def split_and_trim(self, chunk: bytes) -> list[bytes]:
+        """Like :meth:`split`; trim a long incomplete event, which will be shortened."""
         events = self.split(chunk)
         self.rest = self.rest[-MAX_COUNTED_REST_BYTES:]
-        return len(events)
+        return events
+
+    def count(self, chunk: bytes) -> int:
+        """Return the number of events that *chunk* completes, and trim a long incomplete one.
+
+        :raises EventTooLong: the stream makes no progress.
+        """
+        return len(self.split_and_trim(chunk))
 
     def feed(self, chunk: bytes) -> list[StreamEvent]:
-        """Return the events that *chunk* completes."""
+        """Return the events that *chunk* completes.
+
+        :raises EventTooLong: the stream makes no progress.
+        """
         return [parse_event(raw) for raw in self.split(chunk)]
 
 
+def has_content(raw: bytes) -> bool:
+    """Whether an event may have a number or data, and is no comment or blank line alone."""
+    return raw.startswith((b"id", b"data")) or b"\nid" in raw or b"\ndata" in raw
+
+
 def parse_event(raw: bytes) -> StreamEvent:
     """Decode one complete event."""
     number: int | None = None
--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -24,7 +24,7 @@
 from ..wire.json_nesting import JsonNesting
 from .answer_progress import AnswerProgress
 from .choice import choose_target, get_load
-from .event_stream import EventSplitter
+from .event_stream import MAX_EVENT_BYTES, EventSplitter, EventTooLong, parse_event
 
 if TYPE_CHECKING:
     import random
@@ -33,6 +33,7 @@
     from ..ids import ServiceName, SoftwareVersion, SuspectKey, TargetId
     from ..wire.http_client import ClientResponse
     from .dialect import AnswerHead, CallHead, Dialect
+    from .event_stream import StreamEvent
     from .identity import RequestIdentity
     from .stream_origins import StreamOrigins
     from .suspicion import Suspicion
@@ -58,13 +59,18 @@
     """The answer broke, came too late or belongs to another call; the call may have run."""
 
 
+class AnswerTooLong(TargetFailed):
+    """The answer has no end that its call allows, so that none of it can be trusted."""
+
+
 class AnswerEnd(Enum):
     """How the body of a target's answer ended.
 
     ``WHOLE`` is the end by the framing of the answer. ``INSIDE_EVENT`` is such an end inside an
     event of a stream, ``EMPTY`` one before its first event, ``INSIDE_DOCUMENT`` one inside a JSON
     document, and ``CRASHED`` one that the crash of the target caused. ``BROKEN`` is a broken
-    connection, ``SILENT`` a timeout.
+    connection, ``SILENT`` a timeout. ``TOO_LONG`` is an answer that this host has left, since it is
+    beyond the bounds of an answer.
     """
 
     WHOLE = "whole"
@@ -74,6 +80,7 @@
     CRASHED = "crashed"
     BROKEN = "broken"
     SILENT = "silent"
+    TOO_LONG = "too_long"
 
 
 END_REASONS = {
@@ -97,6 +104,7 @@
     :ivar needs_event: whether the body is an event stream that has at least one event.
     :ivar document: the body so far, if it is a JSON document that the end of the connection ends.
     :ivar begun_at: monotonic time at which the head of the answer arrived.
+    :ivar max_events: most events that the answer may have; None for any number.
     """
 
     target: Target
@@ -111,6 +119,7 @@
     needs_event: bool = False
     document: JsonNesting | None = None
     begun_at: float = field(default_factory=monotonic)
+    max_events: int | None = None
 
     @property
     def version(self) -> SoftwareVersion:
@@ -131,6 +140,36 @@
         if self.response.framing is BodyFraming.UNTIL_CLOSE and is_json(content_type):
             self.document = JsonNesting()
 
+    def feed(self, chunk: bytes) -> list[StreamEvent]:
+        """Return the events of a stream that *chunk* completes.
+
+        :raises AnswerTooLong: the stream is beyond the bounds of an answer.
+        """
+        return [parse_event(raw) for raw in self._split(self.splitter.split, chunk)]
+
+    def count(self, chunk: bytes) -> None:
+        """Count the events of a stream that *chunk* completes.
+
+        :raises AnswerTooLong: the stream is beyond the bounds of an answer.
+        """
+        self._split(self.splitter.split_and_trim, chunk)
+
+    def _split(self, split: Callable[[bytes], list[bytes]], chunk: bytes) -> list[bytes]:
+        try:
+            events = split(chunk)
+        except EventTooLong as error:
+            raise self.leave(f"no event within {MAX_EVENT_BYTES} bytes") from error
+        self.progress.events += len(events)
+        if self.max_events is not None and self.progress.events > self.max_events:
+            raise self.leave(f"more than {self.max_events} events")
+        return events
+
+    def leave(self, reason: str) -> AnswerTooLong:
+        """Count an answer beyond the bounds as a failure of its target; return the error."""
+        self.count_end(AnswerEnd.TOO_LONG)
+        self.target.record_failure(reason)
+        return AnswerTooLong(reason)
+
     def describe_body(self) -> dict[str, Any]:
         """Return log fields that tell how the body is framed and how much of it has arrived."""
         return {
@@ -288,6 +327,7 @@
             request,
             sent_at,
             self.answers.discard,
+            max_events=head.max_events,
         )
         self.answers.add(exchange)
         self._check_head(exchange, head)
@@ -340,6 +380,10 @@
             exchange.close()
             exchange.target.record_failure("an answer to another call")
             raise TargetFailed("an answer to another call")
+        if answer.request_id is None and answer.status < 300 and head.request_id:
+            exchange.close()
+            exchange.target.record_failure("an answer to no call")
+            raise TargetFailed("an answer to no call")
         if answer.other_instance:
             exchange.close()
             self.targets.note_other_instance(exchange.target)
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -17,11 +17,12 @@
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.structs import Struct, field
-from ..wire.http_client import ConnectFailed, ResponseBroken
+from ..wire.http_client import BodyFraming, ConnectFailed, ResponseBroken
 from ..wire.http_types import Response
 from .admission_gate import begin_admission
 from .choice import get_load
 from .configuration import RouteKind
+from .event_stream import MAX_EVENT_BYTES, EventSplitter, EventTooLong, has_content
 from .forwarding import AnswerEnd, Exchange, Forwarder, OtherInstance, TargetBusy, TargetFailed
 from .identity import identify
 
@@ -51,6 +52,9 @@
 MAX_BUFFERED_BODY_BYTES = 262_144
 """Maximum bytes of a non-streaming answer that are buffered until it is complete, so that a broken
 answer can be retried or replaced by an error. Longer answers are relayed as they arrive."""
+MAX_UNFRAMED_BODY_BYTES = 524_288
+"""Maximum bytes of a non-streaming answer without a length, while the call can be sent to another
+target. The last target's answer may be longer."""
 STALL_EVENT_GAPS = 4
 """Multiple of the route's event gap after which a silent, resumable stream is resumed at another
 target. After one gap the answer is late anyway, and the pause of a preempted request is shorter
@@ -364,7 +368,7 @@
         if self._is_event_stream(exchange):
             exchange.needs_event = self.head.resume_after is None
             wait_s = MIN_STALL_TIMEOUT_S if self.may_retry else None
-            first = await self._read_chunk(exchange, chunks, wait_s)
+            first = await self._read_first_event(exchange, chunks, wait_s)
             took_s = monotonic() - self.arrived_at - self.waited_s
             if took_s > self.route.goal_s * SLOW_FIRST_EVENT_GOALS:
                 exchange.target.record_failure("slow")
@@ -378,18 +382,44 @@
         exchange.follow_document()
         buffered: list[bytes] = []
         size = 0
-        while size < MAX_BUFFERED_BODY_BYTES:
+        has_length = exchange.response.framing is BodyFraming.LENGTH
+        can_leave = self.may_retry and not has_length
+        while size < (MAX_UNFRAMED_BODY_BYTES if can_leave else MAX_BUFFERED_BODY_BYTES):
             chunk = await self._read_chunk(exchange, chunks)
             if chunk is None:
                 self._finish(exchange)
                 return Response(exchange.head.status, raw_headers=headers, body=b"".join(buffered))
             buffered.append(chunk)
             size += len(chunk)
+        if can_leave:
+            raise exchange.leave(f"no end within {size} bytes")
         rest = self._relay_chunks(exchange, chunks, b"".join(buffered))
         return Response(
             exchange.head.status, raw_headers=headers, stream=rest, release=exchange.close
         )
 
+    async def _read_first_event(
+        self, exchange: Exchange, chunks: AsyncIterator[bytes], stall_timeout_s: float | None
+    ) -> bytes | None:
+        """Return the beginning of a stream up to its first event with a number or data, or the
+        whole stream without one; None if it is empty.
+
+        The caller gets nothing before, not even the head, so that another target may answer.
+
+        :raises TargetFailed: as of :meth:`_read_chunk`, or the stream is beyond the bounds of an
+            answer.
+        """
+        begun = EventSplitter()
+        pieces = []
+        while (chunk := await self._read_chunk(exchange, chunks, stall_timeout_s)) is not None:
+            pieces.append(chunk)
+            try:
+                if any(has_content(event) for event in begun.split(chunk)):
+                    break
+            except EventTooLong as error:
+                raise exchange.leave(f"no event within {MAX_EVENT_BYTES} bytes") from error
+        return b"".join(pieces) or None
+
     def _is_event_stream(self, exchange: Exchange) -> bool:
         return self.route.kind is RouteKind.STREAM and exchange.may_be_event_stream
 
@@ -429,7 +459,7 @@
         try:
             while chunk is not None:
                 if self._is_event_stream(exchange):
-                    exchange.progress.events += exchange.splitter.count(chunk)
+                    exchange.count(chunk)
                 yield chunk
                 chunk = await self._read_chunk(exchange, chunks)
             self._finish(exchange)
@@ -453,8 +483,7 @@
             while True:
                 try:
                     while chunk is not None:
-                        found = exchange.splitter.feed(chunk)
-                        exchange.progress.events += len(found)
+                        found = exchange.feed(chunk)
                         if found and self.version is None:
                             self._begin_stream(exchange.version)
                             wait_s = self._find_stall_timeout_s()
--- a/gradepoint/jobs/item_run.py
+++ b/gradepoint/jobs/item_run.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ..gateway.dialect import CallHead
-from ..gateway.forwarding import AnswerEnd, TargetFailed
+from ..gateway.forwarding import AnswerEnd, AnswerTooLong, TargetFailed
 from ..ids import RequestId
 from ..wire.http_client import ResponseBroken
 
@@ -23,6 +23,8 @@
 EVENT_TIMEOUT_S = 1.5
 """Seconds without an event after which an item is resumed at another target. This is far above the
 pause of a preempted request and far below the time in which a job is due."""
+MAX_ANSWER_BYTES = 8 << 20
+"""Maximum bytes of one answer to an item; the texts of running items are held in memory."""
 HTTP_UNPROCESSABLE = 422
 
 
@@ -52,12 +54,14 @@
     :raises TargetFailed: the target answered with another error, or its answer broke off.
     :raises ConnectFailed: like the other errors of :meth:`Forwarder.send`.
     """
+    headers = item.encode_headers()
     head = CallHead(
         request_id=RequestId(item.id),
         host=request.host,
         remaining_s=None,
         resume_after=None,
-        forwarded_headers=item.encode_headers(),
+        forwarded_headers=headers,
+        max_events=forwarder.dialect.read_max_events(headers),
     )
     if organisation is not None:
         head = forwarder.dialect.set_caller(head, organisation)
@@ -72,6 +76,9 @@
     try:
         _check_status(exchange)
         await _read_events(forwarder, exchange, partial)
+    except AnswerTooLong:
+        partial.discard()
+        raise
     finally:
         exchange.close()
     return "\n".join(partial.data)
@@ -103,10 +110,10 @@
             raise TargetFailed(repr(error)) from error
         if chunk is None:
             break
-        found = exchange.splitter.feed(chunk)
-        exchange.progress.events += len(found)
-        for event in found:
+        for event in exchange.feed(chunk):
             _append(partial, event.number, event.data)
+        if exchange.response.body_bytes > MAX_ANSWER_BYTES:
+            raise exchange.leave(f"more than {MAX_ANSWER_BYTES} bytes")
     await forwarder.check_end(exchange)
 
 
--- a/gradepoint/jobs/records.py
+++ b/gradepoint/jobs/records.py
@@ -184,14 +184,20 @@
     def continue_at(self, version: SoftwareVersion) -> bool:
         """Prepare for a run at a target of *version*; return whether the text was kept.
 
-        A text that such a target cannot continue is discarded.
+        A text that such a target cannot continue is discarded, and so is one whose events have no
+        numbers.
         """
-        kept = self.empty or self.version == version
+        is_numbered = self.last_event is not None
+        kept = self.empty or (is_numbered and self.version == version)
         if not kept:
-            self.last_event, self.data = None, []
+            self.discard()
         self.version = version
         return kept
 
+    def discard(self) -> None:
+        """Forget the text, so that the item begins anew."""
+        self.last_event, self.data = None, []
+
 
 class FragmentedPart(msgspec.Struct, frozen=True):
     """Names the fragments of a part that exceeds one value.
--- a/gradepoint/platform/headers.py
+++ b/gradepoint/platform/headers.py
@@ -26,6 +26,9 @@
 PROMPT_PARTS = b"x-prompt-prefix"
 MAX_PROMPT_PARTS = 32
 """Parts of a prompt that are read; the table of suspects is bounded by them."""
+TOKEN_COUNTS = b"x-token-counts"
+MAX_EXTRA_EVENTS = 16
+"""Events of an answer beyond its tokens, of which an event holds one or several."""
 NOT_RUN = "x-not-run"
 WAIT_MS = "x-wait-ms"
 MISDIRECTED_STATUS = 421
@@ -67,6 +70,7 @@
             key=values.get(API_KEY, b"").strip(),
             resumed_request=RequestId(resumed.decode("latin-1")) if resumed else None,
             prompt_parts=self.read_prompt_parts(headers) if PROMPT_PARTS in values else (),
+            max_events=self.read_max_events(headers),
         )
 
     def read_prompt_parts(self, headers: RawHeaders) -> tuple[PromptPart, ...]:
@@ -81,6 +85,12 @@
         shared = dict.fromkeys(name for name in names[:-1] if name)
         return tuple(PromptPart(name) for name in shared)[:MAX_PROMPT_PARTS]
 
+    def read_max_events(self, headers: RawHeaders) -> int | None:
+        """See :meth:`Dialect.read_max_events`."""
+        counts = next((value for name, value in headers if name == TOKEN_COUNTS), b"")
+        most = read_whole_number(counts.partition(b",")[2].strip())
+        return most + MAX_EXTRA_EVENTS if most else None
+
     def set_caller(self, head: CallHead, organisation: OrganisationName | None) -> CallHead:
         """See :meth:`Dialect.set_caller`."""
         return msgspec.structs.replace(
--- a/gradepoint/wire/http_client.py
+++ b/gradepoint/wire/http_client.py
@@ -25,6 +25,16 @@
 READ_SIZE_BYTES = 65536
 MAX_IDLE_PER_ORIGIN = 256
 MAX_INCOMPLETE_EVENT_BYTES = 1 << 20
+MAX_BODY_BYTES = 64 << 20
+"""Maximum bytes of a response body, declared or received."""
+MAX_EVENTS_PER_TURN = 32
+"""HTTP events of one connection that are handled before other tasks run. A server that sends tiny
+chunks as fast as it can would otherwise keep the event loop to itself."""
+MAX_TINY_CHUNKS = 1024
+"""Chunks from which their mean size is checked; they take some hundredths of a second of processor
+time."""
+MIN_MEAN_CHUNK_BYTES = 2
+"""Minimum mean size in bytes of that many chunks."""
 STATUSES_WITHOUT_BODY = (204, 304)
 KEEP_ALIVE_SHARE = 0.8
 """Share of the keep-alive time announced by the server during which an idle connection may be
@@ -57,6 +67,8 @@
     :ivar reusable_until: monotonic time after which it must not be used again.
     :ivar reused: it was taken from the idle connections for the current request.
     :ivar idle_watcher: task that closes it on unexpected input while it is idle.
+    :ivar events_in_turn: HTTP events handled since other tasks could run.
+    :ivar pending_event: HTTP event that was taken from the received bytes and not handled yet.
     """
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -66,11 +78,42 @@
         self.reusable_until = float("inf")
         self.reused = False
         self.idle_watcher: asyncio.Task[None] | None = None
+        self.events_in_turn = 0
+        self.pending_event: object | None = None
 
     def close(self) -> None:
         """Close the connection at once."""
         self.writer.transport.abort()
 
+    def poll_event(self) -> object | None:
+        """Return the next HTTP event in the received bytes, or None without one.
+
+        :raises h11.RemoteProtocolError: the received bytes are not well-formed.
+        """
+        self.events_in_turn += 1
+        event = self.pending_event or self.h11.next_event()
+        self.pending_event = None
+        return None if event is h11.NEED_DATA else event
+
+    async def next_event(self) -> object:
+        """Return the next HTTP event; let other tasks run after many.
+
+        :raises ResponseBroken: the connection failed, or what arrived is not well-formed.
+        """
+        if self.events_in_turn >= MAX_EVENTS_PER_TURN:
+            self.events_in_turn = 0
+            await asyncio.sleep(0)
+        try:
+            while (event := self.poll_event()) is None:
+                self.h11.receive_data(await self.reader.read(READ_SIZE_BYTES))
+            return event
+        except OSError as error:
+            self.close()
+            raise ResponseBroken(f"connection failed: {error!r}") from error
+        except h11.RemoteProtocolError as error:
+            self.close()
+            raise ResponseBroken(f"not well-formed HTTP: {error}") from error
+
     @property
     def usable(self) -> bool:
         """Whether the connection seems open and its keep-alive time has not passed."""
@@ -110,6 +153,7 @@
     :ivar trailers: trailing headers, in lower case; filled at the end of the body.
     :ivar framing: how the end of the body is recognised.
     :ivar body_bytes: bytes of the body read so far.
+    :ivar pieces: pieces in which they arrived.
     """
 
     def __init__(
@@ -130,19 +174,21 @@
         self.trailers: dict[str, str] = {}
         self.framing = _find_framing(self.status, self.headers)
         self.body_bytes = 0
+        self.pieces = 0
         self.finished = False
 
     async def stream(self) -> AsyncIterator[bytes]:
         """Yield the body piece by piece.
 
         :raises ResponseBroken: the connection failed, or the response was closed, before the end
-            of the body.
+            of the body, or the body is beyond the bounds of a response.
         """
         while True:
-            event = await _next_event(self.connection)
+            event = await self.connection.next_event()
             if isinstance(event, h11.Data):
-                self.body_bytes += len(event.data)
-                yield bytes(event.data)
+                data = self._collect(event)
+                self._check_bounds()
+                yield data
             elif isinstance(event, h11.EndOfMessage) and not self.finished:
                 self.trailers = {
                     name.decode("latin-1").lower(): value.decode("latin-1")
@@ -153,6 +199,39 @@
             else:
                 raise ResponseBroken("connection closed within the body")
 
+    def _collect(self, first: h11.Data) -> bytes:
+        """Return a piece of the body, joined with those that have already arrived."""
+        pieces = [bytes(first.data)]
+        while len(pieces) < MAX_EVENTS_PER_TURN:
+            try:
+                event = self.connection.poll_event()
+            except h11.RemoteProtocolError:
+                # The next read raises it again.
+                break
+            if not isinstance(event, h11.Data):
+                self.connection.pending_event = event
+                break
+            pieces.append(bytes(event.data))
+        self.pieces += len(pieces)
+        data = b"".join(pieces)
+        self.body_bytes += len(data)
+        return data
+
+    def _check_bounds(self) -> None:
+        """Close the connection if the body is too long or comes in too small pieces.
+
+        :raises ResponseBroken: it is.
+        """
+        mean_bytes = self.body_bytes / self.pieces
+        if self.body_bytes > MAX_BODY_BYTES:
+            reason = f"body longer than {MAX_BODY_BYTES} bytes"
+        elif self.pieces >= MAX_TINY_CHUNKS and mean_bytes < MIN_MEAN_CHUNK_BYTES:
+            reason = f"body in chunks of {mean_bytes:.1f} bytes"
+        else:
+            return
+        self.close()
+        raise ResponseBroken(reason)
+
     async def read(self) -> bytes:
         """Read the rest of the body and return it.
 
@@ -246,9 +325,9 @@
         try:
             async with asyncio.timeout(timeout_s):
                 await _send(connection, method, target, host, body, headers or ())
-                head = await _next_event(connection)
+                head = await connection.next_event()
                 while isinstance(head, h11.InformationalResponse):
-                    head = await _next_event(connection)
+                    head = await connection.next_event()
         except TimeoutError as error:
             connection.close()
             if connection.reused:
@@ -260,7 +339,12 @@
         if not isinstance(head, h11.Response):
             connection.close()
             raise ResponseBroken("connection closed before the response")
-        return ClientResponse(self, origin, connection, head)
+        response = ClientResponse(self, origin, connection, head)
+        declared = read_whole_number(response.headers.get("content-length", ""))
+        if declared is not None and declared > MAX_BODY_BYTES and method != "HEAD":
+            connection.close()
+            raise ResponseBroken(f"declared length of {declared} bytes")
+        return response
 
     def close_idle(self, origin: tuple[str, int]) -> None:
         """Close the idle connections to one origin.
@@ -372,18 +456,3 @@
         await connection.writer.drain()
     except OSError as error:
         raise ResponseBroken(f"sending failed: {error!r}") from error
-
-
-async def _next_event(connection: PooledConnection) -> object:
-    try:
-        while True:
-            event = connection.h11.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            connection.h11.receive_data(await connection.reader.read(READ_SIZE_BYTES))
-    except OSError as error:
-        connection.close()
-        raise ResponseBroken(f"connection failed: {error!r}") from error
-    except h11.RemoteProtocolError as error:
-        connection.close()
-        raise ResponseBroken(f"not well-formed HTTP: {error}") from error
