Do not blame a request whose answer its target was writing for a while

A sound stream was held back after unrelated crashes: it ran for some seconds, was on two of four targets that crashed one after the other, became suspected, and its two trials were on the other two.

Targets that crash because of a request do so when they begin to write the answer (0.08 to 0.15 s after the send in the incidents). A run whose answer had been written for 0.3 s is therefore no evidence against its request or the parts of its prompt.

--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -159,6 +159,8 @@
             events = split(chunk)
         except EventTooLong as error:
             raise self.leave(f"no event within {MAX_EVENT_BYTES} bytes") from error
+        if events and not self.progress.events:
+            self.target.note_writing(self.request)
         self.progress.events += len(events)
         if self.max_events is not None and self.progress.events > self.max_events:
             raise self.leave(f"more than {self.max_events} events")
--- a/gradepoint/gateway/suspicion.py
+++ b/gradepoint/gateway/suspicion.py
@@ -48,8 +48,10 @@
 third, a harmless request that was on three of six targets that crashed gets a trial at once, and
 two harmful requests leave targets for other calls. With a half, the harmless request would have to
 wait until one of the three is back."""
-
-
+MAX_CAUSE_WRITING_S = 0.3
+"""Seconds of writing an answer after which its request and its prompt did not crash the target:
+several times as long as a target takes to crash once it begins to write. Streams of some seconds
+run on many of the targets that crash for another reason, one after the other."""
 MAX_PART_NAMES = 1024
 """Parts of prompts whose names are remembered; a crash has up to about thirty."""
 
@@ -205,14 +207,18 @@
 
         A planned crash or a loss of power is ignored. If several targets crashed together, the
         cause is no single request, but it may be a part of several prompts. Batch items are never
-        the cause.
+        the cause, nor are requests whose answers the target had been writing for a while.
         """
         if crash.planned or crash.extent is CrashExtent.POWER_LOSS:
             return
         incarnation, now = number_target(crash.target.id), monotonic()
         trials: list[tuple[SuspectKey, Trial]] = []
         ages_s: dict[SuspectKey, float] = {}
-        requests = [running for running in crash.requests if not running.request.is_item]
+        requests = [
+            running
+            for running in crash.requests
+            if not running.request.is_item and running.writing_s < MAX_CAUSE_WRITING_S
+        ]
         for running in requests:
             for key, part in running.request.suspects.items():
                 if part is None and crash.extent is CrashExtent.SEVERAL:
--- a/gradepoint/gateway/targets.py
+++ b/gradepoint/gateway/targets.py
@@ -97,11 +97,13 @@
 
     :param trial: kind of its trial.
     :param sent_at: monotonic time at which it was sent there.
+    :param writing_s: seconds for which the target has been writing events of its answer.
     """
 
     request: RequestIdentity
     trial: Trial
     sent_at: float
+    writing_s: float = 0.0
 
 
 class Target(Struct):
@@ -110,6 +112,7 @@
     :param on_change: called when this host's calls in flight or its trial at the target change.
     :ivar in_flight: number of this host's calls and items at the target.
     :ivar running: the requests among these that were sent, with the monotonic time of that.
+    :ivar writing: those of them whose answers have events, with the monotonic time of the first.
     :ivar results: successes and failures of this host's calls.
     :ivar vanished_at: monotonic time at which its row vanished from the list; None while it is
         listed.
@@ -130,6 +133,7 @@
     on_change: Callable[[], None] = lambda: None
     vanished_at: float | None = None
     running: dict[RequestIdentity, float] = field(default_factory=dict)
+    writing: dict[RequestIdentity, float] = field(default_factory=dict)
     closed_at: float | None = None
     crash_doubted: bool = False
     replaced_at: float | None = None
@@ -174,6 +178,7 @@
         self.last_call_ended_at = monotonic()
         if request is not None:
             self.running.pop(request, None)
+            self.writing.pop(request, None)
             self.end_trial(request)
         self.on_change()
 
@@ -188,11 +193,22 @@
         trial_request, kind = (None, Trial.NONE)
         if self.trial is not None:
             trial_request, kind = self.trial.request, self.trial.kind
+        now = monotonic()
         return [
-            RunningRequest(request, kind if request is trial_request else Trial.NONE, sent_at)
+            RunningRequest(
+                request,
+                kind if request is trial_request else Trial.NONE,
+                sent_at,
+                now - self.writing.get(request, now),
+            )
             for request, sent_at in self.running.items()
         ]
 
+    def note_writing(self, request: RequestIdentity) -> None:
+        """Note the first event of the answer to a running request."""
+        if request in self.running:
+            self.writing[request] = monotonic()
+
     def record_success(self) -> None:
         """Count a complete answer to a call of this host."""
         self.results.add(1, 0)
