Resume streams of the only software version after a restart of all hosts

Callers whose streams broke off when all hosts stopped were refused for twice the route's timeout, although the service had had one version only: the records of streams are gone with the hosts, and a host that has just started does not know what was listed before.

The versions of each service are recorded in the key-value service (one key, written at a change): a version is recorded before a caller gets the first event of a stream of it, and dropped two minutes after its last target. A host that has just started goes on if the record, made by an earlier host, and the current list together have one version. A version that left while no host ran is in the record, and one that came meanwhile is in the list, so that such streams are still refused at once. Where the record cannot be written, a stream waits 0.3 s for it at most, once a second and host.

Seven of the eight new tests are about this; the first two fail without the record.

--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -143,6 +143,18 @@
     "INFO",
     "A request, or a part of prompts, is served normally again; see its standing.",
 )
+VERSIONS_NOT_KEPT = _declare(
+    225,
+    "versions_not_kept",
+    "WARNING",
+    "The software versions of the services could not be stored; tried again each second.",
+)
+VERSIONS_UNREADABLE = _declare(
+    226,
+    "versions_unreadable",
+    "ERROR",
+    "The record of the services' software versions cannot be decoded; it is replaced.",
+)
 HELD_NOT_KEPT = _declare(
     220,
     "held_not_kept",
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -79,6 +79,7 @@
 from .target_crashes import CrashDetector
 from .target_loads import TargetLoads
 from .targets import TargetSet
+from .version_history import VERSIONS_KEY, VersionHistory
 
 if TYPE_CHECKING:
     import socket
@@ -224,8 +225,12 @@
             lambda: self.hosts.hosts.values(),
             lambda: {read_host(incarnation) for incarnation in self.heartbeats.heard},
         )
+        self.version_history = VersionHistory(
+            kv, self.own.incarnation, self.targets, lambda: self.watchers.watching
+        )
         self.forwarder.origins = StreamOrigins(
             self.stream_versions,
+            self.version_history,
             self.targets,
             SharedRefresh(lambda: self.watchers.proofs.prove("targets")),
             lambda: self.watchers.proofs.proven_at.get("targets", float("-inf")),
@@ -444,6 +449,8 @@
             lambda job_id: self.worker.drop(job_id, "ended"),
             HELD_PREFIX,
             self.held.apply,
+            VERSIONS_KEY,
+            self.version_history.apply,
         )
         return Watchers(
             self.kv,
@@ -574,6 +581,7 @@
             self.occupancy.forget_silent()
             self.suspicion.forget()
             self.stream_versions.records.forget(monotonic())
+            self.version_history.sweep(monotonic())
             self.quotas.host.forget(monotonic())
             listed = self.hosts.incarnations - {self.own.incarnation}
             lost = self.silence.update(listed, self.heartbeats.heard, monotonic())
@@ -628,6 +636,7 @@
         await self.stall_detector.tasks.stop()
         await self.crash_detector.tasks.stop()
         await self.held.tasks.stop()
+        await self.version_history.tasks.stop()
 
     def abort(self) -> None:
         """Close all listening sockets and their connections at once."""
--- a/gradepoint/gateway/followers.py
+++ b/gradepoint/gateway/followers.py
@@ -137,7 +137,7 @@
 
 
 class LiveFollower(Struct):
-    """Follows live hosts, ended jobs and held requests.
+    """Follows live hosts, ended jobs, held requests and the software versions of services.
 
     They have a common prefix, so that one watch is enough for all of them.
 
@@ -148,6 +148,8 @@
     :param on_job_ended: called with the ID of each ended job.
     :param held_prefix: prefix of the keys of held requests.
     :param on_held: called with each of these keys and its value, None for a deleted one.
+    :param versions_key: key of the record of software versions.
+    :param on_versions: called with this record, None if it is deleted.
     :ivar listed_keys: keys that were listed, to notice in :meth:`reset` which are gone.
     """
 
@@ -158,6 +160,8 @@
     on_job_ended: Callable[[JobId], None]
     held_prefix: str
     on_held: Callable[[str, bytes | None], None]
+    versions_key: str
+    on_versions: Callable[[bytes | None], None]
     listed_keys: set[str] = field(default_factory=set)
 
     def reset(self, found: RangeResult) -> None:
@@ -181,6 +185,10 @@
             self._track_key(key, value)
             self.on_held(key, value)
             return
+        if key == self.versions_key:
+            self._track_key(key, value)
+            self.on_versions(value)
+            return
         table = self._find_table(key)
         if table is None:
             return
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -154,10 +154,11 @@
             found = self.forwarder.targets.find_service(services, self.version)
             self.service = found or self.service
 
-    def _begin_stream(self, version: SoftwareVersion) -> None:
+    async def _begin_stream(self, target: Target) -> None:
         """Note the software version that brings the first event of the stream."""
-        self.version = version
+        self.version = version = target.listed.version
         if self.forwarder.origins is not None:
+            await self.forwarder.origins.history.ensure_recorded(target.listed.service, version)
             remaining_s = self.head.remaining_s
             if remaining_s is not None:
                 remaining_s -= monotonic() - self.arrived_at
@@ -485,7 +486,7 @@
                     while chunk is not None:
                         found = exchange.feed(chunk)
                         if found and self.version is None:
-                            self._begin_stream(exchange.version)
+                            await self._begin_stream(exchange.target)
                             wait_s = self._find_stall_timeout_s()
                         for event in found:
                             yield event.raw
--- a/gradepoint/gateway/stream_origins.py
+++ b/gradepoint/gateway/stream_origins.py
@@ -24,6 +24,7 @@
     from .identity import RequestIdentity
     from .refresh import SharedRefresh
     from .targets import TargetSet
+    from .version_history import VersionHistory
 
 RETRY_AFTER_S = 0.05
 """``Retry-After`` in seconds of a call whose stream has an unknown version. Another host may know
@@ -38,7 +39,8 @@
     """How the version that began a stream was found.
 
     ``RECORD``: from the records of this host or others. ``ONLY_VERSION``: the service has had
-    targets of one version only. ``UNKNOWN``: not at all.
+    targets of one version only, as this host has seen since the stream may have begun, or as the
+    key-value service tells a host that has just started. ``UNKNOWN``: not at all.
     """
 
     RECORD = "record"
@@ -49,11 +51,13 @@
 class StreamOrigins(Struct):
     """Knows which software version began each stream that may be resumed.
 
+    :param history: versions that services have had, by the key-value service.
     :param refresh: reads the list of targets again.
     :param proven_at: returns the monotonic time up to which the list is known to be complete.
     """
 
     versions: StreamVersions
+    history: VersionHistory
     targets: TargetSet
     refresh: SharedRefresh
     proven_at: Callable[[], float]
@@ -122,12 +126,19 @@
         that only other hosts know.
         """
         since = arrived_at - max_age_s
-        if self.targets.find_only_version(services, since) is None:
+        if self._look_up_only_version(services, since) is None:
             return None
         if self.proven_at() < arrived_at:
             await self.refresh.run_since(arrived_at)
         if self.proven_at() < arrived_at:
             return None
+        return self._look_up_only_version(services, since)
+
+    def _look_up_only_version(
+        self, services: list[ServiceName], since: float
+    ) -> SoftwareVersion | None:
+        if self.targets.known_since > since:
+            return self.history.find_only_version(services)
         return self.targets.find_only_version(services, since)
 
 
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -234,6 +234,7 @@
         await gateway.stall_detector.tasks.stop()
         await gateway.crash_detector.tasks.stop()
         await gateway.held.tasks.stop()
+        await gateway.version_history.tasks.stop()
         gateway.abort()
         for job_id in list(gateway.worker.jobs):
             gateway.worker.drop(job_id, "killed")
--- a/tests/test_gateway/test_gateway_software_versions.py
+++ b/tests/test_gateway/test_gateway_software_versions.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import pytest
 
@@ -13,6 +14,7 @@
 from bench.platform.target import TargetFault, TargetStandin, complete_stream
 from gradepoint.gateway.app import Gateway
 from gradepoint.gateway.targets import TargetSet
+from gradepoint.gateway.version_history import VERSIONS_KEY, WRITE_TIMEOUT_S
 from gradepoint.ids import SoftwareVersion, TargetId
 from gradepoint.util.clock import monotonic
 from tests.support.platform import (
@@ -354,3 +356,111 @@
             assert resumed <= begun
 
     run_in_virtual_time(work)
+
+
+async def restart_all(deployment: Deployment, hosts: int, change: Callable[[], None]) -> None:
+    """Kill all gateways at once, change the targets while none runs, and start as many others."""
+    for gateway in list(deployment.gateways):
+        await deployment.kill(gateway)
+    change()
+    for number in range(hosts):
+        await deployment.add_gateway(f"host-{number}")
+
+
+@pytest.mark.parametrize("named", [True, False])
+def test_stream_of_the_only_version_goes_on_after_a_restart_of_all_hosts(named: bool) -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_versions(deployment, "v1", "v1", gateways=3, event_interval_s=EVENT_INTERVAL_S)
+        begun, _ = await begin_stream(deployment, "begun")
+        await restart_all(deployment, 3, lambda: None)
+        for gateway in range(3):
+            headers = {} if named else {"resumes": ""}
+            answer = await take_up(deployment, begun, gateway, **headers)
+            assert (answer.status, answer.broken) == (200, False)
+            first = last_event(begun.body) + 1
+            assert answer.body == complete_stream(answer.request_id, EVENTS, "v1", first=first)
+
+    run_in_virtual_time(work)
+
+
+@pytest.mark.parametrize("change", ["during", "before", "mixed"])
+def test_stream_is_refused_after_a_restart_of_all_hosts_if_there_were_two_versions(
+    change: str,
+) -> None:
+    """The last target of the version that began a stream may leave while no host runs."""
+
+    async def work(deployment: Deployment) -> None:
+        await start_versions(deployment, "v1", gateways=3, event_interval_s=EVENT_INTERVAL_S)
+        successor = TargetStandin(
+            "new", events=EVENTS, version="v2", event_interval_s=EVENT_INTERVAL_S
+        )
+        if change == "mixed":
+            await deployment.add_target(successor)
+            await asyncio.sleep(1.0)
+        begun, _ = await begin_stream(deployment, "begun")
+        if change == "before":
+            await deployment.add_target(successor)
+            deployment.store.delete("servers/t0")
+            await asyncio.sleep(1.0)
+        elif change == "during":
+            await successor.start()
+            deployment.targets.append(successor)
+
+        def replace_targets() -> None:
+            if change == "during":
+                deployment.store.put("servers/new", successor.entry())
+                deployment.store.delete("servers/t0")
+
+        await restart_all(deployment, 3, replace_targets)
+        ran = sum(target.ran.total() for target in deployment.targets)
+        for gateway in range(3):
+            answer = await take_up(deployment, begun, gateway)
+            assert answer.status == 503
+        assert sum(target.ran.total() for target in deployment.targets) == ran
+
+    run_in_virtual_time(work)
+
+
+def test_version_is_recorded_before_the_first_event_of_a_stream() -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_versions(deployment, "v1", gateways=2)
+        history = deployment.gateways[0].version_history
+        history.watching = bool
+        deployment.gateways[1].version_history.watching = bool
+        await deployment.add_target(TargetStandin("new", events=EVENTS, version="v2"))
+        deployment.store.delete("servers/t0")
+        names = deployment.gateways[0].targets.by_name
+        await until(lambda: list(names) == ["new"])
+        assert (await deployment.call("/resume/1")).status == 200
+        value = deployment.store.read(VERSIONS_KEY)
+        assert value is not None and b"model@v2" in value
+
+    run_in_virtual_time(work)
+
+
+def test_stream_begins_although_its_version_cannot_be_recorded() -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_versions(deployment, "v1")
+        await deployment.add_target(TargetStandin("new", events=EVENTS, version="v2"))
+        deployment.gateways[0].version_history.watching = bool
+        await until(lambda: len(deployment.gateways[0].targets.by_id) == 2)
+        deployment.store.delete(VERSIONS_KEY)
+        await until(lambda: deployment.gateways[0].version_history.record is None)
+        deployment.store.fault = StoreFault.BUSY
+        loop = asyncio.get_running_loop()
+        for _ in range(3):
+            started_at = loop.time()
+            assert (await deployment.call("/resume/1")).status == 200
+            assert loop.time() - started_at < 2 * WRITE_TIMEOUT_S
+
+    run_in_virtual_time(work)
+
+
+def test_unreadable_record_of_versions_is_replaced() -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_versions(deployment, "v1")
+        deployment.store.put(VERSIONS_KEY, b"\xff")
+        history = deployment.gateways[0].version_history
+        await until(lambda: history.record is not None and bool(history.record.versions))
+
+    run_in_virtual_time(work)
