Soak: crash targets in bursts while they run long items

Long items were in no soak: items ended in a tenth of a second, so that none was on several crashed targets.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -41,6 +41,9 @@
     crashes: Annotated[
         bool, typer.Option(help="Targets end while they send streams without a length.")
     ] = False,
+    bursts: Annotated[
+        bool, typer.Option(help="Targets crash in bursts while they run long items.")
+    ] = False,
     folder: Annotated[Path, typer.Option(help="Parent folder of the runs' logs.")] = Path(
         "run/soak"
     ),
@@ -61,6 +64,7 @@
             with_versions=versions,
             with_sizes=sizes,
             with_crashes=crashes,
+            with_bursts=bursts,
             organisations=Organisations() if organisations else None,
         )
         violations = asyncio.run(soak.run())
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -23,6 +23,7 @@
 
 from ..platform.store import PlatformStoreStandin, StoreFault
 from ..platform.target import TargetStandin
+from .bursts import SUBMIT_INTERVAL_S, CrashBursts
 from .crashes import TargetCrashes
 from .fleet import DataHostProcess, GatewayProcess, ProgramProcess
 from .harm import HarmfulRequest
@@ -59,6 +60,7 @@
     :param with_sizes: whether sizes of items, texts and values are drawn from the seed.
     :param with_crashes: whether targets send streams without a length or chunks and are killed, or
         drain and end, while they send them.
+    :param with_bursts: whether targets crash in bursts while they run long items.
     :param organisations: organisations whose API keys the callers use; None sends no keys.
     :param suspend: suspends a gateway's host for some seconds; None if hosts cannot be suspended.
     :param make_gateway: creates a gateway, which need not be a separate process.
@@ -85,6 +87,7 @@
     with_versions: bool = False
     with_sizes: bool = False
     with_crashes: bool = False
+    with_bursts: bool = False
     organisations: Organisations | None = None
     suspend: Callable[[GatewayProcess, float], None] | None = None
     make_gateway: Callable[..., GatewayProcess] = GatewayProcess
@@ -100,6 +103,7 @@
     gateway_start_times: list[float] = field(default_factory=list)
     harm: HarmfulRequest | None = None
     crashes: TargetCrashes | None = None
+    bursts: CrashBursts | None = None
     sizes: Sizes | None = None
     version: int = 1
     calm: bool = False
@@ -130,6 +134,8 @@
             ]
             if self.with_crashes:
                 fault_tasks.append(self.tasks.start(self._make_crashes().crash_forever()))
+            if self.with_bursts:
+                fault_tasks.append(self.tasks.start(self._make_bursts().crash_forever()))
             if self.suspend is not None:
                 fault_tasks.append(self.tasks.start(self._suspend_hosts(self.suspend)))
             await asyncio.sleep(self.faults_s)
@@ -214,6 +220,18 @@
         self.crashes = crashes
         return crashes
 
+    def _make_bursts(self) -> CrashBursts:
+        bursts = CrashBursts(
+            self.seed,
+            self.targets,
+            self.proxies[: self.target_count],
+            self._relist_target,
+            lambda name: self.store.delete(f"servers/{name}"),
+            self.tasks,
+        )
+        self.bursts = bursts
+        return bursts
+
     async def _suspend_hosts(self, suspend: Callable[[GatewayProcess, float], None]) -> None:
         """Suspend random hosts, one at a time, for 0.5 to 6 seconds.
 
@@ -394,6 +412,8 @@
                     self.ledger.accepted[job] = len(bodies)
                     self.tasks.start(self._poll_results(job))
                 await asyncio.sleep(self.rng.uniform(0.1, 0.4))
+                if self.with_bursts:
+                    await asyncio.sleep(SUBMIT_INTERVAL_S)
 
     async def _submit(self, http: HttpClient, job: str, bodies: list[bytes]) -> bool:
         body = encode_submission(job, bodies)
@@ -456,7 +476,10 @@
 
     async def _check_jobs(self) -> None:
         """Read the results of every accepted job until all its items are listed."""
-        until = asyncio.get_running_loop().time() + RECOVERY_LIMIT_S
+        limit_s = RECOVERY_LIMIT_S
+        if self.bursts is not None:
+            limit_s = self.bursts.find_listing_limit_s(self.events)
+        until = asyncio.get_running_loop().time() + limit_s
         with closing(HttpClient()) as http:
             if self.sizes is not None:
                 # One after another, the pages of many large results alone take longer than that.
--- a/tests/test_bench/test_bench_soak.py
+++ b/tests/test_bench/test_bench_soak.py
@@ -40,6 +40,9 @@
 CRASH_SEEDS = (2000, 2019, 2022)
 """Seeds of soaks in which targets end while they send streams without a length."""
 
+BURST_SEEDS = (2400, 2401, 2402)
+"""Seeds of soaks in which targets crash in bursts while they run long items."""
+
 SUSPENSION_SEEDS = (701, 702)
 """Seeds of soaks in which hosts are suspended."""
 
@@ -61,6 +64,7 @@
     with_versions: bool = False,
     with_sizes: bool = False,
     with_crashes: bool = False,
+    with_bursts: bool = False,
     gateways: int = 2,
     organisations: Organisations | None = None,
     suspend: Callable[[GatewayProcess, float], None] | None = None,
@@ -81,6 +85,7 @@
             with_versions=with_versions,
             with_sizes=with_sizes,
             with_crashes=with_crashes,
+            with_bursts=with_bursts,
             organisations=organisations,
             suspend=suspend,
             make_gateway=LoopGateway,
@@ -314,6 +319,16 @@
     assert not soak.ledger.violations
 
 
+@pytest.mark.parametrize("seed", BURST_SEEDS)
+def test_short_soak_with_bursts_of_crashes_lists_all_items_soon(
+    seed: int, tmp_path: FilePath, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    soak = run_soak(seed, tmp_path / "soak", monkeypatch, with_bursts=True, gateways=3)
+    assert not soak.ledger.violations
+    assert soak.bursts is not None and soak.bursts.crashes > 5
+    assert soak.ledger.accepted
+
+
 @pytest.mark.parametrize("with_harm", [False, True])
 @pytest.mark.parametrize("seed", SUSPENSION_SEEDS)
 def test_short_soak_with_suspended_hosts_violates_no_guarantee(
