--- a/tests/test_bench/test_bench_soak.py
+++ b/tests/test_bench/test_bench_soak.py
@@ -40,8 +40,11 @@
 CRASH_SEEDS = (2000, 2019, 2022)
 """Seeds of soaks in which targets end while they send streams without a length."""
 
-BURST_SEEDS = (2400, 2401, 2402)
-"""Seeds of soaks in which targets crash in bursts while they run long items."""
+BURST_SEEDS = (2400, 2401, 2406)
+"""Seeds of soaks in which targets crash in bursts while they run long items; two of them once left
+items."""
+BURSTS_S = 14.0
+"""Seconds of their faults: an item has to be on several crashed targets."""
 
 SUSPENSION_SEEDS = (701, 702)
 """Seeds of soaks in which hosts are suspended."""
@@ -66,6 +69,7 @@
     with_crashes: bool = False,
     with_bursts: bool = False,
     gateways: int = 2,
+    faults_s: float = 5.0,
     organisations: Organisations | None = None,
     suspend: Callable[[GatewayProcess, float], None] | None = None,
 ) -> Soak:
@@ -76,7 +80,7 @@
         soak = Soak(
             seed,
             folder,
-            faults_s=5.0,
+            faults_s=faults_s,
             gateways=gateways,
             callers=4,
             with_harm=with_harm,
@@ -323,9 +327,11 @@
 def test_short_soak_with_bursts_of_crashes_lists_all_items_soon(
     seed: int, tmp_path: FilePath, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    soak = run_soak(seed, tmp_path / "soak", monkeypatch, with_bursts=True, gateways=3)
+    soak = run_soak(
+        seed, tmp_path / "soak", monkeypatch, with_bursts=True, gateways=3, faults_s=BURSTS_S
+    )
     assert not soak.ledger.violations
-    assert soak.bursts is not None and soak.bursts.crashes > 5
+    assert soak.bursts is not None and soak.bursts.crashes > 10
     assert soak.ledger.accepted
 
 
