--- a/tests/test_gateway/test_gateway_suspicion.py
+++ b/tests/test_gateway/test_gateway_suspicion.py
@@ -14,7 +14,8 @@
 
 from bench.platform.target import TargetStandin
 from gradepoint.gateway.identity import RequestIdentity
-from gradepoint.ids import TargetNumber
+from gradepoint.ids import SuspectKey, TargetNumber
+from gradepoint.peers.aggregation import STALE_S
 from gradepoint.routing.crash_backoff import RETRY_DELAY_S
 from gradepoint.routing.suspects import Standing, Trial
 from tests.support.crasher import TargetCrasher
@@ -336,3 +337,23 @@
         assert (await pending_call).status == 200
 
     run_in_virtual_time(work)
+
+
+def test_target_reserved_by_a_lost_host_is_used_again() -> None:
+    async def work(deployment: Deployment) -> None:
+        await start_deployment(deployment, 3, 2, work_s=30.0)
+        key = RequestIdentity(HOST, b"\x00", "POST", "/single/plain/x", b"good").key
+        now = asyncio.get_running_loop().time()
+        for gateway in deployment.gateways:
+            for number in range(2):
+                crashes = [(SuspectKey(key), Trial.NONE)]
+                gateway.suspicion.suspects.note_crash(TargetNumber(number), crashes, now)
+        pending_call, _ = await send_good_call(deployment, 1, gateway=2)
+        others = deployment.gateways[:2]
+        await until(lambda: all(gateway.suspicion.find_reserved() for gateway in others))
+        await deployment.kill(deployment.gateways[2])
+        await asyncio.sleep(2 * STALE_S)
+        assert not any(gateway.suspicion.find_reserved() for gateway in others)
+        pending_call.cancel()
+
+    run_in_virtual_time(work)
--- a/tests/test_jobs/test_jobs_faults.py
+++ b/tests/test_jobs/test_jobs_faults.py
@@ -11,6 +11,7 @@
 import msgspec
 import pytest
 
+from bench.platform.target import TargetFault, TargetStandin
 from gradepoint import events
 from gradepoint.errors import KvUnavailable
 from gradepoint.events import Event
@@ -138,3 +139,20 @@
 
     run_in_virtual_time(work)
     assert logged_events and set(logged_events) == {events.TASK_FAILED}
+
+
+def test_item_of_a_silent_target_goes_on_elsewhere() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(targets=0)
+        for name, fault in (("silent", TargetFault.SILENT), ("sound", TargetFault.NONE)):
+            await deployment.add_target(TargetStandin(name, faults=[fault]))
+        await until(lambda: len(deployment.gateways[0].targets.by_id) == 2)
+        assert (await deployment.submit("job", 4)).status == 202
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        rows = await deployment.read_all_results("job")
+        assert {row["state"] for row in rows} == {"complete"}
+        assert deployment.targets[0].seen
+        assert loop.time() - started_at < 10.0
+
+    run_in_virtual_time(work)
