--- a/gradepoint/platform/store.py
+++ b/gradepoint/platform/store.py
@@ -55,6 +55,8 @@
 WATCH_TIMEOUT_MARGIN_S = 1.5
 """Seconds after the end of a watch's wait until the call times out; several times the response
 time of a slow store."""
+MAX_ANSWER_BYTES = 16 << 20
+"""Maximum bytes of one answer; a page has about a megabyte."""
 MAX_IDLE_CONNECTIONS = 6
 """Idle connections kept to the store; a host has two or three calls in flight at once."""
 CONNECT_TIMEOUT_S = 1.0
@@ -140,7 +142,9 @@
         self.origin = split_address(address)
         self.timeout_s = timeout_s
         self.watch_s = min(MAX_WATCH_WAIT_S, history_s * WATCH_WAIT_SHARE_OF_HISTORY)
-        self.http = HttpClient(CONNECT_TIMEOUT_S, TCP_USER_TIMEOUT_MS, MAX_IDLE_CONNECTIONS)
+        self.http = HttpClient(
+            CONNECT_TIMEOUT_S, TCP_USER_TIMEOUT_MS, MAX_IDLE_CONNECTIONS, MAX_ANSWER_BYTES
+        )
         self.limits = limits
         self.counts = CallCounts()
 
--- a/gradepoint/wire/http_client.py
+++ b/gradepoint/wire/http_client.py
@@ -26,7 +26,7 @@
 MAX_IDLE_PER_ORIGIN = 256
 MAX_INCOMPLETE_EVENT_BYTES = 1 << 20
 MAX_BODY_BYTES = 64 << 20
-"""Maximum bytes of a response body, declared or received."""
+"""Maximum bytes of a response body, unless a client has another maximum."""
 MAX_EVENTS_PER_TURN = 32
 """HTTP events of one connection that are handled before other tasks run. A server that sends tiny
 chunks as fast as it can would otherwise keep the event loop to itself."""
@@ -223,8 +223,8 @@
         :raises ResponseBroken: it is.
         """
         mean_bytes = self.body_bytes / self.pieces
-        if self.body_bytes > MAX_BODY_BYTES:
-            reason = f"body longer than {MAX_BODY_BYTES} bytes"
+        if self.body_bytes > self.client.max_body_bytes:
+            reason = f"body longer than {self.client.max_body_bytes} bytes"
         elif self.pieces >= MAX_TINY_CHUNKS and mean_bytes < MIN_MEAN_CHUNK_BYTES:
             reason = f"body in chunks of {mean_bytes:.1f} bytes"
         else:
@@ -264,6 +264,7 @@
     :param tcp_user_timeout_ms: milliseconds that sent data may stay unacknowledged before the
         connection is closed (``TCP_USER_TIMEOUT``); 0 leaves the default of the system.
     :param max_idle_per_origin: idle connections kept for one origin; the oldest is closed first.
+    :param max_body_bytes: maximum bytes of a response body, declared or received.
     :ivar connections_opened: number of connections made so far.
     :ivar idle: idle connections by origin, the most recently used last.
     """
@@ -273,10 +274,12 @@
         connect_timeout_s: float = 1.0,
         tcp_user_timeout_ms: int = 0,
         max_idle_per_origin: int = MAX_IDLE_PER_ORIGIN,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         self.connect_timeout_s = connect_timeout_s
         self.tcp_user_timeout_ms = tcp_user_timeout_ms
         self.max_idle_per_origin = max_idle_per_origin
+        self.max_body_bytes = max_body_bytes
         self.connections_opened = 0
         self.idle: dict[tuple[str, int], list[PooledConnection]] = {}
 
@@ -341,7 +344,7 @@
             raise ResponseBroken("connection closed before the response")
         response = ClientResponse(self, origin, connection, head)
         declared = read_whole_number(response.headers.get("content-length", ""))
-        if declared is not None and declared > MAX_BODY_BYTES and method != "HEAD":
+        if declared is not None and declared > self.max_body_bytes and method != "HEAD":
             connection.close()
             raise ResponseBroken(f"declared length of {declared} bytes")
         return response
