End the run of an item whose task is cancelled before it begins

Such a run had no end: its slot counted as used at the target and the item as running for as long as the host lived. It needs a job that is dropped in the same round of the event loop in which its item starts. The run is ended by a callback of the task then; the test failed before (a slot in use, an item running). Found while listing the states in which work waits. The gauges of waiting items are reset when no job is left.

--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -89,6 +89,7 @@
     :ivar started: monotonic time at which the run started.
     :ivar events_before: events of the item that former runs produced.
     :ivar former_text: text that this run discards, since its target has another software version.
+    :ivar begun: whether its task has run at all; one that is cancelled at once does not.
     :ivar lasting: whether the run has outlasted the time in which an early crash ends it.
     """
 
@@ -99,6 +100,7 @@
     task: asyncio.Task[None] | None = None
     events_before: int = 0
     former_text: PartialText | None = None
+    begun: bool = False
     lasting: bool = False
 
 
@@ -320,6 +322,7 @@
         while True:
             if not self.jobs and not self.jobs_to_reload:
                 self.work_available.clear()
+                self.waiting_items.update((), monotonic())
                 await self.work_available.wait()
             await asyncio.sleep(POLL_INTERVAL_S)
             self._reload_jobs()
@@ -684,6 +687,7 @@
         # counts it until then.
         task = self.tasks.start(self._run_item(running, target, max_failures))
         running.task = task
+        task.add_done_callback(lambda _: self._end_unbegun(running, target))
         job.running[index] = task
         self.running.append(running)
         target.begin()
@@ -701,6 +705,7 @@
     async def _run_item(self, running: RunningItem, target: Target, max_failures: int) -> None:
         job, index = running.job, running.index
         crashed = False
+        running.begun = True
         target.end()
         try:
             partial = job.partial.setdefault(index, PartialText(version=target.listed.version))
@@ -757,14 +762,24 @@
             job.not_before[index] = monotonic() + ITEM_RETRY_S
             raise
         finally:
-            self.running.remove(running)
-            job.running.pop(index, None)
-            job.idle_since[index] = monotonic()
-            keys = job.request_identity(index).suspects
             if crashed:
                 number, now = number_target(target.id), monotonic()
+                keys = job.request_identity(index).suspects
                 self.crash_backoff.note_crash(number, keys, running.started, now)
-            self.crash_backoff.note_end(keys, running.started)
+            self._end_run(running)
+
+    def _end_run(self, running: RunningItem) -> None:
+        job, index = running.job, running.index
+        self.running.remove(running)
+        job.running.pop(index, None)
+        job.idle_since[index] = monotonic()
+        self.crash_backoff.note_end(job.request_identity(index).suspects, running.started)
+
+    def _end_unbegun(self, running: RunningItem, target: Target) -> None:
+        """End a run whose task was cancelled before it began, and which has no other end."""
+        if not running.begun:
+            target.end()
+            self._end_run(running)
 
     async def _has_crashed(self, target: Target) -> bool:
         """Return whether the target of a run that broke off has crashed."""
--- a/tests/test_jobs/test_jobs_faults.py
+++ b/tests/test_jobs/test_jobs_faults.py
@@ -156,3 +156,22 @@
         assert loop.time() - started_at < 10.0
 
     run_in_virtual_time(work)
+
+
+def test_item_whose_task_is_cancelled_before_it_begins_leaves_no_slot_in_use() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(targets=0)
+        assert (await deployment.submit("job", 1)).status == 202
+        worker = deployment.gateways[0].worker
+        await until(lambda: bool(worker.jobs))
+        [job] = worker.jobs.values()
+        await deployment.add_target(TargetStandin("t0"))
+        worker.start_allowance, worker._start_items = 0, lambda: None  # type: ignore[method-assign]
+        await until(lambda: bool(worker.forwarder.targets.by_id))
+        [target] = worker.forwarder.targets.by_id.values()
+        worker._start(job, 0, target, 1)
+        job.stop()
+        await asyncio.sleep(0.1)
+        assert not worker.running and not job.running and target.in_flight == 0
+
+    run_in_virtual_time(work)
