Let no trial of an item outlive its run; simplify the mark of replaced targets

A trial whose run never ends in order would hold back other items with its key. It counts for 0.4 s at most. The record of versions uses the types of its parts, and a new row looks only at its own address.

--- a/gradepoint/gateway/targets.py
+++ b/gradepoint/gateway/targets.py
@@ -311,10 +311,12 @@
         If it is new, other targets at its address have been replaced: two processes cannot listen
         there, and the row of a crashed one stays for some seconds.
         """
-        former = set(self.by_id)
+        is_new = listed.id not in self.by_id
         self.put(listed)
-        if listed.id not in former:
-            self._mark_replaced(former, now, {listed.address})
+        if is_new:
+            for target in self.by_address[listed.address]:
+                if target.id != listed.id:
+                    target.replaced_at = now
 
     def note_other_instance(self, target: Target) -> None:
         """Handle the answer that another incarnation has the address of a target.
@@ -328,16 +330,10 @@
             for other in others:
                 other.replaced_at = None
 
-    def _mark_replaced(
-        self, former: Collection[TargetId], now: float, addresses: Collection[str] | None = None
-    ) -> None:
-        """Mark the *former* targets that have a newer one at their address as replaced.
-
-        :param addresses: the addresses to look at; None for all.
-        """
-        for address in list(self.by_address) if addresses is None else addresses:
-            targets = self.by_address[address]
-            if len(targets) > 1 and any(target.id not in former for target in targets):
+    def _mark_replaced(self, former: Collection[TargetId], now: float) -> None:
+        """Mark the *former* targets that have a newer one at their address as replaced."""
+        for targets in self.by_address.values():
+            if any(target.id not in former for target in targets):
                 for target in targets:
                     if target.id in former:
                         target.replaced_at = now
--- a/gradepoint/gateway/version_history.py
+++ b/gradepoint/gateway/version_history.py
@@ -14,6 +14,7 @@
 
 from .. import events
 from ..errors import KvError
+from ..ids import Incarnation, ServiceName, SoftwareVersion
 from ..kv.service import ABSENT, Expect, Put, Transaction
 from ..peers.presence import LIVE_PREFIX
 from ..telemetry.logs import emit
@@ -24,7 +25,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from ..ids import Incarnation, ServiceName, SoftwareVersion
     from ..kv.service import KeyValueService
     from .targets import TargetSet
 
@@ -39,7 +39,8 @@
 RETRY_S = 1.0
 """Seconds after a failed write in which no stream waits for another one."""
 
-VersionTable = dict["ServiceName", set["SoftwareVersion"]]
+VersionTable = dict[ServiceName, set[SoftwareVersion]]
+"""Software versions by service."""
 
 
 class VersionRecord(msgspec.Struct, frozen=True):
@@ -50,8 +51,8 @@
     :param versions: software versions by service.
     """
 
-    creator: str
-    versions: dict[str, list[str]]
+    creator: Incarnation
+    versions: dict[ServiceName, list[SoftwareVersion]]
 
 
 class VersionHistory(Struct):
@@ -82,11 +83,11 @@
         targets; None if there were several or none, or if the record does not reach back."""
         if self.record is None or self.record.creator == self.own:
             return None
-        versions: set[str] = set()
+        versions: set[SoftwareVersion] = set()
         for service in services:
             versions.update(self.record.versions.get(service, ()))
             versions.update(target.listed.version for target in self.targets.by_service[service])
-        return versions.pop() if len(versions) == 1 else None  # type: ignore[return-value]
+        return versions.pop() if len(versions) == 1 else None
 
     async def ensure_recorded(self, service: ServiceName, version: SoftwareVersion) -> None:
         """Return once a version is recorded, or could not be within :data:`WRITE_TIMEOUT_S`."""
@@ -123,10 +124,10 @@
             return {}
         expired: VersionTable = {}
         for service, versions in self.record.versions.items():
-            former = self.targets.former_versions.get(service, {})  # type: ignore[call-overload]
-            for version in set(versions) - listed.get(service, set()):  # type: ignore[call-overload]
+            former = self.targets.former_versions.get(service, {})
+            for version in set(versions) - listed.get(service, set()):
                 if now - former.get(version, float("-inf")) >= RETENTION_S:
-                    expired.setdefault(service, set()).add(version)  # type: ignore[arg-type]
+                    expired.setdefault(service, set()).add(version)
         return expired
 
     async def _write(self, added: VersionTable, removed: VersionTable) -> None:
@@ -146,7 +147,7 @@
         """
         current = await self.kv.get(VERSIONS_KEY)
         stored = None if current is None else decode_record(current.value)
-        table: dict[str, set[str]] = {}
+        table: VersionTable = {}
         if stored is not None:
             table = {service: set(versions) for service, versions in stored.versions.items()}
         for service, versions in added.items():
--- a/gradepoint/routing/crash_backoff.py
+++ b/gradepoint/routing/crash_backoff.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from ..util.structs import Struct, field
@@ -28,6 +29,8 @@
 EARLY_CRASH_S = 0.2
 """Seconds after the start of an item in which a crash of its target counts. Targets that crash
 because of their work do so when they begin to write the answer."""
+TRIAL_LIFETIME_S = 2 * EARLY_CRASH_S
+"""Seconds after which a trial counts as ended whatever became of its run."""
 RETRY_DELAY_S = 0.7
 """Seconds from a crash until an item with a held key starts. Its run then takes
 :data:`EARLY_CRASH_S` to clear the key, so that all items run within a second of the last crash."""
@@ -51,7 +54,7 @@
         verdict = self.suspects.judge(keys, now)
         if verdict.standing.value < Standing.SUSPECTED.value:
             return True
-        if not self.trials.keys().isdisjoint(verdict.keys):
+        if any(now - self.trials.get(key, -math.inf) < TRIAL_LIFETIME_S for key in verdict.keys):
             return False
         crashed_at = max(self.suspects.records[key].newest_crash_at for key in verdict.keys)
         return verdict.standing is Standing.SUSPECTED or now - crashed_at >= RETRY_DELAY_S
--- a/tests/test_routing/test_routing_crash_backoff.py
+++ b/tests/test_routing/test_routing_crash_backoff.py
@@ -7,7 +7,12 @@
 import pytest
 
 from gradepoint.ids import SuspectKey, TargetNumber
-from gradepoint.routing.crash_backoff import EARLY_CRASH_S, RETRY_DELAY_S, CrashBackoff
+from gradepoint.routing.crash_backoff import (
+    EARLY_CRASH_S,
+    RETRY_DELAY_S,
+    TRIAL_LIFETIME_S,
+    CrashBackoff,
+)
 
 ITEMS = [(SuspectKey(number), SuspectKey(100 + number % 3)) for number in range(8)]
 """Keys of items, each with a part that other items share."""
@@ -57,3 +62,12 @@
     for number in range(9):
         backoff.note_crash(TargetNumber(number), ITEMS[0], 0.0, EARLY_CRASH_S)
     assert backoff.may_start(ITEMS[0], EARLY_CRASH_S)
+
+
+def test_trial_that_never_ends_holds_nothing_back() -> None:
+    backoff = CrashBackoff()
+    for number in range(2):
+        backoff.note_crash(TargetNumber(number), ITEMS[0], 0.0, 0.1)
+    backoff.note_start(ITEMS[0], 1.0)
+    assert not backoff.may_start(ITEMS[3], 1.1)
+    assert backoff.may_start(ITEMS[3], 1.11 + TRIAL_LIFETIME_S)
