Log no waiting items where fewer slots are spare than items wait for them

An item with the reason share is logged only if there are as many spare slots as items that wait for them.

--- a/gradepoint/jobs/waiting_items.py
+++ b/gradepoint/jobs/waiting_items.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -97,20 +98,22 @@
 
     def update(self, waiting: Iterable[WaitingItem], now: float) -> None:
         """Replace the counts, and log the items that wait although targets have room."""
+        items = sorted(waiting, key=lambda item: item.since)
         self.checked_at = now
-        self.counts = {}
-        self.oldest_since = None
-        stuck = []
-        for item in waiting:
-            self.counts[item.reason] = self.counts.get(item.reason, 0) + 1
-            self.oldest_since = min(item.since, self.oldest_since or item.since)
-            if item.spare_slots and now - item.since >= MIN_LOGGED_WAIT_S:
-                stuck.append(item)
-        unlogged = [item for item in stuck if _is_log_due(item, now)]
-        unlogged.sort(key=lambda item: item.since)
+        self.counts = dict(Counter(item.reason for item in items))
+        self.oldest_since = items[0].since if items else None
+        unlogged = [item for item in items if self._is_stuck(item, now) and _is_log_due(item, now)]
         for item in unlogged[:MAX_LINES_PER_CHECK]:
             _log_waiting(item, now)
 
+    def _is_stuck(self, item: WaitingItem, now: float) -> bool:
+        """Whether an item has waited for long although targets have room for it.
+
+        Where more items wait for spare slots than there are, some of them have to wait.
+        """
+        needed = self.counts[WaitReason.SHARE] if item.reason is WaitReason.SHARE else 1
+        return item.spare_slots >= needed and now - item.since >= MIN_LOGGED_WAIT_S
+
     def read_counts(self) -> dict[Labels, float]:
         """Return the number of waiting items by reason, for the metrics page."""
         return {(("reason", reason.value),): self.counts.get(reason, 0) for reason in WaitReason}
--- a/tests/test_jobs/test_jobs_waiting_items.py
+++ b/tests/test_jobs/test_jobs_waiting_items.py
@@ -75,3 +75,13 @@
     assert waiting.read_oldest_s(11.0) == {(): 6.0}
     waiting.update([], 12.0)
     assert waiting.read_oldest_s(13.0) == {(): 0.0}
+
+
+def test_items_that_wait_for_too_few_spare_slots_are_not_logged(
+    lines: list[dict[str, Any]],
+) -> None:
+    job, waiting = make_job(4), WaitingItems()
+    for spare_slots in (3, 4):
+        rows = [WaitingItem(job, n, WaitReason.SHARE, 0.0, spare_slots) for n in range(4)]
+        waiting.update(rows, 10.0)
+        assert len(lines) == (4 if spare_slots == 4 else 0)
