Allow events of up to 1 MB, and items of any length that state their tokens

A text has no limit of its own. An event may have 1 MB, twice what a body without a length may have; the bytes of an item's answer are bounded only if the item does not state how many tokens, and so events, it may have.

--- a/gradepoint/gateway/event_stream.py
+++ b/gradepoint/gateway/event_stream.py
@@ -8,7 +8,7 @@
 
 MAX_COUNTED_REST_BYTES = 65_536
 """Bytes of an incomplete event that are kept if events are only counted."""
-MAX_EVENT_BYTES = 512 << 10
+MAX_EVENT_BYTES = 1 << 20
 """Maximum bytes of an event, and of comments and blank lines in a row. A target that sends more
 does not send the answer to a call."""
 MAX_EMPTY_EVENTS = 1000
--- a/gradepoint/jobs/item_run.py
+++ b/gradepoint/jobs/item_run.py
@@ -23,8 +23,9 @@
 EVENT_TIMEOUT_S = 1.5
 """Seconds without an event after which an item is resumed at another target. This is far above the
 pause of a preempted request and far below the time in which a job is due."""
-MAX_ANSWER_BYTES = 8 << 20
-"""Maximum bytes of one answer to an item; the texts of running items are held in memory."""
+MAX_ANSWER_BYTES = 32 << 20
+"""Maximum bytes of one answer to an item that states no number of tokens; the texts of running
+items are held in memory."""
 HTTP_UNPROCESSABLE = 422
 
 
@@ -112,7 +113,7 @@
             break
         for event in exchange.feed(chunk):
             _append(partial, event.number, event.data)
-        if exchange.response.body_bytes > MAX_ANSWER_BYTES:
+        if exchange.max_events is None and exchange.response.body_bytes > MAX_ANSWER_BYTES:
             raise exchange.leave(f"more than {MAX_ANSWER_BYTES} bytes")
     await forwarder.check_end(exchange)
 
