Log and count how programs end

Callers saw programs that did not start or ended by themselves, and no log told why: an exception wrote only a traceback on the standard error, a kill nothing, and neither the peak of memory nor the number of starts was counted. The three hypotheses of the incident could not be told apart.

A program now ends with program_ended (signal, peak of memory) or program_failed (error, place, peak of memory), and with the error as the last line on its standard error, also where a library cannot be imported. A data host keeps a marker in its data folder and reports a killed former run in its first line; a gateway, which has no disk, reports a former run that is still listed. Metrics: gradepoint_program_starts, gradepoint_peak_memory_bytes.

No decision changes. The three programs' loops from start to stop are one function now.

--- a/gradepoint/cmd/data_host.py
+++ b/gradepoint/cmd/data_host.py
@@ -6,14 +6,12 @@
 import signal
 from typing import TYPE_CHECKING
 
-from .. import events
 from ..kv.limits import KvLimits
 from ..platform import store
 from ..spool.app import DataHost
 from ..spool.settings import DataHostSettings, load_data_host_settings
 from ..telemetry import logs
-from ..util.loop import run_coroutine
-from .runner import require_settings, run_command, stop_event
+from .runner import require_settings, run_command, run_logged, run_until_stopped
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -23,30 +21,24 @@
     """Keep jobs for this host's failure domain."""
     checked = require_settings(load_data_host_settings(settings))
     logs.configure("data-host", checked.host, checked.log_level, checked.log_style)
-    run_coroutine(serve(checked))
+    run_logged(serve(checked))
 
 
 async def serve(settings: DataHostSettings) -> None:
-    """Run the data host until a stop signal arrives."""
-    stop_requested = stop_event()
+    """Run the data host until a stop signal arrives; SIGHUP has no effect."""
     kv = store.PlatformStore(
         settings.store_address,
         settings.store_timeout_s,
         settings.store_history_s,
         KvLimits(settings.store_value_bytes),
     )
-    data_host = DataHost(settings, kv)
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, lambda: None)
-    await data_host.start()
-    logs.emit(events.PROGRAM_STARTED, address=settings.address)
-    await stop_requested.wait()
-    logs.emit(events.PROGRAM_STOPPING)
-    await data_host.stop()
+    await run_until_stopped(DataHost(settings, kv), settings.address)
 
 
 def run() -> None:
     """Run the console entry point."""
-    run_command(main)
+    run_command("data-host", main)
 
 
 if __name__ == "__main__":
--- a/gradepoint/cmd/gateway.py
+++ b/gradepoint/cmd/gateway.py
@@ -14,6 +14,8 @@
 import sys
 from typing import TYPE_CHECKING
 
+from .process_end import report_end
+
 if TYPE_CHECKING:
     from pathlib import Path
 
@@ -60,15 +62,16 @@
     listener = open_callers_port(sys.argv[1:])
     # Nothing that the imports create is garbage; looking for it takes 7 ms of processor time.
     gc.disable()
-    import_asyncio_without_ssl()
-    from .gateway_program import run_gateway
-    from .runner import run_command
+    with report_end("gateway"):
+        import_asyncio_without_ssl()
+        from .gateway_program import run_gateway
+        from .runner import run_command
 
     def main(settings: Path) -> None:
         """Serve callers and batch clients for this host."""
         run_gateway(settings, listener)
 
-    run_command(main)
+    run_command("gateway", main)
 
 
 if __name__ == "__main__":
--- a/gradepoint/cmd/gateway_program.py
+++ b/gradepoint/cmd/gateway_program.py
@@ -7,16 +7,14 @@
 import signal
 from typing import TYPE_CHECKING
 
-from .. import events
 from ..gateway.app import Gateway
 from ..gateway.parts import PlatformAdapter
 from ..gateway.settings import GatewaySettings, load_gateway_settings
 from ..kv.limits import KvLimits
 from ..platform import configuration, headers, jobs, retirement, store, targets
 from ..telemetry import logs
-from ..util.loop import run_coroutine
 from ..wire.addresses import split_address
-from .runner import require_settings, stop_event
+from .runner import require_settings, run_logged, run_until_stopped
 
 if TYPE_CHECKING:
     import socket
@@ -46,7 +44,7 @@
     """
     checked = require_settings(load_gateway_settings(settings))
     logs.configure("gateway", checked.host, checked.log_level, checked.log_style)
-    run_coroutine(serve(checked, keep_if_current(listener, checked.callers_address)))
+    run_logged(serve(checked, keep_if_current(listener, checked.callers_address)))
 
 
 def keep_if_current(listener: socket.socket | None, address: str) -> socket.socket | None:
@@ -64,21 +62,21 @@
 
 async def serve(settings: GatewaySettings, listener: socket.socket | None) -> None:
     """Run the gateway until a stop signal arrives; SIGHUP reloads its settings."""
-    stop_requested = stop_event()
     kv = store.PlatformStore(
         settings.store_address,
         settings.store_timeout_s,
         settings.store_history_s,
         KvLimits(settings.store_value_bytes),
     )
-    gateway = Gateway(settings, kv, PLATFORM)
+    gateway = Gateway(settings, kv, PLATFORM, listener)
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, gateway.reload)
-    await gateway.start(listener)
-    # What the imports and the constructors created lives as long as the process, so later
-    # collections need not visit it.
+    await run_until_stopped(gateway, settings.callers_address, keep_start_objects)
+
+
+def keep_start_objects() -> None:
+    """Turn the garbage collection on, which leaves out what the start has created.
+
+    The objects of the imports and constructors live as long as the process.
+    """
     gc.freeze()
     gc.enable()
-    logs.emit(events.PROGRAM_STARTED, address=settings.callers_address)
-    await stop_requested.wait()
-    logs.emit(events.PROGRAM_STOPPING)
-    await gateway.stop()
--- /dev/null
+++ b/gradepoint/cmd/process_end.py
@@ -0,0 +1,40 @@
+"""The last words of a process.
+
+This module imports nothing but the standard library, so that it also reports libraries that cannot
+be imported.
+"""
+
+from __future__ import annotations
+
+import sys
+import traceback
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+EXIT_FAILURE = 1
+"""Exit code after an unexpected error."""
+
+
+@contextmanager
+def report_end(program: str) -> Iterator[None]:
+    """End the process with a last line that names the error, if one escapes from the block.
+
+    :param program: name of the program in that line.
+    """
+    try:
+        yield
+    except Exception as error:
+        traceback.print_exc()
+        print_last_line(program, repr(error))
+        sys.exit(EXIT_FAILURE)
+
+
+def print_last_line(program: str, reason: str) -> None:
+    """Write to the standard error why the program ends; it may be closed or full."""
+    try:
+        print(f"gradepoint-{program} ends: {reason}", file=sys.stderr, flush=True)
+    except (OSError, ValueError, AttributeError):
+        pass
--- a/gradepoint/cmd/runner.py
+++ b/gradepoint/cmd/runner.py
@@ -13,10 +13,15 @@
 from .. import events
 from ..settings import load_settings
 from ..telemetry import logs, metrics
-from ..util.loop import run_coroutine as run_in_loop
+from ..util.loop import run_coroutine
+from ..util.memory import read_peak_memory_bytes
+from ..util.tasks import locate_error
+from .process_end import report_end
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
+    from signal import Signals
+    from typing import Any
 
     from ..settings import Settings
 
@@ -24,27 +29,31 @@
 
 EXIT_SETTINGS = 2
 """Exit code for wrong usage or invalid settings."""
+MEGABYTE = 1_000_000
 
 
 class App(Protocol):
     """Interface of a program for :func:`run_program`."""
 
     async def start(self) -> None:
-        """Start serving; return when the program is ready."""
+        """Start serving."""
 
     async def stop(self) -> None:
         """Finish work in progress and stop."""
 
 
-def run_command(main: Callable[[Path], None]) -> None:
+def run_command(program: str, main: Callable[[Path], None]) -> None:
     """Call *main* with the settings file given on the command line.
 
     typer is imported only if the arguments are not exactly ``--settings FILE``. Its import takes
     0.04 s (``python -X importtime``), which would delay the first call after a crash.
+
+    :param program: name of the program in its last line, if it ends with an error.
     """
     arguments = sys.argv[1:]
     if len(arguments) == 2 and arguments[0] == "--settings":
-        main(Path(arguments[1]))
+        with report_end(program):
+            main(Path(arguments[1]))
         return
     from .settings_command import run_settings_command
 
@@ -60,7 +69,7 @@
     settings = require_settings(load_settings(settings_path))
     logs.configure(name, settings.host, settings.log_level, settings.log_style)
     metrics.shared().connect()
-    run_in_loop(_serve(name, settings, create))
+    run_logged(run_until_stopped(create(settings), settings.address))
 
 
 def require_settings(loaded: Result[T, list[str]]) -> T:
@@ -72,20 +81,65 @@
     return loaded.ok_value
 
 
-async def _serve(name: str, settings: Settings, create: Callable[[Settings], App]) -> None:
+def run_logged(work: Coroutine[Any, Any, None]) -> None:
+    """Run a program's coroutine to its end, and log an error that ends it."""
+    try:
+        run_coroutine(work)
+    except Exception as error:
+        logs.emit(
+            events.PROGRAM_FAILED,
+            reason=repr(error),
+            where=locate_error(error),
+            peak_memory_mb=read_peak_memory_mb(),
+        )
+        raise
+
+
+async def run_until_stopped(
+    app: App, address: str, on_started: Callable[[], None] = lambda: None
+) -> None:
+    """Start a program and stop it after SIGTERM or SIGINT.
+
+    :param address: the address that it serves at, for the log.
+    :param on_started: called once the program has started.
+    """
     stop_requested = stop_event()
-    app = create(settings)
     await app.start()
-    logs.emit(events.PROGRAM_STARTED, address=settings.address)
+    on_started()
+    logs.emit(events.PROGRAM_STARTED, address=address)
     await stop_requested.wait()
-    logs.emit(events.PROGRAM_STOPPING)
+    logs.emit(events.PROGRAM_STOPPING, signal=stop_requested.signal)
     await app.stop()
+    logs.emit(
+        events.PROGRAM_ENDED,
+        signal=stop_requested.signal,
+        peak_memory_mb=read_peak_memory_mb(),
+    )
+
 
+class StopEvent(asyncio.Event):
+    """Event that a stop signal sets.
 
-def stop_event() -> asyncio.Event:
+    :ivar signal: name of the signal; empty before it.
+    """
+
+    signal = ""
+
+    def request(self, number: Signals) -> None:
+        """Set the event because of a signal."""
+        self.signal = number.name
+        self.set()
+
+
+def stop_event() -> StopEvent:
     """Return an event that is set by SIGTERM and SIGINT."""
-    stop_requested = asyncio.Event()
+    stop_requested = StopEvent()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop_requested.set)
+        loop.add_signal_handler(number, stop_requested.request, number)
     return stop_requested
+
+
+def read_peak_memory_mb() -> float:
+    """Return the most resident memory that this process has had, in megabytes."""
+    return round(read_peak_memory_bytes() / MEGABYTE, 1)
--- a/gradepoint/cmd/store.py
+++ b/gradepoint/cmd/store.py
@@ -18,4 +18,4 @@
 
 def run() -> None:
     """Run the console entry point."""
-    run_command(main)
+    run_command("store", main)
--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -80,6 +80,30 @@
 HOST_RELIEVED = _declare(
     111, "host_relieved", "INFO", "The event loop keeps up again; all connections are accepted."
 )
+PROGRAM_ENDED = _declare(
+    112, "program_ended", "INFO", "A program has stopped after the named signal; its last line."
+)
+PROGRAM_FAILED = _declare(
+    113, "program_failed", "ERROR", "A program ends because of an unexpected error; report it."
+)
+FORMER_RUN_KILLED = _declare(
+    114,
+    "former_run_killed",
+    "WARNING",
+    "The former run of this program ended without a stop; look for its last lines.",
+)
+FORMER_RUN_LISTED = _declare(
+    115,
+    "former_run_listed",
+    "WARNING",
+    "The former run of this program is still listed: it ended without a stop, or still runs.",
+)
+RUN_MARKER_FAILED = _declare(
+    116,
+    "run_marker_failed",
+    "WARNING",
+    "The file that tells how a run ended cannot be read or written; the program goes on.",
+)
 CALL_REFUSED = _declare(201, "call_refused", "INFO", "A call was refused; see the code.")
 CALLER_REFUSED = _declare(
     223,
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -50,6 +50,7 @@
 from ..telemetry.logs import emit, report_dropped_lines
 from ..util.clock import monotonic
 from ..util.rng import new_rng
+from ..util.run_marker import FormerRun
 from ..util.tasks import TaskGroup
 from ..wire.addresses import split_address
 from ..wire.http_client import HttpClient
@@ -123,12 +124,19 @@
     """All components of one gateway host.
 
     The constructor wires them up; lambdas refer to components that are created later.
+
+    :param listener: the open port for callers; None opens it at the start.
     """
 
     def __init__(
-        self, settings: GatewaySettings, store: LongPollService, platform: PlatformAdapter
+        self,
+        settings: GatewaySettings,
+        store: LongPollService,
+        platform: PlatformAdapter,
+        listener: socket.socket | None = None,
     ) -> None:
         self.settings = settings
+        self.listener = listener
         self.socket = DatagramSocket(self.take_message)
         self.heartbeats = Heartbeats(
             self.socket,
@@ -353,16 +361,14 @@
         self.peer_server = HttpServer(self.answer_peer)
         self.metrics_server = HttpServer(self.answer_metrics)
 
-    async def start(self, listener: socket.socket | None = None) -> None:
-        """Open all sockets and start the background loops.
-
-        :param listener: the open port for callers; None opens it.
-        """
+    async def start(self) -> None:
+        """Open all sockets and start the background loops."""
         settings = self.settings
+        metrics.shared().starts.add(1, {"former_run": FormerRun.UNKNOWN.value})
         self.calls.started_at = self.stall_detector.last_check_at = monotonic()
         await self.peer_server.start(settings.address, settings.peer_port)
         await self.socket.start(settings.address, settings.peer_port)
-        await self.callers.start(*split_address(settings.callers_address), listener)
+        await self.callers.start(*split_address(settings.callers_address), self.listener)
         await self.readiness.start(*split_address(settings.ready_address))
         await self.metrics_server.start(settings.address, settings.metrics_port)
         self.start_loops()
@@ -442,6 +448,7 @@
             self.retirement.answer,
         )
         live = LiveFollower(
+            self.own.incarnation,
             self.hosts,
             self.data_hosts,
             END_PREFIX,
--- a/gradepoint/gateway/followers.py
+++ b/gradepoint/gateway/followers.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from .. import events
+from ..peers.presence import read_host
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.structs import Struct, field
@@ -141,6 +142,7 @@
 
     They have a common prefix, so that one watch is enough for all of them.
 
+    :param own: the incarnation of this host.
     :param hosts: live gateways.
     :param data_hosts: live data hosts, which store jobs while the service is unavailable.
     :param end_prefix: prefix of the keys of ended jobs.
@@ -151,8 +153,10 @@
     :param versions_key: key of the record of software versions.
     :param on_versions: called with this record, None if it is deleted.
     :ivar listed_keys: keys that were listed, to notice in :meth:`reset` which are gone.
+    :ivar was_read: whether the keys have been read at least once.
     """
 
+    own: Incarnation
     hosts: HostTable
     data_hosts: HostTable
     end_prefix: str
@@ -163,6 +167,7 @@
     versions_key: str
     on_versions: Callable[[bytes | None], None]
     listed_keys: set[str] = field(default_factory=set)
+    was_read: bool = False
 
     def reset(self, found: RangeResult) -> None:
         """See :meth:`Follower.reset`."""
@@ -171,11 +176,20 @@
             self._apply(key, None)
         for key, value in listed.items():
             self._apply(key, value)
+        if not self.was_read:
+            self.was_read = True
+            self._report_former_run()
 
     def change(self, event: WatchEvent) -> None:
         """See :meth:`Follower.change`."""
         self._apply(event.key, event.value)
 
+    def _report_former_run(self) -> None:
+        """Log if the list names a former incarnation of this host; a planned stop removes it."""
+        row = self.hosts.hosts.get(read_host(self.own))
+        if row is not None and row.incarnation != self.own:
+            emit(events.FORMER_RUN_LISTED, incarnation=row.incarnation)
+
     def _apply(self, key: str, value: bytes | None) -> None:
         if key.startswith(self.end_prefix):
             if value is not None:
--- a/gradepoint/spool/app.py
+++ b/gradepoint/spool/app.py
@@ -10,7 +10,8 @@
 from ..jobs.repository import JobRepository
 from ..peers.presence import DATA_HOST_PREFIX, HostPresence, Presence, make_incarnation
 from ..telemetry import metrics
-from ..telemetry.logs import report_dropped_lines
+from ..telemetry.logs import emit, report_dropped_lines
+from ..util.run_marker import FormerRun, RunMarker
 from ..util.tasks import TaskGroup
 from ..wire.http_client import HttpClient
 from ..wire.http_server import HttpServer
@@ -26,6 +27,8 @@
 CONNECT_TIMEOUT_S = 0.25
 """Seconds until a connection attempt to a host fails: many times the network delay between failure
 domains."""
+RUN_MARKER_FILE = "run"
+"""File in the data folder that tells how the former run ended."""
 
 
 class DataHost:
@@ -53,10 +56,12 @@
         self.server = HttpServer(self.spool.handle)
         self.metrics_server = HttpServer(self.answer_metrics)
         self.tasks = TaskGroup()
+        self.marker = RunMarker(Path(settings.data_folder) / RUN_MARKER_FILE)
 
     async def start(self) -> None:
         """Load the jobs on the disk, listen, and announce this host to other hosts."""
         settings = self.settings
+        self.report_former_run()
         self.spool.load()
         await self.server.start(settings.address, settings.peer_port)
         await self.metrics_server.start(settings.address, settings.metrics_port)
@@ -64,6 +69,17 @@
         self.tasks.start_loop("presence", self.presence.run)
         self.tasks.start_loop("spool", self.spool.run)
 
+    def report_former_run(self) -> None:
+        """Count this start, and log if the former run did not stop in order."""
+        former = FormerRun.UNKNOWN
+        try:
+            former = self.marker.begin()
+        except OSError as error:
+            emit(events.RUN_MARKER_FAILED, reason=repr(error))
+        metrics.shared().starts.add(1, {"former_run": former.value})
+        if former is FormerRun.KILLED:
+            emit(events.FORMER_RUN_KILLED)
+
     async def answer_metrics(self, _request: Request) -> Response:
         """Answer with this process's counters and histograms."""
         return Response(200, {"content-type": "text/plain; version=0.0.4"}, await metrics.render())
@@ -73,6 +89,10 @@
         await self.tasks.stop()
         await self.presence.withdraw()
         self.abort()
+        try:
+            self.marker.end()
+        except OSError as error:
+            emit(events.RUN_MARKER_FAILED, reason=repr(error))
 
     def abort(self) -> None:
         """Close all sockets at once."""
--- a/gradepoint/telemetry/metrics.py
+++ b/gradepoint/telemetry/metrics.py
@@ -12,6 +12,7 @@
 import importlib
 from typing import TYPE_CHECKING, Any
 
+from ..util.memory import read_peak_memory_bytes
 from ..util.structs import Struct, field
 
 if TYPE_CHECKING:
@@ -127,6 +128,12 @@
     """
 
     def __init__(self) -> None:
+        self.starts = BufferedCounter(
+            "gradepoint_program_starts", "Starts of the program, by how its former run ended"
+        )
+        self.peak_memory = CallbackGauge(
+            "gradepoint_peak_memory", "By", lambda: {(): read_peak_memory_bytes()}
+        )
         self.calls = BufferedCounter("gradepoint_calls", "Answers by outcome")
         self.answer_ends = BufferedCounter(
             "gradepoint_answer_ends", "Answers of targets by framing and end"
--- a/gradepoint/util/tasks.py
+++ b/gradepoint/util/tasks.py
@@ -62,7 +62,7 @@
         error = None if task.cancelled() else task.exception()
         if error is not None:
             name = getattr(task.get_coro(), "__qualname__", "")
-            emit(events.TASK_FAILED, task=name, reason=repr(error), where=_locate_error(error))
+            emit(events.TASK_FAILED, task=name, reason=repr(error), where=locate_error(error))
 
     async def stop(self) -> None:
         """Cancel every task and wait for all of them."""
@@ -78,11 +78,11 @@
             await make_work()
             return
         except Exception as error:
-            emit(events.LOOP_FAILED, task=name, reason=repr(error), where=_locate_error(error))
+            emit(events.LOOP_FAILED, task=name, reason=repr(error), where=locate_error(error))
         await asyncio.sleep(RESTART_DELAY_S)
 
 
-def _locate_error(error: BaseException) -> str:
+def locate_error(error: BaseException) -> str:
     """Return ``FILE:LINE`` of the place that raised an error; empty without a traceback."""
     frames = traceback.extract_tb(error.__traceback__)
     return f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
