Ignore SIGHUP, SIGUSR1 and SIGUSR2 before the imports of each program

Callers saw a data host end within its first 0.2 s: SIGHUP tells that the settings have changed, and its default action ends the process until the handler stands. SIGUSR1 and SIGUSR2 ended all of them at any time.

Each program's module now does its first steps before it imports anything else.

--- a/gradepoint/cmd/data_host.py
+++ b/gradepoint/cmd/data_host.py
@@ -2,43 +2,17 @@
 
 from __future__ import annotations
 
-import asyncio
-import signal
-from typing import TYPE_CHECKING
-
-from ..kv.limits import KvLimits
-from ..platform import store
-from ..spool.app import DataHost
-from ..spool.settings import DataHostSettings, load_data_host_settings
-from ..telemetry import logs
-from .runner import require_settings, run_command, run_logged, run_until_stopped
-
-if TYPE_CHECKING:
-    from pathlib import Path
-
-
-def main(settings: Path) -> None:
-    """Keep jobs for this host's failure domain."""
-    checked = require_settings(load_data_host_settings(settings))
-    logs.configure("data-host", checked.host, checked.log_level, checked.log_style)
-    run_logged(serve(checked))
-
-
-async def serve(settings: DataHostSettings) -> None:
-    """Run the data host until a stop signal arrives; SIGHUP has no effect."""
-    kv = store.PlatformStore(
-        settings.store_address,
-        settings.store_timeout_s,
-        settings.store_history_s,
-        KvLimits(settings.store_value_bytes),
-    )
-    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, lambda: None)
-    await run_until_stopped(DataHost(settings, kv), settings.address)
+from .process import prepare_process, report_end
 
 
 def run() -> None:
     """Run the console entry point."""
-    run_command("data-host", main)
+    prepare_process()
+    with report_end("data-host"):
+        from .data_host_program import run_data_host
+        from .runner import run_command
+
+    run_command("data-host", run_data_host)
 
 
 if __name__ == "__main__":
--- a/gradepoint/cmd/gateway.py
+++ b/gradepoint/cmd/gateway.py
@@ -9,12 +9,11 @@
 
 import gc
 import json
-import signal
 import socket
 import sys
 from typing import TYPE_CHECKING
 
-from .process_end import report_end
+from .process import prepare_process, report_end
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -57,8 +56,7 @@
 
 def run() -> None:
     """Run the console entry point."""
-    # The default action would end the process; the settings are read after the imports anyway.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    prepare_process()
     listener = open_callers_port(sys.argv[1:])
     # Nothing that the imports create is garbage; looking for it takes 7 ms of processor time.
     gc.disable()
--- a/gradepoint/cmd/process_end.py
+++ b/gradepoint/cmd/process.py
@@ -1,11 +1,12 @@
-"""The last words of a process.
+"""The first and last steps of a process.
 
-This module imports nothing but the standard library, so that it also reports libraries that cannot
-be imported.
+This module imports little, and nothing but the standard library: it runs before the imports of the
+program and also reports libraries that cannot be imported.
 """
 
 from __future__ import annotations
 
+import signal
 import sys
 import traceback
 from contextlib import contextmanager
@@ -17,6 +18,16 @@
 EXIT_FAILURE = 1
 """Exit code after an unexpected error."""
 
+IGNORED_SIGNALS = (signal.SIGHUP, signal.SIGUSR1, signal.SIGUSR2)
+"""Signals that would end the process by default. Supervisors and log rotation send them to all
+programs, also to one that has no handler for them yet."""
+
+
+def prepare_process() -> None:
+    """Make the process safe for the start of a program; called before the program's imports."""
+    for number in IGNORED_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
+
 
 @contextmanager
 def report_end(program: str) -> Iterator[None]:
--- a/gradepoint/cmd/runner.py
+++ b/gradepoint/cmd/runner.py
@@ -16,7 +16,7 @@
 from ..util.loop import run_coroutine
 from ..util.memory import read_peak_memory_bytes
 from ..util.tasks import locate_error
-from .process_end import report_end
+from .process import report_end
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
