Open closed standard descriptors on the null device

A program started without standard descriptors ended with 1 and no word anywhere: the first sockets got the numbers 0 to 2, and the log made the standard output, then a socket or closed, non-blocking and wrote into it.

The first step of a process opens the missing ones on the null device. test_program_without_standard_descriptors_serves fails before, for both programs.

--- a/gradepoint/cmd/process.py
+++ b/gradepoint/cmd/process.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import sys
 import traceback
@@ -21,12 +22,27 @@
 IGNORED_SIGNALS = (signal.SIGHUP, signal.SIGUSR1, signal.SIGUSR2)
 """Signals that would end the process by default. Supervisors and log rotation send them to all
 programs, also to one that has no handler for them yet."""
+STANDARD_DESCRIPTORS = 3
 
 
 def prepare_process() -> None:
     """Make the process safe for the start of a program; called before the program's imports."""
     for number in IGNORED_SIGNALS:
         signal.signal(number, signal.SIG_IGN)
+    open_standard_descriptors()
+
+
+def open_standard_descriptors() -> None:
+    """Open closed standard descriptors on the null device.
+
+    Otherwise sockets would get their numbers, and log lines would be written into them.
+    """
+    while True:
+        descriptor = os.open(os.devnull, os.O_RDWR)
+        if descriptor >= STANDARD_DESCRIPTORS:
+            os.close(descriptor)
+            return
+        os.set_inheritable(descriptor, True)
 
 
 @contextmanager
