Name settings of a wrong form, and wait for a file that is not written yet

Callers saw programs that did not start: where the settings file was missing, empty or cut at the moment of the start, since it is written again just then, the program ended with 2; where an address, a port or the log level could not be used, it ended with 1 and a traceback from wherever the value was used first, without the name of the setting.

Missing and incomplete files are waited for, with a line at once and each ten seconds. Complete ones with wrong values still end the program with 2: they are wrong for good. Addresses, ports and the log level have a form in the tables now, which is checked before anything else. An unknown setting stays an error: it is a mistyped one that would else silently have its default.

Changed inputs of two tests: test_zero_tolerated_losses_is_a_valid_setting and test_invalid_settings_are_all_printed_although_the_port_was_opened gave 'x' and '' as addresses, which are problems of their own now; what they state is unchanged.

--- a/gradepoint/cmd/data_host_program.py
+++ b/gradepoint/cmd/data_host_program.py
@@ -9,7 +9,7 @@
 from ..kv.limits import KvLimits
 from ..platform import store
 from ..spool.app import DataHost
-from ..spool.settings import DataHostSettings, load_data_host_settings
+from ..spool.settings import DataHostSettings, check_data_host_settings
 from ..telemetry import logs
 from .runner import require_settings, run_logged, run_until_stopped
 
@@ -19,7 +19,7 @@
 
 def run_data_host(settings: Path) -> None:
     """Keep jobs for this host's failure domain."""
-    checked = require_settings(load_data_host_settings(settings))
+    checked = require_settings("data-host", settings, check_data_host_settings)
     logs.configure("data-host", checked.host, checked.log_level, checked.log_style)
     run_logged(serve(checked))
 
--- a/gradepoint/cmd/gateway_program.py
+++ b/gradepoint/cmd/gateway_program.py
@@ -9,7 +9,7 @@
 
 from ..gateway.app import Gateway
 from ..gateway.parts import PlatformAdapter
-from ..gateway.settings import GatewaySettings, load_gateway_settings
+from ..gateway.settings import GatewaySettings, check_gateway_settings
 from ..kv.limits import KvLimits
 from ..platform import configuration, headers, jobs, retirement, store, targets
 from ..telemetry import logs
@@ -42,7 +42,7 @@
 
     :param listener: the open port for callers, or None if it is not open yet.
     """
-    checked = require_settings(load_gateway_settings(settings))
+    checked = require_settings("gateway", settings, check_gateway_settings)
     logs.configure("gateway", checked.host, checked.log_level, checked.log_style)
     run_logged(serve(checked, keep_if_current(listener, checked.callers_address)))
 
--- a/gradepoint/cmd/process.py
+++ b/gradepoint/cmd/process.py
@@ -55,13 +55,13 @@
         yield
     except Exception as error:
         traceback.print_exc()
-        print_last_line(program, repr(error))
+        print_error(f"gradepoint-{program} ends: {error!r}")
         sys.exit(EXIT_FAILURE)
 
 
-def print_last_line(program: str, reason: str) -> None:
-    """Write to the standard error why the program ends; it may be closed or full."""
+def print_error(line: str) -> None:
+    """Write a line to the standard error, which may be closed or full."""
     try:
-        print(f"gradepoint-{program} ends: {reason}", file=sys.stderr, flush=True)
-    except (OSError, ValueError, AttributeError):
+        print(line, file=sys.stderr, flush=True)
+    except (OSError, ValueError):
         pass
--- a/gradepoint/cmd/runner.py
+++ b/gradepoint/cmd/runner.py
@@ -5,18 +5,20 @@
 import asyncio
 import signal
 import sys
+import time
 from pathlib import Path
 from typing import TYPE_CHECKING, Protocol, TypeVar
 
 from result import Err, Result
 
 from .. import events
-from ..settings import load_settings
+from ..settings import check_read, check_settings, read_settings
 from ..telemetry import logs, metrics
+from ..util.clock import monotonic
 from ..util.loop import run_coroutine
 from ..util.memory import read_peak_memory_bytes
 from ..util.tasks import locate_error
-from .process import report_end
+from .process import print_error, report_end
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -30,6 +32,10 @@
 EXIT_SETTINGS = 2
 """Exit code for wrong usage or invalid settings."""
 MEGABYTE = 1_000_000
+SETTINGS_POLL_S = 0.1
+"""Seconds between attempts to read a settings file that is missing or incomplete."""
+REPORT_INTERVAL_S = 10.0
+"""Seconds between lines that tell what a start waits for."""
 
 
 class App(Protocol):
@@ -66,19 +72,33 @@
     :param name: name of the program in log lines.
     :param create: creates the program from its settings.
     """
-    settings = require_settings(load_settings(settings_path))
+    settings = require_settings(name, settings_path, check_settings)
     logs.configure(name, settings.host, settings.log_level, settings.log_style)
     metrics.shared().connect()
     run_logged(run_until_stopped(create(settings), settings.address))
 
 
-def require_settings(loaded: Result[T, list[str]]) -> T:
-    """Return validated settings, or print all problems and exit with :data:`EXIT_SETTINGS`."""
-    if isinstance(loaded, Err):
-        for problem in loaded.err_value:
-            print(problem, file=sys.stderr)
+def require_settings(
+    program: str, path: Path, check: Callable[[object], Result[T, list[str]]]
+) -> T:
+    """Return validated settings, or print all problems and exit with :data:`EXIT_SETTINGS`.
+
+    A file that is missing or incomplete may be about to be written, and is waited for.
+
+    :param check: checks the decoded file.
+    """
+    printed_at = float("-inf")
+    while isinstance(read := read_settings(path), Err):
+        if monotonic() - printed_at >= REPORT_INTERVAL_S:
+            printed_at = monotonic()
+            print_error(f"gradepoint-{program} waits for its settings: {read.err_value}")
+        time.sleep(SETTINGS_POLL_S)
+    checked = check_read(path, read, check)
+    if isinstance(checked, Err):
+        for problem in checked.err_value:
+            print_error(problem)
         sys.exit(EXIT_SETTINGS)
-    return loaded.ok_value
+    return checked.ok_value
 
 
 def run_logged(work: Coroutine[Any, Any, None]) -> None:
--- a/gradepoint/gateway/settings.py
+++ b/gradepoint/gateway/settings.py
@@ -2,16 +2,23 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from result import Err, Result
 
-from ..settings import REQUIRED, Setting, check_rows, load_checked
+from ..settings import (
+    ADDRESS,
+    IP,
+    LOG_LEVEL,
+    LOG_STYLE,
+    PORT,
+    PORTS,
+    REQUIRED,
+    Setting,
+    check_rows,
+)
 from ..util.structs import Struct
 
-if TYPE_CHECKING:
-    from pathlib import Path
-
 MEGABYTE = 1_000_000
 ASSUMED_MEMORY_MB = 150.0
 """Memory in MB that counts where the settings do not name it."""
@@ -22,15 +29,35 @@
 TABLE: tuple[Setting, ...] = (
     Setting("host", str, REQUIRED, "Name of this host, unique in the fleet."),
     Setting("failure_domain", str, REQUIRED, "Failure domain of this host."),
-    Setting("address", str, REQUIRED, "IP address that this host listens on."),
-    Setting("callers_address", str, REQUIRED, "Address (IP:PORT) of the HTTP server for callers."),
+    Setting("address", str, REQUIRED, "IP address that this host listens on.", form=IP),
+    Setting(
+        "callers_address",
+        str,
+        REQUIRED,
+        "Address (IP:PORT) of the HTTP server for callers.",
+        form=ADDRESS,
+    ),
     Setting(
-        "ready_address", str, REQUIRED, "Address (IP:PORT) of the HTTP server for readiness checks."
+        "ready_address",
+        str,
+        REQUIRED,
+        "Address (IP:PORT) of the HTTP server for readiness checks.",
+        form=ADDRESS,
     ),
     Setting(
-        "peer_ports", str, REQUIRED, "Range of ports for traffic between hosts, as FIRST,LAST."
+        "peer_ports",
+        str,
+        REQUIRED,
+        "Range of ports for traffic between hosts, as FIRST,LAST.",
+        form=PORTS,
+    ),
+    Setting(
+        "store_address",
+        str,
+        REQUIRED,
+        "Address (IP:PORT) of the platform's metadata store.",
+        form=ADDRESS,
     ),
-    Setting("store_address", str, REQUIRED, "Address (IP:PORT) of the platform's metadata store."),
     Setting(
         "store_value_bytes", int, 1 << 20, "Maximum size of a value in the metadata store in bytes."
     ),
@@ -135,9 +162,9 @@
         True,
         "Whether batch items leave slots free by the rate of calls; otherwise always one.",
     ),
-    Setting("metrics_port", int, 9464, "HTTP port of the metrics page."),
-    Setting("log_level", str, "INFO", "Lowest log level that is written."),
-    Setting("log_style", str, "json", "Format of log lines: 'json' or 'text'."),
+    Setting("metrics_port", int, 9464, "HTTP port of the metrics page.", form=PORT),
+    Setting("log_level", str, "INFO", "Lowest log level that is written.", form=LOG_LEVEL),
+    Setting("log_style", str, "json", "Format of log lines: 'json' or 'text'.", form=LOG_STYLE),
 )
 
 
@@ -200,8 +227,3 @@
         return Err(['settings: expected a JSON object. Remedy: write {"host": ...}.'])
     values: Result[dict[str, Any], list[str]] = check_rows(raw, TABLE)
     return values.map(lambda rows: GatewaySettings(**rows))
-
-
-def load_gateway_settings(path: Path) -> Result[GatewaySettings, list[str]]:
-    """Read and check a settings file."""
-    return load_checked(path, check_gateway_settings)
--- a/gradepoint/settings.py
+++ b/gradepoint/settings.py
@@ -11,7 +11,9 @@
 import msgspec
 from result import Err, Ok, Result
 
+from .telemetry.logs import LEVELS
 from .util.structs import Struct
+from .wire.addresses import MAX_PORT, are_ports, is_address, is_ip, is_port
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -20,6 +22,25 @@
 T = TypeVar("T")
 
 
+class Form(Struct, frozen=True):
+    """A form that the value of a setting must have beside its type.
+
+    :param name: description, shown in error messages.
+    :param matches: returns whether a value has the form.
+    """
+
+    name: str
+    matches: Callable[[Any], bool]
+
+
+IP = Form("an IP address", is_ip)
+ADDRESS = Form("IP:PORT", is_address)
+PORT = Form(f"a port up to {MAX_PORT}", is_port)
+PORTS = Form(f"ports as FIRST,LAST up to {MAX_PORT}", are_ports)
+LOG_LEVEL = Form(f"one of {', '.join(LEVELS)}", lambda level: level in LEVELS)
+LOG_STYLE = Form("'json' or 'text'", lambda style: style in ("json", "text"))
+
+
 class Setting(Struct, frozen=True):
     """One row of a settings table.
 
@@ -27,6 +48,7 @@
     :param default: value used if none is given, or :data:`REQUIRED`.
     :param meaning: description, shown on the reference page and in error messages.
     :param may_be_zero: whether a number may be 0; otherwise it must be positive.
+    :param form: form of the value; None for any.
     """
 
     name: str
@@ -34,6 +56,7 @@
     default: Any
     meaning: str
     may_be_zero: bool = False
+    form: Form | None = None
 
 
 REQUIRED = object()
@@ -43,22 +66,18 @@
     Setting("host", str, REQUIRED, "Name of this host, unique in the fleet."),
     Setting("failure_domain", str, REQUIRED, "Failure domain of this host."),
     Setting("region", str, "region-1", "Region of this host."),
-    Setting("address", str, "127.0.0.1", "IP address that this host listens on."),
-    Setting("entry_port", int, 8400, "HTTP port for callers."),
-    Setting("batch_port", int, 8401, "HTTP port of the batch program."),
-    Setting("control_port", int, 8402, "Port of the administration API."),
-    Setting(
-        "gossip_port",
-        int,
-        8403,
-        "UDP and ZeroMQ port of the control program.",
-    ),
-    Setting("store_port", int, 8405, "ZeroMQ port of the store program."),
+    Setting("address", str, "127.0.0.1", "IP address that this host listens on.", form=IP),
+    Setting("entry_port", int, 8400, "HTTP port for callers.", form=PORT),
+    Setting("batch_port", int, 8401, "HTTP port of the batch program.", form=PORT),
+    Setting("control_port", int, 8402, "Port of the administration API.", form=PORT),
+    Setting("gossip_port", int, 8403, "UDP and ZeroMQ port of the control program.", form=PORT),
+    Setting("store_port", int, 8405, "ZeroMQ port of the store program.", form=PORT),
     Setting(
         "store_http_port",
         int,
         8406,
         "HTTP port for health checks and metrics of the store program.",
+        form=PORT,
     ),
     Setting("data_folder", str, "", "Folder for bulk objects; empty on hosts that store none."),
     Setting("kv_url", str, REQUIRED, "Base URL of the key-value service."),
@@ -69,8 +88,8 @@
         [],
         "Addresses (IP:GOSSIP_PORT) of hosts through which this host joins the fleet.",
     ),
-    Setting("log_level", str, "INFO", "Lowest log level that is written."),
-    Setting("log_style", str, "json", "Format of log lines: 'json' or 'text'."),
+    Setting("log_level", str, "INFO", "Lowest log level that is written.", form=LOG_LEVEL),
+    Setting("log_style", str, "json", "Format of log lines: 'json' or 'text'.", form=LOG_STYLE),
     Setting(
         "kv_timeout_s",
         float,
@@ -89,6 +108,7 @@
         int,
         8407,
         "ZeroMQ port on which the batch program is notified of online calls.",
+        form=PORT,
     ),
     Setting("max_connections", int, 4096, "Maximum number of callers' connections to one program."),
     Setting("max_header_bytes", int, 32768, "Maximum size of request line and headers in bytes."),
@@ -212,12 +232,11 @@
         return [f"{row.name}: expected {expected}, got {value!r}. Remedy: {row.meaning}"]
     if row.kind is bool:
         return []
-    if isinstance(value, (int, float)) and row.may_be_zero and value >= 0:
-        return []
-    if isinstance(value, (int, float)) and value <= 0:
+    is_zero_allowed = row.may_be_zero and value == 0
+    if isinstance(value, (int, float)) and value <= 0 and not is_zero_allowed:
         return [f"{row.name}: must be above 0, got {value!r}. Remedy: {row.meaning}"]
-    if row.name == "log_style" and value not in ("json", "text"):
-        return [f"log_style: got {value!r}. Remedy: use 'json' or 'text'."]
+    if row.form is not None and not row.form.matches(value):
+        return [f"{row.name}: expected {row.form.name}, got {value!r}. Remedy: {row.meaning}"]
     return []
 
 
@@ -230,10 +249,22 @@
     path: Path, check: Callable[[object], Result[T, list[str]]]
 ) -> Result[T, list[str]]:
     """Read a JSON file and check it; every problem is prefixed with the path of the file."""
+    read = read_settings(path)
+    return Err([read.err_value]) if isinstance(read, Err) else check_read(path, read, check)
+
+
+def read_settings(path: Path) -> Result[object, str]:
+    """Read a JSON file; return its content, or why it cannot be read as it is now."""
     try:
-        raw = msgspec.json.decode(path.read_bytes())
+        return Ok(msgspec.json.decode(path.read_bytes()))
     except OSError as error:
-        return Err([f"{path}: {error.strerror}. Remedy: give the path of a readable file."])
+        return Err(f"{path}: {error.strerror}. Remedy: give the path of a readable file.")
     except msgspec.DecodeError as error:
-        return Err([f"{path}: invalid JSON ({error}). Remedy: correct the syntax."])
-    return check(raw).map_err(lambda rows: [f"{path}: {row}" for row in rows])
+        return Err(f"{path}: invalid JSON ({error}). Remedy: correct the syntax.")
+
+
+def check_read(
+    path: Path, read: Ok[object], check: Callable[[object], Result[T, list[str]]]
+) -> Result[T, list[str]]:
+    """Check the content of a file; every problem is prefixed with the path of the file."""
+    return check(read.ok_value).map_err(lambda rows: [f"{path}: {row}" for row in rows])
--- a/gradepoint/spool/settings.py
+++ b/gradepoint/spool/settings.py
@@ -3,23 +3,40 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from result import Err, Result
 
-from ..settings import REQUIRED, Setting, check_rows, load_checked
-
-if TYPE_CHECKING:
-    from pathlib import Path
+from ..settings import (
+    ADDRESS,
+    IP,
+    LOG_LEVEL,
+    LOG_STYLE,
+    PORT,
+    PORTS,
+    REQUIRED,
+    Setting,
+    check_rows,
+)
 
 TABLE: tuple[Setting, ...] = (
     Setting("host", str, REQUIRED, "Name of this host, unique in the fleet."),
     Setting("failure_domain", str, REQUIRED, "Failure domain of this host."),
-    Setting("address", str, REQUIRED, "IP address that this host listens on."),
+    Setting("address", str, REQUIRED, "IP address that this host listens on.", form=IP),
+    Setting(
+        "peer_ports",
+        str,
+        REQUIRED,
+        "Range of ports for traffic between hosts, as FIRST,LAST.",
+        form=PORTS,
+    ),
     Setting(
-        "peer_ports", str, REQUIRED, "Range of ports for traffic between hosts, as FIRST,LAST."
+        "store_address",
+        str,
+        REQUIRED,
+        "Address (IP:PORT) of the platform's metadata store.",
+        form=ADDRESS,
     ),
-    Setting("store_address", str, REQUIRED, "Address (IP:PORT) of the platform's metadata store."),
     Setting(
         "store_value_bytes", int, 1 << 20, "Maximum size of a value in the metadata store in bytes."
     ),
@@ -42,9 +59,9 @@
         "Folder for jobs that are stored while the metadata store is unavailable.",
     ),
     Setting("disk_mb", int, 256, "Size of the disk that holds the data folder, in megabytes."),
-    Setting("metrics_port", int, 9464, "HTTP port of the metrics page."),
-    Setting("log_level", str, "INFO", "Lowest log level that is written."),
-    Setting("log_style", str, "json", "Format of log lines: 'json' or 'text'."),
+    Setting("metrics_port", int, 9464, "HTTP port of the metrics page.", form=PORT),
+    Setting("log_level", str, "INFO", "Lowest log level that is written.", form=LOG_LEVEL),
+    Setting("log_style", str, "json", "Format of log lines: 'json' or 'text'.", form=LOG_STYLE),
 )
 
 
@@ -78,8 +95,3 @@
         return Err(['settings: expected a JSON object. Remedy: write {"host": ...}.'])
     values: Result[dict[str, Any], list[str]] = check_rows(raw, TABLE)
     return values.map(lambda rows: DataHostSettings(**rows))
-
-
-def load_data_host_settings(path: Path) -> Result[DataHostSettings, list[str]]:
-    """Read and check a settings file; return the settings or the list of problems."""
-    return load_checked(path, check_data_host_settings)
--- a/tests/test_cmd/test_cmd_gateway_start.py
+++ b/tests/test_cmd/test_cmd_gateway_start.py
@@ -144,7 +144,8 @@
 
 
 def test_invalid_settings_are_all_printed_although_the_port_was_opened(tmp_path: Path) -> None:
-    path = write_settings(tmp_path, "", free_port(), host=None, drain_ms=-1, unknown=1)
+    store = f"{LOOPBACK}:9"
+    path = write_settings(tmp_path, store, free_port(), host=None, drain_ms=-1, unknown=1)
     process = start(path)
     _, printed = process.communicate(b"\n", timeout=WAIT_S)
     assert process.returncode == 2
--- a/tests/test_platform/test_platform_names.py
+++ b/tests/test_platform/test_platform_names.py
@@ -8,7 +8,7 @@
 import pytest
 
 from gradepoint.gateway.settings import TABLE, check_gateway_settings
-from gradepoint.settings import REQUIRED, Setting
+from gradepoint.settings import ADDRESS, IP, PORTS, REQUIRED, Setting
 from gradepoint.spool.settings import TABLE as DATA_TABLE
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -102,7 +102,9 @@
 
 
 def test_zero_tolerated_losses_is_a_valid_setting() -> None:
-    values = {row.name: "x" for row in TABLE if row.kind is str and row.default is REQUIRED}
+    text = {None: "x", IP: "10.1.0.10", ADDRESS: "10.1.0.10:8161", PORTS: "7720,7735"}
+    required = [row for row in TABLE if row.kind is str and row.default is REQUIRED]
+    values = {row.name: text[row.form] for row in required}
     zeros = dict.fromkeys(("hosts_lost", "domains_lost", "regions_lost", "quota_excess"), 0)
     settings = check_gateway_settings({**values, **zeros}).unwrap()
     assert settings.spool_copies == 1
