Wait for ports that cannot be opened at the start

Callers saw programs end by themselves: any port in use at the start (callers, readiness, peers over TCP and UDP, metrics), or an address that the host did not have yet, ended the program with 1 and a traceback after 0.2 s, although a predecessor still stopped or a connection had been given the port. A restart met the same port again.

Cause: each port was opened once, and its error ended the start. Class: a start that takes a passing condition for a final one.

Ports are opened at once where that is possible, else tried each 0.1 s with a line at once and each ten seconds (port_waits, port_opened), while the other ports serve; the program counts as started once all but the metrics are open. A gateway is listed for other hosts, and ready, only once they can reach it: another program may listen at its address until then. Stop signals are heard during the start. The four programs of fleets without the platform wait as well; their ZeroMQ sockets raise OSError for it.

--- a/gradepoint/admin/api.py
+++ b/gradepoint/admin/api.py
@@ -30,6 +30,7 @@
 from ..util.numbers import read_whole_number
 from ..wire.http_server import HttpServer, ServerLimits
 from ..wire.http_types import Response, error_response, json_response
+from ..wire.listening import open_port
 from ..wire.pages import answer_common_page
 
 if TYPE_CHECKING:
@@ -60,7 +61,11 @@
     async def start(self) -> None:
         """Start listening on the control port."""
         settings = self.control.settings
-        await self.server.start(settings.address, settings.control_port)
+        await open_port(
+            "administration",
+            f"{settings.address}:{settings.control_port}",
+            lambda: self.server.start(settings.address, settings.control_port),
+        )
 
     async def handle(self, request: Request) -> Response:
         """Answer one request; also serves the health and metrics pages."""
--- a/gradepoint/batch/app.py
+++ b/gradepoint/batch/app.py
@@ -29,6 +29,7 @@
     error_response,
     json_response,
 )
+from ..wire.listening import open_port
 from ..wire.pages import answer_common_page
 from ..wire.push import PullSocket
 from .hints import HintSender, JobEnded
@@ -80,8 +81,17 @@
     async def start(self) -> None:
         """Join the fleet, start the servers and the worker."""
         await self.fleet.start()
-        self.notice_socket.start(self.settings.address, self.settings.notice_port)
-        await self.server.start(self.settings.address, self.settings.batch_port)
+        settings = self.settings
+        await open_port(
+            "notices",
+            f"{settings.address}:{settings.notice_port}",
+            lambda: self.notice_socket.start(settings.address, settings.notice_port),
+        )
+        await open_port(
+            "batch",
+            f"{settings.address}:{settings.batch_port}",
+            lambda: self.server.start(settings.address, settings.batch_port),
+        )
         await self.worker.start()
 
     async def stop(self) -> None:
--- a/gradepoint/cmd/runner.py
+++ b/gradepoint/cmd/runner.py
@@ -42,10 +42,10 @@
     """Interface of a program for :func:`run_program`."""
 
     async def start(self) -> None:
-        """Start serving."""
+        """Start serving; may be cancelled."""
 
     async def stop(self) -> None:
-        """Finish work in progress and stop."""
+        """Finish work in progress and stop; *start* need not have returned."""
 
 
 def run_command(program: str, main: Callable[[Path], None]) -> None:
@@ -118,16 +118,23 @@
 async def run_until_stopped(
     app: App, address: str, on_started: Callable[[], None] = lambda: None
 ) -> None:
-    """Start a program and stop it after SIGTERM or SIGINT.
+    """Start a program and stop it after SIGTERM or SIGINT, which may come during its start.
 
     :param address: the address that it serves at, for the log.
     :param on_started: called once the program has started.
     """
     stop_requested = stop_event()
-    await app.start()
-    on_started()
-    logs.emit(events.PROGRAM_STARTED, address=address)
-    await stop_requested.wait()
+    starting = asyncio.ensure_future(app.start())
+    stopping = asyncio.ensure_future(stop_requested.wait())
+    await asyncio.wait([starting, stopping], return_when=asyncio.FIRST_COMPLETED)
+    if starting.done():
+        starting.result()
+        on_started()
+        logs.emit(events.PROGRAM_STARTED, address=address)
+        await stopping
+    else:
+        starting.cancel()
+        await asyncio.wait([starting])
     logs.emit(events.PROGRAM_STOPPING, signal=stop_requested.signal)
     await app.stop()
     logs.emit(
--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -104,6 +104,13 @@
     "WARNING",
     "The file that tells how a run ended cannot be read or written; the program goes on.",
 )
+PORT_WAITS = _declare(
+    117,
+    "port_waits",
+    "WARNING",
+    "A port cannot be opened now; the program waits for it. Look for what else has the address.",
+)
+PORT_OPENED = _declare(118, "port_opened", "INFO", "A port that was waited for is open.")
 CALL_REFUSED = _declare(201, "call_refused", "INFO", "A call was refused; see the code.")
 CALLER_REFUSED = _declare(
     223,
--- a/gradepoint/fleet/control.py
+++ b/gradepoint/fleet/control.py
@@ -21,6 +21,7 @@
 from ..util.clock import monotonic
 from ..util.tasks import TaskGroup
 from ..wire.addresses import split_address
+from ..wire.listening import open_port
 from ..wire.rpc import Failed, Message, RpcError, RpcPool, RpcServer
 from .config_history import ConfigHistory
 from .distribution import ANNOUNCE_FANOUT, select_watchers
@@ -157,8 +158,15 @@
     async def start(self) -> None:
         """Open the sockets, join the fleet and start the background loops."""
         settings = self.settings
-        await self.transport.start(settings.address, settings.gossip_port)
-        self.rpc.start(settings.address, settings.gossip_port)
+        gossip = f"{settings.address}:{settings.gossip_port}"
+        await open_port(
+            "gossip datagrams",
+            gossip,
+            lambda: self.transport.start(settings.address, settings.gossip_port),
+        )
+        await open_port(
+            "gossip", gossip, lambda: self.rpc.start(settings.address, settings.gossip_port)
+        )
         await self._join()
         for loop in (self._tick_loop, self._watch_loop, self._host_list_loop, self._join_loop):
             self.tasks.start_loop(loop.__name__, loop)
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -56,6 +56,7 @@
 from ..wire.http_client import HttpClient
 from ..wire.http_server import HttpServer
 from ..wire.http_types import Response
+from ..wire.listening import Port, open_free_ports, wait_until_all_open, wait_until_open
 from ..wire.ports import probe_port
 from .accept_gate import AcceptGate
 from .admission_gate import AdmissionGate
@@ -126,6 +127,7 @@
     The constructor wires them up; lambdas refer to components that are created later.
 
     :param listener: the open port for callers; None opens it at the start.
+    :ivar reachable: set once other hosts can reach this one.
     """
 
     def __init__(
@@ -148,6 +150,7 @@
         self.platform = platform
         self.tasks = TaskGroup()
         self.stopping = False
+        self.reachable = asyncio.Event()
         self.own = HostPresence(
             host=HostName(settings.host),
             incarnation=make_incarnation(HostName(settings.host)),
@@ -362,16 +365,62 @@
         self.metrics_server = HttpServer(self.answer_metrics)
 
     async def start(self) -> None:
-        """Open all sockets and start the background loops."""
-        settings = self.settings
+        """Open the ports and start the background loops.
+
+        Ports that cannot be opened yet are waited for while the others serve. Returns once all
+        ports but that of the metrics are open.
+        """
         metrics.shared().starts.add(1, {"former_run": FormerRun.UNKNOWN.value})
         self.calls.started_at = self.stall_detector.last_check_at = monotonic()
-        await self.peer_server.start(settings.address, settings.peer_port)
-        await self.socket.start(settings.address, settings.peer_port)
-        await self.callers.start(*split_address(settings.callers_address), self.listener)
-        await self.readiness.start(*split_address(settings.ready_address))
-        await self.metrics_server.start(settings.address, settings.metrics_port)
+        peer_ports, other_ports, metrics_port = self.list_ports()
+        waiting_peer_ports = await open_free_ports(peer_ports)
+        waiting_ports = await open_free_ports(other_ports)
+        for port in await open_free_ports([metrics_port]):
+            self.tasks.start(wait_until_open(port))
+        if not waiting_peer_ports:
+            self.reachable.set()
         self.start_loops()
+        await asyncio.gather(
+            self.wait_until_reachable(waiting_peer_ports), wait_until_all_open(waiting_ports)
+        )
+
+    def list_ports(self) -> tuple[list[Port], list[Port], Port]:
+        """Return the ports for other hosts, those for callers, and that of the metrics."""
+        settings = self.settings
+        callers, ready = settings.callers_address, settings.ready_address
+        peers = f"{settings.address}:{settings.peer_port}"
+        return (
+            [
+                Port("peers", peers, lambda: self.peer_server.start(*split_address(peers))),
+                Port("datagrams", peers, lambda: self.socket.start(*split_address(peers))),
+            ],
+            [
+                Port(
+                    "callers",
+                    callers,
+                    lambda: self.callers.start(*split_address(callers), self.listener),
+                ),
+                Port("readiness", ready, lambda: self.readiness.start(*split_address(ready))),
+            ],
+            Port(
+                "metrics",
+                f"{settings.address}:{settings.metrics_port}",
+                lambda: self.metrics_server.start(settings.address, settings.metrics_port),
+            ),
+        )
+
+    async def wait_until_reachable(self, ports: list[Port]) -> None:
+        """Set :attr:`reachable` once the ports for other hosts are open."""
+        await wait_until_all_open(ports)
+        self.reachable.set()
+
+    async def announce(self) -> None:
+        """Keep this host listed once others can reach it; never returns.
+
+        Until then, another program may listen at its address.
+        """
+        await self.reachable.wait()
+        await self.presence.run()
 
     def start_loops(self) -> None:
         """Start the loops that run until the process stops."""
@@ -379,7 +428,7 @@
         start_loop("standstill", self.stall_detector.run)
         start_loop("log", lambda: report_dropped_lines(events.LINES_LEFT_OUT))
         start_loop("watchers", self.watchers.run)
-        self.renewing = start_loop("presence", self.presence.run)
+        self.renewing = start_loop("presence", self.announce)
         start_loop("beats", lambda: self.heartbeats.run(lambda: list(self.hosts.hosts.values())))
         start_loop("reports", lambda: self.occupancy.run_reports(self.heartbeats.addresses))
         start_loop("digests", self.occupancy.run_digests)
@@ -528,9 +577,10 @@
 
     @property
     def ready(self) -> bool:
-        """Whether the configuration and targets are loaded and the process isn't stopping."""
+        """Whether the configuration and targets are loaded, other hosts can reach this one, and the
+        process isn't stopping."""
         known = self.configuration.current is not None and self.target_follower.loaded
-        return known and not self.stopping
+        return known and self.reachable.is_set() and not self.stopping
 
     def take_message(self, message: Message, address: str) -> None:
         """Dispatch a datagram from another host."""
--- a/gradepoint/online/entry.py
+++ b/gradepoint/online/entry.py
@@ -31,6 +31,7 @@
     error_response,
     json_response,
 )
+from ..wire.listening import open_port
 from ..wire.pages import answer_common_page
 from ..wire.target_client import TargetAnswer
 from .claims import ClaimStore, HeldClaim, StoredAnswer
@@ -95,7 +96,12 @@
         """Join the fleet and start the HTTP server."""
         await self.fleet.start()
         self.tasks.start_loop("notifier", self.notifier.run)
-        await self.server.start(self.settings.address, self.settings.entry_port)
+        settings = self.settings
+        await open_port(
+            "callers",
+            f"{settings.address}:{settings.entry_port}",
+            lambda: self.server.start(settings.address, settings.entry_port),
+        )
 
     async def stop(self) -> None:
         """Stop accepting calls, wait up to 10 seconds for those in flight, then stop."""
--- a/gradepoint/spool/app.py
+++ b/gradepoint/spool/app.py
@@ -16,6 +16,7 @@
 from ..wire.http_client import HttpClient
 from ..wire.http_server import HttpServer
 from ..wire.http_types import Response
+from ..wire.listening import open_port
 from .disk import SpoolDisk
 from .host import SpoolHost
 
@@ -62,10 +63,20 @@
         """Load the jobs on the disk, listen, and announce this host to other hosts."""
         settings = self.settings
         self.report_former_run()
-        self.spool.load()
-        await self.server.start(settings.address, settings.peer_port)
-        await self.metrics_server.start(settings.address, settings.metrics_port)
         self.tasks.start_loop("log", lambda: report_dropped_lines(events.LINES_LEFT_OUT))
+        self.tasks.start(
+            open_port(
+                "metrics",
+                f"{settings.address}:{settings.metrics_port}",
+                lambda: self.metrics_server.start(settings.address, settings.metrics_port),
+            )
+        )
+        self.spool.load()
+        await open_port(
+            "peers",
+            f"{settings.address}:{settings.peer_port}",
+            lambda: self.server.start(settings.address, settings.peer_port),
+        )
         self.tasks.start_loop("presence", self.presence.run)
         self.tasks.start_loop("spool", self.spool.run)
 
--- a/gradepoint/store/app.py
+++ b/gradepoint/store/app.py
@@ -7,6 +7,7 @@
 
 from ..errors import GradepointError
 from ..wire.http_server import HttpServer
+from ..wire.listening import open_port
 from ..wire.pages import answer_common_page
 from .disk import DiskStore
 from .server import StoreServer
@@ -28,8 +29,17 @@
 
     async def start(self) -> None:
         """Open the RPC port and the HTTP port."""
-        self.store.rpc.start(self.settings.address, self.settings.store_port)
-        await self.http.start(self.settings.address, self.settings.store_http_port)
+        settings = self.settings
+        await open_port(
+            "store",
+            f"{settings.address}:{settings.store_port}",
+            lambda: self.store.rpc.start(settings.address, settings.store_port),
+        )
+        await open_port(
+            "health",
+            f"{settings.address}:{settings.store_http_port}",
+            lambda: self.http.start(settings.address, settings.store_http_port),
+        )
 
     async def stop(self) -> None:
         """Stop the HTTP server gracefully, then everything else."""
--- a/gradepoint/wire/push.py
+++ b/gradepoint/wire/push.py
@@ -11,7 +11,7 @@
 import zmq
 
 from ..util.tasks import TaskGroup
-from .rpc import context
+from .rpc import bind, context
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -35,9 +35,12 @@
         self.socket.set(zmq.LINGER, 0)
         self.socket.set_hwm(HIGH_WATER_MARK)
 
-    def start(self, address: str, port: int) -> None:
-        """Start to listen and to pass on messages."""
-        self.socket.bind(f"tcp://{address}:{port}")
+    async def start(self, address: str, port: int) -> None:
+        """Start to listen and to pass on messages.
+
+        :raises OSError: the port cannot be opened.
+        """
+        bind(self.socket, address, port)
         self.tasks.start(self._loop())
 
     async def _loop(self) -> None:
--- a/gradepoint/wire/rpc.py
+++ b/gradepoint/wire/rpc.py
@@ -59,6 +59,17 @@
     return zmq.asyncio.Context.instance()
 
 
+def bind(listener: zmq.asyncio.Socket, address: str, port: int) -> None:
+    """Bind a socket to a TCP address.
+
+    :raises OSError: the port cannot be opened.
+    """
+    try:
+        listener.bind(f"tcp://{address}:{port}")
+    except zmq.ZMQError as error:
+        raise OSError(error.errno, str(error)) from error
+
+
 class RpcServer:
     """Answers requests on one TCP address.
 
@@ -78,14 +89,13 @@
         self.bytes_received = 0
         self.bytes_sent = 0
 
-    def start(self, address: str, port: int) -> int:
-        """Start to listen; return the port (with port 0, a free one is picked)."""
-        if port == 0:
-            port = self.socket.bind_to_random_port(f"tcp://{address}")
-        else:
-            self.socket.bind(f"tcp://{address}:{port}")
+    async def start(self, address: str, port: int) -> None:
+        """Start to listen.
+
+        :raises OSError: the port cannot be opened.
+        """
+        bind(self.socket, address, port)
         self.tasks.start(self._receive())
-        return port
 
     async def _receive(self) -> None:
         while True:
