Leave standard descriptors closed where there is no null device

The first step of each process opened the null device also where nothing was missing, and ended the process where the device cannot be opened, as in a folder that is used as the root. It looks at the three descriptors first now, and goes on without the device.

--- a/gradepoint/cmd/process.py
+++ b/gradepoint/cmd/process.py
@@ -10,7 +10,7 @@
 import signal
 import sys
 import traceback
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -22,7 +22,7 @@
 IGNORED_SIGNALS = (signal.SIGHUP, signal.SIGUSR1, signal.SIGUSR2)
 """Signals that would end the process by default. Supervisors and log rotation send them to all
 programs, also to one that has no handler for them yet."""
-STANDARD_DESCRIPTORS = 3
+STANDARD_DESCRIPTORS = (0, 1, 2)
 
 
 def prepare_process() -> None:
@@ -33,16 +33,17 @@
 
 
 def open_standard_descriptors() -> None:
-    """Open closed standard descriptors on the null device.
+    """Open closed standard descriptors on the null device, if there is one.
 
     Otherwise sockets would get their numbers, and log lines would be written into them.
     """
-    while True:
-        descriptor = os.open(os.devnull, os.O_RDWR)
-        if descriptor >= STANDARD_DESCRIPTORS:
-            os.close(descriptor)
-            return
-        os.set_inheritable(descriptor, True)
+    for number in STANDARD_DESCRIPTORS:
+        try:
+            os.fstat(number)
+        except OSError:
+            # The lowest free number is given out, so that this one is.
+            with suppress(OSError):
+                os.open(os.devnull, os.O_RDWR)
 
 
 @contextmanager
