Report an output that cannot be written once, not with each line

A gateway whose standard output was a closed pipe, and whose standard error was a pipe that nobody read, stopped answering: each log line wrote a traceback to the standard error, and after 64 KB the write blocked the only thread. That is a program that does not hand back the processor.

An output that fails is reported once until it works again; lines that cannot be encoded are reported ten times in a run.

--- a/gradepoint/cmd/process.py
+++ b/gradepoint/cmd/process.py
@@ -13,6 +13,8 @@
 from contextlib import contextmanager, suppress
 from typing import TYPE_CHECKING
 
+from ..util.standard_error import print_error
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -58,11 +60,3 @@
         traceback.print_exc()
         print_error(f"gradepoint-{program} ends: {error!r}")
         sys.exit(EXIT_FAILURE)
-
-
-def print_error(line: str) -> None:
-    """Write a line to the standard error, which may be closed or full."""
-    try:
-        print(line, file=sys.stderr, flush=True)
-    except (OSError, ValueError):
-        pass
--- a/gradepoint/cmd/runner.py
+++ b/gradepoint/cmd/runner.py
@@ -17,8 +17,9 @@
 from ..util.clock import monotonic
 from ..util.loop import run_coroutine
 from ..util.memory import read_peak_memory_bytes
+from ..util.standard_error import print_error
 from ..util.tasks import locate_error
-from .process import print_error, report_end
+from .process import report_end
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
--- a/gradepoint/telemetry/line_writer.py
+++ b/gradepoint/telemetry/line_writer.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from ..util.clock import monotonic
+from ..util.standard_error import print_error
 from ..util.structs import Struct, field
 
 if TYPE_CHECKING:
@@ -26,15 +27,26 @@
 def write_to(descriptor: int) -> Callable[[bytes], int]:
     """Return a non-blocking write function for a file descriptor.
 
-    The function returns the number of bytes that the descriptor accepted, which may be 0.
+    The function returns the number of bytes that the descriptor accepted, which may be 0. It
+    reports an output that fails (a closed pipe, a full disk) once on the standard error, and again
+    after the output has worked: a line for each failure would fill a pipe that nobody reads.
     """
     os.set_blocking(descriptor, False)
+    failing = False
 
     def write(data: bytes) -> int:
+        nonlocal failing
         try:
-            return os.write(descriptor, data)
+            written = os.write(descriptor, data)
         except BlockingIOError:
             return 0
+        except OSError as error:
+            if not failing:
+                failing = True
+                print_error(f"log lines cannot be written: {error!r}")
+            return 0
+        failing = False
+        return written
 
     return write
 
--- a/gradepoint/telemetry/logs.py
+++ b/gradepoint/telemetry/logs.py
@@ -36,11 +36,16 @@
 """Seconds between reports of dropped lines, and between attempts to write queued lines."""
 STANDARD_OUTPUT = 1
 """File descriptor of the standard output."""
+MAX_REPORTED_FAILURES = 10
+"""Log lines that cannot be encoded and are reported on the standard error. More could fill a pipe
+that nobody reads, and writing would block."""
 
 _writers: list[LineWriter] = []
 """Writers of JSON lines; empty before :func:`configure` and with style ``text``."""
 _common: dict[str, str] = {}
 """Fields of every JSON line: name of the program and of the host."""
+_failures = 0
+"""Number of log lines that could not be encoded."""
 _lowest = LEVELS["INFO"]
 """Number of the lowest level of which JSON lines are written."""
 
@@ -76,14 +81,17 @@
 
     :param fields: values by the field names that appear in the log line.
     """
+    global _failures
     if _writers:
         try:
             _write_json(event, fields)
         except Exception:
-            # A call must not fail because its log line cannot be written, nor because the standard
+            # A call must not fail because its log line cannot be encoded, nor because the standard
             # error is a closed pipe.
-            with contextlib.suppress(OSError):
-                traceback.print_exc()
+            _failures += 1
+            if _failures <= MAX_REPORTED_FAILURES:
+                with contextlib.suppress(OSError):
+                    traceback.print_exc()
         return
     from loguru import logger
 
--- a/tests/support/programs.py
+++ b/tests/support/programs.py
@@ -67,23 +67,28 @@
         :param write: whether the settings file is written first.
         """
         if write:
-            self.settings_file.write_text(json.dumps(self.settings))
+            self.write_settings()
         self.starts += 1
         with self.output("out").open("wb") as out, self.output("err").open("wb") as err:
-            self.process = subprocess.Popen(
-                [
-                    *(command or [sys.executable, "-m", MODULES[self.kind]]),
-                    "--settings",
-                    str(self.settings_file),
-                ],
-                stdin=subprocess.DEVNULL,
-                stdout=out,
-                stderr=err,
-                cwd=ROOT,
-                env={**os.environ, "PYTHONPATH": str(ROOT)},
-            )
+            self.start_with(out.fileno(), err.fileno(), command)
         return self
 
+    def start_with(self, out: int, err: int, command: list[str] | None = None) -> None:
+        """Start the program with two descriptors as its output; see :meth:`start`."""
+        run = command or [sys.executable, "-m", MODULES[self.kind]]
+        self.process = subprocess.Popen(
+            [*run, "--settings", str(self.settings_file)],
+            stdin=subprocess.DEVNULL,
+            stdout=out,
+            stderr=err,
+            cwd=ROOT,
+            env={**os.environ, "PYTHONPATH": str(ROOT)},
+        )
+
+    def write_settings(self) -> None:
+        """Write the settings file."""
+        self.settings_file.write_text(json.dumps(self.settings))
+
     def output(self, stream: str) -> Path:
         """Return the file with the output of the current start."""
         return self.folder / f"{self.kind}-{self.starts}.{stream}"
