Keep the exit code of an orderly stop when a second signal arrives

An operator's second SIGTERM could end a data host that had just stopped in order with the exit code of the signal, which looks like an end by force: the loop removes its handlers when it closes, and the default action is back.

The stop signals and SIGHUP are blocked once program_ended is written. test_second_stop_signal_does_not_cut_the_stop_short fails before for the data host; during the stop itself a second signal had no effect already.

--- a/gradepoint/cmd/runner.py
+++ b/gradepoint/cmd/runner.py
@@ -32,6 +32,7 @@
 
 EXIT_SETTINGS = 2
 """Exit code for wrong usage or invalid settings."""
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 MEGABYTE = 1_000_000
 SETTINGS_POLL_S = 0.1
 """Seconds between attempts to read a settings file that is missing or incomplete."""
@@ -143,6 +144,8 @@
         signal=stop_requested.signal,
         peak_memory_mb=read_peak_memory_mb(),
     )
+    # The loop removes its handlers when it closes; a further signal would change the exit code.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (*STOP_SIGNALS, signal.SIGHUP))
 
 
 class StopEvent(asyncio.Event):
@@ -163,7 +166,7 @@
     """Return an event that is set by SIGTERM and SIGINT."""
     stop_requested = StopEvent()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in STOP_SIGNALS:
         loop.add_signal_handler(number, stop_requested.request, number)
     return stop_requested
 
--- a/tests/test_cmd/test_cmd_program_outputs.py
+++ b/tests/test_cmd/test_cmd_program_outputs.py
@@ -4,6 +4,7 @@
 
 import http.client
 import os
+import signal
 import socket
 import sys
 from collections.abc import Callable, Iterator
@@ -82,6 +83,21 @@
     assert program.terminate() == 0
 
 
+@pytest.mark.parametrize("kind", list(MODULES))
+def test_second_stop_signal_does_not_cut_the_stop_short(
+    kind: str, start: Callable[[str], Program]
+) -> None:
+    program = start(kind).start()
+    program.wait_for_event("program_started")
+    assert program.process is not None
+    program.process.terminate()
+    program.wait_for_event("program_stopping")
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        program.process.send_signal(number)
+    assert program.wait() == 0
+    assert program.event_names()[-1] == "program_ended"
+
+
 def test_data_host_serves_without_its_run_marker(start: Callable[[str], Program]) -> None:
     program = start("data-host")
     (program.folder / "data" / "run").mkdir(parents=True)
