--- a/gradepoint/gateway/settings.py
+++ b/gradepoint/gateway/settings.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from ..settings import (
     ADDRESS,
@@ -16,8 +16,10 @@
     REQUIRED,
     Setting,
     check_rows,
+    find_shared_ports,
 )
 from ..util.structs import Struct
+from ..wire.addresses import split_address
 
 MEGABYTE = 1_000_000
 ASSUMED_MEMORY_MB = 150.0
@@ -226,4 +228,19 @@
     if not isinstance(raw, dict):
         return Err(['settings: expected a JSON object. Remedy: write {"host": ...}.'])
     values: Result[dict[str, Any], list[str]] = check_rows(raw, TABLE)
-    return values.map(lambda rows: GatewaySettings(**rows))
+    return values.map(lambda rows: GatewaySettings(**rows)).and_then(check_ports)
+
+
+def check_ports(settings: GatewaySettings) -> Result[GatewaySettings, list[str]]:
+    """Check that the ports differ without which the program cannot serve.
+
+    :returns: the settings, or the list of problems.
+    """
+    problems = find_shared_ports(
+        {
+            "peer_ports": (settings.address, settings.peer_port),
+            "callers_address": split_address(settings.callers_address),
+            "ready_address": split_address(settings.ready_address),
+        }
+    )
+    return Err(problems) if problems else Ok(settings)
--- a/gradepoint/settings.py
+++ b/gradepoint/settings.py
@@ -240,6 +240,22 @@
     return []
 
 
+def find_shared_ports(ports: dict[str, tuple[str, int]]) -> list[str]:
+    """Return a problem for each setting whose port another setting has as well.
+
+    A program would wait for a port that it has opened itself.
+
+    :param ports: IP address and port by the name of their setting.
+    """
+    problems = []
+    owners: dict[tuple[str, int], str] = {}
+    for name, port in ports.items():
+        owner = owners.setdefault(port, name)
+        if owner != name and port[1]:
+            problems.append(f"{name}: {owner} has this port. Remedy: use another port.")
+    return problems
+
+
 def load_settings(path: Path) -> Result[Settings, list[str]]:
     """Read and check a settings file."""
     return load_checked(path, check_settings)
--- a/tests/test_cmd/test_cmd_program_starts.py
+++ b/tests/test_cmd/test_cmd_program_starts.py
@@ -199,6 +199,38 @@
     assert f"settings.json: {setting}: " in program.last_error_line()
 
 
+def test_port_that_two_settings_name_is_not_waited_for(start: Callable[..., Program]) -> None:
+    # The program would wait for ever for a port that it has opened itself.
+    address = f"{LOOPBACK}:{free_port()}"
+    program = start("gateway", callers_address=address, ready_address=address)
+    program.start()
+    assert program.wait() == 2
+    assert "settings.json: ready_address: callers_address has this" in program.last_error_line()
+
+
+@pytest.mark.parametrize(
+    ("kind", "setting"),
+    [
+        ("gateway", "callers_address"),
+        ("gateway", "ready_address"),
+        ("gateway", "peer_ports"),
+        ("data-host", "peer_ports"),
+    ],
+)
+def test_metrics_port_that_is_used_otherwise_does_not_end_the_program(
+    kind: str, setting: str, start: Callable[..., Program]
+) -> None:
+    # The metrics have a port of their own choice, which may be one that the platform gives out.
+    program = start(kind)
+    port = int(str(program.settings[setting]).rpartition(":")[2])
+    program.settings["metrics_port"] = port
+    program.start().wait_for_event("program_started")
+    assert program.wait_for_event("port_waits")["name"] == "metrics"
+    with socket.create_connection((LOOPBACK, port), WAIT_S):
+        pass
+    assert program.terminate() == 0
+
+
 def make_folder_among_jobs(data: Path) -> None:
     """Make a folder where the files of jobs are."""
     (data / "spool" / "lost+found").mkdir(parents=True)
