Pass over foreign entries of the data folder, and wait for an unusable one

Operators saw data hosts end with 1 and a traceback at each start because of one entry that the program had not written: a folder or a dangling link among the jobs, a non-empty folder among the temporary files, or a file in place of the data folder or of one of its two folders. Its jobs were neither entered nor found meanwhile.

Cause: each entry was read or unlinked without a look at its kind, the constructor touched the disk, and any OSError ended the start.

Entries that are not regular files named after the job in them are logged (spool_entry_ignored) and left. The folder is opened and loaded in start(), tried each 0.5 s with data_folder_waits at once and each ten seconds; until then the data host serves metrics only, takes no jobs and is not announced. A file of a job that cannot be read (spool_file_failed) is tried again each ten seconds; the data host answers 503 about this job, and a retiring one does not say that it is empty. A file that cannot be deleted keeps its job. Ids from other hosts become names of files, so that ids that are paths are refused.

Full disk: a data host whose folders exist starts, since entering its jobs makes room; without the folders it waits.

Tests changed: the case [.] of test_data_folder_that_is_a_file_is_waited_for removed a folder that did not exist and failed in the test itself; it now writes the file in place of the data folder as intended. Tests that write files of jobs by SpoolDisk call open() first, as the constructor does not touch the disk; SpoolDisk.read_all is gone, so test_spool_disk loads by a SpoolHost.

--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -286,6 +286,24 @@
     413, "spool_forgotten", "INFO", "The copy of a job is no longer needed and was deleted."
 )
 SPOOL_UNREADABLE = _declare(414, "spool_unreadable", "ERROR", "A spooled job cannot be decoded.")
+DATA_FOLDER_WAITS = _declare(
+    420,
+    "data_folder_waits",
+    "WARNING",
+    "The data folder cannot be used yet; the data host takes no jobs until it can.",
+)
+DATA_FOLDER_OPENED = _declare(
+    421, "data_folder_opened", "INFO", "The data folder can be used after a wait."
+)
+SPOOL_ENTRY_IGNORED = _declare(
+    422, "spool_entry_ignored", "WARNING", "An entry of the data folder is not a job's file."
+)
+SPOOL_FILE_FAILED = _declare(
+    423,
+    "spool_file_failed",
+    "ERROR",
+    "The file of a spooled job cannot be read or deleted now; this is tried again.",
+)
 COMMIT_REJECTED = _declare(
     332,
     "commit_rejected",
--- a/gradepoint/spool/app.py
+++ b/gradepoint/spool/app.py
@@ -62,7 +62,6 @@
     async def start(self) -> None:
         """Load the jobs on the disk, listen, and announce this host to other hosts."""
         settings = self.settings
-        self.report_former_run()
         self.tasks.start_loop("log", lambda: report_dropped_lines(events.LINES_LEFT_OUT))
         self.tasks.start(
             open_port(
@@ -71,7 +70,9 @@
                 lambda: self.metrics_server.start(settings.address, settings.metrics_port),
             )
         )
-        self.spool.load()
+        await self.spool.open_disk()
+        self.report_former_run()
+        await self.spool.load_at_start()
         await open_port(
             "peers",
             f"{settings.address}:{settings.peer_port}",
@@ -79,6 +80,7 @@
         )
         self.tasks.start_loop("presence", self.presence.run)
         self.tasks.start_loop("spool", self.spool.run)
+        self.tasks.start_loop("spool-files", self.spool.load_unread)
 
     def report_former_run(self) -> None:
         """Count this start, and log if the former run did not stop in order."""
--- a/gradepoint/spool/client.py
+++ b/gradepoint/spool/client.py
@@ -124,7 +124,9 @@
         except (ConnectFailed, ResponseBroken, TimeoutError) as error:
             emit(events.PEER_SILENT, member=address, reason=repr(error))
             return SpoolOutcome.UNCERTAIN
-        return SpoolOutcome.KEPT if status == 200 else SpoolOutcome.NOT_KEPT
+        if status == 200:
+            return SpoolOutcome.KEPT
+        return SpoolOutcome.NOT_KEPT if status == 404 else SpoolOutcome.UNCERTAIN
 
     async def forget(self, job_id: JobId) -> None:
         """Delete a job from every data host, because the key-value service has it."""
--- a/gradepoint/spool/disk.py
+++ b/gradepoint/spool/disk.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import errno
+import os
+import stat
+from itertools import islice
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from .. import events
 from ..errors import StoreError
 from ..telemetry.logs import emit
@@ -13,18 +15,23 @@
 from .records import SpooledJob, decode_job, encode_job
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
     from pathlib import Path
 
     from ..ids import JobId
 
 MEGABYTE = 1 << 20
+PROBE_NAME = "probe"
+"""Name of an empty file that shows whether a folder can be changed."""
+BATCH_FILES = 64
+"""Files that are listed at a time."""
 MAX_FILL_SHARE = 0.5
 """Share of the disk that jobs may fill. The rest is for files that are being replaced and for
 incomplete ones."""
 
 
 class SpoolDisk:
-    """The job files in one data folder.
+    """The job files in one data folder; :meth:`open` must succeed before other calls.
 
     :param disk_mb: size of the disk in megabytes.
     :ivar jobs: folder of the complete files, named by job id.
@@ -38,11 +45,23 @@
         self.temporary = folder / "spool-temporary"
         self.max_bytes = int(disk_mb * MEGABYTE * MAX_FILL_SHARE)
         self.sizes: dict[str, int] = {}
-        self.jobs.mkdir(parents=True, exist_ok=True)
-        self.temporary.mkdir(parents=True, exist_ok=True)
-        sync_folder(folder)
-        for leftover in self.temporary.iterdir():
-            leftover.unlink()
+
+    def open(self) -> None:
+        """Create the folders and delete incomplete files; may be called again.
+
+        :raises OSError: the folders cannot be used.
+        """
+        for folder in (self.jobs, self.temporary):
+            folder.mkdir(parents=True, exist_ok=True)
+            _probe(folder / PROBE_NAME)
+        sync_folder(self.jobs.parent)
+        with os.scandir(self.temporary) as entries:
+            for entry in entries:
+                try:
+                    os.unlink(entry.path)
+                except OSError as error:
+                    path = printable(entry.path)
+                    emit(events.SPOOL_ENTRY_IGNORED, path=path, reason=error.strerror)
 
     def put(self, job: SpooledJob) -> None:
         """Write a job durably, so that it survives a power loss.
@@ -58,27 +77,62 @@
             raise StoreError(f"could not write the job to disk: {error!r}") from error
         self.sizes[job.id] = len(raw)
 
-    def read_all(self) -> list[SpooledJob]:
-        """Return every job that can be decoded, and log the other files.
+    def list_batches(self) -> Iterator[list[str]]:
+        """Yield the names in the folder of jobs, some at a time.
 
-        Called once, at the start.
+        :raises OSError: the folder cannot be read.
         """
-        found = []
-        for path in sorted(self.jobs.iterdir()):
-            raw = path.read_bytes()
-            try:
-                job = decode_job(raw)
-            except msgspec.DecodeError as error:
-                emit(events.SPOOL_UNREADABLE, job=path.name, reason=str(error))
-                continue
-            self.sizes[job.id] = len(raw)
-            found.append(job)
-        return found
+        with os.scandir(self.jobs) as entries:
+            while batch := sorted(entry.name for entry in islice(entries, BATCH_FILES)):
+                yield batch
+
+    def is_regular(self, job_id: JobId) -> bool:
+        """Whether the entry of a job's name is a regular file; reading another one may block.
+
+        :raises OSError: there is none, or it is not known.
+        """
+        return stat.S_ISREG((self.jobs / job_id).lstat().st_mode)
+
+    def read(self, job_id: JobId) -> SpooledJob:
+        """Read a job from its file.
+
+        :raises OSError: the file does not exist or cannot be read now.
+        :raises msgspec.DecodeError: its content is damaged.
+        """
+        raw = (self.jobs / job_id).read_bytes()
+        job = decode_job(raw)
+        self.sizes[job_id] = len(raw)
+        return job
 
     def delete(self, job_id: JobId) -> None:
         """Delete a job that the key-value service has.
 
         The deletion is not synced, so the job may be back after a power loss.
+
+        :raises OSError: the file cannot be deleted.
         """
-        self.sizes.pop(job_id, None)
         (self.jobs / job_id).unlink(missing_ok=True)
+        self.sizes.pop(job_id, None)
+
+
+def _probe(path: Path) -> None:
+    """Create and delete an empty file; a full disk is no error, since it still has its jobs.
+
+    :raises OSError: the folder cannot be changed.
+    """
+    try:
+        path.touch()
+    except OSError as error:
+        if error.errno not in {errno.ENOSPC, errno.EDQUOT}:
+            raise
+    path.unlink(missing_ok=True)
+
+
+def is_file_name(name: str) -> bool:
+    """Whether *name* names an entry of a folder, and no path to another place."""
+    return name not in {"", ".", ".."} and not {"/", "\0"} & set(name)
+
+
+def printable(path: str | Path) -> str:
+    """Return a path for the log; names of files need not be text."""
+    return os.fsencode(path).decode(errors="backslashreplace")
--- a/gradepoint/spool/host.py
+++ b/gradepoint/spool/host.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -23,9 +24,12 @@
 from ..wire.addresses import split_address
 from ..wire.http_client import ConnectFailed, ResponseBroken
 from ..wire.http_types import Response
+from .disk import is_file_name, printable
 from .records import SpoolRequest
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from ..jobs.repository import JobRepository
     from ..kv.service import KeyValueService
     from ..wire.http_client import HttpClient
@@ -33,6 +37,12 @@
     from .disk import SpoolDisk
     from .records import SpooledJob
 
+FOLDER_RETRY_S = 0.5
+"""Seconds between attempts to use a data folder that cannot be used."""
+REPORT_INTERVAL_S = 10.0
+"""Seconds between log lines about a data folder that cannot be used."""
+LOAD_RETRY_S = 10.0
+"""Seconds between attempts to read the files that could not be read at the start."""
 POLL_INTERVAL_S = 0.25
 """Seconds between checks for jobs whose entry is due."""
 FIRST_ENTRY_DELAY_S = 2.0
@@ -48,6 +58,18 @@
 """Seconds that a host has to answer."""
 
 
+class FileState(Enum):
+    """What is known about an entry of the folder of jobs.
+
+    ``HELD``: it is a job, which is held now. ``NO_JOB``: it is absent, foreign or damaged.
+    ``UNREAD``: it may be a job, but cannot be read now.
+    """
+
+    HELD = "held"
+    NO_JOB = "no-job"
+    UNREAD = "unread"
+
+
 @dataclass
 class HeldJob:
     """A job on this host's disk.
@@ -66,6 +88,7 @@
     """Keeps jobs, and enters those that the accepting host does not enter.
 
     :ivar held: jobs on this host's disk.
+    :ivar unread: number of files that could not be read and may be jobs.
     :ivar retiring: the operator has requested that this host be drained; it accepts no further job.
     """
 
@@ -74,14 +97,71 @@
     repository: JobRepository
     http: HttpClient
     held: dict[JobId, HeldJob] = field(default_factory=dict)
+    unread: int = 0
     retiring: bool = False
 
-    def load(self) -> None:
-        """Load the jobs that an earlier incarnation stored; their entry is due at once."""
+    async def open_disk(self) -> None:
+        """Open the data folder as soon as it can be used."""
+
+        async def open_once() -> None:
+            self.disk.open()
+
+        await _wait_for_folder(self.disk, open_once)
+
+    async def load_at_start(self) -> None:
+        """Load the jobs as soon as the data folder can be read."""
+        await _wait_for_folder(self.disk, self.load)
+
+    async def load(self) -> None:
+        """Load the jobs that an earlier incarnation stored; their entry is due at once.
+
+        Files that cannot be read are counted in :attr:`unread`.
+
+        :raises OSError: the folder cannot be read.
+        """
+        unread = 0
+        for batch in self.disk.list_batches():
+            for name in batch:
+                if name not in self.held:
+                    unread += self._load_file(name) is FileState.UNREAD
+            await asyncio.sleep(0)
+        self.unread = unread
+        emit(events.SPOOL_LOADED, jobs=len(self.held), unread=self.unread)
+
+    def _load_file(self, name: str) -> FileState:
+        """Read the file of a job that is not held, and hold the job; log why it cannot be."""
+        job_id = JobId(name)
+        try:
+            if not is_file_name(name):
+                return FileState.NO_JOB
+            if not self.disk.is_regular(job_id):
+                self._ignore(name, "not a regular file")
+                return FileState.NO_JOB
+            job = self.disk.read(job_id)
+        except FileNotFoundError:
+            return FileState.NO_JOB
+        except OSError as error:
+            emit(events.SPOOL_FILE_FAILED, job=printable(name), reason=error.strerror)
+            return FileState.UNREAD
+        except msgspec.DecodeError as error:
+            emit(events.SPOOL_UNREADABLE, job=printable(name), reason=str(error))
+            return FileState.NO_JOB
+        if job.id != job_id:
+            self._ignore(name, f"the file of job {job.id}")
+            return FileState.NO_JOB
         now = monotonic()
-        for job in self.disk.read_all():
-            self.held[job.id] = HeldJob(job, now, now)
-        emit(events.SPOOL_LOADED, jobs=len(self.held))
+        self.held[job_id] = HeldJob(job, now, now)
+        return FileState.HELD
+
+    def _ignore(self, name: str, reason: str) -> None:
+        emit(events.SPOOL_ENTRY_IGNORED, path=printable(self.disk.jobs / name), reason=reason)
+
+    async def load_unread(self) -> None:
+        """Read the files that could not be read, until all are; never returns."""
+        while True:
+            await asyncio.sleep(LOAD_RETRY_S)
+            if self.unread:
+                await self.load()
 
     async def handle(self, request: Request) -> Response:
         """Answer a request of another host: keep, find or delete a job, or retire this host."""
@@ -90,14 +170,26 @@
         if request.method == "POST" and request.path == "/retire":
             self.retiring = True
             self.retry_now()
-            return Response(503 if self.held else 200)
+            return Response(503 if self.held or self.unread else 200)
         if request.method == "GET":
-            return Response(200 if _read_job_id(request) in self.held else 404)
+            return Response(self._find(_read_job_id(request)))
         if request.method == "DELETE":
-            self._forget(_read_job_id(request), "entered by the accepting host")
-            return Response(200)
+            job_id = _read_job_id(request)
+            self._find(job_id)
+            self._forget(job_id, "entered by the accepting host")
+            return Response(500 if job_id in self.held else 200)
         return Response(404)
 
+    def _find(self, job_id: JobId) -> int:
+        """Return the status that tells whether this host has a job; 503 if that is not known."""
+        if job_id in self.held:
+            return 200
+        if not self.unread:
+            return 404
+        return {FileState.HELD: 200, FileState.NO_JOB: 404, FileState.UNREAD: 503}[
+            self._load_file(job_id)
+        ]
+
     def _keep(self, raw: bytes) -> Response:
         try:
             body = msgspec.msgpack.decode(raw, type=SpoolRequest)
@@ -107,6 +199,9 @@
         job = body.job
         if job.id in self.held:
             return Response(200)
+        if not is_file_name(job.id):
+            emit(events.SPOOL_REFUSED, job=job.id, reason="id", waiting_tokens=0)
+            return Response(409)
         if self.retiring:
             return Response(503)
         waiting = sum(
@@ -126,9 +221,16 @@
         return Response(200)
 
     def _forget(self, job_id: JobId, reason: str) -> None:
-        if self.held.pop(job_id, None) is not None:
+        if job_id not in self.held:
+            return
+        try:
             self.disk.delete(job_id)
-            emit(events.SPOOL_FORGOTTEN, job=job_id, reason=reason, held=len(self.held))
+        except OSError as error:
+            # The job stays held; the next attempt to enter it deletes it again.
+            emit(events.SPOOL_FILE_FAILED, job=job_id, reason=str(error))
+            return
+        del self.held[job_id]
+        emit(events.SPOOL_FORGOTTEN, job=job_id, reason=reason, held=len(self.held))
 
     def retry_now(self) -> None:
         """Make the entry of every job due now."""
@@ -192,5 +294,34 @@
                 return
 
 
+async def _wait_for_folder(disk: SpoolDisk, use: Callable[[], Awaitable[None]]) -> None:
+    """Use the data folder; if that fails, try again until it succeeds."""
+    started_at = monotonic()
+    reported_at = float("-inf")
+    while True:
+        now = monotonic()
+        try:
+            await use()
+        except OSError as error:
+            if now - reported_at >= REPORT_INTERVAL_S:
+                reported_at = now
+                waits_s = round(now - started_at, 1)
+                emit(
+                    events.DATA_FOLDER_WAITS,
+                    path=str(disk.jobs.parent),
+                    reason=str(error),
+                    waits_s=waits_s,
+                )
+            await asyncio.sleep(FOLDER_RETRY_S)
+            continue
+        if reported_at > float("-inf"):
+            emit(
+                events.DATA_FOLDER_OPENED,
+                path=str(disk.jobs.parent),
+                waited_s=round(now - started_at, 1),
+            )
+        return
+
+
 def _read_job_id(request: Request) -> JobId:
     return JobId(request.path.removeprefix("/spool/"))
--- a/tests/test_cmd/test_cmd_program_starts.py
+++ b/tests/test_cmd/test_cmd_program_starts.py
@@ -265,9 +265,6 @@
     program = start("data-host")
     blocked = program.folder / "data" / name
     blocked.parent.mkdir(parents=True, exist_ok=True)
-    if name == ".":
-        blocked = program.folder / "data"
-        blocked.rmdir()
     blocked.write_text("not a folder")
     program.start().wait_for_event("data_folder_waits")
     blocked.unlink()
--- a/tests/test_jobs/test_jobs_large_items.py
+++ b/tests/test_jobs/test_jobs_large_items.py
@@ -139,7 +139,9 @@
     """Former versions accepted jobs that they could not enter; data hosts still keep them."""
     item = Item(ItemId("job-0"), "/night/0", [], make_body(0, VALUE_BYTES + 1), 100)
     state = JobState(ROUTE, "calls.example", Incarnation("gone/1"), 0, [item.id], [100])
-    SpoolDisk(tmp_path / "late", 64).put(SpooledJob(JobId("job"), state, [item]))
+    disk = SpoolDisk(tmp_path / "late", 64)
+    disk.open()
+    disk.put(SpooledJob(JobId("job"), state, [item]))
 
     async def work(deployment: Deployment) -> None:
         await deployment.add_data_host("late", tmp_path / "late")
--- a/tests/test_jobs/test_jobs_rejections.py
+++ b/tests/test_jobs/test_jobs_rejections.py
@@ -154,6 +154,7 @@
     """A data host stopped its round at the first job that could not be entered."""
     large, small = (make_spooled(name, size) for name, size in (("a", 9 * KIB), ("b", 1)))
     disk = SpoolDisk(tmp_path / "late", 64)
+    disk.open()
     disk.put(large)
     disk.put(small)
 
--- a/tests/test_spool/test_spool_disk.py
+++ b/tests/test_spool/test_spool_disk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import pytest
@@ -9,8 +10,12 @@
 from gradepoint.errors import StoreError
 from gradepoint.ids import Incarnation, ItemId, JobId
 from gradepoint.jobs.records import Item, JobState
+from gradepoint.jobs.repository import JobRepository
 from gradepoint.spool.disk import SpoolDisk
+from gradepoint.spool.host import SpoolHost
 from gradepoint.spool.records import SpooledJob
+from gradepoint.standins.memory_kv import MemoryKv, MemoryKvClient
+from gradepoint.wire.http_client import HttpClient
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -22,32 +27,57 @@
     return SpooledJob(JobId(name), state, [Item(ItemId("i"), "/p", [], body, 10)])
 
 
+def open_disk(folder: Path, disk_mb: int = 10) -> SpoolDisk:
+    """Return the opened files of a data folder."""
+    disk = SpoolDisk(folder, disk_mb)
+    disk.open()
+    return disk
+
+
+def load_host(folder: Path) -> SpoolHost:
+    """Return a data host that has loaded its jobs, as after a start."""
+    kv = MemoryKvClient(MemoryKv())
+    host = SpoolHost(SpoolDisk(folder, 10), kv, JobRepository(kv, 1 << 20), HttpClient())
+
+    async def start() -> None:
+        await host.open_disk()
+        await host.load_at_start()
+
+    asyncio.run(start())
+    return host
+
+
+def load(folder: Path) -> list[SpooledJob]:
+    """Return the jobs that a data host holds after a start."""
+    host = load_host(folder)
+    return [host.disk.read(job_id) for job_id in host.held]
+
+
 def test_jobs_survive_restart_until_deleted(tmp_path: Path) -> None:
     """A new incarnation has to find every job that an earlier one confirmed."""
-    disk = SpoolDisk(tmp_path, 10)
+    disk = open_disk(tmp_path)
     jobs = [make_job("one"), make_job("two")]
     for job in jobs:
         disk.put(job)
-    assert SpoolDisk(tmp_path, 10).read_all() == jobs
+    assert load(tmp_path) == jobs
     disk.delete(JobId("one"))
     disk.delete(JobId("never-kept"))
-    assert SpoolDisk(tmp_path, 10).read_all() == jobs[1:]
+    assert load(tmp_path) == jobs[1:]
 
 
 def test_incomplete_files_are_ignored(tmp_path: Path) -> None:
     """A power loss may leave incomplete files; they must not keep a data host from starting."""
-    disk = SpoolDisk(tmp_path, 10)
+    disk = open_disk(tmp_path)
     disk.put(make_job("whole"))
     (disk.jobs / "torn").write_bytes(b"\x94\xa4")
     (disk.temporary / "begun").write_bytes(b"\x94")
-    later = SpoolDisk(tmp_path, 10)
-    assert [job.id for job in later.read_all()] == ["whole"]
-    assert not list(later.temporary.iterdir())
+    assert [job.id for job in load(tmp_path)] == ["whole"]
+    assert not list(disk.temporary.iterdir())
 
 
 def test_full_spool_refuses_jobs(tmp_path: Path) -> None:
     """A job that is confirmed but does not fit on the disk would be lost."""
-    disk = SpoolDisk(tmp_path, 1)
+    disk = open_disk(tmp_path, 1)
     disk.put(make_job("one", b"x" * 400_000))
     with pytest.raises(StoreError):
         disk.put(make_job("two", b"x" * 400_000))
@@ -57,7 +87,7 @@
 
 def test_disk_failure_raises_store_error(tmp_path: Path) -> None:
     """A job that could not be written must not be confirmed."""
-    disk = SpoolDisk(tmp_path, 10)
+    disk = open_disk(tmp_path)
     disk.temporary.rmdir()
     with pytest.raises(StoreError):
         disk.put(make_job("one"))
