Take answers whose heads are not valid HTTP for broken ones

Callers saw answers of targets in trouble whose status HTTP does not define: 600, 700 and 999 were passed on as they were, also where another target could have served the call, and HTTP/0.0 200, HTTP/3.7 200 and others as 200. Such heads also decided: 429 and 503 of an unknown version counted as "not run", 421 took the target out, 404 and 412 of the store as definite results, its 4xx as final refusals, 409 and 503 of a data host as "not kept".

Cause: h11 checks the form of a status line only (any digits as a version, any status from 100 to 999, a length beside a transfer coding, a transfer coding in version 1.0, a body with 204, control characters in values, any number of interim responses), and no reader looked further. Class: what a library lets pass taken for what the protocol allows.

PooledConnection.next_head checks each head, interim ones too, before anybody sees it, and raises ResponseBroken, which all readers handle as a broken answer: another target, or one 502 with outcome unknown; the target is charged; the store's answer is uncertain. No other place reads heads: only HttpClient opens connections for HTTP (searched for open_connection).

Ruled out: checks in each reader, since a new reader would miss them; they would also come after the connection went back to the pool.

--- a/gradepoint/wire/http_client.py
+++ b/gradepoint/wire/http_client.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -36,6 +37,17 @@
 MIN_MEAN_CHUNK_BYTES = 2
 """Minimum mean size in bytes of that many chunks."""
 STATUSES_WITHOUT_BODY = (204, 304)
+STATUS_SWITCHING_PROTOCOLS = 101
+STATUS_NO_CONTENT = 204
+MAX_STATUS = 599
+"""Largest status; its first digit states the class of an answer, of which there are five."""
+HTTP_VERSIONS = (b"1.0", b"1.1")
+"""Versions that an answer may have; another one may have another format."""
+MAX_INTERIM_RESPONSES = 16
+"""Maximum number of responses of status 1xx before the final one."""
+CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+"""Bytes that no header value may have. h11 accepts most of them, and a caller's client may reject
+an answer that has any."""
 KEEP_ALIVE_SHARE = 0.8
 """Share of the keep-alive time announced by the server during which an idle connection may be
 reused. The rest covers the time that a request takes to reach the server."""
@@ -114,6 +126,22 @@
             self.close()
             raise ResponseBroken(f"not well-formed HTTP: {error}") from error
 
+    async def next_head(self) -> h11.Response:
+        """Return the head of the final response.
+
+        :raises ResponseBroken: the connection failed, or what arrived is no valid response.
+        """
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
+            head = await self.next_event()
+            if not isinstance(head, (h11.InformationalResponse, h11.Response)):
+                raise ResponseBroken("connection closed before the response")
+            fault = find_head_fault(head)
+            if fault is not None:
+                raise ResponseBroken(f"not a valid response: {fault}")
+            if isinstance(head, h11.Response):
+                return head
+        raise ResponseBroken(f"more than {MAX_INTERIM_RESPONSES} responses before the final one")
+
     @property
     def usable(self) -> bool:
         """Whether the connection seems open and its keep-alive time has not passed."""
@@ -328,9 +356,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 await _send(connection, method, target, host, body, headers or ())
-                head = await connection.next_event()
-                while isinstance(head, h11.InformationalResponse):
-                    head = await connection.next_event()
+                head = await connection.next_head()
         except TimeoutError as error:
             connection.close()
             if connection.reused:
@@ -339,9 +365,6 @@
         except BaseException:
             connection.close()
             raise
-        if not isinstance(head, h11.Response):
-            connection.close()
-            raise ResponseBroken("connection closed before the response")
         response = ClientResponse(self, origin, connection, head)
         declared = read_whole_number(response.headers.get("content-length", ""))
         if declared is not None and declared > self.max_body_bytes and method != "HEAD":
@@ -406,6 +429,32 @@
     connection.close()
 
 
+def find_head_fault(head: h11.InformationalResponse | h11.Response) -> str | None:
+    """Return what makes the head of a response invalid; None if it is valid.
+
+    h11 has checked the format of its lines, but accepts more versions, statuses and framings than
+    HTTP defines. The framing rules are those of RFC 9112, sections 6.1 and 6.3.
+    """
+    headers = dict(head.headers)
+    status = head.status_code
+    has_coding = b"transfer-encoding" in headers
+    length = headers.get(b"content-length")
+    if head.http_version not in HTTP_VERSIONS:
+        return f"version {head.http_version.decode('latin-1')}"
+    if status > MAX_STATUS or status == STATUS_SWITCHING_PROTOCOLS:
+        return f"status {status}"
+    if has_coding and length is not None:
+        return "a length and a transfer coding"
+    if has_coding and head.http_version == b"1.0":
+        return "a transfer coding in version 1.0"
+    announces_body = has_coding or read_whole_number(length or b"0") != 0
+    if announces_body and (status < 200 or status == STATUS_NO_CONTENT):
+        return f"a body with status {status}"
+    if any(CONTROL_CHARACTER.search(value) for _, value in head.headers):
+        return "a control character in a header"
+    return None
+
+
 def _find_framing(status: int, headers: Mapping[str, str]) -> BodyFraming:
     if status in STATUSES_WITHOUT_BODY:
         return BodyFraming.LENGTH
--- a/tests/support/scripted_target.py
+++ b/tests/support/scripted_target.py
@@ -31,6 +31,9 @@
     :param newline: the end of a line in the stream.
     :param content_type: type of the body.
     :param document: the body, if it is no event stream.
+    :param status_line: first line of the answer.
+    :param headers: headers beside those of a sound answer.
+    :param interim: bytes before the first line.
     """
 
     framing: BodyFraming
@@ -41,6 +44,9 @@
     newline: bytes = b"\n"
     content_type: str = "text/event-stream"
     document: bytes = b""
+    status_line: str = "HTTP/1.1 200 OK"
+    headers: tuple[str, ...] = ()
+    interim: bytes = b""
 
     def __str__(self) -> str:
         return f"{self.framing.value}-{self.stop_before}-{self.partial_bytes}-{self.end.value}"
@@ -131,7 +137,7 @@
             sent = [b"%x\r\n%b\r\n" % (len(piece), piece) for piece in sent if piece]
             if answer.stop_before is None or answer.ends_regularly:
                 sent.append(b"0\r\n\r\n")
-        lines = "\r\n".join(["HTTP/1.1 200 OK", *fields, "", ""])
-        writer.write(lines.encode())
+        lines = "\r\n".join([answer.status_line, *fields, *answer.headers, "", ""])
+        writer.write(answer.interim + lines.encode("latin-1"))
         for piece in sent:
             writer.write(piece)
