Give the settings of a test ports that differ

test_zero_tolerated_losses_is_a_valid_setting gave callers and readiness the same port, which is a problem of the settings since the commit that refuses it, and which that commit overlooked. What the test states is unchanged.

--- a/tests/test_platform/test_platform_names.py
+++ b/tests/test_platform/test_platform_names.py
@@ -102,9 +102,11 @@
 
 
 def test_zero_tolerated_losses_is_a_valid_setting() -> None:
-    text = {None: "x", IP: "10.1.0.10", ADDRESS: "10.1.0.10:8161", PORTS: "7720,7735"}
     required = [row for row in TABLE if row.kind is str and row.default is REQUIRED]
-    values = {row.name: text[row.form] for row in required}
+    values = {}
+    for port, row in enumerate(required, start=8161):
+        text = {None: "x", IP: "10.1.0.10", ADDRESS: f"10.1.0.10:{port}", PORTS: "7720,7735"}
+        values[row.name] = text[row.form]
     zeros = dict.fromkeys(("hosts_lost", "domains_lost", "regions_lost", "quota_excess"), 0)
     settings = check_gateway_settings({**values, **zeros}).unwrap()
     assert settings.spool_copies == 1
