Keep a job that has the name of the probe file

At its start, a data host creates and deletes a file to see whether its folder can be used. Callers choose the names of jobs: a job named like this file would have been deleted at each start. An existing file is left now. Found by reading; test_job_with_the_name_of_the_probe_survives_a_restart fails before.

--- a/gradepoint/spool/disk.py
+++ b/gradepoint/spool/disk.py
@@ -118,10 +118,14 @@
 def _probe(path: Path) -> None:
     """Create and delete an empty file; a full disk is no error, since it still has its jobs.
 
+    A file that exists is left: it may be a job of that name.
+
     :raises OSError: the folder cannot be changed.
     """
     try:
-        path.touch()
+        path.touch(exist_ok=False)
+    except FileExistsError:
+        return
     except OSError as error:
         if error.errno not in {errno.ENOSPC, errno.EDQUOT}:
             raise
--- a/tests/test_spool/test_spool_disk.py
+++ b/tests/test_spool/test_spool_disk.py
@@ -11,7 +11,7 @@
 from gradepoint.ids import Incarnation, ItemId, JobId
 from gradepoint.jobs.records import Item, JobState
 from gradepoint.jobs.repository import JobRepository
-from gradepoint.spool.disk import SpoolDisk
+from gradepoint.spool.disk import PROBE_NAME, SpoolDisk
 from gradepoint.spool.host import SpoolHost
 from gradepoint.spool.records import SpooledJob
 from gradepoint.standins.memory_kv import MemoryKv, MemoryKvClient
@@ -91,3 +91,12 @@
     disk.temporary.rmdir()
     with pytest.raises(StoreError):
         disk.put(make_job("one"))
+
+
+def test_job_with_the_name_of_the_probe_survives_a_restart(tmp_path: Path) -> None:
+    """Callers choose the names of jobs, and so the names of files."""
+    disk = SpoolDisk(tmp_path, 10)
+    disk.open()
+    disk.put(make_job(PROBE_NAME))
+    SpoolDisk(tmp_path, 10).open()
+    assert disk.read(JobId(PROBE_NAME)) == make_job(PROBE_NAME)
