--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -286,6 +286,12 @@
     413, "spool_forgotten", "INFO", "The copy of a job is no longer needed and was deleted."
 )
 SPOOL_UNREADABLE = _declare(414, "spool_unreadable", "ERROR", "A spooled job cannot be decoded.")
+STORE_ENTRY_IGNORED = _declare(
+    430,
+    "store_entry_ignored",
+    "WARNING",
+    "An entry of the store's folder is not its own and cannot be deleted.",
+)
 DATA_FOLDER_WAITS = _declare(
     420,
     "data_folder_waits",
--- a/gradepoint/store/disk.py
+++ b/gradepoint/store/disk.py
@@ -7,8 +7,10 @@
 import time
 from typing import TYPE_CHECKING
 
+from .. import events
 from ..errors import StoreError
 from ..ids import ObjectHash
+from ..telemetry.logs import emit
 from ..util.files import write_durably
 from ..util.hashing import sha256_hex
 
@@ -39,14 +41,17 @@
         self.objects.mkdir(parents=True, exist_ok=True)
         self.temporary.mkdir(parents=True, exist_ok=True)
         for leftover in self.temporary.iterdir():
-            leftover.unlink()
+            try:
+                leftover.unlink()
+            except OSError as error:
+                emit(events.STORE_ENTRY_IGNORED, path=str(leftover), reason=error.strerror)
 
     def path(self, name: ObjectHash) -> Path:
         """Return the path of an object's file.
 
         :raises StoreError: *name* is not a hash.
         """
-        if len(name) != HASH_DIGITS or not set(name) <= set("0123456789abcdef"):
+        if not is_object_name(name):
             raise StoreError(f"{name!r} is not an object name")
         return self.objects / name[:2] / name
 
@@ -101,7 +106,15 @@
         return True
 
     def names(self) -> Iterator[ObjectHash]:
-        """Yield the names of all objects in ascending order."""
+        """Yield the names of all objects in ascending order; other entries are passed over."""
         for folder in sorted(self.objects.iterdir()):
+            if not folder.is_dir():
+                continue
             for path in sorted(folder.iterdir()):
-                yield ObjectHash(path.name)
+                if is_object_name(path.name) and path.is_file():
+                    yield ObjectHash(path.name)
+
+
+def is_object_name(name: str) -> bool:
+    """Whether *name* is a SHA-256 in hexadecimal digits."""
+    return len(name) == HASH_DIGITS and set(name) <= set("0123456789abcdef")
