Keep the memory of a data host within its limit

Cause: each job was held decoded with all items, while the bound was that of the disk; requests of 8 MB, 4096 connections of 0.5 MB of buffers each and answers of 16 to 64 MB had bounds of their own that did not add up to anything. Class: bounds of single uses that together exceed the memory.

The index holds what decisions need. Items are checked one at a time, the job's bytes are written as they came, and a job is read from its file while it is entered. The new setting memory_mb is divided into shares (spool/bounds.py) for the program, the index, the contents of jobs, connections and answers of the service, and each bound follows from its share: body size, reads at once (4), jobs in the index, connections with their buffers in the process and in the kernel, bytes of an answer and of all pages of a range. What does not fit is answered as by a full spool. Jobs on the disk beyond the index stay there, are answered for, and enter the index as it gets room; jobs larger than the bound that a former version accepted are entered while no body is read. Connections above the limit are reset rather than answered with 503, since hosts of the former version take a 503 about a job for "not here".

The files on disk and the requests are unchanged; fields that a newer version adds to a job are kept.

Ruled out: bounding the bytes on the disk by the memory (items need not be in memory); reading all bodies at once with a smaller bound (smaller jobs).

Tests changed: those that write files by SpoolDisk.put pass the encoded job.

--- a/gradepoint/cmd/data_host_program.py
+++ b/gradepoint/cmd/data_host_program.py
@@ -9,6 +9,7 @@
 from ..kv.limits import KvLimits
 from ..platform import store
 from ..spool.app import DataHost
+from ..spool.bounds import derive_bounds
 from ..spool.settings import DataHostSettings, check_data_host_settings
 from ..telemetry import logs
 from .runner import require_settings, run_logged, run_until_stopped
@@ -26,11 +27,14 @@
 
 async def serve(settings: DataHostSettings) -> None:
     """Run the data host until a stop signal arrives; SIGHUP has no effect."""
+    answer_bytes = derive_bounds(settings.memory_mb).answer_bytes
     kv = store.PlatformStore(
         settings.store_address,
         settings.store_timeout_s,
         settings.store_history_s,
         KvLimits(settings.store_value_bytes),
+        max_answer_bytes=answer_bytes,
+        max_range_bytes=answer_bytes,
     )
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, lambda: None)
     await run_until_stopped(DataHost(settings, kv), settings.address)
--- a/gradepoint/platform/store.py
+++ b/gradepoint/platform/store.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import random
+import sys
 from typing import TYPE_CHECKING, Any, TypeVar
 from urllib.parse import urlencode
 
@@ -132,19 +133,28 @@
     :param timeout_s: seconds after which a call times out; its outcome is uncertain then.
     :param history_s: seconds for which the store keeps changes for watches.
     :param limits: limits of the store; a transaction that exceeds them is not sent.
+    :param max_answer_bytes: most bytes of one answer.
+    :param max_range_bytes: most bytes of all pages of one range together.
     :ivar watch_s: seconds that a watch call waits for a change.
     """
 
     def __init__(
-        self, address: str, timeout_s: float, history_s: float, limits: KvLimits = DEFAULT_LIMITS
+        self,
+        address: str,
+        timeout_s: float,
+        history_s: float,
+        limits: KvLimits = DEFAULT_LIMITS,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
+        max_range_bytes: int = sys.maxsize,
     ) -> None:
         self.base_url = f"http://{address}"
         self.origin = split_address(address)
         self.timeout_s = timeout_s
         self.watch_s = min(MAX_WATCH_WAIT_S, history_s * WATCH_WAIT_SHARE_OF_HISTORY)
         self.http = HttpClient(
-            CONNECT_TIMEOUT_S, TCP_USER_TIMEOUT_MS, MAX_IDLE_CONNECTIONS, MAX_ANSWER_BYTES
+            CONNECT_TIMEOUT_S, TCP_USER_TIMEOUT_MS, MAX_IDLE_CONNECTIONS, max_answer_bytes
         )
+        self.max_range_bytes = max_range_bytes
         self.limits = limits
         self.counts = CallCounts()
 
@@ -171,7 +181,7 @@
 
     async def _read_pages(self, prefix: str, limit: int, *, fresh: bool) -> RangeResult:
         found: list[KeyValue] = []
-        revision = 0
+        revision = size = 0
         query = {"path_prefix": prefix}
         while True:
             target = f"/api/kv-range?{urlencode(query)}"
@@ -185,6 +195,10 @@
                 await asyncio.sleep(random.uniform(*PAGE_RETRY_S))
                 status, body = await self._read_page(target)
             self._check_status(status, 200, "range", prefix)
+            size += len(body)
+            if size > self.max_range_bytes:
+                reason = f"more than {self.max_range_bytes} bytes below {prefix}"
+                raise self._count_failure("range", KvUnavailable(reason))
             page = _decode(body, _RangeAnswer)
             revision = revision or page.timestamp
             found.extend(_read_item(item) for item in page.items)
--- a/gradepoint/spool/app.py
+++ b/gradepoint/spool/app.py
@@ -14,11 +14,12 @@
 from ..util.run_marker import FormerRun, RunMarker
 from ..util.tasks import TaskGroup
 from ..wire.http_client import HttpClient
-from ..wire.http_server import HttpServer
 from ..wire.http_types import Response
 from ..wire.listening import open_port
+from .bounds import METRICS_CONNECTIONS, derive_bounds
 from .disk import SpoolDisk
 from .host import SpoolHost
+from .server import SpoolServer
 
 if TYPE_CHECKING:
     from ..kv.service import KeyValueService
@@ -28,6 +29,8 @@
 CONNECT_TIMEOUT_S = 0.25
 """Seconds until a connection attempt to a host fails: many times the network delay between failure
 domains."""
+MAX_PEER_ANSWER_BYTES = 64 << 10
+"""Most bytes of the answer of a host that is asked to run a job; its status suffices."""
 RUN_MARKER_FILE = "run"
 """File in the data folder that tells how the former run ended."""
 
@@ -47,15 +50,17 @@
             peer_address=f"{settings.address}:{settings.peer_port}",
         )
         self.presence = Presence(store, own, DATA_HOST_PREFIX)
-        self.http = HttpClient(CONNECT_TIMEOUT_S)
+        bounds = derive_bounds(settings.memory_mb)
+        self.http = HttpClient(CONNECT_TIMEOUT_S, max_body_bytes=MAX_PEER_ANSWER_BYTES)
         self.spool = SpoolHost(
             SpoolDisk(Path(settings.data_folder), settings.disk_mb),
             store,
             JobRepository(store, settings.store_value_bytes),
             self.http,
+            bounds,
         )
-        self.server = HttpServer(self.spool.handle)
-        self.metrics_server = HttpServer(self.answer_metrics)
+        self.server = SpoolServer(self.spool.handle, bounds.max_connections, bounds.body_bytes)
+        self.metrics_server = SpoolServer(self.answer_metrics, METRICS_CONNECTIONS, 0)
         self.tasks = TaskGroup()
         self.marker = RunMarker(Path(settings.data_folder) / RUN_MARKER_FILE)
 
--- a/gradepoint/spool/disk.py
+++ b/gradepoint/spool/disk.py
@@ -12,7 +12,6 @@
 from ..errors import StoreError
 from ..telemetry.logs import emit
 from ..util.files import sync_folder, write_durably
-from .records import SpooledJob, decode_job, encode_job
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -37,14 +36,16 @@
     :ivar jobs: folder of the complete files, named by job id.
     :ivar temporary: folder of files that are being written; emptied at the start.
     :ivar max_bytes: most bytes that job files may fill.
-    :ivar sizes: size of each job's file in bytes.
+    :ivar sizes: size of the file of each job that is held, in bytes.
+    :ivar unread_bytes: size of the files of other jobs, as far as it is known.
     """
 
     def __init__(self, folder: Path, disk_mb: int) -> None:
         self.jobs = folder / "spool"
         self.temporary = folder / "spool-temporary"
         self.max_bytes = int(disk_mb * MEGABYTE * MAX_FILL_SHARE)
-        self.sizes: dict[str, int] = {}
+        self.sizes: dict[JobId, int] = {}
+        self.unread_bytes = 0
 
     def open(self) -> None:
         """Create the folders and delete incomplete files; may be called again.
@@ -63,19 +64,18 @@
                     path = printable(entry.path)
                     emit(events.SPOOL_ENTRY_IGNORED, path=path, reason=error.strerror)
 
-    def put(self, job: SpooledJob) -> None:
-        """Write a job durably, so that it survives a power loss.
+    def put(self, job_id: JobId, raw: bytes | memoryview) -> None:
+        """Write an encoded job durably, so that it survives a power loss.
 
         :raises StoreError: the spool is full, or the disk failed and the job may be stored or not.
         """
-        raw = encode_job(job)
-        if sum(self.sizes.values()) + len(raw) > self.max_bytes:
+        if sum(self.sizes.values()) + self.unread_bytes + len(raw) > self.max_bytes:
             raise StoreError("the spool is full")
         try:
-            write_durably(self.jobs / job.id, self.temporary / job.id, raw)
+            write_durably(self.jobs / job_id, self.temporary / job_id, raw)
         except OSError as error:
             raise StoreError(f"could not write the job to disk: {error!r}") from error
-        self.sizes[job.id] = len(raw)
+        self.sizes[job_id] = len(raw)
 
     def list_batches(self) -> Iterator[list[str]]:
         """Yield the names in the folder of jobs, some at a time.
@@ -86,23 +86,22 @@
             while batch := sorted(entry.name for entry in islice(entries, BATCH_FILES)):
                 yield batch
 
-    def is_regular(self, job_id: JobId) -> bool:
-        """Whether the entry of a job's name is a regular file; reading another one may block.
+    def find_size(self, job_id: JobId) -> int | None:
+        """Return the size of a job's file; None if it is not a regular file.
+
+        Reading another entry may block.
 
         :raises OSError: there is none, or it is not known.
         """
-        return stat.S_ISREG((self.jobs / job_id).lstat().st_mode)
+        status = (self.jobs / job_id).lstat()
+        return status.st_size if stat.S_ISREG(status.st_mode) else None
 
-    def read(self, job_id: JobId) -> SpooledJob:
-        """Read a job from its file.
+    def read(self, job_id: JobId) -> bytes:
+        """Read a job's file.
 
         :raises OSError: the file does not exist or cannot be read now.
-        :raises msgspec.DecodeError: its content is damaged.
         """
-        raw = (self.jobs / job_id).read_bytes()
-        job = decode_job(raw)
-        self.sizes[job_id] = len(raw)
-        return job
+        return (self.jobs / job_id).read_bytes()
 
     def delete(self, job_id: JobId) -> None:
         """Delete a job that the key-value service has.
--- a/gradepoint/spool/host.py
+++ b/gradepoint/spool/host.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import AsyncExitStack, aclosing
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -15,7 +16,7 @@
 
 from .. import events
 from ..errors import KvError, KvRejected, StoreError
-from ..ids import JobId
+from ..ids import JobId, OrganisationName
 from ..jobs.repository import REJECTED_RETRY_S, Admission
 from ..peers.presence import PRESENCE_PREFIX, HostTable
 from ..telemetry.logs import emit
@@ -24,25 +25,31 @@
 from ..wire.addresses import split_address
 from ..wire.http_client import ConnectFailed, ResponseBroken
 from ..wire.http_types import Response
+from .bounds import READS_AT_ONCE
+from .client import KEEP_TIMEOUT_S
 from .disk import is_file_name, printable
-from .records import SpoolRequest
+from .records import decode_job, read_outline, split_request
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from ..ids import Incarnation
     from ..jobs.repository import JobRepository
     from ..kv.service import KeyValueService
     from ..wire.http_client import HttpClient
     from ..wire.http_types import Request
+    from .bounds import SpoolBounds
     from .disk import SpoolDisk
-    from .records import SpooledJob
+    from .records import JobOutline
 
 FOLDER_RETRY_S = 0.5
 """Seconds between attempts to use a data folder that cannot be used."""
 REPORT_INTERVAL_S = 10.0
 """Seconds between log lines about a data folder that cannot be used."""
 LOAD_RETRY_S = 10.0
-"""Seconds between attempts to read the files that could not be read at the start."""
+"""Seconds between attempts to read files that could not be read, or did not fit into the index."""
+LOAD_TURN_BYTES = 1 << 20
+"""Bytes of files that loading reads before it lets other tasks run."""
 POLL_INTERVAL_S = 0.25
 """Seconds between checks for jobs whose entry is due."""
 FIRST_ENTRY_DELAY_S = 2.0
@@ -61,24 +68,26 @@
 class FileState(Enum):
     """What is known about an entry of the folder of jobs.
 
-    ``HELD``: it is a job, which is held now. ``NO_JOB``: it is absent, foreign or damaged.
-    ``UNREAD``: it may be a job, but cannot be read now.
+    ``JOB``: it is a job, which is held now if the index has room. ``NO_JOB``: it is absent,
+    foreign or damaged. ``UNREAD``: it may be a job, but cannot be read now.
     """
 
-    HELD = "held"
+    JOB = "job"
     NO_JOB = "no-job"
     UNREAD = "unread"
 
 
-@dataclass
-class HeldJob:
-    """A job on this host's disk.
+class HeldJob(msgspec.Struct):
+    """A job on this host's disk; its items stay there.
 
-    :ivar since: monotonic time at which this process stored or loaded the job.
-    :ivar next_try_at: monotonic time before which this host does not try to enter the job.
+    :param tokens: see :class:`JobOutline`.
+    :param limit: see :class:`JobOutline`.
+    :param since: monotonic time at which this process stored or loaded the job.
+    :param next_try_at: monotonic time before which this host does not try to enter the job.
     """
 
-    job: SpooledJob
+    tokens: int
+    limit: tuple[str, OrganisationName | None]
     since: float
     next_try_at: float
 
@@ -88,7 +97,9 @@
     """Keeps jobs, and enters those that the accepting host does not enter.
 
     :ivar held: jobs on this host's disk.
-    :ivar unread: number of files that could not be read and may be jobs.
+    :ivar reading: limits the bodies that are read at once.
+    :ivar unread: number of files that may be jobs and are not in the index, since they could not
+        be read or the index was full.
     :ivar retiring: the operator has requested that this host be drained; it accepts no further job.
     """
 
@@ -96,6 +107,8 @@
     kv: KeyValueService
     repository: JobRepository
     http: HttpClient
+    bounds: SpoolBounds
+    reading: asyncio.Semaphore = field(default_factory=lambda: asyncio.Semaphore(READS_AT_ONCE))
     held: dict[JobId, HeldJob] = field(default_factory=dict)
     unread: int = 0
     retiring: bool = False
@@ -119,14 +132,34 @@
 
         :raises OSError: the folder cannot be read.
         """
-        unread = 0
+        unread = unread_bytes = turn_bytes = 0
         for batch in self.disk.list_batches():
             for name in batch:
-                if name not in self.held:
-                    unread += self._load_file(name) is FileState.UNREAD
+                job_id = JobId(name)
+                if job_id in self.held:
+                    continue
+                if len(self.held) < self.bounds.max_jobs:
+                    state = self._load_file(name)
+                    turn_bytes += self.disk.sizes.get(job_id, 0)
+                else:
+                    state = FileState.UNREAD
+                if state is FileState.UNREAD:
+                    unread += 1
+                    unread_bytes += self._find_size(job_id)
+                if turn_bytes > LOAD_TURN_BYTES:
+                    turn_bytes = 0
+                    await asyncio.sleep(0)
             await asyncio.sleep(0)
         self.unread = unread
-        emit(events.SPOOL_LOADED, jobs=len(self.held), unread=self.unread)
+        self.disk.unread_bytes = unread_bytes
+        emit(events.SPOOL_LOADED, jobs=len(self.held), unread=unread)
+
+    def _find_size(self, job_id: JobId) -> int:
+        try:
+            return self.disk.find_size(job_id) or 0
+        except OSError as error:
+            emit(events.SPOOL_FILE_FAILED, job=printable(job_id), reason=error.strerror)
+            return 0
 
     def _load_file(self, name: str) -> FileState:
         """Read the file of a job that is not held, and hold the job; log why it cannot be."""
@@ -134,10 +167,14 @@
         try:
             if not is_file_name(name):
                 return FileState.NO_JOB
-            if not self.disk.is_regular(job_id):
+            size = self.disk.find_size(job_id)
+            if size is None:
                 self._ignore(name, "not a regular file")
                 return FileState.NO_JOB
-            job = self.disk.read(job_id)
+            if size > self.bounds.file_bytes:
+                self._ignore(name, f"{size} bytes, more than a job's file has")
+                return FileState.NO_JOB
+            job = read_outline(self.disk.read(job_id))
         except FileNotFoundError:
             return FileState.NO_JOB
         except OSError as error:
@@ -149,9 +186,15 @@
         if job.id != job_id:
             self._ignore(name, f"the file of job {job.id}")
             return FileState.NO_JOB
-        now = monotonic()
-        self.held[job_id] = HeldJob(job, now, now)
-        return FileState.HELD
+        if len(self.held) < self.bounds.max_jobs:
+            now = monotonic()
+            self._hold(job, size, now, now)
+        return FileState.JOB
+
+    def _hold(self, job: JobOutline, size: int, since: float, next_try_at: float) -> None:
+        """Put a job into the index."""
+        self.disk.sizes[job.id] = size
+        self.held[job.id] = HeldJob(job.tokens, job.limit, since, next_try_at)
 
     def _ignore(self, name: str, reason: str) -> None:
         emit(events.SPOOL_ENTRY_IGNORED, path=printable(self.disk.jobs / name), reason=reason)
@@ -166,7 +209,7 @@
     async def handle(self, request: Request) -> Response:
         """Answer a request of another host: keep, find or delete a job, or retire this host."""
         if request.method == "POST" and request.path == "/spool":
-            return self._keep(await request.read_body())
+            return await self._receive(request)
         if request.method == "POST" and request.path == "/retire":
             self.retiring = True
             self.retry_now()
@@ -175,9 +218,10 @@
             return Response(self._find(_read_job_id(request)))
         if request.method == "DELETE":
             job_id = _read_job_id(request)
-            self._find(job_id)
-            self._forget(job_id, "entered by the accepting host")
-            return Response(500 if job_id in self.held else 200)
+            is_job = self._find(job_id) == 200
+            return Response(
+                200 if not is_job or self._forget(job_id, "entered by the accepting host") else 500
+            )
         return Response(404)
 
     def _find(self, job_id: JobId) -> int:
@@ -186,51 +230,73 @@
             return 200
         if not self.unread:
             return 404
-        return {FileState.HELD: 200, FileState.NO_JOB: 404, FileState.UNREAD: 503}[
+        return {FileState.JOB: 200, FileState.NO_JOB: 404, FileState.UNREAD: 503}[
             self._load_file(job_id)
         ]
 
-    def _keep(self, raw: bytes) -> Response:
+    async def _receive(self, request: Request) -> Response:
+        """Read a job when memory permits; the sender waits no longer than the time-out."""
         try:
-            body = msgspec.msgpack.decode(raw, type=SpoolRequest)
+            async with asyncio.timeout(KEEP_TIMEOUT_S), self.reading:
+                raw = await self._read_body(request)
+                return Response(500) if raw is None else self._keep(raw)
+        except TimeoutError:
+            emit(events.SPOOL_REFUSED, job="", reason="not received in time", waiting_tokens=0)
+            return Response(500)
+
+    async def _read_body(self, request: Request) -> bytearray | None:
+        """Return the body of a request; None if it exceeds the bound."""
+        raw = bytearray()
+        async with aclosing(request.body_source()) as pieces:  # type: ignore[type-var]
+            async for piece in pieces:
+                if len(raw) + len(piece) > self.bounds.body_bytes:
+                    reason = f"more than {self.bounds.body_bytes} bytes"
+                    emit(events.SPOOL_REFUSED, job="", reason=reason, waiting_tokens=0)
+                    return None
+                raw += piece
+        return raw
+
+    def _keep(self, raw: bytearray) -> Response:
+        try:
+            content, max_tokens = split_request(raw)
+            job = read_outline(content, self.repository.value_bytes)
         except msgspec.DecodeError as error:
             emit(events.SPOOL_UNREADABLE, reason=str(error))
             return Response(409)
-        job = body.job
-        if job.id in self.held:
-            return Response(200)
         if not is_file_name(job.id):
             emit(events.SPOOL_REFUSED, job=job.id, reason="id", waiting_tokens=0)
             return Response(409)
+        if self._find(job.id) == 200:
+            return Response(200)
         if self.retiring:
             return Response(503)
-        waiting = sum(
-            held.job.tokens for held in self.held.values() if held.job.state.shares_limit(job.state)
-        )
-        if body.max_tokens_per_host and waiting + job.tokens > body.max_tokens_per_host:
+        waiting = sum(held.tokens for held in self.held.values() if held.limit == job.limit)
+        if max_tokens and waiting + job.tokens > max_tokens:
             emit(events.SPOOL_REFUSED, job=job.id, reason="quota", waiting_tokens=waiting)
             return Response(409)
         try:
-            self.disk.put(job)
+            if len(self.held) >= self.bounds.max_jobs:
+                raise StoreError("the index of jobs is full")
+            self.disk.put(job.id, content)
         except StoreError as error:
             emit(events.SPOOL_REFUSED, job=job.id, reason=str(error), waiting_tokens=waiting)
             return Response(500)
         now = monotonic()
-        self.held[job.id] = HeldJob(job, now, now + FIRST_ENTRY_DELAY_S)
-        emit(events.SPOOL_KEPT, job=job.id, items=len(job.items), held=len(self.held))
+        self._hold(job, len(content), now, now + FIRST_ENTRY_DELAY_S)
+        emit(events.SPOOL_KEPT, job=job.id, items=job.items, held=len(self.held))
         return Response(200)
 
-    def _forget(self, job_id: JobId, reason: str) -> None:
-        if job_id not in self.held:
-            return
+    def _forget(self, job_id: JobId, reason: str) -> bool:
+        """Delete a job; return whether its file is deleted."""
         try:
             self.disk.delete(job_id)
         except OSError as error:
             # The job stays held; the next attempt to enter it deletes it again.
-            emit(events.SPOOL_FILE_FAILED, job=job_id, reason=str(error))
-            return
-        del self.held[job_id]
+            emit(events.SPOOL_FILE_FAILED, job=job_id, reason=error.strerror)
+            return False
+        self.held.pop(job_id, None)
         emit(events.SPOOL_FORGOTTEN, job=job_id, reason=reason, held=len(self.held))
+        return True
 
     def retry_now(self) -> None:
         """Make the entry of every job due now."""
@@ -242,34 +308,65 @@
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
             now = monotonic()
-            for held in [row for row in self.held.values() if row.next_try_at <= now]:
+            due = [job_id for job_id, held in self.held.items() if held.next_try_at <= now]
+            for job_id in due:
+                held = self.held.get(job_id)
+                if held is None:
+                    continue
                 held.next_try_at = now + ENTRY_RETRY_S
                 try:
-                    await self._enter(held)
+                    await self._enter(job_id, held)
                 except KvRejected as error:
                     held.next_try_at = now + REJECTED_RETRY_S
-                    emit(events.SPOOL_REJECTED, job=held.job.id, **error.log_fields)
+                    emit(events.SPOOL_REJECTED, job=job_id, **error.log_fields)
                 except KvError as error:
-                    emit(events.SPOOL_WAITS, job=held.job.id, reason=str(error))
+                    emit(events.SPOOL_WAITS, job=job_id, reason=str(error))
                     # The service does not answer, so other jobs would fail too.
                     break
+                except FileNotFoundError:
+                    self._forget(job_id, "its file is gone")
+                except OSError as error:
+                    held.next_try_at = now + LOAD_RETRY_S
+                    emit(events.SPOOL_FILE_FAILED, job=job_id, reason=error.strerror)
+                except msgspec.DecodeError as error:
+                    held.next_try_at = now + REJECTED_RETRY_S
+                    emit(events.SPOOL_UNREADABLE, job=job_id, reason=str(error))
 
-    async def _enter(self, held: HeldJob) -> None:
+    async def _enter(self, job_id: JobId, held: HeldJob) -> None:
         """Create a job in the key-value service unless it exists there, then delete it here.
 
         :raises KvError: no definite answer; the job stays here.
+        :raises OSError: its file cannot be read now.
+        :raises msgspec.DecodeError: its file is damaged.
+        """
+        owner = await self._create(job_id, held)
+        if owner is not None:
+            await self._ask_to_run(job_id, owner)
+        if job_id in self.held and not self._forget(job_id, "the key-value service has the job"):
+            held.next_try_at = monotonic() + REJECTED_RETRY_S
+
+    async def _create(self, job_id: JobId, held: HeldJob) -> Incarnation | None:
+        """Create a job; return the owner that it names if it did not exist.
+
+        The job is in memory only while this runs.
         """
-        job = held.job
-        age_s = monotonic() - held.since
-        state = msgspec.structs.replace(job.state, released=True, age_s=age_s)
-        # Limit 0: the tokens are charged, but an accepted job cannot be refused any more.
-        submission = await self.repository.accept(job.id, state, job.items, 0)
-        if submission.admission is Admission.NEW:
-            emit(events.JOB_ENTERED, job=job.id, items=len(job.items))
-            await self._ask_to_run(job)
-        self._forget(job.id, "the key-value service has the job")
-
-    async def _ask_to_run(self, job: SpooledJob) -> None:
+        # A job that only a former version accepted takes the memory of the bodies as well.
+        large = self.disk.sizes[job_id] > self.bounds.body_bytes
+        slots = READS_AT_ONCE if large else 0
+        async with AsyncExitStack() as stack:
+            for _ in range(slots):
+                await stack.enter_async_context(self.reading)
+            job = decode_job(self.disk.read(job_id))
+            age_s = monotonic() - held.since
+            state = msgspec.structs.replace(job.state, released=True, age_s=age_s)
+            # Limit 0: the tokens are charged, but an accepted job cannot be refused any more.
+            submission = await self.repository.accept(job_id, state, job.items, 0)
+        if submission.admission is not Admission.NEW:
+            return None
+        emit(events.JOB_ENTERED, job=job_id, items=len(job.items))
+        return state.owner
+
+    async def _ask_to_run(self, job_id: JobId, owner: Incarnation) -> None:
         """Ask live hosts to run a job; if none accepts, the next sweep for orphaned jobs finds it.
 
         The host that accepted the job is asked first, because it may have run some items already.
@@ -279,13 +376,13 @@
         for item in found.items:
             table.put_readable(item.key, item.value)
         address = {host.incarnation: host.peer_address for host in table.hosts.values()}
-        others = rank(job.id, set(address) - {job.state.owner})
-        acceptor = [job.state.owner] if job.state.owner in address else []
+        others = rank(job_id, set(address) - {owner})
+        acceptor = [owner] if owner in address else []
         for incarnation in [*acceptor, *others][:MAX_HOSTS_ASKED]:
             origin = split_address(address[incarnation])
             try:
                 async with asyncio.timeout(ASK_TIMEOUT_S):
-                    response = await self.http.send(origin, "GET", f"/take/{job.id}")
+                    response = await self.http.send(origin, "GET", f"/take/{job_id}")
                     await response.read()
             except (ConnectFailed, ResponseBroken, TimeoutError) as error:
                 emit(events.PEER_SILENT, member=address[incarnation], reason=repr(error))
--- a/gradepoint/spool/records.py
+++ b/gradepoint/spool/records.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import sys
+
 import msgspec
 
-from ..ids import ItemId, JobId
+from ..ids import ItemId, JobId, OrganisationName
 from ..jobs.records import Item, JobState
 
 
@@ -36,6 +38,58 @@
     max_tokens_per_host: int
 
 
+class JobOutline(msgspec.Struct, frozen=True):
+    """What decisions about a job need.
+
+    :param tokens: see :attr:`SpooledJob.tokens`.
+    :param limit: route and organisation whose limit the job shares.
+    """
+
+    id: JobId
+    tokens: int
+    limit: tuple[str, OrganisationName | None]
+    items: int
+
+
+class _RawRequest(msgspec.Struct, array_like=True):
+    job: msgspec.Raw
+    max_tokens_per_host: int
+
+
+class _RawJob(msgspec.Struct, array_like=True):
+    id: JobId
+    state: msgspec.Raw
+    items: list[msgspec.Raw]
+
+
+def split_request(raw: bytes | bytearray) -> tuple[memoryview, int]:
+    """Return the encoded job of a :class:`SpoolRequest`, and its *max_tokens_per_host*.
+
+    :raises msgspec.DecodeError: the request cannot be decoded.
+    """
+    request = msgspec.msgpack.decode(raw, type=_RawRequest)
+    return memoryview(request.job), request.max_tokens_per_host
+
+
+def read_outline(raw: bytes | memoryview, max_state_bytes: int = sys.maxsize) -> JobOutline:
+    """Check that an encoded job can be decoded; return its outline.
+
+    Its items are decoded one at a time, since decoded items take more memory than encoded ones.
+
+    :param max_state_bytes: most bytes of the job's state.
+    :raises msgspec.DecodeError: it cannot be decoded, or its state is larger.
+    """
+    job = msgspec.msgpack.decode(raw, type=_RawJob)
+    if len(memoryview(job.state)) > max_state_bytes:
+        raise msgspec.DecodeError(f"state of more than {max_state_bytes} bytes")
+    state = msgspec.msgpack.decode(job.state, type=JobState)
+    item_decoder = msgspec.msgpack.Decoder(Item)
+    for item in job.items:
+        item_decoder.decode(item)
+    limit = (sys.intern(state.route), state.organisation)
+    return JobOutline(job.id, sum(state.item_tokens), limit, len(job.items))
+
+
 def encode_job(job: SpooledJob) -> bytes:
     """Encode a job as the content of its file."""
     return msgspec.msgpack.encode(job)
--- a/gradepoint/spool/settings.py
+++ b/gradepoint/spool/settings.py
@@ -59,6 +59,14 @@
         "Folder for jobs that are stored while the metadata store is unavailable.",
     ),
     Setting("disk_mb", int, 256, "Size of the disk that holds the data folder, in megabytes."),
+    Setting(
+        "memory_mb",
+        float,
+        0.0,
+        "Memory in MB that the process may use; 0 if unknown. It bounds the size and number "
+        "of jobs that are kept, and the connections.",
+        may_be_zero=True,
+    ),
     Setting("metrics_port", int, 9464, "HTTP port of the metrics page.", form=PORT),
     Setting("log_level", str, "INFO", "Lowest log level that is written.", form=LOG_LEVEL),
     Setting("log_style", str, "json", "Format of log lines: 'json' or 'text'.", form=LOG_STYLE),
@@ -79,6 +87,7 @@
     store_history_s: float
     data_folder: str
     disk_mb: int
+    memory_mb: float
     metrics_port: int
     log_level: str
     log_style: str
--- a/gradepoint/util/files.py
+++ b/gradepoint/util/files.py
@@ -9,7 +9,7 @@
     from pathlib import Path
 
 
-def write_durably(final: Path, temporary: Path, data: bytes) -> None:
+def write_durably(final: Path, temporary: Path, data: bytes | memoryview) -> None:
     """Write a file atomically and durably.
 
     The data is written to *temporary*, synced and then renamed, so that *final* is either complete
--- a/tests/test_jobs/test_jobs_large_items.py
+++ b/tests/test_jobs/test_jobs_large_items.py
@@ -26,7 +26,7 @@
 from gradepoint.kv.limits import KvLimits
 from gradepoint.kv.service import Delete, Transaction
 from gradepoint.spool.disk import SpoolDisk
-from gradepoint.spool.records import SpooledJob
+from gradepoint.spool.records import SpooledJob, encode_job
 from gradepoint.standins.memory_kv import KvFault, MemoryKv, MemoryKvClient
 from gradepoint.standins.virtual_time import run_virtual
 from tests.support.platform import (
@@ -141,7 +141,7 @@
     state = JobState(ROUTE, "calls.example", Incarnation("gone/1"), 0, [item.id], [100])
     disk = SpoolDisk(tmp_path / "late", 64)
     disk.open()
-    disk.put(SpooledJob(JobId("job"), state, [item]))
+    disk.put(JobId("job"), encode_job(SpooledJob(JobId("job"), state, [item])))
 
     async def work(deployment: Deployment) -> None:
         await deployment.add_data_host("late", tmp_path / "late")
--- a/tests/test_jobs/test_jobs_rejections.py
+++ b/tests/test_jobs/test_jobs_rejections.py
@@ -20,7 +20,7 @@
 from gradepoint.jobs.repository import MAX_PART_SHARE, REJECTED_RETRY_S, JobRepository
 from gradepoint.kv.limits import KvLimits
 from gradepoint.spool.disk import SpoolDisk
-from gradepoint.spool.records import SpooledJob
+from gradepoint.spool.records import SpooledJob, encode_job
 from tests.support.platform import CallAnswer, Deployment, job_item, run_in_virtual_time, until
 
 if TYPE_CHECKING:
@@ -155,8 +155,8 @@
     large, small = (make_spooled(name, size) for name, size in (("a", 9 * KIB), ("b", 1)))
     disk = SpoolDisk(tmp_path / "late", 64)
     disk.open()
-    disk.put(large)
-    disk.put(small)
+    for job in (large, small):
+        disk.put(job.id, encode_job(job))
 
     async def work(deployment: Deployment) -> None:
         data_host = await deployment.add_data_host("late", tmp_path / "late")
--- a/tests/test_spool/test_spool_disk.py
+++ b/tests/test_spool/test_spool_disk.py
@@ -11,9 +11,10 @@
 from gradepoint.ids import Incarnation, ItemId, JobId
 from gradepoint.jobs.records import Item, JobState
 from gradepoint.jobs.repository import JobRepository
+from gradepoint.spool.bounds import derive_bounds
 from gradepoint.spool.disk import PROBE_NAME, SpoolDisk
 from gradepoint.spool.host import SpoolHost
-from gradepoint.spool.records import SpooledJob
+from gradepoint.spool.records import SpooledJob, decode_job, encode_job
 from gradepoint.standins.memory_kv import MemoryKv, MemoryKvClient
 from gradepoint.wire.http_client import HttpClient
 
@@ -27,6 +28,11 @@
     return SpooledJob(JobId(name), state, [Item(ItemId("i"), "/p", [], body, 10)])
 
 
+def put(disk: SpoolDisk, job: SpooledJob) -> None:
+    """Write a job."""
+    disk.put(job.id, encode_job(job))
+
+
 def open_disk(folder: Path, disk_mb: int = 10) -> SpoolDisk:
     """Return the opened files of a data folder."""
     disk = SpoolDisk(folder, disk_mb)
@@ -37,7 +43,8 @@
 def load_host(folder: Path) -> SpoolHost:
     """Return a data host that has loaded its jobs, as after a start."""
     kv = MemoryKvClient(MemoryKv())
-    host = SpoolHost(SpoolDisk(folder, 10), kv, JobRepository(kv, 1 << 20), HttpClient())
+    repository = JobRepository(kv, 1 << 20)
+    host = SpoolHost(SpoolDisk(folder, 10), kv, repository, HttpClient(), derive_bounds(0.0))
 
     async def start() -> None:
         await host.open_disk()
@@ -50,7 +57,7 @@
 def load(folder: Path) -> list[SpooledJob]:
     """Return the jobs that a data host holds after a start."""
     host = load_host(folder)
-    return [host.disk.read(job_id) for job_id in host.held]
+    return [decode_job(host.disk.read(job_id)) for job_id in host.held]
 
 
 def test_jobs_survive_restart_until_deleted(tmp_path: Path) -> None:
@@ -58,7 +65,7 @@
     disk = open_disk(tmp_path)
     jobs = [make_job("one"), make_job("two")]
     for job in jobs:
-        disk.put(job)
+        put(disk, job)
     assert load(tmp_path) == jobs
     disk.delete(JobId("one"))
     disk.delete(JobId("never-kept"))
@@ -68,7 +75,7 @@
 def test_incomplete_files_are_ignored(tmp_path: Path) -> None:
     """A power loss may leave incomplete files; they must not keep a data host from starting."""
     disk = open_disk(tmp_path)
-    disk.put(make_job("whole"))
+    put(disk, make_job("whole"))
     (disk.jobs / "torn").write_bytes(b"\x94\xa4")
     (disk.temporary / "begun").write_bytes(b"\x94")
     assert [job.id for job in load(tmp_path)] == ["whole"]
@@ -78,11 +85,11 @@
 def test_full_spool_refuses_jobs(tmp_path: Path) -> None:
     """A job that is confirmed but does not fit on the disk would be lost."""
     disk = open_disk(tmp_path, 1)
-    disk.put(make_job("one", b"x" * 400_000))
+    put(disk, make_job("one", b"x" * 400_000))
     with pytest.raises(StoreError):
-        disk.put(make_job("two", b"x" * 400_000))
+        put(disk, make_job("two", b"x" * 400_000))
     disk.delete(JobId("one"))
-    disk.put(make_job("two", b"x" * 400_000))
+    put(disk, make_job("two", b"x" * 400_000))
 
 
 def test_disk_failure_raises_store_error(tmp_path: Path) -> None:
@@ -90,13 +97,13 @@
     disk = open_disk(tmp_path)
     disk.temporary.rmdir()
     with pytest.raises(StoreError):
-        disk.put(make_job("one"))
+        put(disk, make_job("one"))
 
 
 def test_job_with_the_name_of_the_probe_survives_a_restart(tmp_path: Path) -> None:
     """Callers choose the names of jobs, and so the names of files."""
     disk = SpoolDisk(tmp_path, 10)
     disk.open()
-    disk.put(make_job(PROBE_NAME))
+    put(disk, make_job(PROBE_NAME))
     SpoolDisk(tmp_path, 10).open()
-    assert disk.read(JobId(PROBE_NAME)) == make_job(PROBE_NAME)
+    assert decode_job(disk.read(JobId(PROBE_NAME))) == make_job(PROBE_NAME)
--- a/tests/test_spool/test_spool_unread.py
+++ b/tests/test_spool/test_spool_unread.py
@@ -20,7 +20,7 @@
     until,
 )
 from tests.support.programs import Program
-from tests.test_spool.test_spool_disk import make_job
+from tests.test_spool.test_spool_disk import make_job, put
 from tests.test_spool.test_spool_path import (
     expect_complete,
     held,
@@ -121,7 +121,7 @@
     program = Program("data-host", tmp_path)
     disk = SpoolDisk(tmp_path / "data", 10)
     disk.open()
-    disk.put(make_job("whole"))
+    put(disk, make_job("whole"))
     copy = disk.jobs / "copy"
     copy.write_bytes((disk.jobs / "whole").read_bytes())
     pipe, folder, link = (disk.jobs / name for name in ("pipe", "folder", "link"))
