Refuse request bodies that do not fit into the gateway's memory

Seen: callers that send many of the largest bodies at once make a gateway grow to several times its `memory_mb`; the platform then kills the process, and all of its calls are lost.

Cause: each body is bounded by the configuration, their sum by nothing. Each was read whole, in pieces that were then joined, and buffered a second and a third time by the connection to its target.

Fix: a budget of bytes (30 in 100 of `memory_mb`), reserved by the declared length before a body is read, or by its pieces where the length is unknown, and released with the answer. What does not fit is answered 503 `host_memory` (not run) with Retry-After; the rest of its body is read and discarded for up to 5 s, since a close with unread bytes resets the connection and the caller may lose the refusal. Bodies go to targets in slices of 64 KB, so that no connection buffers the whole. Refusals are counted by purpose (`gradepoint_memory_refusals`) and logged (event 250); `gradepoint_reserved_memory` is the sum in use.

Ruled out: reserving only what has arrived, since many half-read bodies then refuse each other; making bodies wait for memory, since a caller may use another host at once.

--- a/gradepoint/errors.py
+++ b/gradepoint/errors.py
@@ -191,6 +191,14 @@
             1.0,
             "Reuse connections, or try another host.",
         ),
+        ErrorKind(
+            "host_memory",
+            503,
+            _C.LIMIT,
+            _N,
+            0.5,
+            "The host has no memory left for this request; come back, or try another host.",
+        ),
         ErrorKind("stopping", 503, _C.LIMIT, _N, 0.5, "This host is leaving; send the call again."),
         # Failures of targets, and answers of calls that were sent to them.
         ErrorKind(
--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -130,6 +130,12 @@
 CALL_RETURNED = _declare(
     241, "call_returned", "INFO", "A call came back that was refused for lack of room before."
 )
+MEMORY_USED_UP = _declare(
+    250,
+    "memory_used_up",
+    "WARNING",
+    "The memory for requests is used up and one was refused; at most once in 10 s.",
+)
 CALL_RETRIED = _declare(202, "call_retried", "INFO", "A call is retried at another target.")
 CALL_UNKNOWN = _declare(203, "call_unknown", "WARNING", "A call ended with outcome unknown.")
 STREAM_RESUMED = _declare(204, "stream_resumed", "INFO", "An interrupted stream is resumed.")
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -49,6 +49,7 @@
 from ..telemetry import metrics
 from ..telemetry.logs import emit, report_dropped_lines
 from ..util.clock import monotonic
+from ..util.memory_budget import MemoryBudget
 from ..util.rng import new_rng
 from ..util.run_marker import FormerRun
 from ..util.tasks import TaskGroup
@@ -149,6 +150,8 @@
         self.kv = kv = RelayedKv(store, self.peer_http, self.heartbeats.helpers)
         self.platform = platform
         self.tasks = TaskGroup()
+        self.memory = MemoryBudget(settings.max_request_bytes)
+        metrics.shared().reserved_memory.read = lambda: {(): float(self.memory.used_bytes)}
         self.stopping = False
         self.reachable = asyncio.Event()
         self.own = HostPresence(
@@ -358,6 +361,7 @@
         )
         self.callers = HttpServer(self.calls.answer, DEFAULT_LIMITS)
         self.accept_gate = AcceptGate(lambda: len(self.hosts.hosts))
+        self.callers.budget = self.memory
         self.callers.may_accept = self.accept_gate.accept
         self.stall_detector.on_lag = self.accept_gate.note_lag
         self.readiness = HttpServer(self.answer_ready)
--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -29,7 +29,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Awaitable, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from ..ids import ServiceName, SoftwareVersion, SuspectKey, TargetId
     from ..wire.http_client import ClientResponse
@@ -42,7 +42,8 @@
     from .target_loads import TargetLoads
     from .targets import Target, TargetSet
 
-
+BODY_SLICE_BYTES = 65_536
+"""Bytes of a body that are passed to its connection at once."""
 FOLLOWED_BYTES_PER_TURN = 4096
 """Bytes of a JSON document that are followed before other tasks run: at most some milliseconds."""
 MAX_EXPECTED_WAIT_S = 2.0
@@ -215,6 +216,12 @@
             self.response.close()
 
 
+async def slice_body(body: bytes) -> AsyncIterator[bytes]:
+    """Yield a body in slices, so that its connection never buffers the whole of it."""
+    for start in range(0, len(body), BODY_SLICE_BYTES):
+        yield body[start : start + BODY_SLICE_BYTES]
+
+
 async def no_wait() -> None:
     """Return at once."""
 
@@ -311,6 +318,10 @@
         :raises TargetFailed: the call may have run.
         """
         headers = self.dialect.write_call(head, target.name, remaining_s, resume_after)
+        body: bytes | AsyncIterator[bytes] = request.body
+        if len(request.body) > BODY_SLICE_BYTES:
+            headers = [*headers, ("content-length", str(len(request.body)))]
+            body = slice_body(request.body)
         sent_at = monotonic()
         target.begin(request)
         try:
@@ -318,7 +329,7 @@
                 split_address(target.address),
                 request.method,
                 request.path,
-                request.body,
+                body,
                 headers,
                 timeout_s=head_timeout_s if head_timeout_s is not None else remaining_s,
                 fresh=fresh,
--- a/gradepoint/gateway/settings.py
+++ b/gradepoint/gateway/settings.py
@@ -27,6 +27,8 @@
 RESULTS_MEMORY_SHARE = 0.1
 """Share of a process's memory that results of batch items may take until they are listed. A commit
 holds further copies of some of them."""
+REQUESTS_MEMORY_SHARE = 0.3
+"""Share of a process's memory that bodies, unfinished heads and jobs may take."""
 
 TABLE: tuple[Setting, ...] = (
     Setting("host", str, REQUIRED, "Name of this host, unique in the fleet."),
@@ -212,10 +214,20 @@
         """
         return 0 if self.regions_lost else max(self.hosts_lost, self.domains_lost) + 1
 
+    @property
+    def memory_bytes(self) -> float:
+        """Memory in bytes that the process may use."""
+        return (self.memory_mb or ASSUMED_MEMORY_MB) * MEGABYTE
+
+    @property
+    def max_request_bytes(self) -> int:
+        """Memory in bytes that requests and jobs may reserve."""
+        return int(self.memory_bytes * REQUESTS_MEMORY_SHARE)
+
     @property
     def max_waiting_bytes(self) -> int:
         """Memory in bytes that results of batch items may take until they are listed."""
-        return int((self.memory_mb or ASSUMED_MEMORY_MB) * MEGABYTE * RESULTS_MEMORY_SHARE)
+        return int(self.memory_bytes * RESULTS_MEMORY_SHARE)
 
     @property
     def peer_port(self) -> int:
--- a/gradepoint/telemetry/metrics.py
+++ b/gradepoint/telemetry/metrics.py
@@ -163,6 +163,10 @@
         self.refused_connections = BufferedCounter(
             "gradepoint_refused_connections", "Connections closed unread by an overloaded host"
         )
+        self.memory_refusals = BufferedCounter(
+            "gradepoint_memory_refusals", "Reservations of memory that did not fit, by purpose"
+        )
+        self.reserved_memory = CallbackGauge("gradepoint_reserved_memory", "By")
         self.call_time = BufferedHistogram("gradepoint_call_time", "s")
         self.view_age = CallbackGauge("gradepoint_view_age", "s")
         self.target_pace = CallbackGauge("gradepoint_target_pace", "1")
--- a/gradepoint/wire/http_server.py
+++ b/gradepoint/wire/http_server.py
@@ -15,12 +15,15 @@
 from ..errors import GradepointError
 from ..telemetry import metrics
 from ..telemetry.logs import emit
+from ..util.memory_budget import Purpose, Reservation
+from ..util.numbers import read_whole_number
 from ..util.structs import Struct
 from .http_types import Request, Response, error_response
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
+    from ..util.memory_budget import MemoryBudget
     from .http_types import Handler
 
 READ_SIZE_BYTES = 65536
@@ -28,6 +31,9 @@
 """Most bytes of pipelined requests read while a request is answered; more stay in the socket."""
 WRITE_BUFFER_BYTES = 65536
 """Bytes of a response that may be buffered before writing waits for the caller to read."""
+DISCARD_TIMEOUT_S = 5.0
+"""Seconds for which the rest of a refused body is read and discarded. A close with unread bytes
+resets the connection, and the caller may lose the refusal."""
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of ``SO_LINGER`` with which a close resets the connection."""
 
@@ -89,6 +95,7 @@
     :ivar stopping: requests are refused with the code ``stopping``.
     :ivar draining: requests are answered, but each connection is closed after its response.
     :ivar may_accept: decides about each new connection; others are reset before they are read.
+    :ivar budget: memory for requests; None for no limit of their sum.
     :ivar port: the port it listens on, once started.
     """
 
@@ -100,6 +107,7 @@
         self.stopping = False
         self.draining = False
         self.may_accept: Callable[[], bool] = accept_always
+        self.budget: MemoryBudget | None = None
         self.port = 0
 
     @property
@@ -172,6 +180,8 @@
 
     :ivar busy: a request is in progress.
     :ivar disconnect_watcher: task that cancels the handler when the caller disconnects.
+    :ivar body_memory: memory reserved for the body of the request in progress.
+    :ivar refused_body: the memory did not suffice for the body.
     """
 
     def __init__(
@@ -183,6 +193,8 @@
         self.busy = False
         self.disconnect_watcher: asyncio.Task[None] | None = None
         self.task = asyncio.current_task()
+        self.body_memory = Reservation(server.budget, Purpose.BODY)
+        self.refused_body = False
         self.h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.limits.max_header_bytes
         )
@@ -221,6 +233,9 @@
                 keep_open = await self._answer(request)
             finally:
                 self.busy = False
+                self.body_memory.release()
+            if self.refused_body:
+                await self._discard_body()
             if not keep_open or self.server.stopping or self.server.draining:
                 return
             self.h11.start_next_cycle()
@@ -248,12 +263,20 @@
             event.method.decode("ascii"),
             event.target.decode("latin-1"),
             _join_headers(event.headers),
-            self._read_body,
+            lambda: self._read_body(event),
             self.limits.max_body_bytes,
             list(event.headers),
         )
 
-    async def _read_body(self) -> AsyncIterator[bytes]:
+    async def _read_body(self, head: h11.Request) -> AsyncIterator[bytes]:
+        """Yield the body; its memory is reserved before it is read.
+
+        A body of unknown length is reserved by its pieces.
+        """
+        # More than the limit is never read whole.
+        limit = self.limits.max_body_bytes
+        self._reserve_body(min(limit, _find_length(head)))
+        size = 0
         while True:
             if self.h11.they_are_waiting_for_100_continue:
                 continue_response = h11.InformationalResponse(status_code=100, headers=[])
@@ -269,12 +292,37 @@
             except h11.RemoteProtocolError as error:
                 raise _protocol_error(error) from error
             if isinstance(event, h11.Data):
+                size += len(event.data)
+                self._reserve_body(min(limit, size))
                 yield bytes(event.data)
                 continue
             if isinstance(event, h11.EndOfMessage) and self.limits.cancel_on_disconnect:
                 self.disconnect_watcher = asyncio.ensure_future(self._cancel_on_disconnect())
             return
 
+    def _reserve_body(self, size: int) -> None:
+        try:
+            self.body_memory.grow(size)
+        except GradepointError:
+            self.refused_body = True
+            raise
+
+    async def _discard_body(self) -> None:
+        """Read and discard the rest of a body that did not fit into memory."""
+        discarded = 0
+        try:
+            async with asyncio.timeout(min(DISCARD_TIMEOUT_S, self.limits.idle_timeout_s)):
+                while discarded <= self.limits.max_body_bytes:
+                    event = self.h11.next_event()
+                    if event is h11.NEED_DATA:
+                        self.h11.receive_data(await self.reader.read(READ_SIZE_BYTES))
+                    elif isinstance(event, h11.Data):
+                        discarded += len(event.data)
+                    else:
+                        return
+        except (OSError, TimeoutError, h11.RemoteProtocolError):
+            return
+
     async def _cancel_on_disconnect(self) -> None:
         """Cancel the handler when the caller disconnects; other input is the next request."""
         try:
@@ -402,6 +450,14 @@
         raise GradepointError("bad_http", "Both Content-Length and Transfer-Encoding are given.")
 
 
+def _find_length(head: h11.Request) -> int:
+    """Return the length that a request declares for its body; 0 if it is unknown."""
+    for name, value in head.headers:
+        if name == b"content-length":
+            return read_whole_number(value.decode("latin-1")) or 0
+    return 0
+
+
 def _encode_headers(headers: dict[str, str]) -> list[tuple[bytes, bytes]]:
     return [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers.items()]
 
--- a/gradepoint/wire/http_types.py
+++ b/gradepoint/wire/http_types.py
@@ -66,14 +66,12 @@
         :raises GradepointError: ``body_too_large``.
         """
         max_bytes = self.max_body_bytes if limit is None else limit
-        pieces: list[bytes] = []
-        size = 0
+        body = bytearray()
         async for piece in self.body_source():
-            size += len(piece)
-            if size > max_bytes:
+            if len(body) + len(piece) > max_bytes:
                 raise GradepointError("body_too_large", f"The body is over {max_bytes} bytes.")
-            pieces.append(piece)
-        return b"".join(pieces)
+            body += piece
+        return bytes(body)
 
     async def read_json(self) -> Any:
         """Return the body decoded as JSON.
