Bound the memory of callers' connections by the gateway's limit

Seen: callers that send further requests while one is answered, or unfinished heads, on many connections make a gateway exceed its `memory_mb`.

Cause: a connection could hold 512 KB in its reader, a read of 256 KB and 256 KB of the next requests, on up to 2,000 connections at any limit.

Fix: 8 KB are taken from a caller's socket at once, at most twice as many wait to be parsed, and 8 KB of the next requests are read; more stay in the socket. The number of connections is 30 in 100 of `memory_mb` by what one may hold (1,373 at 150 MB, 2,000 from 219 MB on); further ones get 503 `too_many_connections` as before. An unfinished head reserves its largest size from the budget of requests, a request in progress the copies of its head. Bodies above 8 KB are read in larger pieces, which are reserved with them.

Changed: the budget of tests/test_wire/test_wire_memory.py is larger, since a body now also reserves what is received and not parsed; the same number fits.

--- a/bench/peak_memory.py
+++ b/bench/peak_memory.py
@@ -40,6 +40,7 @@
 HELD_S = 4.0
 """Seconds for which the callers of a scenario stay once they have sent what they send."""
 CONNECTIONS = 2000
+SMALL_CALLS = 900
 LARGE_CALLS = 100
 UNREAD_CALLS = 300
 JOBS = 30
@@ -229,6 +230,27 @@
 
         await asyncio.gather(*(self._hold("heads", n, work) for n in range(self.head_count)))
 
+    async def stay_idle(self) -> None:
+        """Open as many connections as allowed and send nothing."""
+
+        async def work(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter, name: str
+        ) -> None:
+            await asyncio.sleep(HELD_S)
+
+        await asyncio.gather(*(self._hold("idle", n, work) for n in range(self.head_count)))
+
+    async def send_calls(self) -> None:
+        """Send as many small calls at once as the target takes."""
+
+        async def work(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter, name: str
+        ) -> None:
+            writer.write(self._make_head("/slow/plain/1", name, 6) + b"prompt")
+            await self._read_status("calls", reader)
+
+        await asyncio.gather(*(self._hold("calls", n, work) for n in range(SMALL_CALLS)))
+
     async def send_bodies(self) -> None:
         """Send many of the largest bodies, whose last byte comes late."""
         body = b"x" * (BODY_BYTES - 1)
@@ -301,6 +323,8 @@
 
 
 SCENARIOS: dict[str, Callable[[Run], Awaitable[None]]] = {
+    "idle": Run.stay_idle,
+    "calls": Run.send_calls,
     "heads": Run.send_heads,
     "bodies": Run.send_bodies,
     "ahead": Run.send_requests_ahead,
@@ -320,7 +344,9 @@
     arguments = parser.parse_args()
     started_at = monotonic()
     for name in arguments.scenarios or [*SCENARIOS, TOGETHER]:
-        names = list(SCENARIOS) if name == TOGETHER else [name]
+        # Connections with a head alone take more than idle ones, and calls take their slots.
+        combined = [name for name in SCENARIOS if name not in ("idle", "calls")]
+        names = combined if name == TOGETHER else [name]
         with tempfile.TemporaryDirectory() as folder:
             asyncio.run(Run(Path(folder), arguments.memory_mb).measure(names))
     print(f"{monotonic() - started_at:.0f} s")
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -61,7 +61,7 @@
 from ..wire.ports import probe_port
 from .accept_gate import AcceptGate
 from .admission_gate import AdmissionGate
-from .caller_limits import DEFAULT_LIMITS, read_limits
+from .caller_limits import make_limits, read_limits
 from .callers import CallerCheck, RevocationTerms
 from .calls import CallRouter
 from .followers import ActiveConfiguration, LiveFollower, OperatorFollower, TargetFollower
@@ -359,7 +359,8 @@
             self.stall_detector,
             self.admission if settings.admission else None,
         )
-        self.callers = HttpServer(self.calls.answer, DEFAULT_LIMITS)
+        self.caller_limits = make_limits(settings.memory_bytes)
+        self.callers = HttpServer(self.calls.answer, self.caller_limits)
         self.accept_gate = AcceptGate(lambda: len(self.hosts.hosts))
         self.callers.budget = self.memory
         self.callers.may_accept = self.accept_gate.accept
@@ -603,7 +604,7 @@
 
     def apply_limits(self, configuration: Configuration) -> None:
         """Apply a configuration's limits to callers' connections."""
-        self.callers.limits = read_limits(configuration.limits)
+        self.callers.limits = read_limits(configuration.limits, self.caller_limits)
 
     async def answer_ready(self, _request: Request) -> Response:
         """Answer the platform's readiness check."""
--- a/gradepoint/wire/http_server.py
+++ b/gradepoint/wire/http_server.py
@@ -27,8 +27,8 @@
     from .http_types import Handler
 
 READ_SIZE_BYTES = 65536
-MAX_READ_AHEAD_BYTES = READ_SIZE_BYTES * 4
-"""Most bytes of pipelined requests read while a request is answered; more stay in the socket."""
+HEAD_COPIES = 6
+"""Copies of a head that a request in progress has: lines, joined headers, and what is forwarded."""
 WRITE_BUFFER_BYTES = 65536
 """Bytes of a response that may be buffered before writing waits for the caller to read."""
 DISCARD_TIMEOUT_S = 5.0
@@ -48,6 +48,9 @@
     :param head_timeout_s: seconds from the first byte of a request to the end of its headers.
     :param keep_alive_s: seconds for which a connection may be idle between requests.
     :param cancel_on_disconnect: cancel the handler as soon as its caller closes the connection.
+    :param read_bytes: bytes that are taken from a socket at once, and that are read of the next
+        requests while one is answered. Twice as many may wait to be parsed; more stay in the
+        socket.
     """
 
     max_connections: int = 4096
@@ -57,6 +60,7 @@
     head_timeout_s: float = 30.0
     keep_alive_s: float = 75.0
     cancel_on_disconnect: bool = False
+    read_bytes: int = READ_SIZE_BYTES
 
 
 def accept_always() -> bool:
@@ -68,18 +72,26 @@
     """Protocol of one connection, which resets the connection if the server doesn't accept it."""
 
     def __init__(self, server: HttpServer) -> None:
-        reader = asyncio.StreamReader(limit=READ_SIZE_BYTES * 4)
+        # The reader pauses its transport above twice its limit.
+        reader = asyncio.StreamReader(limit=server.limits.read_bytes // 2)
         super().__init__(reader, server.serve)
         self.server = server
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See :meth:`asyncio.BaseProtocol.connection_made`; nothing has been read by then."""
         if self.server.may_accept():
+            set_read_size(transport, self.server.limits.read_bytes)
             super().connection_made(transport)
         elif isinstance(transport, asyncio.Transport):
             reset_connection(transport)
 
 
+def set_read_size(transport: asyncio.BaseTransport, size: int) -> None:
+    """Set how many bytes a transport takes from its socket at once, if it can be told."""
+    if hasattr(transport, "max_size"):
+        transport.max_size = size
+
+
 def reset_connection(transport: asyncio.WriteTransport) -> None:
     """Close a connection with a reset; a connection that is already closed stays as it is."""
     connection = transport.get_extra_info("socket")
@@ -180,6 +192,8 @@
 
     :ivar busy: a request is in progress.
     :ivar disconnect_watcher: task that cancels the handler when the caller disconnects.
+    :ivar head_memory: memory reserved for an unfinished head, or that of the request in progress.
+    :ivar head_bytes: size of the head of the request in progress.
     :ivar body_memory: memory reserved for the body of the request in progress.
     :ivar refused_body: the memory did not suffice for the body.
     """
@@ -193,6 +207,8 @@
         self.busy = False
         self.disconnect_watcher: asyncio.Task[None] | None = None
         self.task = asyncio.current_task()
+        self.head_memory = Reservation(server.budget, Purpose.HEAD)
+        self.head_bytes = 0
         self.body_memory = Reservation(server.budget, Purpose.BODY)
         self.refused_body = False
         self.h11 = h11.Connection(
@@ -211,6 +227,12 @@
 
     async def run(self) -> None:
         """Serve requests one after another until the connection ends."""
+        try:
+            await self._serve_requests()
+        finally:
+            self.head_memory.release()
+
+    async def _serve_requests(self) -> None:
         while True:
             try:
                 request = await self._next_request()
@@ -233,7 +255,9 @@
                 keep_open = await self._answer(request)
             finally:
                 self.busy = False
+                self.head_memory.release()
                 self.body_memory.release()
+                set_read_size(self.writer.transport, self.limits.read_bytes)
             if self.refused_body:
                 await self._discard_body()
             if not keep_open or self.server.stopping or self.server.draining:
@@ -248,6 +272,8 @@
                 self.h11.receive_data(await self.reader.read(READ_SIZE_BYTES))
             event = self.h11.next_event()
         async with asyncio.timeout(self.limits.head_timeout_s):
+            if event is h11.NEED_DATA:
+                self.head_memory.grow(self.limits.max_header_bytes)
             while event is h11.NEED_DATA:
                 async with asyncio.timeout(self.limits.idle_timeout_s):
                     self.h11.receive_data(await self.reader.read(READ_SIZE_BYTES))
@@ -257,7 +283,8 @@
         _check_framing(event.headers)
         # h11 limits only incomplete heads, while a complete one may arrive in one read.
         size = sum(len(name) + len(value) for name, value in event.headers)
-        if size + len(event.target) > self.limits.max_header_bytes:
+        self.head_bytes = size + len(event.target)
+        if self.head_bytes > self.limits.max_header_bytes:
             raise GradepointError("header_too_large")
         return Request(
             event.method.decode("ascii"),
@@ -275,7 +302,11 @@
         """
         # More than the limit is never read whole.
         limit = self.limits.max_body_bytes
-        self._reserve_body(min(limit, _find_length(head)))
+        declared = min(limit, _find_length(head))
+        self._reserve_body(declared)
+        if declared > self.limits.read_bytes:
+            # The body would take a turn of the loop for each few kilobytes.
+            set_read_size(self.writer.transport, min(declared, READ_SIZE_BYTES))
         size = 0
         while True:
             if self.h11.they_are_waiting_for_100_continue:
@@ -301,6 +332,9 @@
             return
 
     def _reserve_body(self, size: int) -> None:
+        if size > self.limits.read_bytes:
+            # Received bytes that are not parsed yet.
+            size += 2 * min(size, READ_SIZE_BYTES)
         try:
             self.body_memory.grow(size)
         except GradepointError:
@@ -325,10 +359,12 @@
 
     async def _cancel_on_disconnect(self) -> None:
         """Cancel the handler when the caller disconnects; other input is the next request."""
+        left = self.limits.read_bytes
         try:
-            while data := await self.reader.read(READ_SIZE_BYTES):
+            while data := await self.reader.read(left):
                 self.h11.receive_data(data)
-                if len(self.h11.trailing_data[0]) > MAX_READ_AHEAD_BYTES:
+                left = self.limits.read_bytes - len(self.h11.trailing_data[0])
+                if left <= 0:
                     return
         except OSError:
             pass
@@ -347,6 +383,7 @@
         try:
             if self.server.stopping:
                 raise GradepointError("stopping")
+            self.head_memory.grow(self.head_bytes * HEAD_COPIES)
             response = await self.server.handler(request)
         except GradepointError as error:
             metrics.shared().refusals.add(1, {"reason": error.code})
--- a/tests/test_gateway/test_gateway_memory.py
+++ b/tests/test_gateway/test_gateway_memory.py
@@ -6,6 +6,12 @@
 from pathlib import Path
 
 from bench.peak_memory import LARGE_CALLS, Run
+from gradepoint.gateway.caller_limits import (
+    CONNECTION_BYTES,
+    CONNECTIONS_MEMORY_SHARE,
+    MAX_CONNECTIONS,
+    make_limits,
+)
 
 MEMORY_MB = 150.0
 
@@ -18,3 +24,15 @@
     assert served and served + refused == LARGE_CALLS, run.outcomes
     # The refusals promise that these calls have not run.
     assert run.slow.ran.total() == served
+
+
+def test_requests_sent_ahead_stay_below_the_memory_limit(tmp_path: Path) -> None:
+    # Up to 768 KB of the next requests were read on each connection while a request was answered.
+    assert asyncio.run(Run(tmp_path, MEMORY_MB).measure(["ahead"])) < MEMORY_MB
+
+
+def test_fewer_connections_are_accepted_where_memory_is_small() -> None:
+    # As many connections were accepted at any limit, though each takes memory.
+    small, usual, large = (make_limits(mb * 1e6).max_connections for mb in (100, 150, 1000))
+    assert small < usual < large == MAX_CONNECTIONS
+    assert usual * CONNECTION_BYTES <= 150e6 * CONNECTIONS_MEMORY_SHARE
--- a/tests/test_wire/test_wire_memory.py
+++ b/tests/test_wire/test_wire_memory.py
@@ -10,15 +10,20 @@
 import pytest
 
 from gradepoint.util.memory_budget import LARGE_SHARE, MemoryBudget
-from gradepoint.wire.http_server import HttpServer, ServerLimits
+from gradepoint.wire.http_server import READ_SIZE_BYTES, HttpServer, ServerLimits
 from gradepoint.wire.http_types import Request, Response
 
 BODY_BYTES = 1 << 20
-BUDGET_BYTES = 6 * BODY_BYTES
-FITTING = int(BUDGET_BYTES * LARGE_SHARE) // BODY_BYTES
+BUDGET_BYTES = 7 * BODY_BYTES
+FITTING = int(BUDGET_BYTES * LARGE_SHARE) // (BODY_BYTES + 2 * READ_SIZE_BYTES)
 WAIT_S = 20.0
 LIMITS = ServerLimits(
-    max_connections=100, max_body_bytes=BODY_BYTES, idle_timeout_s=0.3, cancel_on_disconnect=True
+    max_connections=100,
+    max_body_bytes=BODY_BYTES,
+    idle_timeout_s=0.3,
+    head_timeout_s=WAIT_S,
+    cancel_on_disconnect=True,
+    read_bytes=8192,
 )
 
 
@@ -105,6 +110,31 @@
     with_server(work)
 
 
+def test_unfinished_heads_beyond_the_memory_are_refused() -> None:
+    # Slow callers held the memory of as many heads as there may be connections.
+    async def work(callers: Callers) -> None:
+        callers.budget.limit_bytes = 3 * LIMITS.max_header_bytes
+        callers.go_on.set()
+        held = []
+        for _ in range(3):
+            reader, writer = await asyncio.open_connection("127.0.0.1", callers.server.port)
+            writer.write(b"GET /slow HTTP/1.1\r\nhost: x\r\n")
+            held.append((reader, writer))
+        await callers.wait_for(lambda: callers.budget.used_bytes == callers.budget.limit_bytes)
+        reader, writer = await asyncio.open_connection("127.0.0.1", callers.server.port)
+        writer.write(b"GET /more HTTP/1.1\r\nhost: x\r\n")
+        answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 503") and b"host_memory" in answer
+        for reader, writer in held:
+            writer.write(b"connection: close\r\n\r\n")
+            assert (await reader.read()).startswith(b"HTTP/1.1 200")
+            writer.close()
+        writer.close()
+        await callers.wait_for(lambda: callers.budget.used_bytes == 0)
+
+    with_server(work)
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_memory_is_released_however_requests_end(seed: int) -> None:
     # A reservation that is never released refuses all later requests.
@@ -114,7 +144,7 @@
         async def run_one(number: int) -> None:
             await asyncio.sleep(rng.random() * 0.3)
             size = rng.choice([10, 5000, 200_000, BODY_BYTES, BODY_BYTES + 1])
-            end = rng.choice(["whole", "part", "reset", "malformed", "chunked", "left"])
+            end = rng.choice(["whole", "part", "reset", "malformed", "chunked", "left", "head"])
             if end in ("whole", "chunked"):
                 await callers.send(f"{number}", b"x" * size, chunked=end == "chunked")
                 return
@@ -122,10 +152,12 @@
             framing = (
                 "transfer-encoding: chunked" if end == "malformed" else f"content-length: {size}"
             )
-            writer.write(f"POST /{number} HTTP/1.1\r\nhost: x\r\n{framing}\r\n\r\n".encode())
+            writer.write(f"POST /{number} HTTP/1.1\r\nhost: x\r\n{framing}\r\n".encode())
+            if end != "head":
+                writer.write(b"\r\n")
             if end == "malformed":
                 writer.write(b"%x\r\n%bzz" % (size, b"x" * size))
-            else:
+            elif end != "head":
                 writer.write(b"x" * (size if end == "left" else size // 2))
             await asyncio.sleep(rng.random() * 0.2)
             if end in ("reset", "left"):
