Report unreadable answers of key-value services as uncertain

An answer with a valid head and a body that cannot be read ended calls to the key-value service by errors that nobody expects: with etcd a document that is no object, lacks the id of a lease or has a number in another form, and each broken line of a watch; with the platform's store a value that is not base64; with a host that relays calls any body of another form. Readers handle KvError only, so that a task that follows keys would end by such an error. An answer to a watch of etcd was read as changes whatever its status.

Cause: etcd's documents were read as untyped dicts, the store's values outside of the decoding, relayed answers without a handler. etcd's answers have types now; the three decoders raise KvUncertain; a watch of etcd that is not answered with 200 is unavailable.

Ruled out: faults of the HTTP client itself, which raised no error but its own.

--- a/gradepoint/kv/etcd.py
+++ b/gradepoint/kv/etcd.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import base64
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import msgspec
 
@@ -30,6 +30,8 @@
     from ..wire.http_client import ClientResponse
     from .service import Expect
 
+T = TypeVar("T")
+
 # A request rejected with one of these statuses had no effect. For any other failure, 503
 # included, the gateway cannot tell whether the write had already been proposed to the cluster,
 # so its outcome is uncertain.
@@ -42,6 +44,58 @@
 """Most bytes of a rejection's message that are kept for the log."""
 
 
+class _Item(msgspec.Struct):
+    key: bytes
+    value: bytes = b""
+    mod_revision: int = 0
+    create_revision: int = 0
+    lease: int = 0
+
+
+class _Header(msgspec.Struct, frozen=True):
+    revision: int = 0
+
+
+class _RangeAnswer(msgspec.Struct):
+    header: _Header = _Header()
+    kvs: list[_Item] = []
+
+
+class _TransactionAnswer(msgspec.Struct):
+    header: _Header = _Header()
+    succeeded: bool = False
+
+
+class _GrantAnswer(msgspec.Struct):
+    lease: int = msgspec.field(name="ID")
+
+
+class _KeepResult(msgspec.Struct):
+    ttl_s: int = msgspec.field(name="TTL", default=0)
+
+
+class _KeepAnswer(msgspec.Struct):
+    result: _KeepResult | None = None
+    ttl_s: int = msgspec.field(name="TTL", default=0)
+
+
+class _RevokeAnswer(msgspec.Struct):
+    header: _Header = _Header()
+
+
+class _Event(msgspec.Struct):
+    kv: _Item
+    type: str = "PUT"
+
+
+class _WatchResult(msgspec.Struct, frozen=True):
+    events: list[_Event] = []
+
+
+class _WatchLine(msgspec.Struct):
+    result: _WatchResult = _WatchResult()
+
+
 class EtcdClient:
     """Implements :class:`~gradepoint.kv.service.KeyValueService` with an etcd cluster.
 
@@ -57,10 +111,11 @@
 
     async def get(self, key: str) -> KeyValue | None:
         """See :meth:`KeyValueService.get`."""
-        response_body = await self._call("range", "/v3/kv/range", {"key": _encode(key)})
+        body = {"key": _encode(key)}
+        answer = await self._call("range", "/v3/kv/range", body, _RangeAnswer)
         self.counts.reads += 1
-        items = response_body.get("kvs", [])
-        return _read_item(items[0]) if items else None
+        items = _read_items(answer.kvs)
+        return items[0] if items else None
 
     async def range(self, prefix: str, limit: int = 0) -> RangeResult:
         """See :meth:`KeyValueService.range`."""
@@ -69,10 +124,9 @@
             "range_end": _encode_bytes(prefix_end(prefix)),
             "limit": str(limit),
         }
-        response_body = await self._call("range", "/v3/kv/range", body)
+        answer = await self._call("range", "/v3/kv/range", body, _RangeAnswer)
         self.counts.reads += 1
-        items = tuple(_read_item(item) for item in response_body.get("kvs", []))
-        return RangeResult(items, _header_revision(response_body))
+        return RangeResult(_read_items(answer.kvs), answer.header.revision)
 
     async def transact(self, transaction: Transaction) -> TransactionResult:
         """See :meth:`KeyValueService.transact`."""
@@ -90,28 +144,26 @@
             "failure": [],
         }
         self.counts.writes += 1
-        response_body = await self._call("txn", "/v3/kv/txn", body)
-        return TransactionResult(
-            bool(response_body.get("succeeded", False)), _header_revision(response_body)
-        )
+        answer = await self._call("txn", "/v3/kv/txn", body, _TransactionAnswer)
+        return TransactionResult(answer.succeeded, answer.header.revision)
 
     async def grant_lease(self, ttl_s: int) -> int:
         """See :meth:`KeyValueService.grant_lease`."""
         self.counts.leases += 1
-        response_body = await self._call("lease", "/v3/lease/grant", {"TTL": str(ttl_s), "ID": "0"})
-        return int(response_body["ID"])
+        body = {"TTL": str(ttl_s), "ID": "0"}
+        return (await self._call("lease", "/v3/lease/grant", body, _GrantAnswer)).lease
 
     async def keep_lease(self, lease: int) -> bool:
         """See :meth:`KeyValueService.keep_lease`."""
         self.counts.leases += 1
-        response_body = await self._call("lease", "/v3/lease/keepalive", {"ID": str(lease)})
-        result = response_body.get("result", response_body)
-        return int(result.get("TTL", "0")) > 0
+        body = {"ID": str(lease)}
+        answer = await self._call("lease", "/v3/lease/keepalive", body, _KeepAnswer)
+        return (answer.ttl_s if answer.result is None else answer.result.ttl_s) > 0
 
     async def revoke_lease(self, lease: int) -> None:
         """See :meth:`KeyValueService.revoke_lease`."""
         self.counts.leases += 1
-        await self._call("lease", "/v3/lease/revoke", {"ID": str(lease)})
+        await self._call("lease", "/v3/lease/revoke", {"ID": str(lease)}, _RevokeAnswer)
 
     async def watch(self, prefix: str, start_revision: int) -> AsyncIterator[WatchEvent]:
         """See :meth:`KeyValueService.watch`; raises when the stream breaks."""
@@ -124,6 +176,9 @@
         }
         self.counts.watches += 1
         response = await self._send("watch", "/v3/watch", create)
+        if response.status != 200:
+            response.close()
+            raise self._count_failure("watch", KvUnavailable(f"answered {response.status}"))
         incomplete_line = b""
         try:
             async for piece in response.stream():
@@ -138,7 +193,7 @@
         finally:
             response.close()
 
-    async def _call(self, kind: str, path: str, body: dict[str, Any]) -> dict[str, Any]:
+    async def _call(self, kind: str, path: str, body: dict[str, Any], answer_type: type[T]) -> T:
         response = await self._send(kind, path, body)
         try:
             raw = await response.read()
@@ -158,11 +213,9 @@
         if response.status != 200:
             raise self._count_failure(kind, KvUncertain(f"answered {response.status}"))
         try:
-            decoded: dict[str, Any] = msgspec.json.decode(raw)
-        except msgspec.DecodeError as error:
-            broken = KvUncertain(f"answer cannot be decoded: {error}")
-            raise self._count_failure(kind, broken) from error
-        return decoded
+            return _decode(raw, answer_type)
+        except KvUncertain as error:
+            raise self._count_failure(kind, error) from error
 
     async def _send(self, kind: str, path: str, body: dict[str, Any]) -> ClientResponse:
         raw = msgspec.json.encode(body)
@@ -219,25 +272,33 @@
     }
 
 
-def _read_item(item: dict[str, Any]) -> KeyValue:
-    return KeyValue(
-        base64.b64decode(item["key"]).decode(),
-        base64.b64decode(item.get("value", "")),
-        int(item.get("mod_revision", "0")),
-        int(item.get("create_revision", "0")),
-        int(item.get("lease", "0")),
-    )
+def _decode(raw: bytes, answer_type: type[T]) -> T:
+    """Decode a JSON document, in which numbers may be strings.
+
+    :raises KvUncertain: it is cut or has another form.
+    """
+    try:
+        return msgspec.json.decode(raw, type=answer_type, strict=False)
+    except msgspec.DecodeError as error:
+        raise KvUncertain(f"answer cannot be decoded: {error}") from error
+
+
+def _read_items(items: list[_Item]) -> tuple[KeyValue, ...]:
+    return tuple(_read_item(item) for item in items)
 
 
-def _header_revision(response_body: dict[str, Any]) -> int:
-    return int(response_body.get("header", {}).get("revision", "0"))
+def _read_item(item: _Item) -> KeyValue:
+    try:
+        key = item.key.decode()
+    except UnicodeDecodeError as error:
+        raise KvUncertain(f"answer has a key that is no text: {error}") from error
+    return KeyValue(key, item.value, item.mod_revision, item.create_revision, item.lease)
 
 
 def _read_watch_line(line: bytes) -> list[WatchEvent]:
-    result = msgspec.json.decode(line).get("result", {})
     events = []
-    for event in result.get("events", []):
-        item = _read_item(event["kv"])
-        deleted = event.get("type") == "DELETE"
+    for event in _decode(line, _WatchLine).result.events:
+        item = _read_item(event.kv)
+        deleted = event.type == "DELETE"
         events.append(WatchEvent(item.key, None if deleted else item.value, item.revision))
     return events
--- a/gradepoint/kv/relay.py
+++ b/gradepoint/kv/relay.py
@@ -308,13 +308,13 @@
             except (ResponseBroken, TimeoutError) as error:
                 raise KvUncertain(f"the relaying host fell silent: {error!r}") from error
             if response.status == 200:
-                return msgspec.msgpack.decode(body, type=result_type)
+                return _decode(body, result_type)
             if response.status == STATUS_HISTORY_LOST:
                 raise KvHistoryLost("changes are forgotten")
             if response.status == STATUS_LEASE_EXPIRED:
                 raise KvLeaseLapsed("the lease of a write has lapsed")
             if response.status == STATUS_REJECTED:
-                found = msgspec.msgpack.decode(body, type=Rejection)
+                found: Rejection = _decode(body, Rejection)
                 raise KvRejected(found.reason, found.key, found.size, found.limit)
             if response.status != STATUS_NOT_APPLIED:
                 raise KvUncertain("the host that relayed the call got no answer")
@@ -341,6 +341,17 @@
         return Response(200, body=msgspec.msgpack.encode(result))
 
 
+def _decode(body: bytes, kind: Any) -> Any:
+    """Decode the answer of the host that relayed a call.
+
+    :raises KvUncertain: it cannot be read.
+    """
+    try:
+        return msgspec.msgpack.decode(body, type=kind)
+    except msgspec.DecodeError as error:
+        raise KvUncertain(f"the relaying host's answer cannot be read: {error}") from error
+
+
 async def dispatch_call(service: LongPollService, call: Call) -> Any:
     """Call the method of *service* that *call* stands for."""
     work: Awaitable[Any]
--- a/gradepoint/platform/store.py
+++ b/gradepoint/platform/store.py
@@ -357,15 +357,22 @@
         raise KvUncertain(f"the store's answer cannot be read: {error}") from error
 
 
+def _decode_value(text: str) -> bytes:
+    try:
+        return base64.b64decode(text)
+    except ValueError as error:
+        raise KvUncertain(f"the store's answer has a value that cannot be read: {error}") from error
+
+
 def _encode(value: bytes) -> str:
     return base64.b64encode(value).decode()
 
 
 def _read_event(row: _Item) -> WatchEvent:
-    value = None if row.is_deleted else base64.b64decode(row.value)
+    value = None if row.is_deleted else _decode_value(row.value)
     return WatchEvent(row.key_path, value, row.rev)
 
 
 def _read_item(item: Any) -> KeyValue:
-    value = base64.b64decode(item.value)
+    value = _decode_value(item.value)
     return KeyValue(item.key_path, value, item.rev, item.created, item.lease)
