Bound what waits for callers that do not read their answers

Seen: targets that answer faster than callers read make a gateway exceed its `memory_mb`: 300 such callers took 190 MB with streams and 310 MB with documents.

Cause: each answer could hold 768 KB in the connection to its target, 256 to 512 KB as a buffered document, its join, and what was written at once to the caller. Nothing counted their sum.

Fix: 16 KB are taken from a target's socket at once and twice as many may wait (`HttpClient(read_bytes=...)`; other clients 64 KB); then the target is not read. Documents above 16 KB are buffered in reserved memory; where it does not suffice, they are relayed from there on, as longer ones always were. Bodies are written in slices. What waits while a caller does not read is reserved; where that does not fit, the caller has 1 s to read in place of the idle timeout (event 251), since a process over its limit loses all calls. Answers whose callers read, and all that fit, are not cut.

Waiting for a caller still costs nothing where the buffer of its connection takes the answer: the reservation is made only then.

Ruled out: a reservation for each call in flight, which would refuse calls that a host bears, since nearly all callers read as fast as targets write.

--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -136,6 +136,12 @@
     "WARNING",
     "The memory for requests is used up and one was refused; at most once in 10 s.",
 )
+ANSWER_UNREAD = _declare(
+    251,
+    "answer_unread",
+    "INFO",
+    "A caller did not read its answer in time; its connection is closed.",
+)
 CALL_RETRIED = _declare(202, "call_retried", "INFO", "A call is retried at another target.")
 CALL_UNKNOWN = _declare(203, "call_unknown", "WARNING", "A call ended with outcome unknown.")
 STREAM_RESUMED = _declare(204, "stream_resumed", "INFO", "An interrupted stream is resumed.")
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -98,6 +98,9 @@
 """Seconds until a connection attempt to a target or host fails. It is many times the delay between
 failure domains, and a fraction of the shortest latency goal, so that another target can still
 answer in time."""
+TARGET_READ_BYTES = 16_384
+"""Bytes that are taken from a target's socket at once. Four times as many may wait where a caller
+does not read its answer."""
 UNACKNOWLEDGED_MS = 1500
 """Milliseconds without a TCP acknowledgement until a connection counts as broken."""
 LINGER_SHARE = 0.75
@@ -224,13 +227,14 @@
         self.forwarder = Forwarder(
             self.targets,
             platform.dialect,
-            HttpClient(CONNECT_TIMEOUT_S, UNACKNOWLEDGED_MS),
+            HttpClient(CONNECT_TIMEOUT_S, UNACKNOWLEDGED_MS, read_bytes=TARGET_READ_BYTES),
             settings.failure_domain,
             self.occupancy.in_flight,
             self.crash_detector,
             self.suspicion,
             wait_until_fresh=self.stall_detector.wait,
             loads=self.loads,
+            memory=self.memory,
         )
         self.suspicion.find_writing = self.forwarder.find_writing
         self.stream_versions = StreamVersions(
--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -32,6 +32,7 @@
     from collections.abc import AsyncIterator, Awaitable, Callable
 
     from ..ids import ServiceName, SoftwareVersion, SuspectKey, TargetId
+    from ..util.memory_budget import MemoryBudget
     from ..wire.http_client import ClientResponse
     from .dialect import AnswerHead, CallHead, Dialect
     from .event_stream import StreamEvent
@@ -237,6 +238,7 @@
     :param wait_until_fresh: returns once this host's data is fresh enough to select targets.
     :param loads: pace and expected delay of the targets; None if targets are selected by load.
     :param origins: software versions that began streams; None if they don't matter.
+    :param memory: memory for answers that are buffered; None for no limit of their sum.
     :ivar answers: open answers to calls and items of this host.
     :ivar empty_since: monotonic time since which calls have found no target of a service.
     """
@@ -252,6 +254,7 @@
     wait_until_fresh: Callable[[], Awaitable[None]] = no_wait
     loads: TargetLoads | None = None
     origins: StreamOrigins | None = None
+    memory: MemoryBudget | None = None
     answers: set[Exchange] = field(default_factory=set)
     empty_since: dict[ServiceName, float] = field(default_factory=dict)
 
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -16,6 +16,7 @@
 from ..telemetry import metrics
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
+from ..util.memory_budget import Purpose, Reservation
 from ..util.structs import Struct, field
 from ..wire.http_client import BodyFraming, ConnectFailed, ResponseBroken
 from ..wire.http_types import Response
@@ -52,6 +53,8 @@
 MAX_BUFFERED_BODY_BYTES = 262_144
 """Maximum bytes of a non-streaming answer that are buffered until it is complete, so that a broken
 answer can be retried or replaced by an error. Longer answers are relayed as they arrive."""
+UNRESERVED_BODY_BYTES = 16_384
+"""Bytes of such an answer up to which no memory is reserved for it."""
 MAX_UNFRAMED_BODY_BYTES = 524_288
 """Maximum bytes of a non-streaming answer without a length, while the call can be sent to another
 target. The last target's answer may be longer."""
@@ -380,24 +383,50 @@
                 stream=stream(exchange, chunks, first),
                 release=exchange.close,
             )
+        memory = Reservation(self.forwarder.memory, Purpose.ANSWER)
+        try:
+            return await self._read_document(exchange, chunks, memory)
+        except BaseException:
+            memory.release()
+            raise
+
+    async def _read_document(
+        self, exchange: Exchange, chunks: AsyncIterator[bytes], memory: Reservation
+    ) -> Response:
+        """Return an answer that is not an event stream, buffered as far as it may be.
+
+        Where memory does not suffice for that, it is relayed earlier.
+
+        :param memory: released once the response is finished.
+        """
+        status, headers = exchange.head.status, exchange.head.forwarded_headers
         exchange.follow_document()
-        buffered: list[bytes] = []
-        size = 0
+        buffered = bytearray()
         has_length = exchange.response.framing is BodyFraming.LENGTH
         can_leave = self.may_retry and not has_length
-        while size < (MAX_UNFRAMED_BODY_BYTES if can_leave else MAX_BUFFERED_BODY_BYTES):
+        while len(buffered) < (MAX_UNFRAMED_BODY_BYTES if can_leave else MAX_BUFFERED_BODY_BYTES):
             chunk = await self._read_chunk(exchange, chunks)
             if chunk is None:
                 self._finish(exchange)
-                return Response(exchange.head.status, raw_headers=headers, body=b"".join(buffered))
-            buffered.append(chunk)
-            size += len(chunk)
+                return Response(
+                    status, raw_headers=headers, body=bytes(buffered), release=memory.release
+                )
+            buffered += chunk
+            if len(buffered) > UNRESERVED_BODY_BYTES:
+                try:
+                    memory.grow(len(buffered))
+                except GradepointError:
+                    can_leave = False
+                    break
         if can_leave:
-            raise exchange.leave(f"no end within {size} bytes")
-        rest = self._relay_chunks(exchange, chunks, b"".join(buffered))
-        return Response(
-            exchange.head.status, raw_headers=headers, stream=rest, release=exchange.close
-        )
+            raise exchange.leave(f"no end within {len(buffered)} bytes")
+        rest = self._relay_chunks(exchange, chunks, bytes(buffered), memory)
+
+        def release() -> None:
+            exchange.close()
+            memory.release()
+
+        return Response(status, raw_headers=headers, stream=rest, release=release)
 
     async def _read_first_event(
         self, exchange: Exchange, chunks: AsyncIterator[bytes], stall_timeout_s: float | None
@@ -454,14 +483,23 @@
         return chunk
 
     async def _relay_chunks(
-        self, exchange: Exchange, chunks: AsyncIterator[bytes], chunk: bytes | None
+        self,
+        exchange: Exchange,
+        chunks: AsyncIterator[bytes],
+        chunk: bytes | None,
+        memory: Reservation | None = None,
     ) -> AsyncIterator[bytes]:
-        """Relay an answer as it arrives; it can't be retried once its first bytes are sent."""
+        """Relay an answer as it arrives; it can't be retried once its first bytes are sent.
+
+        :param memory: reserved for *chunk*, and released once that is sent.
+        """
         try:
             while chunk is not None:
                 if self._is_event_stream(exchange):
                     exchange.count(chunk)
                 yield chunk
+                if memory is not None:
+                    memory.release()
                 chunk = await self._read_chunk(exchange, chunks)
             self._finish(exchange)
         except TargetFailed as error:
--- a/gradepoint/util/memory_budget.py
+++ b/gradepoint/util/memory_budget.py
@@ -28,8 +28,7 @@
 
     HEAD = "head"
     BODY = "body"
-    READ_AHEAD = "read_ahead"
-    JOB = "job"
+    ANSWER = "answer"
 
 
 class MemoryBudget(Struct):
--- a/gradepoint/wire/http_client.py
+++ b/gradepoint/wire/http_client.py
@@ -17,6 +17,7 @@
 
 from ..util.clock import monotonic
 from ..util.numbers import read_whole_number
+from .transports import set_read_size
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Mapping, Sequence
@@ -293,6 +294,8 @@
         connection is closed (``TCP_USER_TIMEOUT``); 0 leaves the default of the system.
     :param max_idle_per_origin: idle connections kept for one origin; the oldest is closed first.
     :param max_body_bytes: maximum bytes of a response body, declared or received.
+    :param read_bytes: bytes that are taken from a socket at once. Twice as many may wait to be
+        read; more stay in the socket.
     :ivar connections_opened: number of connections made so far.
     :ivar idle: idle connections by origin, the most recently used last.
     """
@@ -303,11 +306,13 @@
         tcp_user_timeout_ms: int = 0,
         max_idle_per_origin: int = MAX_IDLE_PER_ORIGIN,
         max_body_bytes: int = MAX_BODY_BYTES,
+        read_bytes: int = READ_SIZE_BYTES,
     ) -> None:
         self.connect_timeout_s = connect_timeout_s
         self.tcp_user_timeout_ms = tcp_user_timeout_ms
         self.max_idle_per_origin = max_idle_per_origin
         self.max_body_bytes = max_body_bytes
+        self.read_bytes = read_bytes
         self.connections_opened = 0
         self.idle: dict[tuple[str, int], list[PooledConnection]] = {}
 
@@ -392,11 +397,14 @@
             connection.close()
         try:
             async with asyncio.timeout(self.connect_timeout_s):
-                reader, writer = await asyncio.open_connection(*origin, limit=READ_SIZE_BYTES * 4)
+                # The reader pauses its transport above twice its limit.
+                limit = self.read_bytes // 2
+                reader, writer = await asyncio.open_connection(*origin, limit=limit)
         except ConnectionRefusedError as error:
             raise ConnectRefused(f"{origin[0]}:{origin[1]}: {error!r}") from error
         except (OSError, TimeoutError) as error:
             raise ConnectFailed(f"{origin[0]}:{origin[1]}: {error!r}") from error
+        set_read_size(writer.transport, self.read_bytes)
         self.connections_opened += 1
         if self.tcp_user_timeout_ms:
             raw_socket = writer.get_extra_info("socket")
--- a/gradepoint/wire/http_server.py
+++ b/gradepoint/wire/http_server.py
@@ -19,6 +19,7 @@
 from ..util.numbers import read_whole_number
 from ..util.structs import Struct
 from .http_types import Request, Response, error_response
+from .transports import set_read_size
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -31,6 +32,10 @@
 """Copies of a head that a request in progress has: lines, joined headers, and what is forwarded."""
 WRITE_BUFFER_BYTES = 65536
 """Bytes of a response that may be buffered before writing waits for the caller to read."""
+UNREAD_ANSWER_BYTES = 65536
+"""Bytes of an answer that wait in the connection to its target while its caller does not read."""
+UNREAD_TIMEOUT_S = 1.0
+"""Seconds for which a caller may not read where memory does not suffice for what waits for it."""
 DISCARD_TIMEOUT_S = 5.0
 """Seconds for which the rest of a refused body is read and discarded. A close with unread bytes
 resets the connection, and the caller may lose the refusal."""
@@ -86,12 +91,6 @@
             reset_connection(transport)
 
 
-def set_read_size(transport: asyncio.BaseTransport, size: int) -> None:
-    """Set how many bytes a transport takes from its socket at once, if it can be told."""
-    if hasattr(transport, "max_size"):
-        transport.max_size = size
-
-
 def reset_connection(transport: asyncio.WriteTransport) -> None:
     """Close a connection with a reset; a connection that is already closed stays as it is."""
     connection = transport.get_extra_info("socket")
@@ -419,7 +418,12 @@
         )
         out = self.h11.send(head) or b""
         if response.stream is None:
-            out += self.h11.send(h11.Data(data=response.body)) or b""
+            body = response.body
+            for start in range(0, len(body), WRITE_BUFFER_BYTES):
+                out += self.h11.send(h11.Data(data=body[start : start + WRITE_BUFFER_BYTES])) or b""
+                if start + WRITE_BUFFER_BYTES < len(body):
+                    await self._write(out)
+                    out = b""
             out += self.h11.send(h11.EndOfMessage()) or b""
             await self._write(out)
         else:
@@ -454,8 +458,29 @@
             raise ConnectionResetError("the caller has gone")
         self.writer.write(data)
         if transport.get_write_buffer_size() > WRITE_BUFFER_BYTES:
-            async with asyncio.timeout(self.limits.idle_timeout_s):
+            await self._drain()
+
+    async def _drain(self) -> None:
+        """Wait until the caller has read; what waits meanwhile is reserved.
+
+        If it does not fit, the caller has to read soon, since the process would be killed and all
+        calls lost if many callers did not.
+        """
+        waiting = self.writer.transport.get_write_buffer_size() + UNREAD_ANSWER_BYTES
+        memory = Reservation(self.server.budget, Purpose.ANSWER)
+        timeout_s = self.limits.idle_timeout_s
+        try:
+            memory.grow(waiting)
+        except GradepointError:
+            timeout_s = min(timeout_s, UNREAD_TIMEOUT_S)
+        try:
+            async with asyncio.timeout(timeout_s):
                 await self.writer.drain()
+        except TimeoutError:
+            emit(events.ANSWER_UNREAD, waited_s=timeout_s, size=waiting)
+            raise
+        finally:
+            memory.release()
 
     async def refuse(self, error: GradepointError) -> None:
         """Respond with *error* and close the connection; used if no request can be read."""
--- a/tests/test_gateway/test_gateway_memory.py
+++ b/tests/test_gateway/test_gateway_memory.py
@@ -5,6 +5,8 @@
 import asyncio
 from pathlib import Path
 
+import pytest
+
 from bench.peak_memory import LARGE_CALLS, Run
 from gradepoint.gateway.caller_limits import (
     CONNECTION_BYTES,
@@ -31,6 +33,12 @@
     assert asyncio.run(Run(tmp_path, MEMORY_MB).measure(["ahead"])) < MEMORY_MB
 
 
+@pytest.mark.parametrize("scenario", ["events", "document"])
+def test_unread_answers_stay_below_the_memory_limit(tmp_path: Path, scenario: str) -> None:
+    # Up to a megabyte waited for each caller that did not read its answer.
+    assert asyncio.run(Run(tmp_path, MEMORY_MB).measure([scenario])) < MEMORY_MB
+
+
 def test_fewer_connections_are_accepted_where_memory_is_small() -> None:
     # As many connections were accepted at any limit, though each takes memory.
     small, usual, large = (make_limits(mb * 1e6).max_connections for mb in (100, 150, 1000))
--- a/tests/test_wire/test_wire_memory.py
+++ b/tests/test_wire/test_wire_memory.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import msgspec
 import pytest
 
-from gradepoint.util.memory_budget import LARGE_SHARE, MemoryBudget
+from gradepoint.util.memory_budget import LARGE_SHARE, MemoryBudget, Purpose
 from gradepoint.wire.http_server import READ_SIZE_BYTES, HttpServer, ServerLimits
 from gradepoint.wire.http_types import Request, Response
 
@@ -17,6 +17,8 @@
 BUDGET_BYTES = 7 * BODY_BYTES
 FITTING = int(BUDGET_BYTES * LARGE_SHARE) // (BODY_BYTES + 2 * READ_SIZE_BYTES)
 WAIT_S = 20.0
+STREAM_PIECES = 400
+"""Pieces of a long answer; more than the buffers of a loopback connection hold."""
 LIMITS = ServerLimits(
     max_connections=100,
     max_body_bytes=BODY_BYTES,
@@ -48,6 +50,24 @@
         await self.go_on.wait()
         return Response(body=b"%d" % len(body))
 
+    async def stream(self) -> AsyncIterator[bytes]:
+        """Yield the pieces of a long answer."""
+        for _ in range(STREAM_PIECES):
+            yield b"x" * READ_SIZE_BYTES
+
+    async def answer_long(self, request: Request) -> Response:
+        """Answer with a long stream, or with as long a body for ``/body``."""
+        await request.read_body()
+        if request.path == "/body":
+            return Response(body=b"x" * READ_SIZE_BYTES * STREAM_PIECES)
+        return Response(stream=self.stream())
+
+    async def open(self, name: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Send a request whose answer isn't read."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port, limit=4096)
+        writer.write(f"GET /{name} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n".encode())
+        return reader, writer
+
     async def send(self, name: str, body: bytes, *, chunked: bool = False) -> bytes:
         """Send a whole request; return the answer."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
@@ -135,6 +155,45 @@
     with_server(work)
 
 
+@pytest.mark.parametrize("kind", ["body", "stream"])
+def test_answer_waits_for_its_caller_in_reserved_memory(kind: str) -> None:
+    # What waited for callers that do not read was not counted.
+    async def work(callers: Callers) -> None:
+        callers.server.handler = callers.answer_long
+        callers.server.limits = ServerLimits(idle_timeout_s=WAIT_S)
+        reader, writer = await callers.open(kind)
+        await callers.wait_for(lambda: callers.budget.used_bytes > READ_SIZE_BYTES)
+        assert callers.budget.used_bytes < 8 * READ_SIZE_BYTES
+        answer = await reader.read()
+        assert answer.count(b"x" * 100) >= STREAM_PIECES * READ_SIZE_BYTES // 100 - STREAM_PIECES
+        writer.close()
+        await callers.wait_for(lambda: callers.budget.used_bytes == 0)
+
+    with_server(work)
+
+
+def test_unread_answer_ends_early_only_where_memory_is_used_up() -> None:
+    # Callers that do not read held what waited for them for the whole idle timeout.
+    async def work(callers: Callers) -> None:
+        callers.server.handler = callers.answer_long
+        callers.server.limits = ServerLimits(idle_timeout_s=10 * WAIT_S)
+        patient = await callers.open("first")
+        await callers.wait_for(lambda: callers.budget.used_bytes > READ_SIZE_BYTES)
+        rest = callers.budget.limit_bytes - callers.budget.used_bytes - READ_SIZE_BYTES
+        assert callers.budget.reserve(rest, Purpose.BODY, large=False)
+        unread = await callers.open("second")
+        await callers.wait_for(lambda: len(callers.server.connections) == 2)
+        await callers.wait_for(lambda: len(callers.server.connections) == 1)
+        answer = await patient[0].read()
+        assert answer.endswith(b"0\r\n\r\n")
+        for _, writer in (patient, unread):
+            writer.close()
+        callers.budget.release(rest)
+        await callers.wait_for(lambda: callers.budget.used_bytes == 0)
+
+    with_server(work)
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_memory_is_released_however_requests_end(seed: int) -> None:
     # A reservation that is never released refuses all later requests.
