Read what came on an idle connection before the next request

A request on a kept-alive connection got bytes that a server had sent after an earlier answer as its own answer: a second answer, or the body of an answer to HEAD, 204 or 304. For calls the echoed id catches that; reads of the store, of other hosts and of data hosts have no such check.

Cause: the task that watches an idle connection was cancelled, as a request took the connection, before it had read what had already arrived. A connection that was taken in the turn in which it became idle was not watched at all, as for a reader that is slow and sends its next request at once.

The watcher gets one turn of the event loop before it is cancelled; it runs first, finds the bytes and closes the connection, so that the next idle one or a new one is used. Bytes that arrive with or after the request cannot be told from its answer.

Not a cause: h11, which reports left-over bytes that it was given.

--- a/gradepoint/wire/http_client.py
+++ b/gradepoint/wire/http_client.py
@@ -171,6 +171,9 @@
         """Stop the idle watcher, before a request is sent."""
         if self.idle_watcher is None:
             return
+        # The watcher reads what has arrived so far. Without this turn it would be cancelled first,
+        # and bytes that belong to no request would be read as the answer to the next one.
+        await asyncio.sleep(0)
         self.idle_watcher.cancel()
         await asyncio.wait([self.idle_watcher])
         self.idle_watcher = None
