Make the test environment anew unless it is complete and for this machine

An environment of another Python or processor, copied from another folder, or whose files were lost later counted as complete; one that was cut off during an update kept its files. The class is that of target/deps: a stamp that says when, not what.

A found one counts where the stamp matches, its own interpreter reports the same, every file that its distributions list is there with its size, and the tools and compiled modules can be imported. It is removed and made in place, since an environment contains its path. It shares the lock, the time limit and the reporting of deploy/build.py, whose main() now takes the work to do.

Evidence: test_make_install_over_an_environment_that_was_cut_off_does_not_end_ with_0 fails with the former Makefile ("Nothing to be done for 'install'"). 20 further cases drive the script with a small distribution.

Note: an environment with the former, empty .installed is made anew by the first make, with all that use it at that time.

Ruled out: a digest of all contents (374 MB); the stamp's name with a digest in the Makefile alone (it does not see lost files); pip over the found environment (it does not look at files of a version that is installed).

--- a/Makefile
+++ b/Makefile
@@ -4,12 +4,8 @@
 
 .PHONY: demo test install ledger replay capacity
 
-$(VENV)/.installed: pyproject.toml constraints.txt
-	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -e '.[dev]'
-	touch $@
-
-install: $(VENV)/.installed
+install:
+	$(PYTHON) -B .ci/environment.py $(VENV)
 
 demo: install
 	$(BIN)/python -m bench.demo
--- a/deploy/build.py
+++ b/deploy/build.py
@@ -242,7 +242,7 @@
             timeout=max(0.0, deadline - time.monotonic()),
         )
     except subprocess.TimeoutExpired:
-        raise BuildError(f"the installer did not end within {BUILD_LIMIT_S:.0f} s") from None
+        raise BuildError("the installer did not end within the build's limit of time") from None
     if result.stdout:
         say(result.stdout.rstrip())
     if result.returncode:
@@ -290,8 +290,8 @@
     raise BuildError(f"stopped by {signal.Signals(number).name}")
 
 
-def main(root: Path, command: Command) -> int:
-    """Build, and return the exit code; the last line of a failure names the reason."""
+def main(work: Callable[[], None]) -> int:
+    """Run a build, and return the exit code; the last line of a failure names the reason."""
     for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
         if signal.getsignal(number) != signal.SIG_IGN:
             signal.signal(number, stop)
@@ -299,7 +299,7 @@
         if sys.version_info < PYTHON_NEEDED:
             needed = ".".join(map(str, PYTHON_NEEDED))
             raise BuildError(f"python3 is {platform.python_version()}, below {needed}")
-        build(root, command)
+        work()
     except BuildError as error:
         say(f"build failed: {error}")
     except (OSError, KeyError, ValueError) as error:
@@ -310,4 +310,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(ROOT, pip_command(ROOT)))
+    sys.exit(main(lambda: build(ROOT, pip_command(ROOT))))
--- a/tests/test_deploy/test_deploy_build.py
+++ b/tests/test_deploy/test_deploy_build.py
@@ -85,7 +85,8 @@
             f"import build, pathlib\nroot = pathlib.Path({str(root)!r})\n"
             f"words = [sys.executable, {str(root / 'installer.py')!r}, {str(root)!r},"
             f" {str(Path(msgspec.__file__).parent)!r}]\n"
-            "sys.exit(build.main(root, lambda folder: [*words, str(folder)]))\n"
+            "command = lambda folder: [*words, str(folder)]\n"
+            "sys.exit(build.main(lambda: build.build(root, command)))\n"
         )
 
     @property
