Let the work of a data host not grow with the jobs that it holds

Cause: totals were counted anew from the jobs. Class: work that blocks the loop and grows with what is held.

The bytes on the disk and the tokens of each limit are running totals, changed where a job enters or leaves the index. Due times are in one queue for each delay (spool/schedule.py), so that only their heads are looked at; a retiring host's jobs are made due by moving the queues.

The totals are compared with a model over random submissions, deletions and restarts, the schedule with a scan of due times.

--- a/gradepoint/spool/disk.py
+++ b/gradepoint/spool/disk.py
@@ -37,6 +37,7 @@
     :ivar temporary: folder of files that are being written; emptied at the start.
     :ivar max_bytes: most bytes that job files may fill.
     :ivar sizes: size of the file of each job that is held, in bytes.
+    :ivar used_bytes: their sum.
     :ivar unread_bytes: size of the files of other jobs, as far as it is known.
     """
 
@@ -45,6 +46,7 @@
         self.temporary = folder / "spool-temporary"
         self.max_bytes = int(disk_mb * MEGABYTE * MAX_FILL_SHARE)
         self.sizes: dict[JobId, int] = {}
+        self.used_bytes = 0
         self.unread_bytes = 0
 
     def open(self) -> None:
@@ -69,13 +71,18 @@
 
         :raises StoreError: the spool is full, or the disk failed and the job may be stored or not.
         """
-        if sum(self.sizes.values()) + self.unread_bytes + len(raw) > self.max_bytes:
+        if self.used_bytes + self.unread_bytes + len(raw) > self.max_bytes:
             raise StoreError("the spool is full")
         try:
             write_durably(self.jobs / job_id, self.temporary / job_id, raw)
         except OSError as error:
             raise StoreError(f"could not write the job to disk: {error!r}") from error
-        self.sizes[job_id] = len(raw)
+        self.count(job_id, len(raw))
+
+    def count(self, job_id: JobId, size: int) -> None:
+        """Count the file of a job that is held."""
+        self.used_bytes += size - self.sizes.get(job_id, 0)
+        self.sizes[job_id] = size
 
     def list_batches(self) -> Iterator[list[str]]:
         """Yield the names in the folder of jobs, some at a time.
@@ -111,7 +118,7 @@
         :raises OSError: the file cannot be deleted.
         """
         (self.jobs / job_id).unlink(missing_ok=True)
-        self.sizes.pop(job_id, None)
+        self.used_bytes -= self.sizes.pop(job_id, 0)
 
 
 def _probe(path: Path) -> None:
--- a/gradepoint/spool/host.py
+++ b/gradepoint/spool/host.py
@@ -16,7 +16,7 @@
 
 from .. import events
 from ..errors import KvError, KvRejected, StoreError
-from ..ids import JobId, OrganisationName
+from ..ids import JobId
 from ..jobs.repository import REJECTED_RETRY_S, Admission
 from ..peers.presence import PRESENCE_PREFIX, HostTable
 from ..telemetry.logs import emit
@@ -28,7 +28,8 @@
 from .bounds import READS_AT_ONCE
 from .client import KEEP_TIMEOUT_S
 from .disk import is_file_name, printable
-from .records import decode_job, read_outline, split_request
+from .records import Limit, decode_job, read_outline, split_request
+from .schedule import EntrySchedule
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -77,19 +78,29 @@
     UNREAD = "unread"
 
 
-class HeldJob(msgspec.Struct):
+class WaitingTokens(msgspec.Struct):
+    """The jobs on this host's disk that share one limit.
+
+    :ivar tokens: their tokens.
+    :ivar jobs: their number.
+    """
+
+    limit: Limit
+    tokens: int = 0
+    jobs: int = 0
+
+
+class HeldJob(msgspec.Struct, gc=False):
     """A job on this host's disk; its items stay there.
 
     :param tokens: see :class:`JobOutline`.
-    :param limit: see :class:`JobOutline`.
+    :param waiting: the jobs that share its limit.
     :param since: monotonic time at which this process stored or loaded the job.
-    :param next_try_at: monotonic time before which this host does not try to enter the job.
     """
 
     tokens: int
-    limit: tuple[str, OrganisationName | None]
+    waiting: WaitingTokens
     since: float
-    next_try_at: float
 
 
 @dataclass
@@ -97,6 +108,8 @@
     """Keeps jobs, and enters those that the accepting host does not enter.
 
     :ivar held: jobs on this host's disk.
+    :ivar waiting: their tokens by limit.
+    :ivar schedule: when they are to be entered.
     :ivar reading: limits the bodies that are read at once.
     :ivar unread: number of files that may be jobs and are not in the index, since they could not
         be read or the index was full.
@@ -110,6 +123,8 @@
     bounds: SpoolBounds
     reading: asyncio.Semaphore = field(default_factory=lambda: asyncio.Semaphore(READS_AT_ONCE))
     held: dict[JobId, HeldJob] = field(default_factory=dict)
+    waiting: dict[Limit, WaitingTokens] = field(default_factory=dict)
+    schedule: EntrySchedule = field(default_factory=EntrySchedule)
     unread: int = 0
     retiring: bool = False
 
@@ -128,6 +143,7 @@
     async def load(self) -> None:
         """Load the jobs that an earlier incarnation stored; their entry is due at once.
 
+        Other tasks run after each :data:`LOAD_TURN_BYTES` or :data:`~.disk.BATCH_FILES` files.
         Files that cannot be read are counted in :attr:`unread`.
 
         :raises OSError: the folder cannot be read.
@@ -187,14 +203,29 @@
             self._ignore(name, f"the file of job {job.id}")
             return FileState.NO_JOB
         if len(self.held) < self.bounds.max_jobs:
-            now = monotonic()
-            self._hold(job, size, now, now)
+            self._hold(job, size, 0.0)
         return FileState.JOB
 
-    def _hold(self, job: JobOutline, size: int, since: float, next_try_at: float) -> None:
-        """Put a job into the index."""
-        self.disk.sizes[job.id] = size
-        self.held[job.id] = HeldJob(job.tokens, job.limit, since, next_try_at)
+    def _hold(self, job: JobOutline, size: int, delay_s: float) -> None:
+        """Put a job into the index; its entry is due after a delay."""
+        now = monotonic()
+        self.disk.count(job.id, size)
+        waiting = self.waiting.setdefault(job.limit, WaitingTokens(job.limit))
+        waiting.tokens += job.tokens
+        waiting.jobs += 1
+        self.held[job.id] = HeldJob(job.tokens, waiting, now)
+        self.schedule.put(job.id, now, delay_s)
+
+    def _drop(self, job_id: JobId) -> None:
+        """Remove a job from the index, if it is there."""
+        self.schedule.discard(job_id)
+        held = self.held.pop(job_id, None)
+        if held is None:
+            return
+        held.waiting.tokens -= held.tokens
+        held.waiting.jobs -= 1
+        if not held.waiting.jobs:
+            del self.waiting[held.waiting.limit]
 
     def _ignore(self, name: str, reason: str) -> None:
         emit(events.SPOOL_ENTRY_IGNORED, path=printable(self.disk.jobs / name), reason=reason)
@@ -270,7 +301,7 @@
             return Response(200)
         if self.retiring:
             return Response(503)
-        waiting = sum(held.tokens for held in self.held.values() if held.limit == job.limit)
+        waiting = self.waiting[job.limit].tokens if job.limit in self.waiting else 0
         if max_tokens and waiting + job.tokens > max_tokens:
             emit(events.SPOOL_REFUSED, job=job.id, reason="quota", waiting_tokens=waiting)
             return Response(409)
@@ -281,8 +312,7 @@
         except StoreError as error:
             emit(events.SPOOL_REFUSED, job=job.id, reason=str(error), waiting_tokens=waiting)
             return Response(500)
-        now = monotonic()
-        self._hold(job, len(content), now, now + FIRST_ENTRY_DELAY_S)
+        self._hold(job, len(content), FIRST_ENTRY_DELAY_S)
         emit(events.SPOOL_KEPT, job=job.id, items=job.items, held=len(self.held))
         return Response(200)
 
@@ -294,43 +324,51 @@
             # The job stays held; the next attempt to enter it deletes it again.
             emit(events.SPOOL_FILE_FAILED, job=job_id, reason=error.strerror)
             return False
-        self.held.pop(job_id, None)
+        self._drop(job_id)
         emit(events.SPOOL_FORGOTTEN, job=job_id, reason=reason, held=len(self.held))
         return True
 
     def retry_now(self) -> None:
         """Make the entry of every job due now."""
-        for held in self.held.values():
-            held.next_try_at = 0.0
+        self.schedule.hurry()
 
     async def run(self) -> None:
         """Enter jobs that the accepting host has not entered; never returns."""
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
             now = monotonic()
-            due = [job_id for job_id, held in self.held.items() if held.next_try_at <= now]
-            for job_id in due:
-                held = self.held.get(job_id)
-                if held is None:
-                    continue
-                held.next_try_at = now + ENTRY_RETRY_S
-                try:
-                    await self._enter(job_id, held)
-                except KvRejected as error:
-                    held.next_try_at = now + REJECTED_RETRY_S
-                    emit(events.SPOOL_REJECTED, job=job_id, **error.log_fields)
-                except KvError as error:
-                    emit(events.SPOOL_WAITS, job=job_id, reason=str(error))
-                    # The service does not answer, so other jobs would fail too.
+            while (job_id := self.schedule.pop_due(now)) is not None:
+                self.schedule.put(job_id, now, ENTRY_RETRY_S)
+                if not await self._try_to_enter(job_id):
                     break
-                except FileNotFoundError:
-                    self._forget(job_id, "its file is gone")
-                except OSError as error:
-                    held.next_try_at = now + LOAD_RETRY_S
-                    emit(events.SPOOL_FILE_FAILED, job=job_id, reason=error.strerror)
-                except msgspec.DecodeError as error:
-                    held.next_try_at = now + REJECTED_RETRY_S
-                    emit(events.SPOOL_UNREADABLE, job=job_id, reason=str(error))
+                # Jobs whose files cannot be read would otherwise block the loop.
+                await asyncio.sleep(0)
+
+    async def _try_to_enter(self, job_id: JobId) -> bool:
+        """Enter a job if possible; return whether others are worth a try now."""
+        try:
+            await self._enter(job_id, self.held[job_id])
+        except KvRejected as error:
+            self._postpone(job_id, REJECTED_RETRY_S)
+            emit(events.SPOOL_REJECTED, job=job_id, **error.log_fields)
+        except KvError as error:
+            emit(events.SPOOL_WAITS, job=job_id, reason=str(error))
+            # The service does not answer, so other jobs would fail too.
+            return False
+        except FileNotFoundError:
+            self._forget(job_id, "its file is gone")
+        except OSError as error:
+            self._postpone(job_id, LOAD_RETRY_S)
+            emit(events.SPOOL_FILE_FAILED, job=job_id, reason=error.strerror)
+        except msgspec.DecodeError as error:
+            self._postpone(job_id, REJECTED_RETRY_S)
+            emit(events.SPOOL_UNREADABLE, job=job_id, reason=str(error))
+        return True
+
+    def _postpone(self, job_id: JobId, delay_s: float) -> None:
+        """Make the next entry of a job due after a delay, if the job is still held."""
+        if job_id in self.held:
+            self.schedule.put(job_id, monotonic(), delay_s)
 
     async def _enter(self, job_id: JobId, held: HeldJob) -> None:
         """Create a job in the key-value service unless it exists there, then delete it here.
@@ -343,7 +381,7 @@
         if owner is not None:
             await self._ask_to_run(job_id, owner)
         if job_id in self.held and not self._forget(job_id, "the key-value service has the job"):
-            held.next_try_at = monotonic() + REJECTED_RETRY_S
+            self._postpone(job_id, REJECTED_RETRY_S)
 
     async def _create(self, job_id: JobId, held: HeldJob) -> Incarnation | None:
         """Create a job; return the owner that it names if it did not exist.
--- a/gradepoint/spool/records.py
+++ b/gradepoint/spool/records.py
@@ -9,6 +9,9 @@
 from ..ids import ItemId, JobId, OrganisationName
 from ..jobs.records import Item, JobState
 
+Limit = tuple[str, OrganisationName | None]
+"""Route and organisation whose limit of waiting tokens a job counts against."""
+
 
 class SpooledJob(msgspec.Struct, frozen=True, array_like=True):
     """A job with its items, as it will be created in the key-value service."""
@@ -42,12 +45,12 @@
     """What decisions about a job need.
 
     :param tokens: see :attr:`SpooledJob.tokens`.
-    :param limit: route and organisation whose limit the job shares.
+    :param limit: the limit that the job shares with others.
     """
 
     id: JobId
     tokens: int
-    limit: tuple[str, OrganisationName | None]
+    limit: Limit
     items: int
 
 
--- a/tests/test_spool/test_spool_disk.py
+++ b/tests/test_spool/test_spool_disk.py
@@ -40,11 +40,16 @@
     return disk
 
 
-def load_host(folder: Path) -> SpoolHost:
-    """Return a data host that has loaded its jobs, as after a start."""
+def make_host(folder: Path) -> SpoolHost:
+    """Return a data host that has loaded nothing yet."""
     kv = MemoryKvClient(MemoryKv())
     repository = JobRepository(kv, 1 << 20)
-    host = SpoolHost(SpoolDisk(folder, 10), kv, repository, HttpClient(), derive_bounds(0.0))
+    return SpoolHost(SpoolDisk(folder, 10), kv, repository, HttpClient(), derive_bounds(0.0))
+
+
+def load_host(folder: Path) -> SpoolHost:
+    """Return a data host that has loaded its jobs, as after a start."""
+    host = make_host(folder)
 
     async def start() -> None:
         await host.open_disk()
