Cut streams that no other target can take up, in place of beginning anew

Callers of a stream that may be resumed got events twice, in an answer that looked complete, where its target sent events without numbers and broke off: first the events of the broken stream, then the whole stream of another target from its beginning. The same after an event without a number behind numbered ones, which was sent again by the next target.

Cause: a stream is taken up after the last number seen; without any, the call was sent as a new one although events had been passed on. Class: a missing position taken for the beginning.

After an event with data and no number the stream is cut visibly, as on a route that cannot be resumed; the target is charged as before, and a silence is waited for until the deadline, since no other target could go on. A stream cut before its first event, or after a numbered one, goes on elsewhere as before. Items were right: their text is discarded where it has no numbers.

--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -514,9 +514,11 @@
         """Relay complete events, and resume a broken stream at another target.
 
         An incomplete event is never sent, so that the new target can continue after the last
-        complete one.
+        complete one. After an event with data and no number none can: it would begin anew, and the
+        caller would get events twice.
         """
         last = self.head.resume_after
+        may_resume = True
         wait_s = self._find_stall_timeout_s()
         try:
             while True:
@@ -528,12 +530,16 @@
                             wait_s = self._find_stall_timeout_s()
                         for event in found:
                             yield event.raw
-                            last = event.number if event.number is not None else last
-                        chunk = await self._read_chunk(exchange, chunks, wait_s)
+                            if event.number is not None:
+                                last, may_resume = event.number, True
+                            elif event.data is not None:
+                                may_resume = False
+                        limit_s = wait_s if may_resume else None
+                        chunk = await self._read_chunk(exchange, chunks, limit_s)
                     break
                 except TargetFailed as error:
                     exchange.close()
-                    if not self.may_retry:
+                    if not self.may_retry or not may_resume:
                         raise self._abort_stream(exchange, error) from error
                     await self.forwarder.crash_detector.wait(exchange.target)
                     emit(
--- a/tests/support/scripted_target.py
+++ b/tests/support/scripted_target.py
@@ -34,6 +34,7 @@
     :param status_line: first line of the answer.
     :param headers: headers beside those of a sound answer.
     :param interim: bytes before the first line.
+    :param unnumbered_from: number of the first event that is sent without its number.
     """
 
     framing: BodyFraming
@@ -47,6 +48,7 @@
     status_line: str = "HTTP/1.1 200 OK"
     headers: tuple[str, ...] = ()
     interim: bytes = b""
+    unnumbered_from: int | None = None
 
     def __str__(self) -> str:
         return f"{self.framing.value}-{self.stop_before}-{self.partial_bytes}-{self.end.value}"
@@ -56,6 +58,10 @@
         if self.document:
             return [self.document]
         events = [event_bytes(request_id, number) for number in range(first, count)]
+        if self.unnumbered_from is not None:
+            kept = max(0, self.unnumbered_from - first)
+            unnumbered = [event.partition(b"\n")[2] for event in events[kept:]]
+            events = [*events[:kept], *unnumbered]
         return [event.replace(b"\n", self.newline) for event in events]
 
 
