Keep the last host list where a read is answered with an error

In fleets without the platform, an error of the list of hosts whose body had the form of a list (say {"hosts": []} with 500) replaced the list, so that the members were judged by an empty one.

Cause: the status of the answer was not looked at. Only 200 brings a list now; else the last good one stays, as for a read that fails.

Found by reading all readers of answers. The test's 5 settings (203, 404, 429, 500, 503) failed before; now none.

--- a/gradepoint/fleet/host_list.py
+++ b/gradepoint/fleet/host_list.py
@@ -44,7 +44,10 @@
             return self.last_known
         try:
             response = await self.http.request("GET", f"{self.base_url}/hosts", timeout_s=timeout_s)
-            answer = msgspec.json.decode(await response.read(), type=HostList)
+            raw = await response.read()
+            if response.status != 200:
+                return self.last_known
+            answer = msgspec.json.decode(raw, type=HostList)
         except (ConnectFailed, ResponseBroken, msgspec.DecodeError):
             return self.last_known
         self.last_known = {HostName(row.name): row.state for row in answer.hosts}
