Bound the memory of batch jobs by the gateway's limit

Seen: many large jobs at once make a gateway exceed its `memory_mb`; the process is killed, and the jobs come to other hosts.

Cause: a submission holds its body, rows, items, parts, fragments and the body of a transaction at once, and accepted jobs keep their items until a minute after their end. Nothing counted their sum, neither for jobs that are submitted nor for those taken over from other hosts.

Fix: the body of a submission reserves all of its copies from the budget of requests before it is read (`Request.body_copies`); what does not fit is answered 503 `host_memory` and not stored. If its client leaves, the memory stays reserved until the submission is done. The items of a job that this host runs are counted until the job is forgotten. Where memory runs short, finished jobs are forgotten early, since readers are answered from the service. A job that is taken over, or read again, waits until the largest job would fit (event 252); one is always read where no other job takes memory, and the largest body always fits into a process without other work.

Not covered: copies for data hosts while the store does not answer, and texts of listed results of unfinished jobs.

--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -142,6 +142,12 @@
     "INFO",
     "A caller did not read its answer in time; its connection is closed.",
 )
+JOB_WAITS_FOR_MEMORY = _declare(
+    252,
+    "job_waits_for_memory",
+    "WARNING",
+    "A job of this host is not read yet, since memory does not suffice for it.",
+)
 CALL_RETRIED = _declare(202, "call_retried", "INFO", "A call is retried at another target.")
 CALL_UNKNOWN = _declare(203, "call_unknown", "WARNING", "A call ended with outcome unknown.")
 STREAM_RESUMED = _declare(204, "stream_resumed", "INFO", "An interrupted stream is resumed.")
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -153,7 +153,9 @@
         self.kv = kv = RelayedKv(store, self.peer_http, self.heartbeats.helpers)
         self.platform = platform
         self.tasks = TaskGroup()
-        self.memory = MemoryBudget(settings.max_request_bytes)
+        self.memory = MemoryBudget(
+            settings.max_request_bytes, lambda size: self.worker.make_room(size)
+        )
         metrics.shared().reserved_memory.read = lambda: {(): float(self.memory.used_bytes)}
         self.stopping = False
         self.reachable = asyncio.Event()
@@ -293,6 +295,7 @@
             self.must_hold_back_items,
             self.occupancy.find_call_rate,
             settings.max_waiting_bytes,
+            memory=self.memory,
         )
         self.intake = Intake(
             self.repository,
--- a/gradepoint/gateway/calls.py
+++ b/gradepoint/gateway/calls.py
@@ -12,6 +12,7 @@
 
 from .. import events
 from ..errors import GradepointError
+from ..jobs.api import SUBMISSION_COPIES
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.structs import Struct
@@ -78,6 +79,7 @@
     async def answer(self, request: Request) -> Response:
         """Answer a caller; every :class:`GradepointError` becomes an error response."""
         try:
+            request.body_copies = self._count_copies(request)
             body = await request.read_body()
             return await self._route(request, body)
         except GradepointError as error:
@@ -92,6 +94,15 @@
             )
             return refuse(error)
 
+    def _count_copies(self, request: Request) -> int:
+        """Return how many copies of a body its request holds at once."""
+        current = self.configuration.current
+        if current is None or request.method != "POST":
+            return 1
+        path = request.target.partition("?")[0]
+        route = current.find_route(request.headers.get("host", ""), path)
+        return SUBMISSION_COPIES if route and route.kind is RouteKind.BATCH else 1
+
     async def _route(self, request: Request, body: bytes) -> Response:
         await self._wait_for_first_read()
         await self.stall_detector.wait()
--- a/gradepoint/jobs/api.py
+++ b/gradepoint/jobs/api.py
@@ -62,6 +62,9 @@
 OWNER_CHECK_GAP_S = 0.05
 """Seconds between checks whether a host announces a job that a reader waits for: half of the time
 within which hosts announce that they have started to run a job."""
+SUBMISSION_COPIES = 6
+"""Copies of a job's body that its submission holds: the body, its rows, items, parts, fragments and
+the body of the transaction."""
 MAX_CACHED_JOBS = 64
 """Most finished jobs whose results stay in memory for readers."""
 MAX_CACHED_BYTES = 16 << 20
@@ -128,7 +131,19 @@
 
         The work continues if the client disconnects, because a job that was written has to be run.
         """
-        return await asyncio.shield(self.tasks.start(self._submit(route, head, body), awaited=True))
+        work = self.tasks.start(self._submit(route, head, body), awaited=True)
+        try:
+            return await asyncio.shield(work)
+        except asyncio.CancelledError:
+            self._hold_memory(work, len(body) * SUBMISSION_COPIES)
+            raise
+
+    def _hold_memory(self, work: asyncio.Task[Response], size: int) -> None:
+        """Reserve the memory of a submission whose client has gone, until it is done."""
+        memory = self.worker.memory
+        if memory is not None and not work.done():
+            memory.take(size)
+            work.add_done_callback(lambda _: memory.release(size))
 
     async def _submit(self, route: Route, head: CallHead, body: bytes) -> Response:
         items = self.dialect.decode_submission(body)
--- a/gradepoint/jobs/owned.py
+++ b/gradepoint/jobs/owned.py
@@ -54,6 +54,7 @@
     :ivar committed_at: monotonic time of the last commit.
     :ivar committing: whether a commit is in progress.
     :ivar identities: request identities of the items, by index, as far as they were needed.
+    :ivar reserved_bytes: memory that is reserved for the items.
     """
 
     stored: StoredJob
@@ -79,6 +80,7 @@
     taken_at: float = field(default_factory=monotonic)
     commit_task: asyncio.Task[None] | None = None
     identities: dict[int, RequestIdentity] = field(default_factory=dict)
+    reserved_bytes: int = 0
 
     @property
     def id(self) -> JobId:
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -44,6 +44,7 @@
     from ..gateway.targets import Target
     from ..ids import Incarnation, JobId, ServiceName, SoftwareVersion, TargetId
     from ..spool.records import SpooledJob
+    from ..util.memory_budget import MemoryBudget
     from .records import Item
     from .repository import JobRepository
 
@@ -71,6 +72,8 @@
 """Seconds that an item waits for a slot at a target that can continue its text. Then it begins anew
 elsewhere, which takes a few seconds; the targets that can continue it may be full until the job is
 due."""
+ITEM_BYTES = 1024
+"""Memory in bytes that an item takes beside its body: its headers, path and objects."""
 ITEM_RETRY_S = 0.3
 """Seconds until an item is retried after a failed run or a preemption."""
 CHECKPOINT_INTERVAL_S = 2.5
@@ -117,6 +120,7 @@
     :param must_hold_back: whether items of a service have to leave the slots to refused callers.
     :param max_waiting_bytes: memory in bytes that results may take until a commit lists them. Items
         that run when it is reached still end.
+    :param memory: memory that jobs share with requests; None for no limit of their sum.
     :param find_call_rate: returns the mean calls per second that arrive at each target of a
         service; None if it is unknown.
     :ivar last_started_at: monotonic time at which each target last got an item of this host.
@@ -132,6 +136,7 @@
     :ivar item_times: how long items take.
     :ivar results_wait: whether no item is started because of the results that wait for a commit.
     :ivar waiting_items: why items wait, and since when.
+    :ivar waiting_for_memory: jobs of this host that are read once memory suffices for them.
     :ivar crash_backoff: delays items under which targets crash soon after the start.
     """
 
@@ -161,6 +166,8 @@
     results_wait: bool = False
     waiting_items: WaitingItems = field(default_factory=WaitingItems)
     crash_backoff: CrashBackoff = field(default_factory=CrashBackoff)
+    memory: MemoryBudget | None = None
+    waiting_for_memory: set[JobId] = field(default_factory=set)
 
     def announced_job_numbers(self) -> list[int]:
         """Return the short numbers of the jobs that this host announces to other hosts."""
@@ -235,6 +242,9 @@
         """
         if self._mark_entered(stored) or stored.id in self.jobs or stored.state.done:
             return
+        if items is None and not self._has_room():
+            self._wait_for_memory(stored)
+            return
         if items is None:
             items = await self.repository.load_items(stored)
         results = await self.repository.load_results(stored)
@@ -275,8 +285,55 @@
         job.enter(stored)
         return True
 
+    def _find_max_job_bytes(self) -> int:
+        """Return the most bytes that the items of a job take: as many as its body had."""
+        config = self.in_force()
+        return config.limits.body_bytes if config is not None else 0
+
+    def make_room(self, size: int) -> None:
+        """Forget finished jobs until *size* bytes of memory are released.
+
+        Their readers are answered from the key-value service then.
+        """
+        for job in list(self.jobs.values()):
+            if size <= 0:
+                return
+            if job.done and not job.committing:
+                size -= job.reserved_bytes
+                self._forget(job)
+
+    def _has_room(self) -> bool:
+        """Return whether memory suffices to read a job; without other jobs it always does."""
+        memory = self.memory
+        if memory is None or not self.jobs:
+            return True
+        missing = memory.used_bytes + self._find_max_job_bytes() - memory.large_bytes
+        self.make_room(missing)
+        return memory.used_bytes + self._find_max_job_bytes() <= memory.large_bytes
+
+    def _wait_for_memory(self, stored: StoredJob) -> None:
+        if stored.id in self.waiting_for_memory:
+            return
+        self.waiting_for_memory.add(stored.id)
+        emit(events.JOB_WAITS_FOR_MEMORY, job=stored.id, items=len(stored.state.item_ids))
+        self.tasks.start(self._start_later(stored))
+
+    async def _start_later(self, stored: StoredJob) -> None:
+        await asyncio.sleep(ITEM_RETRY_S)
+        self.waiting_for_memory.discard(stored.id)
+        self.jobs_to_reload.append(stored)
+        self.work_available.set()
+
+    def _forget(self, job: OwnedJob) -> None:
+        """Remove a job from memory."""
+        if self.jobs.pop(job.id, None) is not None and self.memory is not None:
+            self.memory.release(job.reserved_bytes)
+
     def _add(self, job: OwnedJob) -> None:
         self.jobs[job.id] = job
+        if self.memory is not None:
+            job.reserved_bytes = sum(len(item.body) + ITEM_BYTES for item in job.items)
+            self.memory.take(job.reserved_bytes)
         self.work_available.set()
         emit(events.JOB_TAKEN, job=job.id, items=len(job.items), listed=len(job.results))
 
@@ -302,8 +359,9 @@
 
     def drop(self, job_id: JobId, reason: str) -> None:
         """Stop running a job and forget it."""
-        job = self.jobs.pop(job_id, None)
+        job = self.jobs.get(job_id)
         if job is not None:
+            self._forget(job)
             emit(events.JOB_DROPPED, job=job_id, reason=reason, running=len(job.running))
             job.stop()
 
@@ -333,7 +391,7 @@
             self._report_waiting_items()
             for job in list(self.jobs.values()):
                 if job.done and monotonic() - job.committed_at > FINISHED_JOB_RETENTION_S:
-                    del self.jobs[job.id]
+                    self._forget(job)
                 else:
                     self._maintain(job)
 
--- a/gradepoint/util/memory_budget.py
+++ b/gradepoint/util/memory_budget.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import TYPE_CHECKING
 
 from .. import events
 from ..errors import GradepointError
@@ -14,6 +15,9 @@
 from .clock import monotonic
 from .structs import Struct
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 LARGE_BYTES = 65_536
 """Size in bytes from which a reservation counts as large."""
 LARGE_SHARE = 0.75
@@ -35,11 +39,14 @@
     """Counts reserved bytes and refuses what does not fit.
 
     :param limit_bytes: most bytes that may be reserved.
+    :param make_room: called with the bytes that are missing before a reservation is refused;
+        releases what can be had again from elsewhere.
     :ivar used_bytes: reserved bytes.
     :ivar reported_at: monotonic time of the last log line that the budget is used up.
     """
 
     limit_bytes: int
+    make_room: Callable[[int], None] = lambda _: None
     used_bytes: int = 0
     reported_at: float = float("-inf")
 
@@ -50,7 +57,9 @@
         """
         if large is None:
             large = size >= LARGE_BYTES
-        limit = int(self.limit_bytes * LARGE_SHARE) if large else self.limit_bytes
+        limit = self.large_bytes if large else self.limit_bytes
+        if self.used_bytes + size > limit:
+            self.make_room(self.used_bytes + size - limit)
         if self.used_bytes + size <= limit:
             self.used_bytes += size
             return True
@@ -67,6 +76,15 @@
             )
         return False
 
+    @property
+    def large_bytes(self) -> int:
+        """Most bytes that may be reserved once a large reservation is granted."""
+        return int(self.limit_bytes * LARGE_SHARE)
+
+    def take(self, size: int) -> None:
+        """Reserve *size* bytes for work that may not be refused any more."""
+        self.used_bytes += size
+
     def release(self, size: int) -> None:
         """Give reserved bytes back."""
         self.used_bytes -= size
--- a/gradepoint/wire/http_server.py
+++ b/gradepoint/wire/http_server.py
@@ -285,24 +285,25 @@
         self.head_bytes = size + len(event.target)
         if self.head_bytes > self.limits.max_header_bytes:
             raise GradepointError("header_too_large")
-        return Request(
+        request = Request(
             event.method.decode("ascii"),
             event.target.decode("latin-1"),
             _join_headers(event.headers),
-            lambda: self._read_body(event),
+            lambda: self._read_body(event, request.body_copies),
             self.limits.max_body_bytes,
             list(event.headers),
         )
+        return request
 
-    async def _read_body(self, head: h11.Request) -> AsyncIterator[bytes]:
-        """Yield the body; its memory is reserved before it is read.
+    async def _read_body(self, head: h11.Request, copies: int) -> AsyncIterator[bytes]:
+        """Yield the body; the memory of its copies is reserved before it is read.
 
         A body of unknown length is reserved by its pieces.
         """
         # More than the limit is never read whole.
         limit = self.limits.max_body_bytes
         declared = min(limit, _find_length(head))
-        self._reserve_body(declared)
+        self._reserve_body(declared, copies)
         if declared > self.limits.read_bytes:
             # The body would take a turn of the loop for each few kilobytes.
             set_read_size(self.writer.transport, min(declared, READ_SIZE_BYTES))
@@ -323,19 +324,23 @@
                 raise _protocol_error(error) from error
             if isinstance(event, h11.Data):
                 size += len(event.data)
-                self._reserve_body(min(limit, size))
+                self._reserve_body(min(limit, size), copies)
                 yield bytes(event.data)
                 continue
             if isinstance(event, h11.EndOfMessage) and self.limits.cancel_on_disconnect:
                 self.disconnect_watcher = asyncio.ensure_future(self._cancel_on_disconnect())
             return
 
-    def _reserve_body(self, size: int) -> None:
+    def _reserve_body(self, size: int, copies: int) -> None:
+        reserved = size * copies
         if size > self.limits.read_bytes:
             # Received bytes that are not parsed yet.
-            size += 2 * min(size, READ_SIZE_BYTES)
+            reserved += 2 * min(size, READ_SIZE_BYTES)
+        if self.server.budget is not None:
+            # The largest body has to fit into a process without other work.
+            reserved = min(reserved, self.server.budget.large_bytes)
         try:
-            self.body_memory.grow(size)
+            self.body_memory.grow(reserved)
         except GradepointError:
             self.refused_body = True
             raise
--- a/gradepoint/wire/http_types.py
+++ b/gradepoint/wire/http_types.py
@@ -40,6 +40,8 @@
     :param body_source: yields the body piece by piece; can be called once.
     :param max_body_bytes: default limit of :meth:`read_body`.
     :param raw_headers: every header line in order, names in lower case.
+    :param body_copies: copies of the body that its handler holds at once. Memory is reserved for
+        all of them before the body is read.
     """
 
     method: str
@@ -48,6 +50,7 @@
     body_source: BodySource
     max_body_bytes: int
     raw_headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    body_copies: int = 1
 
     @property
     def path(self) -> str:
--- a/tests/test_gateway/test_gateway_memory.py
+++ b/tests/test_gateway/test_gateway_memory.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from bench.peak_memory import LARGE_CALLS, Run
+from bench.peak_memory import JOBS, LARGE_CALLS, Run
 from gradepoint.gateway.caller_limits import (
     CONNECTION_BYTES,
     CONNECTIONS_MEMORY_SHARE,
@@ -28,6 +28,14 @@
     assert run.slow.ran.total() == served
 
 
+def test_many_large_jobs_at_once_stay_below_the_memory_limit(tmp_path: Path) -> None:
+    # Each job was held in several copies while it was stored.
+    run = Run(tmp_path, MEMORY_MB)
+    assert asyncio.run(run.measure(["jobs"])) < MEMORY_MB
+    accepted, refused = run.outcomes["jobs 202"], run.outcomes["jobs 503"]
+    assert accepted and accepted + refused == JOBS, run.outcomes
+
+
 def test_requests_sent_ahead_stay_below_the_memory_limit(tmp_path: Path) -> None:
     # Up to 768 KB of the next requests were read on each connection while a request was answered.
     assert asyncio.run(Run(tmp_path, MEMORY_MB).measure(["ahead"])) < MEMORY_MB
