Report ends and memory of the soak's programs

Each process now keeps its exit code, last lines and peak of memory (VmHWM; the peak that wait4 reports of a child includes the memory of its parent: 207 MB for an idle interpreter started by a process of 207 MB). Violations are: an end that no signal of the soak explains, a stop by SIGTERM without exit code 0 and program_ended, more memory than the limit that the gateways get as memory_mb, a program that does not answer readiness or metrics within the recovery limit, and one that does not stop at the end of the run. SIGHUP and SIGUSR1 are sent only once the process handles them. In virtual time, an exception of start() or stop() is a violation. An exception of a fault task ends the run.

A gateway that had got SIGTERM when the faults ended was left to stop and never started again; it is started again now.

--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -10,17 +10,45 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import msgspec
 
+from gradepoint.gateway.settings import ASSUMED_MEMORY_MB
 from gradepoint.standins.ports import free_port
 
 from .organisations import make_settings as make_quota_settings
 from .proxy import Proxy
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(os.environ.get("SOAK_CHECKOUT") or Path(__file__).resolve().parents[2])
+"""Checkout whose programs are run."""
+MEMORY_MB = ASSUMED_MEMORY_MB
+"""Memory that each program may use, in megabytes."""
+KIB_PER_MB = 1e6 / 1024
+STDOUT_CLOSED = ">&-"
+"""Shell redirection that closes the standard output."""
+IGNORABLE_SIGNALS = (signal.SIGHUP, signal.SIGUSR1)
+LAST_LINES = 5
+LAST_BYTES = 4096
+"""Bytes at the end of the output in which the last lines are looked for."""
+
+
+@dataclass(frozen=True)
+class ProgramEnd:
+    """End of one process.
+
+    :ivar process: name of the program and number of its incarnation.
+    :ivar exit_code: exit code; the negative number of the signal that ended it.
+    :ivar last_lines: last lines of its output.
+    :ivar peak_memory_mb: most resident memory that was seen.
+    """
+
+    process: str
+    exit_code: int
+    last_lines: list[str]
+    peak_memory_mb: float
 
 
 @dataclass
@@ -31,6 +59,14 @@
     :ivar more_settings: settings beside the program's own.
     :ivar incarnation: incarnation number of the process: 0 before the first start, then 1, 2, ...
     :ivar ports: four reserved ports: callers' HTTP, readiness, peers and metrics.
+    :ivar sent: signals sent to the process.
+    :ivar stops_by_default: whether SIGTERM was sent before the process had a handler for it.
+    :ivar has_log: whether the process has a standard output.
+    :ivar log_start: size of the output of the former processes, in bytes.
+    :ivar peak_memory_mb: most resident memory of the process that was seen.
+    :ivar ends: ends of the former processes.
+    :ivar violations: a message for each end that the soak did not ask for, and for each process
+        that used more memory than :data:`MEMORY_MB`.
     :cvar module: module that is run as the program.
     """
 
@@ -42,6 +78,13 @@
     process: subprocess.Popen[bytes] | None = None
     ports: list[int] = field(default_factory=list)
     more_settings: dict[str, object] = field(default_factory=dict)
+    sent: set[signal.Signals] = field(default_factory=set)
+    stops_by_default: bool = False
+    has_log: bool = True
+    log_start: int = 0
+    peak_memory_mb: float = 0.0
+    ends: list[ProgramEnd] = field(default_factory=list)
+    violations: list[str] = field(default_factory=list)
     module = ""
 
     def __post_init__(self) -> None:
@@ -50,7 +93,27 @@
     @property
     def alive(self) -> bool:
         """Whether the process is running."""
-        return self.process is not None and self.process.poll() is None
+        self.observe()
+        return self.process is not None and self.process.returncode is None
+
+    @property
+    def stopping(self) -> bool:
+        """Whether the process has got SIGTERM."""
+        return signal.SIGTERM in self.sent
+
+    @property
+    def log(self) -> Path:
+        """File of the output of all processes of this program."""
+        return self.folder / f"{self.name}.log"
+
+    @property
+    def settings_file(self) -> Path:
+        """The settings file."""
+        return self.folder / f"{self.name}.json"
+
+    def list_answering_ports(self) -> list[int]:
+        """Return the ports that answer ``GET /`` or ``GET /metrics`` while the program serves."""
+        return [self.ports[3]]
 
     def make_settings(self) -> dict[str, object]:
         """Return the program's settings."""
@@ -65,19 +128,34 @@
             **self.more_settings,
         }
 
-    def start(self) -> None:
+    def write_settings(self) -> None:
+        """Write the settings file."""
+        self.settings_file.write_bytes(msgspec.json.encode(self.make_settings()))
+
+    def start(self, *, write: bool = True, closed: Sequence[str] = ()) -> None:
         """Write the settings file and start the program.
 
         A process that still runs is killed first, since two concurrent faults may restart the
         same host.
+
+        :param write: whether the settings file is written.
+        :param closed: shell redirections that close standard descriptors.
         """
         self.kill_and_wait()
-        file = self.folder / f"{self.name}.json"
-        file.write_bytes(msgspec.json.encode(self.make_settings()))
+        if write:
+            self.write_settings()
         self.incarnation += 1
-        with (self.folder / f"{self.name}.log").open("ab") as log:
+        self.sent.clear()
+        self.stops_by_default = False
+        self.has_log = STDOUT_CLOSED not in closed
+        self.peak_memory_mb = 0.0
+        command = [sys.executable, "-m", self.module, "--settings", str(self.settings_file)]
+        if closed:
+            command = ["/bin/sh", "-c", f'exec "$@" {" ".join(closed)}', "sh", *command]
+        with self.log.open("ab") as log:
+            self.log_start = log.tell()
             self.process = subprocess.Popen(
-                [sys.executable, "-m", self.module, "--settings", str(file)],
+                command,
                 stdout=log,
                 stderr=log,
                 cwd=ROOT,
@@ -86,15 +164,71 @@
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process if it is running."""
-        if self.alive and self.process is not None:
-            self.process.send_signal(number)
+        if not self.alive or self.process is None:
+            return
+        handled = self.handles(number)
+        if number in IGNORABLE_SIGNALS and not handled:
+            # Before the first line of the program, its interpreter ends by any signal.
+            return
+        if number is signal.SIGTERM and not handled:
+            self.stops_by_default = True
+        self.sent.add(number)
+        os.kill(self.process.pid, number)
+
+    def handles(self, number: signal.Signals) -> bool:
+        """Return whether the process ignores a signal or has a handler for it."""
+        status = self._read_status()
+        masks = (int(status.get(name, "0"), 16) for name in ("SigIgn", "SigCgt"))
+        return any(mask >> (number - 1) & 1 for mask in masks)
+
+    def observe(self) -> None:
+        """Take note of the memory of the process, and of its end if it has ended."""
+        if self.process is None or self.process.returncode is not None:
+            return
+        # The peak that the system keeps of an ended child includes the memory of its parent.
+        peak_kib = int(self._read_status().get("VmHWM", "0 kB").split()[0])
+        self.peak_memory_mb = max(self.peak_memory_mb, peak_kib / KIB_PER_MB)
+        if self.process.poll() is not None:
+            self._record_end(self.process.returncode)
 
     def kill_and_wait(self) -> None:
         """Kill the process, even a stopped one, and wait until it has exited."""
         self.send(signal.SIGCONT)
         self.send(signal.SIGKILL)
-        if self.process is not None:
-            self.process.wait()
+        if self.process is not None and self.process.returncode is None:
+            self._record_end(self.process.wait())
+
+    def _read_status(self) -> dict[str, str]:
+        """Return the system's data about the process; it has none about the memory of an ended
+        one."""
+        try:
+            text = Path(f"/proc/{self.process.pid if self.process else 0}/status").read_text()
+        except OSError:
+            return {}
+        rows = (row.partition(":") for row in text.splitlines())
+        return {name: value.strip() for name, _, value in rows}
+
+    def _record_end(self, code: int) -> None:
+        name = f"{self.name}.{self.incarnation}"
+        with self.log.open("rb") as log:
+            log.seek(max(self.log_start, self.log.stat().st_size - LAST_BYTES))
+            lines = log.read().decode(errors="replace").splitlines()[-LAST_LINES:]
+        self.ends.append(ProgramEnd(name, code, lines, self.peak_memory_mb))
+        if not self._was_asked(code, lines):
+            sent = ", ".join(sorted(number.name for number in self.sent)) or "no signal"
+            last = "".join(f"\n    {line}" for line in lines)
+            self.violations.append(f"{name}: ended with {code} after {sent}; last lines:{last}")
+        if self.peak_memory_mb > MEMORY_MB:
+            self.violations.append(f"{name}: {self.peak_memory_mb:.1f} MB of memory used")
+
+    def _was_asked(self, code: int, lines: list[str]) -> bool:
+        """Return whether an end follows from a signal that the soak sent."""
+        if code == -signal.SIGKILL:
+            return signal.SIGKILL in self.sent
+        if code == -signal.SIGTERM:
+            return self.stops_by_default
+        logged = not self.has_log or any('"program_ended"' in line for line in lines)
+        return self.stopping and code == 0 and logged
 
 
 class GatewayProcess(ProgramProcess):
@@ -107,6 +241,10 @@
         """Address and port on which the gateway accepts callers' HTTP requests."""
         return self.address, self.ports[0]
 
+    def list_answering_ports(self) -> list[int]:
+        """See :meth:`ProgramProcess.list_answering_ports`."""
+        return [self.ports[1], self.ports[3]]
+
     def make_settings(self) -> dict[str, object]:
         """See :meth:`ProgramProcess.make_settings`."""
         callers, ready = self.ports[:2]
@@ -115,6 +253,7 @@
             "callers_address": f"{self.address}:{callers}",
             "ready_address": f"{self.address}:{ready}",
             "grace_s": 6.0,
+            "memory_mb": MEMORY_MB,
             "hosts_lost": 1,
             **make_quota_settings(),
         }
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -38,7 +38,10 @@
 """Software versions of the targets, in runs with several."""
 CALL_KINDS = {"single": "unsafe", "plain": "safe", "stream": "streaming", "resume": "streaming"}
 RECOVERY_LIMIT_S = 60.0
-"""Seconds after the last fault within which every accepted item must be listed as a result."""
+"""Seconds after the last fault within which every accepted item must be listed as a result, every
+program must answer, and after which all programs must stop within the same time."""
+OBSERVATION_INTERVAL_S = 0.1
+"""Seconds between looks at the memory and the end of each process."""
 
 
 @dataclass
@@ -125,6 +128,7 @@
         """Run the soak; return a message for each violated guarantee."""
         try:
             await self._start()
+            self.tasks.start(self._observe_programs())
             load_tasks = [self.tasks.start(self._call_forever()) for _ in range(self.callers)]
             load_tasks.append(self.tasks.start(self._submit_forever()))
             load_tasks += self._start_resuming_callers()
@@ -142,21 +146,63 @@
             for task in fault_tasks:
                 task.cancel()
             await asyncio.wait(fault_tasks)
+            for task in fault_tasks:
+                if not task.cancelled():
+                    task.result()
             self._end_faults()
+            recovers_by = asyncio.get_running_loop().time() + RECOVERY_LIMIT_S
             await asyncio.sleep(1.0)
             for task in load_tasks:
                 task.cancel()
             await self._check_jobs()
+            await self._check_programs(recovers_by)
             if harm is not None:
                 self.ledger.violations += harm.find_violations(self.gateway_start_times)
             if self.organisations is not None:
                 self.ledger.violations += self.organisations.violations
-            lives = sum(program.incarnation for program in (*self.fleet, *self.data_hosts))
+            await self._end_programs()
+            lives = sum(program.incarnation for program in self.programs)
             self.ledger.violations += find_repeated_rejections(self.store.rejected, lives)
             return self.ledger.close()
         finally:
             await self._stop()
 
+    @property
+    def programs(self) -> list[ProgramProcess]:
+        """All programs."""
+        return [*self.fleet, *self.data_hosts]
+
+    async def _observe_programs(self) -> None:
+        while True:
+            for program in self.programs:
+                program.observe()
+            await asyncio.sleep(OBSERVATION_INTERVAL_S)
+
+    async def _check_programs(self, until: float) -> None:
+        """Check that every program answers."""
+        with closing(HttpClient()) as http:
+            for program in self.programs:
+                for port in program.list_answering_ports():
+                    address = program.address, port
+                    while not await self._answers(http, address):
+                        if asyncio.get_running_loop().time() > until:
+                            self.ledger.violations.append(f"{program.name}: no answer at {port}")
+                            break
+                        await asyncio.sleep(0.05)
+
+    async def _end_programs(self) -> None:
+        """Stop all programs in order, and add up what they violated."""
+        for program in self.programs:
+            program.send(signal.SIGTERM)
+        until = asyncio.get_running_loop().time() + RECOVERY_LIMIT_S
+        while running := [program for program in self.programs if program.alive]:
+            if asyncio.get_running_loop().time() > until:
+                self.ledger.violations += [f"{program.name}: does not stop" for program in running]
+                break
+            await asyncio.sleep(0.05)
+        for program in self.programs:
+            self.ledger.violations += program.violations
+
     async def _start(self) -> None:
         address = await self.store.start()
         store = address.rpartition(":")
@@ -321,13 +367,15 @@
     async def _wait_ready(self) -> None:
         with closing(HttpClient()) as http:
             for gateway in self.fleet:
-                while not await self._is_ready(http, gateway):
+                # One that ends instead is reported by the later checks.
+                while gateway.alive and not await self._answers(
+                    http, (gateway.address, gateway.ports[1])
+                ):
                     await asyncio.sleep(0.05)
 
-    async def _is_ready(self, http: HttpClient, gateway: GatewayProcess) -> bool:
-        address = (gateway.address, gateway.ports[1])
+    async def _answers(self, http: HttpClient, address: tuple[str, int]) -> bool:
         try:
-            response = await http.send(address, "GET", "/", fresh=True, timeout_s=1.0)
+            response = await http.send(address, "GET", "/metrics", fresh=True, timeout_s=1.0)
             await response.read()
         except (ConnectFailed, ResponseBroken):
             return False
@@ -606,14 +654,14 @@
             self._list_target(target, self.proxies[number].port)
         for proxy in self.proxies:
             proxy.set_mode(ProxyMode.PASS)
-        for process in (*self.fleet, *self.data_hosts):
+        for process in self.programs:
             process.send(signal.SIGCONT)
-            if not process.alive:
+            if process.stopping or not process.alive:
                 process.start()
 
     async def _stop(self) -> None:
         await self.tasks.stop()
-        for process in (*self.fleet, *self.data_hosts):
+        for process in self.programs:
             process.kill_and_wait()
         for proxy in self.proxies:
             await proxy.stop()
--- a/tests/support/soak_hosts.py
+++ b/tests/support/soak_hosts.py
@@ -6,6 +6,7 @@
 import random
 import signal
 from abc import ABC, abstractmethod
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
@@ -34,8 +35,10 @@
         self.store = store
         self.incarnation = 0
         self.running = False
+        self.stop_requested = False
         self.program: Any = None
         self.more_settings = {}
+        self.violations = []
         self.ports = [self.loop.next_port() for _ in range(4)]
 
     @property
@@ -50,6 +53,19 @@
         """See :meth:`ProgramProcess.alive`."""
         return self.running
 
+    @property
+    def stopping(self) -> bool:
+        """See :meth:`ProgramProcess.stopping`."""
+        return self.stop_requested
+
+    def observe(self) -> None:
+        """See :meth:`ProgramProcess.observe`; a failure is noted at once."""
+
+    def _note_failure(self, task: asyncio.Task[None]) -> None:
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            self.violations.append(f"{self.program_incarnation}: ended by {error!r}")
+
     @property
     def program_incarnation(self) -> str:
         """Identifier of the current incarnation, unique among all programs."""
@@ -59,16 +75,17 @@
     def make_program(self, settings: dict[str, object], rng: random.Random) -> Any:
         """Return the program, not started yet."""
 
-    def start(self) -> None:
-        """See :meth:`ProgramProcess.start`."""
+    def start(self, *, write: bool = True, closed: Sequence[str] = ()) -> None:
+        """See :meth:`ProgramProcess.start`; neither parameter has an effect here."""
         self.kill_and_wait()
         self.incarnation += 1
         self.running = True
+        self.stop_requested = False
         token = PROGRAM_INCARNATION.set(self.program_incarnation)
         try:
             rng = random.Random(f"{self.loop.seed} {self.program_incarnation}")
             self.program = self.make_program(self.make_settings(), rng)
-            asyncio.ensure_future(self.program.start())
+            asyncio.ensure_future(self.program.start()).add_done_callback(self._note_failure)
         finally:
             PROGRAM_INCARNATION.reset(token)
 
@@ -80,8 +97,10 @@
         if not self.running:
             return
         if number is signal.SIGTERM:
+            self.stop_requested = True
             token = PROGRAM_INCARNATION.set(self.program_incarnation)
-            asyncio.ensure_future(self._stop(self.program_incarnation))
+            stopping = asyncio.ensure_future(self._stop(self.program_incarnation))
+            stopping.add_done_callback(self._note_failure)
             PROGRAM_INCARNATION.reset(token)
         elif number is signal.SIGSTOP:
             self.loop.silent.update(self.ports)
@@ -100,7 +119,8 @@
 
     def kill_and_wait(self) -> None:
         """See :meth:`ProgramProcess.kill_and_wait`."""
-        self.send(signal.SIGCONT)
+        # Also the ports of a program that has stopped while they were cut off.
+        self.loop.silent.difference_update(self.ports)
         self.running = False
         if self.incarnation:
             self.loop.kill(self.program_incarnation)
--- /dev/null
+++ b/tests/test_bench/test_bench_soak_programs.py
@@ -0,0 +1,109 @@
+"""Tests of the soak with real processes: their ends and their memory."""
+
+from __future__ import annotations
+
+import os
+import signal
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+
+from bench.soak import fleet
+from bench.soak.fleet import DataHostProcess, GatewayProcess, ProgramProcess
+from bench.soak.proxy import Proxy
+from gradepoint.standins.ports import LOOPBACK
+
+WAIT_S = 20.0
+"""Seconds after which waiting for a condition fails."""
+POLL_S = 0.01
+
+
+@pytest.fixture
+def make(tmp_path: Path) -> Iterator[Callable[..., ProgramProcess]]:
+    """Return a function that creates a program, which is killed after the test."""
+    made: list[ProgramProcess] = []
+
+    def create(kind: type[ProgramProcess] = GatewayProcess, **settings: object) -> ProgramProcess:
+        store = Proxy((LOOPBACK, 9), port=9)
+        made.append(kind("host", LOOPBACK, tmp_path, store, more_settings=settings))
+        return made[-1]
+
+    yield create
+    for program in made:
+        program.kill_and_wait()
+
+
+def wait_until(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds."""
+    end = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < end
+        time.sleep(POLL_S)
+
+
+@pytest.mark.parametrize("kind", [GatewayProcess, DataHostProcess])
+def test_soak_reports_a_program_that_ends_by_itself(
+    kind: type[ProgramProcess], make: Callable[..., ProgramProcess]
+) -> None:
+    # The soak started such a program again, and noticed nothing.
+    program = make(kind, log_level="LOUD")
+    program.start()
+    wait_until(lambda: not program.alive)
+    assert [(end.process, end.exit_code) for end in program.ends] == [("host.1", 2)]
+    (violation,) = program.violations
+    assert "host.1: ended with 2 after no signal" in violation
+    assert "log_level: " in violation
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGTERM])
+def test_soak_reports_an_end_by_a_signal_that_it_did_not_send(
+    number: signal.Signals, make: Callable[..., ProgramProcess]
+) -> None:
+    program = make()
+    program.start()
+    wait_until(lambda: program.handles(signal.SIGTERM))
+    assert program.process is not None
+    os.kill(program.process.pid, number)
+    wait_until(lambda: not program.alive)
+    assert len(program.violations) == 1
+
+
+def test_soak_reports_a_stop_without_its_last_line(make: Callable[..., ProgramProcess]) -> None:
+    program = make(log_level="ERROR")
+    program.start()
+    wait_until(lambda: program.handles(signal.SIGTERM))
+    program.send(signal.SIGTERM)
+    wait_until(lambda: not program.alive)
+    assert len(program.violations) == 1
+
+
+@pytest.mark.parametrize("kind", [GatewayProcess, DataHostProcess])
+def test_soak_does_not_report_ends_that_it_asked_for(
+    kind: type[ProgramProcess], make: Callable[..., ProgramProcess]
+) -> None:
+    program = make(kind)
+    program.start()
+    program.send(signal.SIGTERM)
+    wait_until(lambda: not program.alive)
+    program.start()
+    program.kill_and_wait()
+    program.start()
+    wait_until(lambda: program.handles(signal.SIGTERM))
+    program.send(signal.SIGTERM)
+    wait_until(lambda: not program.alive)
+    assert [end.exit_code for end in program.ends[1:]] == [-signal.SIGKILL, 0]
+    assert not program.violations
+
+
+def test_soak_reports_memory_above_the_limit(
+    make: Callable[..., ProgramProcess], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(fleet, "MEMORY_MB", 1.0)
+    program = make()
+    program.start()
+    wait_until(lambda: program.handles(signal.SIGTERM))
+    program.kill_and_wait()
+    assert program.ends[0].peak_memory_mb > 1.0
+    assert ["MB of memory used" in row for row in program.violations] == [True]
