--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import secrets
+from collections import Counter
 from pathlib import Path
 from typing import Annotated
 
@@ -20,6 +21,7 @@
     count: Annotated[int, typer.Option(help="Number of runs.")] = 1,
     seconds: Annotated[float, typer.Option(help="Seconds of faults in each run.")] = 8.0,
     gateways: Annotated[int, typer.Option(help="Number of gateway processes.")] = 3,
+    data_hosts: Annotated[int, typer.Option(help="Number of data host processes.")] = 3,
     callers: Annotated[int, typer.Option(help="Number of concurrent callers.")] = 6,
     organisations: Annotated[
         bool, typer.Option(help="Callers use API keys of two organisations, one with a quota.")
@@ -44,6 +46,9 @@
     bursts: Annotated[
         bool, typer.Option(help="Targets crash in bursts while they run long items.")
     ] = False,
+    starts: Annotated[
+        bool, typer.Option(help="Start programs again in trouble: used ports, cut settings, ...")
+    ] = False,
     folder: Annotated[Path, typer.Option(help="Parent folder of the runs' logs.")] = Path(
         "run/soak"
     ),
@@ -57,6 +62,7 @@
             folder / str(number),
             faults_s=seconds,
             gateways=gateways,
+            data_host_count=data_hosts,
             callers=callers,
             with_harm=harm,
             with_harmful_part=harmful_part,
@@ -65,11 +71,13 @@
             with_sizes=sizes,
             with_crashes=crashes,
             with_bursts=bursts,
+            with_starts=starts,
             organisations=Organisations() if organisations else None,
         )
         violations = asyncio.run(soak.run())
         outcomes = ", ".join(f"{name}: {n}" for name, n in sorted(soak.ledger.outcomes.items()))
-        injected = ", ".join(f"{name}: {n}" for name, n in sorted(soak.injected_faults.items()))
+        caused = soak.injected_faults + (soak.starts.counts if soak.starts else Counter())
+        injected = ", ".join(f"{name}: {n}" for name, n in sorted(caused.items()))
         jobs = len(soak.ledger.accepted)
         print(
             f"seed {number}: {len(violations)} broken; jobs {jobs}; {outcomes}; caused {injected}"
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -32,6 +32,7 @@
 from .proxy import Proxy, ProxyMode
 from .resuming import ResumingCaller
 from .sizes import Sizes, encode_submission, find_repeated_rejections
+from .starts import TroubledStarts
 
 HOST = "soak.example"
 VERSIONS = ("v1", "v2")
@@ -64,6 +65,7 @@
     :param with_crashes: whether targets send streams without a length or chunks and are killed, or
         drain and end, while they send them.
     :param with_bursts: whether targets crash in bursts while they run long items.
+    :param with_starts: whether programs are started again in trouble; for real processes only.
     :param organisations: organisations whose API keys the callers use; None sends no keys.
     :param suspend: suspends a gateway's host for some seconds; None if hosts cannot be suspended.
     :param make_gateway: creates a gateway, which need not be a separate process.
@@ -91,6 +93,7 @@
     with_sizes: bool = False
     with_crashes: bool = False
     with_bursts: bool = False
+    with_starts: bool = False
     organisations: Organisations | None = None
     suspend: Callable[[GatewayProcess, float], None] | None = None
     make_gateway: Callable[..., GatewayProcess] = GatewayProcess
@@ -107,6 +110,7 @@
     harm: HarmfulRequest | None = None
     crashes: TargetCrashes | None = None
     bursts: CrashBursts | None = None
+    starts: TroubledStarts | None = None
     sizes: Sizes | None = None
     version: int = 1
     calm: bool = False
@@ -140,6 +144,11 @@
                 fault_tasks.append(self.tasks.start(self._make_crashes().crash_forever()))
             if self.with_bursts:
                 fault_tasks.append(self.tasks.start(self._make_bursts().crash_forever()))
+            if self.with_starts:
+                self.starts = TroubledStarts(
+                    self.seed, lambda: self.programs, self._note_start, self.tasks
+                )
+                fault_tasks.append(self.tasks.start(self.starts.restart_forever()))
             if self.suspend is not None:
                 fault_tasks.append(self.tasks.start(self._suspend_hosts(self.suspend)))
             await asyncio.sleep(self.faults_s)
@@ -149,6 +158,8 @@
             for task in fault_tasks:
                 if not task.cancelled():
                     task.result()
+            if self.starts is not None:
+                await self.starts.wait_until_passed()
             self._end_faults()
             recovers_by = asyncio.get_running_loop().time() + RECOVERY_LIMIT_S
             await asyncio.sleep(1.0)
@@ -573,12 +584,12 @@
         if kind == "kill":
             gateway.kill_and_wait()
             await asyncio.sleep(duration_s)
-            self._start_gateway(gateway)
+            await self._restart(gateway)
         elif kind == "term":
             gateway.send(signal.SIGTERM)
             await asyncio.sleep(duration_s + 3.0)
             gateway.kill_and_wait()
-            self._start_gateway(gateway)
+            await self._restart(gateway)
         elif kind == "pause":
             gateway.send(signal.SIGSTOP)
             await asyncio.sleep(duration_s)
@@ -587,12 +598,12 @@
             data_host = self.rng.choice(self.data_hosts)
             data_host.kill_and_wait()
             await asyncio.sleep(duration_s)
-            data_host.start()
+            await self._restart(data_host)
         elif kind == "disk":
             # Always the same disk, so that only one is lost: its jobs survive on other data hosts.
             self.data_hosts[0].kill_and_wait()
             shutil.rmtree(self.data_hosts[0].disk, ignore_errors=True)
-            self.data_hosts[0].start()
+            await self._restart(self.data_hosts[0])
         elif kind == "hup":
             gateway.send(signal.SIGHUP)
         elif kind == "store":
@@ -642,9 +653,17 @@
         target.version = VERSIONS[1 - VERSIONS.index(target.version)]
         self._list_target(target, self.proxies[number].port)
 
-    def _start_gateway(self, gateway: GatewayProcess) -> None:
-        self.gateway_start_times.append(asyncio.get_running_loop().time())
-        gateway.start()
+    async def _restart(self, program: ProgramProcess) -> None:
+        """Start a program again, in trouble if this run has troubles."""
+        if self.starts is not None:
+            await self.starts.start(program)
+            return
+        self._note_start(program)
+        program.start()
+
+    def _note_start(self, program: ProgramProcess) -> None:
+        if isinstance(program, GatewayProcess):
+            self.gateway_start_times.append(asyncio.get_running_loop().time())
 
     def _end_faults(self) -> None:
         self.store.fault = StoreFault.NONE
--- a/tests/test_bench/test_bench_soak_programs.py
+++ b/tests/test_bench/test_bench_soak_programs.py
@@ -1,7 +1,8 @@
-"""Tests of the soak with real processes: their ends and their memory."""
+"""Tests of the soak with real processes: their ends, their memory, and starts in trouble."""
 
 from __future__ import annotations
 
+import asyncio
 import os
 import signal
 import time
@@ -13,8 +14,11 @@
 from bench.soak import fleet
 from bench.soak.fleet import DataHostProcess, GatewayProcess, ProgramProcess
 from bench.soak.proxy import Proxy
+from bench.soak.run import Soak
 from gradepoint.standins.ports import LOOPBACK
 
+START_SEEDS = (4100, 4101)
+"""Seeds of soaks that start programs in trouble."""
 WAIT_S = 20.0
 """Seconds after which waiting for a condition fails."""
 POLL_S = 0.01
@@ -107,3 +111,12 @@
     program.kill_and_wait()
     assert program.ends[0].peak_memory_mb > 1.0
     assert ["MB of memory used" in row for row in program.violations] == [True]
+
+
+@pytest.mark.parametrize("seed", START_SEEDS)
+def test_short_soak_with_starts_in_trouble_violates_no_guarantee(seed: int, tmp_path: Path) -> None:
+    # Programs did not start, or ended by themselves, when a condition that passes was met.
+    soak = Soak(seed, tmp_path, faults_s=5.0, gateways=2, callers=4, with_starts=True)
+    assert not asyncio.run(soak.run())
+    assert soak.starts is not None and sum(soak.starts.counts.values()) > 0
+    assert soak.ledger.accepted
