Bound event streams of calls that state no tokens, and their turns

Callers saw a stream of tiny events that went on until the deadline of its call, and operators a host that stood still meanwhile, where a target sent events without end and the call did not state how many tokens its answer may have.

Cause: no bound of events without a stated number of tokens; and the events of up to 32 reads, 230,000 of 9 bytes, were parsed and written one by one before another task could run. Class: a bound taken from what a call states, without one for what it does not state.

Such an answer may have 262,144 events (MAX_EVENTS), then it ends as others beyond their bounds do: TOO_LONG, its target charged, the caller's answer cut or taken up. Other tasks run after the events of each read, for streams and items alike, and events that came together are sent together.

A call whose caller does not read is still held until the idle timeout, not its deadline.

--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -47,6 +47,11 @@
 """Bytes of a body that are passed to its connection at once."""
 FOLLOWED_BYTES_PER_TURN = 4096
 """Bytes of a JSON document that are followed before other tasks run: at most some milliseconds."""
+MAX_EVENTS = 1 << 18
+"""Most events of an answer whose call does not state how many tokens it may have."""
+MAX_EVENTS_PER_TURN = 256
+"""Events of one answer that are handled before other tasks run, besides those of one read. A target
+that sends tiny events as fast as it can would otherwise keep the event loop to itself."""
 MAX_EXPECTED_WAIT_S = 2.0
 """Maximum estimated seconds until a service has a target again. Rows whose leases expired during an
 outage of the store are back within this time after it."""
@@ -109,7 +114,8 @@
     :ivar needs_event: whether the body is an event stream that has at least one event.
     :ivar document: the body so far, if it is a JSON document that the end of the connection ends.
     :ivar begun_at: monotonic time at which the head of the answer arrived.
-    :ivar max_events: most events that the answer may have; None for any number.
+    :ivar max_events: most events that the call allows; None if it states no number of tokens.
+    :ivar events_at_turn: events received when other tasks could last run.
     """
 
     target: Target
@@ -125,6 +131,7 @@
     document: JsonNesting | None = None
     begun_at: float = field(default_factory=monotonic)
     max_events: int | None = None
+    events_at_turn: int = 0
 
     @property
     def version(self) -> SoftwareVersion:
@@ -167,10 +174,17 @@
         if events and not self.progress.events:
             self.target.note_writing(self.request)
         self.progress.events += len(events)
-        if self.max_events is not None and self.progress.events > self.max_events:
-            raise self.leave(f"more than {self.max_events} events")
+        most = MAX_EVENTS if self.max_events is None else self.max_events
+        if self.progress.events > most:
+            raise self.leave(f"more than {most} events")
         return events
 
+    async def let_others_run(self) -> None:
+        """Let other tasks run if many events have been handled since they could last run."""
+        if self.progress.events - self.events_at_turn >= MAX_EVENTS_PER_TURN:
+            self.events_at_turn = self.progress.events
+            await asyncio.sleep(0)
+
     async def follow(self, chunk: bytes) -> None:
         """Follow the next chunk of a body whose format tells whether its end is missing.
 
--- a/gradepoint/gateway/live.py
+++ b/gradepoint/gateway/live.py
@@ -497,6 +497,7 @@
             while chunk is not None:
                 if self._is_event_stream(exchange):
                     exchange.count(chunk)
+                    await exchange.let_others_run()
                 yield chunk
                 if memory is not None:
                     memory.release()
@@ -529,11 +530,13 @@
                             await self._begin_stream(exchange.target)
                             wait_s = self._find_stall_timeout_s()
                         for event in found:
-                            yield event.raw
                             if event.number is not None:
                                 last, may_resume = event.number, True
                             elif event.data is not None:
                                 may_resume = False
+                        if found:
+                            yield b"".join(event.raw for event in found)
+                        await exchange.let_others_run()
                         limit_s = wait_s if may_resume else None
                         chunk = await self._read_chunk(exchange, chunks, limit_s)
                     break
--- a/gradepoint/jobs/item_run.py
+++ b/gradepoint/jobs/item_run.py
@@ -113,6 +113,7 @@
             break
         for event in exchange.feed(chunk):
             _append(partial, event.number, event.data)
+        await exchange.let_others_run()
         if exchange.max_events is None and exchange.response.body_bytes > MAX_ANSWER_BYTES:
             raise exchange.leave(f"more than {MAX_ANSWER_BYTES} bytes")
     await forwarder.check_end(exchange)
