--- a/gradepoint/gateway/settings.py
+++ b/gradepoint/gateway/settings.py
@@ -144,8 +144,9 @@
         "memory_mb",
         float,
         0.0,
-        "Memory in MB that the process may use; 0 if unknown. Hosts with more aggregate; a tenth "
-        "of it may hold batch results that are not listed yet.",
+        "Memory in MB that the process may use; 0 if unknown, for which 150 is assumed. Hosts with "
+        "more aggregate. A tenth may hold batch results that are not listed yet, three tenths "
+        "requests and jobs, and three tenths callers' connections.",
         may_be_zero=True,
     ),
     Setting(
