--- a/gradepoint/wire/http_server.py
+++ b/gradepoint/wire/http_server.py
@@ -193,6 +193,7 @@
     :ivar disconnect_watcher: task that cancels the handler when the caller disconnects.
     :ivar head_memory: memory reserved for an unfinished head, or that of the request in progress.
     :ivar head_bytes: size of the head of the request in progress.
+    :ivar request: the request in progress; None before the first one.
     :ivar body_memory: memory reserved for the body of the request in progress.
     :ivar refused_body: the memory did not suffice for the body.
     """
@@ -208,6 +209,7 @@
         self.task = asyncio.current_task()
         self.head_memory = Reservation(server.budget, Purpose.HEAD)
         self.head_bytes = 0
+        self.request: Request | None = None
         self.body_memory = Reservation(server.budget, Purpose.BODY)
         self.refused_body = False
         self.h11 = h11.Connection(
@@ -285,24 +287,26 @@
         self.head_bytes = size + len(event.target)
         if self.head_bytes > self.limits.max_header_bytes:
             raise GradepointError("header_too_large")
-        request = Request(
+        self.request = Request(
             event.method.decode("ascii"),
             event.target.decode("latin-1"),
             _join_headers(event.headers),
-            lambda: self._read_body(event, request.body_copies),
+            self._read_body,
             self.limits.max_body_bytes,
             list(event.headers),
         )
-        return request
+        return self.request
 
-    async def _read_body(self, head: h11.Request, copies: int) -> AsyncIterator[bytes]:
+    async def _read_body(self) -> AsyncIterator[bytes]:
         """Yield the body; the memory of its copies is reserved before it is read.
 
         A body of unknown length is reserved by its pieces.
         """
+        assert self.request is not None
+        copies = self.request.body_copies
         # More than the limit is never read whole.
         limit = self.limits.max_body_bytes
-        declared = min(limit, _find_length(head))
+        declared = min(limit, _find_length(self.request))
         self._reserve_body(declared, copies)
         if declared > self.limits.read_bytes:
             # The body would take a turn of the loop for each few kilobytes.
@@ -517,12 +521,9 @@
         raise GradepointError("bad_http", "Both Content-Length and Transfer-Encoding are given.")
 
 
-def _find_length(head: h11.Request) -> int:
+def _find_length(request: Request) -> int:
     """Return the length that a request declares for its body; 0 if it is unknown."""
-    for name, value in head.headers:
-        if name == b"content-length":
-            return read_whole_number(value.decode("latin-1")) or 0
-    return 0
+    return read_whole_number(request.headers.get("content-length", "")) or 0
 
 
 def _encode_headers(headers: dict[str, str]) -> list[tuple[bytes, bytes]]:
