Accept few connections a turn, and log what no task handles

A program that ran out of descriptors, at 40 or at 1,024, stopped answering and did not end by SIGTERM, where nobody read its standard error: in each turn of the loop asyncio reports an error and starts a timer for each connection that it would accept, up to the backlog of 1,024, and writes a traceback for each. With the standard error discarded it used a whole core for seconds after all connections had closed.

At most 16 connections are accepted a turn; the system still keeps 1,024 until then. Errors that no task handles are logged (loop_error) within the rate of the log.

--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -104,6 +104,9 @@
     "WARNING",
     "The file that tells how a run ended cannot be read or written; the program goes on.",
 )
+LOOP_ERROR = _declare(
+    119, "loop_error", "ERROR", "The event loop met an error that no task handles; see the reason."
+)
 PORT_WAITS = _declare(
     117,
     "port_waits",
--- a/gradepoint/spool/server.py
+++ b/gradepoint/spool/server.py
@@ -6,7 +6,7 @@
 import socket
 from typing import TYPE_CHECKING
 
-from ..wire.http_server import CallerProtocol, HttpServer, ServerLimits
+from ..wire.http_server import CallerProtocol, HttpServer, ServerLimits, listen
 from .bounds import MAX_HEADER_BYTES, READ_BUFFER_BYTES, SOCKET_BUFFER_BYTES
 
 if TYPE_CHECKING:
@@ -50,10 +50,7 @@
 
     async def start(self, address: str, port: int, listener: socket.socket | None = None) -> None:
         """See :meth:`HttpServer.start`."""
-        where = {"host": address, "port": port} if listener is None else {"sock": listener}
-        self.server = await asyncio.get_running_loop().create_server(
-            lambda: SmallBufferProtocol(self), **where, backlog=1024
-        )
+        self.server = await listen(lambda: SmallBufferProtocol(self), address, port, listener)
         listening = self.server.sockets[0]
         # Connections inherit it.
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
--- a/gradepoint/util/loop.py
+++ b/gradepoint/util/loop.py
@@ -5,7 +5,10 @@
 import asyncio
 from typing import TYPE_CHECKING, Any, TypeVar
 
+from .. import events
+from ..telemetry.logs import emit
 from .clock import SOURCES
+from .tasks import locate_error
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -29,4 +32,15 @@
 def run_coroutine(work: Coroutine[Any, Any, T]) -> T:
     """Run a coroutine to its end in a :class:`SuspendAwareEventLoop` and return its result."""
     with asyncio.Runner(loop_factory=SuspendAwareEventLoop) as runner:
+        runner.get_loop().set_exception_handler(log_error)
         return runner.run(work)
+
+
+def log_error(_loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """Log an error that no task handles.
+
+    By default it is written to the standard error, which may be a pipe that nobody reads.
+    """
+    error = context.get("exception")
+    where = "" if error is None else locate_error(error)
+    emit(events.LOOP_ERROR, message=context["message"], reason=repr(error), where=where)
--- a/gradepoint/wire/http_server.py
+++ b/gradepoint/wire/http_server.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import struct
+from asyncio.trsock import TransportSocket
 from contextlib import aclosing
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -39,6 +40,11 @@
 DISCARD_TIMEOUT_S = 5.0
 """Seconds for which the rest of a refused body is read and discarded. A close with unread bytes
 resets the connection, and the caller may lose the refusal."""
+LISTEN_BACKLOG = 1024
+"""Connections that the system keeps until they are accepted."""
+ACCEPTS_PER_TURN = 16
+"""Connections that are accepted before other tasks run. Where no descriptor is left, asyncio
+reports an error and starts a timer for each of them; their number would else be the backlog."""
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of ``SO_LINGER`` with which a close resets the connection."""
 
@@ -99,6 +105,22 @@
     transport.abort()
 
 
+async def listen(
+    make_protocol: Callable[[], asyncio.Protocol],
+    address: str,
+    port: int,
+    listener: socket.socket | None,
+) -> asyncio.Server:
+    """Start to listen; see :meth:`HttpServer.start`."""
+    where = {"host": address, "port": port} if listener is None else {"sock": listener}
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(make_protocol, **where, backlog=ACCEPTS_PER_TURN)
+    for listening in server.sockets:
+        if isinstance(listening, TransportSocket):
+            listening._sock.listen(LISTEN_BACKLOG)
+    return server
+
+
 class HttpServer:
     """Listens on one address and passes each request to one handler.
 
@@ -137,10 +159,7 @@
 
         :param listener: a socket that listens on the address already, or None to open one.
         """
-        where = {"host": address, "port": port} if listener is None else {"sock": listener}
-        self.server = await asyncio.get_running_loop().create_server(
-            lambda: CallerProtocol(self), **where, backlog=1024
-        )
+        self.server = await listen(lambda: CallerProtocol(self), address, port, listener)
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/tests/test_cmd/test_cmd_program_outputs.py
+++ b/tests/test_cmd/test_cmd_program_outputs.py
@@ -83,6 +83,32 @@
     assert program.terminate() == 0
 
 
+@pytest.mark.parametrize("kind", list(MODULES))
+def test_program_without_descriptors_stops_although_nobody_reads_its_errors(
+    kind: str, start: Callable[[str], Program]
+) -> None:
+    # Each turn of the loop wrote a thousand errors, until the pipe was full and blocked.
+    program = start(kind)
+    out_reader, out_writer = os.pipe()
+    error_reader, error_writer = os.pipe()
+    command = f'ulimit -n {FEW_DESCRIPTORS}; exec "{sys.executable}" -m {MODULES[kind]} "$@"'
+    program.write_settings()
+    program.start_with(out_writer, error_writer, ["/bin/sh", "-c", command, "sh"])
+    os.close(out_writer)
+    os.close(error_writer)
+    program.read_metrics()
+    address = (program.settings["address"], int(program.settings["peer_ports"]))
+    try:
+        with ExitStack() as opened:
+            for _ in range(CONNECTIONS):
+                opened.enter_context(socket.create_connection(address, WAIT_S))
+        assert "gradepoint_program_starts_total" in program.read_metrics()
+        assert program.terminate() == 0
+    finally:
+        os.close(out_reader)
+        os.close(error_reader)
+
+
 @pytest.mark.parametrize("kind", list(MODULES))
 def test_second_stop_signal_does_not_cut_the_stop_short(
     kind: str, start: Callable[[str], Program]
