--- a/gradepoint/spool/app.py
+++ b/gradepoint/spool/app.py
@@ -68,13 +68,9 @@
         """Load the jobs on the disk, listen, and announce this host to other hosts."""
         settings = self.settings
         self.tasks.start_loop("log", lambda: report_dropped_lines(events.LINES_LEFT_OUT))
-        self.tasks.start(
-            open_port(
-                "metrics",
-                f"{settings.address}:{settings.metrics_port}",
-                lambda: self.metrics_server.start(settings.address, settings.metrics_port),
-            )
-        )
+        # A port that both have is needed for the other hosts.
+        if settings.metrics_port != settings.peer_port:
+            self.tasks.start(self.open_metrics())
         await self.spool.open_disk()
         self.report_former_run()
         await self.spool.load_at_start()
@@ -83,10 +79,19 @@
             f"{settings.address}:{settings.peer_port}",
             lambda: self.server.start(settings.address, settings.peer_port),
         )
+        if settings.metrics_port == settings.peer_port:
+            self.tasks.start(self.open_metrics())
         self.tasks.start_loop("presence", self.presence.run)
         self.tasks.start_loop("spool", self.spool.run)
         self.tasks.start_loop("spool-files", self.spool.load_unread)
 
+    async def open_metrics(self) -> None:
+        """Open the port of the metrics, as soon as that is possible."""
+        address, port = self.settings.address, self.settings.metrics_port
+        await open_port(
+            "metrics", f"{address}:{port}", lambda: self.metrics_server.start(address, port)
+        )
+
     def report_former_run(self) -> None:
         """Count this start, and log if the former run did not stop in order."""
         former = FormerRun.UNKNOWN
--- a/tests/test_cmd/test_cmd_program_starts.py
+++ b/tests/test_cmd/test_cmd_program_starts.py
@@ -231,6 +231,19 @@
     assert program.terminate() == 0
 
 
+def test_data_host_with_jobs_serves_others_on_a_port_that_the_metrics_have_too(
+    start: Callable[..., Program],
+) -> None:
+    # Loading the jobs gave the metrics the time to open the port first.
+    program = start("data-host")
+    program.settings["metrics_port"] = int(program.settings["peer_ports"])
+    jobs = program.folder / "data" / "spool"
+    jobs.mkdir(parents=True)
+    (jobs / "note").write_text("not a job")
+    program.start().wait_for_event("program_started")
+    assert program.wait_for_event("port_waits")["name"] == "metrics"
+
+
 def make_folder_among_jobs(data: Path) -> None:
     """Make a folder where the files of jobs are."""
     (data / "spool" / "lost+found").mkdir(parents=True)
