Neither refuse nor delete a job whose file cannot be read now

A data host that retires, or whose limit of tokens is reached, refused a job that it may have on its disk, in a file that it could not read at that moment; senders take such a refusal for the promise that the job is not kept, so that callers may be told that it does not run, and later it does. A deletion was answered as done, and the job came back at the next start.

Both are answered 500 while it is not known, which senders take for uncertain. Found by the review. test_job_whose_file_cannot_be_read_is_neither_refused_nor_deleted fails before.

--- a/gradepoint/spool/host.py
+++ b/gradepoint/spool/host.py
@@ -249,10 +249,11 @@
             return Response(self._find(_read_job_id(request)))
         if request.method == "DELETE":
             job_id = _read_job_id(request)
-            is_job = self._find(job_id) == 200
-            return Response(
-                200 if not is_job or self._forget(job_id, "entered by the accepting host") else 500
-            )
+            found = self._find(job_id)
+            if found == 404:
+                return Response(200)
+            is_deleted = found == 200 and self._forget(job_id, "entered by the accepting host")
+            return Response(200 if is_deleted else 500)
         return Response(404)
 
     def _find(self, job_id: JobId) -> int:
@@ -297,7 +298,11 @@
         if not is_file_name(job.id):
             emit(events.SPOOL_REFUSED, job=job.id, reason="id", waiting_tokens=0)
             return Response(409)
-        if self._find(job.id) == 200:
+        found = self._find(job.id)
+        if found == 503:
+            # The job may be on the disk, so that no refusal would be true.
+            return Response(500)
+        if found == 200:
             return Response(200)
         if self.retiring:
             return Response(503)
--- a/tests/test_spool/test_spool_unread.py
+++ b/tests/test_spool/test_spool_unread.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import errno
 import json
 import os
@@ -11,11 +12,19 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+import msgspec
 import pytest
 
 from bench.platform.store import StoreFault
+from gradepoint.jobs.repository import JobRepository
+from gradepoint.spool.bounds import derive_bounds
 from gradepoint.spool.disk import SpoolDisk
+from gradepoint.spool.host import SpoolHost
+from gradepoint.spool.records import SpoolRequest
+from gradepoint.standins.memory_kv import MemoryKv, MemoryKvClient
 from gradepoint.wire.addresses import split_address
+from gradepoint.wire.http_client import HttpClient
+from gradepoint.wire.http_types import Request
 from tests.support.platform import (
     until,
 )
@@ -29,6 +38,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from tests.support.platform import Deployment
 
 
@@ -168,3 +179,40 @@
         assert json.dumps(program.event_names()).count("loop_failed") == 0
     finally:
         program.kill()
+
+
+def make_host(folder: Path) -> SpoolHost:
+    """Return a data host whose folder is open and has the file of a job."""
+    disk = SpoolDisk(folder, 10)
+    disk.open()
+    put(disk, make_job("j1"))
+    kv = MemoryKvClient(MemoryKv())
+    bounds = derive_bounds(0)
+    return SpoolHost(SpoolDisk(folder, 10), kv, JobRepository(kv, 1 << 20), HttpClient(), bounds)
+
+
+def make_request(method: str, path: str, body: bytes = b"") -> Request:
+    """Return a request of another host."""
+
+    async def read() -> AsyncIterator[bytes]:
+        yield body
+
+    return Request(method, path, {}, read, 1 << 20)
+
+
+def test_job_whose_file_cannot_be_read_is_neither_refused_nor_deleted(
+    tmp_path: Path, reads: FailingReads
+) -> None:
+    # A refusal is taken for the promise that the job is not kept, and a deletion for its end.
+    async def work() -> None:
+        host = make_host(tmp_path)
+        reads.failing = {"j1"}
+        await host.open_disk()
+        await host.load()
+        host.retiring = True
+        body = msgspec.msgpack.encode(SpoolRequest(make_job("j1"), 1))
+        assert (await host.handle(make_request("POST", "/spool", body))).status == 500
+        assert (await host.handle(make_request("DELETE", "/spool/j1"))).status == 500
+        assert (tmp_path / "spool" / "j1").exists()
+
+    asyncio.run(work())
