Take documents that are nested too deeply for unreadable ones

One file of a job, or a settings file, that is nested too deeply ended the program at each start: the decoder raises RecursionError for it, which is no decoding error. Answers of the store and relayed calls had the same gap; with them the error ended one task. All are unreadable documents now. Found by the review.

test_settings_that_are_nested_too_deeply_are_no_settings and test_file_that_is_nested_too_deeply_does_not_end_the_data_host fail before.

--- a/gradepoint/cmd/gateway.py
+++ b/gradepoint/cmd/gateway.py
@@ -35,7 +35,7 @@
         with open(arguments[1], "rb") as file:
             ip, _, port = json.load(file)["callers_address"].rpartition(":")
         return socket.create_server((ip, int(port)), backlog=LISTEN_BACKLOG)
-    except (OSError, OverflowError, ValueError, TypeError, KeyError, AttributeError):
+    except Exception:
         return None
 
 
--- a/gradepoint/kv/relay.py
+++ b/gradepoint/kv/relay.py
@@ -348,7 +348,7 @@
     """
     try:
         return msgspec.msgpack.decode(body, type=kind)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise KvUncertain(f"the relaying host's answer cannot be read: {error}") from error
 
 
--- a/gradepoint/platform/store.py
+++ b/gradepoint/platform/store.py
@@ -359,7 +359,7 @@
 def _decode(body: bytes, kind: type[T]) -> T:
     try:
         return msgspec.json.decode(body, type=kind)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise KvUncertain(f"the store's answer cannot be read: {error}") from error
 
 
--- a/gradepoint/settings.py
+++ b/gradepoint/settings.py
@@ -275,7 +275,7 @@
         return Ok(msgspec.json.decode(path.read_bytes()))
     except OSError as error:
         return Err(f"{path}: {error.strerror}. Remedy: give the path of a readable file.")
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         return Err(f"{path}: invalid JSON ({error}). Remedy: correct the syntax.")
 
 
--- a/gradepoint/spool/host.py
+++ b/gradepoint/spool/host.py
@@ -196,7 +196,7 @@
         except OSError as error:
             emit(events.SPOOL_FILE_FAILED, job=printable(name), reason=error.strerror)
             return FileState.UNREAD
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             emit(events.SPOOL_UNREADABLE, job=printable(name), reason=str(error))
             return FileState.NO_JOB
         if job.id != job_id:
@@ -292,7 +292,7 @@
         try:
             content, max_tokens = split_request(raw)
             job = read_outline(content, self.repository.value_bytes)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             emit(events.SPOOL_UNREADABLE, reason=str(error))
             return Response(409)
         if not is_file_name(job.id):
@@ -365,7 +365,7 @@
         except OSError as error:
             self._postpone(job_id, LOAD_RETRY_S)
             emit(events.SPOOL_FILE_FAILED, job=job_id, reason=error.strerror)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             self._postpone(job_id, REJECTED_RETRY_S)
             emit(events.SPOOL_UNREADABLE, job=job_id, reason=str(error))
         return True
--- a/tests/test_cmd/test_cmd_program_starts.py
+++ b/tests/test_cmd/test_cmd_program_starts.py
@@ -244,6 +244,18 @@
     assert program.wait_for_event("port_waits")["name"] == "metrics"
 
 
+def test_settings_that_are_nested_too_deeply_are_no_settings(
+    start: Callable[..., Program],
+) -> None:
+    program = start("gateway")
+    program.settings_file.write_text("[" * 200_000)
+    program.start(write=False)
+    end = time.monotonic() + WAIT_S
+    while "waits for its settings" not in program.last_error_line():
+        assert program.is_running() and time.monotonic() < end
+        time.sleep(POLL_S)
+
+
 def make_folder_among_jobs(data: Path) -> None:
     """Make a folder where the files of jobs are."""
     (data / "spool" / "lost+found").mkdir(parents=True)
--- a/tests/test_spool/test_spool_unread.py
+++ b/tests/test_spool/test_spool_unread.py
@@ -20,7 +20,7 @@
 from gradepoint.spool.bounds import derive_bounds
 from gradepoint.spool.disk import SpoolDisk
 from gradepoint.spool.host import SpoolHost
-from gradepoint.spool.records import SpoolRequest
+from gradepoint.spool.records import SpoolRequest, encode_job
 from gradepoint.standins.memory_kv import MemoryKv, MemoryKvClient
 from gradepoint.wire.addresses import split_address
 from gradepoint.wire.http_client import HttpClient
@@ -216,3 +216,17 @@
         assert (tmp_path / "spool" / "j1").exists()
 
     asyncio.run(work())
+
+
+def test_file_that_is_nested_too_deeply_does_not_end_the_data_host(tmp_path: Path) -> None:
+    # The decoder raises another error for it than for other damaged files.
+    async def work() -> None:
+        host = make_host(tmp_path)
+        raw = encode_job(make_job("j1"))
+        for length in range(1, len(raw)):
+            (tmp_path / "spool" / f"nested-{length}").write_bytes(raw[:length] + b"\x91" * 100_000)
+        await host.open_disk()
+        await host.load()
+        assert set(host.held) == {"j1"}
+
+    asyncio.run(work())
