Stop a gateway that has not started its loops without an error

A stop signal in the first moments of the start met a gateway whose loops did not exist yet; handing over its jobs ended with an AttributeError, which was logged, and its presence was not withdrawn. Found by the review, by reading.

--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from .. import events
 from ..ids import HostName
@@ -169,6 +169,8 @@
         metrics.shared().reserved_memory.read = lambda: {(): float(self.memory.used_bytes)}
         self.stopping = False
         self.reachable = asyncio.Event()
+        self.adopting: asyncio.Task[Any] | None = None
+        self.renewing: asyncio.Task[Any] | None = None
         self.own = HostPresence(
             host=HostName(settings.host),
             incarnation=make_incarnation(HostName(settings.host)),
@@ -726,7 +728,9 @@
 
     async def _hand_over(self) -> None:
         """Release all jobs to other hosts and remove this host from the list of live hosts."""
-        self.adopting.cancel()
+        if self.adopting is not None:
+            self.adopting.cancel()
         await self.worker.release_all()
-        self.renewing.cancel()
+        if self.renewing is not None:
+            self.renewing.cancel()
         await self.presence.withdraw()
