Start the builds of a test with the default action of their signal

The test now starts the build with the default action, whatever it has itself; what it states is unchanged.

--- a/tests/test_deploy/test_deploy_build.py
+++ b/tests/test_deploy/test_deploy_build.py
@@ -13,7 +13,8 @@
 import time
 import tomllib
 import zipfile
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from types import ModuleType
 
@@ -318,6 +319,22 @@
     assert not checkout.deps.exists()
 
 
+@contextmanager
+def default_action(number: signal.Signals) -> Iterator[None]:
+    """Let processes that are started meanwhile have the default action of a signal.
+
+    A shell lets commands in the background ignore SIGINT, and a build then goes on, as it should.
+    """
+    if number is signal.SIGKILL or signal.getsignal(number) is not signal.SIG_IGN:
+        yield
+        return
+    signal.signal(number, signal.SIG_DFL)
+    try:
+        yield
+    finally:
+        signal.signal(number, signal.SIG_IGN)
+
+
 @pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGTERM, signal.SIGINT])
 @pytest.mark.parametrize("first", [True, False])
 def test_build_stopped_in_the_middle_leaves_no_folder_that_counts(
@@ -328,7 +345,8 @@
         damage_by_a_missing_package(checkout.deps)
         (checkout.root / "half").unlink()
     (checkout.root / "hold").touch()
-    process = checkout.start()
+    with default_action(number):
+        process = checkout.start()
     checkout.wait_for((checkout.root / "half").exists)
     process.send_signal(number)
     (checkout.root / "hold").unlink()
