Revert "Leave memory for other requests while jobs wait"

test_finished_jobs_make_room_for_new_ones fails with it: a submission that counts as large is refused where finished jobs could make room for a small one.

--- a/gradepoint/util/memory_budget.py
+++ b/gradepoint/util/memory_budget.py
@@ -101,18 +101,15 @@
     purpose: Purpose
     size: int = 0
 
-    def grow(self, size: int, *, large: bool | None = None) -> None:
+    def grow(self, size: int) -> None:
         """Reserve *size* bytes in all, unless as many are reserved already.
 
-        :param large: see :meth:`MemoryBudget.reserve`.
         :raises GradepointError: ``host_memory``; what was reserved before stays so.
         """
         more = size - self.size
         if self.budget is None or more <= 0:
             return
-        if large is None:
-            large = size >= LARGE_BYTES
-        if not self.budget.reserve(more, self.purpose, large=large):
+        if not self.budget.reserve(more, self.purpose, large=size >= LARGE_BYTES):
             raise GradepointError("host_memory")
         self.size = size
 
--- a/gradepoint/wire/http_server.py
+++ b/gradepoint/wire/http_server.py
@@ -16,7 +16,7 @@
 from ..errors import GradepointError
 from ..telemetry import metrics
 from ..telemetry.logs import emit
-from ..util.memory_budget import LARGE_BYTES, Purpose, Reservation
+from ..util.memory_budget import Purpose, Reservation
 from ..util.numbers import read_whole_number
 from ..util.structs import Struct
 from .http_types import Request, Response, error_response
@@ -363,8 +363,7 @@
             # The largest body has to fit into a process without other work.
             reserved = min(reserved, self.server.budget.large_bytes)
         try:
-            # Work that holds copies of its body may go on after its answer.
-            self.body_memory.grow(reserved, large=copies > 1 or reserved >= LARGE_BYTES)
+            self.body_memory.grow(reserved)
         except GradepointError:
             self.refused_body = True
             raise
