--- a/gradepoint/admin/api.py
+++ b/gradepoint/admin/api.py
@@ -26,6 +26,7 @@
 from ..fleet.messages import StatusAnswer
 from ..telemetry import metrics
 from ..telemetry.logs import emit
+from ..util import decoding
 from ..util.clock import wall_seconds
 from ..util.numbers import read_whole_number
 from ..wire.http_server import HttpServer, ServerLimits
@@ -212,14 +213,14 @@
     async def _audit(self) -> Response:
         found = await self.control.kv.range(AUDIT_PREFIX)
         rows = [
-            msgspec.to_builtins(msgspec.json.decode(item.value, type=AuditRecord))
+            msgspec.to_builtins(decoding.decode_json(item.value, AuditRecord))
             for item in found.items
         ]
         return json_response({"audit": rows})
 
     async def _jobs(self) -> Response:
         found = await self.control.kv.range(JOBS_PREFIX, limit=MAX_LISTED_JOBS)
-        jobs = [msgspec.json.decode(item.value, type=JobRecord) for item in found.items]
+        jobs = [decoding.decode_json(item.value, JobRecord) for item in found.items]
         repository = Repository(self.control.kv)
         running = [job for job in jobs if job.state is JobState.IN_PROGRESS][:MAX_COUNTED_JOBS]
         counted = await asyncio.gather(*(repository.with_current_counts(job) for job in running))
@@ -245,7 +246,7 @@
     rows = [{"path": row.path, "message": row.message, "remedy": row.remedy} for row in problems]
     error = GradepointError("config_invalid", f"{len(problems)} problems.")
     response = error_response(error)
-    body = msgspec.json.decode(response.body)
+    body = decoding.decode_json(response.body)
     body["problems"] = rows
     response.body = msgspec.json.encode(body)
     return response
--- a/gradepoint/admin/client.py
+++ b/gradepoint/admin/client.py
@@ -7,8 +7,8 @@
 from typing import Any
 from urllib.parse import urlencode
 
-import msgspec
-
+from ..errors import DecodingError
+from ..util import decoding
 from ..wire.http_client import ConnectFailed, HttpClient, ResponseBroken
 
 TIMEOUT_S = 15.0
@@ -58,8 +58,8 @@
         try:
             answer = await http.request(method, url, body, headers, timeout_s=TIMEOUT_S)
             raw = await answer.read()
-            return AdminAnswer(answer.status, msgspec.json.decode(raw))
-        except (ConnectFailed, ResponseBroken, msgspec.DecodeError) as error:
+            return AdminAnswer(answer.status, decoding.decode_json(raw))
+        except (ConnectFailed, ResponseBroken, DecodingError) as error:
             raise AdminUnreachable(f"{self.base_url}: {error}") from error
         finally:
             http.close()
--- a/gradepoint/batch/calls.py
+++ b/gradepoint/batch/calls.py
@@ -12,8 +12,9 @@
 
 import msgspec
 
-from ..errors import TargetFailure
+from ..errors import DecodingError, TargetFailure
 from ..online.requests import CHAT_PATH
+from ..util import decoding
 from ..util.clock import wall_seconds
 from ..wire.target_client import TargetAnswer, TargetClient
 
@@ -110,13 +111,13 @@
 
 def _decode_body(raw: bytes) -> Any:
     try:
-        return msgspec.json.decode(raw)
-    except msgspec.DecodeError:
+        return decoding.decode_json(raw)
+    except DecodingError:
         return {"error": {"message": raw[:500].decode(errors="replace")}}
 
 
 def _accumulate(payload: bytes, partial: PartialText) -> None:
-    event = msgspec.json.decode(payload)
+    event = decoding.decode_json(payload)
     if event.get("usage"):
         partial.usage = event["usage"]
     for choice in event.get("choices", ()):
--- a/gradepoint/batch/feeder.py
+++ b/gradepoint/batch/feeder.py
@@ -5,11 +5,10 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-import msgspec
-
-from ..errors import TargetFailure
+from ..errors import DecodingError, TargetFailure
 from ..routing.batch_window import BatchWindow, LoadReport
 from ..routing.choice import Circuit
+from ..util import decoding
 
 if TYPE_CHECKING:
     import asyncio
@@ -78,8 +77,8 @@
     """Return the load report of a target, or None if there is no valid answer."""
     try:
         answer = await client.call("GET", f"{base_url}/load", b"", {}, LOAD_TIMEOUT_S)
-        raw = msgspec.json.decode(answer.body)
-    except (TargetFailure, msgspec.DecodeError):
+        raw = decoding.decode_json(answer.body)
+    except (TargetFailure, DecodingError):
         return None
     if not isinstance(raw, dict):
         return None
--- a/gradepoint/batch/housekeeping.py
+++ b/gradepoint/batch/housekeeping.py
@@ -9,8 +9,6 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from .. import events
 from ..errors import GradepointError, KvError
 from ..ids import ObjectHash
@@ -18,6 +16,7 @@
 from ..online import claims
 from ..store.replicas import COPIES
 from ..telemetry.logs import emit
+from ..util import decoding
 from ..util.clock import wall_seconds
 from ..wire.rpc import RpcError
 from .records import (
@@ -90,10 +89,10 @@
         """Return all objects that a file or chunk record refers to."""
         names: set[ObjectHash] = set()
         for item in (await self.service.range(FILES_PREFIX)).items:
-            record = msgspec.json.decode(item.value, type=FileRecord)
+            record = decoding.decode_json(item.value, FileRecord)
             names.update(ObjectHash(segment.hash) for segment in record.segments)
         for item in (await self.service.range(CHUNKS_PREFIX)).items:
-            chunk = msgspec.json.decode(item.value, type=ChunkRecord)
+            chunk = decoding.decode_json(item.value, ChunkRecord)
             names.update(ObjectHash(bundle.hash) for bundle in chunk.bundles)
         return names
 
@@ -152,7 +151,7 @@
         expire_before = now - int(retention.results_days * SECONDS_PER_DAY)
         in_use: set[str] = set()
         for item in (await self.service.range(JOBS_PREFIX)).items:
-            job = msgspec.json.decode(item.value, type=JobRecord)
+            job = decoding.decode_json(item.value, JobRecord)
             ended = job.state is not JobState.IN_PROGRESS
             if ended and job.finished_at < expire_before:
                 chunks = (await self.service.range(chunks_prefix(job.job_id))).items
@@ -161,7 +160,7 @@
                 in_use.add(job.file_id)
         old_files = []
         for item in (await self.service.range(FILES_PREFIX)).items:
-            file = msgspec.json.decode(item.value, type=FileRecord)
+            file = decoding.decode_json(item.value, FileRecord)
             if file.file_id not in in_use and file.created_at < expire_before:
                 old_files.append(item)
         await self._delete(old_files)
@@ -170,7 +169,7 @@
     async def _expire_claims(self, expire_before: int) -> None:
         old = []
         for item in (await self.service.range(claims.CLAIMS_PREFIX)).items:
-            claim = msgspec.json.decode(item.value, type=claims.Claim)
+            claim = decoding.decode_json(item.value, claims.Claim)
             if claim.at < expire_before:
                 old.append(item)
         await self._delete(old)
--- a/gradepoint/batch/items.py
+++ b/gradepoint/batch/items.py
@@ -7,8 +7,9 @@
 
 import msgspec
 
-from ..errors import GradepointError
+from ..errors import DecodingError, GradepointError
 from ..online.requests import CHAT_PATH, COMPLETION_PATH
+from ..util import decoding
 from ..util.hashing import short_identity
 from .records import ItemResult
 
@@ -38,8 +39,8 @@
     :raises GradepointError: ``bad_batch_line``.
     """
     try:
-        value = msgspec.json.decode(raw)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        value = decoding.decode_json(raw)
+    except DecodingError as error:
         raise _line_error(number, f"not valid JSON ({error})") from error
     if not isinstance(value, dict):
         raise _line_error(number, "not a JSON object")
--- a/gradepoint/batch/records.py
+++ b/gradepoint/batch/records.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from ..util import decoding
+
 if TYPE_CHECKING:
     from ..ids import FileId, JobId
 
@@ -204,4 +206,4 @@
 
 def decode_bundle(data: bytes) -> list[ItemResult]:
     """Decode results from the content of a bulk object."""
-    return msgspec.json.decode(data, type=list[ItemResult])
+    return decoding.decode_json(data, list[ItemResult])
--- a/gradepoint/batch/repository.py
+++ b/gradepoint/batch/repository.py
@@ -13,6 +13,7 @@
 from ..errors import GradepointError, KvError, KvRejected
 from ..kv.service import ABSENT, Delete, Expect, Put, Transaction
 from ..kv.settle import WriteOutcome, WriteOutcomeUnknown, settle
+from ..util import decoding
 from ..util.clock import wall_seconds
 from .records import (
     ACTIVE_PREFIX,
@@ -72,12 +73,12 @@
     async def file(self, organisation: str, file_id: str) -> FileRecord | None:
         """Return a file record, or None."""
         item = await self._get(file_key(organisation, file_id))
-        return msgspec.json.decode(item.value, type=FileRecord) if item else None
+        return decoding.decode_json(item.value, FileRecord) if item else None
 
     async def files(self, organisation: str) -> list[FileRecord]:
         """Return all files of an organisation."""
         items = await self._range(f"{FILES_PREFIX}{organisation}/")
-        return [msgspec.json.decode(item.value, type=FileRecord) for item in items]
+        return [decoding.decode_json(item.value, FileRecord) for item in items]
 
     async def delete_file(self, organisation: str, file_id: str) -> bool:
         """Delete a file record; return False if there is none.
@@ -124,17 +125,17 @@
         item = await self._get(job_key(organisation, job_id))
         if item is None:
             return None, ABSENT
-        return msgspec.json.decode(item.value, type=JobRecord), item.revision
+        return decoding.decode_json(item.value, JobRecord), item.revision
 
     async def jobs(self, organisation: str) -> list[JobRecord]:
         """Return all jobs of an organisation."""
         items = await self._range(f"{JOBS_PREFIX}{organisation}/")
-        return [msgspec.json.decode(item.value, type=JobRecord) for item in items]
+        return [decoding.decode_json(item.value, JobRecord) for item in items]
 
     async def active_jobs(self) -> list[ActiveJob]:
         """Return the index entries of all jobs in progress."""
         items = await self._range(ACTIVE_PREFIX)
-        return [msgspec.json.decode(item.value, type=ActiveJob) for item in items]
+        return [decoding.decode_json(item.value, ActiveJob) for item in items]
 
     async def cancel(self, organisation: str, job_id: str) -> JobRecord:
         """Cancel a job and return it; a job that has ended is returned unchanged.
@@ -278,7 +279,7 @@
 
 
 def _chunk_state(item: KeyValue) -> ChunkState:
-    return ChunkState(msgspec.json.decode(item.value, type=ChunkRecord), item.revision)
+    return ChunkState(decoding.decode_json(item.value, ChunkRecord), item.revision)
 
 
 def _unavailable(error: KvError) -> GradepointError:
--- a/gradepoint/cmd/local.py
+++ b/gradepoint/cmd/local.py
@@ -11,6 +11,7 @@
 
 from ..standins.tier import LOCAL_CALLER_KEY, LOCAL_OPERATOR_KEY, LocalTier, make_engines, url_of
 from ..telemetry import logs
+from ..util import decoding
 from .runner import stop_event
 
 READY_POLL_S = 0.05
@@ -41,7 +42,7 @@
     """
     settings = LocalSettings()
     if settings_path is not None:
-        settings = msgspec.json.decode(settings_path.read_bytes(), type=LocalSettings)
+        settings = decoding.decode_json(settings_path.read_bytes(), LocalSettings)
     logs.configure("local", "local", settings.log_level, "text")
     asyncio.run(_serve(settings, ready_file))
 
--- a/gradepoint/config/check.py
+++ b/gradepoint/config/check.py
@@ -9,6 +9,8 @@
 import msgspec
 from result import Err, Ok, Result
 
+from ..errors import DecodingError
+from ..util import decoding
 from .document import Document
 from .schema import document_schema
 
@@ -45,8 +47,8 @@
     :returns: the document, or all problems found.
     """
     try:
-        value = msgspec.json.decode(raw)
-    except (msgspec.DecodeError, RecursionError) as error:
+        value = decoding.decode_json(raw)
+    except DecodingError as error:
         return Err([Problem("(file)", f"not JSON: {error}.", "Correct the syntax.")])
     # Imported here because it takes 4 MB of memory, which programs that check no files save.
     from jsonschema import Draft202012Validator
--- a/gradepoint/config/versions.py
+++ b/gradepoint/config/versions.py
@@ -16,6 +16,7 @@
 from ..ids import ConfigVersion, WriterToken
 from ..kv.service import ABSENT, Expect, Put, Transaction
 from ..kv.settle import WriteOutcome, WriteOutcomeUnknown, settle
+from ..util import decoding
 from ..util.clock import wall_seconds
 from ..util.hashing import new_token
 from .delta import compress, decompress
@@ -119,7 +120,7 @@
 
 def decode_record(raw: bytes) -> ConfigRecord:
     """Decode a record from a value of the key-value service."""
-    return msgspec.json.decode(decompress(raw), type=ConfigRecord)
+    return decoding.decode_json(decompress(raw), ConfigRecord)
 
 
 async def read_current(service: KeyValueService) -> tuple[ConfigRecord | None, int]:
@@ -196,7 +197,7 @@
     item = await service.get(audit_key(record.version))
     if item is None:
         return False
-    return msgspec.json.decode(item.value, type=AuditRecord).writer == record.writer
+    return decoding.decode_json(item.value, AuditRecord).writer == record.writer
 
 
 def _conflict(base: int, current: int) -> GradepointError:
--- a/gradepoint/errors.py
+++ b/gradepoint/errors.py
@@ -481,6 +481,10 @@
         return self.kind.code
 
 
+class DecodingError(Exception):
+    """Bytes from outside cannot be decoded, or not as the type that is expected."""
+
+
 class KvError(Exception):
     """Base class of the failures of the key-value service."""
 
--- a/gradepoint/fleet/host_list.py
+++ b/gradepoint/fleet/host_list.py
@@ -6,7 +6,9 @@
 
 import msgspec
 
+from ..errors import DecodingError
 from ..ids import HostName
+from ..util import decoding
 from ..wire.http_client import ConnectFailed, HttpClient, ResponseBroken
 
 
@@ -47,8 +49,8 @@
             raw = await response.read()
             if response.status != 200:
                 return self.last_known
-            answer = msgspec.json.decode(raw, type=HostList)
-        except (ConnectFailed, ResponseBroken, msgspec.DecodeError):
+            answer = decoding.decode_json(raw, HostList)
+        except (ConnectFailed, ResponseBroken, DecodingError):
             return self.last_known
         self.last_known = {HostName(row.name): row.state for row in answer.hosts}
         return self.last_known
--- a/gradepoint/fleet/reconcile.py
+++ b/gradepoint/fleet/reconcile.py
@@ -8,9 +8,10 @@
 import msgspec
 
 from .. import events
-from ..errors import KvError, TargetFailure
+from ..errors import DecodingError, KvError, TargetFailure
 from ..telemetry import metrics
 from ..telemetry.logs import emit
+from ..util import decoding
 from ..util.clock import monotonic
 from ..util.hashing import rank
 from ..wire.target_client import TargetClient
@@ -71,8 +72,8 @@
         """See :meth:`TargetControl.read_state`."""
         try:
             answer = await self.client.call("GET", f"{target.url}/state", b"", {}, STATE_TIMEOUT_S)
-            return msgspec.json.decode(answer.body, type=ObservedState)
-        except (TargetFailure, msgspec.MsgspecError):
+            return decoding.decode_json(answer.body, ObservedState)
+        except (TargetFailure, DecodingError):
             return None
 
     async def send(self, target: Target, order: Order) -> bool:
--- a/gradepoint/fleet/transport.py
+++ b/gradepoint/fleet/transport.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from ..errors import DecodingError
+from ..util import decoding
 from .messages import Gossip
 
 if TYPE_CHECKING:
@@ -26,7 +28,7 @@
     def __init__(self, receive: Callable[[Gossip], None]) -> None:
         self.receive = receive
         self.transport: asyncio.DatagramTransport | None = None
-        self.decoder = msgspec.msgpack.Decoder(Gossip)
+        self.decode = decoding.make_msgpack_decoder(Gossip)
         self.bytes_sent = 0
         self.bytes_received = 0
         self.blocked: set[tuple[str, int]] = set()
@@ -47,8 +49,8 @@
             return
         self.bytes_received += len(data)
         try:
-            message = self.decoder.decode(data[:MAX_DATAGRAM_BYTES])
-        except msgspec.MsgspecError:
+            message = self.decode(data[:MAX_DATAGRAM_BYTES])
+        except DecodingError:
             return
         self.receive(message)
 
--- a/gradepoint/gateway/followers.py
+++ b/gradepoint/gateway/followers.py
@@ -7,9 +7,8 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from .. import events
+from ..errors import DecodingError
 from ..peers.presence import KNOWN_DATA_HOST_PREFIX, read_host
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
@@ -46,7 +45,7 @@
         """
         try:
             found = self.decode(raw)
-        except msgspec.DecodeError as error:
+        except DecodingError as error:
             emit(events.CONFIG_UNREADABLE, source=source, reason=str(error))
             return
         if self.current is not None and found.version <= self.current.version:
@@ -132,7 +131,7 @@
     def _decode(self, key: str, value: bytes) -> ListedTarget | None:
         try:
             return self.decode(key, value)
-        except msgspec.DecodeError as error:
+        except DecodingError as error:
             emit(events.TARGET_UNREADABLE, key=key, reason=str(error))
             return None
 
--- a/gradepoint/gateway/held.py
+++ b/gradepoint/gateway/held.py
@@ -10,12 +10,13 @@
 import msgspec
 
 from .. import events
-from ..errors import KvError
+from ..errors import DecodingError, KvError
 from ..ids import TargetNumber
 from ..kv.service import Delete, Put, Transaction
 from ..peers.presence import LIVE_PREFIX
 from ..routing.suspects import CRASH_LIFETIME_S
 from ..telemetry.logs import emit
+from ..util import decoding
 from ..util.structs import Struct, field
 from ..util.tasks import TaskGroup
 from ..wire.http_types import Response, json_response
@@ -127,8 +128,8 @@
             self.removed.pop(key, None)
             return
         try:
-            row = msgspec.json.decode(value, type=HeldRow)
-        except msgspec.DecodeError as error:
+            row = decoding.decode_json(value, HeldRow)
+        except DecodingError as error:
             emit(events.HELD_UNREADABLE, key=name, reason=str(error))
             return
         # The same row is read repeatedly. Restoring it again would undo that the suspect was
--- a/gradepoint/gateway/version_history.py
+++ b/gradepoint/gateway/version_history.py
@@ -13,11 +13,12 @@
 import msgspec
 
 from .. import events
-from ..errors import KvError
+from ..errors import DecodingError, KvError
 from ..ids import Incarnation, ServiceName, SoftwareVersion
 from ..kv.service import ABSENT, Expect, Put, Transaction
 from ..peers.presence import LIVE_PREFIX
 from ..telemetry.logs import emit
+from ..util import decoding
 from ..util.clock import monotonic
 from ..util.structs import Struct, field
 from ..util.tasks import TaskGroup
@@ -167,7 +168,7 @@
 def decode_record(value: bytes) -> VersionRecord | None:
     """Return the decoded record, or None if that fails; a new one replaces it then."""
     try:
-        return msgspec.json.decode(value, type=VersionRecord)
-    except msgspec.DecodeError as error:
+        return decoding.decode_json(value, VersionRecord)
+    except DecodingError as error:
         emit(events.VERSIONS_UNREADABLE, reason=str(error))
         return None
--- a/gradepoint/jobs/api.py
+++ b/gradepoint/jobs/api.py
@@ -21,6 +21,7 @@
 from ..peers.presence import read_host
 from ..spool.client import SpoolOutcome
 from ..telemetry.logs import emit
+from ..util import decoding
 from ..util.clock import monotonic
 from ..util.hashing import hash32, rank
 from ..util.structs import Struct, field
@@ -479,7 +480,7 @@
         """Ask the host that announces the job; None if there is none or it does not answer."""
         query = f"/jobs/{job_id}?position={position}&wait_ms={round(wait_s * 1000)}"
         raw = await self._ask(job_id, query, PEER_TIMEOUT_S + wait_s)
-        return None if raw is None else msgspec.msgpack.decode(raw, type=JobView)
+        return None if raw is None else decoding.decode_msgpack(raw, JobView)
 
     async def _ask(self, job_id: JobId, target: str, timeout_s: float) -> bytes | None:
         owner = self.find_owner(hash32(job_id))
--- a/gradepoint/jobs/records.py
+++ b/gradepoint/jobs/records.py
@@ -22,7 +22,7 @@
 
 import msgspec
 
-from ..errors import KvUnreadable
+from ..errors import DecodingError, KvUnreadable
 from ..ids import (
     ConfigVersion,
     Incarnation,
@@ -31,6 +31,7 @@
     OrganisationName,
     SoftwareVersion,
 )
+from ..util import decoding
 
 if TYPE_CHECKING:
     from types import UnionType
@@ -302,8 +303,8 @@
     :raises KvUnreadable: *raw* is not a valid *kind*; a foreign writer may have written it.
     """
     try:
-        return msgspec.msgpack.decode(raw, type=kind)
-    except msgspec.DecodeError as error:
+        return decoding.decode_msgpack(raw, kind)
+    except DecodingError as error:
         raise KvUnreadable(f"value is not a valid {kind}: {error}") from error
 
 
--- a/gradepoint/jobs/shared_listing.py
+++ b/gradepoint/jobs/shared_listing.py
@@ -16,9 +16,10 @@
 import msgspec
 
 from .. import events
-from ..errors import KvError, KvUnavailable
+from ..errors import DecodingError, KvError, KvUnavailable
 from ..peers.presence import read_host
 from ..telemetry.logs import emit
+from ..util import decoding
 from ..util.clock import monotonic
 from ..util.hashing import rank
 from ..util.structs import Struct, field
@@ -182,7 +183,7 @@
                 async with asyncio.timeout(BODY_TIMEOUT_S):
                     raw = await response.read()
                 if response.status == 200:
-                    return msgspec.msgpack.decode(raw, type=list[ListedJob])
+                    return decoding.decode_msgpack(raw, list[ListedJob])
                 if response.status == FAILED_STATUS:
                     self.failed_until[address] = monotonic() + DISTRUST_S
                     self.failed_sweeps += 1
@@ -192,7 +193,7 @@
                     raise ResponseBroken(f"listing answered with status {response.status}")
                 await asyncio.sleep(random.uniform(*BUSY_PAUSE_S))
             raise ResponseBroken("busy until the end of the sweep's time to ask")
-        except (ConnectFailed, ResponseBroken, TimeoutError, msgspec.DecodeError) as error:
+        except (ConnectFailed, ResponseBroken, TimeoutError, DecodingError) as error:
             emit(events.PEER_SILENT, member=address, reason=repr(error))
             self.failed_until[address] = monotonic() + DISTRUST_S
             return None
--- a/gradepoint/kv/etcd.py
+++ b/gradepoint/kv/etcd.py
@@ -11,8 +11,9 @@
 
 import msgspec
 
-from ..errors import KvOverRate, KvRejected, KvUnavailable, KvUncertain
+from ..errors import DecodingError, KvOverRate, KvRejected, KvUnavailable, KvUncertain
 from ..telemetry import metrics
+from ..util import decoding
 from ..wire.http_client import ConnectFailed, HttpClient, ResponseBroken
 from .pace import BackgroundPace
 from .service import (
@@ -281,8 +282,8 @@
     :raises KvUncertain: it is cut or has another form.
     """
     try:
-        return msgspec.json.decode(raw, type=answer_type, strict=False)
-    except msgspec.DecodeError as error:
+        return decoding.decode_json(raw, answer_type, strict=False)
+    except DecodingError as error:
         raise KvUncertain(f"answer cannot be decoded: {error}") from error
 
 
--- a/gradepoint/kv/relay.py
+++ b/gradepoint/kv/relay.py
@@ -13,6 +13,8 @@
 
 from .. import events
 from ..errors import (
+    DecodingError,
+    GradepointError,
     KvHistoryLost,
     KvLeaseLapsed,
     KvOverRate,
@@ -22,6 +24,7 @@
 )
 from ..telemetry import metrics
 from ..telemetry.logs import emit
+from ..util import decoding
 from ..util.clock import monotonic
 from ..util.rng import new_rng
 from ..util.structs import Struct, field
@@ -366,7 +369,10 @@
 
     async def answer_peer(self, request: Request) -> Response:
         """Make a call for another host, directly only, and report its outcome as a status."""
-        call = msgspec.msgpack.decode(await request.read_body(), type=Call)
+        try:
+            call = decoding.decode_msgpack(await request.read_body(), Call)
+        except DecodingError as error:
+            raise GradepointError("bad_request", f"The call cannot be read: {error}.") from error
         if not self.reaches_store:
             return Response(STATUS_NOT_APPLIED)
         try:
@@ -393,8 +399,8 @@
     :raises KvUncertain: it cannot be read.
     """
     try:
-        return msgspec.msgpack.decode(body, type=kind)
-    except (msgspec.DecodeError, RecursionError) as error:
+        return decoding.decode_msgpack(body, kind)
+    except DecodingError as error:
         raise KvUncertain(f"the relaying host's answer cannot be read: {error}") from error
 
 
--- a/gradepoint/online/claims.py
+++ b/gradepoint/online/claims.py
@@ -20,6 +20,7 @@
 from ..kv.service import ABSENT, Delete, Expect, Put, Transaction
 from ..kv.settle import WriteOutcome, WriteOutcomeUnknown, settle
 from ..telemetry.logs import emit
+from ..util import decoding
 from ..util.clock import wall_seconds
 from ..util.hashing import new_token, sha256_hex
 from ..util.tasks import TaskGroup
@@ -360,7 +361,7 @@
 
 
 def _decode(raw: bytes) -> Claim:
-    return msgspec.json.decode(raw, type=Claim)
+    return decoding.decode_json(raw, Claim)
 
 
 def _set_result(future: asyncio.Future[HeldClaim | None], value: HeldClaim | None) -> None:
--- a/gradepoint/online/execute.py
+++ b/gradepoint/online/execute.py
@@ -14,6 +14,7 @@
 from ..routing.retries import CallProgress, RetryBudget
 from ..telemetry import metrics
 from ..telemetry.logs import emit
+from ..util import decoding
 from ..util.clock import monotonic
 from ..util.rng import new_rng
 from ..wire.http_types import HEADER_DEADLINE
@@ -221,7 +222,7 @@
 
     def _forward_payload(self, payload: bytes, state: StreamState) -> bytes:
         """Count the token of a payload and replace the event id with the id of the call."""
-        event: dict[str, Any] = msgspec.json.decode(payload)
+        event: dict[str, Any] = decoding.decode_json(payload)
         event["id"] = state.call_id
         for choice in event.get("choices", ()):
             text = choice.get("text") or (choice.get("delta") or {}).get("content")
--- a/gradepoint/peers/datagrams.py
+++ b/gradepoint/peers/datagrams.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import lru_cache
 from typing import TYPE_CHECKING, Protocol, cast
 
 import msgspec
 
 from .. import events
+from ..errors import DecodingError
 from ..ids import (
     CapacityClass,
     ConfigVersion,
@@ -25,6 +26,7 @@
 from ..routing.suspects import SuspectsMessage
 from ..telemetry import metrics
 from ..telemetry.logs import emit
+from ..util import decoding
 from ..util.clock import monotonic
 from ..util.hashing import hash32
 from ..wire.addresses import split_address
@@ -252,6 +254,9 @@
         """See :meth:`asyncio.BaseTransport.close`."""
 
 
+decode_message = decoding.make_msgpack_decoder(Message)
+
+
 @dataclass
 class DatagramSocket:
     """Sends and receives datagrams.
@@ -265,9 +270,6 @@
 
     on_message: Callable[[Message, str], None]
     transport: DatagramTransport | None = None
-    decoder: msgspec.msgpack.Decoder[Message] = field(
-        default_factory=lambda: msgspec.msgpack.Decoder(Message)
-    )
     dropped: int = 0
     drops_reported_at: float = float("-inf")
 
@@ -320,8 +322,8 @@
         """Decode a datagram and pass it on; drop it if it is malformed or of another format
         version."""
         try:
-            message = self.decoder.decode(raw)
-        except msgspec.DecodeError as error:
+            message = decode_message(raw)
+        except DecodingError as error:
             emit(events.BEAT_DROPPED, reason=str(error), member=address)
             return
         if message.format == DATAGRAM_FORMAT:
--- a/gradepoint/peers/occupancy.py
+++ b/gradepoint/peers/occupancy.py
@@ -19,8 +19,10 @@
 import msgspec
 
 from .. import events
+from ..errors import DecodingError
 from ..routing.host_quotas import RoomReport
 from ..telemetry.logs import emit
+from ..util import decoding
 from ..util.clock import monotonic
 from ..util.hashing import hash32
 from ..util.structs import Struct, field
@@ -494,7 +496,11 @@
 
     def receive(self, digest: Digest) -> None:
         """Process a digest from an aggregator."""
-        sums = msgspec.msgpack.decode(digest.sums, type=Sums)
+        try:
+            sums = decoding.decode_msgpack(digest.sums, Sums)
+        except DecodingError as error:
+            emit(events.BEAT_DROPPED, reason=str(error), member="")
+            return
         known = self.heard.get(sums.aggregator)
         if known is not None and digest.clock_ms < known.clock_ms:
             # A relay was slow or suspended; a newer digest came by another one.
--- a/gradepoint/peers/presence.py
+++ b/gradepoint/peers/presence.py
@@ -9,10 +9,11 @@
 import msgspec
 
 from .. import events
-from ..errors import KvError, KvRejected, KvUnavailable
+from ..errors import DecodingError, KvError, KvRejected, KvUnavailable
 from ..ids import HostName, Incarnation
 from ..kv.service import Put, Transaction
 from ..telemetry.logs import emit
+from ..util import decoding
 from ..util.clock import monotonic
 from ..util.hashing import new_token
 from ..util.structs import Struct, field
@@ -69,13 +70,13 @@
 def decode_presence(value: bytes) -> HostPresence:
     """Return the host that a presence key or record describes.
 
-    :raises msgspec.DecodeError: *value* cannot be decoded or has no valid peer address.
+    :raises DecodingError: *value* cannot be decoded or has no valid peer address.
     """
-    row = msgspec.json.decode(value, type=HostPresence)
+    row = decoding.decode_json(value, HostPresence)
     try:
         split_address(row.peer_address)
     except ValueError as error:
-        raise msgspec.ValidationError(f"invalid peer address: {row.peer_address!r}") from error
+        raise DecodingError(f"invalid peer address: {row.peer_address!r}") from error
     return row
 
 
@@ -213,7 +214,7 @@
     def put(self, key: str, value: bytes) -> None:
         """Add or update a host from its key.
 
-        :raises msgspec.DecodeError: *value* cannot be decoded or has no valid peer address.
+        :raises DecodingError: *value* cannot be decoded or has no valid peer address.
         """
         row = decode_presence(value)
         if self.hosts.get(row.host) != row:
@@ -225,7 +226,7 @@
         """Add or update a host from its key; remove the host if the value cannot be read."""
         try:
             self.put(key, value)
-        except msgspec.DecodeError as error:
+        except DecodingError as error:
             emit(events.HOST_UNREADABLE, key=key, reason=str(error))
             self.remove(key)
 
@@ -243,7 +244,7 @@
         """
         try:
             row = decode_presence(value)
-        except msgspec.DecodeError as error:
+        except DecodingError as error:
             emit(events.HOST_UNREADABLE, key=key, reason=str(error))
             return
         is_new = self.known.get(row.host) != row
--- a/gradepoint/peers/watchers.py
+++ b/gradepoint/peers/watchers.py
@@ -15,11 +15,12 @@
 import msgspec
 
 from .. import events
-from ..errors import KvError, KvOverRate
+from ..errors import DecodingError, KvError, KvOverRate
 from ..kv.follow import Backoff, follow
 from ..kv.service import PartialRange
 from ..kv.view import PrefixView, ViewUpdate
 from ..telemetry.logs import emit
+from ..util import decoding
 from ..util.clock import monotonic
 from ..util.hashing import rank
 from ..util.structs import Struct, field
@@ -519,8 +520,8 @@
                 return None
             if response.status != 200:
                 raise ResponseBroken(f"news request answered with status {response.status}")
-            updates = msgspec.msgpack.decode(raw, type=ViewUpdates)
-        except (ConnectFailed, ResponseBroken, TimeoutError, msgspec.DecodeError) as error:
+            updates = decoding.decode_msgpack(raw, ViewUpdates)
+        except (ConnectFailed, ResponseBroken, TimeoutError, DecodingError) as error:
             emit(events.PEER_SILENT, member=address, reason=repr(error))
             return False
         offered = self._find_offered(updates.proven, monotonic() - asked_at)
--- a/gradepoint/platform/configuration.py
+++ b/gradepoint/platform/configuration.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from .. import events
+from ..errors import DecodingError
 from ..gateway.configuration import (
     CallerLimits,
     Configuration,
@@ -19,6 +20,7 @@
 from ..ids import ConfigVersion, OrganisationName, ServiceName
 from ..routing.quotas import Quota
 from ..telemetry.logs import emit
+from ..util import decoding
 
 CONFIG_KEY = "op/config"
 OPERATOR_PREFIX = "op/"
@@ -96,9 +98,9 @@
 def decode_configuration(raw: bytes) -> Configuration:
     """Decode a configuration document.
 
-    :raises msgspec.DecodeError: *raw* is not a valid configuration.
+    :raises DecodingError: *raw* is not a valid configuration.
     """
-    document = msgspec.json.decode(raw, type=_Configuration)
+    document = decoding.decode_json(raw, _Configuration)
     limits = document.limits
     return Configuration(
         version=ConfigVersion(document.version),
@@ -124,8 +126,8 @@
 
 def _read_organisation(raw: msgspec.Raw, index: int) -> Organisation | None:
     try:
-        row = msgspec.json.decode(raw, type=_Tenant)
-    except msgspec.DecodeError as error:
+        row = decoding.decode_json(raw, _Tenant)
+    except DecodingError as error:
         emit(events.ORGANISATION_UNREADABLE, index=index, reason=str(error))
         return None
     limited = row.rate_per_s > 0
--- a/gradepoint/platform/jobs.py
+++ b/gradepoint/platform/jobs.py
@@ -9,10 +9,11 @@
 
 import msgspec
 
-from ..errors import GradepointError
+from ..errors import DecodingError, GradepointError
 from ..ids import ItemId
 from ..jobs.calls import EndJob, JobCall, ReadItem, ReadResults
 from ..jobs.records import Item, ItemOutcome
+from ..util import decoding
 from ..util.numbers import read_whole_number
 from .headers import WAIT_MS
 
@@ -76,11 +77,11 @@
     def decode_submission(self, body: bytes) -> list[Item]:
         """See :meth:`JobDialect.decode_submission`."""
         try:
-            rows = msgspec.json.decode(body, type=_Submission).items
+            rows = decoding.decode_json(body, _Submission).items
             if len(rows) > MAX_ITEMS:
                 raise GradepointError("bad_request", f"A job has at most {MAX_ITEMS} items.")
             return [_read_item(row) for row in rows]
-        except (msgspec.DecodeError, UnicodeDecodeError, binascii.Error) as error:
+        except (DecodingError, binascii.Error) as error:
             raise GradepointError("bad_request", f"The job cannot be read: {error}.") from error
 
     def encode_page(self, page: ResultPage) -> bytes:
--- a/gradepoint/platform/store.py
+++ b/gradepoint/platform/store.py
@@ -13,6 +13,7 @@
 
 from .. import events
 from ..errors import (
+    DecodingError,
     KvHistoryLost,
     KvLeaseLapsed,
     KvOverRate,
@@ -34,6 +35,7 @@
 )
 from ..telemetry import metrics
 from ..telemetry.logs import emit
+from ..util import decoding
 from ..util.clock import monotonic
 from ..wire.addresses import split_address
 from ..wire.http_client import ConnectFailed, HttpClient, ResponseBroken
@@ -388,8 +390,8 @@
 
 def _decode(body: bytes, kind: type[T]) -> T:
     try:
-        return msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, RecursionError) as error:
+        return decoding.decode_json(body, kind)
+    except DecodingError as error:
         raise KvUncertain(f"the store's answer cannot be read: {error}") from error
 
 
--- a/gradepoint/platform/targets.py
+++ b/gradepoint/platform/targets.py
@@ -8,8 +8,10 @@
 
 import msgspec
 
+from ..errors import DecodingError
 from ..gateway.targets import ListedState, ListedTarget
 from ..ids import ServiceName, SoftwareVersion, TargetName
+from ..util import decoding
 from ..wire.addresses import split_address
 
 TARGETS_PREFIX = "servers/"
@@ -48,9 +50,9 @@
 def decode_target(key: str, value: bytes) -> ListedTarget:
     """Decode the entry of one target.
 
-    :raises msgspec.DecodeError: *value* is not a valid entry.
+    :raises DecodingError: *value* is not a valid entry.
     """
-    entry = msgspec.json.decode(value, type=_Entry)
+    entry = decoding.decode_json(value, _Entry)
     _check_address(entry.addr)
     return ListedTarget(
         name=read_target_name(key),
@@ -70,6 +72,6 @@
         ip, port = split_address(address)
         socket.inet_pton(socket.AF_INET, ip)
     except (OSError, ValueError) as error:
-        raise msgspec.ValidationError(f"not an IPv4 address with a port: {address!r}") from error
+        raise DecodingError(f"not an IPv4 address with a port: {address!r}") from error
     if not 0 < port <= HIGHEST_PORT:
-        raise msgspec.ValidationError(f"port out of range: {address!r}")
+        raise DecodingError(f"port out of range: {address!r}")
--- a/gradepoint/settings.py
+++ b/gradepoint/settings.py
@@ -8,10 +8,11 @@
 
 from typing import TYPE_CHECKING, Any, TypeVar
 
-import msgspec
 from result import Err, Ok, Result
 
+from .errors import DecodingError
 from .telemetry.logs import LEVELS
+from .util import decoding
 from .util.structs import Struct
 from .wire.addresses import MAX_PORT, are_ports, is_address, is_ip, is_port
 
@@ -272,10 +273,10 @@
 def read_settings(path: Path) -> Result[object, str]:
     """Read a JSON file; return its content, or why it cannot be read as it is now."""
     try:
-        return Ok(msgspec.json.decode(path.read_bytes()))
+        return Ok(decoding.decode_json(path.read_bytes()))
     except OSError as error:
         return Err(f"{path}: {error.strerror}. Remedy: give the path of a readable file.")
-    except (msgspec.DecodeError, RecursionError) as error:
+    except DecodingError as error:
         return Err(f"{path}: invalid JSON ({error}). Remedy: correct the syntax.")
 
 
--- a/gradepoint/spool/host.py
+++ b/gradepoint/spool/host.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from .. import events
-from ..errors import KvError, KvOverRate, KvRejected, KvUnreadable, StoreError
+from ..errors import DecodingError, KvError, KvOverRate, KvRejected, KvUnreadable, StoreError
 from ..ids import JobId
 from ..jobs.repository import REJECTED_RETRY_S, Admission
 from ..peers.presence import PRESENCE_PREFIX, HostTable
@@ -232,7 +232,7 @@
         except OSError as error:
             emit(events.SPOOL_FILE_FAILED, job=printable(name), reason=error.strerror)
             return FileState.UNREAD
-        except (msgspec.DecodeError, RecursionError) as error:
+        except DecodingError as error:
             emit(events.SPOOL_UNREADABLE, job=printable(name), reason=str(error))
             return FileState.NO_JOB
         if job.id != job_id:
@@ -328,7 +328,7 @@
         try:
             content, max_tokens = split_request(raw)
             job = read_outline(content, self.repository.value_bytes)
-        except (msgspec.DecodeError, RecursionError) as error:
+        except DecodingError as error:
             emit(events.SPOOL_UNREADABLE, reason=str(error))
             return Response(409)
         if not is_file_name(job.id):
@@ -427,7 +427,7 @@
         except OSError as error:
             self._postpone(job_id, LOAD_RETRY_S)
             emit(events.SPOOL_FILE_FAILED, job=job_id, reason=error.strerror)
-        except (msgspec.DecodeError, RecursionError) as error:
+        except DecodingError as error:
             self._postpone(job_id, REJECTED_RETRY_S)
             emit(events.SPOOL_UNREADABLE, job=job_id, reason=str(error))
         return True
@@ -444,7 +444,7 @@
 
         :raises KvError: no definite answer; the job stays here.
         :raises OSError: its file cannot be read now.
-        :raises msgspec.DecodeError: its file is damaged.
+        :raises DecodingError: its file is damaged.
         """
         await self.kv.pace.wait()
         # Whether the job exists is read first: a transaction would send all of its items.
@@ -471,7 +471,7 @@
         """Whether the host that accepted a job is expected to enter it.
 
         :raises OSError: the file of the job cannot be read now.
-        :raises msgspec.DecodeError: it is damaged.
+        :raises DecodingError: it is damaged.
         """
         now = monotonic()
         since = now if self.answered_since is None else max(self.answered_since, held.since)
--- a/gradepoint/spool/records.py
+++ b/gradepoint/spool/records.py
@@ -6,13 +6,18 @@
 
 import msgspec
 
+from ..errors import DecodingError
 from ..ids import Incarnation, ItemId, JobId, OrganisationName
 from ..jobs.records import Item, JobState
+from ..util import decoding
 
 Limit = tuple[str, OrganisationName | None]
 """Route and organisation whose limit of waiting tokens a job counts against."""
 
 
+decode_item = decoding.make_msgpack_decoder(Item)
+
+
 class SpooledJob(msgspec.Struct, frozen=True, array_like=True):
     """A job with its items, as it will be created in the key-value service."""
 
@@ -68,9 +73,9 @@
 def split_request(raw: bytes | bytearray) -> tuple[memoryview, int]:
     """Return the encoded job of a :class:`SpoolRequest`, and its *max_tokens_per_host*.
 
-    :raises msgspec.DecodeError: the request cannot be decoded.
+    :raises DecodingError: the request cannot be decoded.
     """
-    request = msgspec.msgpack.decode(raw, type=_RawRequest)
+    request = decoding.decode_msgpack(raw, _RawRequest)
     return memoryview(request.job), request.max_tokens_per_host
 
 
@@ -80,15 +85,14 @@
     Its items are decoded one at a time, since decoded items take more memory than encoded ones.
 
     :param max_state_bytes: most bytes of the job's state.
-    :raises msgspec.DecodeError: it cannot be decoded, or its state is larger.
+    :raises DecodingError: it cannot be decoded, or its state is larger.
     """
-    job = msgspec.msgpack.decode(raw, type=_RawJob)
+    job = decoding.decode_msgpack(raw, _RawJob)
     if len(memoryview(job.state)) > max_state_bytes:
-        raise msgspec.DecodeError(f"state of more than {max_state_bytes} bytes")
-    state = msgspec.msgpack.decode(job.state, type=JobState)
-    item_decoder = msgspec.msgpack.Decoder(Item)
+        raise DecodingError(f"state of more than {max_state_bytes} bytes")
+    state = decoding.decode_msgpack(job.state, JobState)
     for item in job.items:
-        item_decoder.decode(item)
+        decode_item(item)
     limit = (sys.intern(state.route), state.organisation)
     return JobOutline(job.id, sum(state.item_tokens), limit, len(job.items))
 
@@ -96,10 +100,10 @@
 def read_owner(raw: bytes | memoryview) -> Incarnation:
     """Return the host that accepted an encoded job.
 
-    :raises msgspec.DecodeError: the job cannot be decoded.
+    :raises DecodingError: the job cannot be decoded.
     """
-    job = msgspec.msgpack.decode(raw, type=_RawJob)
-    return msgspec.msgpack.decode(job.state, type=JobState).owner
+    job = decoding.decode_msgpack(raw, _RawJob)
+    return decoding.decode_msgpack(job.state, JobState).owner
 
 
 def encode_job(job: SpooledJob) -> bytes:
@@ -110,6 +114,6 @@
 def decode_job(raw: bytes) -> SpooledJob:
     """Decode a job from the content of its file.
 
-    :raises msgspec.DecodeError: the file is incomplete or was written by another version.
+    :raises DecodingError: the file is incomplete or was written by another version.
     """
-    return msgspec.msgpack.decode(raw, type=SpooledJob)
+    return decoding.decode_msgpack(raw, SpooledJob)
--- a/gradepoint/standins/engine.py
+++ b/gradepoint/standins/engine.py
@@ -21,6 +21,7 @@
 
 import msgspec
 
+from ..util import decoding
 from ..util.clock import monotonic, wall_seconds
 from ..util.hashing import sha256_hex
 from ..util.tasks import TaskGroup
@@ -222,7 +223,7 @@
         body = await request.read_body()
         path = request.path
         if path == "/_faults":
-            self.faults = msgspec.json.decode(body, type=EngineFaults)
+            self.faults = decoding.decode_json(body, EngineFaults)
             return json_response({})
         if path == "/_ran":
             return json_response(self.ran)
@@ -230,7 +231,7 @@
             await asyncio.sleep(3600)
         if path in COMPLETION_PATHS:
             return await self._complete(
-                msgspec.json.decode(body), path.endswith("chat/completions")
+                decoding.decode_json(body), path.endswith("chat/completions")
             )
         if path.startswith("/v1/streams/"):
             return self._handle_stream_request(request, path.rsplit("/", 1)[1])
@@ -242,11 +243,11 @@
         if path == "/state":
             return json_response(self.state())
         if path == "/orders":
-            return await self._execute_order(msgspec.json.decode(body))
+            return await self._execute_order(decoding.decode_json(body))
         if path == "/kv/export":
-            return self._export(msgspec.json.decode(body))
+            return self._export(decoding.decode_json(body))
         if path == "/kv/import":
-            blob = msgspec.json.decode(body)
+            blob = decoding.decode_json(body)
             self.imported[blob["prompt_hash"]] = blob
             return json_response({"imported": True})
         return json_response({"error": {"message": "no such path"}}, 404, headers=NOT_RUN)
--- a/gradepoint/standins/kv.py
+++ b/gradepoint/standins/kv.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from ..util import decoding
 from ..util.clock import monotonic
 from ..wire.http_server import HttpServer, ServerLimits
 from ..wire.http_types import Response, json_response
@@ -69,7 +70,7 @@
         """Handle one call of the etcd HTTP/JSON gateway API."""
         body = await request.read_body()
         if request.path == "/_faults":
-            self.faults = msgspec.json.decode(body, type=KvFaults)
+            self.faults = decoding.decode_json(body, KvFaults)
             return json_response({})
         if request.path == "/_calls":
             return json_response(
@@ -86,7 +87,7 @@
         self.bytes_in += len(body)
         self.calls[request.path] = self.calls.get(request.path, 0) + 1
         self._expire_leases()
-        call = msgspec.json.decode(body)
+        call = decoding.decode_json(body)
         if request.path == "/v3/watch":
             return Response(200, stream=self._watch(call["create_request"]))
         answer = self._dispatch(request.path, call)
--- a/gradepoint/standins/services.py
+++ b/gradepoint/standins/services.py
@@ -5,8 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-import msgspec
-
+from ..util import decoding
 from ..util.clock import monotonic
 from ..wire.http_server import HttpServer
 from ..wire.http_types import Response, json_response
@@ -77,7 +76,7 @@
         """Run and count one call."""
         body = await request.read_body()
         if request.path == "/_faults":
-            faults = msgspec.json.decode(body)
+            faults = decoding.decode_json(body)
             self.lose_answers = faults.get("lose_answers", 0)
             self.delay_s = faults.get("delay_s", 0.0)
             return json_response({})
--- a/gradepoint/standins/tier.py
+++ b/gradepoint/standins/tier.py
@@ -25,6 +25,7 @@
 from ..online.entry import EntryApp
 from ..settings import Settings
 from ..store.app import StoreApp
+from ..util import decoding
 from ..wire.http_client import HttpClient
 from .engine import EngineStandin
 from .kv import KvStandin
@@ -174,7 +175,7 @@
             msgspec.json.encode(document),
             {"authorization": f"Bearer {LOCAL_OPERATOR_KEY}"},
         )
-        body = msgspec.json.decode(await answer.read())
+        body = decoding.decode_json(await answer.read())
         http.close()
         if answer.status != 200:
             raise RuntimeError(f"apply failed: {body}")
--- a/gradepoint/telemetry/timeline.py
+++ b/gradepoint/telemetry/timeline.py
@@ -10,9 +10,9 @@
 from datetime import datetime, timedelta
 from typing import TYPE_CHECKING, Any
 
-import msgspec
-
+from ..errors import DecodingError
 from ..events import CATALOGUE
+from ..util import decoding
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -226,8 +226,8 @@
     if start < 0:
         return None
     try:
-        row = msgspec.json.decode(text[start:].strip())
-    except msgspec.DecodeError:
+        row = decoding.decode_json(text[start:].strip().encode())
+    except DecodingError:
         return None
     if not isinstance(row, dict) or "event_name" not in row:
         return None
--- a/gradepoint/wire/http_types.py
+++ b/gradepoint/wire/http_types.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from ..errors import GradepointError, Outcome
+from ..errors import DecodingError, GradepointError, Outcome
+from ..util import decoding
 from ..util.structs import Struct, field
 
 if TYPE_CHECKING:
@@ -112,8 +113,8 @@
     :raises GradepointError: ``bad_json``.
     """
     try:
-        return msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return decoding.decode_json(body)
+    except DecodingError as error:
         raise GradepointError("bad_json", f"The body is not valid JSON: {error}.") from error
 
 
--- a/gradepoint/wire/push.py
+++ b/gradepoint/wire/push.py
@@ -10,6 +10,8 @@
 import msgspec
 import zmq
 
+from ..errors import DecodingError
+from ..util import decoding
 from ..util.tasks import TaskGroup
 from .rpc import bind, context
 
@@ -28,7 +30,7 @@
     """
 
     def __init__(self, message_type: Any, receive: Callable[[Any], None]) -> None:
-        self.decoder = msgspec.msgpack.Decoder(message_type)
+        self.decode = decoding.make_msgpack_decoder(message_type)
         self.receive = receive
         self.tasks = TaskGroup()
         self.socket = context().socket(zmq.PULL)
@@ -47,8 +49,8 @@
         while True:
             raw = await self.socket.recv()
             try:
-                message = self.decoder.decode(raw)
-            except msgspec.MsgspecError:
+                message = self.decode(raw)
+            except DecodingError:
                 continue
             self.receive(message)
 
--- a/gradepoint/wire/rpc.py
+++ b/gradepoint/wire/rpc.py
@@ -16,6 +16,8 @@
 import zmq
 import zmq.asyncio
 
+from ..errors import DecodingError
+from ..util import decoding
 from ..util.tasks import TaskGroup
 
 if TYPE_CHECKING:
@@ -79,7 +81,7 @@
     """
 
     def __init__(self, message_type: Any, handler: Handler) -> None:
-        self.decoder = msgspec.msgpack.Decoder(message_type)
+        self.decode = decoding.make_msgpack_decoder(message_type)
         self.handler = handler
         self.tasks = TaskGroup()
         self.request_slots = asyncio.Semaphore(MAX_CONCURRENT_REQUESTS)
@@ -107,8 +109,8 @@
     async def _answer(self, peer: bytes, request_id: bytes, raw: bytes, data: bytes) -> None:
         self.bytes_received += len(raw) + len(data)
         try:
-            reply, reply_data = await self.handler(self.decoder.decode(raw), data)
-        except msgspec.MsgspecError as error:
+            reply, reply_data = await self.handler(self.decode(raw), data)
+        except DecodingError as error:
             reply, reply_data = Failed(f"message not understood: {error}"), b""
         except Exception as error:
             reply, reply_data = Failed(repr(error)), b""
@@ -133,7 +135,7 @@
 
     def __init__(self, address: str, port: int, reply_type: Any) -> None:
         self.name = f"{address}:{port}"
-        self.decoder = msgspec.msgpack.Decoder(reply_type | Failed)
+        self.decode = decoding.make_msgpack_decoder(reply_type | Failed)
         self.ids = itertools.count(1)
         self.pending: dict[bytes, asyncio.Future[Reply]] = {}
         self.socket = context().socket(zmq.DEALER)
@@ -181,8 +183,8 @@
             if future is None or future.done():
                 continue
             try:
-                future.set_result((self.decoder.decode(raw), data))
-            except msgspec.MsgspecError as error:
+                future.set_result((self.decode(raw), data))
+            except DecodingError as error:
                 future.set_exception(RpcError(f"{self.name}: bad reply: {error}"))
 
     def close(self) -> None:
--- a/gradepoint/wire/target_client.py
+++ b/gradepoint/wire/target_client.py
@@ -6,9 +6,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-import msgspec
-
-from ..errors import TargetFailure
+from ..errors import DecodingError, TargetFailure
+from ..util import decoding
 from . import sse
 from .http_client import BodyFraming, ClientResponse, ConnectFailed, HttpClient, ResponseBroken
 from .http_types import EVENT_STREAM_TYPE, JSON_TYPE
@@ -182,8 +181,8 @@
     if content_type != JSON_TYPE:
         return False
     try:
-        msgspec.json.decode(answer.body)
-    except msgspec.DecodeError:
+        decoding.decode_json(answer.body)
+    except DecodingError:
         return True
     return False
 
--- /dev/null
+++ b/tests/test_gateway/test_gateway_foreign_entries.py
@@ -0,0 +1,128 @@
+"""Entries of another writer in the key-value service cost themselves only, also after a restart."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from bench.platform.target import TargetStandin
+from gradepoint.ids import HostName, Incarnation
+from gradepoint.peers.presence import HostPresence
+from tests.support.platform import Deployment, configuration, run_in_virtual_time
+
+DEPTHS = (1100, 5000, 300_000)
+"""Nesting that exceeds the interpreter's limit; the last is near the size of the largest value."""
+
+
+def nest(depth: int, opening: bytes = b"[", closing: bytes = b"]") -> bytes:
+    """Return a JSON text of nested arrays, or of objects that are the member ``a`` of the next."""
+    return opening * depth + (b"1" if opening.endswith(b":") else b"") + closing * depth
+
+
+def add_field(entry: bytes, value: bytes, *, first: bool = False) -> bytes:
+    """Return an encoded JSON object with an unknown field before or after its own."""
+    if first:
+        return b'{"other":' + value + b"," + entry[1:]
+    return entry[:-1] + b',"other":' + value + b"}"
+
+
+def make_nested_values(entry: bytes) -> dict[str, bytes]:
+    """Return values with deep nesting, by name; most have all fields of *entry*, too."""
+    values = {}
+    for depth in DEPTHS:
+        values[f"lists-{depth}"] = add_field(entry, nest(depth))
+        values[f"objects-{depth}"] = add_field(entry, nest(depth // 3, b'{"a":', b"}"))
+        values[f"first-{depth}"] = add_field(entry, nest(depth), first=True)
+        values[f"unclosed-{depth}"] = entry[:-1] + b',"other":' + b"[" * depth
+        values[f"only-{depth}"] = nest(depth)
+    return values
+
+
+async def restart_all(deployment: Deployment) -> None:
+    """Kill all gateways in the same moment, and start as many again."""
+    hosts = [gateway.settings.host for gateway in deployment.gateways]
+    for gateway in list(deployment.gateways):
+        await deployment.kill(gateway)
+    for host in hosts:
+        await deployment.add_gateway(host)
+
+
+async def check_targets_run(deployment: Deployment, targets: list[TargetStandin]) -> None:
+    """Check that all gateways serve calls, and that each of the targets runs some."""
+    for gateway in range(len(deployment.gateways)):
+        for _ in range(6):
+            assert (await deployment.call("/plain/a", gateway=gateway)).status == 200
+    assert all(target.ran for target in targets)
+
+
+def test_nested_entry_in_the_list_of_targets_hides_no_other_target() -> None:
+    # The rows behind the entry were never read: no call was served after a restart of all hosts.
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2, targets=3)
+        for name, value in make_nested_values(deployment.targets[0].entry()).items():
+            deployment.store.put(f"servers/{name}", value)
+        await restart_all(deployment)
+        await check_targets_run(deployment, deployment.targets)
+
+    run_in_virtual_time(work)
+
+
+def test_nested_value_over_the_entry_of_a_target_hides_no_other_target() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2, targets=3)
+        lost, *others = deployment.targets
+        deployment.store.put(f"servers/{lost.name}", add_field(lost.entry(), nest(5000)))
+        await restart_all(deployment)
+        await check_targets_run(deployment, others)
+
+    run_in_virtual_time(work)
+
+
+def test_nested_entry_stops_no_later_change_of_the_list_of_targets() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2, targets=1)
+        old = deployment.targets[0]
+        for name, value in make_nested_values(old.entry()).items():
+            deployment.store.put(f"servers/{name}", value)
+        await deployment.add_target(type(old)("new"))
+        deployment.store.delete(f"servers/{old.name}")
+        await deployment.wait_until_all_heard()
+        for gateway in range(2):
+            assert (await deployment.call("/plain/a", gateway=gateway)).status == 200
+        assert deployment.targets[1].ran
+
+    run_in_virtual_time(work)
+
+
+def test_nested_configuration_is_replaced_by_the_next_sound_one() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2, targets=1)
+        deployment.store.put("op/config", add_field(configuration(2), nest(5000)))
+        await deployment.wait_until_all_heard()
+        assert (await deployment.call("/plain/a")).status == 200
+        await deployment.configure(3, None)
+        assert (await deployment.call("/plain/a")).status == 200
+
+    run_in_virtual_time(work)
+
+
+@pytest.mark.parametrize(
+    "prefix", ["gp/live/host/", "gp/live/data/", "gp/live/known-data/", "gp/live/held/"]
+)
+def test_nested_entry_among_live_hosts_hides_no_other_row(prefix: str) -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2, targets=1)
+        row = msgspec.json.encode(
+            HostPresence(HostName("a"), Incarnation("a:1"), "zone-a", "127.0.0.1:9")
+        )
+        deployment.store.put(f"{prefix}{'0' * 16}", add_field(row, nest(5000)))
+        deployment.store.put("gp/live/versions", nest(5000))
+        deployment.store.put("gp/live/known-data/a", row)
+        await restart_all(deployment)
+        for gateway in deployment.gateways:
+            assert set(gateway.hosts.hosts) == {"host-0", "host-1"}
+            assert set(gateway.data_hosts.known) == {"a"}
+        assert (await deployment.submit("job", 3)).status == 202
+        assert len(await deployment.read_all_results("job", gateway=1)) == 3
+
+    run_in_virtual_time(work)
--- a/tests/test_platform/test_platform_targets.py
+++ b/tests/test_platform/test_platform_targets.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from gradepoint.errors import DecodingError
 from gradepoint.gateway.targets import ListedState
 from gradepoint.platform.targets import TARGETS_PREFIX, decode_target
 
@@ -51,7 +52,7 @@
 @pytest.mark.parametrize("missing", sorted(set(ENTRY) - {"born"}))
 def test_entry_without_a_required_field_is_rejected(missing: str) -> None:
     entry = {name: value for name, value in ENTRY.items() if name != missing}
-    with pytest.raises(msgspec.DecodeError):
+    with pytest.raises(DecodingError):
         decode_target(KEY, msgspec.json.encode(entry))
 
 
@@ -79,11 +80,11 @@
     ],
 )
 def test_entry_with_an_invalid_field_is_rejected(changes: dict[str, Any]) -> None:
-    with pytest.raises(msgspec.DecodeError):
+    with pytest.raises(DecodingError):
         decode_target(KEY, encode(**changes))
 
 
 @given(st.binary(max_size=64) | st.builds(lambda cut: encode()[:cut], st.integers(0, 150)))
 def test_any_invalid_bytes_raise_decode_error(raw: bytes) -> None:
-    with pytest.raises(msgspec.DecodeError):
+    with pytest.raises(DecodingError):
         decode_target(KEY, raw)
--- /dev/null
+++ b/tests/test_util/test_util_decoding.py
@@ -0,0 +1,131 @@
+"""Decoding of bytes from outside: one kind of error, and one bound of nesting on every host."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gradepoint.errors import DecodingError
+from gradepoint.util import decoding
+from gradepoint.util.decoding import MAX_NESTING
+
+PACKAGE = Path(decoding.__file__).resolve().parents[1]
+DECODER = re.compile(
+    r"msgspec\.(json|msgpack|yaml|toml)\.(decode|Decoder)|\bjson\.loads?\(|\bpickle\b|\bmarshal\b"
+)
+DECODING_MODULES = ("util/decoding.py", "cmd/gateway.py")
+"""The second one reads an address from its settings before it imports any library, and takes each
+exception for settings that are checked later."""
+STACK_DEPTHS = (0, 300, 600)
+"""Frames on the interpreter's stack; its limit is 1,000."""
+TOO_DEEP = (MAX_NESTING + 1, 900, 1100, 300_000)
+
+
+class Row(msgspec.Struct):
+    """Record of which an encoding may have further fields."""
+
+    name: str
+
+
+class ShortRow(msgspec.Struct, array_like=True):
+    """Record of which an encoding may have further elements."""
+
+    name: str
+
+
+MSGPACK_DECODERS = [
+    partial(decoding.decode_msgpack, kind=ShortRow),
+    decoding.make_msgpack_decoder(ShortRow),
+]
+
+
+def call_below(frames: int, work: Callable[[], Any]) -> Any:
+    """Call *work* with so many more frames on the stack."""
+    return call_below(frames - 1, work) if frames else work()
+
+
+def nest_msgpack(depth: int) -> bytes:
+    """Return the encoding of a record with a further element, nested *depth* levels with itself."""
+    return b"\x92\xa1a" + b"\x91" * (depth - 1) + b"\x01"
+
+
+def nest_json(depth: int, opening: str, closing: str) -> bytes:
+    """Return a record with a further field, nested *depth* levels with itself."""
+    inner = opening * (depth - 1) + "1" + closing * (depth - 1)
+    return f'{{"name":"a","other":{inner}}}'.encode()
+
+
+def fails(work: Callable[[], Any]) -> bool:
+    """Return whether decoding fails."""
+    try:
+        work()
+    except DecodingError:
+        return True
+    return False
+
+
+@pytest.mark.parametrize(("opening", "closing"), [("[", "]"), ('{"x":', "}"), ('[{"x":', "}]")])
+def test_json_has_one_bound_of_nesting_at_each_stack_depth(opening: str, closing: str) -> None:
+    # The decoder's own limit depends on the interpreter's stack.
+    step = opening.count("[") + opening.count("{")
+    for depth in (MAX_NESTING, *TOO_DEEP):
+        raw = nest_json((depth - 1) // step + 1, opening, closing)
+        actual = ((depth - 1) // step) * step + 1
+        for frames in STACK_DEPTHS:
+            found = call_below(frames, partial(fails, partial(decoding.decode_json, raw, Row)))
+            assert found == (actual > MAX_NESTING), (depth, frames)
+
+
+@pytest.mark.parametrize("decode", MSGPACK_DECODERS)
+def test_msgpack_has_one_bound_of_nesting_at_each_stack_depth(
+    decode: Callable[[bytes], ShortRow],
+) -> None:
+    for depth in (MAX_NESTING, *TOO_DEEP):
+        raw = nest_msgpack(depth)
+        for frames in STACK_DEPTHS:
+            found = call_below(frames, partial(fails, partial(decode, raw)))
+            assert found == (depth > MAX_NESTING), (depth, frames)
+
+
+def test_brackets_in_texts_are_no_nesting() -> None:
+    text = '[{"\\' * 1000
+    raw = msgspec.json.encode([Row(text)] * 3)
+    assert decoding.decode_json(raw, list[Row]) == [Row(text)] * 3
+
+
+def test_many_rows_side_by_side_are_no_nesting() -> None:
+    rows = [ShortRow(str(number)) for number in range(2000)]
+    assert decoding.decode_msgpack(msgspec.msgpack.encode(rows), list[ShortRow]) == rows
+    further = msgspec.msgpack.encode([[row.name, {"x": [1]}] for row in rows])
+    assert decoding.decode_msgpack(further, list[ShortRow]) == rows
+    assert len(decoding.decode_json(msgspec.json.encode([[1]] * 2000))) == 2000
+
+
+@given(st.binary(max_size=200) | st.text(max_size=50).map(str.encode))
+def test_no_bytes_raise_another_error(raw: bytes) -> None:
+    for kind in (Any, Row, list[Row], dict[int, ShortRow]):
+        for decode in (decoding.decode_json, decoding.decode_msgpack):
+            try:
+                decode(raw, kind)
+            except DecodingError:
+                continue
+
+
+def test_no_other_module_calls_a_decoder() -> None:
+    # Readers that did not expect one of a decoder's errors lost all rows behind a foreign one.
+    found = [
+        f"{path.relative_to(PACKAGE)}:{number}: {line.strip()}"
+        for path in sorted(PACKAGE.rglob("*.py"))
+        if path.relative_to(PACKAGE).as_posix() not in DECODING_MODULES
+        for number, line in enumerate(path.read_text().splitlines(), 1)
+        if DECODER.search(line)
+    ]
+    assert not found
