--- a/bench/owed_work.py
+++ b/bench/owed_work.py
@@ -1,11 +1,11 @@
 """Measures how calls are served while the fleet owes much batch work, and after all hosts restart.
 
-``python -m bench.owed_work [--jobs N] [--items N] [--kill] [--store-rate READS WRITES] ...``
+``python -m bench.owed_work [--jobs N] [--kill] [--entry PREFIX KIND COUNT BYTES] ...``
 
 Jobs are accepted while the store answers 503, and entered once it is back. Callers of another
 route, whose targets are idle, send calls all the time. Each row is a second after the store's
 return: calls sent and served, resets, the processor time of the busiest gateway as a share of a
-core, and the jobs that the store has.
+core, and the jobs that the store has and those that are done.
 """
 
 from __future__ import annotations
@@ -22,11 +22,15 @@
 
 import msgspec
 
+from gradepoint.errors import KvUnreadable
+from gradepoint.ids import Incarnation, ItemId
+from gradepoint.jobs.records import JobState, Quota, decode_state, encode_state, quota_key
 from gradepoint.util.clock import monotonic
 from gradepoint.util.tasks import TaskGroup
 from gradepoint.wire.http_client import ConnectFailed, HttpClient, ResponseBroken
 
 from .endless_answers import HOST, make_route
+from .foreign_values import KINDS
 from .platform.store import PlatformStoreStandin as StoreStandin
 from .platform.store import RateLimit, StoreFault
 from .platform.target import TargetStandin, plain_response
@@ -43,6 +47,7 @@
 ITEM_TOKENS = 1
 ITEM_BODY = b"item"
 JOB_PREFIX = "gp/job/"
+OBSERVATION_INTERVAL_S = 0.1
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 
 
@@ -69,6 +74,7 @@
         self.outcomes: Counter[tuple[int, str]] = Counter()
         self.busiest: dict[int, float] = {}
         self.entered: dict[int, int] = {}
+        self.done: dict[int, int] = {}
         self.started_at = monotonic()
 
     @property
@@ -214,12 +220,27 @@
         """Note the processor time of the busiest gateway and the entered jobs each second."""
         used = {gateway.name: self._processor_s(gateway) for gateway in self.gateways}
         while True:
-            await asyncio.sleep(1.0)
+            await asyncio.sleep(OBSERVATION_INTERVAL_S)
+            for program in self.programs:
+                program.observe()
+            if self.second - 1 in self.busiest:
+                continue
             now = {gateway.name: self._processor_s(gateway) for gateway in self.gateways}
             self.busiest[self.second - 1] = max(now[name] - used[name] for name in now)
             used = now
-            keys = self.store.keys.keys
-            self.entered[self.second - 1] = sum(key.startswith(JOB_PREFIX) for key in keys)
+            states = [self._read_state(key) for key in self.store.keys.keys]
+            found = [state for state in states if state is not None]
+            self.entered[self.second - 1] = len(found)
+            self.done[self.second - 1] = sum(state.done for state in found)
+
+    def _read_state(self, key: str) -> JobState | None:
+        """Return the state of a job; None for other keys and for entries of another writer."""
+        if not key.startswith(JOB_PREFIX):
+            return None
+        try:
+            return decode_state(self.store.read(key) or b"")
+        except (KvUnreadable, RecursionError):
+            return None
 
     def _processor_s(self, gateway: GatewayProcess) -> float:
         try:
@@ -229,6 +250,20 @@
         user, system = text.rpartition(")")[2].split()[11:13]
         return (int(user) + int(system)) / CLOCK_TICKS
 
+    def _put_entries(self) -> None:
+        """Write the entries of another writer that the command line asks for."""
+        state = JobState("night", HOST, Incarnation("other:1"), 1, [ItemId("item")], [ITEM_TOKENS])
+        sound_values = {
+            "servers/": self.targets[0].entry(),
+            JOB_PREFIX: encode_state(state),
+            quota_key("night"): msgspec.msgpack.encode(Quota(0)),
+        }
+        for prefix, kind, count, size in self.arguments.entry:
+            sound = sound_values.get(prefix, b"")
+            for number in range(int(count)):
+                value = KINDS[kind](sound, self.rng, int(size))
+                self.store.put(f"{prefix}other-{number}" if prefix.endswith("/") else prefix, value)
+
     async def run(self) -> bool:
         """Run the trouble and the calls; return whether calls were served soon enough."""
         arguments = self.arguments
@@ -244,6 +279,7 @@
         await asyncio.sleep(arguments.before_s)
         if arguments.store_away:
             self.store.fault = StoreFault.BUSY
+        self._put_entries()
         if arguments.kill:
             for program in self.programs:
                 program.kill_and_wait()
@@ -272,12 +308,14 @@
                 late.append(second)
             print(
                 f"second {second}: {served} of {sent} served ({share:.2f}), {other}, busiest "
-                f"{self.busiest.get(second, 0.0):.2f} of a core, {self.entered.get(second, 0)} jobs"
+                f"{self.busiest.get(second, 0.0):.2f} of a core, {self.entered.get(second, 0)} "
+                f"jobs, {self.done.get(second, 0)} done"
             )
         print("store calls:", dict(sorted(calls.items())))
         print("log events:", self._count_events())
         for program in self.programs:
             program.observe()
+            print(f"{program.name}: at most {program.peak_memory_mb:.0f} MB")
             for row in program.violations:
                 print("ended:", row)
         print(f"below {MIN_SERVED_SHARE} from second {SETTLE_S:.0f} on: {late or 'never'}")
@@ -332,6 +370,14 @@
     parser.add_argument("--down-s", type=float, default=0.0, help="seconds until they start again")
     parser.add_argument("--store-away", action="store_true", help="the store does not return")
     parser.add_argument("--store-rate", type=float, nargs=2, metavar=("READS", "WRITES"))
+    parser.add_argument(
+        "--entry",
+        nargs=4,
+        action="append",
+        default=[],
+        metavar=("PREFIX", "KIND", "COUNT", "BYTES"),
+        help=f"entries of another writer before the kill; kinds: {', '.join(KINDS)}",
+    )
     parser.add_argument("--folder", type=Path, help="folder of the logs; kept")
     arguments = parser.parse_args()
     if arguments.folder is not None:
