--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -384,6 +384,12 @@
     "ERROR",
     "An organisation's record cannot be decoded; its calls are refused.",
 )
+ROW_FAILED = _declare(
+    530,
+    "row_failed",
+    "ERROR",
+    "A row of the key-value service raised an exception; the row is not used. Report it.",
+)
 HOST_UNREADABLE = _declare(
     523, "host_unreadable", "ERROR", "A host's record cannot be decoded; the host is not listed."
 )
--- a/gradepoint/gateway/followers.py
+++ b/gradepoint/gateway/followers.py
@@ -9,6 +9,7 @@
 
 from .. import events
 from ..errors import DecodingError
+from ..kv.unreadable import UnreadableRows
 from ..peers.presence import KNOWN_DATA_HOST_PREFIX, read_host
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
@@ -69,22 +70,26 @@
     :param config_key: key of the configuration.
     :param read_retired: returns the data host that a key orders to retire, or None for other keys.
     :param on_retire: called with each such order and its revision, each time it is read.
+    :ivar unreadable: rows that cannot be used.
     """
 
     configuration: ActiveConfiguration
     config_key: str
     read_retired: Callable[[str], HostName | None]
     on_retire: Callable[[HostName, int], None]
+    unreadable: UnreadableRows = field(default_factory=UnreadableRows)
 
     def reset(self, found: RangeResult) -> None:
         """See :meth:`Follower.reset`."""
         for item in found.items:
-            self._apply(item.key, item.value, item.revision, "read")
+            with self.unreadable.isolate(item.key):
+                self._apply(item.key, item.value, item.revision, "read")
 
     def change(self, event: WatchEvent) -> None:
         """See :meth:`Follower.change`."""
         if event.value is not None:
-            self._apply(event.key, event.value, event.revision, "watch")
+            with self.unreadable.isolate(event.key):
+                self._apply(event.key, event.value, event.revision, "watch")
 
     def _apply(self, key: str, value: bytes, revision: int, source: str) -> None:
         if key == self.config_key:
@@ -100,12 +105,14 @@
     :param decode: decodes the row of a key.
     :param read_name: returns the name of the target in a key.
     :ivar loaded: whether the list has been read at least once.
+    :ivar unreadable: rows that cannot be used.
     """
 
     targets: TargetSet
     decode: Callable[[str, bytes], ListedTarget]
     read_name: Callable[[str], TargetName]
     loaded: bool = False
+    unreadable: UnreadableRows = field(default_factory=UnreadableRows)
 
     def reset(self, found: RangeResult) -> None:
         """See :meth:`Follower.reset`."""
@@ -120,6 +127,7 @@
     def change(self, event: WatchEvent) -> None:
         """See :meth:`Follower.change`."""
         if event.value is None:
+            self.unreadable.clear(event.key)
             self.targets.mark_vanished(self.read_name(event.key), monotonic())
             return
         row = self._decode(event.key, event.value)
@@ -129,11 +137,15 @@
             self.targets.add(row, monotonic())
 
     def _decode(self, key: str, value: bytes) -> ListedTarget | None:
-        try:
-            return self.decode(key, value)
-        except DecodingError as error:
-            emit(events.TARGET_UNREADABLE, key=key, reason=str(error))
-            return None
+        with self.unreadable.isolate(key):
+            try:
+                row = self.decode(key, value)
+            except DecodingError as error:
+                self.unreadable.note(events.TARGET_UNREADABLE, key, str(error))
+            else:
+                self.unreadable.clear(key)
+                return row
+        return None
 
 
 class LiveFollower(Struct):
@@ -153,6 +165,7 @@
     :param on_versions: called with this record, None if it is deleted.
     :ivar listed_keys: keys that were listed, to notice in :meth:`reset` which are gone.
     :ivar was_read: whether the keys have been read at least once.
+    :ivar unreadable: rows that cannot be used.
     """
 
     own: Incarnation
@@ -167,21 +180,23 @@
     on_versions: Callable[[bytes | None], None]
     listed_keys: set[str] = field(default_factory=set)
     was_read: bool = False
+    unreadable: UnreadableRows = field(default_factory=UnreadableRows)
 
     def reset(self, found: RangeResult) -> None:
         """See :meth:`Follower.reset`."""
         listed = {item.key: item.value for item in found.items}
-        for key in self.listed_keys - set(listed):
-            self._apply(key, None)
-        for key, value in listed.items():
-            self._apply(key, value)
+        changes = [*((key, None) for key in self.listed_keys - set(listed)), *listed.items()]
+        for key, value in changes:
+            with self.unreadable.isolate(key):
+                self._apply(key, value)
         if not self.was_read:
             self.was_read = True
             self._report_former_run()
 
     def change(self, event: WatchEvent) -> None:
         """See :meth:`Follower.change`."""
-        self._apply(event.key, event.value)
+        with self.unreadable.isolate(event.key):
+            self._apply(event.key, event.value)
 
     def _report_former_run(self) -> None:
         """Log if the list names a former incarnation of this host; a planned stop removes it."""
--- a/gradepoint/kv/view.py
+++ b/gradepoint/kv/view.py
@@ -49,6 +49,8 @@
     :ivar items: the keys as last known.
     :ivar recent: the last changes, oldest first.
     :ivar recent_start_revision: *recent* holds every change after this revision.
+    :ivar is_applied: whether *inner* has received all that is known. It raised an exception
+        otherwise, and receives everything with the next read.
     :ivar digest: sum of the hashes of all keys and values, modulo :data:`DIGEST_MODULUS`. Hosts
         with equal digests hold the same keys and values.
     """
@@ -59,6 +61,7 @@
     items: dict[str, KeyValue] = field(default_factory=dict)
     recent: deque[WatchEvent] = field(default_factory=lambda: deque(maxlen=MAX_RECENT_EVENTS))
     recent_start_revision: int = 0
+    is_applied: bool = True
     digest: int = 0
 
     def reset(self, result: RangeResult) -> None:
@@ -73,10 +76,12 @@
             return
         first = not self.revision
         self.last_full_read_revision = max(self.last_full_read_revision, result.revision)
-        if self._replace_items(result) or first:
+        if self._replace_items(result) or first or not self.is_applied:
+            self.is_applied = False
             self.recent.clear()
             self.revision = self.recent_start_revision = result.revision
             self.inner.reset(result)
+            self.is_applied = True
 
     def _replace_items(self, result: RangeResult) -> bool:
         """Replace the copy by *result*; return whether any key or value differs."""
@@ -112,7 +117,7 @@
         """See :meth:`Follower.change`; a change that is already known is ignored."""
         known_revision = self.known_revision
         if event.revision < known_revision or (
-            event.revision == known_revision and self._is_applied(event)
+            event.revision == known_revision and self._contains(event)
         ):
             return
         if len(self.recent) == MAX_RECENT_EVENTS:
@@ -121,9 +126,11 @@
         self.revision = event.revision
         item = None if event.value is None else KeyValue(event.key, event.value, event.revision)
         self._set_item(event.key, item)
+        applied, self.is_applied = self.is_applied, False
         self.inner.change(event)
+        self.is_applied = applied
 
-    def _is_applied(self, event: WatchEvent) -> bool:
+    def _contains(self, event: WatchEvent) -> bool:
         known = self.items.get(event.key)
         if event.value is None:
             return known is None
@@ -146,7 +153,7 @@
 
     def apply_update(self, part: ViewUpdate) -> None:
         """Apply what another host's :meth:`make_update` returned; ignore it unless it is newer."""
-        if part.revision <= self.revision:
+        if part.revision <= self.revision and self.is_applied:
             return
         if part.whole:
             self.reset(RangeResult(tuple(part.items), part.revision))
--- a/gradepoint/peers/watchers.py
+++ b/gradepoint/peers/watchers.py
@@ -418,7 +418,8 @@
     async def _watch(self, name: str) -> None:
         view = self.views[name]
         heard = EventNotifier(view, lambda: self.event_at.update({name: monotonic()}))
-        await follow(self.kv, self.prefixes[name], heard, view.known_revision)
+        known_revision = view.known_revision if view.is_applied else 0
+        await follow(self.kv, self.prefixes[name], heard, known_revision)
 
     def _find_silent_watches(self) -> list[str]:
         """Return the views whose watch on this host delivered nothing although there was a change.
--- a/gradepoint/telemetry/metrics.py
+++ b/gradepoint/telemetry/metrics.py
@@ -155,6 +155,9 @@
         self.kv_calls = BufferedCounter("gradepoint_kv_calls", "By kind")
         self.kv_failures = BufferedCounter("gradepoint_kv_failures", "By kind")
         self.kv_rejections = BufferedCounter("gradepoint_kv_rejections", "By kind")
+        self.unreadable_rows = BufferedCounter(
+            "gradepoint_unreadable_rows", "Reads of rows that cannot be used, by event"
+        )
         self.items = BufferedCounter("gradepoint_batch_items", "By result")
         self.commits = BufferedCounter("gradepoint_batch_commits", "By result")
         self.objects = BufferedCounter("gradepoint_objects", "By operation")
--- a/tests/test_kv/test_kv_view.py
+++ b/tests/test_kv/test_kv_view.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from gradepoint.kv.service import KeyValue, RangeResult, WatchEvent
 from gradepoint.kv.view import PrefixView
 from tests.support.views import ValuesFollower
@@ -64,3 +66,62 @@
     assert part is not None and part.whole
     receiver.apply_update(part)
     assert sender.make_update(receiver.revision) is None
+
+
+class FailingFollower(ValuesFollower):
+    """A follower that raises an exception as long as it is told to."""
+
+    failing = False
+
+    def reset(self, found: RangeResult) -> None:
+        """See :meth:`Follower.reset`."""
+        if self.failing:
+            raise ZeroDivisionError
+        super().reset(found)
+
+    def change(self, event: WatchEvent) -> None:
+        """See :meth:`Follower.change`."""
+        if self.failing:
+            raise ZeroDivisionError
+        super().change(event)
+
+
+def test_read_that_the_follower_failed_to_apply_is_applied_by_the_next_equal_one() -> None:
+    # The view took it for known: the follower never got it, for as long as nothing changed.
+    copy = FailingFollower()
+    view = PrefixView(copy)
+    copy.failing = True
+    with pytest.raises(ZeroDivisionError):
+        view.reset(read(10, a=b"1"))
+    copy.failing = False
+    view.reset(read(10, a=b"1"))
+    assert copy.values == {"a": b"1"}
+    view.reset(read(11, a=b"1"))
+    assert copy.resets == 1
+
+
+def test_change_that_the_follower_failed_to_apply_is_applied_by_the_next_read() -> None:
+    copy = FailingFollower()
+    view = PrefixView(copy)
+    view.reset(read(10, a=b"1"))
+    copy.failing = True
+    with pytest.raises(ZeroDivisionError):
+        view.change(WatchEvent("a", b"2", 11))
+    copy.failing = False
+    view.change(WatchEvent("b", b"3", 12))
+    view.reset(read(12, a=b"2", b=b"3"))
+    assert copy.values == {"a": b"2", "b": b"3"}
+
+
+def test_update_that_the_follower_failed_to_apply_is_applied_when_it_is_fetched_again() -> None:
+    sender, _ = make_view(10, a=b"1")
+    copy = FailingFollower()
+    view = PrefixView(copy)
+    part = sender.make_update(0)
+    assert part is not None
+    copy.failing = True
+    with pytest.raises(ZeroDivisionError):
+        view.apply_update(part)
+    copy.failing = False
+    view.apply_update(part)
+    assert copy.values == {"a": b"1"}
