Take a row of a host only under the key of that host

What callers saw: nothing yet; found in review of what entries of another writer do. A row "gp/live/host/other" that names host-0 and another incarnation made all hosts take host-0 for started anew: its jobs were adopted while it ran them, and items ran twice. The same in the lists of data hosts and their records.

Cause: HostTable goes by the name inside of the value, not by the key.

Change: a row whose key, host and incarnation do not fit together is unreadable.

Fixtures of two tests wrote incarnations of no host, which no program does; their checks are the same.

--- a/gradepoint/peers/presence.py
+++ b/gradepoint/peers/presence.py
@@ -67,12 +67,15 @@
     peer_address: str
 
 
-def decode_presence(value: bytes) -> HostPresence:
-    """Return the host that a presence key or record describes.
+def decode_presence(host: str, value: bytes) -> HostPresence:
+    """Return what a presence key or record says of the host that its key names.
 
-    :raises DecodingError: *value* cannot be decoded or has no valid peer address.
+    :raises DecodingError: *value* cannot be decoded, describes another host or has no valid peer
+        address.
     """
     row = decoding.decode_json(value, HostPresence)
+    if host != row.host or host != read_host(row.incarnation):
+        raise DecodingError(f"describes another host: {row.host!r}, {row.incarnation!r}")
     try:
         split_address(row.peer_address)
     except ValueError as error:
@@ -214,9 +217,9 @@
     def put(self, key: str, value: bytes) -> None:
         """Add or update a host from its key.
 
-        :raises DecodingError: *value* cannot be decoded or has no valid peer address.
+        :raises DecodingError: see :func:`decode_presence`.
         """
-        row = decode_presence(value)
+        row = decode_presence(key.removeprefix(self.prefix), value)
         if self.hosts.get(row.host) != row:
             emit(events.MEMBER_JOINED, member=row.host, incarnation=row.incarnation)
         self.hosts[row.host] = row
@@ -243,7 +246,7 @@
         Reading the same record again does not prolong that.
         """
         try:
-            row = decode_presence(value)
+            row = decode_presence(key.removeprefix(KNOWN_DATA_HOST_PREFIX), value)
         except DecodingError as error:
             emit(events.HOST_UNREADABLE, key=key, reason=str(error))
             return
--- a/tests/test_gateway/test_gateway_foreign_entries.py
+++ b/tests/test_gateway/test_gateway_foreign_entries.py
@@ -126,3 +126,22 @@
         assert len(await deployment.read_all_results("job", gateway=1)) == 3
 
     run_in_virtual_time(work)
+
+
+def test_presence_under_a_name_of_its_own_replaces_no_other_host() -> None:
+    # Every host took the live owner of jobs for replaced, and ran its items again.
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2, targets=1, event_interval_s=0.2)
+        own = deployment.gateways[0].own
+        claimed = HostPresence(own.host, Incarnation(f"{own.host}:0"), "zone-a", "127.0.0.1:9")
+        assert (await deployment.submit("job", 3)).status == 202
+        for prefix in ("gp/live/host/", "gp/live/data/", "gp/live/known-data/"):
+            deployment.store.put(f"{prefix}other", msgspec.json.encode(claimed))
+        rows = await deployment.read_all_results("job", gateway=1)
+        assert [row["state"] for row in rows] == ["complete"] * 3
+        assert max(deployment.targets[0].ran.values()) == 1
+        for gateway in deployment.gateways:
+            assert gateway.hosts.hosts[own.host].incarnation == own.incarnation
+            assert not gateway.data_hosts.known
+
+    run_in_virtual_time(work)
--- a/tests/test_peers/test_peers_first_views.py
+++ b/tests/test_peers/test_peers_first_views.py
@@ -52,7 +52,8 @@
         deployment.store.put(f"servers/idle-{number:04d}", entry)
     gateways = [deployment.make_gateway(f"host-{number}") for number in range(hosts)]
     for gateway in gateways:
-        former = msgspec.structs.replace(gateway.own, incarnation=Incarnation("former:1"))
+        incarnation = Incarnation(f"{gateway.own.host}:former")
+        former = msgspec.structs.replace(gateway.own, incarnation=incarnation)
         deployment.store.put(PRESENCE_PREFIX + gateway.own.host, msgspec.json.encode(former))
     return gateways
 
--- a/tests/test_peers/test_peers_heartbeats.py
+++ b/tests/test_peers/test_peers_heartbeats.py
@@ -167,9 +167,9 @@
 def test_host_table_follows_hosts_and_incarnations() -> None:
     table = HostTable()
     key = PRESENCE_PREFIX + "host"
-    table.put(key, msgspec.json.encode(make_presence("one")))
-    table.put(key, msgspec.json.encode(make_presence("two")))
-    assert table.incarnations == {"two"}
+    table.put(key, msgspec.json.encode(make_presence("host:one")))
+    table.put(key, msgspec.json.encode(make_presence("host:two")))
+    assert table.incarnations == {"host:two"}
     table.remove(key)
     table.remove(key)
     assert not table.hosts
