Measure the nesting of JSON without a regular expression

A page of 3,000 rows of the store (1 MB) took 5.1 ms in place of 0.66 to decode, of which the removal of strings by a regular expression was the most.

--- a/gradepoint/util/decoding.py
+++ b/gradepoint/util/decoding.py
@@ -11,7 +11,6 @@
 
 from __future__ import annotations
 
-import re
 from typing import TYPE_CHECKING, Any, TypeVar, overload
 
 import msgspec
@@ -31,7 +30,6 @@
 FAILURES = (msgspec.MsgspecError, RecursionError, ValueError, OverflowError)
 """Everything that a decoder raises; :class:`ValueError` covers text that is not UTF-8."""
 
-STRING = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"', re.DOTALL)
 TO_ARRAYS = bytes.maketrans(b"{}", b"[]")
 NO_BRACKETS = bytes(set(range(256)) - set(b"[]{}"))
 CONTAINER_HEADERS = bytes([*range(0x80, 0xA0), *range(0xDC, 0xE0)])
@@ -101,7 +99,9 @@
     """Return whether a valid JSON text exceeds :data:`MAX_NESTING`."""
     if raw.count(b"[") + raw.count(b"{") <= MAX_NESTING:
         return False
-    brackets = STRING.sub(b"", raw).translate(TO_ARRAYS, NO_BRACKETS)
+    # Without escaped quotes, every other part between quotes is outside of strings.
+    parts = raw.replace(rb"\\", b"").replace(rb"\"", b"").split(b'"')
+    brackets = b"".join(parts[::2]).translate(TO_ARRAYS, NO_BRACKETS)
     for _ in range(MAX_NESTING):
         if not brackets:
             return False
