Retry calls that something other than a target answered

What callers saw: while an entry of another writer named the address of a gateway's port for other hosts, 1 of 5 calls was answered 404, which callers do not send again.

Cause: an answer below 300 counts only if it names the call; one from 300 to 499 without the name was passed on. Targets name the call in all of their answers.

Change: an answer below 500 that does not name its call is a failure of the target, unless it says that nothing ran. The call goes to another target where it may be repeated, and the address is avoided as any failing target is.

Not changed: answers from 500 on. A failing target may not have read the request.

--- a/gradepoint/gateway/forwarding.py
+++ b/gradepoint/gateway/forwarding.py
@@ -57,6 +57,10 @@
 outage of the store are back within this time after it."""
 
 
+FIRST_FAILURE_STATUS = 500
+"""Statuses from here on say that the target failed."""
+
+
 class OtherInstance(Exception):
     """Another target or incarnation has the address now; the call wasn't run."""
 
@@ -427,7 +431,7 @@
             exchange.close()
             exchange.target.record_failure("an answer to another call")
             raise TargetFailed("an answer to another call")
-        if answer.request_id is None and answer.status < 300 and head.request_id:
+        if answer.request_id is None and head.request_id and not _may_lack_id(answer):
             exchange.close()
             exchange.target.record_failure("an answer to no call")
             raise TargetFailed("an answer to no call")
@@ -441,3 +445,12 @@
                 exchange.target.record_failure("refuses calls although it has free slots")
             exchange.close()
             raise TargetBusy
+
+
+def _may_lack_id(answer: AnswerHead) -> bool:
+    """Whether an answer counts although it names no request.
+
+    A failing target may not have read the request. Other answers without its ID come from something
+    that is no target and listens at a listed address.
+    """
+    return answer.status >= FIRST_FAILURE_STATUS or answer.not_run or answer.other_instance
--- a/tests/test_gateway/test_gateway_foreign_entries.py
+++ b/tests/test_gateway/test_gateway_foreign_entries.py
@@ -145,3 +145,18 @@
             assert not gateway.data_hosts.known
 
     run_in_virtual_time(work)
+
+
+def test_calls_are_not_answered_by_a_listed_address_that_is_no_target() -> None:
+    # A gateway's own port for other hosts answered 404, which callers do not send again.
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2, targets=2)
+        settings = deployment.gateways[0].settings
+        entry = msgspec.json.decode(deployment.targets[0].entry())
+        entry["addr"] = f"{settings.address}:{settings.peer_port}"
+        deployment.store.put("servers/other", msgspec.json.encode(entry))
+        await deployment.wait_until_all_heard()
+        for number in range(40):
+            assert (await deployment.call("/plain/a", gateway=number % 2)).status == 200
+
+    run_in_virtual_time(work)
