Let a foreign record among files, jobs and chunks cost itself only

What callers saw: one entry below /gradepoint/active/ that is no index entry ended the loop that claims chunks, on all hosts and until their programs were started again: no batch job went on. One record below /gradepoint/files/ or jobs/ made the listing of its organisation 500 "internal". An index entry whose value names another job, past its deadline, expired that job.

Cause: the repository decoded lists as a whole, and the worker's loops were not restarted after other exceptions than GradepointError and KvError. Records were taken by the name inside of the value. An error about one job ended the poll for all.

Change: kv/records.py decodes records; a listing leaves out and names those that cannot be decoded or stand under another key. A read of one record is refused with "record_unreadable" (503). A job whose records fail is set aside for 30 s and polled after all others. Numbers that could not be encoded again are unreadable. The loops of the worker are restarted after any exception.

Ruled out: deleting such rows; a program of a newer version may have written them.

--- a/gradepoint/batch/claiming.py
+++ b/gradepoint/batch/claiming.py
@@ -8,19 +8,21 @@
 
 from .. import events
 from ..config.resolve import resolve_model
-from ..errors import GradepointError
+from ..errors import GradepointError, KvError
 from ..ids import ObjectHash
+from ..kv.unreadable import UnreadableRows
 from ..telemetry import metrics
 from ..telemetry.logs import emit
-from ..util.clock import wall_seconds
+from ..util.clock import monotonic, wall_seconds
 from ..util.hashing import new_token, score
+from ..util.tasks import locate_error
 from .items import parse_chunk
 from .open_chunk import OpenChunk
-from .records import ChunkRecord, JobState, job_key
+from .records import ChunkRecord, JobState, active_key, job_key
 from .transitions import claim_chunk
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from ..fleet.local import FleetView
     from ..settings import Settings
@@ -37,11 +39,20 @@
 DEADLINE_BUCKET_S = 900
 """Bucket width in seconds: jobs due in the same quarter of an hour are equally urgent."""
 
+SET_ASIDE_S = 30.0
+"""Seconds for which a job whose records cannot be used is polled after all others, so that such
+jobs do not take the places of :data:`MAX_JOBS_PER_POLL`."""
+
+JOB_FAILURES = frozenset({"not_found", "record_unreadable", "storage_read", "bad_batch_line"})
+"""Error codes that concern the records or objects of one job. Others concern the service, so that
+they end the poll."""
+
 
 class ChunkClaimer:
     """Finds chunks that no live host holds, and claims them.
 
     :param count_wanted_chunks: returns how many more chunks the feeders can use now.
+    :ivar set_aside_until: monotonic seconds until which a job is polled after all others.
     """
 
     def __init__(
@@ -62,6 +73,8 @@
         self.shared = shared
         self.count_wanted_chunks = count_wanted_chunks
         self.files: dict[str, FileRecord] = {}
+        self.unreadable = UnreadableRows()
+        self.set_aside_until: dict[str, float] = {}
 
     async def poll(self) -> None:
         """Read the jobs in progress: drop chunks of ended jobs, expire late jobs, claim chunks.
@@ -74,25 +87,50 @@
             if chunk.job.job_id not in names:
                 self.committer.drop(chunk)
         for job in [job for job in active if job.deadline_at <= wall_seconds()]:
-            await self.repository.expire(job.organisation, job.job_id)
+            await self._isolate(job, self.repository.expire(job.organisation, job.job_id))
         for ended_id in set(self.shared.complete_chunks) - names:
             del self.shared.complete_chunks[ended_id]
+        for ended_id in set(self.set_aside_until) - names:
+            del self.set_aside_until[ended_id]
         open_jobs = [job for job in active if job.deadline_at > wall_seconds()]
         for job in sorted(open_jobs, key=self._poll_order)[:MAX_JOBS_PER_POLL]:
-            await self._poll_job(job)
+            await self._isolate(job, self._poll_job(job))
+
+    async def _isolate(self, job: ActiveJob, work: Awaitable[object]) -> None:
+        """Await the work on one job; if the job's records fail it, set the job aside.
+
+        :raises GradepointError: the service or the store did not answer.
+        """
+        try:
+            await work
+        except GradepointError as error:
+            if error.code not in JOB_FAILURES:
+                raise
+            self._set_aside(job, str(error))
+        except (KvError, OSError):
+            raise
+        except Exception as error:
+            self._set_aside(job, f"{error!r} at {locate_error(error)}")
+
+    def _set_aside(self, job: ActiveJob, reason: str) -> None:
+        self.set_aside_until[job.job_id] = monotonic() + SET_ASIDE_S
+        self.unreadable.note(events.JOB_SET_ASIDE, active_key(job.job_id), reason)
 
     def job_order(self, job: ActiveJob) -> tuple[float, int, str]:
         """Return the sort key: lowest weighted usage of the organisation, then next deadline."""
         return self._weighted_usage(job.organisation), job.deadline_at, job.job_id
 
-    def _poll_order(self, job: ActiveJob) -> tuple[float, int, int]:
-        """Return the sort key for polling: like :meth:`job_order`, but host-specific.
+    def _poll_order(self, job: ActiveJob) -> tuple[bool, float, int, int]:
+        """Return the sort key for polling: like :meth:`job_order`, but host-specific, and with
+        the jobs that are set aside at the end.
 
         Among jobs with similar deadlines each host has its own order. Otherwise all hosts
         would read the same few jobs and find their chunks already claimed.
         """
         due = job.deadline_at // DEADLINE_BUCKET_S
-        return self._weighted_usage(job.organisation), due, score(self.settings.host, job.job_id)
+        own_order = score(self.settings.host, job.job_id)
+        is_set_aside = self.set_aside_until.get(job.job_id, float("-inf")) > monotonic()
+        return is_set_aside, self._weighted_usage(job.organisation), due, own_order
 
     def _weighted_usage(self, organisation: str) -> float:
         """Return the items that this host started for an organisation, divided by its weight."""
@@ -125,7 +163,12 @@
             holder = state.record.holder if state else ""
             if holder and holder != self.settings.host and holder in live:
                 continue
-            await self._claim(job, number, state, live - {self.settings.host})
+            try:
+                await self._claim(job, number, state, live - {self.settings.host})
+            except GradepointError as error:
+                if error.code != "record_unreadable":
+                    raise
+                self._set_aside(job, str(error))
 
     async def _load_file(self, job: ActiveJob) -> FileRecord:
         if job.file_id not in self.files:
@@ -146,7 +189,9 @@
         """
         segment = (await self._load_file(job)).segments[number]
         stored_job, revision = await self.repository.job(job.organisation, job.job_id)
-        if stored_job is None or stored_job.state is not JobState.IN_PROGRESS:
+        if stored_job is None:
+            raise GradepointError("not_found", f"Job {job.job_id!r} has no record.")
+        if stored_job.state is not JobState.IN_PROGRESS:
             return
         items = parse_chunk(await self.store.get(ObjectHash(segment.hash)))
         current = state.record if state else ChunkRecord(job.job_id, number, segment.lines)
--- a/gradepoint/batch/records.py
+++ b/gradepoint/batch/records.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 
@@ -21,6 +21,11 @@
 CHUNKS_PREFIX = "/gradepoint/chunks/"
 
 
+Count = Annotated[int, msgspec.Meta(ge=0, le=(1 << 53) - 1)]
+"""A number or a time in seconds that programs of all versions write. Larger ones cannot be encoded
+again."""
+
+
 class JobState(Enum):
     """State of a job.
 
@@ -43,8 +48,8 @@
     """
 
     hash: str
-    size: int
-    lines: int
+    size: Count
+    lines: Count
 
 
 class FileRecord(msgspec.Struct, frozen=True):
@@ -58,9 +63,9 @@
     organisation: str
     filename: str
     purpose: str
-    size: int
-    lines: int
-    created_at: int
+    size: Count
+    lines: Count
+    created_at: Count
     segments: tuple[Segment, ...]
 
 
@@ -82,15 +87,15 @@
     endpoint: str
     window: str
     digest: str
-    created_at: int
-    deadline_at: int
-    chunks: int
-    items: int
+    created_at: Count
+    deadline_at: Count
+    chunks: Count
+    items: Count
     state: JobState = JobState.IN_PROGRESS
     metadata: dict[str, str] | None = None
-    completed: int = 0
-    failed: int = 0
-    finished_at: int = 0
+    completed: Count = 0
+    failed: Count = 0
+    finished_at: Count = 0
 
 
 class ActiveJob(msgspec.Struct, frozen=True):
@@ -100,8 +105,8 @@
     organisation: str
     file_id: str
     endpoint: str
-    chunks: int
-    deadline_at: int
+    chunks: Count
+    deadline_at: Count
 
 
 class Bundle(msgspec.Struct, frozen=True, array_like=True):
@@ -113,8 +118,8 @@
     """
 
     hash: str
-    items: tuple[int, ...]
-    failed: int
+    items: tuple[Count, ...]
+    failed: Count
 
 
 class ChunkRecord(msgspec.Struct, frozen=True):
@@ -131,14 +136,14 @@
     """
 
     job_id: str
-    number: int
-    items: int
-    epoch: int = 0
+    number: Count
+    items: Count
+    epoch: Count = 0
     holder: str = ""
     writer: str = ""
     bundles: tuple[Bundle, ...] = ()
-    intents: tuple[int, ...] = ()
-    suspects: dict[int, int] = {}
+    intents: tuple[Count, ...] = ()
+    suspects: dict[Count, Count] = {}
 
     @property
     def done(self) -> set[int]:
@@ -189,6 +194,26 @@
     return f"{ACTIVE_PREFIX}{job_id}"
 
 
+def key_of_file(record: FileRecord) -> str:
+    """Return the key of a file record."""
+    return file_key(record.organisation, record.file_id)
+
+
+def key_of_job(record: JobRecord) -> str:
+    """Return the key of a job record."""
+    return job_key(record.organisation, record.job_id)
+
+
+def key_of_active_job(record: ActiveJob) -> str:
+    """Return the key of an index entry."""
+    return active_key(record.job_id)
+
+
+def key_of_chunk(record: ChunkRecord) -> str:
+    """Return the key of a chunk record."""
+    return chunk_key(record.job_id, record.number)
+
+
 def chunks_prefix(job_id: JobId | str) -> str:
     """Return the key prefix of the chunk records of a job."""
     return f"{CHUNKS_PREFIX}{job_id}/"
--- a/gradepoint/batch/repository.py
+++ b/gradepoint/batch/repository.py
@@ -11,9 +11,10 @@
 from result import Err, Ok, Result
 
 from ..errors import GradepointError, KvError, KvRejected
+from ..kv.records import decode_records, require_record
 from ..kv.service import ABSENT, Delete, Expect, Put, Transaction
 from ..kv.settle import WriteOutcome, WriteOutcomeUnknown, settle
-from ..util import decoding
+from ..kv.unreadable import UnreadableRows
 from ..util.clock import wall_seconds
 from .records import (
     ACTIVE_PREFIX,
@@ -29,6 +30,10 @@
     chunks_prefix,
     file_key,
     job_key,
+    key_of_active_job,
+    key_of_chunk,
+    key_of_file,
+    key_of_job,
 )
 from .transitions import Refusal, cancel_job, expire_job, finish_job, with_counts
 
@@ -51,11 +56,12 @@
     """Reads and writes records.
 
     If the reply to a write is lost, the record is read to find out whether the write took
-    effect.
+    effect. Listings leave out the records that cannot be decoded.
     """
 
     def __init__(self, service: KeyValueService) -> None:
         self.service = service
+        self.unreadable = UnreadableRows()
 
     # Files
 
@@ -71,14 +77,17 @@
         return found or record
 
     async def file(self, organisation: str, file_id: str) -> FileRecord | None:
-        """Return a file record, or None."""
+        """Return a file record, or None.
+
+        :raises GradepointError: ``record_unreadable``, or the service does not answer.
+        """
         item = await self._get(file_key(organisation, file_id))
-        return decoding.decode_json(item.value, FileRecord) if item else None
+        return require_record(item, FileRecord, key_of_file) if item else None
 
     async def files(self, organisation: str) -> list[FileRecord]:
         """Return all files of an organisation."""
         items = await self._range(f"{FILES_PREFIX}{organisation}/")
-        return [decoding.decode_json(item.value, FileRecord) for item in items]
+        return [row for _, row in decode_records(items, FileRecord, self.unreadable, key_of_file)]
 
     async def delete_file(self, organisation: str, file_id: str) -> bool:
         """Delete a file record; return False if there is none.
@@ -121,21 +130,25 @@
         return stored, settled is WriteOutcome.TOOK_EFFECT
 
     async def job(self, organisation: str, job_id: str) -> tuple[JobRecord | None, int]:
-        """Return a job record and its revision; None and ``ABSENT`` if there is none."""
+        """Return a job record and its revision; None and ``ABSENT`` if there is none.
+
+        :raises GradepointError: ``record_unreadable``, or the service does not answer.
+        """
         item = await self._get(job_key(organisation, job_id))
         if item is None:
             return None, ABSENT
-        return decoding.decode_json(item.value, JobRecord), item.revision
+        return require_record(item, JobRecord, key_of_job), item.revision
 
     async def jobs(self, organisation: str) -> list[JobRecord]:
         """Return all jobs of an organisation."""
         items = await self._range(f"{JOBS_PREFIX}{organisation}/")
-        return [decoding.decode_json(item.value, JobRecord) for item in items]
+        return [row for _, row in decode_records(items, JobRecord, self.unreadable, key_of_job)]
 
     async def active_jobs(self) -> list[ActiveJob]:
         """Return the index entries of all jobs in progress."""
         items = await self._range(ACTIVE_PREFIX)
-        return [decoding.decode_json(item.value, ActiveJob) for item in items]
+        rows = decode_records(items, ActiveJob, self.unreadable, key_of_active_job)
+        return [row for _, row in rows]
 
     async def cancel(self, organisation: str, job_id: str) -> JobRecord:
         """Cancel a job and return it; a job that has ended is returned unchanged.
@@ -191,11 +204,14 @@
     async def chunks(self, job_id: str) -> dict[int, ChunkState]:
         """Return the chunks that were claimed at least once, by number."""
         items = await self._range(chunks_prefix(job_id))
-        states = (_chunk_state(item) for item in items)
-        return {state.record.number: state for state in states}
+        rows = decode_records(items, ChunkRecord, self.unreadable, key_of_chunk)
+        return {row.number: ChunkState(row, item.revision) for item, row in rows}
 
     async def chunk(self, job_id: str, number: int) -> ChunkState | None:
-        """Return one chunk, or None if it was never claimed."""
+        """Return one chunk, or None if it was never claimed.
+
+        :raises GradepointError: ``record_unreadable``, or the service does not answer.
+        """
         item = await self._get(chunk_key(job_id, number))
         return _chunk_state(item) if item else None
 
@@ -279,7 +295,7 @@
 
 
 def _chunk_state(item: KeyValue) -> ChunkState:
-    return ChunkState(decoding.decode_json(item.value, ChunkRecord), item.revision)
+    return ChunkState(require_record(item, ChunkRecord, key_of_chunk), item.revision)
 
 
 def _unavailable(error: KvError) -> GradepointError:
--- a/gradepoint/batch/worker.py
+++ b/gradepoint/batch/worker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING
 
 from .. import events
@@ -83,7 +84,7 @@
     async def start(self) -> None:
         """Start the three loops."""
         for loop in (self._poll_loop, self._feed_loop, self._commit_loop):
-            self.tasks.start(self._repeat(loop))
+            self.tasks.start_loop(f"batch{loop.__name__}", partial(self._repeat, loop))
 
     async def stop(self) -> None:
         """Cancel items, commit finished results, release the chunks, then stop."""
--- a/gradepoint/errors.py
+++ b/gradepoint/errors.py
@@ -415,6 +415,15 @@
             5.0,
             "No good copy of the data could be read now; come back.",
         ),
+        ErrorKind(
+            "record_unreadable",
+            503,
+            _C.PLATFORM,
+            _N,
+            None,
+            "Another writer has overwritten the stored record; the operator can restore or delete "
+            "it.",
+        ),
         # Errors that operators have to resolve.
         ErrorKind(
             "config_invalid",
--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -262,6 +262,12 @@
     "ERROR",
     "A count of waiting tokens cannot be decoded; it is counted again.",
 )
+JOB_SET_ASIDE = _declare(
+    380,
+    "job_set_aside",
+    "ERROR",
+    "The records of a batch job cannot be used; it is tried again later, after the other jobs.",
+)
 JOB_ENDED = _declare(315, "job_ended", "INFO", "A client ended its job.")
 ITEMS_LISTED = _declare(
     316, "items_listed", "INFO", "Results of items are committed to their job's record."
@@ -390,6 +396,13 @@
     "ERROR",
     "A row of the key-value service raised an exception; the row is not used. Report it.",
 )
+RECORD_UNREADABLE = _declare(
+    540,
+    "record_unreadable",
+    "ERROR",
+    "A record of the key-value service cannot be decoded, or stands under the key of another; it "
+    "is left out. Restore or delete it.",
+)
 HOST_UNREADABLE = _declare(
     523, "host_unreadable", "ERROR", "A host's record cannot be decoded; the host is not listed."
 )
