Keep housekeeping going beside records that cannot be decoded

What callers saw: nothing at once. As long as one record below /gradepoint/files/, jobs/, chunks/ or claims/ was no record, no host deleted expired records or objects without a reference, nor restored second copies.

Change: a record that cannot be decoded is named once and left as it is. What it names is kept: a program of a newer version may have written it, and its objects must not be deleted as unreferenced.

Ruled out: stopping the collection while such a record stands; a foreign row would fill the disks.

--- a/gradepoint/batch/housekeeping.py
+++ b/gradepoint/batch/housekeeping.py
@@ -7,16 +7,18 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from typing import TYPE_CHECKING
 
 from .. import events
 from ..errors import GradepointError, KvError
 from ..ids import ObjectHash
+from ..kv.records import decode_records
 from ..kv.service import Delete, Expect, Transaction
+from ..kv.unreadable import UnreadableRows
 from ..online import claims
 from ..store.replicas import COPIES
 from ..telemetry.logs import emit
-from ..util import decoding
 from ..util.clock import wall_seconds
 from ..wire.rpc import RpcError
 from .records import (
@@ -28,10 +30,13 @@
     JobRecord,
     JobState,
     chunks_prefix,
+    key_of_chunk,
+    key_of_file,
+    key_of_job,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from ..config.versions import ConfigInForce
     from ..kv.service import KeyValue, KeyValueService
@@ -44,10 +49,17 @@
 MAX_DELETES_PER_TRANSACTION = 50
 """Deletions per transaction. Each has a comparison too; the service allows 128 operations."""
 
+OBJECT_NAME = re.compile(rb'"([0-9a-f]{64})"')
+FILE_ID = re.compile(rb'"(file-[^"\\]+)"')
+"""Names in a record that cannot be decoded. A program of a newer version may have written it, so
+that what it refers to is kept."""
+
 
 class Housekeeper:
     """Checks all bulk objects and records periodically.
 
+    A record that cannot be decoded is left as it is, and what it names is kept.
+
     :param holds_lease: returns whether this host holds the housekeeping lease now.
     """
 
@@ -62,6 +74,7 @@
         self.store = store
         self.config = config
         self.holds_lease = holds_lease
+        self.unreadable = UnreadableRows()
 
     async def run(self) -> None:
         """Sweep every ``SWEEP_PERIOD_S`` until cancelled, while this host holds the lease."""
@@ -88,12 +101,17 @@
     async def referenced(self) -> set[ObjectHash]:
         """Return all objects that a file or chunk record refers to."""
         names: set[ObjectHash] = set()
-        for item in (await self.service.range(FILES_PREFIX)).items:
-            record = decoding.decode_json(item.value, FileRecord)
+        files = (await self.service.range(FILES_PREFIX)).items
+        readable = set()
+        for item, record in decode_records(files, FileRecord, self.unreadable, key_of_file):
+            readable.add(item.key)
             names.update(ObjectHash(segment.hash) for segment in record.segments)
-        for item in (await self.service.range(CHUNKS_PREFIX)).items:
-            chunk = decoding.decode_json(item.value, ChunkRecord)
+        chunks = (await self.service.range(CHUNKS_PREFIX)).items
+        for item, chunk in decode_records(chunks, ChunkRecord, self.unreadable, key_of_chunk):
+            readable.add(item.key)
             names.update(ObjectHash(bundle.hash) for bundle in chunk.bundles)
+        unreadable = [item for item in (*files, *chunks) if item.key not in readable]
+        names.update(ObjectHash(name) for name in _find_names(OBJECT_NAME, unreadable))
         return names
 
     async def repair(self, referenced: set[ObjectHash]) -> int:
@@ -149,30 +167,30 @@
         now = wall_seconds()
         retention = self.config.document.retention
         expire_before = now - int(retention.results_days * SECONDS_PER_DAY)
+        jobs = (await self.service.range(JOBS_PREFIX)).items
+        readable = set()
         in_use: set[str] = set()
-        for item in (await self.service.range(JOBS_PREFIX)).items:
-            job = decoding.decode_json(item.value, JobRecord)
+        for item, job in decode_records(jobs, JobRecord, self.unreadable, key_of_job):
+            readable.add(item.key)
             ended = job.state is not JobState.IN_PROGRESS
             if ended and job.finished_at < expire_before:
                 chunks = (await self.service.range(chunks_prefix(job.job_id))).items
                 await self._delete([*chunks, item])
             else:
                 in_use.add(job.file_id)
+        in_use |= _find_names(FILE_ID, (item for item in jobs if item.key not in readable))
         old_files = []
-        for item in (await self.service.range(FILES_PREFIX)).items:
-            file = decoding.decode_json(item.value, FileRecord)
+        files = (await self.service.range(FILES_PREFIX)).items
+        for item, file in decode_records(files, FileRecord, self.unreadable, key_of_file):
             if file.file_id not in in_use and file.created_at < expire_before:
                 old_files.append(item)
         await self._delete(old_files)
         await self._expire_claims(now - int(retention.answers_days * SECONDS_PER_DAY))
 
     async def _expire_claims(self, expire_before: int) -> None:
-        old = []
-        for item in (await self.service.range(claims.CLAIMS_PREFIX)).items:
-            claim = decoding.decode_json(item.value, claims.Claim)
-            if claim.at < expire_before:
-                old.append(item)
-        await self._delete(old)
+        items = (await self.service.range(claims.CLAIMS_PREFIX)).items
+        rows = decode_records(items, claims.Claim, self.unreadable)
+        await self._delete([item for item, claim in rows if claim.at < expire_before])
 
     async def _delete(self, items: list[KeyValue]) -> None:
         for start in range(0, len(items), MAX_DELETES_PER_TRANSACTION):
@@ -184,3 +202,9 @@
                     tuple(Delete(item.key) for item in group),
                 )
             )
+
+
+def _find_names(pattern: re.Pattern[bytes], items: Iterable[KeyValue]) -> set[str]:
+    """Return the names that match *pattern* in the values of some rows."""
+    found = (match for item in items for match in pattern.findall(item.value))
+    return {name.decode(errors="replace") for name in found}
