Refuse a call whose claim another writer has overwritten

What callers saw: a call with an Idempotency-Key got no answer until its deadline when the record of its key was no claim; so did calls whose claims were written at the same time. A claim with an unknown reason was answered 500.

Cause: the exception of the decoder ended the task that writes claims, and the calls wait for a future that it sets. The reason of a stored claim was looked up in the catalogue unchecked.

Change: any error of a write belongs to its call. A claim that cannot be decoded, or whose status is none of HTTP, is refused with "record_unreadable" and outcome "unknown": the call that made it may have run. For decisions on claims of one's own it counts as another writer's.

--- a/gradepoint/online/claims.py
+++ b/gradepoint/online/claims.py
@@ -11,16 +11,16 @@
 import asyncio
 from dataclasses import dataclass
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 
 from .. import events
-from ..errors import GradepointError, KvError, KvRejected, Outcome
+from ..errors import CATALOGUE, GradepointError, KvError, KvRejected, KvUnreadable, Outcome
+from ..kv.records import decode_record
 from ..kv.service import ABSENT, Delete, Expect, Put, Transaction
 from ..kv.settle import WriteOutcome, WriteOutcomeUnknown, settle
 from ..telemetry.logs import emit
-from ..util import decoding
 from ..util.clock import wall_seconds
 from ..util.hashing import new_token, sha256_hex
 from ..util.tasks import TaskGroup
@@ -28,7 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..kv.service import KeyValueService
+    from ..kv.service import KeyValue, KeyValueService
 
 CLAIMS_PREFIX = "/gradepoint/claims/"
 MAX_STORED_ANSWER_BYTES = 512 << 10
@@ -55,7 +55,7 @@
 class StoredAnswer(msgspec.Struct, frozen=True):
     """A complete HTTP answer as it is stored for resends."""
 
-    status: int
+    status: Annotated[int, msgspec.Meta(ge=200, le=599)]
     headers: dict[str, str]
     body: bytes
 
@@ -119,7 +119,7 @@
         if existing.repeatable:
             return None
         raise GradepointError(
-            existing.reason or "target_lost",
+            existing.reason if existing.reason in CATALOGUE else "target_lost",
             outcome=Outcome.UNKNOWN,
             message="The first send of this key ended as unknown.",
         )
@@ -224,7 +224,8 @@
     async def _write_one(self, row: PendingClaim) -> None:
         try:
             _set_result(row.future, await self._put_claim(row.key, row.claim, ABSENT))
-        except (KvError, WriteOutcomeUnknown) as error:
+        except Exception as error:
+            # The call waits for this future; any error belongs to it.
             if not row.future.done():
                 row.future.set_exception(error)
 
@@ -239,7 +240,7 @@
         if settled is WriteOutcome.LOST_RACE:
             # The group transaction with this same claim may have taken effect.
             item = await self.service.get(name)
-            if item is not None and _decode(item.value).writer == claim.writer:
+            if item is not None and _is_written_by(item, claim.writer):
                 return HeldClaim(name, claim, item.revision)
             return None
         if not written:
@@ -249,13 +250,13 @@
 
     async def _is_ours(self, name: str, writer: str) -> bool:
         item = await self.service.get(name)
-        return item is not None and _decode(item.value).writer == writer
+        return item is not None and _is_written_by(item, writer)
 
     async def _resolve_existing(self, name: str, claim: Claim) -> HeldClaim | StoredAnswer | None:
         item = await self.service.get(name)
         if item is None:
             return await self._put_claim(name, claim, ABSENT)
-        existing = _decode(item.value)
+        existing = _require_claim(item)
         live = set(self.live_hosts())
         if existing.host == self.host and existing.writer not in self.active_writers:
             # This host made the claim, but no running call of this process owns it: that call
@@ -285,7 +286,9 @@
             item = await self.service.get(held.key)
             if item is None:
                 return False
-            existing = _decode(item.value)
+            existing = _read_claim(item)
+            if existing is None:
+                return False
             return existing.writer == claim.writer and existing.state is state
 
         try:
@@ -341,7 +344,7 @@
             await asyncio.sleep(CLEANUP_RETRY_PAUSE_S)
             try:
                 item = await self.service.get(name)
-                if item is None or _decode(item.value).writer != writer:
+                if item is None or not _is_written_by(item, writer):
                     return
                 await self.service.transact(
                     Transaction((Expect(name, item.revision),), (), (Delete(name),))
@@ -360,8 +363,28 @@
     return f"{CLAIMS_PREFIX}{organisation}/{sha256_hex(key.encode())[:40]}"
 
 
-def _decode(raw: bytes) -> Claim:
-    return decoding.decode_json(raw, Claim)
+def _require_claim(item: KeyValue) -> Claim:
+    """Decode the claim of a call.
+
+    :raises GradepointError: ``record_unreadable``. The call that made the claim may have run.
+    """
+    try:
+        return decode_record(item, Claim)
+    except KvUnreadable as error:
+        raise GradepointError("record_unreadable", f"{error}.", outcome=Outcome.UNKNOWN) from error
+
+
+def _read_claim(item: KeyValue) -> Claim | None:
+    """Return a claim; None if another writer has overwritten it."""
+    try:
+        return decode_record(item, Claim)
+    except KvUnreadable:
+        return None
+
+
+def _is_written_by(item: KeyValue, writer: str) -> bool:
+    claim = _read_claim(item)
+    return claim is not None and claim.writer == writer
 
 
 def _set_result(future: asyncio.Future[HeldClaim | None], value: HeldClaim | None) -> None:
--- a/tests/test_online/test_online_claims.py
+++ b/tests/test_online/test_online_claims.py
@@ -14,7 +14,16 @@
 
 from gradepoint.errors import GradepointError, Outcome
 from gradepoint.kv.limits import KvLimits
-from gradepoint.online.claims import Claim, ClaimState, ClaimStore, HeldClaim, StoredAnswer
+from gradepoint.kv.service import Put, Transaction
+from gradepoint.online.claims import (
+    Claim,
+    ClaimState,
+    ClaimStore,
+    HeldClaim,
+    StoredAnswer,
+    claim_key,
+    resolve_existing_claim,
+)
 from gradepoint.standins.memory_kv import ETCD_LIMITS, KvFault, MemoryKv, MemoryKvClient
 from gradepoint.standins.virtual_time import run_virtual
 
@@ -161,3 +170,60 @@
         assert ran == ["k"]
 
     run_virtual(main())
+
+
+def encode_claim(answer: StoredAnswer) -> bytes:
+    """Return the claim of an ended call."""
+    return msgspec.json.encode(Claim("digest", ClaimState.DONE, "h1", "w", True, 0, "", answer))
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff",
+        b'{"a":' + b"[" * 5000 + b"]" * 5000 + b"}",
+        b"{}",
+        encode_claim(StoredAnswer(0, {}, b"")),
+        encode_claim(StoredAnswer(1 << 60, {}, b"")),
+    ],
+)
+def test_overwritten_claim_is_refused_as_unknown(value: bytes) -> None:
+    """The call never got an answer: the exception ended the task that writes the claim."""
+
+    async def main() -> None:
+        store = make_stores(1, 0.0)[0]
+        name = claim_key("org", "k")
+        await store.service.transact(Transaction((), (Put(name, value),)))
+        async with asyncio.timeout(10.0):
+            with pytest.raises(GradepointError) as refused:
+                await store.claim("org", "k", "digest", repeatable=True)
+        assert (refused.value.code, refused.value.outcome) == ("record_unreadable", Outcome.UNKNOWN)
+        assert not store.active_writers
+        held = await store.claim("org", "other", "digest", repeatable=True)
+        assert isinstance(held, HeldClaim)
+        await store.service.transact(Transaction((), (Put(held.key, value),)))
+        await store.store_answer(held, StoredAnswer(200, {}, b"answer"))
+        await store.release(held)
+
+    run_virtual(main())
+
+
+def test_claim_with_an_unknown_reason_is_refused_as_unknown() -> None:
+    """A code that is not in the catalogue raised KeyError, which callers saw as 500."""
+    claim = Claim("digest", ClaimState.UNKNOWN, "h1", "w", False, 0, "no such code")
+    with pytest.raises(GradepointError) as refused:
+        resolve_existing_claim(claim, "digest", set())
+    assert refused.value.outcome is Outcome.UNKNOWN
+
+
+def test_overwritten_claim_in_a_group_does_not_block_the_others() -> None:
+    async def main() -> None:
+        store = make_stores(1, 0.0)[0]
+        await store.service.transact(Transaction((), (Put(claim_key("org", "k"), b"\xff"),)))
+        claims = [store.claim("org", key, "digest", repeatable=True) for key in ("k", "a", "b")]
+        async with asyncio.timeout(10.0):
+            refused, *held = await asyncio.gather(*claims, return_exceptions=True)
+        assert isinstance(refused, GradepointError)
+        assert all(isinstance(row, HeldClaim) for row in held)
+
+    run_virtual(main())
