Read configuration and audit records beside those of another writer

What callers saw: as long as a value under /gradepoint/config/current was no record, the control programs' watch ended and began again twice a second, an operator's apply was answered 500, and so were /admin/audit and /admin/jobs beside one foreign row below their prefixes. A value of 1 MB could take 1 GB of memory when unpacked.

Cause: zlib.error and DecodingError were expected by no reader, the unpacked size had no bound, and lists were decoded as a whole. Integers over 64 bits were accepted, which cannot be sent to other hosts.

Change: unpacking raises DecodingError only and ends at 16 MiB, four times the largest file that can be applied. Control logs such a record once, keeps its version and goes on with the watch. An apply replaces the record; its version follows that of the last audit record, so that versions keep increasing. Without a configuration in force an apply is refused with "record_unreadable", as nobody could be authorised by the record in the store. Integers of a document are bounded by 53 bits.

Ruled out: taking the document's own operators where the record cannot be decoded; only an empty store may be set up by its first document.

--- a/gradepoint/admin/api.py
+++ b/gradepoint/admin/api.py
@@ -13,7 +13,7 @@
 from result import Err
 
 from .. import events
-from ..batch.records import JOBS_PREFIX, JobRecord, JobState
+from ..batch.records import JOBS_PREFIX, JobRecord, JobState, key_of_job
 from ..batch.repository import Repository
 from ..batch.views import job_to_api
 from ..config.access import Authenticator, bearer_key
@@ -21,9 +21,11 @@
 from ..config.diff import compare
 from ..config.document import OperatorRole
 from ..config.keys import key_matches, key_owner
-from ..config.versions import AUDIT_PREFIX, AuditRecord, apply_document, read_current
-from ..errors import GradepointError, KvError
+from ..config.versions import apply_document, read_audits, read_current
+from ..errors import GradepointError, KvError, KvUnreadable
 from ..fleet.messages import StatusAnswer
+from ..kv.records import decode_records
+from ..kv.unreadable import UnreadableRows
 from ..telemetry import metrics
 from ..telemetry.logs import emit
 from ..util import decoding
@@ -55,6 +57,7 @@
 
     def __init__(self, control: ControlNode) -> None:
         self.control = control
+        self.unreadable = UnreadableRows()
         self.keys = Authenticator(control.config)
         limits = ServerLimits(max_body_bytes=MAX_DOCUMENT_BYTES)
         self.server = HttpServer(self.handle, limits)
@@ -78,6 +81,8 @@
         except GradepointError as error:
             metrics.shared().refusals.add(1, {"reason": error.code})
             return error_response(error)
+        except KvUnreadable as error:
+            return error_response(GradepointError("record_unreadable", f"{error}."))
         except KvError as error:
             return error_response(GradepointError("service_unavailable", str(error)))
 
@@ -211,16 +216,13 @@
         return {"version": version, "hosts": rows, "members": members}
 
     async def _audit(self) -> Response:
-        found = await self.control.kv.range(AUDIT_PREFIX)
-        rows = [
-            msgspec.to_builtins(decoding.decode_json(item.value, AuditRecord))
-            for item in found.items
-        ]
-        return json_response({"audit": rows})
+        audits = await read_audits(self.control.kv, self.unreadable)
+        return json_response({"audit": [msgspec.to_builtins(row) for row in audits]})
 
     async def _jobs(self) -> Response:
         found = await self.control.kv.range(JOBS_PREFIX, limit=MAX_LISTED_JOBS)
-        jobs = [decoding.decode_json(item.value, JobRecord) for item in found.items]
+        rows = decode_records(found.items, JobRecord, self.unreadable, key_of_job)
+        jobs = [job for _, job in rows]
         repository = Repository(self.control.kv)
         running = [job for job in jobs if job.state is JobState.IN_PROGRESS][:MAX_COUNTED_JOBS]
         counted = await asyncio.gather(*(repository.with_current_counts(job) for job in running))
--- a/gradepoint/config/delta.py
+++ b/gradepoint/config/delta.py
@@ -12,9 +12,13 @@
 
 import msgspec
 
+from ..errors import DecodingError
 from ..util.hashing import sha256_hex
 from .document import Document, Model, Operator, Organisation, Service, Target
 
+MAX_UNPACKED_BYTES = 16 << 20
+"""Most bytes of an unpacked record: four times the largest file that can be applied."""
+
 NAMED_FIELDS: dict[str, type] = {
     "models": Model,
     "targets": Target,
@@ -67,8 +71,24 @@
 
 
 def decompress(data: bytes) -> bytes:
-    """Decompress data that :func:`compress` returned."""
-    return zlib.decompress(data)
+    """Decompress data that :func:`compress` returned.
+
+    :raises DecodingError: *data* is something else, or unpacks to more than
+        :data:`MAX_UNPACKED_BYTES`.
+    """
+    unpacker = zlib.decompressobj()
+    try:
+        unpacked = unpacker.decompress(data, MAX_UNPACKED_BYTES)
+    except zlib.error as error:
+        raise DecodingError(f"not compressed: {error}") from error
+    if unpacker.eof:
+        return unpacked
+    if len(unpacked) < MAX_UNPACKED_BYTES:
+        raise DecodingError("compressed data is cut")
+    # The end of the stream may follow without another byte of content.
+    if unpacker.decompress(unpacker.unconsumed_tail, 1) or not unpacker.eof:
+        raise DecodingError(f"unpacks to more than {MAX_UNPACKED_BYTES} bytes")
+    return unpacked
 
 
 def make_delta(base: int, before: Document, after: Document) -> DocumentDelta:
@@ -124,7 +144,8 @@
             name: _apply_collection(getattr(before, name), change, NAMED_FIELDS[name])
             for name, change in delta.collections.items()
         }
-    except (msgspec.ValidationError, KeyError):
+    except (msgspec.ValidationError, KeyError, TypeError, AttributeError, OverflowError):
+        # A peer's delta names fields or entries that there are not.
         return None
     document = msgspec.structs.replace(document, **changes)
     if sha256_hex(encode_document(document)) != delta.digest:
--- a/gradepoint/config/document.py
+++ b/gradepoint/config/document.py
@@ -23,7 +23,11 @@
     str, Meta(pattern=r"^http://[0-9.]+:[0-9]+$", description="http://IP:PORT, by IP number.")
 ]
 Positive = Annotated[float, Meta(gt=0)]
-PositiveInt = Annotated[int, Meta(ge=1)]
+MAX_WHOLE_NUMBER = (1 << 53) - 1
+"""Messages between hosts have integers of 64 bits, and JSON readers keep 53 of them."""
+PositiveInt = Annotated[int, Meta(ge=1, le=MAX_WHOLE_NUMBER)]
+WholeNumber = Annotated[int, Meta(ge=0, le=MAX_WHOLE_NUMBER)]
+Priority = Annotated[int, Meta(ge=-MAX_WHOLE_NUMBER, le=MAX_WHOLE_NUMBER)]
 Share = Annotated[float, Meta(ge=0, le=1)]
 
 FORMAT = 1
@@ -129,7 +133,7 @@
 
     salt: Annotated[str, Meta(pattern="^[0-9a-f]{16,64}$")]
     hash: Annotated[str, Meta(pattern="^[0-9a-f]{64}$")]
-    expires: Annotated[int, Meta(ge=0)] = 0
+    expires: WholeNumber = 0
 
 
 class Organisation(StrictStruct):
@@ -165,8 +169,8 @@
     """
 
     tail_preference: Share = 0.5
-    online_priority: int = 0
-    batch_priority: int = 10
+    online_priority: Priority = 0
+    batch_priority: Priority = 10
 
 
 class Retention(StrictStruct):
--- a/gradepoint/config/versions.py
+++ b/gradepoint/config/versions.py
@@ -12,15 +12,20 @@
 
 import msgspec
 
-from ..errors import GradepointError
+from .. import events
+from ..errors import DecodingError, GradepointError, KvUnreadable
 from ..ids import ConfigVersion, WriterToken
+from ..kv.records import decode_record as decode_json_record
+from ..kv.records import decode_records
 from ..kv.service import ABSENT, Expect, Put, Transaction
 from ..kv.settle import WriteOutcome, WriteOutcomeUnknown, settle
+from ..kv.unreadable import UnreadableRows
+from ..telemetry.logs import emit
 from ..util import decoding
 from ..util.clock import wall_seconds
 from ..util.hashing import new_token
-from .delta import compress, decompress
-from .document import Document, Organisation, Service, Target
+from .delta import MAX_UNPACKED_BYTES, compress, decompress
+from .document import Document, Organisation, Service, Target, WholeNumber
 
 if TYPE_CHECKING:
     from ..kv.service import KeyValueService
@@ -39,11 +44,11 @@
     :param applied_at: Unix seconds, for display only.
     """
 
-    version: int
+    version: WholeNumber
     document: Document
     writer: str
     applied_by: str
-    applied_at: int
+    applied_at: WholeNumber
 
 
 class AuditRecord(msgspec.Struct, frozen=True):
@@ -55,10 +60,10 @@
     :param note: reason given by the operator.
     """
 
-    version: int
+    version: WholeNumber
     writer: str
     applied_by: str
-    applied_at: int
+    applied_at: WholeNumber
     note: str = ""
 
 
@@ -119,16 +124,50 @@
 
 
 def decode_record(raw: bytes) -> ConfigRecord:
-    """Decode a record from a value of the key-value service."""
+    """Decode a record from a value of the key-value service.
+
+    :raises DecodingError: *raw* is no record.
+    """
     return decoding.decode_json(decompress(raw), ConfigRecord)
 
 
 async def read_current(service: KeyValueService) -> tuple[ConfigRecord | None, int]:
-    """Return the current record and its revision; None and :data:`ABSENT` if there is none."""
+    """Return the current record and its revision; None and :data:`ABSENT` if there is none.
+
+    :raises KvUnreadable: another writer has overwritten the record.
+    """
     item = await service.get(CURRENT_KEY)
     if item is None:
         return None, ABSENT
-    return decode_record(item.value), item.revision
+    try:
+        return decode_record(item.value), item.revision
+    except DecodingError as error:
+        raise KvUnreadable(f"The value of {CURRENT_KEY!r} is no configuration: {error}") from error
+
+
+async def _read_base(service: KeyValueService) -> tuple[ConfigRecord | None, int, int]:
+    """Return the record that an apply replaces, its version and its revision.
+
+    If another writer has overwritten the record, the version is that of the last apply by the
+    audit records, so that versions keep increasing.
+    """
+    item = await service.get(CURRENT_KEY)
+    if item is None:
+        return None, 0, ABSENT
+    try:
+        record = decode_record(item.value)
+    except DecodingError as error:
+        emit(events.CONFIG_UNREADABLE, source=CURRENT_KEY, reason=str(error))
+        audits = await read_audits(service, UnreadableRows())
+        return None, max((row.version for row in audits), default=0), item.revision
+    return record, record.version, item.revision
+
+
+async def read_audits(service: KeyValueService, unreadable: UnreadableRows) -> list[AuditRecord]:
+    """Return all audit records that can be decoded, in the order of their versions."""
+    found = await service.range(AUDIT_PREFIX)
+    rows = decode_records(found.items, AuditRecord, unreadable, lambda row: audit_key(row.version))
+    return [row for _, row in rows]
 
 
 async def apply_document(
@@ -149,8 +188,7 @@
     :raises GradepointError: ``config_conflict``, ``service_unavailable`` or
         ``service_uncertain``.
     """
-    current, revision = await read_current(service)
-    version = current.version if current else 0
+    current, version, revision = await _read_base(service)
     if current is not None and msgspec.to_builtins(current.document) == msgspec.to_builtins(
         document
     ):
@@ -158,6 +196,11 @@
     if base_version is not None and base_version != version:
         raise _conflict(base_version, version)
     record = ConfigRecord(version + 1, document, token or new_token(), applied_by, wall_seconds())
+    unpacked_size = len(msgspec.json.encode(record))
+    if unpacked_size > MAX_UNPACKED_BYTES:
+        raise GradepointError(
+            "config_invalid", f"The file has {unpacked_size} bytes, over {MAX_UNPACKED_BYTES}."
+        )
     size = len(encode_record(record))
     if size > MAX_COMPRESSED_BYTES:
         raise GradepointError(
@@ -171,8 +214,8 @@
         code = "service_uncertain" if error.may_have_applied else "service_unavailable"
         raise GradepointError(code, f"The apply was not confirmed: {error}.") from error
     if outcome is WriteOutcome.LOST_RACE:
-        newest, _ = await read_current(service)
-        raise _conflict(version, newest.version if newest else 0)
+        _, newest, _ = await _read_base(service)
+        raise _conflict(version, newest)
     return ApplyResult(ConfigVersion(record.version), True)
 
 
@@ -197,7 +240,10 @@
     item = await service.get(audit_key(record.version))
     if item is None:
         return False
-    return decoding.decode_json(item.value, AuditRecord).writer == record.writer
+    try:
+        return decode_json_record(item, AuditRecord).writer == record.writer
+    except KvUnreadable:
+        return False
 
 
 def _conflict(base: int, current: int) -> GradepointError:
--- a/gradepoint/fleet/control.py
+++ b/gradepoint/fleet/control.py
@@ -14,9 +14,11 @@
 from typing import TYPE_CHECKING
 
 from .. import events
-from ..config.versions import CURRENT_KEY, ConfigInForce, ConfigRecord, decode_record, read_current
-from ..errors import KvError
+from ..config.versions import CURRENT_KEY, ConfigInForce, ConfigRecord, decode_record
+from ..errors import DecodingError, KvError
 from ..kv.etcd import EtcdClient
+from ..kv.service import ABSENT
+from ..kv.unreadable import UnreadableRows
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.tasks import TaskGroup
@@ -146,6 +148,7 @@
             _own_member(settings), settings.heartbeat_s, settings.member_timeout_s, self.random
         )
         self.fetching = False
+        self.unreadable = UnreadableRows()
         self.on_pause: list[Callable[[], None]] = []
         self.logged_members_version = -1
         self.logged_live: set[str] = set()
@@ -302,19 +305,29 @@
             await asyncio.sleep(delay_s * self.random.uniform(0.5, 1.0))
 
     async def _watch(self) -> None:
-        record, revision = await read_current(self.kv)
+        item = await self.kv.get(CURRENT_KEY)
         self.kv_health.record_call(True)
-        if record is not None:
-            self.apply_config_record(record)
+        if item is not None:
+            self._apply_stored(item.value)
         if not self.is_watcher():
             return
-        start = revision + 1 if revision else 1
+        start = (item.revision if item else ABSENT) + 1
         async for event in self.kv.watch(CURRENT_KEY, start):
             if event.value is not None:
-                self.apply_config_record(decode_record(event.value))
+                self._apply_stored(event.value)
             if not self.is_watcher():
                 return
 
+    def _apply_stored(self, raw: bytes) -> None:
+        """Put a stored record in force; the former one stays if it cannot be decoded."""
+        try:
+            record = decode_record(raw)
+        except DecodingError as error:
+            self.unreadable.note(events.CONFIG_UNREADABLE, CURRENT_KEY, str(error))
+            return
+        self.unreadable.clear(CURRENT_KEY)
+        self.apply_config_record(record)
+
     # Hosts
 
     async def _host_list_loop(self) -> None:
