Leave out keys that are no text from the answers of etcd

What callers saw: a key of another writer below one of our prefixes that is not UTF-8 made every read of the prefix, and every watch that met it, fail as "uncertain".

Cause: the client decoded the keys of an answer together.

Evidence: test_key_that_is_no_text_hides_no_other_key fails without this change with KvUncertain.

Change: such a row is named once and left out; no key of ours is such a key.

--- a/gradepoint/kv/etcd.py
+++ b/gradepoint/kv/etcd.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from .. import events
 from ..errors import DecodingError, KvOverRate, KvRejected, KvUnavailable, KvUncertain
 from ..telemetry import metrics
 from ..util import decoding
@@ -25,6 +26,7 @@
     TransactionResult,
     WatchEvent,
 )
+from .unreadable import UnreadableRows
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -111,13 +113,14 @@
         self.http = HttpClient()
         self.counts = CallCounts()
         self.pace = BackgroundPace()
+        self.unreadable = UnreadableRows()
 
     async def get(self, key: str) -> KeyValue | None:
         """See :meth:`KeyValueService.get`."""
         body = {"key": _encode(key)}
         answer = await self._call("range", "/v3/kv/range", body, _RangeAnswer)
         self.counts.reads += 1
-        items = _read_items(answer.kvs)
+        items = self._read_items(answer.kvs)
         return items[0] if items else None
 
     async def range(self, prefix: str, limit: int = 0) -> RangeResult:
@@ -129,7 +132,7 @@
         }
         answer = await self._call("range", "/v3/kv/range", body, _RangeAnswer)
         self.counts.reads += 1
-        return RangeResult(_read_items(answer.kvs), answer.header.revision)
+        return RangeResult(self._read_items(answer.kvs), answer.header.revision)
 
     async def transact(self, transaction: Transaction) -> TransactionResult:
         """See :meth:`KeyValueService.transact`."""
@@ -189,13 +192,36 @@
                 *lines, incomplete_line = incomplete_line.split(b"\n")
                 for line in lines:
                     if line.strip():
-                        for event in _read_watch_line(line):
+                        for event in self._read_watch_line(line):
                             yield event
         except ResponseBroken as error:
             raise KvUnavailable(f"the watch broke: {error}") from error
         finally:
             response.close()
 
+    def _read_items(self, items: list[_Item]) -> tuple[KeyValue, ...]:
+        found = (self._read_item(item) for item in items)
+        return tuple(item for item in found if item is not None)
+
+    def _read_item(self, item: _Item) -> KeyValue | None:
+        """Return a row; None if its key is no text, which this project's keys are."""
+        try:
+            key = item.key.decode()
+        except UnicodeDecodeError as error:
+            shown = item.key.decode(errors="backslashreplace")
+            self.unreadable.note(events.RECORD_UNREADABLE, shown, f"key is no text: {error}")
+            return None
+        return KeyValue(key, item.value, item.mod_revision, item.create_revision, item.lease)
+
+    def _read_watch_line(self, line: bytes) -> list[WatchEvent]:
+        changes = []
+        for event in _decode(line, _WatchLine).result.events:
+            item = self._read_item(event.kv)
+            if item is not None:
+                value = None if event.type == "DELETE" else item.value
+                changes.append(WatchEvent(item.key, value, item.revision))
+        return changes
+
     async def _call(self, kind: str, path: str, body: dict[str, Any], answer_type: type[T]) -> T:
         response = await self._send(kind, path, body)
         try:
@@ -285,24 +311,3 @@
         return decoding.decode_json(raw, answer_type, strict=False)
     except DecodingError as error:
         raise KvUncertain(f"answer cannot be decoded: {error}") from error
-
-
-def _read_items(items: list[_Item]) -> tuple[KeyValue, ...]:
-    return tuple(_read_item(item) for item in items)
-
-
-def _read_item(item: _Item) -> KeyValue:
-    try:
-        key = item.key.decode()
-    except UnicodeDecodeError as error:
-        raise KvUncertain(f"answer has a key that is no text: {error}") from error
-    return KeyValue(key, item.value, item.mod_revision, item.create_revision, item.lease)
-
-
-def _read_watch_line(line: bytes) -> list[WatchEvent]:
-    events = []
-    for event in _decode(line, _WatchLine).result.events:
-        item = _read_item(event.kv)
-        deleted = event.type == "DELETE"
-        events.append(WatchEvent(item.key, None if deleted else item.value, item.revision))
-    return events
