Answer 400 to another host's request whose fields are no numbers

What callers saw: nothing; the asking host got 500, and the log named a fault of this program, with ValueError or OverflowError.

Cause: int() of query fields in the answers about views, jobs and open jobs.

Change: such fields are whole numbers of at most 64 bits.

--- a/gradepoint/jobs/api.py
+++ b/gradepoint/jobs/api.py
@@ -24,6 +24,7 @@
 from ..util import decoding
 from ..util.clock import monotonic
 from ..util.hashing import hash32, rank
+from ..util.numbers import read_wire_number
 from ..util.structs import Struct, field
 from ..util.tasks import TaskGroup
 from ..wire.addresses import split_address
@@ -499,7 +500,8 @@
         return raw if response.status == 200 else None
 
     async def answer_peer(self, request: Request) -> Response:
-        """Answer another host's request about a job; 404 if this host does not have it.
+        """Answer another host's request about a job; 404 if this host does not have it, 400 for
+        a field that is no number.
 
         The first part of the path is the kind of request: ``take`` asks this host to run the job,
         ``ended`` and ``adopted`` to stop running it, ``items`` is for an item's body, and ``jobs``
@@ -521,8 +523,11 @@
             return Response(404) if body is None else Response(200, body=body)
         if kind != "jobs" or not self.may_answer_for(job):
             return Response(404)
-        wait_s = int(request.query.get("wait_ms", "0")) / 1000
-        found = await read_owned(job, int(request.query.get("position", "0")), wait_s)
+        wait_ms = read_wire_number(request.query.get("wait_ms", "0"))
+        position = read_wire_number(request.query.get("position", "0"))
+        if wait_ms is None or position is None:
+            return Response(400)
+        found = await read_owned(job, position, wait_ms / 1000)
         return Response(200, body=msgspec.msgpack.encode(found))
 
     def _answer_peer_waiting(self, kind: str, job_id: JobId, request: Request) -> Response:
--- a/gradepoint/jobs/shared_listing.py
+++ b/gradepoint/jobs/shared_listing.py
@@ -22,6 +22,7 @@
 from ..util import decoding
 from ..util.clock import monotonic
 from ..util.hashing import rank
+from ..util.numbers import read_wire_number
 from ..util.structs import Struct, field
 from ..wire.addresses import split_address
 from ..wire.http_client import ConnectFailed, ResponseBroken
@@ -67,6 +68,7 @@
 """Bytes of answers that are sent at once, unless it is one only; other hosts ask again."""
 MILLISECONDS = 1000
 LIST_PATH = "/open-jobs"
+BAD_REQUEST_STATUS = 400
 BUSY_STATUS = 503
 FAILED_STATUS = 502
 
@@ -227,7 +229,10 @@
 
         This host makes the listing itself and asks no other one, so requests never form a circle.
         """
-        since = monotonic() - int(request.query.get("age_ms", "0")) / MILLISECONDS
+        age_ms = read_wire_number(request.query.get("age_ms", "0"))
+        if age_ms is None:
+            return Response(BAD_REQUEST_STATUS)
+        since = monotonic() - age_ms / MILLISECONDS
         if self.latest_begun_at < since:
             try:
                 async with asyncio.timeout(ANSWER_WAIT_S):
--- a/gradepoint/peers/watchers.py
+++ b/gradepoint/peers/watchers.py
@@ -23,6 +23,7 @@
 from ..util import decoding
 from ..util.clock import monotonic
 from ..util.hashing import rank
+from ..util.numbers import read_wire_number
 from ..util.structs import Struct, field
 from ..util.tasks import TaskGroup
 from ..wire.addresses import split_address
@@ -100,6 +101,7 @@
 start of all ended watchers of 200 MB."""
 BUSY_STATUS = 503
 DIGEST_FIELD = "-digest"
+BAD_REQUEST_STATUS = 400
 """Suffix of the query field with the digest of a view."""
 MAX_HOSTS_ASKED = 2
 """Hosts that are asked for the same updates; one of them may have just stopped."""
@@ -546,14 +548,17 @@
         await self.tasks.stop()
 
     def answer_update_request(self, request: Request) -> Response:
-        """Answer another host's request for updates with the changes it is missing."""
+        """Answer another host's request for updates with the changes it is missing; 400 for a
+        field that is no number."""
         parts = {}
         query = request.query
         for name, view in self.views.items():
-            digest = query.get(name + DIGEST_FIELD)
-            part = view.make_update(
-                int(query.get(name, "0")), None if digest is None else int(digest)
-            )
+            revision = read_wire_number(query.get(name, "0"))
+            digest_text = query.get(name + DIGEST_FIELD)
+            digest = None if digest_text is None else read_wire_number(digest_text)
+            if revision is None or (digest is None and digest_text is not None):
+                return Response(BAD_REQUEST_STATUS)
+            part = view.make_update(revision, digest)
             if part is not None:
                 parts[name] = part
         body = msgspec.msgpack.encode(ViewUpdates(parts, self.proofs.list_proofs()))
