--- a/gradepoint/peers/watchers.py
+++ b/gradepoint/peers/watchers.py
@@ -529,7 +529,10 @@
             return False
         offered = self._find_offered(updates.proven, monotonic() - asked_at)
         for name, part in updates.parts.items():
-            view = self.views[name]
+            view = self.views.get(name)
+            if view is None:
+                # A host of another version has a view that this one does not.
+                continue
             if name in self.unread:
                 if name in offered and part.whole:
                     self._take(name, part)
