Refuse a configuration whose numbers no call can use

What callers saw: a version of the configuration with a negative or huge timeout, goal, limit or weight, or with weights of which none is above 0, was put in force. Calls then ended at once, or failed by an exception (IndexError, ValueError, OverflowError) at the choice of a service.

Cause: the document's numbers were checked for their types only. The decoder refuses infinite numbers, but not those whose sums and products are infinite, and accepts integers over 64 bits, which no message between hosts can carry.

Change: such a version is refused as a whole (config_unreadable), so that the one before stays in force. Limits of a request's head are at most 1 MiB, since heads do not count as requests in the memory of a host. Numbers of one organisation are brought into their range, as its calls would be refused otherwise.

Kept: negative priorities, attempts and numbers of connections; a single service gets all calls, whatever its weight; zero times.

--- a/gradepoint/platform/configuration.py
+++ b/gradepoint/platform/configuration.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -34,10 +34,24 @@
 """Platform names of route kinds. An unknown kind counts as :attr:`RouteKind.SINGLE`, whose calls
 may not be repeated."""
 
+MAX_WHOLE_NUMBER = (1 << 53) - 1
+"""Messages between hosts have integers of 64 bits, and JSON readers keep 53 of them."""
+MAX_TIME = 1e12
+"""Longest time in milliseconds, about 30 years. Sums and products of such times stay finite."""
+MAX_HEADER_BYTES = 1 << 20
+"""Largest limit of a request's head. Heads are kept in memory that is not counted as requests."""
+MAX_RATE = 1e12
+"""Calls a second above which a rate is no limit."""
+
+WholeNumber = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)]
+Integer = Annotated[int, msgspec.Meta(ge=-MAX_WHOLE_NUMBER, le=MAX_WHOLE_NUMBER)]
+Time = Annotated[float, msgspec.Meta(ge=0, le=MAX_TIME)]
+Weight = Annotated[float, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)]
+
 
 class _Split(msgspec.Struct):
     service: str
-    weight: float = 1.0
+    weight: Weight = 1.0
 
 
 class _Route(msgspec.Struct):
@@ -45,36 +59,36 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float
-    goal_ms: float = 0.0
-    priority: int = 0
+    timeout_ms: Time
+    goal_ms: Time = 0.0
+    priority: Integer = 0
     service: str | None = None
     traffic_split: list[_Split] = []
-    max_attempts: int = 1
+    max_attempts: Integer = 1
     resumable: bool = False
-    gap_goal_ms: float = 0.0
-    due_ms: float = 0.0
-    retention_s: float = 0.0
+    gap_goal_ms: Time = 0.0
+    due_ms: Time = 0.0
+    retention_s: Time = 0.0
     # Tokens (not requests) of one organisation that may wait on the route.
-    max_queued_tokens: int = 0
+    max_queued_tokens: WholeNumber = 0
     public: bool = False
 
 
 class _Engine(msgspec.Struct):
-    slot_count: int = 0
+    slot_count: WholeNumber = 0
 
 
 class _Service(msgspec.Struct):
     name: str
-    max_conns: int = 0
+    max_conns: Integer = 0
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct):
-    header_bytes: int
-    body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    header_bytes: Annotated[int, msgspec.Meta(ge=0, le=MAX_HEADER_BYTES)]
+    body_bytes: WholeNumber
+    header_timeout_ms: Time
+    idle_timeout_ms: Time
 
 
 class _Tenant(msgspec.Struct):
@@ -87,7 +101,7 @@
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: WholeNumber
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
@@ -131,21 +145,29 @@
         emit(events.ORGANISATION_UNREADABLE, index=index, reason=str(error))
         return None
     limited = row.rate_per_s > 0
+    rate = min(MAX_RATE, row.rate_per_s)
     priority = row.priority
     return Organisation(
         name=OrganisationName(row.name),
         keys=tuple(digest_key(key.encode()) for key in row.api_keys if key),
-        quota=Quota(row.rate_per_s, max(0.0, row.burst_size)) if limited else None,
-        priority=max(0, priority) if type(priority) is int else None,
+        quota=Quota(rate, min(MAX_RATE, max(0.0, row.burst_size))) if limited else None,
+        priority=min(MAX_WHOLE_NUMBER, max(0, priority)) if type(priority) is int else None,
     )
 
 
 def _read_route(route: _Route) -> Route:
+    """Return one route.
+
+    :raises DecodingError: no service of the route can get a call.
+    """
     shares: tuple[Share, ...]
     if route.service is not None:
         shares = (Share(ServiceName(route.service), 1.0),)
     else:
         shares = tuple(Share(ServiceName(s.service), s.weight) for s in route.traffic_split)
+        # A single service gets all calls, whatever its weight.
+        if not shares or (len(shares) > 1 and not any(share.weight for share in shares)):
+            raise DecodingError(f"route {route.name!r} has no service with a weight")
     return Route(
         name=route.name,
         host=route.host,
