Reject target entries whose name or numbers no call can use

What callers saw: an entry below servers/ with sound fields and a name that no header can carry (control characters, no ASCII, a space at an end) got calls, and each call drawn to it was answered 500.

Cause: the name is sent in a header of the call; it was taken from the key unchecked. Also, an entry "t0@12" without a start time had the same id as the incarnation 12 of t0, slots had no upper bound, whose sums raise OverflowError, and int() accepts ports such as " 8080" and "8_080".

Change: such an entry is rejected as any other that no target has written. Slots and start times have at most 53 bits.

--- a/gradepoint/platform/targets.py
+++ b/gradepoint/platform/targets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import socket
 from enum import Enum
 from typing import Annotated
@@ -12,12 +13,18 @@
 from ..gateway.targets import ListedState, ListedTarget
 from ..ids import ServiceName, SoftwareVersion, TargetName
 from ..util import decoding
-from ..wire.addresses import split_address
+from ..util.numbers import read_whole_number
+from ..wire.addresses import is_port
 
 TARGETS_PREFIX = "servers/"
-HIGHEST_PORT = 65_535
+MAX_WHOLE_NUMBER = (1 << 53) - 1
+"""Messages between hosts have integers of 64 bits, and JSON readers keep 53 of them."""
+HEADER_TEXT = re.compile(r"[!-~](?:[ -~]*[!-~])?")
+"""Texts that a header can carry unchanged; each call carries the name of its target."""
+INCARNATION = re.compile(r".*@[0-9]+")
+"""Form of a target's id. A name of this form, without a start time, equals the id of another."""
 
-WholeNumber = Annotated[int, msgspec.Meta(ge=0)]
+WholeNumber = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)]
 
 
 class _State(Enum):
@@ -37,9 +44,9 @@
     slot_count: WholeNumber
     state: _State
     cold_left_ms: float
-    call_seq: WholeNumber
+    call_seq: Annotated[int, msgspec.Meta(ge=0)]
     # Start time in milliseconds; not written by targets of older deployments.
-    born: int | msgspec.UnsetType = msgspec.UNSET
+    born: WholeNumber | msgspec.UnsetType = msgspec.UNSET
 
 
 def read_target_name(key: str) -> TargetName:
@@ -50,9 +57,10 @@
 def decode_target(key: str, value: bytes) -> ListedTarget:
     """Decode the entry of one target.
 
-    :raises DecodingError: *value* is not a valid entry.
+    :raises DecodingError: *value* is not a valid entry, or *key* no key of one.
     """
     entry = decoding.decode_json(value, _Entry)
+    _check_name(read_target_name(key), entry)
     _check_address(entry.addr)
     return ListedTarget(
         name=read_target_name(key),
@@ -66,12 +74,21 @@
     )
 
 
+def _check_name(name: TargetName, entry: _Entry) -> None:
+    """Reject a name with which no call can be sent, or which is taken for another target."""
+    if not HEADER_TEXT.fullmatch(name):
+        raise DecodingError(f"not a name that a header can carry: {name!r}")
+    if entry.born is msgspec.UNSET and INCARNATION.fullmatch(name):
+        raise DecodingError(f"name has the form of another target's id: {name!r}")
+
+
 def _check_address(address: str) -> None:
     """Reject an address to which no connection can be made, before a call is sent there."""
+    ip, _, text = address.rpartition(":")
+    port = read_whole_number(text)
     try:
-        ip, port = split_address(address)
         socket.inet_pton(socket.AF_INET, ip)
     except (OSError, ValueError) as error:
         raise DecodingError(f"not an IPv4 address with a port: {address!r}") from error
-    if not 0 < port <= HIGHEST_PORT:
-        raise DecodingError(f"port out of range: {address!r}")
+    if not is_port(port) or port == 0:
+        raise DecodingError(f"not a port: {address!r}")
--- a/tests/test_gateway/test_gateway_foreign_entries.py
+++ b/tests/test_gateway/test_gateway_foreign_entries.py
@@ -145,3 +145,17 @@
             assert not gateway.data_hosts.known
 
     run_in_virtual_time(work)
+
+
+@pytest.mark.parametrize("name", ["a\r\nb", "a\x00b", "\u00e9", "\u2028", " a"])
+def test_entry_whose_name_fits_no_header_gets_no_call(name: str) -> None:
+    # Calls drawn to it failed by an exception.
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=1, targets=1)
+        for number in range(8):
+            deployment.store.put(f"servers/{name}{number}", deployment.targets[0].entry())
+        await restart_all(deployment)
+        for _ in range(20):
+            assert (await deployment.call("/plain/a")).status == 200
+
+    run_in_virtual_time(work)
--- a/tests/test_platform/test_platform_targets.py
+++ b/tests/test_platform/test_platform_targets.py
@@ -88,3 +88,26 @@
 def test_any_invalid_bytes_raise_decode_error(raw: bytes) -> None:
     with pytest.raises(DecodingError):
         decode_target(KEY, raw)
+
+
+@pytest.mark.parametrize("name", ["", "a\r\nb", " a", "a\x00b", "\u00e9", "\ud7ff\u2028", "t0@12"])
+def test_entry_whose_name_no_call_can_carry_is_rejected(name: str) -> None:
+    """A call carries the name in a header. "t0@12" would be taken for an incarnation of t0."""
+    entry = {field: value for field, value in ENTRY.items() if field != "born"}
+    with pytest.raises(DecodingError):
+        decode_target(TARGETS_PREFIX + name, msgspec.json.encode(entry))
+
+
+@pytest.mark.parametrize("number", [-1, 1 << 63, 1 << 70, 10**400])
+@pytest.mark.parametrize("field", ["slot_count", "born"])
+def test_entry_with_a_number_outside_its_range_is_rejected(field: str, number: int) -> None:
+    """OverflowError in the sums over all targets, or in messages to other hosts."""
+    raw = encode(**{field: 0}).replace(f'"{field}":0'.encode(), f'"{field}":{number}'.encode())
+    with pytest.raises(DecodingError):
+        decode_target(KEY, raw)
+
+
+@pytest.mark.parametrize("address", ["127.0.0.1: 8080", "127.0.0.1:8_080", "127.0.0.1:+80"])
+def test_entry_with_a_port_in_another_spelling_is_rejected(address: str) -> None:
+    with pytest.raises(DecodingError):
+        decode_target(KEY, encode(addr=address))
