Answer a request whose target is no URL

What callers saw: "GET //[ HTTP/1.1" closed the connection without an answer; the log had an exception of the connection's task.

Cause: urlsplit raises ValueError for a target that it takes for an invalid IPv6 address, in the handler and again in the log line about its failure.

Change: such a target is split at its question mark; no route has such a path.

--- a/gradepoint/wire/http_types.py
+++ b/gradepoint/wire/http_types.py
@@ -56,12 +56,12 @@
     @property
     def path(self) -> str:
         """The path, percent-decoded and without the query."""
-        return unquote(urlsplit(self.target).path)
+        return unquote(_split_target(self.target)[0])
 
     @property
     def query(self) -> dict[str, str]:
         """The fields of the query; the last value of a repeated field counts."""
-        return dict(parse_qsl(urlsplit(self.target).query, keep_blank_values=True))
+        return dict(parse_qsl(_split_target(self.target)[1], keep_blank_values=True))
 
     async def read_body(self, limit: int | None = None) -> bytes:
         """Return the whole body.
@@ -107,6 +107,17 @@
     Handler = Callable[[Request], Awaitable[Response]]
 
 
+def _split_target(target: str) -> tuple[str, str]:
+    """Return the path and the query of a request's target."""
+    try:
+        parts = urlsplit(target)
+    except ValueError:
+        # A caller's target such as "//[" is taken for an invalid IPv6 address.
+        path, _, query = target.partition("?")
+        return path, query
+    return parts.path, parts.query
+
+
 def decode_json(body: bytes) -> Any:
     """Decode JSON.
 
