--- a/gradepoint/platform/configuration.py
+++ b/gradepoint/platform/configuration.py
@@ -39,7 +39,7 @@
 MAX_TIME = 1e12
 """Longest time in milliseconds, about 30 years. Sums and products of such times stay finite."""
 MAX_HEADER_BYTES = 1 << 20
-"""Largest limit of a request's head. Heads are kept in memory that is not counted as requests."""
+"""Largest limit of a request's head, whose memory is reserved only once it has been read."""
 MAX_RATE = 1e12
 """Calls a second above which a rate is no limit."""
 
