Answer 400 to a job's window and a document's number of another type

What callers saw: 500 for a batch job whose completion_window is a list or an object, and for a configuration document with 16.0 in place of 16.

Cause: a membership test with a value that has no hash (TypeError); the JSON schema takes 1.0 for an integer, and the conversion after it does not (ValidationError).

--- a/gradepoint/batch/app.py
+++ b/gradepoint/batch/app.py
@@ -298,7 +298,7 @@
             "bad_request", f"'endpoint' must be one of {', '.join(ENDPOINTS)}.", param="endpoint"
         )
     window = body.get("completion_window", "24h")
-    if window not in COMPLETION_WINDOWS_S:
+    if not isinstance(window, str) or window not in COMPLETION_WINDOWS_S:
         raise GradepointError(
             "bad_request",
             f"Use one of {', '.join(COMPLETION_WINDOWS_S)}.",
--- a/gradepoint/config/check.py
+++ b/gradepoint/config/check.py
@@ -57,7 +57,11 @@
     problems = [_convert_schema_error(error) for error in validator.iter_errors(value)]
     if problems:
         return Err(sorted(problems, key=lambda problem: problem.path))
-    document = msgspec.convert(value, Document)
+    try:
+        document = msgspec.convert(value, Document)
+    except msgspec.ValidationError as error:
+        # The schema accepts 1.0 as an integer, for example.
+        return Err([Problem("(document)", f"{error}.", "Use a value of the type that is named.")])
     problems = list(_check_references(document))
     return Err(problems) if problems else Ok(document)
 
