Take answers of another form as failures of their target

What callers saw: a target that sent one event that is no JSON, or whose choices or texts have other types, made batch items vanish: neither queued again nor failed, so that their job did not end before its deadline. Online callers got an exception of this program in place of "target_error". A load report of another form ended the loop that feeds all targets.

Cause: answers were decoded without a type, and the errors of their use (TypeError, AttributeError, ValueError) were expected by no caller.

Change: events and load reports are checked where they are decoded. Any other exception of an item counts as an attempt whose outcome is unknown, so that no item is lost and none that is not repeatable runs twice.

--- a/gradepoint/batch/calls.py
+++ b/gradepoint/batch/calls.py
@@ -16,6 +16,7 @@
 from ..online.requests import CHAT_PATH
 from ..util import decoding
 from ..util.clock import wall_seconds
+from ..wire.completion_events import decode_event, read_text
 from ..wire.target_client import TargetAnswer, TargetClient
 
 if TYPE_CHECKING:
@@ -117,12 +118,15 @@
 
 
 def _accumulate(payload: bytes, partial: PartialText) -> None:
-    event = decoding.decode_json(payload)
+    """Add an event to the text received so far.
+
+    :raises TargetFailure: it has another form.
+    """
+    event = decode_event(payload)
     if event.get("usage"):
         partial.usage = event["usage"]
     for choice in event.get("choices", ()):
-        text = choice.get("text") or (choice.get("delta") or {}).get("content")
-        partial.text += text or ""
+        partial.text += read_text(choice)
         partial.finish_reason = choice.get("finish_reason") or partial.finish_reason
 
 
--- a/gradepoint/batch/feeder.py
+++ b/gradepoint/batch/feeder.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
+
+import msgspec
 
 from ..errors import DecodingError, TargetFailure
 from ..routing.batch_window import BatchWindow, LoadReport
@@ -16,6 +18,8 @@
     from ..wire.target_client import TargetClient
     from .open_chunk import OpenChunk
 
+MAX_AMOUNT = 1e15
+"""Largest number in a load report; far above the tokens in the memory of any target."""
 LOAD_TIMEOUT_S = 1.0
 
 
@@ -73,19 +77,31 @@
                 item.task.cancel()
 
 
+Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+
+
+class _Load(msgspec.Struct):
+    """What a target reports of its load; see :class:`LoadReport`."""
+
+    online_running: Amount = 0.0
+    online_waiting: Amount = 0.0
+    running: Amount = 0.0
+    waiting: Amount = 0.0
+    kv_used: Amount = 0.0
+    kv_tokens: Amount = 1.0
+
+
 async def read_load(client: TargetClient, base_url: str) -> LoadReport | None:
     """Return the load report of a target, or None if there is no valid answer."""
     try:
         answer = await client.call("GET", f"{base_url}/load", b"", {}, LOAD_TIMEOUT_S)
-        raw = decoding.decode_json(answer.body)
+        found = decoding.decode_json(answer.body, _Load, strict=False)
     except (TargetFailure, DecodingError):
         return None
-    if not isinstance(raw, dict):
-        return None
     return LoadReport(
-        int(raw.get("online_running", 0)),
-        int(raw.get("online_waiting", 0)),
-        int(raw.get("running", 0)),
-        int(raw.get("waiting", 0)),
-        raw.get("kv_used", 0) / max(1, raw.get("kv_tokens", 1)),
+        int(found.online_running),
+        int(found.online_waiting),
+        int(found.running),
+        int(found.waiting),
+        found.kv_used / max(1, found.kv_tokens),
     )
--- a/gradepoint/batch/worker.py
+++ b/gradepoint/batch/worker.py
@@ -16,7 +16,7 @@
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.hashing import rank
-from ..util.tasks import TaskGroup
+from ..util.tasks import TaskGroup, locate_error
 from ..wire.target_client import TargetClient
 from .calls import PartialText, run_item
 from .claiming import ChunkClaimer
@@ -276,6 +276,11 @@
         except GradepointError:
             chunk.pending.appendleft(index)
             raise
+        except Exception as error:
+            # The item may have run. Without this, it would be neither queued nor failed.
+            emit(events.TASK_FAILED, task="item", reason=repr(error), where=locate_error(error))
+            unknown = TargetFailure("internal", repr(error), not_run=False)
+            await self._handle_failure(feeder, chunk, item, unknown)
         else:
             feeder.circuit.succeeded()
             metrics.shared().items.add(1, {"result": "done"})
--- a/gradepoint/online/execute.py
+++ b/gradepoint/online/execute.py
@@ -5,7 +5,7 @@
 import asyncio
 from contextlib import aclosing
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -14,9 +14,9 @@
 from ..routing.retries import CallProgress, RetryBudget
 from ..telemetry import metrics
 from ..telemetry.logs import emit
-from ..util import decoding
 from ..util.clock import monotonic
 from ..util.rng import new_rng
+from ..wire.completion_events import decode_event, read_text
 from ..wire.http_types import HEADER_DEADLINE
 from ..wire.target_client import TargetAnswer, TargetClient
 from .attempts import back_off_or_raise
@@ -222,10 +222,10 @@
 
     def _forward_payload(self, payload: bytes, state: StreamState) -> bytes:
         """Count the token of a payload and replace the event id with the id of the call."""
-        event: dict[str, Any] = decoding.decode_json(payload)
+        event = decode_event(payload)
         event["id"] = state.call_id
         for choice in event.get("choices", ()):
-            text = choice.get("text") or (choice.get("delta") or {}).get("content")
+            text = read_text(choice)
             if text:
                 state.forwarded_tokens += 1
                 state.text += text
