Let a message or a member that cannot be used cost itself only

What callers saw: nothing yet; found in review. A member with the highest incarnation of 64 bits made the host that it names unable to encode any datagram. One with a port over 65535 or a name in place of an address raised an exception in, or blocked, the loop that sends to all. A notice that could not be applied ended the receipt of notices until the program was started again. One entry of another form in the platform's list of hosts had the whole list left out.

Cause: numbers of members had no range; zmq and sendto raise for addresses that are none; the loop of PullSocket was not restarted; the list was decoded as a whole.

Change: incarnations have at most 62 bits and ports 16; datagrams go to IP addresses only; a socket without a valid address drops its messages, and an RPC client raises RpcError; the receipt of messages goes on; hosts of the list are decoded one by one.

--- a/gradepoint/fleet/host_list.py
+++ b/gradepoint/fleet/host_list.py
@@ -6,8 +6,10 @@
 
 import msgspec
 
+from .. import events
 from ..errors import DecodingError
 from ..ids import HostName
+from ..kv.unreadable import UnreadableRows
 from ..util import decoding
 from ..wire.http_client import ConnectFailed, HttpClient, ResponseBroken
 
@@ -29,7 +31,8 @@
 class HostList(msgspec.Struct, frozen=True):
     """Response body of ``GET /hosts``."""
 
-    hosts: list[ListedHost]
+    # Decoded one by one, so that an invalid entry does not invalidate the others.
+    hosts: list[msgspec.Raw]
 
 
 class HostListClient:
@@ -39,6 +42,7 @@
         self.base_url = base_url.rstrip("/")
         self.http = HttpClient()
         self.last_known: dict[HostName, HostState] = {}
+        self.unreadable = UnreadableRows()
 
     async def refresh(self, timeout_s: float = 1.0) -> dict[HostName, HostState]:
         """Return the state of each host by name, from the last good answer if the read fails."""
@@ -52,5 +56,13 @@
             answer = decoding.decode_json(raw, HostList)
         except (ConnectFailed, ResponseBroken, DecodingError):
             return self.last_known
-        self.last_known = {HostName(row.name): row.state for row in answer.hosts}
+        listed = [self._read_host(raw_row, index) for index, raw_row in enumerate(answer.hosts)]
+        self.last_known = {HostName(row.name): row.state for row in listed if row is not None}
         return self.last_known
+
+    def _read_host(self, raw: msgspec.Raw, index: int) -> ListedHost | None:
+        try:
+            return decoding.decode_json(raw, ListedHost)
+        except DecodingError as error:
+            self.unreadable.note(events.HOST_UNREADABLE, f"/hosts[{index}]", str(error))
+            return None
--- a/gradepoint/fleet/membership.py
+++ b/gradepoint/fleet/membership.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from .messages import Gossip, GossipKind, Member, MemberState
+from .messages import MAX_INCARNATION, Gossip, GossipKind, Member, MemberState
 
 if TYPE_CHECKING:
     import random
@@ -205,7 +205,7 @@
         if (
             self.own.state is MemberState.LIVE
             and suspected
-            and (update.incarnation >= self.own.incarnation)
+            and (self.own.incarnation <= update.incarnation < MAX_INCARNATION)
         ):
             self.own = msgspec.structs.replace(self.own, incarnation=update.incarnation + 1)
             self._queue_update(self.own)
--- a/gradepoint/fleet/messages.py
+++ b/gradepoint/fleet/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
@@ -10,6 +11,11 @@
 from ..config.versions import ConfigRecord
 from ..wire.rpc import PROTOCOL_VERSION, Message
 
+MAX_INCARNATION = 1 << 62
+"""Highest incarnation. One above the 64 bits of a message could not be sent by its host."""
+Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
+Incarnation = Annotated[int, msgspec.Meta(ge=0, le=MAX_INCARNATION)]
+
 
 class MemberState(Enum):
     """State of a host in the membership protocol.
@@ -36,14 +42,14 @@
 
     host: str
     address: str
-    gossip_port: int
-    control_port: int
-    batch_port: int
-    notice_port: int
-    store_port: int
+    gossip_port: Port
+    control_port: Port
+    batch_port: Port
+    notice_port: Port
+    store_port: Port
     failure_domain: str
     region: str
-    incarnation: int
+    incarnation: Incarnation
     state: MemberState = MemberState.LIVE
 
 
--- a/gradepoint/fleet/transport.py
+++ b/gradepoint/fleet/transport.py
@@ -9,6 +9,7 @@
 
 from ..errors import DecodingError
 from ..util import decoding
+from ..wire.addresses import is_ip
 from .messages import Gossip
 
 if TYPE_CHECKING:
@@ -55,10 +56,13 @@
         self.receive(message)
 
     def send(self, address: str, port: int, message: Gossip) -> None:
-        """Send one datagram; delivery is not guaranteed."""
+        """Send one datagram; delivery is not guaranteed.
+
+        Nothing is sent to a name, whose look-up would block the process, or to port 0.
+        """
         if self.transport is None or self.transport.is_closing():
             return
-        if (address, port) in self.blocked:
+        if (address, port) in self.blocked or not is_ip(address) or not port:
             return
         data = msgspec.msgpack.encode(message)
         self.bytes_sent += len(data)
--- a/gradepoint/wire/push.py
+++ b/gradepoint/wire/push.py
@@ -10,7 +10,9 @@
 import msgspec
 import zmq
 
+from .. import events
 from ..errors import DecodingError
+from ..telemetry.logs import emit
 from ..util import decoding
 from ..util.tasks import TaskGroup
 from .rpc import bind, context
@@ -43,7 +45,7 @@
         :raises OSError: the port cannot be opened.
         """
         bind(self.socket, address, port)
-        self.tasks.start(self._loop())
+        self.tasks.start_loop("messages", self._loop)
 
     async def _loop(self) -> None:
         while True:
@@ -71,7 +73,11 @@
         self.socket.set(zmq.LINGER, 0)
         self.socket.set(zmq.IMMEDIATE, int(immediate))
         self.socket.set_hwm(HIGH_WATER_MARK)
-        self.socket.connect(f"tcp://{address}:{port}")
+        try:
+            self.socket.connect(f"tcp://{address}:{port}")
+        except zmq.ZMQError as error:
+            # Every message is dropped then, so that others still get theirs.
+            emit(events.PEER_SILENT, member=f"{address}:{port}", reason=repr(error))
 
     def send(self, message: msgspec.Struct) -> bool:
         """Send a message without waiting; return False if it was dropped."""
--- a/gradepoint/wire/rpc.py
+++ b/gradepoint/wire/rpc.py
@@ -130,6 +130,7 @@
     """Sends requests to one address.
 
     :param reply_type: union of the reply types; :class:`Failed` is added.
+    :raises RpcError: the address has another form.
     :ivar pending: futures of the requests without a reply, by request id.
     """
 
@@ -143,7 +144,11 @@
         self.socket.set(zmq.IMMEDIATE, 1)
         self.socket.set(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
         self.socket.set_hwm(HIGH_WATER_MARK)
-        self.socket.connect(f"tcp://{address}:{port}")
+        try:
+            self.socket.connect(f"tcp://{address}:{port}")
+        except zmq.ZMQError as error:
+            self.socket.close()
+            raise RpcError(f"{self.name}: {error}") from error
         self.receive_task = asyncio.ensure_future(self._receive())
         self.bytes_received = 0
         self.bytes_sent = 0
@@ -205,7 +210,10 @@
         self.clients: dict[tuple[str, int], RpcClient] = {}
 
     def client(self, address: str, port: int) -> RpcClient:
-        """Return the client for an address; create it if necessary."""
+        """Return the client for an address; create it if necessary.
+
+        :raises RpcError: the address has another form.
+        """
         key = (address, port)
         client = self.clients.pop(key, None) or RpcClient(address, port, self.reply_type)
         self.clients[key] = client
