Hold a lease again whose key another writer has overwritten

What callers saw: nothing at once. Once the holder of an overwritten lease had ended, no host kept house, or sent orders to the targets of a failure domain, as long as the key stood. An exception in the reconciler ended it until the program was started again.

Cause: hosts acquire a lease whose key is absent only. A key of another writer has no lease of the service, so that it never expires. The reconciler's task had no restart.

Change: a holder reads its key before each renewal and restores it; if it is gone or another holder's, it stops. Other hosts replace a key that has no lease and has not changed for the lifetime of a lease: by then, a holder that has not restored its key no longer relies on its lease. This costs one read per held lease in 5 s. The loops of the reconciler are restarted.

Ruled out: replacing such a key at once; its former holder may still send orders.

--- a/gradepoint/fleet/leases.py
+++ b/gradepoint/fleet/leases.py
@@ -21,9 +21,11 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from ..kv.service import KeyValueService
+    from ..kv.service import KeyValue, KeyValueService
 
 LEASE_PREFIX = "/gradepoint/leases/"
+NO_LEASE = 0
+"""Lease of a key that was written without one, which programs of this project never do."""
 TTL_S = 15
 """Lifetime of a lease in seconds, counted from its grant or last renewal."""
 
@@ -63,6 +65,8 @@
     :param host: name of this host, stored as the value of the lease's key.
     :param is_eligible: returns whether this host may hold the lease now; when it may not,
         the lease is given up.
+    :ivar foreign_revision: revision of the key as another writer has overwritten it.
+    :ivar foreign_since: monotonic time at which this host has first read that.
     """
 
     def __init__(
@@ -73,6 +77,8 @@
         self.host = host
         self.is_eligible = is_eligible
         self.held: HeldLease | None = None
+        self.foreign_revision = ABSENT
+        self.foreign_since = 0.0
 
     def current(self) -> HeldLease | None:
         """Return the lease if it is held and has not expired, else None."""
@@ -108,7 +114,8 @@
         if held is None:
             return False
         requested_at = monotonic()
-        if held.time_left(requested_at) <= 0 or not await self.service.keep_lease(held.lease):
+        is_valid = held.time_left(requested_at) > 0 and await self._restore_key(held)
+        if not is_valid or not await self.service.keep_lease(held.lease):
             self._clear_held()
             return False
         self.held = HeldLease(
@@ -116,13 +123,41 @@
         )
         return True
 
+    async def _restore_key(self, held: HeldLease) -> bool:
+        """Return whether the key is this holder's, after writing it anew if another writer has
+        overwritten it."""
+        item = await self.service.get(self.key)
+        if item is None or item.lease not in (held.lease, NO_LEASE):
+            return False
+        if item.lease == held.lease:
+            return True
+        emit(events.RECORD_UNREADABLE, key=self.key, reason="overwritten by another writer")
+        put = Put(self.key, self.host.encode(), held.lease)
+        expect = Expect(self.key, item.revision)
+        return (await self.service.transact(Transaction((expect,), (put,)))).succeeded
+
+    def _may_replace(self, item: KeyValue) -> bool:
+        """Return whether the key is another writer's, and its former holder must have noticed.
+
+        A holder that still reads its own key relies on its lease for less than :data:`TTL_S`.
+        """
+        if item.lease != NO_LEASE:
+            return False
+        now = monotonic()
+        if item.revision != self.foreign_revision:
+            self.foreign_revision = item.revision
+            self.foreign_since = now
+        return now - self.foreign_since >= TTL_S
+
     async def _acquire(self) -> None:
-        if await self.service.get(self.key) is not None:
+        item = await self.service.get(self.key)
+        if item is not None and not self._may_replace(item):
             return
+        revision = ABSENT if item is None else item.revision
         requested_at = monotonic()
         lease = await self.service.grant_lease(TTL_S)
         put = Put(self.key, self.host.encode(), lease)
-        answer = await self.service.transact(Transaction((Expect(self.key, ABSENT),), (put,)))
+        answer = await self.service.transact(Transaction((Expect(self.key, revision),), (put,)))
         if not answer.succeeded:
             await self.service.revoke_lease(lease)
             return
--- a/gradepoint/fleet/reconcile.py
+++ b/gradepoint/fleet/reconcile.py
@@ -14,6 +14,7 @@
 from ..util import decoding
 from ..util.clock import monotonic
 from ..util.hashing import rank
+from ..util.tasks import TaskGroup
 from ..wire.target_client import TargetClient
 from .leases import TTL_S, LeaseKeeper
 from .messages import StatusAnswer
@@ -139,7 +140,13 @@
 
     async def run(self) -> None:
         """Keep trying to hold the lease, and reconcile while it is held, in endless loops."""
-        await asyncio.gather(self.lease.run(), self._reconcile_loop())
+        tasks = TaskGroup()
+        lease = tasks.start_loop(f"lease of {self.domain}", self.lease.run)
+        orders = tasks.start_loop(f"orders of {self.domain}", self._reconcile_loop)
+        try:
+            await asyncio.gather(lease, orders)
+        finally:
+            await tasks.stop()
 
     async def _reconcile_loop(self) -> None:
         while True:
