--- a/gradepoint/batch/worker.py
+++ b/gradepoint/batch/worker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING
 
 from .. import events
@@ -15,7 +16,7 @@
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.hashing import rank
-from ..util.tasks import TaskGroup
+from ..util.tasks import TaskGroup, locate_error
 from ..wire.target_client import TargetClient
 from .calls import PartialText, run_item
 from .claiming import ChunkClaimer
@@ -83,7 +84,7 @@
     async def start(self) -> None:
         """Start the three loops."""
         for loop in (self._poll_loop, self._feed_loop, self._commit_loop):
-            self.tasks.start(self._repeat(loop))
+            self.tasks.start_loop(f"batch{loop.__name__}", partial(self._repeat, loop))
 
     async def stop(self) -> None:
         """Cancel items, commit finished results, release the chunks, then stop."""
@@ -275,6 +276,11 @@
         except GradepointError:
             chunk.pending.appendleft(index)
             raise
+        except Exception as error:
+            # The item may have run. Without this, it would be neither queued nor failed.
+            emit(events.TASK_FAILED, task="item", reason=repr(error), where=locate_error(error))
+            unknown = TargetFailure("internal", repr(error), not_run=False)
+            await self._handle_failure(feeder, chunk, item, unknown)
         else:
             feeder.circuit.succeeded()
             metrics.shared().items.add(1, {"result": "done"})
--- a/tests/test_gateway/test_gateway_foreign_entries.py
+++ b/tests/test_gateway/test_gateway_foreign_entries.py
@@ -159,4 +159,16 @@
         for number in range(40):
             assert (await deployment.call("/plain/a", gateway=number % 2)).status == 200
 
+
+@pytest.mark.parametrize("name", ["a\r\nb", "a\x00b", "\u00e9", "\u2028", " a"])
+def test_entry_whose_name_fits_no_header_gets_no_call(name: str) -> None:
+    # Calls drawn to it failed by an exception.
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=1, targets=1)
+        for number in range(8):
+            deployment.store.put(f"servers/{name}{number}", deployment.targets[0].entry())
+        await restart_all(deployment)
+        for _ in range(20):
+            assert (await deployment.call("/plain/a")).status == 200
+
     run_in_virtual_time(work)
