Send no datagrams to addresses that end the socket

What callers saw: nothing yet; found in review of the loops that send. With a presence row of another writer whose peer address is "127.0.0.1:70000", no gateway heard another one any more, and none knew what the others had in flight, also after a restart of all gateways. Calls were still answered (virtual time, three gateways).

Cause: asyncio's datagram transport closes itself at any error that is no OSError: OverflowError for a port out of range, TypeError for a host name that cannot be encoded. Nothing noticed that it was closed. The check of presence rows only took the port for a number. A host name in place of an IP address is looked up while the event loop waits, with each heartbeat.

Programs take their own address from settings, which accept IP addresses only. The virtual network closes a datagram transport as asyncio does.

--- a/gradepoint/peers/datagrams.py
+++ b/gradepoint/peers/datagrams.py
@@ -29,7 +29,7 @@
 from ..util import decoding
 from ..util.clock import monotonic
 from ..util.hashing import hash32
-from ..wire.addresses import split_address
+from ..wire.addresses import is_address, split_address
 from .capacity import UNKNOWN_CLASS
 from .results import ReportedResults
 
@@ -291,7 +291,11 @@
         """Send an encoded message to ``IP:PORT``; delivery is not guaranteed."""
         if self.transport is None:
             return
-        if len(raw) > MAX_DATAGRAM_BYTES:
+        if not is_address(address):
+            # asyncio looks up names while the event loop waits, and closes the transport at errors
+            # that are no OSError, such as a port out of range.
+            self._drop("bad-address")
+        elif len(raw) > MAX_DATAGRAM_BYTES:
             self._drop("too-long")
         elif not self._may_queue(raw, MAX_QUEUED_BYTES):
             self._drop("queue-full")
--- a/gradepoint/peers/presence.py
+++ b/gradepoint/peers/presence.py
@@ -17,7 +17,7 @@
 from ..util.clock import monotonic
 from ..util.hashing import new_token
 from ..util.structs import Struct, field
-from ..wire.addresses import split_address
+from ..wire.addresses import is_address
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -76,10 +76,8 @@
     row = decoding.decode_json(value, HostPresence)
     if host != row.host or host != read_host(row.incarnation):
         raise DecodingError(f"describes another host: {row.host!r}, {row.incarnation!r}")
-    try:
-        split_address(row.peer_address)
-    except ValueError as error:
-        raise DecodingError(f"invalid peer address: {row.peer_address!r}") from error
+    if not is_address(row.peer_address):
+        raise DecodingError(f"invalid peer address: {row.peer_address!r}")
     return row
 
 
--- a/tests/support/virtual_network.py
+++ b/tests/support/virtual_network.py
@@ -21,6 +21,7 @@
 from gradepoint.standins.ports import free_port
 from gradepoint.standins.virtual_time import VirtualLoop, virtual_clocks
 from gradepoint.util import clock
+from gradepoint.wire.addresses import is_port
 
 T = TypeVar("T")
 
@@ -227,6 +228,10 @@
 
     def sendto(self, data: Any, addr: Any = None) -> None:
         """See :meth:`asyncio.DatagramTransport.sendto`."""
+        if not is_port(addr[1]):
+            # asyncio closes the transport at errors that are no OSError.
+            self.close()
+            return
         if not self.loop.is_silent(self.own, addr):
             self.loop.call_later(LATENCY_S, self.loop.deliver, bytes(data), self.own, addr)
 
