--- a/gradepoint/errors.py
+++ b/gradepoint/errors.py
@@ -501,6 +501,10 @@
     """
 
 
+class KvIncomplete(KvUnavailable):
+    """Keys that a job's state names do not exist; the values of other keys stay valid."""
+
+
 class KvRejected(KvError):
     """The service refused a call that it will refuse again; the call did not take effect.
 
--- a/gradepoint/jobs/adoption.py
+++ b/gradepoint/jobs/adoption.py
@@ -10,13 +10,16 @@
 from typing import TYPE_CHECKING
 
 from .. import events
-from ..errors import KvError, KvUnreadable
+from ..errors import KvError, KvIncomplete, KvRejected, KvUnreadable
 from ..kv.pace import BackgroundPace
+from ..kv.unreadable import UnreadableRows
 from ..peers.presence import read_host
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.hashing import rank
 from ..util.structs import Struct, field
+from ..util.tasks import locate_error
+from .records import job_key
 from .repository import JOBS_PER_TURN, Superseded
 from .shared_listing import make_listing
 
@@ -93,6 +96,8 @@
         due. A silent host that is still alive learns of the takeover from its next commit.
     :ivar sweep_forced: the next sweep runs on this host whichever hosts were lost.
     :ivar sweeps: number of sweeps so far.
+    :ivar failed: jobs whose last check failed; the next sweep checks them after all others.
+    :ivar unreadable: jobs whose records or state raised an error.
     """
 
     repository: JobRepository
@@ -114,6 +119,8 @@
     silent: set[Incarnation] = field(default_factory=set)
     sweep_forced: bool = False
     sweeps: int = 0
+    failed: set[JobId] = field(default_factory=set)
+    unreadable: UnreadableRows = field(default_factory=UnreadableRows)
 
     def note_lost(self, incarnation: Incarnation) -> None:
         """Record the loss of a host, and sweep if its jobs may be assigned to this host."""
@@ -186,15 +193,18 @@
                 await asyncio.sleep(retry_s)
 
     async def sweep(self) -> bool:
-        """Adopt the orphaned jobs assigned to this host; return whether orphaned jobs remain."""
+        """Adopt the orphaned jobs assigned to this host; return whether orphaned jobs remain.
+
+        :raises KvError: the service did not answer; the next sweep begins with the other jobs.
+        """
         listing = await self._list_open_jobs()
         self.sweeps += 1
         self._update_missing(listing.rows)
-        for number, row in enumerate(listing.rows, 1):
-            try:
-                await self._check_job(row, listing.stored.get(row.id))
-            except KvUnreadable as error:
-                emit(events.JOB_UNREADABLE, job=row.id, reason=str(error))
+        self.failed &= {row.id for row in listing.rows}
+        # A call that always fails for one job would otherwise end each sweep at this job.
+        rows = sorted(listing.rows, key=lambda row: row.id in self.failed)
+        for number, row in enumerate(rows, 1):
+            await self._check_alone(row, listing.stored.get(row.id))
             if number % JOBS_PER_TURN == 0:
                 await asyncio.sleep(0)
         # Reminders need the states of the jobs, which only a host that lists them by itself has.
@@ -215,6 +225,27 @@
         oldest = monotonic() - LISTING_REUSE_S if self.sweeps else 0.0
         return await shared.list_open_jobs(max(shared.read_at, self.requested_at, oldest))
 
+    async def _check_alone(self, row: ListedJob, job: StoredJob | None) -> None:
+        """Check a job like :meth:`_check_job`; log an error that concerns no other job.
+
+        :raises KvError: the service did not answer.
+        """
+        key = job_key(row.id)
+        self.failed.add(row.id)
+        try:
+            await self._check_job(row, job)
+        except (KvUnreadable, KvIncomplete, KvRejected) as error:
+            self.unreadable.note(events.JOB_UNREADABLE, key, str(error), job=row.id)
+        except KvError:
+            raise
+        except Exception as error:
+            self.unreadable.note(
+                events.ROW_FAILED, key, repr(error), job=row.id, where=locate_error(error)
+            )
+        else:
+            self.failed.discard(row.id)
+            self.unreadable.clear(key)
+
     async def _check_job(self, row: ListedJob, job: StoredJob | None) -> None:
         """Run a job if this host owns it, or adopt it if it is orphaned and assigned to this host.
 
--- a/gradepoint/jobs/repository.py
+++ b/gradepoint/jobs/repository.py
@@ -15,7 +15,14 @@
 import msgspec
 
 from .. import events
-from ..errors import KvOverRate, KvRejected, KvUnavailable, KvUncertain, KvUnreadable
+from ..errors import (
+    KvIncomplete,
+    KvOverRate,
+    KvRejected,
+    KvUnavailable,
+    KvUncertain,
+    KvUnreadable,
+)
 from ..ids import Incarnation, JobId
 from ..kv.service import ABSENT, Expect, KeyValue, Put, Transaction
 from ..telemetry import loop_time, metrics
@@ -577,7 +584,7 @@
         key = part_key(result_prefix(job.id), number)
         item = await self.kv.get(key)
         if item is None:
-            raise KvUnavailable(f"{key} is missing")
+            raise KvIncomplete(f"{key} is missing")
         return join_results(await self.fragments.load_large_parts(job.id, [item.value]))
 
     async def load_partial(self, job: StoredJob) -> dict[int, PartialText]:
@@ -596,7 +603,7 @@
         else:
             found = (await self.kv.range(prefix)).items[:count]
         if len(found) < count:
-            raise KvUnavailable(f"{len(found)} of {count} parts found below {prefix}")
+            raise KvIncomplete(f"{len(found)} of {count} parts found below {prefix}")
         return await self.fragments.load_large_parts(job_id, [item.value for item in found])
 
     async def list_jobs(self) -> list[StoredJob]:
--- /dev/null
+++ b/tests/test_jobs/test_jobs_adoption_faults.py
@@ -0,0 +1,94 @@
+"""A job that cannot be taken over costs itself only: the sweep goes on with the others."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from gradepoint.errors import KvError, KvRejected, KvUncertain
+from gradepoint.jobs.records import job_key
+from gradepoint.jobs.repository import JobRepository
+from tests.support.platform import Deployment, run_in_virtual_time, until
+
+if TYPE_CHECKING:
+    from gradepoint.jobs.repository import StoredJob
+
+BAD = "a-job"
+"""Comes first in the list of jobs."""
+
+
+async def check_others_are_done(deployment: Deployment) -> None:
+    """Submit jobs, kill all hosts, and check that one which starts runs all jobs but the bad one.
+
+    :param deployment: stopped targets answer once the hosts are killed.
+    """
+    for job_id in ("b-job", "c-job"):
+        assert (await deployment.submit(job_id, 2)).status == 202
+    for gateway in list(deployment.gateways):
+        await deployment.kill(gateway)
+    deployment.targets[0].event_interval_s = 0.0
+    gateway = deployment.make_gateway("new")
+    await gateway.start()
+    deployment.gateways.append(gateway)
+    await until(lambda: gateway.ready)
+    for job_id in ("b-job", "c-job"):
+        rows = await deployment.read_all_results(job_id)
+        assert [row["state"] for row in rows] == ["complete"] * 2
+
+
+def test_job_without_its_input_stops_no_other_adoption() -> None:
+    # "0 of 1 parts found" counted as an outage of the service and ended each sweep at this job.
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=1, targets=1, event_interval_s=5.0)
+        assert (await deployment.submit("job", 1)).status == 202
+        copied = deployment.store.keys.keys[job_key("job")].value  # type: ignore[arg-type]
+        deployment.store.put(job_key(BAD), copied)  # type: ignore[arg-type]
+        await check_others_are_done(deployment)
+
+    run_in_virtual_time(work)
+
+
+@pytest.mark.parametrize(
+    "error",
+    [ZeroDivisionError("a fault"), KvRejected("too large", "key", 1, 1), KvUncertain("no answer")],
+)
+def test_job_that_raises_an_exception_stops_no_other_adoption(
+    monkeypatch: pytest.MonkeyPatch, error: Exception
+) -> None:
+    # Any exception but KvUnreadable ended each sweep at this job, for as long as it existed.
+    load = JobRepository.load_items
+
+    async def load_unless_bad(self: JobRepository, job: StoredJob) -> Any:
+        if job.id == BAD:
+            raise error
+        return await load(self, job)
+
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=1, targets=1, event_interval_s=5.0)
+        assert (await deployment.submit(BAD, 1)).status == 202
+        monkeypatch.setattr(JobRepository, "load_items", load_unless_bad)
+        await check_others_are_done(deployment)
+
+    run_in_virtual_time(work)
+
+
+def test_job_that_cannot_be_read_is_taken_over_once_it_can(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    adopt = JobRepository.adopt
+    errors: list[KvError | Exception] = [ZeroDivisionError("a fault"), KvUncertain("no answer")]
+
+    async def adopt_later(self: JobRepository, job: StoredJob, owner: Any) -> Any:
+        if job.id == BAD and errors:
+            raise errors.pop()
+        return await adopt(self, job, owner)
+
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=1, targets=1, event_interval_s=5.0)
+        assert (await deployment.submit(BAD, 1)).status == 202
+        monkeypatch.setattr(JobRepository, "adopt", adopt_later)
+        await check_others_are_done(deployment)
+        assert len(await deployment.read_all_results(BAD)) == 1
+
+    run_in_virtual_time(work)
