Show in log, metric and readiness that a loop fails again and again

What operators saw: in the incident, two lines of loop_failed at the start and then "host_not_ready: targets" for ever, which did not say why. A loop that failed at each start wrote two lines a second for as long as it failed.

Change: each loop of a TaskGroup has a state. loop_failed comes after pauses that double to a minute, with the failures since the loop last worked and for how long; gradepoint_loop_failing_seconds has that time by loop; host_not_ready names the loops that fail, with the reason. A loop works again once it ran 15 s without an exception, longer than the slowest loop takes for a round. Loops are restarted after half a second as before.

Evidence: a loop that always fails, 300 s of virtual time: 600 lines before, 10 now (the test allows 8 to 12). The tests of the state need the new functions.

Retirements have names of their own, so that one does not hide the other's state.

--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -407,7 +407,12 @@
             self.find_missing_requirements,
             lambda: self.presence.holds_lease,
             lambda: len(self.targets.by_id),
+            lambda: {**self.tasks.find_failing(), **self.watchers.tasks.find_failing()},
         )
+        metrics.shared().failing_loops.read = lambda: {
+            **self.tasks.read_failing_s(),
+            **self.watchers.tasks.read_failing_s(),
+        }
         metrics.shared().not_ready.read = self.readiness.read_missing_s
         self.ready_server = HttpServer(self.answer_ready)
         self.peer_server = HttpServer(self.answer_peer)
--- a/gradepoint/gateway/readiness.py
+++ b/gradepoint/gateway/readiness.py
@@ -41,6 +41,7 @@
     :param find_missing: returns the requirements that are not met.
     :param holds_lease: whether the host is listed under its lease, for the log.
     :param count_targets: returns the number of known targets, for the log.
+    :param find_failing: returns the loops that do not work, with the reason, for the log.
     :ivar missing: requirements that were not met at the last check; None before the first one.
     :ivar since: monotonic time since which exactly these are not met.
     :ivar reported_at: monotonic time of the last log line.
@@ -51,6 +52,7 @@
     find_missing: Callable[[], list[Requirement]]
     holds_lease: Callable[[], bool]
     count_targets: Callable[[], int]
+    find_failing: Callable[[], dict[str, str]] = dict
     missing: list[Requirement] | None = None
     since: float = field(default_factory=monotonic)
     reported_at: float = float("-inf")
@@ -79,11 +81,13 @@
             emit(events.HOST_READY, targets=self.count_targets(), lease=self.holds_lease())
         elif missing and (changed or now - self.reported_at >= REPORT_INTERVAL_S):
             self.reported_at = now
+            failing = self.find_failing()
             emit(
                 events.HOST_NOT_READY,
                 missing=[requirement.value for requirement in missing],
                 since_s=round(now - self.since, 1),
                 lease=self.holds_lease(),
+                **({"failing_loops": failing} if failing else {}),
             )
         self._report_reached(now)
 
--- a/gradepoint/gateway/retirement.py
+++ b/gradepoint/gateway/retirement.py
@@ -62,7 +62,7 @@
         if self.handled.get(host) == revision:
             return
         self.handled[host] = revision
-        self.tasks.start_loop("retirement", lambda: self._answer(host))
+        self.tasks.start_loop(f"retirement of {host}", lambda: self._answer(host))
 
     async def _answer(self, host: HostName) -> None:
         await self.wait_for_hosts()
--- a/gradepoint/spool/app.py
+++ b/gradepoint/spool/app.py
@@ -73,6 +73,7 @@
         metrics.shared().unentered_jobs.read = self.spool.read_held_jobs
         metrics.shared().oldest_unentered_job.read = self.spool.read_oldest_s
         self.tasks = TaskGroup()
+        metrics.shared().failing_loops.read = self.tasks.read_failing_s
         self.marker = RunMarker(Path(settings.data_folder) / RUN_MARKER_FILE)
 
     async def handle(self, request: Request) -> Response:
--- a/gradepoint/telemetry/metrics.py
+++ b/gradepoint/telemetry/metrics.py
@@ -178,6 +178,7 @@
         self.longest_turn = CallbackGauge(
             "gradepoint_longest_turn", "s", lambda: loop_time.shared().read_longest_s()
         )
+        self.failing_loops = CallbackGauge("gradepoint_loop_failing", "s")
         self.not_ready = CallbackGauge("gradepoint_not_ready", "s")
         self.unentered_jobs = CallbackGauge("gradepoint_unentered_jobs", "1")
         self.oldest_unentered_job = CallbackGauge("gradepoint_oldest_unentered_job", "s")
--- a/gradepoint/util/tasks.py
+++ b/gradepoint/util/tasks.py
@@ -8,15 +8,73 @@
 
 from .. import events
 from ..telemetry.logs import emit
+from .clock import monotonic
+from .structs import Struct
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
     from typing import Any
 
+    from ..telemetry.metrics import Labels
+
 RESTART_DELAY_S = 0.5
 """Seconds until a background loop is restarted after an exception. The delay keeps a permanent
 fault from using much processor time and filling the log. It is a fraction of the shortest time
 after which the data that a loop maintains counts as stale."""
+STEADY_S = 15.0
+"""Seconds without an exception after which a loop that failed works again. The slowest loops work
+every 10 s, so that one that fails each time does not count as working in between."""
+MAX_REPORT_PAUSE_S = 60.0
+"""Longest time in seconds between two log lines about a loop that fails again and again."""
+
+
+class LoopHealth(Struct):
+    """Whether a background loop works.
+
+    :ivar failures: exceptions since the loop last worked.
+    :ivar failing_since: monotonic time of the first of them; None if the loop works.
+    :ivar failed_at: monotonic time of the last of them.
+    :ivar reason: the last of them, and the place that raised it.
+    :ivar report_at: monotonic time from which the next of them is logged.
+    :ivar report_pause_s: seconds between the last log line and the next one.
+    """
+
+    failures: int = 0
+    failing_since: float | None = None
+    failed_at: float = 0.0
+    reason: str = ""
+    report_at: float = 0.0
+    report_pause_s: float = RESTART_DELAY_S
+
+    def read_failing_s(self) -> float:
+        """Return the seconds since the loop last worked; 0 if it works."""
+        now = monotonic()
+        if self.failing_since is None or now - self.failed_at >= STEADY_S:
+            return 0.0
+        return now - self.failing_since
+
+    def note_failure(self, name: str, error: Exception) -> None:
+        """Record an exception, and log it unless the last log line is too recent."""
+        now = monotonic()
+        if self.failing_since is None or now - self.failed_at >= STEADY_S:
+            self.failures, self.failing_since = 0, now
+            self.report_at, self.report_pause_s = now, RESTART_DELAY_S
+        self.failures += 1
+        self.failed_at = now
+        where = locate_error(error)
+        self.reason = f"{error!r} at {where}"
+        if now < self.report_at:
+            return
+        self.report_pause_s = min(MAX_REPORT_PAUSE_S, self.report_pause_s * 2)
+        self.report_at = now + self.report_pause_s
+        emit(
+            events.LOOP_FAILED,
+            task=name,
+            reason=repr(error),
+            where=where,
+            failures=self.failures,
+            failing_s=round(now - self.failing_since, 1),
+        )
 
 
 class TaskGroup:
@@ -24,11 +82,13 @@
 
     Unlike in :class:`asyncio.TaskGroup`, a failing task does not cancel the others.
 
+    :ivar loops: state of each background loop, by name.
     :ivar tasks: tasks that have not ended, in the order of their start; their order in a set would
         make runs with one seed differ. The references keep them from being garbage-collected.
     """
 
     def __init__(self) -> None:
+        self.loops: dict[str, LoopHealth] = {}
         self.tasks: dict[asyncio.Task[Any], None] = {}
 
     def start(self, work: Coroutine[Any, Any, Any], *, awaited: bool = False) -> asyncio.Task[Any]:
@@ -50,7 +110,16 @@
         :param name: name of the loop in log lines.
         :param make_work: returns the coroutine to run; called again for each restart.
         """
-        return self.start(_run_with_restarts(name, make_work))
+        health = self.loops[name] = LoopHealth()
+        return self.start(_run_with_restarts(name, make_work, health))
+
+    def find_failing(self) -> dict[str, str]:
+        """Return the loops that do not work, by name, with the reason."""
+        return {name: row.reason for name, row in self.loops.items() if row.read_failing_s()}
+
+    def read_failing_s(self) -> dict[Labels, float]:
+        """Return the seconds since each loop last worked, for the metrics page."""
+        return {(("loop", name),): row.read_failing_s() for name, row in self.loops.items()}
 
     def _discard(self, task: asyncio.Task[Any]) -> None:
         self.tasks.pop(task, None)
@@ -72,13 +141,15 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-async def _run_with_restarts(name: str, make_work: Callable[[], Coroutine[Any, Any, Any]]) -> None:
+async def _run_with_restarts(
+    name: str, make_work: Callable[[], Coroutine[Any, Any, Any]], health: LoopHealth
+) -> None:
     while True:
         try:
             await make_work()
             return
         except Exception as error:
-            emit(events.LOOP_FAILED, task=name, reason=repr(error), where=locate_error(error))
+            health.note_failure(name, error)
         await asyncio.sleep(RESTART_DELAY_S)
 
 
--- a/tests/test_util/test_util_tasks.py
+++ b/tests/test_util/test_util_tasks.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from typing import Any
+from unittest.mock import ANY
 
 import pytest
 
@@ -12,8 +13,8 @@
 from gradepoint.standins.virtual_time import run_virtual
 from gradepoint.util import tasks
 from gradepoint.util.clock import monotonic
-from gradepoint.util.tasks import RESTART_DELAY_S, TaskGroup
-from tests.support.platform import Deployment, run_deployment, until
+from gradepoint.util.tasks import RESTART_DELAY_S, STEADY_S, TaskGroup
+from tests.support.platform import Deployment, run_deployment, run_in_virtual_time, until
 
 LoggedEvents = list[tuple[Event, dict[str, Any]]]
 
@@ -79,6 +80,68 @@
     assert {fields["task"] for _, fields in logged} == {"a loop"}
 
 
+def test_loop_that_always_fails_is_logged_after_growing_pauses(logged: LoggedEvents) -> None:
+    # Two lines a second for each of several loops displaced the lines that tell the reason.
+    async def work() -> None:
+        group = TaskGroup()
+        group.start_loop("a loop", fail)
+        await asyncio.sleep(300.0)
+        assert group.find_failing() == {"a loop": ANY}
+        assert group.read_failing_s() == {(("loop", "a loop"),): pytest.approx(300.0)}
+        await group.stop()
+
+    run_virtual(work())
+    assert 8 <= len(logged) <= 12
+    counts = [fields["failures"] for _, fields in logged]
+    assert counts[:3] == [1, 3, 7] and counts[-1] - counts[-2] == 60.0 / RESTART_DELAY_S
+
+
+def test_loop_that_works_again_counts_as_working(logged: LoggedEvents) -> None:
+    faults = [KeyError("a fault"), KeyError("a fault")]
+
+    async def loop() -> None:
+        if faults:
+            raise faults.pop()
+        await asyncio.sleep(100.0)
+        await fail()
+
+    async def work() -> None:
+        group = TaskGroup()
+        group.start_loop("a loop", loop)
+        await asyncio.sleep(1.5)
+        assert group.find_failing()
+        await asyncio.sleep(STEADY_S)
+        assert not group.find_failing()
+        await asyncio.sleep(100.0)
+        assert group.read_failing_s()[("loop", "a loop"),] < 20.0
+        await group.stop()
+
+    run_virtual(work())
+    assert [fields["failures"] for _, fields in logged] == [1, 1]
+
+
+def test_host_that_is_not_ready_names_the_loop_that_fails(monkeypatch: pytest.MonkeyPatch) -> None:
+    # The log said "missing: targets" for ever, and nothing why.
+    lines: list[dict[str, Any]] = []
+    monkeypatch.setattr(
+        "gradepoint.gateway.readiness.emit",
+        lambda event, **fields: lines.append({"event": event, **fields}),
+    )
+
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=0)
+        gateway = deployment.make_gateway("host")
+        monkeypatch.setattr(gateway.target_follower, "reset", lambda _: 1 // 0)
+        await gateway.start()
+        deployment.gateways.append(gateway)
+        await asyncio.sleep(12.0)
+        assert not gateway.ready
+
+    run_in_virtual_time(work)
+    last = [row for row in lines if row["event"] is events.HOST_NOT_READY][-1]
+    assert "ZeroDivisionError" in last["failing_loops"]["watchers"]
+
+
 def test_gateway_sweep_continues_after_a_failure(
     monkeypatch: pytest.MonkeyPatch, logged: LoggedEvents
 ) -> None:
