Let an exception in one item, job or step of the worker cost that one only

What callers saw: nothing yet; found in review of the loops that are started again.

Cause: a turn of the worker takes its steps and jobs one after another. An exception in one item or job ended the turn, and the next one began with the same item. No further item was started on that host, nothing that had ended was committed, and the host kept its jobs, since its heartbeats went on.

Evidence: test_jobs_worker_faults.py, virtual time; before, all three cases time out (an item whose start raises, a job whose check for a commit raises, a step that always raises).

Change: an item whose start raises an exception is logged with its job and tried again after 5 s; a job whose commit cannot be decided is logged; the steps of a turn run each by itself, with the state of a loop, so that a step that fails again and again shows in loop_failed and gradepoint_loop_failing_seconds.

--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -54,7 +54,7 @@
     108,
     "loop_failed",
     "ERROR",
-    "A background loop raised an exception and is restarted; see since when it fails. Report it.",
+    "A background loop, or a step of one, raised an exception; it is run again. Report it.",
 )
 HANDLER_FAILED = _declare(
     103,
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -407,11 +407,16 @@
             self.find_missing_requirements,
             lambda: self.presence.holds_lease,
             lambda: len(self.targets.by_id),
-            lambda: {**self.tasks.find_failing(), **self.watchers.tasks.find_failing()},
+            lambda: {
+                name: reason
+                for group in self.find_task_groups()
+                for name, reason in group.find_failing().items()
+            },
         )
         metrics.shared().failing_loops.read = lambda: {
-            **self.tasks.read_failing_s(),
-            **self.watchers.tasks.read_failing_s(),
+            labels: failing_s
+            for group in self.find_task_groups()
+            for labels, failing_s in group.read_failing_s().items()
         }
         metrics.shared().not_ready.read = self.readiness.read_missing_s
         self.ready_server = HttpServer(self.answer_ready)
@@ -495,6 +500,10 @@
             "peers", lambda: follow_peers(self.heartbeats, self.peer_http, self.configuration)
         )
 
+    def find_task_groups(self) -> list[TaskGroup]:
+        """Return the groups of tasks that run background loops or steps of them."""
+        return [self.tasks, self.watchers.tasks, self.retirement.tasks, self.worker.tasks]
+
     def find_position(self) -> int:
         """Return the position of this host among the listed hosts, by name."""
         return sum(host < self.own.host for host in self.hosts.hosts)
--- a/gradepoint/jobs/adoption.py
+++ b/gradepoint/jobs/adoption.py
@@ -200,7 +200,9 @@
         listing = await self._list_open_jobs()
         self.sweeps += 1
         self._update_missing(listing.rows)
-        self.failed &= {row.id for row in listing.rows}
+        for job_id in self.failed - {row.id for row in listing.rows}:
+            self.failed.discard(job_id)
+            self.unreadable.clear(job_key(job_id))
         # A call that always fails for one job would otherwise end each sweep at this job.
         rows = sorted(listing.rows, key=lambda row: row.id in self.failed)
         for number, row in enumerate(rows, 1):
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -15,6 +15,7 @@
 from ..errors import KvError, KvRejected, KvUnreadable
 from ..gateway.forwarding import OtherInstance, TargetBusy, TargetFailed
 from ..kv.service import ABSENT
+from ..kv.unreadable import UnreadableRows
 from ..peers.datagrams import number_target
 from ..routing.batch_headroom import find_start_limit
 from ..routing.crash_backoff import EARLY_CRASH_S, CrashBackoff
@@ -26,12 +27,12 @@
 from ..util.hashing import hash32
 from ..util.rng import new_rng
 from ..util.structs import Struct, field
-from ..util.tasks import TaskGroup
+from ..util.tasks import TaskGroup, locate_error
 from ..wire.http_client import ConnectFailed
 from .item_run import ItemFailed, ItemUnprocessable, run_item
 from .job_checks import MAX_ENDS_PER_TURN, JobChecks, may_give_up
 from .owned import OwnedJob
-from .records import ItemOutcome, PartialText, Result
+from .records import ItemOutcome, PartialText, Result, job_key
 from .repository import REJECTED_RETRY_S, CommittedWork, StoredJob, Superseded
 from .slot_sharing import allot_spare_slots, choose_batch_target, count_spare_slots
 from .start_order import find_due_s, list_startable_jobs, order_startable, sum_weight
@@ -85,6 +86,9 @@
 """Most jobs whose owner is read at once after a stall. A commit checks the owner, too."""
 COMMIT_RETRY_S = 0.5
 """Seconds until a commit that failed or got no answer is retried."""
+FAILED_START_RETRY_S = 5.0
+"""Seconds until an item is tried again whose start raised an exception. Jobs are due in several
+times that, and a turn examines few such items."""
 NOT_YET_CREATED = sys.maxsize
 """Creation revision of a job that the key-value service does not have yet. It sorts such a job as
 younger than all jobs in the service."""
@@ -144,6 +148,7 @@
     :ivar crash_backoff: delays items under which targets crash soon after the start.
     :ivar position: item with which the next turn of starts begins, if the last one passed over as
         many items as it may.
+    :ivar unreadable: jobs that raised an exception.
     :ivar checks: jobs of which is to be checked whether they may be given up or forgotten.
     """
 
@@ -177,6 +182,7 @@
     waiting_for_memory: dict[JobId, StoredJob] = field(default_factory=dict)
     position: StartPosition | None = None
     checks: JobChecks = field(default_factory=JobChecks)
+    unreadable: UnreadableRows = field(default_factory=UnreadableRows)
 
     def announced_job_numbers(self) -> list[int]:
         """Return the short numbers of the jobs that this host announces to other hosts."""
@@ -327,6 +333,7 @@
 
     def _forget(self, job: OwnedJob) -> None:
         """Remove a job from memory."""
+        self.unreadable.clear(job_key(job.id))
         if self.jobs.pop(job.id, None) is not None and self.memory is not None:
             self.memory.release(job.reserved_bytes)
 
@@ -392,13 +399,13 @@
             await asyncio.sleep(POLL_INTERVAL_S)
             with loop_time.shared().measure(LoopPart.WORKER):
                 self._reload_jobs()
-                self._preempt_items()
-                self._note_lasting_runs()
+                self.tasks.run_step("preemption of items", self._preempt_items)
+                self.tasks.run_step("lasting runs", self._note_lasting_runs)
             await self.forwarder.wait_until_fresh()
             with loop_time.shared().measure(LoopPart.WORKER):
-                self._start_items()
-                self._report_waiting_items()
-                self._maintain_jobs()
+                self.tasks.run_step("start of items", self._start_items)
+                self.tasks.run_step("waiting items", self._report_waiting_items)
+                self.tasks.run_step("maintenance of jobs", self._maintain_jobs)
 
     def _reload_jobs(self) -> None:
         """Start to read the jobs in :attr:`jobs_to_reload`, without holding up other jobs."""
@@ -433,7 +440,10 @@
                     self.checks.repeat(job)
         for job in self.jobs.values():
             if job.pending or job.running:
-                self._commit_if_due(job, now)
+                try:
+                    self._commit_if_due(job, now)
+                except Exception as error:
+                    self._note_fault(job, error)
 
     def _commit_if_due(self, job: OwnedJob, now: float) -> None:
         if not job.committing and now >= job.commit_after and self._wants_commit(job, now):
@@ -587,11 +597,34 @@
                 if turn.passed >= MAX_PASSED_PER_TURN:
                     self.position = StartPosition(items.job.id, items.is_late, index)
                     return
-                if not self._start_or_pass(items.job, index, turn):
+                try:
+                    goes_on = self._start_or_pass(items.job, index, turn)
+                except Exception as error:
+                    self._put_off(items.job, index, error)
+                    turn.passed += 1
+                    continue
+                if not goes_on:
                     break
                 if not self.start_allowance:
                     return
 
+    def _put_off(self, job: OwnedJob, index: int, error: Exception) -> None:
+        """Log that an item could not be started, and try it again after some time."""
+        self._note_fault(job, error)
+        if index not in job.running:
+            job.not_before[index] = monotonic() + FAILED_START_RETRY_S
+            job.open_items.take(index)
+            job.note_stop(index)
+
+    def _note_fault(self, job: OwnedJob, error: Exception) -> None:
+        self.unreadable.note(
+            events.ROW_FAILED,
+            job_key(job.id),
+            repr(error),
+            job=job.id,
+            where=locate_error(error),
+        )
+
     def _start_or_pass(self, job: OwnedJob, index: int, turn: StartTurn) -> bool:
         """Start an item if it may start; return False if its job can't start more in this turn."""
         config = self.configuration_for(job)
