Let an exception in one spooled job, file or row cost a data host that one only

What callers saw: nothing yet; found in review of the loops that are started again.

Cause: a data host expects some errors of a job and its file. Any other one, while the files are read at the start, ended the program at each start; while jobs are entered, it ended the round, whose other jobs waited again; in a row of the list of hosts, it ended the entry of every job.

A row that raises is set aside.

--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -359,6 +359,12 @@
     "WARNING",
     "Results that are not listed yet fill their share of memory; no further items are started.",
 )
+SPOOL_JOB_FAILED = _declare(
+    424,
+    "spool_job_failed",
+    "ERROR",
+    "A spooled job raised an exception; it stays on the disk and is tried again. Report it.",
+)
 SPOOL_REJECTED = _declare(
     415,
     "spool_rejected",
--- a/gradepoint/spool/host.py
+++ b/gradepoint/spool/host.py
@@ -19,10 +19,12 @@
 from ..errors import DecodingError, KvError, KvOverRate, KvRejected, KvUnreadable, StoreError
 from ..ids import JobId
 from ..jobs.repository import REJECTED_RETRY_S, Admission
+from ..kv.unreadable import UnreadableRows
 from ..peers.presence import PRESENCE_PREFIX, HostTable
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.hashing import rank
+from ..util.tasks import locate_error
 from ..wire.addresses import split_address
 from ..wire.http_client import ConnectFailed, ResponseBroken
 from ..wire.http_types import Response
@@ -137,6 +139,7 @@
     :ivar unread: number of files that may be jobs and are not in the index, since they could not
         be read or the index was full.
     :ivar retiring: the operator has requested that this host be drained; it accepts no further job.
+    :ivar unreadable: rows of the list of hosts that raised an exception.
     """
 
     disk: SpoolDisk
@@ -154,6 +157,7 @@
     listed_at: float = float("-inf")
     unread: int = 0
     retiring: bool = False
+    unreadable: UnreadableRows = field(default_factory=UnreadableRows)
 
     def read_held_jobs(self) -> dict[Labels, float]:
         """Return the number of jobs on this host's disk, for the metrics page."""
@@ -235,6 +239,10 @@
         except DecodingError as error:
             emit(events.SPOOL_UNREADABLE, job=printable(name), reason=str(error))
             return FileState.NO_JOB
+        except Exception as error:
+            # The file may be that of an accepted job, so it stays and is tried again.
+            self._note_fault(JobId(printable(name)), error)
+            return FileState.UNREAD
         if job.id != job_id:
             self._ignore(name, f"the file of job {job.id}")
             return FileState.NO_JOB
@@ -430,8 +438,14 @@
         except DecodingError as error:
             self._postpone(job_id, REJECTED_RETRY_S)
             emit(events.SPOOL_UNREADABLE, job=job_id, reason=str(error))
+        except Exception as error:
+            self._postpone(job_id, REJECTED_RETRY_S)
+            self._note_fault(job_id, error)
         return True
 
+    def _note_fault(self, job_id: JobId, error: Exception) -> None:
+        emit(events.SPOOL_JOB_FAILED, job=job_id, reason=repr(error), where=locate_error(error))
+
     def _postpone(self, job_id: JobId, delay_s: float) -> None:
         """Make the next entry of a job due after a delay, if the job is still held."""
         if job_id in self.held:
@@ -491,7 +505,8 @@
             return
         table = HostTable()
         for item in (await self.kv.range(PRESENCE_PREFIX)).items:
-            table.put_readable(item.key, item.value)
+            with self.unreadable.isolate(item.key):
+                table.put_readable(item.key, item.value)
         self.listed = {host.incarnation: host.peer_address for host in table.hosts.values()}
         self.listed_at = now
 
