--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -89,6 +89,7 @@
 
 if TYPE_CHECKING:
     import socket
+    from collections.abc import Callable
 
     from ..ids import OrganisationNumber, ServiceName
     from ..kv.relay import LongPollService
@@ -716,18 +717,30 @@
                 self.sweep_once()
 
     def sweep_once(self) -> None:
-        """Remove expired state, detect silent hosts, and report whether this host is ready."""
-        self.targets.sweep(monotonic())
-        self.heartbeats.forget_silent()
-        self.occupancy.forget_silent()
-        self.suspicion.forget()
-        self.stream_versions.records.forget(monotonic())
-        self.version_history.sweep(monotonic())
-        self.quotas.host.forget(monotonic())
+        """Remove expired state, detect silent hosts, and report whether this host is ready.
+
+        Each step runs, whether or not others raise an exception.
+        """
+        now = monotonic()
+        steps: dict[str, Callable[[], object]] = {
+            "sweep of targets": lambda: self.targets.sweep(now),
+            "sweep of heartbeats": self.heartbeats.forget_silent,
+            "sweep of reports": self.occupancy.forget_silent,
+            "sweep of suspicions": self.suspicion.forget,
+            "sweep of streams": lambda: self.stream_versions.records.forget(now),
+            "sweep of versions": lambda: self.version_history.sweep(now),
+            "sweep of quotas": lambda: self.quotas.host.forget(now),
+            "sweep of silent hosts": self.update_silent_hosts,
+            "report of readiness": self.readiness.report,
+        }
+        for name, step in steps.items():
+            self.tasks.run_step(name, step)
+
+    def update_silent_hosts(self) -> None:
+        """Have the jobs of hosts that are listed but not heard taken over."""
         listed = self.hosts.incarnations - {self.own.incarnation}
         lost = self.silence.update(listed, self.heartbeats.heard, monotonic())
         self.adoption.update_silent(lost)
-        self.readiness.report()
 
     async def refresh_after_stall(self) -> None:
         """Refresh this host's data after a stall.
--- a/tests/test_util/test_util_tasks.py
+++ b/tests/test_util/test_util_tasks.py
@@ -165,3 +165,21 @@
         await until(lambda: len(gateway.targets.by_id) == 1)
 
     run_deployment(work)
+
+
+def test_step_of_the_sweep_that_always_fails_stops_no_later_step(
+    monkeypatch: pytest.MonkeyPatch, logged: LoggedEvents
+) -> None:
+    # Silent hosts were never noticed, and the log did not say that the host was not ready.
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=3, targets=1)
+        lost, left, _ = deployment.gateways
+        monkeypatch.setattr(left.targets, "sweep", lambda _: 1 // 0)
+        await deployment.kill(lost)
+        await until(lambda: lost.own.incarnation in left.adoption.silent)
+        await until(lambda: len(left.heartbeats.heard) == 1)
+        left.stopping = True
+        await until(lambda: bool(left.readiness.missing))
+
+    run_in_virtual_time(work)
+    assert {fields["task"] for _, fields in logged} == {"sweep of targets"}
