Let a view that cannot be applied hide no other view

What callers saw: nothing yet; found in review of the loops that are started again.

Cause: a host reads its views one after another, and takes updates from other hosts in the same order. An exception in one of them ended the loop, which then began with the same view; those behind it were never read, or got no updates.

Change: a first read that cannot be applied is put behind the other views; each part of an update is applied by itself. Both have a state in loop_failed, gradepoint_loop_failing_seconds and host_not_ready.

Still so: the host does not watch before all views have been read, since its list of live hosts decides whose jobs are taken over.

--- a/gradepoint/peers/watchers.py
+++ b/gradepoint/peers/watchers.py
@@ -24,7 +24,7 @@
 from ..util.clock import monotonic
 from ..util.hashing import rank
 from ..util.structs import Struct, field
-from ..util.tasks import TaskGroup
+from ..util.tasks import RESTART_DELAY_S, TaskGroup
 from ..wire.addresses import split_address
 from ..wire.http_client import ConnectFailed, ResponseBroken
 from ..wire.http_types import Response
@@ -289,6 +289,7 @@
         failures = 0
         while self.unread:
             name = HOSTS_VIEW if self.refused and HOSTS_VIEW in self.unread else self.unread[0]
+            view = self.views[name]
             try:
                 if failures >= RELAY_AFTER_FAILURES and self.heartbeats.helpers():
                     reads[name].begun_at = monotonic()
@@ -302,7 +303,11 @@
                 await backoffs[name].wait_after_failure(error)
                 continue
             backoffs[name].record_success()
-            self.views[name].reset(found)
+            if not self.tasks.run_step(f"first read of {name}", partial(view.reset, found)):
+                # It is tried again after the other views, with its pages as long as they are fresh.
+                self.unread.append(self.unread.pop(self.unread.index(name)))
+                await asyncio.sleep(RESTART_DELAY_S)
+                continue
             self.proofs.proven_at[name] = reads[name].begun_at
             if self.refused:
                 # The other hosts are known already, and learn by this at once that there is a view
@@ -530,10 +535,10 @@
             view = self.views[name]
             if name in self.unread:
                 if name in offered and part.whole:
-                    self._take(name, part)
+                    self.tasks.run_step(f"update of {name}", partial(self._take, name, part))
                 continue
             known = view.digest
-            view.apply_update(part)
+            self.tasks.run_step(f"update of {name}", partial(view.apply_update, part))
             if view.digest != known:
                 self.missed_at.setdefault(name, monotonic())
         proven = {name: row for name, row in updates.proven.items() if name not in self.unread}
--- a/gradepoint/util/tasks.py
+++ b/gradepoint/util/tasks.py
@@ -113,15 +113,18 @@
         health = self.loops[name] = LoopHealth()
         return self.start(_run_with_restarts(name, make_work, health))
 
-    def run_step(self, name: str, step: Callable[[], object]) -> None:
+    def run_step(self, name: str, step: Callable[[], object]) -> bool:
         """Run one of several steps of a loop; an exception is logged, so that the others follow.
 
         :param name: name of the step in log lines, among those of the loops.
+        :returns: whether the step ended without an exception.
         """
         try:
             step()
         except Exception as error:
             self.loops.setdefault(name, LoopHealth()).note_failure(name, error)
+            return False
+        return True
 
     def find_failing(self) -> dict[str, str]:
         """Return the loops that do not work, by name, with the reason."""
