--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -54,7 +54,7 @@
     108,
     "loop_failed",
     "ERROR",
-    "A background loop raised an exception and is restarted; report it.",
+    "A background loop, or a step of one, raised an exception; it is run again. Report it.",
 )
 HANDLER_FAILED = _declare(
     103,
@@ -365,6 +365,12 @@
     "WARNING",
     "Results that are not listed yet fill their share of memory; no further items are started.",
 )
+SPOOL_JOB_FAILED = _declare(
+    424,
+    "spool_job_failed",
+    "ERROR",
+    "A spooled job raised an exception; it stays on the disk and is tried again. Report it.",
+)
 SPOOL_REJECTED = _declare(
     415,
     "spool_rejected",
--- a/tests/test_gateway/test_gateway_foreign_entries.py
+++ b/tests/test_gateway/test_gateway_foreign_entries.py
@@ -159,6 +159,8 @@
         for number in range(40):
             assert (await deployment.call("/plain/a", gateway=number % 2)).status == 200
 
+    run_in_virtual_time(work)
+
 
 @pytest.mark.parametrize("name", ["a\r\nb", "a\x00b", "\u00e9", "\u2028", " a"])
 def test_entry_whose_name_fits_no_header_gets_no_call(name: str) -> None:
