Count a quota record anew that is no count, and refuse no accepted job for it

What callers saw: with a negative count under gp/quota/ROUTE, jobs far above the route's limit were accepted. With a count near the largest number, or jobs of another writer whose tokens exceed it, a job that had been accepted was answered with NO_ROOM when it was entered; the accepting host and the data hosts then took it for entered and deleted it. A sum above 64 bits ended the task that enters jobs.

Cause: any number of a record was taken as a count. "No limit" was a limit of 2^62 tokens, against which accepted jobs were checked too.

Evidence: on the code before, test_overwritten_quota_record_is_counted_anew fails for the negative count (202 in place of 429), and test_accepted_job_is_entered_beside_absurd_counts with Admission.NO_ROOM.

Change: a negative count is unreadable and counted from the jobs. Counts are written from 0 to NO_LIMIT. A job without a limit is never refused. A record that is overwritten again while it is counted is counted again. Each unreadable record is logged once.

--- a/gradepoint/jobs/records.py
+++ b/gradepoint/jobs/records.py
@@ -321,6 +321,17 @@
     return decode_value(raw, JobState)
 
 
+def decode_quota(raw: bytes) -> Quota:
+    """Decode a quota record.
+
+    :raises KvUnreadable: *raw* is no count of tokens.
+    """
+    quota = decode_value(raw, Quota)
+    if quota.tokens < 0:
+        raise KvUnreadable(f"a count of {quota.tokens} tokens")
+    return quota
+
+
 def split_items(items: list[Item], max_bytes: int) -> list[bytes]:
     """Encode items into parts of about *max_bytes* at most; a larger item gets its own part."""
     rows = [msgspec.msgpack.encode(item) for item in items]
--- a/gradepoint/jobs/repository.py
+++ b/gradepoint/jobs/repository.py
@@ -18,6 +18,7 @@
 from ..errors import KvOverRate, KvRejected, KvUnavailable, KvUncertain, KvUnreadable
 from ..ids import Incarnation, JobId
 from ..kv.service import ABSENT, Expect, KeyValue, Put, Transaction
+from ..kv.unreadable import UnreadableRows
 from ..telemetry import loop_time, metrics
 from ..telemetry.logs import emit
 from ..telemetry.loop_time import LoopPart
@@ -37,6 +38,7 @@
     PartialText,
     Quota,
     Result,
+    decode_quota,
     decode_state,
     decode_value,
     encode_part,
@@ -193,6 +195,7 @@
     :ivar write_limit: limit of the bytes in one transaction.
     :ivar reduced_part_bytes: most bytes of a part since the service rejected a larger one.
     :ivar reduced_at: monotonic time of that rejection.
+    :ivar unreadable: records that cannot be used.
     """
 
     kv: KeyValueService
@@ -203,6 +206,7 @@
     write_limit: WriteLimit = field(default_factory=WriteLimit)
     reduced_part_bytes: int = sys.maxsize
     reduced_at: float = float("-inf")
+    unreadable: UnreadableRows = field(default_factory=UnreadableRows)
 
     @property
     def fragments(self) -> FragmentStore:
@@ -314,17 +318,20 @@
                 await turns.pause_after_loss(MAX_CALLER_PAUSE_S)
                 self._cache_quota(key, await self.kv.get(key))
             quota = self.quota_cache.get(key)
-            waiting = _read_quota(quota)
-            if waiting + tokens > max_tokens:
-                if recounted:
+            waiting = self._read_quota(key)
+            is_counted = waiting < NO_LIMIT
+            if not is_counted or not _fits(waiting + tokens, max_tokens):
+                if recounted and is_counted:
                     return await self._refuse_unless_known(job_id)
-                quota, waiting = await self._recount(key, state, asked_at)
+                # The record may have been overwritten again since the last count.
+                since = monotonic() if recounted else asked_at
+                quota, waiting = await self._recount(key, state, since)
                 recounted = True
-                if waiting + tokens > max_tokens:
+                if not _fits(waiting + tokens, max_tokens):
                     return await self._refuse_unless_known(job_id)
             puts = puts or await self._prepare_creation(job_id, state, parts)
             expects = (absent, Expect(key, quota.revision if quota else ABSENT))
-            raw = msgspec.msgpack.encode(Quota(waiting + tokens))
+            raw = _encode_quota(waiting + tokens)
             transaction = Transaction(expects, (*puts, Put(key, raw)))
             result = await self._write_with_retries(transaction)
             if result.succeeded:
@@ -416,13 +423,13 @@
         turns = self._find_turns(key)
         while batch:
             quota = self.quota_cache.get(key)
-            waiting = _read_quota(quota)
+            waiting = self._read_quota(key)
             if waiting >= NO_LIMIT:
                 quota, waiting = await self._recount(
                     key, next(iter(batch.values()))[0], monotonic()
                 )
             tokens = sum(sum(state.item_tokens) for state, _ in batch.values())
-            raw = msgspec.msgpack.encode(Quota(waiting + tokens))
+            raw = _encode_quota(waiting + tokens)
             expects = [Expect(job_key(job_id), ABSENT) for job_id in batch]
             expects.append(Expect(key, quota.revision if quota else ABSENT))
             puts = [put for _, creation in batch.values() for put in creation]
@@ -492,6 +499,23 @@
             self._cache_quota(key, counted.quota)
         return counted.quota, counted.tokens
 
+    def _read_quota(self, key: str) -> int:
+        """Return the upper bound of the waiting tokens from the quota record as last read.
+
+        A record that is no count counts as :data:`NO_LIMIT`, which forces a recount before any job
+        is accepted.
+        """
+        item = self.quota_cache.get(key)
+        if item is None:
+            return 0
+        try:
+            tokens = decode_quota(item.value).tokens
+        except KvUnreadable as error:
+            self.unreadable.note(events.QUOTA_UNREADABLE, key, str(error))
+            return NO_LIMIT
+        self.unreadable.clear(key)
+        return min(tokens, NO_LIMIT)
+
     def _cache_quota(self, key: str, item: KeyValue | None) -> None:
         if item is None:
             self.quota_cache.pop(key, None)
@@ -736,19 +760,14 @@
     return state.knows_part_sizes and sum(size for _, size in state.part_sizes) > MAX_LOADED_BYTES
 
 
-def _read_quota(item: KeyValue | None) -> int:
-    """Return the upper bound of the waiting tokens.
+def _fits(tokens: int, max_tokens: int) -> bool:
+    """Whether a number of tokens may wait; without a limit any number may, and none is refused."""
+    return max_tokens >= NO_LIMIT or tokens <= max_tokens
 
-    An unreadable record counts as :data:`NO_LIMIT`, which forces a recount before any job is
-    accepted.
-    """
-    if item is None:
-        return 0
-    try:
-        return decode_value(item.value, Quota).tokens
-    except KvUnreadable as error:
-        emit(events.QUOTA_UNREADABLE, key=item.key, reason=str(error))
-        return NO_LIMIT
+
+def _encode_quota(tokens: int) -> bytes:
+    """Encode a quota record; the sum of numbers of another writer may be out of its range."""
+    return msgspec.msgpack.encode(Quota(min(max(0, tokens), NO_LIMIT)))
 
 
 def _make_creation(job_id: JobId, state: JobState, values: list[bytes]) -> list[Put]:
