End a job whose state another writer has overwritten, and only that job

What callers saw: with an index out of range in the state of one job, submissions of its route got 500 and adoption failed at all hosts. With bytes that are no state, the owner sent its commit twice a second for ever (by reading); a repeated submission got 500 (by reading, 202 where data hosts keep jobs), and readers of contradictory states got empty pages or 500.

Cause: a state was checked for its types only, and an unreadable one was treated as a service that does not answer.

Evidence: tests/test_jobs/test_jobs_overwritten.py, in virtual time, 15 values with hosts running and after a restart of all: on the code before all of the cases of test_overwritten_state_ends_its_job_only fail.

Change: a state that contradicts itself is unreadable. Its owner drops the job at the next commit; nobody runs or adopts it, its tokens do not count, readers and repeated submissions get 503. Each unreadable job is logged once.

test_job_orphaned_during_sweep_is_left_to_next_sweep checks in addition that no exception was set aside: with the lookup that it guards against it fails as before.

Ruled out: writing the owner's state over the unreadable one. A newer version that has adopted the job may have written it.

--- a/gradepoint/jobs/adoption.py
+++ b/gradepoint/jobs/adoption.py
@@ -12,11 +12,14 @@
 from .. import events
 from ..errors import KvError, KvUnreadable
 from ..kv.pace import BackgroundPace
+from ..kv.unreadable import UnreadableRows
 from ..peers.presence import read_host
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.hashing import rank
 from ..util.structs import Struct, field
+from ..util.tasks import locate_error
+from .records import job_key
 from .repository import JOBS_PER_TURN, Superseded
 from .shared_listing import make_listing
 
@@ -93,6 +96,7 @@
         due. A silent host that is still alive learns of the takeover from its next commit.
     :ivar sweep_forced: the next sweep runs on this host whichever hosts were lost.
     :ivar sweeps: number of sweeps so far.
+    :ivar unreadable: jobs that this host could not run or adopt because of their records.
     """
 
     repository: JobRepository
@@ -114,6 +118,7 @@
     silent: set[Incarnation] = field(default_factory=set)
     sweep_forced: bool = False
     sweeps: int = 0
+    unreadable: UnreadableRows = field(default_factory=UnreadableRows)
 
     def note_lost(self, incarnation: Incarnation) -> None:
         """Record the loss of a host, and sweep if its jobs may be assigned to this host."""
@@ -194,7 +199,13 @@
             try:
                 await self._check_job(row, listing.stored.get(row.id))
             except KvUnreadable as error:
-                emit(events.JOB_UNREADABLE, job=row.id, reason=str(error))
+                key = job_key(row.id)
+                self.unreadable.note(events.JOB_UNREADABLE, key, str(error), job=row.id)
+            except KvError:
+                raise
+            except Exception as error:
+                where = locate_error(error)
+                self.unreadable.note(events.ROW_FAILED, job_key(row.id), repr(error), where=where)
             if number % JOBS_PER_TURN == 0:
                 await asyncio.sleep(0)
         # Reminders need the states of the jobs, which only a host that lists them by itself has.
--- a/gradepoint/jobs/api.py
+++ b/gradepoint/jobs/api.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from .. import events
-from ..errors import GradepointError, KvError, KvRejected, KvUnavailable, KvUncertain
+from ..errors import GradepointError, KvError, KvRejected, KvUnavailable, KvUncertain, KvUnreadable
 from ..gateway.configuration import NO_VERSION
 from ..ids import ItemId, JobId
 from ..peers.presence import read_host
@@ -180,7 +180,7 @@
             raise GradepointError(
                 "body_too_large", f"The job cannot be stored: {error}."
             ) from error
-        except KvUnavailable as error:
+        except (KvUnavailable, KvUnreadable) as error:
             emit(events.JOB_REFUSED, job=job_id, reason=str(error))
             raise GradepointError("service_unavailable", retry_after=RETRY_AFTER_S) from error
         except KvUncertain as error:
@@ -282,7 +282,7 @@
         try:
             await self.worker.start_job(stored, items)
         except KvError as error:
-            emit(events.JOB_UNREADABLE, job=stored.id, reason=str(error))
+            self.repository.note_unreadable(stored.id, error)
             self.tasks.start(self._check_for_late_write(stored.id))
 
     async def _check_for_late_write(
@@ -313,7 +313,7 @@
                 self.worker.drop_early(job_id)
                 return
             except KvError as error:
-                emit(events.JOB_UNREADABLE, job=job_id, reason=str(error))
+                self.repository.note_unreadable(job_id, error)
 
     async def answer(self, call: JobCall, organisation: OrganisationName | None = None) -> Response:
         """Answer a call about a job of *organisation*.
@@ -338,7 +338,7 @@
                 return await self._answer_item(call, job_id)
             return await self._answer_end(job_id)
         except KvError as error:
-            emit(events.JOB_UNREADABLE, job=call.client_id, reason=str(error))
+            self.repository.note_unreadable(job_id, error)
             if isinstance(call, EndJob) and isinstance(error, KvUncertain):
                 # The end may still take effect, so it must not be reported as not done.
                 raise GradepointError("job_uncertain") from error
@@ -395,8 +395,9 @@
         waiting = reported or self._read_waiting(job_id)
         try:
             known, stored = await self._load(job_id, position)
-        except KvError:
-            if waiting is None:
+        except KvError as error:
+            # An unreadable state may stay, and an empty page would promise results.
+            if waiting is None or isinstance(error, KvUnreadable):
                 raise
         if known is None:
             await asyncio.sleep(wait_s if waiting is not None else 0.0)
--- a/gradepoint/jobs/intake.py
+++ b/gradepoint/jobs/intake.py
@@ -107,6 +107,7 @@
         :raises KvUnavailable: the job is not stored anywhere and will not be.
         :raises KvUncertain: the job may be stored, or may be later.
         :raises KvRejected: the service refuses the job, which is not an outage; it is not stored.
+        :raises KvUnreadable: the service has a job of this id, whose state is unreadable.
         """
         if job_id in self.waiting:
             return Submission(Admission.SPOOLED, None)
@@ -234,7 +235,10 @@
 def is_refused(create_task: asyncio.Task[Submission]) -> bool:
     """Whether a creation has ended with an error that is not an outage of the service."""
     error = create_task.exception() if create_task.done() else None
-    return error is not None and (isinstance(error, KvRejected) or not isinstance(error, KvError))
+    if error is None:
+        return False
+    # A job whose state is unreadable may have been accepted and run before.
+    return isinstance(error, KvRejected | KvUnreadable) or not isinstance(error, KvError)
 
 
 def is_created(create_task: asyncio.Task[Submission]) -> bool:
--- a/gradepoint/jobs/owned.py
+++ b/gradepoint/jobs/owned.py
@@ -220,10 +220,18 @@
         new = stored.state.listed[len(self.results) :]
         self.apply_commit(stored, [texts[row.index] for row in new])
 
-    def has_texts_for(self, stored: StoredJob) -> bool:
-        """Return whether this host has the text of every result that *stored* lists."""
+    def is_continued_by(self, stored: StoredJob) -> bool:
+        """Return whether *stored* has the items of this job, begins with its results and lists
+        only results whose texts this host has."""
+        listed = stored.state.listed
+        if stored.state.item_ids != self.stored.state.item_ids:
+            return False
+        if [row.index for row in listed[: len(self.results)]] != [
+            row.index for row in self.results
+        ]:
+            return False
         known = {(row.index, row.end) for row in (*self.results, *self.pending)}
-        return all((row.index, row.end) in known for row in stored.state.listed)
+        return all((row.index, row.end) in known for row in listed)
 
     def fail_remaining(self, most: int) -> int:
         """End items that have not ended as dead, and return how many.
--- a/gradepoint/jobs/records.py
+++ b/gradepoint/jobs/records.py
@@ -316,9 +316,37 @@
 def decode_state(raw: bytes) -> JobState:
     """Decode a job's state.
 
-    :raises KvUnreadable: *raw* is not a valid state.
+    :raises KvUnreadable: *raw* is not a valid state, or contradicts itself.
     """
-    return decode_value(raw, JobState)
+    state = decode_value(raw, JobState)
+    reason = _find_contradiction(state)
+    if reason:
+        raise KvUnreadable(f"the state of a job has {reason}")
+    return state
+
+
+def _find_contradiction(state: JobState) -> str:
+    """Return what no host writes in a state; empty if there is nothing of the kind."""
+    total = len(state.item_ids)
+    indices = {row.index for row in state.listed}
+    if len(state.item_tokens) != total:
+        return f"{total} ids and {len(state.item_tokens)} numbers of tokens"
+    if not 0 <= state.input_parts <= max(1, total):
+        return f"{state.input_parts} parts of {total} items"
+    if len(indices) != len(state.listed):
+        return "two results of one item"
+    if not all(0 <= index < total for index in (*indices, *state.failures)):
+        return f"an index that none of {total} items has"
+    if not bool(state.listed) <= state.commits <= len(state.listed):
+        return f"{len(state.listed)} results in {state.commits} parts"
+    counted = sum(count for count, _ in state.part_sizes)
+    if len(state.part_sizes) > state.commits or counted > len(state.listed):
+        return f"sizes of {len(state.part_sizes)} parts of results"
+    if state.knows_part_sizes and counted != len(state.listed):
+        return f"{counted} results in parts and {len(state.listed)} in the list"
+    if not 0.0 <= state.age_s < float("inf"):
+        return f"an age of {state.age_s} s"
+    return ""
 
 
 def decode_quota(raw: bytes) -> Quota:
--- a/gradepoint/jobs/repository.py
+++ b/gradepoint/jobs/repository.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from .. import events
-from ..errors import KvOverRate, KvRejected, KvUnavailable, KvUncertain, KvUnreadable
+from ..errors import KvError, KvOverRate, KvRejected, KvUnavailable, KvUncertain, KvUnreadable
 from ..ids import Incarnation, JobId
 from ..kv.service import ABSENT, Expect, KeyValue, Put, Transaction
 from ..kv.unreadable import UnreadableRows
@@ -241,6 +241,13 @@
         )
         return True
 
+    def note_unreadable(self, job_id: JobId, error: KvError) -> None:
+        """Log that a record of a job cannot be read; once for each reason, unless it may pass."""
+        if isinstance(error, KvUnreadable):
+            self.unreadable.note(events.JOB_UNREADABLE, job_key(job_id), str(error), job=job_id)
+        else:
+            emit(events.JOB_UNREADABLE, job=job_id, reason=str(error))
+
     def check_size(self, job_id: JobId, state: JobState) -> None:
         """Check that a job's state fits into one value, whatever becomes of its items.
 
@@ -456,7 +463,7 @@
                     if job_id == first:
                         raise
                     # It stays owed, and is the first one later.
-                    emit(events.JOB_UNREADABLE, job=job_id, reason=str(error))
+                    self.note_unreadable(job_id, error)
                 else:
                     entered[job_id] = Submission(Admission.KNOWN, known)
             now_stored = self.quota_cache.get(key)
@@ -630,7 +637,7 @@
             try:
                 jobs.append(_read_stored(item))
             except KvUnreadable as error:
-                emit(events.JOB_UNREADABLE, job=item.key, reason=str(error))
+                self.note_unreadable(JobId(item.key.removeprefix(JOB_PREFIX)), error)
             if number % JOBS_PER_TURN == 0:
                 await asyncio.sleep(0)
         return jobs
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -353,7 +353,7 @@
         try:
             stored = await self.repository.load(job.id)
         except KvError as error:
-            emit(events.JOB_UNREADABLE, job=job.id, reason=str(error))
+            self.repository.note_unreadable(job.id, error)
             return
         if job.id in self.jobs and (stored is None or stored.state.owner != self.own):
             self._reconcile(job, stored)
@@ -410,9 +410,9 @@
         try:
             await self.start_job(stored)
         except KvUnreadable as error:
-            emit(events.JOB_UNREADABLE, job=stored.id, reason=str(error))
+            self.repository.note_unreadable(stored.id, error)
         except KvError as error:
-            emit(events.JOB_UNREADABLE, job=stored.id, reason=str(error))
+            self.repository.note_unreadable(stored.id, error)
             await asyncio.sleep(ITEM_RETRY_S)
             self.jobs_to_reload.append(stored)
             self.work_available.set()
@@ -472,6 +472,12 @@
             metrics.shared().commits.add(1, {"result": "rejected"})
             emit(events.COMMIT_REJECTED, job=job.id, items=len(pending), **error.log_fields)
             job.commit_after = monotonic() + REJECTED_RETRY_S
+        except KvUnreadable as error:
+            # No result can be listed any more. If the state is readable again, the next sweep of
+            # this host continues with it.
+            metrics.shared().commits.add(1, {"result": "unreadable"})
+            self.repository.note_unreadable(job.id, error)
+            self.drop(job.id, "its stored state is unreadable")
         except KvError as error:
             metrics.shared().commits.add(1, {"result": "no-answer"})
             emit(events.COMMIT_FAILED, job=job.id, items=len(pending), reason=str(error))
@@ -509,10 +515,12 @@
             self.drop(job.id, "gone")
         elif stored.state.ended or stored.state.owner != self.own:
             self.drop(job.id, "ended" if stored.state.ended else "another host owns it")
-        elif job.has_texts_for(stored):
+        elif job.is_continued_by(stored):
             job.apply_state(stored)
         else:
-            self.drop(job.id, "the stored state lists results that this host does not have")
+            self.drop(
+                job.id, "the stored state lists results or items that this host does not have"
+            )
             self.jobs_to_reload.append(stored)
 
     def _preempt_items(self) -> None:
--- a/tests/test_jobs/test_jobs_decisions.py
+++ b/tests/test_jobs/test_jobs_decisions.py
@@ -321,6 +321,7 @@
     adoption.repository, adoption.remind_owners = store, nothing
     adoption.worker = type("Worker", (), {"start_job": staticmethod(start_job)})()  # type: ignore[assignment]
     assert run_virtual(adoption.sweep())
+    assert not adoption.unreadable.reasons
 
 
 def test_silence_counts_after_delay_unless_isolated() -> None:
--- a/tests/test_jobs/test_jobs_overwritten.py
+++ b/tests/test_jobs/test_jobs_overwritten.py
@@ -2,16 +2,31 @@
 
 from __future__ import annotations
 
+import asyncio
+from typing import Any
+
 import msgspec
 import pytest
 
 from gradepoint.ids import Incarnation, ItemId, JobId
-from gradepoint.jobs.records import Item, JobState, Quota, encode_state, job_key, quota_key
+from gradepoint.jobs.adoption import SWEEP_INTERVAL_S
+from gradepoint.jobs.records import (
+    Item,
+    ItemOutcome,
+    JobState,
+    Quota,
+    Result,
+    decode_state,
+    encode_state,
+    job_key,
+    quota_key,
+)
 from gradepoint.jobs.repository import Admission, JobRepository, OwedJob
+from gradepoint.jobs.worker import CHECKPOINT_INTERVAL_S
 from gradepoint.kv.service import Put, Transaction
 from gradepoint.standins.memory_kv import MemoryKv, MemoryKvClient
 from gradepoint.standins.virtual_time import run_virtual
-from tests.support.platform import Deployment, run_in_virtual_time
+from tests.support.platform import CallAnswer, Deployment, run_in_virtual_time
 
 NESTED = b"\xdc\x00\x01" + b"\x91" * 2000 + b"\xc0"
 NO_RECORDS = [b"", b"\xff\xfe", b"{}", NESTED]
@@ -78,3 +93,85 @@
             assert [row.admission for row in entered.values()] == [Admission.NEW] * len(names)
 
     run_virtual(work())
+
+
+async def read_answer(deployment: Deployment, gateway: int) -> CallAnswer:
+    """Return the answer to a reader of the results of "job"."""
+    return await deployment.call(
+        "/api/lots/job?after_rev=0", method="GET", body=b"", gateway=gateway
+    )
+
+
+async def check_not_tried(deployment: Deployment, job_id: str) -> None:
+    """Check that no host runs items of a job, or reads or writes its records more often than the
+    periodic sweeps of the watching hosts do.
+    """
+    ran, calls = list(deployment.targets[0].seen), dict(deployment.store.calls)
+    sweeps = 4
+    await asyncio.sleep(sweeps * SWEEP_INTERVAL_S)
+    assert deployment.targets[0].seen == ran
+    for path in ("/api/kv-key", "/api/kv-txn"):
+        tries = deployment.store.calls[path] - calls[path]
+        assert tries <= sweeps * len(deployment.gateways)
+    assert all(JobId(job_id) not in gateway.worker.jobs for gateway in deployment.gateways)
+
+
+def overwrite_states(sound: JobState) -> dict[str, bytes]:
+    """Return values that contradict themselves, by what is wrong in them."""
+    listed = [Result(index, ItemOutcome.COMPLETE) for index in (0, 1)]
+    changes: dict[str, dict[str, Any]] = {
+        "listed index": {"listed": [Result(9, ItemOutcome.COMPLETE)], "commits": 1},
+        "negative index": {"listed": [Result(-1, ItemOutcome.COMPLETE)], "commits": 1},
+        "failed index": {"failures": {9: 1}},
+        "same index": {"listed": [listed[0], listed[0]], "commits": 1},
+        "tokens": {"item_tokens": sound.item_tokens[1:]},
+        "ids": {"item_ids": sound.item_ids[1:]},
+        "no parts of results": {"listed": listed},
+        "parts without results": {"commits": 3},
+        "sizes of parts": {"listed": listed, "commits": 1, "part_sizes": [(3, 10)]},
+        "input parts": {"input_parts": 1_000_000},
+        "age": {"age_s": float("nan")},
+    }
+    values = {
+        name: encode_state(msgspec.structs.replace(sound, **change))
+        for name, change in changes.items()
+    }
+    return values | {f"no state {number}": raw for number, raw in enumerate(NO_RECORDS)}
+
+
+STATES = overwrite_states(make_state(100, 100, 100))
+
+
+@pytest.mark.parametrize("name", STATES)
+@pytest.mark.parametrize("restart", [False, True])
+def test_overwritten_state_ends_its_job_only(name: str, restart: bool) -> None:
+    """The job is neither run nor tried again all the time, its readers and a repeated submission
+    are refused, and other jobs of the route are run. Before, an index out of range ended adoption
+    and counts of tokens, and an owner sent its commit twice a second for ever.
+    """
+
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2, targets=1)
+        store, target = deployment.store, deployment.targets[0]
+        target.event_interval_s = 0.4
+        for job_id in ("job", "other"):
+            assert (await deployment.submit(job_id, 3)).status == 202
+        await asyncio.sleep(1.0)
+        state = decode_state(store.read(job_key(JobId("job"))) or b"")
+        store.put(job_key(JobId("job")), overwrite_states(state)[name])
+        if restart:
+            for gateway in list(deployment.gateways):
+                await deployment.kill(gateway)
+            for number in range(2):
+                await deployment.add_gateway(f"host-{number}")
+        assert len(await deployment.read_all_results("other")) == 3
+        store.put(quota_key("night"), b"")
+        assert (await deployment.submit("next", 10)).status == 202
+        assert len(await deployment.read_all_results("next", gateway=1)) == 10
+        await asyncio.sleep(CHECKPOINT_INTERVAL_S)
+        for gateway in range(2):
+            assert (await read_answer(deployment, gateway)).status == 503
+            assert (await deployment.submit("job", 3, gateway=gateway)).status == 503
+        await check_not_tried(deployment, "job")
+
+    run_in_virtual_time(work)
