Write keys of a live host again that another writer has overwritten or deleted

What callers saw: a gateway or data host whose presence key was overwritten was not listed until it was started again, although it renewed its lease: other hosts took its jobs over, and jobs were no longer kept on such a data host (both by reading).

Cause: only a host without a lease wrote its key, and a lease outlives the keys that are overwritten.

Change: with each renewal (2.4 s), a gateway that its own view does not list, and each data host, reads its keys and writes those again that differ, under the lease that it holds. Gateways send no additional call while they are listed; a data host reads two keys with each renewal.

Ruled out: writing the keys with each renewal; every write is reported to all watchers.

--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -433,6 +433,12 @@
     "WARNING",
     "This host's lease was not renewed or not revoked; see the reason.",
 )
+PRESENCE_OVERWRITTEN = _declare(
+    536,
+    "presence_overwritten",
+    "WARNING",
+    "Another writer changed or deleted keys of this host, which are written again.",
+)
 PRESENCE_LAPSED = _declare(513, "presence_lapsed", "WARNING", "This host's lease expired.")
 DATAGRAMS_DROPPED = _declare(
     525,
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -184,7 +184,7 @@
         self.capacity = classify_capacity(settings.link_mbps, settings.memory_mb)
         self.hosts = HostTable()
         self.data_hosts = HostTable(DATA_HOST_PREFIX)
-        self.presence = Presence(kv, self.own)
+        self.presence = Presence(kv, self.own, is_listed=self.is_listed)
         self.retirement = Retirement(
             kv,
             self.peer_http,
@@ -464,6 +464,10 @@
         await wait_until_all_open(ports)
         self.reachable.set()
 
+    def is_listed(self) -> bool:
+        """Whether the list of live hosts has this run of the host."""
+        return self.hosts.hosts.get(self.own.host) == self.own
+
     async def announce(self) -> None:
         """Keep this host listed once others can reach it; never returns.
 
--- a/gradepoint/peers/presence.py
+++ b/gradepoint/peers/presence.py
@@ -98,6 +98,8 @@
 
     :param prefix: prefix of the key, which depends on the role of the host.
     :param make_records: returns the keys that are written together with it and have no lease.
+    :param is_listed: whether the view of this host lists it as it is; without a view, its keys are
+        read with each renewal.
     :ivar lease: id of the lease; 0 without one.
     :ivar valid_until: monotonic time until which the lease is certainly valid.
     :ivar granted: id of a lease that no key uses yet; 0 without one.
@@ -108,6 +110,7 @@
     own: HostPresence
     prefix: str = PRESENCE_PREFIX
     make_records: Callable[[], tuple[Put, ...]] = tuple
+    is_listed: Callable[[], bool] = lambda: False
     lease: int = 0
     valid_until: float = 0.0
     granted: int = 0
@@ -139,10 +142,8 @@
                 emit(events.PRESENCE_LAPSED, lease=self.lease)
             self.lease = 0
             granted_at = await self._grant(asked_at)
-            key = self.prefix + self.own.host
-            put = Put(key, msgspec.json.encode(self.own), self.granted)
             try:
-                await self.kv.transact(Transaction((), (put, *self.make_records())))
+                await self.kv.transact(Transaction((), self._make_puts(self.granted)))
             except (KvUnavailable, KvRejected):
                 # The lease was not used, so the next attempt needs no new one.
                 raise
@@ -151,7 +152,34 @@
                 raise
             asked_at = granted_at
             self.lease, self.granted = self.granted, 0
+            self.valid_until = asked_at + LEASE_TTL_S
+            return
         self.valid_until = asked_at + LEASE_TTL_S
+        if not self.is_listed():
+            await self._restore_keys()
+
+    def _make_puts(self, lease: int) -> tuple[Put, ...]:
+        """Return the presence key under a lease, and the records."""
+        key = self.prefix + self.own.host
+        return (Put(key, msgspec.json.encode(self.own), lease), *self.make_records())
+
+    async def _restore_keys(self) -> None:
+        """Write those of this host's keys again that another writer has changed or deleted.
+
+        A renewal of the lease does not show that.
+
+        :raises KvError: they could not be read or written.
+        """
+        lease = self.lease
+        changed = []
+        for put in self._make_puts(lease):
+            stored = await self.kv.get(put.key)
+            if stored is None or stored.value != put.value:
+                changed.append(put)
+        # A host that stops has revoked its lease meanwhile.
+        if changed and lease == self.lease:
+            emit(events.PRESENCE_OVERWRITTEN, keys=" ".join(put.key for put in changed))
+            await self.kv.transact(Transaction((), tuple(changed)))
 
     async def _grant(self, now: float) -> float:
         """Obtain a lease unless there is an unused one that is new enough.
