Draw entries of another writer from a seed, and restart all hosts beside them

test_gateway_drawn_entries.py writes two at each place and one over each key that the deployment can do without, restarts all hosts, and checks calls, an accepted job, new jobs, and that no loop, task, handler or row fails.

--- /dev/null
+++ b/tests/test_gateway/test_gateway_drawn_entries.py
@@ -0,0 +1,126 @@
+"""Drawn entries of another writer change nothing for calls and jobs, also over a restart.
+
+``python -m tests.test_gateway.test_gateway_drawn_entries FIRST COUNT [--lost-keys]`` tries
+further seeds, or with the option overwrites keys that the deployment needs.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import tempfile
+import traceback
+from pathlib import Path
+
+import pytest
+
+from bench.foreign_entries import draw_entries
+from gradepoint.telemetry import logs
+from tests.support.foreign_entries import (
+    DATA_HOST,
+    NEEDED_KEYS,
+    SPARE_JOB,
+    SPARE_KEYS,
+    check_job,
+    check_service,
+    collect_faults,
+    draw_entries_over,
+    list_places,
+    make_generator,
+    put_entries,
+    restart_all,
+)
+from tests.support.platform import Deployment, run_in_virtual_time
+
+SEEDS = range(1, 13)
+ENTRIES = 2
+"""Entries at each place."""
+ITEMS = 4
+EVENT_INTERVAL_S = 0.1
+RUNNING_S = 0.25
+"""Seconds after which the restart interrupts the first job, of which all items run then."""
+
+
+def run_beside_entries(seed: int, folder: Path) -> None:
+    """Write drawn entries, restart all hosts while they stand, and check calls and jobs."""
+
+    async def work(deployment: Deployment) -> None:
+        await start(deployment, folder)
+        rng = make_generator(seed)
+        entries = draw_entries(list_places(deployment), rng, ENTRIES)
+        put_entries(deployment, entries + draw_entries_over(deployment, SPARE_KEYS, rng))
+        await check_service(deployment)
+        assert (await deployment.submit("before", ITEMS)).status == 202
+        await asyncio.sleep(RUNNING_S)
+        await restart_all(deployment, folder)
+        await check_service(deployment)
+        # The restart interrupts runs, which are continued.
+        await check_job(deployment, "before", ITEMS, max_runs=2)
+        await check_new_jobs(deployment)
+
+    with collect_faults() as faults:
+        run_in_virtual_time(work, seed)
+    assert not faults, faults
+
+
+def run_beside_lost_keys(seed: int, folder: Path) -> None:
+    """Overwrite one key that the deployment needs while a job runs, restart all hosts, and check
+    calls and new jobs."""
+
+    async def work(deployment: Deployment) -> None:
+        await start(deployment, folder)
+        assert (await deployment.submit("before", ITEMS)).status == 202
+        await asyncio.sleep(RUNNING_S)
+        rng = make_generator(seed)
+        entry = rng.choice(draw_entries_over(deployment, NEEDED_KEYS, rng))
+        print(f"seed {seed}: {entry}", flush=True)
+        put_entries(deployment, [entry])
+        await check_service(deployment)
+        await restart_all(deployment, folder)
+        await check_service(deployment)
+        await check_new_jobs(deployment)
+
+    with collect_faults() as faults:
+        run_in_virtual_time(work, seed)
+    assert not faults, faults
+
+
+async def start(deployment: Deployment, folder: Path) -> None:
+    """Start hosts and targets, and let a job end."""
+    await deployment.start(gateways=2, targets=3, event_interval_s=EVENT_INTERVAL_S)
+    await deployment.add_data_host(DATA_HOST, folder / DATA_HOST)
+    assert (await deployment.submit(SPARE_JOB, ITEMS)).status == 202
+    await check_job(deployment, SPARE_JOB, ITEMS, max_runs=1)
+
+
+async def check_new_jobs(deployment: Deployment) -> None:
+    """Check that each gateway accepts a job, which is then done."""
+    for gateway in range(len(deployment.gateways)):
+        assert (await deployment.submit(f"new-{gateway}", ITEMS, gateway=gateway)).status == 202
+        await check_job(deployment, f"new-{gateway}", ITEMS, max_runs=1)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_drawn_entries_cost_no_call_and_no_job_over_a_restart(seed: int, tmp_path: Path) -> None:
+    # An entry with nested fields ended the reading of a whole list, and of each sweep for jobs.
+    run_beside_entries(seed, tmp_path)
+
+
+def main(first: int, count: int, lost_keys: bool = False) -> int:
+    """Try seeds; print and count those that fail."""
+    run = run_beside_lost_keys if lost_keys else run_beside_entries
+    logs.configure("tests", "tests", level="ERROR")
+    failed = 0
+    for seed in range(first, first + count):
+        with tempfile.TemporaryDirectory() as folder:
+            try:
+                run(seed, Path(folder))
+            except Exception:
+                failed += 1
+                print(f"seed {seed} failed", traceback.format_exc(limit=-3), flush=True)
+    print(f"{count - failed} passed, {failed} failed")
+    return failed
+
+
+if __name__ == "__main__":
+    sys.exit(bool(main(*map(int, sys.argv[1:3]), "--lost-keys" in sys.argv)))
