Take a record of a held request only with trials and targets that exist

What callers saw: not measured. A record below gp/live/held/ of which the number of a target is 2**64 or more made the loop that sends reports of occupancy (digests) fail at each round, at every host, as long as the record stood. A trial of an unknown kind raised ValueError, logged as row_failed.

Cause: the record was decoded with any whole number for both, and messages to other hosts hold 64 bits. Change: a number in the range of its hash, and the enumeration of trials, are part of the type that is decoded; another value is held_unreadable. The stored bytes stay the same.

--- a/bench/foreign_entries.py
+++ b/bench/foreign_entries.py
@@ -40,6 +40,7 @@
     PRESENCE_PREFIX,
     HostPresence,
 )
+from gradepoint.routing.suspects import Trial
 
 from .foreign_values import DrawnValue, draw_value
 
@@ -88,7 +89,7 @@
         presence = text(
             HostPresence(HostName("other-0"), Incarnation("other-0:1"), "zone-a", UNUSED_ADDRESS)
         )
-        held = HeldRow(self.host, "POST", "/plain/a", ["a:1"], [(TargetNumber(7), 1)])  # type: ignore[list-item]
+        held = HeldRow(self.host, "POST", "/plain/a", ["a:1"], [(TargetNumber(7), Trial.ALONE)])
         versions = VersionRecord(
             Incarnation("other-0:1"), {ServiceName(self.service): [SoftwareVersion("v0")]}
         )
--- a/gradepoint/gateway/held.py
+++ b/gradepoint/gateway/held.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 
@@ -14,9 +14,10 @@
 from ..ids import TargetNumber
 from ..kv.service import Delete, Put, Transaction
 from ..peers.presence import LIVE_PREFIX
-from ..routing.suspects import CRASH_LIFETIME_S
+from ..routing.suspects import CRASH_LIFETIME_S, Trial
 from ..telemetry.logs import emit
 from ..util import decoding
+from ..util.hashing import HASH32_MAX
 from ..util.structs import Struct, field
 from ..util.tasks import TaskGroup
 from ..wire.http_types import Response, json_response
@@ -35,6 +36,9 @@
 """Lifetime of a key in seconds: as long as hosts remember a crash. Its lease is not renewed."""
 PAGE = "/held"
 
+StoredNumber = Annotated[TargetNumber, msgspec.Meta(ge=0, le=HASH32_MAX)]
+"""Number of a target in the range of its hash; messages to other hosts cannot hold any number."""
+
 
 class HeldRow(msgspec.Struct, frozen=True):
     """Stored record of a suspected request, or of a suspected part of prompts.
@@ -42,7 +46,7 @@
     :param host: Host header of the request, or of one with this part; so are *method* and *path*.
     :param ended: IDs of the target incarnations that crashed while running it, as known to the host
         that wrote the record.
-    :param ends: numbers of these incarnations, each with the weight of the trial.
+    :param ends: numbers of these incarnations, each with the trial, stored as its weight.
     :param part: the part of prompts; empty for a request.
     """
 
@@ -50,7 +54,7 @@
     method: str
     path: str
     ended: list[str]
-    ends: list[tuple[TargetNumber, int]]
+    ends: list[tuple[StoredNumber, Trial]]
     part: str = ""
 
 
--- a/gradepoint/gateway/suspicion.py
+++ b/gradepoint/gateway/suspicion.py
@@ -61,13 +61,13 @@
 
     :param crashed: IDs of the target incarnations that crashed while running it, as far as they are
         listed here; ``#number`` for others.
-    :param crashes: numbers of these incarnations, each with the weight of the trial.
+    :param crashes: numbers of these incarnations, each with the trial.
     """
 
     key: SuspectKey
     standing: Standing
     crashed: list[str]
-    crashes: list[tuple[TargetNumber, int]]
+    crashes: list[tuple[TargetNumber, Trial]]
 
 
 class Suspicion(Struct):
@@ -267,10 +267,9 @@
         """Revoke the reported crash of a target that is still running."""
         self._log(self.suspects.note_alive(number_target(target.id), monotonic()))
 
-    def restore(self, key: SuspectKey, crashes: list[tuple[TargetNumber, int]]) -> None:
+    def restore(self, key: SuspectKey, crashes: list[tuple[TargetNumber, Trial]]) -> None:
         """Add the crashes of a suspect that are stored in the key-value service."""
-        known = [(incarnation, Trial(kind)) for incarnation, kind in crashes]
-        self._log(self.suspects.restore(key, known, monotonic()))
+        self._log(self.suspects.restore(key, crashes, monotonic()))
         self._probe_reported_crashes()
 
     def release(self, key: SuspectKey) -> bool:
@@ -289,7 +288,7 @@
                 key,
                 standing,
                 self._name_incarnations(record.crashes),
-                [(number, crash.trial.value) for number, crash in record.crashes.items()],
+                [(number, crash.trial) for number, crash in record.crashes.items()],
             )
             for key, record, standing in standings
             if standing in STANDING_EVENTS
--- a/gradepoint/util/hashing.py
+++ b/gradepoint/util/hashing.py
@@ -11,6 +11,9 @@
 
 T = TypeVar("T", bound=str)
 
+HASH32_MAX = (1 << 32) - 1
+"""Largest result of :func:`hash32`."""
+
 
 def sha256_hex(data: bytes) -> str:
     """Return the SHA-256 of *data* in hexadecimal."""
--- a/tests/test_gateway/test_gateway_drawn_entries.py
+++ b/tests/test_gateway/test_gateway_drawn_entries.py
@@ -12,9 +12,13 @@
 import traceback
 from pathlib import Path
 
+import msgspec
 import pytest
 
 from bench.foreign_entries import draw_entries
+from gradepoint.gateway.held import HELD_PREFIX, HeldRow
+from gradepoint.ids import TargetNumber
+from gradepoint.routing.suspects import Trial
 from gradepoint.telemetry import logs
 from tests.support.foreign_entries import (
     DATA_HOST,
@@ -30,9 +34,11 @@
     put_entries,
     restart_all,
 )
-from tests.support.platform import Deployment, run_in_virtual_time
+from tests.support.platform import HOST, Deployment, run_in_virtual_time
 
 SEEDS = range(1, 13)
+HELD_SEEDS = (15, 20)
+"""Seeds in which the record of a held request has a trial of an unknown kind."""
 ENTRIES = 2
 """Entries at each place."""
 ITEMS = 4
@@ -100,12 +106,30 @@
         await check_job(deployment, f"new-{gateway}", ITEMS, max_runs=1)
 
 
-@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("seed", [*SEEDS, *HELD_SEEDS])
 def test_drawn_entries_cost_no_call_and_no_job_over_a_restart(seed: int, tmp_path: Path) -> None:
     # An entry with nested fields ended the reading of a whole list, and of each sweep for jobs.
     run_beside_entries(seed, tmp_path)
 
 
+@pytest.mark.parametrize("number", [-1, 1 << 32, 1 << 64])
+def test_held_request_with_a_number_of_no_target_ends_no_loop(number: int) -> None:
+    # Messages to other hosts could not be encoded, as long as the entry stood.
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2)
+        row = HeldRow(HOST, "POST", "/plain/a", [], [(TargetNumber(number), Trial.ALONE)])
+        deployment.store.put(f"{HELD_PREFIX}{7:016x}", msgspec.json.encode(row))
+        await deployment.wait_until_all_heard()
+        assert (await deployment.call("/plain/a")).status == 200
+        kept.update(deployment.gateways[0].held.rows)
+
+    kept: dict[object, object] = {}
+    with collect_faults() as faults:
+        run_in_virtual_time(work)
+    assert not faults
+    assert not kept
+
+
 def main(first: int, count: int, lost_keys: bool = False) -> int:
     """Try seeds; print and count those that fail."""
     run = run_beside_lost_keys if lost_keys else run_beside_entries
