Take a job of which the items are missing for unreadable

What callers saw: accepted jobs were not continued after all hosts restarted, as long as another writer's job state without items stood in the store, listed before them.

The next one came to the same job first. Parts are written in the transaction of the state that counts them: once some are missing, no later attempt finds them.

Change: they raise KvUnreadable, as missing fragments of a part do, which costs that job only.

--- a/gradepoint/jobs/repository.py
+++ b/gradepoint/jobs/repository.py
@@ -590,13 +590,19 @@
         return decode_value(item.value, dict[int, PartialText])
 
     async def _load_parts(self, job_id: JobId, prefix: str, count: int) -> list[bytes]:
+        """Return the parts below a prefix.
+
+        They are written in the transaction of the state that counts them.
+
+        :raises KvUnreadable: some are missing, so that no later attempt finds them.
+        """
         if count == 1:
             item = await self.kv.get(part_key(prefix, 0))
             found: tuple[KeyValue, ...] = () if item is None else (item,)
         else:
             found = (await self.kv.range(prefix)).items[:count]
         if len(found) < count:
-            raise KvUnavailable(f"{len(found)} of {count} parts found below {prefix}")
+            raise KvUnreadable(f"{len(found)} of {count} parts found below {prefix}")
         return await self.fragments.load_large_parts(job_id, [item.value for item in found])
 
     async def list_jobs(self) -> list[StoredJob]:
--- a/tests/test_gateway/test_gateway_drawn_entries.py
+++ b/tests/test_gateway/test_gateway_drawn_entries.py
@@ -17,7 +17,8 @@
 
 from bench.foreign_entries import draw_entries
 from gradepoint.gateway.held import HELD_PREFIX, HeldRow
-from gradepoint.ids import TargetNumber
+from gradepoint.ids import ItemId, TargetNumber
+from gradepoint.jobs.records import JOB_PREFIX, JobState, encode_state
 from gradepoint.routing.suspects import Trial
 from gradepoint.telemetry import logs
 from tests.support.foreign_entries import (
@@ -39,6 +40,8 @@
 SEEDS = range(1, 13)
 HELD_SEEDS = (15, 20)
 """Seeds in which the record of a held request has a trial of an unknown kind."""
+JOB_SEEDS = (43,)
+"""Seeds with a job without input parts, which is listed before an accepted job."""
 ENTRIES = 2
 """Entries at each place."""
 ITEMS = 4
@@ -106,7 +109,7 @@
         await check_job(deployment, f"new-{gateway}", ITEMS, max_runs=1)
 
 
-@pytest.mark.parametrize("seed", [*SEEDS, *HELD_SEEDS])
+@pytest.mark.parametrize("seed", [*SEEDS, *HELD_SEEDS, *JOB_SEEDS])
 def test_drawn_entries_cost_no_call_and_no_job_over_a_restart(seed: int, tmp_path: Path) -> None:
     # An entry with nested fields ended the reading of a whole list, and of each sweep for jobs.
     run_beside_entries(seed, tmp_path)
@@ -130,6 +133,25 @@
     assert not kept
 
 
+@pytest.mark.parametrize("name", ["another"])
+def test_state_of_a_job_without_items_stops_no_adoption(name: str, tmp_path: Path) -> None:
+    # Each sweep ended at that job, and an accepted job listed behind it was never adopted.
+    async def work(deployment: Deployment) -> None:
+        await start(deployment, tmp_path)
+        assert (await deployment.submit("before", ITEMS)).status == 202
+        await asyncio.sleep(RUNNING_S)
+        owner = deployment.gateways[0].own.incarnation
+        state = JobState("night", HOST, owner, 1, [ItemId("a")], [9])
+        for number in range(6):
+            deployment.store.put(f"{JOB_PREFIX}{name}{number}", encode_state(state))
+        await restart_all(deployment, tmp_path)
+        await check_job(deployment, "before", ITEMS, max_runs=2)
+
+    with collect_faults() as faults:
+        run_in_virtual_time(work)
+    assert not faults, faults
+
+
 def main(first: int, count: int, lost_keys: bool = False) -> int:
     """Try seeds; print and count those that fail."""
     run = run_beside_lost_keys if lost_keys else run_beside_entries
