--- a/gradepoint/jobs/adoption.py
+++ b/gradepoint/jobs/adoption.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from .. import events
-from ..errors import KvError, KvIncomplete, KvRejected, KvUnreadable
+from ..errors import KvError, KvRejected, KvUnreadable
 from ..kv.pace import BackgroundPace
 from ..kv.unreadable import UnreadableRows
 from ..peers.presence import read_host
@@ -236,7 +236,7 @@
         self.failed.add(row.id)
         try:
             await self._check_job(row, job)
-        except (KvUnreadable, KvIncomplete, KvRejected) as error:
+        except (KvUnreadable, KvRejected) as error:
             self.unreadable.note(events.JOB_UNREADABLE, key, str(error), job=row.id)
         except KvError:
             raise
--- a/gradepoint/jobs/repository.py
+++ b/gradepoint/jobs/repository.py
@@ -17,7 +17,6 @@
 from .. import events
 from ..errors import (
     KvError,
-    KvIncomplete,
     KvOverRate,
     KvRejected,
     KvUnavailable,
@@ -54,6 +53,7 @@
     encode_state,
     end_key,
     input_prefix,
+    is_job_id,
     job_key,
     join_items,
     join_results,
@@ -616,7 +616,7 @@
         key = part_key(result_prefix(job.id), number)
         item = await self.kv.get(key)
         if item is None:
-            raise KvIncomplete(f"{key} is missing")
+            raise KvUnreadable(f"{key} is missing")
         return join_results(await self.fragments.load_large_parts(job.id, [item.value]))
 
     async def load_partial(self, job: StoredJob) -> dict[int, PartialText]:
@@ -629,13 +629,19 @@
         return decode_value(item.value, dict[int, PartialText])
 
     async def _load_parts(self, job_id: JobId, prefix: str, count: int) -> list[bytes]:
+        """Return the parts below a prefix.
+
+        They are written in the transaction of the state that counts them.
+
+        :raises KvUnreadable: some are missing, so that no later attempt finds them.
+        """
         if count == 1:
             item = await self.kv.get(part_key(prefix, 0))
             found: tuple[KeyValue, ...] = () if item is None else (item,)
         else:
             found = (await self.kv.range(prefix)).items[:count]
         if len(found) < count:
-            raise KvIncomplete(f"{len(found)} of {count} parts found below {prefix}")
+            raise KvUnreadable(f"{len(found)} of {count} parts found below {prefix}")
         return await self.fragments.load_large_parts(job_id, [item.value for item in found])
 
     async def list_jobs(self) -> list[StoredJob]:
@@ -803,5 +809,11 @@
 
 
 def _read_stored(item: KeyValue) -> StoredJob:
+    """Decode a job.
+
+    :raises KvUnreadable: its state cannot be decoded, or no host stores a job under such a key.
+    """
     job_id = JobId(item.key.removeprefix(JOB_PREFIX))
+    if not is_job_id(job_id):
+        raise KvUnreadable(f"not the key of a job: {item.key!r}")
     return StoredJob(job_id, decode_state(item.value), item.revision, item.created)
