Take a target only with numbers that JSON carries exactly

What callers saw: 500 for every call of a service, while the entry of a target stood in the store of which slot_count was beyond the range of a float (1e308).

Cause: the balancer compares targets by their load per slot, and the division raised OverflowError (handler_failed). Change: whole numbers of an entry are at most 2**53 - 1, the largest that JSON carries exactly between programs; an entry with another one is target_unreadable.

--- a/gradepoint/platform/targets.py
+++ b/gradepoint/platform/targets.py
@@ -17,7 +17,12 @@
 TARGETS_PREFIX = "servers/"
 HIGHEST_PORT = 65_535
 
-WholeNumber = Annotated[int, msgspec.Meta(ge=0)]
+MAX_EXACT = (1 << 53) - 1
+"""Largest whole number that JSON carries exactly between programs. Beyond the range of a float, a
+number of slots could not be compared with others."""
+
+WholeNumber = Annotated[int, msgspec.Meta(ge=0, le=MAX_EXACT)]
+Time = Annotated[int, msgspec.Meta(ge=-MAX_EXACT, le=MAX_EXACT)]
 
 
 class _State(Enum):
@@ -39,7 +44,7 @@
     cold_left_ms: float
     call_seq: WholeNumber
     # Start time in milliseconds; not written by targets of older deployments.
-    born: int | msgspec.UnsetType = msgspec.UNSET
+    born: Time | msgspec.UnsetType = msgspec.UNSET
 
 
 def read_target_name(key: str) -> TargetName:
--- a/tests/test_gateway/test_gateway_drawn_entries.py
+++ b/tests/test_gateway/test_gateway_drawn_entries.py
@@ -43,6 +43,8 @@
 JOB_SEEDS = (26, 43)
 """Seeds with a job of which the name cannot be sent to other hosts, and with one without input
 parts that is listed before an accepted job."""
+SLOT_SEEDS = (222,)
+"""Seeds with a target whose number of slots is beyond the range of a float."""
 ENTRIES = 2
 """Entries at each place."""
 ITEMS = 4
@@ -110,7 +112,7 @@
         await check_job(deployment, f"new-{gateway}", ITEMS, max_runs=1)
 
 
-@pytest.mark.parametrize("seed", [*SEEDS, *HELD_SEEDS, *JOB_SEEDS])
+@pytest.mark.parametrize("seed", [*SEEDS, *HELD_SEEDS, *JOB_SEEDS, *SLOT_SEEDS])
 def test_drawn_entries_cost_no_call_and_no_job_over_a_restart(seed: int, tmp_path: Path) -> None:
     # An entry with nested fields ended the reading of a whole list, and of each sweep for jobs.
     run_beside_entries(seed, tmp_path)
--- a/tests/test_platform/test_platform_targets.py
+++ b/tests/test_platform/test_platform_targets.py
@@ -69,6 +69,7 @@
         {"slot_count": "7"},
         {"slot_count": -1},
         {"slot_count": 7.5},
+        {"slot_count": 1 << 53},
         {"state": "resting"},
         {"state": True},
         {"cold_left_ms": "0"},
@@ -76,6 +77,7 @@
         {"born": "1790000000123"},
         {"born": None},
         {"born": 1.5},
+        {"born": -(1 << 53)},
         {"born": True},
     ],
 )
