Mutate the readers of entries; test a failing row of live hosts

bench/mutations.py takes back the protection of each reader. 15 mutations, each killed by a named test (python -m bench.mutations, these alone). Three survived at first: nothing tested a row of live hosts that raises an exception, nor that an unreadable configuration counts as expected; both have a test now.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -45,6 +45,7 @@
 STORE = "tests/test_store"
 ROUTING = "tests/test_routing"
 ONLINE = "tests/test_online"
+DRAWN = f"{GATEWAY}/test_gateway_drawn_entries.py"
 
 MUTATIONS: tuple[Mutation, ...] = (
     Mutation(
@@ -637,6 +638,111 @@
         "if status in (*PASSING_STATUSES, *REJECTED_STATUSES):",
         "tests/test_platform/test_platform_store.py",
     ),
+    Mutation(
+        "a nested value ends the reading of a list",
+        "util/decoding.py",
+        "FAILURES = (msgspec.MsgspecError, RecursionError, ValueError, OverflowError)",
+        "FAILURES = (msgspec.MsgspecError,)",
+        "tests/test_util/test_util_decoding.py",
+    ),
+    Mutation(
+        "an unreadable target ends the reading of the list of targets",
+        "gateway/followers.py",
+        "            except DecodingError as error:\n                self.unreadable.note(",
+        "            except KeyError as error:\n                self.unreadable.note(",
+        DRAWN,
+    ),
+    Mutation(
+        "an unreadable target is a fault in gradepoint, and one more ends the list",
+        "gateway/followers.py",
+        "        with self.unreadable.isolate(key):\n            try:",
+        "        if key:\n            try:",
+        f"{GATEWAY}/test_gateway_followers.py",
+    ),
+    Mutation(
+        "a row of a live host that fails hides those behind it",
+        "gateway/followers.py",
+        "            with self.unreadable.isolate(key):\n                self._apply(key, value)",
+        "            if key:\n                self._apply(key, value)",
+        f"{GATEWAY}/test_gateway_followers.py",
+    ),
+    Mutation(
+        "an unreadable presence is a fault in gradepoint",
+        "peers/presence.py",
+        "            self.put(key, value)\n        except DecodingError as error:",
+        "            self.put(key, value)\n        except KeyError as error:",
+        DRAWN,
+    ),
+    Mutation(
+        "an unreadable record of a held request is a fault in gradepoint",
+        "gateway/held.py",
+        "except DecodingError as error:",
+        "except KeyError as error:",
+        DRAWN,
+    ),
+    Mutation(
+        "a held request may name a target by any number",
+        "gateway/held.py",
+        "le=HASH32_MAX",
+        "le=1 << 62",
+        DRAWN,
+    ),
+    Mutation(
+        "an unreadable record of software versions is a fault in gradepoint",
+        "gateway/version_history.py",
+        "except DecodingError as error:",
+        "except KeyError as error:",
+        DRAWN,
+    ),
+    Mutation(
+        "an unreadable configuration is a fault in gradepoint",
+        "gateway/followers.py",
+        "        except DecodingError as error:\n            emit(events.CONFIG_UNREADABLE",
+        "        except KeyError as error:\n            emit(events.CONFIG_UNREADABLE",
+        DRAWN,
+    ),
+    Mutation(
+        "an unreadable job ends the listing of jobs",
+        "jobs/repository.py",
+        "jobs.append(_read_stored(item))\n            except KvUnreadable as error:",
+        "jobs.append(_read_stored(item))\n            except KeyError as error:",
+        DRAWN,
+    ),
+    Mutation(
+        "a job with unreadable items ends a sweep",
+        "jobs/adoption.py",
+        "except KvUnreadable as error:",
+        "except KeyError as error:",
+        DRAWN,
+    ),
+    Mutation(
+        "missing items count as an outage",
+        "jobs/repository.py",
+        'raise KvUnreadable(f"{len(found)} of {count} parts found below {prefix}")',
+        'raise KvUnavailable(f"{len(found)} of {count} parts found below {prefix}")',
+        DRAWN,
+    ),
+    Mutation(
+        "a job may have any name",
+        "jobs/repository.py",
+        "if not is_job_id(job_id):",
+        "if not job_id:",
+        DRAWN,
+    ),
+    Mutation(
+        "an unreadable quota record refuses all jobs of its route",
+        "jobs/repository.py",
+        "        return decode_value(item.value, Quota).tokens\n    except KvUnreadable as error:",
+        "        return decode_value(item.value, Quota).tokens\n    except KeyError as error:",
+        f"{JOBS}/test_jobs_unreadable.py",
+    ),
+    Mutation(
+        "a target may have any number of slots",
+        "platform/targets.py",
+        "msgspec.Meta(ge=0, le=MAX_EXACT)",
+        "msgspec.Meta(ge=0)",
+        DRAWN,
+    ),
 )
 
 
--- a/tests/test_gateway/test_gateway_drawn_entries.py
+++ b/tests/test_gateway/test_gateway_drawn_entries.py
@@ -155,6 +155,21 @@
     assert not faults, faults
 
 
+def test_unreadable_configuration_is_no_fault_of_gradepoint() -> None:
+    # The loop that reads the operator's keys failed, and no later version was read.
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2)
+        rng = make_generator(1)
+        for version in range(2, 12):
+            put_entries(deployment, draw_entries_over(deployment, ["op/config"], rng))
+            await deployment.configure(version, None)
+            assert (await deployment.call("/plain/a")).status == 200
+
+    with collect_faults() as faults:
+        run_in_virtual_time(work)
+    assert not faults, faults
+
+
 def main(first: int, count: int, lost_keys: bool = False) -> int:
     """Try seeds; print and count those that fail."""
     run = run_beside_lost_keys if lost_keys else run_beside_entries
--- a/tests/test_gateway/test_gateway_followers.py
+++ b/tests/test_gateway/test_gateway_followers.py
@@ -4,11 +4,15 @@
 
 import pytest
 
-from gradepoint.gateway.followers import TargetFollower
+from gradepoint.gateway.followers import LiveFollower, TargetFollower
+from gradepoint.gateway.held import HELD_PREFIX
 from gradepoint.gateway.targets import ListedState, ListedTarget, TargetSet
-from gradepoint.ids import ServiceName, SoftwareVersion
+from gradepoint.gateway.version_history import VERSIONS_KEY
+from gradepoint.ids import Incarnation, JobId, ServiceName, SoftwareVersion
+from gradepoint.jobs.records import END_PREFIX
 from gradepoint.kv.service import KeyValue, RangeResult, WatchEvent
 from gradepoint.kv.unreadable import MAX_NAMED_ROWS
+from gradepoint.peers.presence import DATA_HOST_PREFIX, HostTable
 from gradepoint.platform.targets import read_target_name
 
 
@@ -49,6 +53,32 @@
     assert set(follower.targets.by_name) == {"a", "z", "later"}
 
 
+def test_row_of_live_hosts_that_raises_an_exception_hides_no_other_row() -> None:
+    ended: list[JobId] = []
+
+    def note_ended(job: JobId) -> None:
+        if job == "bad":
+            raise ZeroDivisionError(job)
+        ended.append(job)
+
+    follower = LiveFollower(
+        Incarnation("host:1"),
+        HostTable(),
+        HostTable(DATA_HOST_PREFIX),
+        END_PREFIX,
+        lambda _: None,
+        note_ended,
+        HELD_PREFIX,
+        lambda *_: None,
+        VERSIONS_KEY,
+        lambda _: None,
+    )
+    keys = [END_PREFIX + name for name in ("a", "bad", "z")]
+    follower.reset(RangeResult(tuple(KeyValue(key, b"", 1) for key in keys), 1))
+    follower.change(WatchEvent(keys[1], b"", 2))
+    assert follower.was_read and ended == ["a", "z"]
+
+
 def test_unreadable_rows_are_named_once_and_in_bounded_number(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
