--- a/tests/test_jobs/test_jobs_overwritten.py
+++ b/tests/test_jobs/test_jobs_overwritten.py
@@ -242,7 +242,7 @@
 
 @pytest.mark.parametrize("name", PARTS)
 def test_job_of_unreadable_parts_is_given_up(name: str) -> None:
-    """Readers of such a job waited for ever, results of other items were served and other items were
+    """Readers of such a job waited for ever, results of other items were served, other items were
     run, and its tokens counted against the next jobs.
     """
 
