Take a job that lists items which it does not have for unreadable

What callers saw: each job of a route was answered 500 "internal" once the waiting tokens of the route had to be counted again (record deleted or overwritten, limit reached), if another writer had put a state below "gp/job/" whose results name items that the job does not have.

Cause: such a state can be decoded, and the count indexes the tokens of its items: IndexError.

Evidence: test_job_that_lists_items_which_it_does_not_have_affects_only_itself, virtual time: 500 before, 202 now, and the jobs beside it are taken over.

Change: a state whose tokens or results do not fit its items is unreadable, wherever states are read.

--- a/gradepoint/jobs/records.py
+++ b/gradepoint/jobs/records.py
@@ -316,9 +316,14 @@
 def decode_state(raw: bytes) -> JobState:
     """Decode a job's state.
 
-    :raises KvUnreadable: *raw* is not a valid state.
+    :raises KvUnreadable: *raw* is not a valid state, or lists items that the job does not have.
     """
-    return decode_value(raw, JobState)
+    state = decode_value(raw, JobState)
+    count = len(state.item_ids)
+    indices = (row.index for row in state.listed)
+    if len(state.item_tokens) != count or not all(0 <= index < count for index in indices):
+        raise KvUnreadable(f"tokens or results of items that the job does not have: {count} items")
+    return state
 
 
 def split_items(items: list[Item], max_bytes: int) -> list[bytes]:
--- a/tests/test_jobs/test_jobs_unreadable.py
+++ b/tests/test_jobs/test_jobs_unreadable.py
@@ -2,10 +2,21 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
-from gradepoint.ids import JobId
-from gradepoint.jobs.records import JOB_PREFIX, input_prefix, part_key, quota_key
+from gradepoint.ids import ItemId, JobId
+from gradepoint.jobs.records import (
+    JOB_PREFIX,
+    ItemOutcome,
+    Result,
+    decode_state,
+    encode_state,
+    input_prefix,
+    job_key,
+    part_key,
+    quota_key,
+)
 from gradepoint.peers.presence import PRESENCE_PREFIX
 from tests.support.platform import Deployment, run_in_virtual_time, until
 
@@ -38,3 +49,24 @@
         await until(lambda: set(left.hosts.hosts) == {"host-1", "late"})
 
     run_in_virtual_time(work)
+
+
+def test_job_that_lists_items_which_it_does_not_have_affects_only_itself() -> None:
+    # Its waiting tokens could not be counted, and each job of the route was answered 500.
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2, targets=1, event_interval_s=5.0)
+        assert (await deployment.submit("job", 1)).status == 202
+        store = deployment.store
+        state = decode_state(store.keys.keys[job_key(JobId("job"))].value)
+        listed = [Result(7, ItemOutcome.COMPLETE)]
+        ids = [ItemId("a"), ItemId("b")]
+        wrong = msgspec.structs.replace(state, item_ids=ids, item_tokens=[1, 1], listed=listed)
+        store.put(job_key(JobId("a-job")), encode_state(wrong))
+        store.put(quota_key("night"), b"no record")
+        assert (await deployment.submit("later", 1)).status == 202
+        lost = deployment.gateways[0]
+        await deployment.kill(lost)
+        deployment.targets[0].event_interval_s = 0.0
+        assert len(await deployment.read_all_results("job")) == 1
+
+    run_in_virtual_time(work)
