Say how other starts are kept safe from damaged byte code

Hypothesis for "the system did not start": a loss of power leaves cut byte code below __pycache__, and programs started by console script or "python -m" load it.

Evidence: a checkout with byte code cut at 20 bytes. "python -m gradepoint.cmd.gateway" ends with "EOFError: marshal data too short", also with -B; with PYTHONPYCACHEPREFIX set to an empty folder it starts (the new test). Programs started by deploy/start.py are not concerned.

No change of the programs: the interpreter loads the package's own byte code before any of its code runs, so the package cannot prevent it.

--- a/tests/test_deploy/test_deploy_power_loss.py
+++ b/tests/test_deploy/test_deploy_power_loss.py
@@ -95,3 +95,15 @@
     assert "gradepoint_program_starts_total" in program.read_metrics()
     assert program.terminate() == 0
     assert not list(program.root.rglob("*.pyc"))
+
+
+def test_cache_folder_that_a_loss_of_power_empties_keeps_other_starts_safe(
+    program: Program, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Console scripts and "python -m" load the byte code of the package itself before any of its
+    # code runs, so that the package cannot prevent it.
+    assert compileall.compile_dir(program.root / "gradepoint", quiet=1)
+    for path in (program.root / "gradepoint").rglob("*.pyc"):
+        path.write_bytes(cut_at_20_bytes(path.read_bytes()))
+    monkeypatch.setenv("PYTHONPYCACHEPREFIX", str(tmp_path / "cache"))
+    program.start().wait_for_event("program_started")
