Answer callers whose numbers or texts have no value here

What callers saw: 500 for a call whose time left, or for a read of a job whose wait, has more than 308 digits, and for a submitted job with an item whose body is not ASCII. Tokens of an item below 0 or over 64 bits were accepted.

Cause: division of an integer that has no floating-point number (OverflowError); base64 raises ValueError, not binascii.Error, for a text that is not ASCII.

Change: times are brought below 64 bits, which is longer than any limit; positions and tokens outside their range are refused with bad_request, as such a body is.

--- a/gradepoint/platform/headers.py
+++ b/gradepoint/platform/headers.py
@@ -8,7 +8,7 @@
 
 from ..gateway.dialect import AnswerHead, CallHead
 from ..ids import PromptPart, RequestId
-from ..util.numbers import read_whole_number
+from ..util.numbers import MAX_WIRE_NUMBER, read_whole_number
 
 if TYPE_CHECKING:
     from ..gateway.dialect import RawHeaders
@@ -161,7 +161,8 @@
 
 def _read_seconds(value: bytes | None) -> float | None:
     number = _read_number(value)
-    return None if number is None else number / 1000
+    # The largest numbers that a text can write have no floating-point number.
+    return None if number is None else min(number, MAX_WIRE_NUMBER) / 1000
 
 
 def _read_number(value: bytes | None) -> int | None:
--- a/gradepoint/platform/jobs.py
+++ b/gradepoint/platform/jobs.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import base64
-import binascii
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 from urllib.parse import unquote
 
 import msgspec
@@ -14,7 +13,7 @@
 from ..jobs.calls import EndJob, JobCall, ReadItem, ReadResults
 from ..jobs.records import Item, ItemOutcome
 from ..util import decoding
-from ..util.numbers import read_whole_number
+from ..util.numbers import read_whole_number, read_wire_number
 from .headers import WAIT_MS
 
 if TYPE_CHECKING:
@@ -28,6 +27,9 @@
 MAX_ITEMS = 200
 """Largest number of items in one job."""
 
+MAX_TOKENS = (1 << 53) - 1
+"""Most tokens of one item. Sums of the tokens of all items are kept in 64 bits."""
+
 ITEM_STATES = {ItemOutcome.COMPLETE: "complete", ItemOutcome.DEAD: "dead"}
 
 
@@ -37,7 +39,7 @@
     headers: dict[str, str]
     body: str
     # Prompt tokens plus the maximum number of output tokens.
-    tokens: int
+    tokens: Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)]
 
 
 class _Submission(msgspec.Struct):
@@ -81,7 +83,8 @@
             if len(rows) > MAX_ITEMS:
                 raise GradepointError("bad_request", f"A job has at most {MAX_ITEMS} items.")
             return [_read_item(row) for row in rows]
-        except (DecodingError, binascii.Error) as error:
+        except (DecodingError, ValueError) as error:
+            # ValueError: a body is not base64.
             raise GradepointError("bad_request", f"The job cannot be read: {error}.") from error
 
     def encode_page(self, page: ResultPage) -> bytes:
@@ -100,12 +103,12 @@
 
 
 def _read_position(request: Request) -> int:
-    position = read_whole_number(request.query.get("after_rev", "0"))
+    position = read_wire_number(request.query.get("after_rev", "0"))
     if position is None:
-        raise GradepointError("bad_request", "The position must be a whole number from 0 on.")
+        raise GradepointError("bad_request", "The position must be a whole number of 64 bits.")
     return position
 
 
 def _read_wait(request: Request) -> float:
     wait_ms = read_whole_number(request.headers.get(WAIT_MS, "")) or 0
-    return min(MAX_READ_WAIT_S, wait_ms / 1000)
+    return min(round(MAX_READ_WAIT_S * 1000), wait_ms) / 1000
