End items that no request can carry, and send headers that are not ASCII

What callers saw: a submitted item with a line end in a header, its path or its id, or with a length or framing of its own, was accepted. It was then started again and again for ever, and its job never ended. A header value such as "café", which HTTP allows, could not be sent on to a target (UnicodeEncodeError).

Cause: the HTTP library refuses such a request with an exception that is none of the failures of a target; the worker logged task_failed and queued the item again. Texts of headers were encoded as ASCII.

Evidence: without this change, test_item_that_cannot_be_sent_is_refused (7 cases) and test_accepted_item_that_cannot_be_sent_ends (7 cases, with the check at submission off) fail; a trial in virtual time saw such an item started for 60 s without an end. test_header_of_a_caller_that_is_not_ascii_is_passed_on failed in the test's own client, which uses the same function as the gateway.

Change: a submission with such an item is refused with bad_request. An item that an earlier version has accepted ends as one that can never be processed. Headers are encoded as latin-1, as they are read.

Ruled out: taking any exception of a run for the item's fault; it may be the target's or this program's.

--- a/gradepoint/jobs/item_run.py
+++ b/gradepoint/jobs/item_run.py
@@ -8,7 +8,7 @@
 from ..gateway.dialect import CallHead
 from ..gateway.forwarding import AnswerEnd, AnswerTooLong, TargetFailed
 from ..ids import RequestId
-from ..wire.http_client import ResponseBroken
+from ..wire.http_client import ResponseBroken, find_request_fault
 
 if TYPE_CHECKING:
     from ..gateway.forwarding import Exchange, Forwarder
@@ -55,6 +55,9 @@
     :raises TargetFailed: the target answered with another error, or its answer broke off.
     :raises ConnectFailed: like the other errors of :meth:`Forwarder.send`.
     """
+    if find_request_fault(item.path, [*item.headers, ("id", item.id)], item.body):
+        # Accepted by a program of an earlier version, which tried it for ever.
+        raise ItemUnprocessable
     headers = item.encode_headers()
     head = CallHead(
         request_id=RequestId(item.id),
--- a/gradepoint/platform/jobs.py
+++ b/gradepoint/platform/jobs.py
@@ -14,6 +14,7 @@
 from ..jobs.records import Item, ItemOutcome
 from ..util import decoding
 from ..util.numbers import read_whole_number, read_wire_number
+from ..wire.http_client import find_request_fault
 from .headers import WAIT_MS
 
 if TYPE_CHECKING:
@@ -99,6 +100,10 @@
 def _read_item(row: _Item) -> Item:
     headers = list(row.headers.items())
     body = base64.b64decode(row.body, validate=True)
+    # The id is sent in a header, too.
+    fault = find_request_fault(row.path, [*headers, ("id", row.id)], body)
+    if fault:
+        raise GradepointError("bad_request", f"Item {row.id!r} cannot be sent: {fault}.")
     return Item(ItemId(row.id), row.path, headers, body, row.tokens)
 
 
--- a/gradepoint/wire/http_client.py
+++ b/gradepoint/wire/http_client.py
@@ -487,6 +487,26 @@
     return float("inf")
 
 
+def find_request_fault(path: str, headers: Sequence[tuple[str, str]], body: bytes) -> str:
+    """Return why no request can be sent with these fields; empty if it can."""
+    names = {name.lower() for name, _ in headers}
+    if "transfer-encoding" in names:
+        return "transfer-encoding of a body whose length is known"
+    fields = [*headers, ("content-length", str(len(body)))]
+    if "host" not in names:
+        fields.append(("host", "host"))
+    try:
+        h11.Request(method="POST", target=path, headers=_encode_fields(fields))
+    except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+        return str(error)
+    return ""
+
+
+def _encode_fields(fields: Sequence[tuple[str, str]]) -> list[tuple[bytes, bytes]]:
+    """Return header fields as on a connection; h11 takes texts that are ASCII only."""
+    return [(name.encode("latin-1"), value.encode("latin-1")) for name, value in fields]
+
+
 async def _send(
     connection: PooledConnection,
     method: str,
@@ -503,7 +523,7 @@
         fields.append(("content-length", str(len(body))))
     elif "content-length" not in names:
         fields.append(("transfer-encoding", "chunked"))
-    request = h11.Request(method=method, target=path, headers=fields)
+    request = h11.Request(method=method, target=path, headers=_encode_fields(fields))
     out = connection.h11.send(request) or b""
     try:
         if isinstance(body, bytes):
--- a/tests/test_gateway/test_gateway_foreign_entries.py
+++ b/tests/test_gateway/test_gateway_foreign_entries.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 import pytest
 
 from bench.platform.target import TargetStandin
 from gradepoint.ids import HostName, Incarnation
 from gradepoint.peers.presence import HostPresence
-from tests.support.platform import Deployment, configuration, run_in_virtual_time
+from gradepoint.platform import jobs
+from tests.support.platform import Deployment, configuration, job_item, run_in_virtual_time
 
 DEPTHS = (1100, 5000, 300_000)
 """Nesting that exceeds the interpreter's limit; the last is near the size of the largest value."""
@@ -159,3 +162,52 @@
             assert (await deployment.call("/plain/a")).status == 200
 
     run_in_virtual_time(work)
+
+
+def test_header_of_a_caller_that_is_not_ascii_is_passed_on() -> None:
+    # The call was answered 500.
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=1, targets=1)
+        answer = await deployment.call("/plain/a", **{"x-name": "caf\u00e9"})
+        assert answer.status == 200
+
+    run_in_virtual_time(work)
+
+
+UNSENDABLE: dict[str, dict[str, Any]] = {
+    "line end in a header": {"headers": {"x-a": "1\r\nx-b: 2"}},
+    "space in a header's name": {"headers": {"x a": "1"}},
+    "header that is no text": {"headers": {"x-a": "\u2028"}},
+    "line end in the path": {"path": "/night/a\r\nx: y"},
+    "another length": {"headers": {"content-length": "5"}},
+    "another framing": {"headers": {"transfer-encoding": "chunked"}},
+    "line end in the id": {"id": "a\r\nb"},
+}
+
+
+@pytest.mark.parametrize("name", UNSENDABLE)
+def test_item_that_cannot_be_sent_is_refused(name: str) -> None:
+    # It was accepted, and tried over and over for ever.
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=1, targets=1)
+        rows = [job_item("job", 0) | UNSENDABLE[name], job_item("job", 1)]
+        body = msgspec.json.encode({"items": rows})
+        assert (await deployment.call("/night/job", body=body, request_id="job")).status == 400
+
+    run_in_virtual_time(work)
+
+
+@pytest.mark.parametrize("name", UNSENDABLE)
+def test_accepted_item_that_cannot_be_sent_ends(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    # A program of an earlier version has accepted it.
+    monkeypatch.setattr(jobs, "find_request_fault", lambda *_: "")
+
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=1, targets=1)
+        rows = [job_item("job", 0) | UNSENDABLE[name], job_item("job", 1)]
+        body = msgspec.json.encode({"items": rows})
+        assert (await deployment.call("/night/job", body=body, request_id="job")).status == 202
+        found = await deployment.read_all_results("job")
+        assert sorted(row["state"] for row in found) == ["complete", "dead"]
+
+    run_in_virtual_time(work)
