--- a/tests/test_config/test_config_foreign_records.py
+++ b/tests/test_config/test_config_foreign_records.py
@@ -134,3 +134,19 @@
         assert [row["id"] for row in jobs["jobs"]] == ["job"]
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize(
+    "collections",
+    [
+        {"nope": delta.CollectionDelta([], [])},
+        {"targets": delta.CollectionDelta([{}], [])},
+        {"targets": delta.CollectionDelta([{"name": []}], [])},
+        {"targets": delta.CollectionDelta([], [], ["nope"])},
+        {"name": delta.CollectionDelta([], [])},
+    ],
+)
+def test_delta_of_another_form_is_rejected(collections: dict[str, Any]) -> None:
+    """An exception kept the host from asking for the whole record in its place."""
+    foreign = delta.DocumentDelta(1, "", {}, [], collections)
+    assert delta.apply_delta(DOCUMENT, foreign) is None
