Keep a hash in place of values that cannot be rows of ours

What callers saw: with 60 values of 1 MB of another writer below a prefix that gateways copy, each gateway held all of them, in the view and once more in the range that proves it. Hosts of 150 MB were ended at each start, and no call was served.

Cause: a read kept the values of all pages, and views kept and passed on whatever stood below their prefix.

Change: PlatformStore replaces a value by a hash as soon as its page is decoded, if it is larger than the limit of its prefix, or, in a range of more than 8 MB, if it is no sound row. Followers still get the row and find it unreadable. Listings of jobs drop values that are no states the same way. Data hosts limit the list of hosts, which exceeded the bound of their answers before. An omitted value is remembered by key and revision, so that proofs neither decode nor hash it again. Each is named once in the log (value_omitted).

Versions side by side: the digest of a view counts the original value, so that hosts of both versions have equal digests for equal contents, and ViewUpdate is the same. A host of a former version that takes a view with omitted values has another digest until its next own read, within the bound of the view.

Ruled out: leaving the rows out of the view. A target whose row was overwritten would count as gone, and digests of both versions would differ as long as the rows stand.

--- a/gradepoint/cmd/data_host_program.py
+++ b/gradepoint/cmd/data_host_program.py
@@ -8,6 +8,7 @@
 
 from .. import events
 from ..kv.limits import KvLimits
+from ..peers.presence import make_presence_limits
 from ..platform import store
 from ..spool.app import DataHost
 from ..spool.bounds import derive_bounds
@@ -37,6 +38,7 @@
         KvLimits(settings.store_value_bytes),
         max_answer_bytes=answer_bytes,
         max_range_bytes=answer_bytes,
+        row_limits=make_presence_limits(),
     )
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, lambda: None)
     await run_until_stopped(DataHost(settings, kv), settings.address)
--- a/gradepoint/cmd/gateway_program.py
+++ b/gradepoint/cmd/gateway_program.py
@@ -10,6 +10,7 @@
 from .. import events
 from ..gateway.app import Gateway
 from ..gateway.parts import PlatformAdapter
+from ..gateway.row_limits import make_row_limits
 from ..gateway.settings import GatewaySettings, check_gateway_settings
 from ..kv.limits import KvLimits
 from ..platform import configuration, headers, jobs, retirement, store, targets
@@ -69,6 +70,7 @@
         settings.store_timeout_s,
         settings.store_history_s,
         KvLimits(settings.store_value_bytes),
+        row_limits=make_row_limits(PLATFORM),
     )
     gateway = Gateway(settings, kv, PLATFORM, listener)
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, gateway.reload)
--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -390,6 +390,12 @@
     "ERROR",
     "A row of the key-value service raised an exception; the row is not used. Report it.",
 )
+VALUE_OMITTED = _declare(
+    531,
+    "value_omitted",
+    "ERROR",
+    "A value of the key-value service cannot be a row of this project and is not kept.",
+)
 HOST_UNREADABLE = _declare(
     523, "host_unreadable", "ERROR", "A host's record cannot be decoded; the host is not listed."
 )
--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -78,6 +78,7 @@
 from .refresh import SharedRefresh
 from .refusals import RecentRefusals
 from .retirement import Retirement
+from .row_limits import make_row_limits
 from .share_limits import ShareLimits, compute_room, count_calls_by_organisation
 from .stall import StallDetector
 from .stream_origins import StreamOrigins
@@ -540,6 +541,7 @@
     def make_watchers(self) -> Watchers:
         """Return the watchers that keep configuration, targets and live hosts up to date."""
         platform = self.platform
+        limits = make_row_limits(platform)
         operator = OperatorFollower(
             self.configuration,
             platform.config_key,
@@ -569,9 +571,9 @@
                 "live": LIVE_PREFIX,
             },
             {
-                "operator": PrefixView(operator),
-                "targets": PrefixView(self.target_follower),
-                "live": PrefixView(live),
+                "operator": PrefixView(operator, limits),
+                "targets": PrefixView(self.target_follower, limits),
+                "live": PrefixView(live, limits),
             },
             MAX_VIEW_AGE_S,
             lambda: set(self.hosts.hosts),
--- a/gradepoint/kv/service.py
+++ b/gradepoint/kv/service.py
@@ -98,7 +98,7 @@
 
     :ivar items: keys of the pages read so far, in order.
     :ivar revision: revision of the store at the first page; 0 before it.
-    :ivar size: bytes of these pages.
+    :ivar size: bytes of the keys and kept values of these pages, and of their records.
     :ivar begun_at: monotonic time at which the first page was asked for. The keys contain every
         change up to it.
     """
--- a/gradepoint/kv/view.py
+++ b/gradepoint/kv/view.py
@@ -3,16 +3,17 @@
 from __future__ import annotations
 
 from collections import deque
-from hashlib import blake2b
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from ..util.structs import Struct, field
+from .omission import hash_row, limit_row, limit_rows
 from .service import KeyValue, RangeResult, WatchEvent
 
 if TYPE_CHECKING:
     from .follow import Follower
+    from .omission import RowLimits
 
 MAX_RECENT_EVENTS = 512
 """Changes kept for hosts that are behind: more than one second of changes at peak load. A host
@@ -43,6 +44,7 @@
 
     :ivar inner: follower that receives the first full read, later ones that differ from the copy,
         and every new change.
+    :param limits: which values are kept, also of those that other hosts send.
     :ivar revision: revision of the newest change known; 0 before the first read.
     :ivar last_full_read_revision: revision of the newest read of all keys. An empty watch
         response does not raise it, since a watch may have missed a change.
@@ -52,10 +54,12 @@
     :ivar is_applied: whether *inner* has received all that is known. It raised an exception
         otherwise, and receives everything with the next read.
     :ivar digest: sum of the hashes of all keys and values, modulo :data:`DIGEST_MODULUS`. Hosts
-        with equal digests hold the same keys and values.
+        with equal digests hold the same keys and values, although one may have omitted values that
+        another has, such as a host of a former version.
     """
 
     inner: Follower
+    limits: RowLimits = ()
     revision: int = 0
     last_full_read_revision: int = 0
     items: dict[str, KeyValue] = field(default_factory=dict)
@@ -75,6 +79,7 @@
         if result.revision < self.known_revision:
             return
         first = not self.revision
+        result = RangeResult(tuple(limit_rows(self.limits, result.items)), result.revision)
         self.last_full_read_revision = max(self.last_full_read_revision, result.revision)
         if self._replace_items(result) or first or not self.is_applied:
             self.is_applied = False
@@ -122,9 +127,12 @@
             return
         if len(self.recent) == MAX_RECENT_EVENTS:
             self.recent_start_revision = self.recent[0].revision
+        item = None
+        if event.value is not None:
+            item = limit_row(self.limits, KeyValue(event.key, event.value, event.revision))
+            event = WatchEvent(event.key, item.value, event.revision)
         self.recent.append(event)
         self.revision = event.revision
-        item = None if event.value is None else KeyValue(event.key, event.value, event.revision)
         self._set_item(event.key, item)
         applied, self.is_applied = self.is_applied, False
         self.inner.change(event)
@@ -165,6 +173,5 @@
 
 
 def _digest(item: KeyValue) -> int:
-    """Return a 64-bit hash of one key and its value."""
-    raw = b"%d %b%b" % (len(item.key), item.key.encode(), item.value)
-    return int.from_bytes(blake2b(raw, digest_size=8).digest())
+    """Return a 64-bit hash of one key and its value, whether the value was omitted or not."""
+    return int.from_bytes(hash_row(item.key, item.value))
--- a/gradepoint/peers/presence.py
+++ b/gradepoint/peers/presence.py
@@ -11,6 +11,7 @@
 from .. import events
 from ..errors import DecodingError, KvError, KvRejected, KvUnavailable
 from ..ids import HostName, Incarnation
+from ..kv.omission import RowLimit
 from ..kv.service import Put, Transaction
 from ..telemetry.logs import emit
 from ..util import decoding
@@ -22,6 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from ..kv.omission import RowLimits
     from ..kv.service import KeyValueService
 
 INCARNATION_DIGITS = 10
@@ -49,6 +51,8 @@
 GONE_HOST_MEMORY_S = 30.0
 """Seconds for which a host that is no longer listed may still come back with its disk: several
 times the longest outage that the system is designed for."""
+MAX_PRESENCE_BYTES = 4 << 10
+"""Size in bytes of the largest presence value or record that is kept; they have about 150."""
 MAX_RETRY_S = 1.0
 """Maximum seconds between retries. A host is listed again well within two seconds after the service
 returns, and an unavailable service gets few calls."""
@@ -83,6 +87,22 @@
     return row
 
 
+def make_presence_limits() -> RowLimits:
+    """Return the limits of the values of presence keys and records."""
+
+    def make_limit(prefix: str) -> RowLimit:
+        def is_presence(key: str, value: bytes) -> bool:
+            try:
+                decode_presence(key.removeprefix(prefix), value)
+            except DecodingError:
+                return False
+            return True
+
+        return RowLimit(prefix, MAX_PRESENCE_BYTES, is_presence)
+
+    return tuple(map(make_limit, (PRESENCE_PREFIX, DATA_HOST_PREFIX, KNOWN_DATA_HOST_PREFIX)))
+
+
 def make_incarnation(host: HostName) -> Incarnation:
     """Return a new identifier for a run of *host*'s process."""
     return Incarnation(f"{host}:{new_token()[:INCARNATION_DIGITS]}")
--- a/gradepoint/platform/store.py
+++ b/gradepoint/platform/store.py
@@ -22,6 +22,7 @@
     KvUncertain,
 )
 from ..kv.limits import KvLimits, check_transaction
+from ..kv.omission import RowReader
 from ..kv.pace import BackgroundPace
 from ..kv.service import (
     CallCounts,
@@ -43,6 +44,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from ..kv.omission import RowLimits
     from ..kv.service import Transaction
 
 T = TypeVar("T")
@@ -76,6 +78,8 @@
 are a third larger in base64."""
 MAX_ANSWER_VALUES = 4
 """The same as a number of the largest values, where that is more."""
+ROW_BYTES = 300
+"""Bytes of memory that a row takes beside its key and value."""
 MAX_IDLE_CONNECTIONS = 6
 """Idle connections kept to the store; a host has two or three calls in flight at once."""
 CONNECT_TIMEOUT_S = 1.0
@@ -152,7 +156,8 @@
     :param history_s: seconds for which the store keeps changes for watches.
     :param limits: limits of the store; a transaction that exceeds them is not sent.
     :param max_answer_bytes: most bytes of one answer; 0 for those of a few of the largest values.
-    :param max_range_bytes: most bytes of all pages of one range together.
+    :param max_range_bytes: most bytes of the keys and kept values of one range together.
+    :param row_limits: which values of ranges and watches are kept.
     :ivar watch_s: seconds that a watch call waits for a change.
     :ivar max_range_s: seconds from the first page of a read within which a later page continues it.
     """
@@ -165,6 +170,7 @@
         limits: KvLimits = DEFAULT_LIMITS,
         max_answer_bytes: int = 0,
         max_range_bytes: int = sys.maxsize,
+        row_limits: RowLimits = (),
     ) -> None:
         self.base_url = f"http://{address}"
         self.origin = split_address(address)
@@ -178,6 +184,7 @@
             max_answer_bytes or max(MAX_ANSWER_BYTES, MAX_ANSWER_VALUES * limits.value_bytes),
         )
         self.max_range_bytes = max_range_bytes
+        self.rows = RowReader(row_limits)
         self.limits = limits
         self.counts = CallCounts()
         self.pace = BackgroundPace()
@@ -231,17 +238,37 @@
                 await asyncio.sleep(random.uniform(*PAGE_RETRY_S))
                 status, body = await self._read_page(target)
             self._check_status(status, 200, "range", read.prefix)
-            size = read.size + len(body)
+            page = _decode(body, _RangeAnswer)
+            items, size = self._read_rows(page.items, read.size)
             if size > self.max_range_bytes:
                 reason = f"more than {self.max_range_bytes} bytes below {read.prefix}"
                 raise self._count_failure("range", KvUnavailable(reason))
-            page = _decode(body, _RangeAnswer)
-            items = [_read_item(item) for item in page.items]
             read.revision, read.size = read.revision or page.timestamp, size
             found.extend(items)
             if not page.has_more or not items or (limit and len(found) >= limit):
                 return RangeResult(tuple(found[:limit] if limit else found), read.revision)
 
+    def _read_rows(self, rows: list[_Item], size: int) -> tuple[list[KeyValue], int]:
+        """Decode and limit the rows of a page.
+
+        :param size: bytes of the rows of former pages.
+        :returns: the rows, and the bytes of all rows so far.
+        """
+        items = []
+        for row in rows:
+            item = self.rows.find_omitted(row.key_path, row.rev)
+            if item is None:
+                item = self.rows.read(_read_item(row), size)
+            size += len(item.key) + len(item.value) + ROW_BYTES
+            items.append(item)
+        return items, size
+
+    def _read_event(self, row: _Item) -> WatchEvent:
+        if row.is_deleted:
+            return WatchEvent(row.key_path, None, row.rev)
+        item = self.rows.read(_read_item(row))
+        return WatchEvent(item.key, item.value, item.revision)
+
     async def _read_page(self, target: str, *, fresh: bool = False) -> tuple[int, bytes]:
         self.counts.reads += 1
         return await self._call("range", "GET", target, fresh=fresh)
@@ -301,7 +328,7 @@
             raise KvHistoryLost(f"changes after revision {revision} are forgotten")
         self._check_status(status, 200, "watch", prefix)
         answer = _decode(body, _WatchAnswer)
-        return WatchPage(tuple(_read_event(row) for row in answer.events), answer.timestamp)
+        return WatchPage(tuple(map(self._read_event, answer.events)), answer.timestamp)
 
     async def grant_lease(self, ttl_s: int) -> int:
         """See :meth:`KeyValueService.grant_lease`."""
@@ -406,11 +433,6 @@
     return base64.b64encode(value).decode()
 
 
-def _read_event(row: _Item) -> WatchEvent:
-    value = None if row.is_deleted else _decode_value(row.value)
-    return WatchEvent(row.key_path, value, row.rev)
-
-
 def _read_item(item: Any) -> KeyValue:
     value = _decode_value(item.value)
     return KeyValue(item.key_path, value, item.rev, item.created, item.lease)
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -17,8 +17,10 @@
 from bench.platform.target import EVENT_DATA_BYTES, FIRST_VERSION, TargetStandin, event_data
 from gradepoint.cmd.gateway_program import PLATFORM
 from gradepoint.gateway.app import Gateway
+from gradepoint.gateway.row_limits import make_row_limits
 from gradepoint.gateway.settings import GatewaySettings, check_gateway_settings
 from gradepoint.kv.limits import KvLimits
+from gradepoint.peers.presence import make_presence_limits
 from gradepoint.platform.store import PlatformStore
 from gradepoint.spool.app import DataHost
 from gradepoint.spool.settings import DataHostSettings, check_data_host_settings
@@ -114,7 +116,14 @@
 def connect_store(address: str, settings: GatewaySettings | DataHostSettings) -> PlatformStore:
     """Return the client of the store that a program with these settings uses."""
     limits = KvLimits(settings.store_value_bytes)
-    return PlatformStore(address, settings.store_timeout_s, settings.store_history_s, limits)
+    is_gateway = isinstance(settings, GatewaySettings)
+    return PlatformStore(
+        address,
+        settings.store_timeout_s,
+        settings.store_history_s,
+        limits,
+        row_limits=make_row_limits(PLATFORM) if is_gateway else make_presence_limits(),
+    )
 
 
 def make_settings(host: str, store_address: str, **settings: Any) -> GatewaySettings:
