Name rows that cannot be read once, not at each read

What callers saw: nothing. With 5,000 rows of another writer below "gp/live/host/", "gp/live/held/" or "gp/job/", each read of them wrote 5,000 lines.

Cause: host_unreadable, held_unreadable, versions_unreadable and job_unreadable (of listings) were logged by the reader of the row itself; beat_dropped once per datagram.

Change: the readers use UnreadableRows, and malformed datagrams are reported at most once per DROP_REPORT_GAP_S and counted by gradepoint_dropped_datagrams.

Not changed: quota_unreadable and the job_unreadable of adoption, worker and API, which are logged per attempt.

--- a/gradepoint/gateway/held.py
+++ b/gradepoint/gateway/held.py
@@ -13,6 +13,7 @@
 from ..errors import DecodingError, KvError
 from ..ids import TargetNumber
 from ..kv.service import Delete, Put, Transaction
+from ..kv.unreadable import UnreadableRows
 from ..peers.presence import LIVE_PREFIX
 from ..routing.suspects import CRASH_LIFETIME_S
 from ..telemetry.logs import emit
@@ -72,6 +73,7 @@
 
     :ivar rows: stored records by suspect.
     :ivar removed: records that this host has deleted, though the service may still list them.
+    :ivar unreadable: rows that cannot be used.
     """
 
     kv: KeyValueService
@@ -79,6 +81,7 @@
     rows: dict[SuspectKey, HeldRow] = field(default_factory=dict)
     removed: dict[SuspectKey, HeldRow] = field(default_factory=dict)
     tasks: TaskGroup = field(default_factory=TaskGroup)
+    unreadable: UnreadableRows = field(default_factory=UnreadableRows)
 
     def store(self, request: RequestIdentity, known: SuspectRow) -> None:
         """Store a suspect of a request when this host sees a target crash while running it."""
@@ -120,8 +123,11 @@
         :param value: None if the key is gone. What hosts report to each other still counts then.
         """
         key = parse_key(name.removeprefix(HELD_PREFIX))
+        if value is None:
+            self.unreadable.clear(name)
         if key is None:
-            emit(events.HELD_UNREADABLE, key=name, reason="not the key of a suspect")
+            if value is not None:
+                self.unreadable.note(events.HELD_UNREADABLE, name, "not the key of a suspect")
             return
         if value is None:
             self.rows.pop(key, None)
@@ -130,8 +136,9 @@
         try:
             row = decoding.decode_json(value, HeldRow)
         except DecodingError as error:
-            emit(events.HELD_UNREADABLE, key=name, reason=str(error))
+            self.unreadable.note(events.HELD_UNREADABLE, name, str(error))
             return
+        self.unreadable.clear(name)
         # The same row is read repeatedly. Restoring it again would undo that the suspect was
         # cleared.
         if row not in (self.rows.get(key), self.removed.get(key)):
--- a/gradepoint/gateway/version_history.py
+++ b/gradepoint/gateway/version_history.py
@@ -16,6 +16,7 @@
 from ..errors import DecodingError, KvError
 from ..ids import Incarnation, ServiceName, SoftwareVersion
 from ..kv.service import ABSENT, Expect, Put, Transaction
+from ..kv.unreadable import UnreadableRows
 from ..peers.presence import LIVE_PREFIX
 from ..telemetry.logs import emit
 from ..util import decoding
@@ -65,6 +66,7 @@
     :param watching: whether this host is one of those that keep the record up to date.
     :ivar record: None until it has been read.
     :ivar failed_at: monotonic time of the last write that failed.
+    :ivar unreadable: the record, while it cannot be decoded.
     """
 
     kv: KeyValueService
@@ -74,10 +76,11 @@
     record: VersionRecord | None = None
     failed_at: float = float("-inf")
     tasks: TaskGroup = field(default_factory=TaskGroup)
+    unreadable: UnreadableRows = field(default_factory=UnreadableRows)
 
     def apply(self, value: bytes | None) -> None:
         """Apply the record as the service lists it; None if it does not exist."""
-        self.record = None if value is None else decode_record(value)
+        self.record = None if value is None else self._decode(value)
 
     def find_only_version(self, services: Iterable[ServiceName]) -> SoftwareVersion | None:
         """Return the only software version that services have had, by the record and the list of
@@ -147,7 +150,7 @@
         :raises KvError: the key-value service failed.
         """
         current = await self.kv.get(VERSIONS_KEY)
-        stored = None if current is None else decode_record(current.value)
+        stored = None if current is None else self._decode(current.value)
         table: VersionTable = {}
         if stored is not None:
             table = {service: set(versions) for service, versions in stored.versions.items()}
@@ -164,11 +167,12 @@
             self.record = record
         return written.succeeded
 
-
-def decode_record(value: bytes) -> VersionRecord | None:
-    """Return the decoded record, or None if that fails; a new one replaces it then."""
-    try:
-        return decoding.decode_json(value, VersionRecord)
-    except DecodingError as error:
-        emit(events.VERSIONS_UNREADABLE, reason=str(error))
-        return None
+    def _decode(self, value: bytes) -> VersionRecord | None:
+        """Return the decoded record, or None if that fails; a new one replaces it then."""
+        try:
+            record = decoding.decode_json(value, VersionRecord)
+        except DecodingError as error:
+            self.unreadable.note(events.VERSIONS_UNREADABLE, VERSIONS_KEY, str(error))
+            return None
+        self.unreadable.clear(VERSIONS_KEY)
+        return record
--- a/gradepoint/jobs/repository.py
+++ b/gradepoint/jobs/repository.py
@@ -18,6 +18,7 @@
 from ..errors import KvOverRate, KvRejected, KvUnavailable, KvUncertain, KvUnreadable
 from ..ids import Incarnation, JobId
 from ..kv.service import ABSENT, Expect, KeyValue, Put, Transaction
+from ..kv.unreadable import UnreadableRows
 from ..telemetry import loop_time, metrics
 from ..telemetry.logs import emit
 from ..telemetry.loop_time import LoopPart
@@ -193,6 +194,7 @@
     :ivar write_limit: limit of the bytes in one transaction.
     :ivar reduced_part_bytes: most bytes of a part since the service rejected a larger one.
     :ivar reduced_at: monotonic time of that rejection.
+    :ivar unreadable: listed jobs whose states cannot be decoded.
     """
 
     kv: KeyValueService
@@ -203,6 +205,7 @@
     write_limit: WriteLimit = field(default_factory=WriteLimit)
     reduced_part_bytes: int = sys.maxsize
     reduced_at: float = float("-inf")
+    unreadable: UnreadableRows = field(default_factory=UnreadableRows)
 
     @property
     def fragments(self) -> FragmentStore:
@@ -600,15 +603,18 @@
         return await self.fragments.load_large_parts(job_id, [item.value for item in found])
 
     async def list_jobs(self) -> list[StoredJob]:
-        """Return every job whose state can be decoded; log the others."""
+        """Return every job whose state can be decoded; log the others, each once."""
         jobs = []
+        unreadable = set()
         for number, item in enumerate((await self.kv.range(JOB_PREFIX)).items, 1):
             try:
                 jobs.append(_read_stored(item))
             except KvUnreadable as error:
-                emit(events.JOB_UNREADABLE, job=item.key, reason=str(error))
+                unreadable.add(item.key)
+                self.unreadable.note(events.JOB_UNREADABLE, item.key, str(error), job=item.key)
             if number % JOBS_PER_TURN == 0:
                 await asyncio.sleep(0)
+        self.unreadable.clear_all_but(unreadable)
         return jobs
 
     async def commit(
--- a/gradepoint/kv/unreadable.py
+++ b/gradepoint/kv/unreadable.py
@@ -12,7 +12,7 @@
 from ..util.tasks import locate_error
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Collection, Iterator
 
     from ..events import Event
 
@@ -41,6 +41,10 @@
         """Forget a row that has been replaced or deleted."""
         self.reasons.pop(key, None)
 
+    def clear_all_but(self, keys: Collection[str]) -> None:
+        """Forget all rows except for those of *keys*."""
+        self.reasons = {key: reason for key, reason in self.reasons.items() if key in keys}
+
     @contextmanager
     def isolate(self, key: str) -> Iterator[None]:
         """Log an exception that the row of *key* raises, so that the other rows are still read."""
--- a/gradepoint/peers/datagrams.py
+++ b/gradepoint/peers/datagrams.py
@@ -266,12 +266,14 @@
     :param on_message: called with each message and the ``IP:PORT`` it came from.
     :ivar dropped: datagrams dropped since the last log line about them.
     :ivar drops_reported_at: monotonic time of that line.
+    :ivar malformed_reported_at: monotonic time of the last log line about a malformed datagram.
     """
 
     on_message: Callable[[Message, str], None]
     transport: DatagramTransport | None = None
     dropped: int = 0
     drops_reported_at: float = float("-inf")
+    malformed_reported_at: float = float("-inf")
 
     async def start(self, address: str, port: int) -> None:
         """Bind the socket and listen for datagrams."""
@@ -324,7 +326,11 @@
         try:
             message = decode_message(raw)
         except DecodingError as error:
-            emit(events.BEAT_DROPPED, reason=str(error), member=address)
+            metrics.shared().dropped_datagrams.add(1, {"reason": "malformed"})
+            now = monotonic()
+            if now - self.malformed_reported_at >= DROP_REPORT_GAP_S:
+                emit(events.BEAT_DROPPED, reason=str(error), member=address)
+                self.malformed_reported_at = now
             return
         if message.format == DATAGRAM_FORMAT:
             self.on_message(message, address)
--- a/gradepoint/peers/presence.py
+++ b/gradepoint/peers/presence.py
@@ -13,6 +13,7 @@
 from ..ids import HostName, Incarnation
 from ..kv.omission import RowLimit
 from ..kv.service import Put, Transaction
+from ..kv.unreadable import UnreadableRows
 from ..telemetry.logs import emit
 from ..util import decoding
 from ..util.clock import monotonic
@@ -202,12 +203,14 @@
     :ivar known: hosts that have a record, listed or not.
     :ivar gone: hosts that are no longer listed, with the monotonic time of removal, or of the first
         read of their record if they were not listed then.
+    :ivar unreadable: rows that cannot be used.
     """
 
     prefix: str = PRESENCE_PREFIX
     hosts: dict[HostName, HostPresence] = field(default_factory=dict)
     known: dict[HostName, HostPresence] = field(default_factory=dict)
     gone: dict[HostName, tuple[HostPresence, float]] = field(default_factory=dict)
+    unreadable: UnreadableRows = field(default_factory=UnreadableRows)
 
     @property
     def incarnations(self) -> set[Incarnation]:
@@ -243,6 +246,7 @@
         if self.hosts.get(row.host) != row:
             emit(events.MEMBER_JOINED, member=row.host, incarnation=row.incarnation)
         self.hosts[row.host] = row
+        self.unreadable.clear(key)
         self.gone.pop(row.host, None)
 
     def put_readable(self, key: str, value: bytes) -> None:
@@ -250,12 +254,16 @@
         try:
             self.put(key, value)
         except DecodingError as error:
-            emit(events.HOST_UNREADABLE, key=key, reason=str(error))
-            self.remove(key)
+            self.unreadable.note(events.HOST_UNREADABLE, key, str(error))
+            self._drop(HostName(key.removeprefix(self.prefix)))
 
     def remove(self, key: str) -> None:
         """Remove a host whose key was deleted."""
-        row = self.hosts.pop(HostName(key.removeprefix(self.prefix)), None)
+        self.unreadable.clear(key)
+        self._drop(HostName(key.removeprefix(self.prefix)))
+
+    def _drop(self, host: HostName) -> None:
+        row = self.hosts.pop(host, None)
         if row is not None:
             self.gone[row.host] = row, monotonic()
             emit(events.MEMBER_LOST, member=row.host, incarnation=row.incarnation)
@@ -268,8 +276,9 @@
         try:
             row = decode_presence(key.removeprefix(KNOWN_DATA_HOST_PREFIX), value)
         except DecodingError as error:
-            emit(events.HOST_UNREADABLE, key=key, reason=str(error))
+            self.unreadable.note(events.HOST_UNREADABLE, key, str(error))
             return
+        self.unreadable.clear(key)
         is_new = self.known.get(row.host) != row
         self.known[row.host] = row
         if is_new and row.host not in self.hosts:
@@ -278,6 +287,7 @@
 
     def remove_record(self, key: str) -> None:
         """Forget the record of a host that has been retired."""
+        self.unreadable.clear(key)
         self.known.pop(HostName(key.removeprefix(KNOWN_DATA_HOST_PREFIX)), None)
 
     def find_missing(self) -> list[HostPresence]:
--- a/gradepoint/spool/host.py
+++ b/gradepoint/spool/host.py
@@ -19,6 +19,7 @@
 from ..errors import DecodingError, KvError, KvOverRate, KvRejected, KvUnreadable, StoreError
 from ..ids import JobId
 from ..jobs.repository import REJECTED_RETRY_S, Admission
+from ..kv.unreadable import UnreadableRows
 from ..peers.presence import PRESENCE_PREFIX, HostTable
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
@@ -134,6 +135,7 @@
         without one.
     :ivar listed: addresses of the listed hosts.
     :ivar listed_at: monotonic time at which they were read.
+    :ivar unreadable: rows of the list of hosts that cannot be used.
     :ivar unread: number of files that may be jobs and are not in the index, since they could not
         be read or the index was full.
     :ivar retiring: the operator has requested that this host be drained; it accepts no further job.
@@ -152,6 +154,7 @@
     failing_since: float | None = None
     listed: dict[Incarnation, str] = field(default_factory=dict)
     listed_at: float = float("-inf")
+    unreadable: UnreadableRows = field(default_factory=UnreadableRows)
     unread: int = 0
     retiring: bool = False
 
@@ -489,7 +492,7 @@
         now = monotonic()
         if now - self.listed_at < LIST_INTERVAL_S:
             return
-        table = HostTable()
+        table = HostTable(unreadable=self.unreadable)
         for item in (await self.kv.range(PRESENCE_PREFIX)).items:
             table.put_readable(item.key, item.value)
         self.listed = {host.incarnation: host.peer_address for host in table.hosts.values()}
--- a/tests/test_gateway/test_gateway_large_rows.py
+++ b/tests/test_gateway/test_gateway_large_rows.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 import pytest
 
 from gradepoint.gateway.app import Gateway
 from gradepoint.gateway.targets import ListedState
 from gradepoint.ids import TargetName
+from gradepoint.kv.unreadable import MAX_NAMED_ROWS
+from gradepoint.telemetry import logs
 from tests.support.platform import Deployment, run_in_virtual_time
 from tests.test_gateway.test_gateway_foreign_entries import check_targets_run, restart_all
 
@@ -103,3 +107,30 @@
         assert len(await deployment.read_all_results("job")) == 3
 
     run_in_virtual_time(work)
+
+
+def test_rows_that_are_read_again_and_again_are_named_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Each read of 5,000 rows wrote 5,000 lines.
+    lines: Counter[str] = Counter()
+    monkeypatch.setattr(logs, "_write_json", lambda event, _: lines.update([event.name]))
+
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=1, targets=1)
+        gateway = deployment.gateways[0]
+        prefixes = [prefix for prefix in LIMITED_PREFIXES if prefix.endswith("/")]
+        for prefix in (*prefixes, "gp/job/"):
+            for number in range(MAX_NAMED_ROWS * 2):
+                deployment.store.put(f"{prefix}x-{number}", b"x")
+        deployment.store.put("gp/live/versions", b"x")
+        for _ in range(5):
+            await gateway.adoption.repository.list_jobs()
+            live = await gateway.kv.range("gp/live/")
+            gateway.watchers.views["live"].inner.reset(live)
+
+    run_in_virtual_time(work)
+    assert set(lines) >= {"host_unreadable", "held_unreadable", "job_unreadable"}
+    # Gateways and data hosts are listed in tables of their own.
+    assert max(lines.values()) <= 2 * MAX_NAMED_ROWS
+    assert lines["versions_unreadable"] == 1
--- a/tests/test_peers/test_peers_memory_bounds.py
+++ b/tests/test_peers/test_peers_memory_bounds.py
@@ -102,6 +102,19 @@
     run_virtual(main())
 
 
+def test_malformed_datagrams_do_not_write_a_line_each(monkeypatch: pytest.MonkeyPatch) -> None:
+    logged: list[dict[str, Any]] = []
+    monkeypatch.setattr(datagrams, "emit", lambda _, **fields: logged.append(fields))
+
+    async def main() -> None:
+        socket, _ = make_stalled_socket()
+        for _ in range(1000):
+            socket.take(b"\xc1", ADDRESS)
+        assert len(logged) == 1
+
+    run_virtual(main())
+
+
 def test_digests_leave_room_for_heartbeats() -> None:
     socket, transport = make_stalled_socket()
     sent = [socket.send_digest(b"x" * SIZE, ADDRESS) for _ in range(1000)]
