Give up a job whose items or results stay unreadable, within a minute

What callers saw: a job whose parts were overwritten or missing was never ended: its readers got empty pages for as long as they asked, and its tokens counted against the next jobs. Items and results of another job under its keys were run and served as its own. A key of another writer between its parts, or unreadable texts of unfinished items, had the same effect as an unreadable part.

Cause: the records were decoded, but not compared with the state. A fragment size of 0 was not expected. Nothing ended a job whose records cannot be read.

Change: items and results have to be those that the state names, parts are read by their keys, and a missing one is unreadable. The host that owns the job reads them once more after UNREADABLE_JOB_S (60 s) and then marks the state as unreadable: no host runs the job, its tokens do not count, readers behind the listed results and repeated submissions get 503. Unreadable texts of unfinished items are left out.

Ruled out: to end its items as dead. Readers would take that for an outcome of items which may have been run. To leave it to the route's retention: it may be unlimited.

--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -256,6 +256,12 @@
 JOB_REFUSED = _declare(312, "job_refused", "INFO", "A job was refused and is not stored.")
 JOB_UNCERTAIN = _declare(313, "job_uncertain", "WARNING", "It is unknown whether a job is stored.")
 JOB_UNREADABLE = _declare(314, "job_unreadable", "WARNING", "A job's record could not be read.")
+JOB_GIVEN_UP = _declare(
+    336,
+    "job_given_up",
+    "ERROR",
+    "Items or results of a job stayed unreadable; it is not run any more, and readers are refused.",
+)
 QUOTA_UNREADABLE = _declare(
     330,
     "quota_unreadable",
--- a/gradepoint/jobs/api.py
+++ b/gradepoint/jobs/api.py
@@ -191,6 +191,9 @@
             emit(events.JOB_REFUSED, job=job_id, reason="quota")
             raise GradepointError("job_quota", retry_after=RETRY_AFTER_S)
         stored = submission.job
+        if stored is not None and stored.state.unreadable:
+            emit(events.JOB_REFUSED, job=job_id, reason="given up")
+            raise GradepointError("service_unavailable", retry_after=RETRY_AFTER_S)
         if stored is not None and stored.state.released:
             await self._hand_over(job_id)
         elif stored is not None and stored.state.owner == self.presence.own.incarnation:
@@ -466,8 +469,15 @@
         if stored is None:
             return None, None
         self.sweep_if_owner_lost(stored)
+        if (
+            stored.state.unreadable
+            and not stored.state.ended
+            and position >= len(stored.state.listed)
+        ):
+            raise KvUnreadable("given up since its items or results are unreadable")
         total, item_ids = len(stored.state.item_ids), stored.state.item_ids
-        if stored.state.done and not has_large_results(stored.state):
+        is_complete = stored.state.done and not stored.state.unreadable
+        if is_complete and not has_large_results(stored.state):
             results = await self.repository.load_results(stored)
             self.finished_cache[job_id] = JobView(total, item_ids, results)
             evict_oldest(self.finished_cache)
--- a/gradepoint/jobs/fragments.py
+++ b/gradepoint/jobs/fragments.py
@@ -20,7 +20,7 @@
 
 if TYPE_CHECKING:
     from ..ids import JobId
-    from ..kv.service import KeyValueService
+    from ..kv.service import KeyValue, KeyValueService
 
 MAX_FRAGMENTS_PER_WRITE = 24
 """Most fragments in one transaction, which takes 32 entries."""
@@ -63,6 +63,19 @@
             self.max_bytes = max(MIN_WRITE_BYTES, exceeded // 2)
 
 
+def select_parts(items: tuple[KeyValue, ...], prefix: str, count: int) -> tuple[KeyValue, ...]:
+    """Return the first *count* parts among the keys below a prefix.
+
+    :raises KvUnreadable: they are not all there.
+    """
+    # Keys of another writer may lie between those of the parts.
+    found = {item.key: item for item in items}
+    keys = [part_key(prefix, number) for number in range(min(count, len(found)))]
+    if len(keys) < count or not all(key in found for key in keys):
+        raise KvUnreadable(f"{sum(key in found for key in keys)} of {count} parts found: {prefix}")
+    return tuple(found[key] for key in keys)
+
+
 class FragmentStore(Struct):
     """Writes and reads the fragments of large parts.
 
@@ -123,8 +136,12 @@
         part = decode_value(value, FragmentedPart | list[msgspec.Raw])
         if not isinstance(part, FragmentedPart):
             return value
+        if part.size < 0 or part.fragment_bytes <= 0:
+            raise KvUnreadable(f"{part.size} bytes in fragments of {part.fragment_bytes} bytes")
         prefix = fragment_prefix(job_id, part)
-        raw = b"".join(fragment.value for fragment in (await self.kv.range(prefix)).items)
+        count = -(-part.size // part.fragment_bytes)
+        found = select_parts((await self.kv.range(prefix)).items, prefix, count)
+        raw = b"".join(fragment.value for fragment in found)
         if hashlib.sha256(raw).hexdigest() != part.digest:
             raise KvUnreadable(f"{len(raw)} of {part.size} bytes found below {prefix}")
         return raw
--- a/gradepoint/jobs/records.py
+++ b/gradepoint/jobs/records.py
@@ -119,6 +119,7 @@
         organisations.
     :param part_sizes: number of results and size in bytes of each result key. Shorter than
         *commits* if a former version, which does not know it, has written the state.
+    :param unreadable: items or results of the job stayed unreadable, and its owner gave it up.
     """
 
     route: str
@@ -137,6 +138,7 @@
     age_s: float = 0.0
     organisation: OrganisationName | None = None
     part_sizes: list[tuple[int, int]] = []
+    unreadable: bool = False
 
     @property
     def knows_part_sizes(self) -> bool:
@@ -145,8 +147,9 @@
 
     @property
     def done(self) -> bool:
-        """Whether the client ended the job or all of its items are listed."""
-        return self.ended or len(self.listed) == len(self.item_ids)
+        """Whether nothing is left to do: the client ended the job, all of its items are listed, or
+        its records are unreadable."""
+        return self.ended or self.unreadable or len(self.listed) == len(self.item_ids)
 
     def shares_limit(self, other: JobState) -> bool:
         """Whether the tokens of both jobs count against the same limit (route, organisation)."""
@@ -154,8 +157,8 @@
 
     @property
     def waiting_tokens(self) -> int:
-        """Tokens of the items that are not listed; 0 if the client ended the job."""
-        if self.ended:
+        """Tokens of the items that are not listed; 0 if they are not run any more."""
+        if self.ended or self.unreadable:
             return 0
         return sum(self.item_tokens) - sum(self.item_tokens[row.index] for row in self.listed)
 
--- a/gradepoint/jobs/repository.py
+++ b/gradepoint/jobs/repository.py
@@ -24,7 +24,7 @@
 from ..telemetry.loop_time import LoopPart
 from ..util.clock import monotonic
 from ..util.structs import Struct, field
-from .fragments import FragmentStore, WriteLimit
+from .fragments import FragmentStore, WriteLimit, select_parts
 from .quota_turns import QuotaTurns
 from .records import (
     INPUT_PREFIX,
@@ -575,7 +575,10 @@
         :raises KvError: they could not be read.
         """
         prefix = input_prefix(job.id)
-        return join_items(await self._load_parts(job.id, prefix, job.state.input_parts))
+        items = join_items(await self._load_parts(job.id, prefix, job.state.input_parts))
+        if [item.id for item in items] != job.state.item_ids:
+            raise KvUnreadable(f"the parts below {prefix} hold other items than the state names")
+        return items
 
     async def load_results(self, job: StoredJob) -> list[Result]:
         """Return a job's results with their texts, as many as *job* lists.
@@ -585,7 +588,7 @@
         if not job.state.commits:
             return []
         parts = await self._load_parts(job.id, result_prefix(job.id), job.state.commits)
-        return join_results(parts)[: len(job.state.listed)]
+        return _check_results(join_results(parts), job.state.listed)
 
     async def load_page(self, job: StoredJob, position: int, page_bytes: int) -> list[Result]:
         """Return results with their texts from *position* on, at least one if there are any.
@@ -599,7 +602,9 @@
         loaded_bytes = first = 0
         for number, (count, part_bytes) in enumerate(job.state.part_sizes):
             if first + count > position and (not found or loaded_bytes < page_bytes):
-                found += (await self._load_result_part(job, number))[max(0, position - first) :]
+                part = await self._load_result_part(job, number)
+                rows = _check_results(part, job.state.listed[first : first + count])
+                found += rows[max(0, position - first) :]
                 loaded_bytes += part_bytes
             first += count
         return found
@@ -608,26 +613,35 @@
         key = part_key(result_prefix(job.id), number)
         item = await self.kv.get(key)
         if item is None:
-            raise KvUnavailable(f"{key} is missing")
+            # It was written together with the state that lists it.
+            raise KvUnreadable(f"{key} is missing")
         return join_results(await self.fragments.load_large_parts(job.id, [item.value]))
 
     async def load_partial(self, job: StoredJob) -> dict[int, PartialText]:
-        """Return the texts of unfinished items as the last commit wrote them, by index."""
+        """Return the texts of unfinished items as the last commit wrote them, by index.
+
+        Items without a text begin anew, so unreadable texts are only logged.
+        """
         if not job.state.partial:
             return {}
         item = await self.kv.get(partial_key(job.id))
         if item is None:
             return {}
-        return decode_value(item.value, dict[int, PartialText])
+        try:
+            texts = decode_value(item.value, dict[int, PartialText])
+        except KvUnreadable as error:
+            self.unreadable.note(events.JOB_UNREADABLE, item.key, str(error), job=job.id)
+            return {}
+        return {index: texts[index] for index in texts if 0 <= index < len(job.state.item_ids)}
 
     async def _load_parts(self, job_id: JobId, prefix: str, count: int) -> list[bytes]:
         if count == 1:
             item = await self.kv.get(part_key(prefix, 0))
             found: tuple[KeyValue, ...] = () if item is None else (item,)
         else:
-            found = (await self.kv.range(prefix)).items[:count]
-        if len(found) < count:
-            raise KvUnavailable(f"{len(found)} of {count} parts found below {prefix}")
+            found = (await self.kv.range(prefix)).items
+        # They were written together with the state that names them.
+        found = select_parts(found, prefix, count)
         return await self.fragments.load_large_parts(job_id, [item.value for item in found])
 
     async def list_jobs(self) -> list[StoredJob]:
@@ -712,6 +726,14 @@
         state = msgspec.structs.replace(job.state, owner=owner, released=False)
         return await self._replace_state(job, state)
 
+    async def give_up(self, job: StoredJob) -> StoredJob:
+        """Mark a job whose items or results stay unreadable, so that no host runs it any more.
+
+        :raises Superseded: another writer changed the job first.
+        """
+        state = msgspec.structs.replace(job.state, unreadable=True, released=False)
+        return await self._replace_state(job, state)
+
     async def end(self, job_id: JobId) -> bool:
         """End a job at its client's request; return False if there is no such job.
 
@@ -767,6 +789,16 @@
     return state.knows_part_sizes and sum(size for _, size in state.part_sizes) > MAX_LOADED_BYTES
 
 
+def _check_results(results: list[Result], listed: list[Result]) -> list[Result]:
+    """Return results with their texts.
+
+    :raises KvUnreadable: they are not those that the state lists.
+    """
+    if [(row.index, row.end) for row in results] != [(row.index, row.end) for row in listed]:
+        raise KvUnreadable("the parts hold other results than the state lists")
+    return results
+
+
 def _fits(tokens: int, max_tokens: int) -> bool:
     """Whether a number of tokens may wait; without a limit any number may, and none is refused."""
     return max_tokens >= NO_LIMIT or tokens <= max_tokens
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -85,6 +85,9 @@
 """Most jobs whose owner is read at once after a stall. A commit checks the owner, too."""
 COMMIT_RETRY_S = 0.5
 """Seconds until a commit that failed or got no answer is retried."""
+UNREADABLE_JOB_S = 60.0
+"""Seconds for which items or results of a job have to be unreadable until its owner gives it up.
+Another version, which can read them, may adopt the job within that time."""
 NOT_YET_CREATED = sys.maxsize
 """Creation revision of a job that the key-value service does not have yet. It sorts such a job as
 younger than all jobs in the service."""
@@ -144,6 +147,7 @@
     :ivar crash_backoff: delays items under which targets crash soon after the start.
     :ivar position: item with which the next turn of starts begins, if the last one passed over as
         many items as it may.
+    :ivar unreadable: jobs of this host whose items or results are unreadable.
     :ivar checks: jobs of which is to be checked whether they may be given up or forgotten.
     """
 
@@ -176,6 +180,7 @@
     memory: MemoryBudget | None = None
     waiting_for_memory: dict[JobId, StoredJob] = field(default_factory=dict)
     position: StartPosition | None = None
+    unreadable: set[JobId] = field(default_factory=set)
     checks: JobChecks = field(default_factory=JobChecks)
 
     def announced_job_numbers(self) -> list[int]:
@@ -228,9 +233,54 @@
     async def start_job(self, stored: StoredJob, items: list[Item] | None = None) -> None:
         """Run a job that this host owns; do nothing if it runs already or is finished.
 
+        A job whose records are unreadable is tried once more later, and then given up.
+
         :param items: the job's items, if they are known; else they are read.
         :raises KvError: the job's records could not be read.
         """
+        if stored.id in self.unreadable:
+            return
+        try:
+            await self._read_and_run(stored, items)
+        except KvUnreadable as error:
+            self.repository.note_unreadable(stored.id, error)
+            if stored.id not in self.unreadable:
+                self.unreadable.add(stored.id)
+                self.tasks.start(self._give_up_later(stored.id))
+
+    async def _give_up_later(self, job_id: JobId) -> None:
+        """Run an unreadable job of this host if it is readable later, or give it up."""
+        await asyncio.sleep(UNREADABLE_JOB_S)
+        while True:
+            try:
+                if await self._run_or_give_up(job_id):
+                    break
+            except KvError as error:
+                self.repository.note_unreadable(job_id, error)
+                if isinstance(error, KvUnreadable):
+                    break
+            await asyncio.sleep(COMMIT_RETRY_S)
+        self.unreadable.discard(job_id)
+
+    async def _run_or_give_up(self, job_id: JobId) -> bool:
+        """Return whether an unreadable job runs, or is not left to this host any more.
+
+        :raises KvError: the key-value service failed, or the state is unreadable, too.
+        """
+        stored = await self.repository.load(job_id)
+        if stored is None or stored.state.done or stored.state.owner != self.own:
+            return True
+        try:
+            await self._read_and_run(stored)
+        except KvUnreadable as error:
+            try:
+                await self.repository.give_up(stored)
+            except Superseded:
+                return False
+            emit(events.JOB_GIVEN_UP, job=job_id, reason=str(error))
+        return True
+
+    async def _read_and_run(self, stored: StoredJob, items: list[Item] | None = None) -> None:
         if self._mark_entered(stored) or stored.id in self.jobs or stored.state.done:
             return
         if items is None and not self._has_room():
@@ -515,6 +565,8 @@
             self.drop(job.id, "gone")
         elif stored.state.ended or stored.state.owner != self.own:
             self.drop(job.id, "ended" if stored.state.ended else "another host owns it")
+        elif stored.state.unreadable:
+            self.drop(job.id, "given up")
         elif job.is_continued_by(stored):
             job.apply_state(stored)
         else:
--- a/tests/test_jobs/test_jobs_overwritten.py
+++ b/tests/test_jobs/test_jobs_overwritten.py
@@ -11,18 +11,26 @@
 from gradepoint.ids import Incarnation, ItemId, JobId
 from gradepoint.jobs.adoption import SWEEP_INTERVAL_S
 from gradepoint.jobs.records import (
+    LARGE_PREFIX,
+    FragmentedPart,
     Item,
     ItemOutcome,
     JobState,
     Quota,
     Result,
     decode_state,
+    encode_part,
     encode_state,
+    input_prefix,
     job_key,
+    part_key,
+    partial_key,
     quota_key,
+    result_prefix,
+    split_items,
 )
 from gradepoint.jobs.repository import Admission, JobRepository, OwedJob
-from gradepoint.jobs.worker import CHECKPOINT_INTERVAL_S
+from gradepoint.jobs.worker import CHECKPOINT_INTERVAL_S, UNREADABLE_JOB_S
 from gradepoint.kv.service import Put, Transaction
 from gradepoint.standins.memory_kv import MemoryKv, MemoryKvClient
 from gradepoint.standins.virtual_time import run_virtual
@@ -95,10 +103,10 @@
     run_virtual(work())
 
 
-async def read_answer(deployment: Deployment, gateway: int) -> CallAnswer:
+async def read_answer(deployment: Deployment, gateway: int, position: int = 0) -> CallAnswer:
     """Return the answer to a reader of the results of "job"."""
     return await deployment.call(
-        "/api/lots/job?after_rev=0", method="GET", body=b"", gateway=gateway
+        f"/api/lots/job?after_rev={position}", method="GET", body=b"", gateway=gateway
     )
 
 
@@ -116,6 +124,15 @@
     assert all(JobId(job_id) not in gateway.worker.jobs for gateway in deployment.gateways)
 
 
+async def restart_all(deployment: Deployment) -> None:
+    """Kill all gateways and start as many again."""
+    count = len(deployment.gateways)
+    for gateway in list(deployment.gateways):
+        await deployment.kill(gateway)
+    for number in range(count):
+        await deployment.add_gateway(f"host-{number}")
+
+
 def overwrite_states(sound: JobState) -> dict[str, bytes]:
     """Return values that contradict themselves, by what is wrong in them."""
     listed = [Result(index, ItemOutcome.COMPLETE) for index in (0, 1)]
@@ -160,10 +177,7 @@
         state = decode_state(store.read(job_key(JobId("job"))) or b"")
         store.put(job_key(JobId("job")), overwrite_states(state)[name])
         if restart:
-            for gateway in list(deployment.gateways):
-                await deployment.kill(gateway)
-            for number in range(2):
-                await deployment.add_gateway(f"host-{number}")
+            await restart_all(deployment)
         assert len(await deployment.read_all_results("other")) == 3
         store.put(quota_key("night"), b"")
         assert (await deployment.submit("next", 10)).status == 202
@@ -175,3 +189,96 @@
         await check_not_tried(deployment, "job")
 
     run_in_virtual_time(work)
+
+
+RESULT_ROW = msgspec.msgpack.encode(Result(0, ItemOutcome.COMPLETE, "text"))
+INPUT = part_key(input_prefix(JobId("job")), 0)
+RESULT = part_key(result_prefix(JobId("job")), 0)
+OTHER_ITEMS = [Item(ItemId(f"other-{index}"), "/night/0", [], b"", 10) for index in range(3)]
+PARTS = {
+    **{f"input {number}": {INPUT: raw} for number, raw in enumerate(NO_RECORDS)},
+    **{f"result {number}": {RESULT: raw} for number, raw in enumerate(NO_RECORDS)},
+    "no input": {INPUT: None},
+    "no result": {RESULT: None},
+    "input of another job": {INPUT: split_items(OTHER_ITEMS, 1 << 20)[0]},
+    "input of fewer items": {INPUT: split_items(OTHER_ITEMS[1:], 1 << 20)[0]},
+    "result of another job": {
+        RESULT: encode_part([msgspec.msgpack.encode(Result(2, ItemOutcome.COMPLETE, "x"))])
+    },
+    "no fragments": {INPUT: msgspec.msgpack.encode(FragmentedPart("0", 1 << 62, 1))},
+    "fragments of no size": {INPUT: msgspec.msgpack.encode(FragmentedPart("0", 1 << 62, 0))},
+    "fragments of negative size": {RESULT: msgspec.msgpack.encode(FragmentedPart("0", -1, 1))},
+    "overwritten fragment": {
+        INPUT: msgspec.msgpack.encode(FragmentedPart("0", 3, 3)),
+        f"{LARGE_PREFIX}job/0/3/000000": NESTED,
+    },
+}
+
+
+def put_lost_job(deployment: Deployment, records: dict[str, bytes | None]) -> None:
+    """Store a job of a lost host, 4,800 tokens of three items of which one is listed.
+
+    :param records: values of keys that another writer has overwritten; None for a deleted one.
+    """
+    items = [Item(ItemId(f"item-{index}"), "/night/0", [], b"", 1600) for index in range(3)]
+    state = msgspec.structs.replace(
+        make_state(1600, 1600, 1600),
+        owner=Incarnation("gone:x"),
+        listed=[Result(0, ItemOutcome.COMPLETE)],
+        commits=1,
+        part_sizes=[(1, 10)],
+        partial=True,
+    )
+    values = {
+        INPUT: split_items(items, 1 << 20)[0],
+        RESULT: encode_part([RESULT_ROW]),
+        job_key(JobId("job")): encode_state(state),
+        **records,
+    }
+    for key, value in values.items():
+        if value is not None:
+            deployment.store.put(key, value)
+
+
+@pytest.mark.parametrize("name", PARTS)
+def test_job_of_unreadable_parts_is_given_up(name: str) -> None:
+    """Readers of such a job waited for ever, results of other items were served, other items were
+    run, and its tokens counted against the next jobs.
+    """
+
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2, targets=1)
+        put_lost_job(deployment, PARTS[name])
+        await restart_all(deployment)
+        assert (await deployment.submit("other", 1)).status == 202
+        assert len(await deployment.read_all_results("other", gateway=1)) == 1
+        await asyncio.sleep(UNREADABLE_JOB_S + SWEEP_INTERVAL_S)
+        for gateway in range(2):
+            assert (await read_answer(deployment, gateway, position=1)).status == 503
+            assert (await deployment.submit("job", 3, gateway=gateway)).status == 503
+        deployment.store.put(quota_key("night"), b"")
+        assert (await deployment.submit("next", 50)).status == 202
+        assert len(await deployment.read_all_results("next")) == 50
+        await check_not_tried(deployment, "job")
+        await restart_all(deployment)
+        await check_not_tried(deployment, "job")
+        assert (await read_answer(deployment, 0, position=1)).status == 503
+
+    run_in_virtual_time(work)
+
+
+@pytest.mark.parametrize("raw", [*NO_RECORDS, b"\x81\x63\x93\x01\x91\xa1x\xa0"])
+def test_job_of_overwritten_texts_and_foreign_parts_is_run(raw: bytes) -> None:
+    """Texts of unfinished items only save work, and keys of another writer between the parts of a
+    job are not its parts.
+    """
+
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2, targets=1)
+        foreign = {f"{input_prefix(JobId('job'))}0": raw, f"{result_prefix(JobId('job'))}00": raw}
+        put_lost_job(deployment, {partial_key(JobId("job")): raw, **foreign})
+        await restart_all(deployment)
+        rows = await deployment.read_all_results("job")
+        assert [row["state"] for row in rows] == ["complete"] * 3
+
+    run_in_virtual_time(work)
