Drop a job at a notice of its end only if its state says so

What callers saw: a key gp/live/end/ID of another writer made the owner of a running job drop it; all of its items ran twice.

Cause: the notice itself was taken for the end of the job.

Change: the owner reads the state, which the host that ends a job writes in the same transaction as the notice. The commit of an owner that cannot read it fails anyway if the job has ended.

--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -556,7 +556,7 @@
             self.data_hosts,
             END_PREFIX,
             self.adoption.note_lost,
-            lambda job_id: self.worker.drop(job_id, "ended"),
+            self.worker.check_end,
             HELD_PREFIX,
             self.held.apply,
             VERSIONS_KEY,
--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -405,9 +405,17 @@
         except KvError as error:
             self.repository.note_unreadable(job.id, error)
             return
-        if job.id in self.jobs and (stored is None or stored.state.owner != self.own):
+        if job.id not in self.jobs:
+            return
+        if stored is None or stored.state.ended or stored.state.owner != self.own:
             self._reconcile(job, stored)
 
+    def check_end(self, job_id: JobId) -> None:
+        """Drop a job whose end is announced, if its state says so; anyone can write the notice."""
+        job = self.jobs.get(job_id)
+        if job is not None and job.entered and not job.done:
+            self.tasks.start(self._confirm(job))
+
     def drop_early(self, job_id: JobId) -> None:
         """Stop running a job that was started early, if another host runs it now."""
         job = self.jobs.get(job_id)
