--- a/gradepoint/jobs/repository.py
+++ b/gradepoint/jobs/repository.py
@@ -668,7 +668,8 @@
                 jobs.append(_read_stored(item))
             except KvUnreadable as error:
                 unlisted.add(item.key)
-                self.unlisted.note(events.JOB_UNREADABLE, item.key, str(error))
+                job_id = item.key.removeprefix(JOB_PREFIX)
+                self.unlisted.note(events.JOB_UNREADABLE, item.key, str(error), job=job_id)
             if number % JOBS_PER_TURN == 0:
                 await asyncio.sleep(0)
         self.unlisted.clear_all_but(unlisted)
