Wait for a descriptor where the port of a server gets none

What operators saw: nothing yet; found while looking for starts that end. With no descriptor left for a port, the gateway ended at its start with 1, its last line "gradepoint-gateway ends: IndexError('tuple index out of range')". The design says that it waits for that port.

Cause: asyncio's create_server passes over sockets that the system does not give out, and returns a server without any.

Still so: with 6 descriptors or fewer, neither modules nor the event loop can be opened, and the program ends.

--- a/gradepoint/wire/http_server.py
+++ b/gradepoint/wire/http_server.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import os
 import socket
 import struct
 from asyncio.trsock import TransportSocket
@@ -111,10 +113,16 @@
     port: int,
     listener: socket.socket | None,
 ) -> asyncio.Server:
-    """Start to listen; see :meth:`HttpServer.start`."""
+    """Start to listen; see :meth:`HttpServer.start`.
+
+    :raises OSError: the port cannot be opened now.
+    """
     where = {"host": address, "port": port} if listener is None else {"sock": listener}
     loop = asyncio.get_running_loop()
     server = await loop.create_server(make_protocol, **where, backlog=ACCEPTS_PER_TURN)
+    if not server.sockets:
+        # asyncio passes over a socket that the system does not give out.
+        raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
     for listening in server.sockets:
         if isinstance(listening, TransportSocket):
             listening._sock.listen(LISTEN_BACKLOG)
