Read the run marker of a data host within a bound

What operators saw: nothing yet; found by drawn starts after a loss of power. A data host whose run marker was a link to /dev/full read it until the process was killed (exit by signal 9, no last line); one whose marker has a damaged size of 1 TB ends with MemoryError at each start.

Cause: the whole file was read, and only OSError is expected.

Evidence: test_run_marker_of_any_size_does_not_fill_the_memory; MemoryError before.

Change: 64 bytes at most are read; the states are shorter, and whatever is longer tells nothing of the former run, as before.

--- a/gradepoint/util/run_marker.py
+++ b/gradepoint/util/run_marker.py
@@ -12,6 +12,9 @@
 
 RUNNING, STOPPED = b"running\n", b"stopped\n"
 """Contents of the file."""
+MAX_BYTES = 64
+"""Most bytes that are read of it. A loss of power may leave a file of any size, and whatever is
+longer than the states tells nothing."""
 
 
 class FormerRun(Enum):
@@ -39,7 +42,8 @@
         :raises OSError: the file cannot be read or written.
         """
         try:
-            found = self.path.read_bytes()
+            with self.path.open("rb") as file:
+                found = file.read(MAX_BYTES)
         except FileNotFoundError:
             found = b""
         self._write(RUNNING)
--- a/tests/test_spool/test_spool_power_loss.py
+++ b/tests/test_spool/test_spool_power_loss.py
@@ -120,3 +120,12 @@
     marker.path.write_bytes(content)
     assert marker.begin() is FormerRun.UNKNOWN
     assert marker.begin() is FormerRun.KILLED
+
+
+def test_run_marker_of_any_size_does_not_fill_the_memory(tmp_path: Path) -> None:
+    # A damaged size, or a link to a device, was read until the process was killed.
+    marker = RunMarker(tmp_path / "marker")
+    marker.path.touch()
+    os.truncate(marker.path, 1 << 40)
+    assert marker.begin() is FormerRun.UNKNOWN
+    assert marker.begin() is FormerRun.KILLED
