--- a/gradepoint/gateway/app.py
+++ b/gradepoint/gateway/app.py
@@ -374,6 +374,8 @@
         metrics.shared().unentered_jobs.read = self.intake.read_waiting_jobs
         metrics.shared().oldest_unentered_job.read = self.intake.read_oldest_s
         metrics.shared().view_age.read = self.watchers.proofs.read_ages_s
+        metrics.shared().view_rows.read = self.watchers.proofs.read_rows
+        metrics.shared().view_stored.read = self.watchers.proofs.read_stored_bytes
         metrics.shared().target_pace.read = self.loads.read_paces
         metrics.shared().target_delay.read = self.loads.read_delays_s
         waiting_items = self.worker.waiting_items
--- a/gradepoint/peers/proofs.py
+++ b/gradepoint/peers/proofs.py
@@ -95,6 +95,14 @@
         now = monotonic()
         return {(("view", name),): round(now - at, 3) for name, at in self.proven_at.items()}
 
+    def read_rows(self) -> dict[Labels, float]:
+        """Return the number of rows of each view, for the metrics page."""
+        return {(("view", name),): len(view.items) for name, view in self.views.items()}
+
+    def read_stored_bytes(self) -> dict[Labels, float]:
+        """Return the bytes of the values of each view in the service, for the metrics page."""
+        return {(("view", name),): view.stored_bytes for name, view in self.views.items()}
+
     def receive(self, received: Mapping[str, Proof], sent_at: float | None = None) -> None:
         """Accept another host's proofs of views that have the same contents here.
 
--- a/gradepoint/telemetry/metrics.py
+++ b/gradepoint/telemetry/metrics.py
@@ -185,6 +185,8 @@
             "gradepoint_job_creations", "Attempts to store a job in the service, by result"
         )
         self.view_age = CallbackGauge("gradepoint_view_age", "s")
+        self.view_rows = CallbackGauge("gradepoint_view_rows", "1")
+        self.view_stored = CallbackGauge("gradepoint_view_stored", "By")
         self.target_pace = CallbackGauge("gradepoint_target_pace", "1")
         self.target_delay = CallbackGauge("gradepoint_target_delay", "s")
         self.waiting_items = CallbackGauge("gradepoint_waiting_items", "1")
--- a/tests/test_gateway/test_gateway_large_rows.py
+++ b/tests/test_gateway/test_gateway_large_rows.py
@@ -134,3 +134,15 @@
     # Gateways and data hosts are listed in tables of their own.
     assert max(lines.values()) <= 2 * MAX_NAMED_ROWS
     assert lines["versions_unreadable"] == 1
+
+
+def test_metrics_show_the_view_that_another_writer_fills() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=1, targets=1)
+        deployment.store.put("servers/other", b"x" * LARGE_BYTES)
+        await deployment.wait_until_all_heard()
+        proofs = deployment.gateways[0].watchers.proofs
+        assert proofs.read_stored_bytes()[(("view", "targets"),)] > LARGE_BYTES
+        assert proofs.read_rows()[(("view", "targets"),)] == 2
+
+    run_in_virtual_time(work)
