Enter owed jobs also where the list of hosts is too large for a data host

What callers saw: accepted jobs were never run. Two entries of 1 MB below gp/live/host/ make the list of hosts larger than a data host may take in one read (1,875,000 bytes by default), and the data hosts that kept the jobs logged spool_waits for each of them, for as long as the entries stood.

Cause: a list beyond that bound counted as a service that does not answer, and no job is entered before the list of hosts has been read. Change: such a list is an error of its own; it names no host then (host_list_too_large), and the data host enters its jobs, which any host may run, as after the time that is left to the host that accepted them.

The new test of test_spool_path.py fails before with a timeout.

Ruled out: a larger bound; it follows from the memory of a data host.

--- a/gradepoint/errors.py
+++ b/gradepoint/errors.py
@@ -501,6 +501,10 @@
     """
 
 
+class KvTooLarge(KvUnavailable):
+    """A list has more bytes than this program may take; the service answers other calls."""
+
+
 class KvRejected(KvError):
     """The service refused a call that it will refuse again; the call did not take effect.
 
--- a/gradepoint/events.py
+++ b/gradepoint/events.py
@@ -393,6 +393,12 @@
 HOST_UNREADABLE = _declare(
     523, "host_unreadable", "ERROR", "A host's record cannot be decoded; the host is not listed."
 )
+HOST_LIST_TOO_LARGE = _declare(
+    531,
+    "host_list_too_large",
+    "WARNING",
+    "The list of hosts has more bytes than this data host may take; it is not used.",
+)
 HOST_EMPTIED = _declare(
     506, "host_emptied", "INFO", "A data host to be retired holds no more data."
 )
--- a/gradepoint/platform/store.py
+++ b/gradepoint/platform/store.py
@@ -18,6 +18,7 @@
     KvLeaseLapsed,
     KvOverRate,
     KvRejected,
+    KvTooLarge,
     KvUnavailable,
     KvUncertain,
 )
@@ -234,7 +235,7 @@
             size = read.size + len(body)
             if size > self.max_range_bytes:
                 reason = f"more than {self.max_range_bytes} bytes below {read.prefix}"
-                raise self._count_failure("range", KvUnavailable(reason))
+                raise self._count_failure("range", KvTooLarge(reason))
             page = _decode(body, _RangeAnswer)
             items = [_read_item(item) for item in page.items]
             read.revision, read.size = read.revision or page.timestamp, size
--- a/gradepoint/spool/host.py
+++ b/gradepoint/spool/host.py
@@ -16,7 +16,15 @@
 import msgspec
 
 from .. import events
-from ..errors import DecodingError, KvError, KvOverRate, KvRejected, KvUnreadable, StoreError
+from ..errors import (
+    DecodingError,
+    KvError,
+    KvOverRate,
+    KvRejected,
+    KvTooLarge,
+    KvUnreadable,
+    StoreError,
+)
 from ..ids import JobId
 from ..jobs.repository import REJECTED_RETRY_S, Admission
 from ..peers.presence import PRESENCE_PREFIX, HostTable
@@ -484,14 +492,20 @@
     async def _list_hosts(self) -> None:
         """Read the list of hosts, unless that was done a moment ago.
 
+        A list that is too large names no host: the jobs are entered here then, and any host may run
+        them. Another writer's entries may stand for any time.
+
         :raises KvError: no answer.
         """
         now = monotonic()
         if now - self.listed_at < LIST_INTERVAL_S:
             return
         table = HostTable()
-        for item in (await self.kv.range(PRESENCE_PREFIX)).items:
-            table.put_readable(item.key, item.value)
+        try:
+            for item in (await self.kv.range(PRESENCE_PREFIX)).items:
+                table.put_readable(item.key, item.value)
+        except KvTooLarge as error:
+            emit(events.HOST_LIST_TOO_LARGE, reason=str(error))
         self.listed = {host.incarnation: host.peer_address for host in table.hosts.values()}
         self.listed_at = now
 
--- a/tests/test_spool/test_spool_path.py
+++ b/tests/test_spool/test_spool_path.py
@@ -436,3 +436,19 @@
         await expect_complete(deployment, "j1", 2)
 
     run_spooled(tmp_path, work)
+
+
+def test_large_entries_among_live_hosts_keep_no_job_on_data_hosts(tmp_path: Path) -> None:
+    # A list beyond the bytes that a data host may take was read again for each job, for ever.
+    async def work(deployment: Deployment) -> None:
+        await stop_store(deployment)
+        assert (await deployment.submit("job", 3)).status == 202
+        await deployment.kill(deployment.gateways[0])
+        for number in range(2):
+            deployment.store.put(f"gp/live/host/other-{number}", b"x" * (1 << 20))
+        for data_host in deployment.data_hosts:
+            data_host.presence.kv.max_range_bytes = 1 << 20  # type: ignore[attr-defined]
+        deployment.store.fault = StoreFault.NONE
+        await expect_complete(deployment, "job", 3)
+
+    run_spooled(tmp_path, work)
