--- a/tests/support/foreign_entries.py
+++ b/tests/support/foreign_entries.py
@@ -33,6 +33,7 @@
     *("op/config", "servers/", "gp/quota/", "gp/job/", "gp/input/", "gp/result/", "gp/partial/"),
     "gp/live/",
 )
+"""Beginnings of keys of ours that the deployment needs."""
 
 
 @contextmanager
