--- a/gradepoint/platform/store.py
+++ b/gradepoint/platform/store.py
@@ -18,6 +18,7 @@
     KvLeaseLapsed,
     KvOverRate,
     KvRejected,
+    KvTooLarge,
     KvUnavailable,
     KvUncertain,
 )
@@ -242,7 +243,7 @@
             items, size = self._read_rows(page.items, read.size)
             if size > self.max_range_bytes:
                 reason = f"more than {self.max_range_bytes} bytes below {read.prefix}"
-                raise self._count_failure("range", KvUnavailable(reason))
+                raise self._count_failure("range", KvTooLarge(reason))
             read.revision, read.size = read.revision or page.timestamp, size
             found.extend(items)
             if not page.has_more or not items or (limit and len(found) >= limit):
