Probe each closed target by itself

What callers saw: nothing yet; found in review of the loops that are started again.

Cause: all targets with a closed port were probed together, and an exception of one probe ended the round before any was used again.

Evidence: test_probe_that_fails_hides_no_other_target, virtual time; times out before.

Change: a probe that raises an exception is logged as task_failed with its target.

--- a/gradepoint/gateway/target_crashes.py
+++ b/gradepoint/gateway/target_crashes.py
@@ -16,7 +16,7 @@
 from ..telemetry.logs import emit
 from ..util.clock import monotonic
 from ..util.structs import Struct, field
-from ..util.tasks import TaskGroup
+from ..util.tasks import TaskGroup, locate_error
 from ..wire.ports import PortState
 from .identity import format_key
 from .targets import ListedState
@@ -169,11 +169,23 @@
         while True:
             await asyncio.sleep(CLOSED_PROBE_INTERVAL_S)
             closed = self.targets.find_closed()
-            states = await asyncio.gather(*(self.probe(target.address) for target in closed))
-            for target, state in zip(closed, states, strict=True):
-                if state is PortState.OPEN:
-                    target.closed_at = None
-                    target.crash_doubted = True
+            await asyncio.gather(*map(self._probe_closed, closed))
+
+    async def _probe_closed(self, target: Target) -> None:
+        """Use a target with a closed port again if the port is open."""
+        try:
+            state = await self.probe(target.address)
+        except Exception as error:
+            emit(
+                events.TASK_FAILED,
+                task=f"probe of {target.id}",
+                reason=repr(error),
+                where=locate_error(error),
+            )
+            return
+        if state is PortState.OPEN:
+            target.closed_at = None
+            target.crash_doubted = True
 
     async def wait(self, target: Target) -> None:
         """Wait for a running probe of a target, at most :data:`MAX_PROBE_WAIT_S` seconds.
--- a/tests/test_util/test_util_tasks.py
+++ b/tests/test_util/test_util_tasks.py
@@ -14,6 +14,7 @@
 from gradepoint.util import tasks
 from gradepoint.util.clock import monotonic
 from gradepoint.util.tasks import RESTART_DELAY_S, STEADY_S, TaskGroup
+from gradepoint.wire.ports import PortState
 from tests.support.platform import Deployment, run_deployment, run_in_virtual_time, until
 
 LoggedEvents = list[tuple[Event, dict[str, Any]]]
@@ -139,7 +140,7 @@
 
     run_in_virtual_time(work)
     last = [row for row in lines if row["event"] is events.HOST_NOT_READY][-1]
-    assert "ZeroDivisionError" in last["failing_loops"]["watchers"]
+    assert "ZeroDivisionError" in last["failing_loops"]["first read of targets"]
 
 
 def test_gateway_sweep_continues_after_a_failure(
@@ -183,3 +184,25 @@
 
     run_in_virtual_time(work)
     assert {fields["task"] for _, fields in logged} == {"sweep of targets"}
+
+
+def test_probe_that_fails_hides_no_other_target(monkeypatch: pytest.MonkeyPatch) -> None:
+    # All closed ports were probed together, and none was used again.
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=1, targets=2)
+        gateway = deployment.gateways[0]
+        bad, other = gateway.targets.by_id.values()
+        probe = gateway.crash_detector.probe
+
+        async def probe_unless_bad(address: str) -> PortState:
+            if address == bad.address:
+                raise ZeroDivisionError("a fault")
+            return await probe(address)
+
+        monkeypatch.setattr(gateway.crash_detector, "probe", probe_unless_bad)
+        for target in (bad, other):
+            gateway.crash_detector.note_closed(target)
+        await until(lambda: other.closed_at is None)
+        assert bad.closed_at is not None
+
+    run_in_virtual_time(work)
