--- a/gradepoint/jobs/adoption.py
+++ b/gradepoint/jobs/adoption.py
@@ -56,6 +56,10 @@
 ADOPT_BY_ANY_AFTER_S = 4.0
 """Seconds after which any host that sweeps takes over an orphaned job: the hosts it was assigned to
 are taken to be lost too."""
+STUCK_AFTER_S = 2 * ADOPT_BY_ANY_AFTER_S
+"""Seconds after which an orphaned job that no host has taken over counts as stuck: every host has
+tried several times. While all orphaned jobs are stuck, sweeps are :data:`MAX_SWEEP_RETRY_S` apart,
+since each of them lists all jobs."""
 
 
 def choose_adopter(job_id: JobId, owner: Incarnation, live: set[Incarnation]) -> Incarnation:
@@ -96,6 +100,8 @@
         due. A silent host that is still alive learns of the takeover from its next commit.
     :ivar sweep_forced: the next sweep runs on this host whichever hosts were lost.
     :ivar sweeps: number of sweeps so far.
+    :ivar is_stuck: whether every job that the last sweep left orphaned has been so for
+        :data:`STUCK_AFTER_S`.
     :ivar failed: jobs whose last check failed; the next sweep checks them after all others.
     :ivar unreadable: jobs whose records or state raised an error.
     """
@@ -119,6 +125,7 @@
     silent: set[Incarnation] = field(default_factory=set)
     sweep_forced: bool = False
     sweeps: int = 0
+    is_stuck: bool = False
     failed: set[JobId] = field(default_factory=set)
     unreadable: UnreadableRows = field(default_factory=UnreadableRows)
 
@@ -188,10 +195,22 @@
                     emit(events.ADOPTION_FAILED, reason=str(error))
                     retry_s = next_retry_s * rng.uniform(0.5, 1.0)
                     next_retry_s = min(MAX_SWEEP_RETRY_S, next_retry_s * 2)
-            if again:
+            if again and self.is_stuck:
+                await self._wait_for_request(MAX_SWEEP_RETRY_S)
+                await asyncio.sleep(retry_s)
+                self._force_sweep()
+            elif again:
                 self._force_sweep()
                 await asyncio.sleep(retry_s)
 
+    async def _wait_for_request(self, longest_s: float) -> None:
+        """Wait until a sweep is requested from outside, for a time at most."""
+        try:
+            async with asyncio.timeout(longest_s):
+                await self.sweep_requested.wait()
+        except TimeoutError:
+            pass
+
     async def sweep(self) -> bool:
         """Adopt the orphaned jobs assigned to this host; return whether orphaned jobs remain.
 
@@ -212,10 +231,15 @@
         # Reminders need the states of the jobs, which only a host that lists them by itself has.
         await self.remind_owners(list(listing.stored.values()))
         live = self.live
-        again = any(row.released or row.owner not in live for row in listing.rows)
-        if not again:
+        remaining = [row.id for row in listing.rows if row.released or row.owner not in live]
+        self.is_stuck = all(map(self._is_stuck, remaining))
+        if not remaining:
             self.shared = None
-        return again
+        return bool(remaining)
+
+    def _is_stuck(self, job_id: JobId) -> bool:
+        now = monotonic()
+        return now - self.orphan_since.get(job_id, now) >= STUCK_AFTER_S
 
     async def _list_open_jobs(self) -> Listing:
         shared = self.shared
--- a/tests/test_jobs/test_jobs_adoption_faults.py
+++ b/tests/test_jobs/test_jobs_adoption_faults.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Any
 
 import pytest
 
 from gradepoint.errors import KvError, KvRejected, KvUncertain
+from gradepoint.jobs.adoption import MAX_SWEEP_RETRY_S, STUCK_AFTER_S
 from gradepoint.jobs.records import job_key
 from gradepoint.jobs.repository import JobRepository
 from tests.support.platform import Deployment, run_in_virtual_time, until
@@ -92,3 +94,33 @@
         assert len(await deployment.read_all_results(BAD)) == 1
 
     run_in_virtual_time(work)
+
+
+def test_job_that_no_host_can_take_over_costs_few_listings(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Each host listed all jobs twice a second, for as long as the job existed.
+    adopt = JobRepository.adopt
+
+    async def adopt_unless_bad(self: JobRepository, job: StoredJob, owner: Any) -> Any:
+        if job.id == BAD:
+            raise KvRejected("too large", "key", 1, 1)
+        return await adopt(self, job, owner)
+
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=3, targets=1, event_interval_s=5.0)
+        owner, lost, left = deployment.gateways
+        assert (await deployment.submit(BAD, 1)).status == 202
+        monkeypatch.setattr(JobRepository, "adopt", adopt_unless_bad)
+        await deployment.kill(owner)
+        await asyncio.sleep(2 * STUCK_AFTER_S)
+        before, watched_s = left.adoption.sweeps, 10 * MAX_SWEEP_RETRY_S
+        await asyncio.sleep(watched_s)
+        assert left.adoption.sweeps - before <= watched_s / MAX_SWEEP_RETRY_S
+        # The loss of another host is noticed as soon as before.
+        deployment.targets[0].event_interval_s = 0.0
+        assert (await deployment.submit("b-job", 2)).status == 202
+        await deployment.kill(lost)
+        assert len(await deployment.read_all_results("b-job")) == 2
+
+    run_in_virtual_time(work)
