Measure the nesting of JSON in one pass over its brackets

What callers saw: nothing yet. A body of 1 MB with groups of 250 nested arrays side by side, which is within the bound, held the event loop for 0.46 s, one of 4 MB for 1.85 s.

Cause: the check removed one level of brackets at a time, and read the whole text for each of up to 256 levels.

No test measures time; the bound itself is guarded by test_json_has_one_bound_of_nesting_at_each_stack_depth, which failed while the removed levels were not subtracted from the bound.

Change: after a few levels the depth is summed up along the remaining brackets.

--- a/gradepoint/util/decoding.py
+++ b/gradepoint/util/decoding.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+from itertools import accumulate
 from typing import TYPE_CHECKING, Any, TypeVar, overload
 
 import msgspec
@@ -32,6 +33,10 @@
 
 TO_ARRAYS = bytes.maketrans(b"{}", b"[]")
 NO_BRACKETS = bytes(set(range(256)) - set(b"[]{}"))
+DEPTH_STEPS = {ord("["): 1, ord("]"): -1}
+MAX_SHORTENINGS = 8
+"""Levels that are removed from a text of brackets before the rest is counted one by one. Most texts
+have fewer, and each removal reads the whole text."""
 CONTAINER_HEADERS = bytes([*range(0x80, 0xA0), *range(0xDC, 0xE0)])
 """First bytes of arrays and maps in msgpack."""
 MAX_ELEMENTS = 200_000
@@ -113,12 +118,13 @@
     # Without escaped quotes, every other part between quotes is outside of strings.
     parts = raw.replace(rb"\\", b"").replace(rb"\"", b"").split(b'"')
     brackets = b"".join(parts[::2]).translate(TO_ARRAYS, NO_BRACKETS)
-    for _ in range(MAX_NESTING):
+    for _ in range(MAX_SHORTENINGS):
         if not brackets:
             return False
         # Removes the innermost level.
         brackets = brackets.replace(b"[]", b"")
-    return bool(brackets)
+    depths = accumulate(map(DEPTH_STEPS.__getitem__, brackets))
+    return max(depths, default=0) > MAX_NESTING - MAX_SHORTENINGS
 
 
 def _check_msgpack_nesting(raw: Encoded, value: Any, kind: Any) -> None:
