Leave a presence key alone that another live process holds

Cause: a host that is not listed writes its presence key again at each renewal. Two processes of one name did so in turn, and each time the other run counted as lost.

Change: a key is written again if it is gone, or was written without a lease. A key under another lease is gone when that lease ends, and is written then. Ruled out: comparing the value only, since a former run of a host, without a lease, has to be replaced.

--- a/gradepoint/peers/presence.py
+++ b/gradepoint/peers/presence.py
@@ -40,6 +40,8 @@
 """Seconds from a host's last lease renewal until it counts as lost. Its jobs make no progress in
 that time, so it is a fraction of the shortest time in which jobs are due. Half of it covers a
 service that is slow or refuses calls for a moment."""
+NO_LEASE = 0
+"""Lease of a key that was written without one, as the records of hosts are."""
 RENEWAL_S = LEASE_TTL_S * 0.4
 """Seconds between renewals; a renewal may fail for more than a second before the lease expires."""
 FIRST_RETRY_S = 0.1
@@ -186,7 +188,9 @@
     async def _restore_keys(self) -> None:
         """Write those of this host's keys again that another writer has changed or deleted.
 
-        A renewal of the lease does not show that.
+        A renewal of the lease does not show that. Keys under another lease stay: a second process
+        with the name of this host may hold it, and hosts that replace each other's keys in turn
+        would have their jobs adopted each time. The key is gone when that lease ends.
 
         :raises KvError: they could not be read or written.
         """
@@ -194,6 +198,8 @@
         changed = []
         for put in self._make_puts(lease):
             stored = await self.kv.get(put.key)
+            if stored is not None and stored.lease not in (NO_LEASE, lease):
+                return
             if stored is None or stored.value != put.value:
                 changed.append(put)
         # A host that stops has revoked its lease meanwhile.
--- a/tests/test_peers/test_peers_overwritten_keys.py
+++ b/tests/test_peers/test_peers_overwritten_keys.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from pathlib import Path
 
 import msgspec
@@ -59,3 +60,21 @@
         assert store.read(DATA_HOST_PREFIX + "data-0") is None
 
     run_in_virtual_time(work)
+
+
+def test_two_processes_of_one_name_do_not_replace_each_others_keys() -> None:
+    """Each wrote its key at each renewal, and each job was adopted and run several times."""
+
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2, targets=2, event_interval_s=0.5)
+        second = deployment.make_gateway("host-0")
+        await second.start()
+        deployment.gateways.append(second)
+        await asyncio.sleep(LEASE_TTL_S)
+        assert (await deployment.submit("job", 8)).status == 202
+        await deployment.read_all_results("job", gateway=1)
+        await asyncio.sleep(2 * LEASE_TTL_S)
+        runs = sum((target.ran for target in deployment.targets), Counter())
+        assert runs == {f"job-{number}": 1 for number in range(8)}
+
+    run_in_virtual_time(work)
