Prove views within their bound, however costly a read is

What callers saw: beside 60 rows of 1 MB of another writer, the age of the views of operator and targets was above its bound of 2 s in 8 % of samples (120 rows: 13 %). A change that a watch withholds was then known later than a configuration has to be in force.

Cause: with costly reads the first watcher proved a view only when the bound had passed, and the answer and its way to other hosts came on top.

The test of costly reads fails before.

--- a/gradepoint/peers/proofs.py
+++ b/gradepoint/peers/proofs.py
@@ -46,7 +46,10 @@
 nothing about how fast the service answers."""
 READ_SHARE = 0.05
 """Share of a core that the repeated reads of one view may take until proofs are made less often,
-down to one per bound of the view. 10,000 targets need less than that."""
+down to :data:`MAX_PROOF_SHARE`. 10,000 targets need less than that."""
+MAX_PROOF_SHARE = 0.7
+"""Share of a view's bound after which the first watcher proves it, however costly a read is. The
+rest is for the answer and its way to the other hosts, so that the bound holds."""
 MILLISECONDS = 1000
 
 Proof = tuple[int, int]
@@ -117,7 +120,8 @@
         """
         bound_s = self.bounds_s[name]
         due_age_s = max(
-            bound_s * PROOF_SHARE, min(bound_s, self.views[name].read_cost_s / READ_SHARE)
+            bound_s * PROOF_SHARE,
+            min(bound_s * MAX_PROOF_SHARE, self.views[name].read_cost_s / READ_SHARE),
         )
         if rank is None:
             due_age_s += NON_WATCHER_DELAY_S + self.jitter_s
--- a/tests/test_peers/test_peers_proofs_heard.py
+++ b/tests/test_peers/test_peers_proofs_heard.py
@@ -75,6 +75,8 @@
         proofs = Proofs(store, {}, views, dict.fromkeys(views, BOUND_S))
         proofs.receive({name: (0, view.digest) for name, view in views.items()})
         due_s = {name: proofs.due_in_s(name, 0) for name in views}
-        assert due_s["few"] == due_s["sound"] < due_s["many"] <= BOUND_S
+        assert due_s["few"] == due_s["sound"] < due_s["many"]
+        # Due at the bound, a proof came too late by the time of each answer.
+        assert due_s["many"] <= BOUND_S - BOUND_S / 4
 
     run_virtual(work())
