--- a/gradepoint/peers/watchers.py
+++ b/gradepoint/peers/watchers.py
@@ -100,8 +100,8 @@
 again. With 3,000 targets a whole view has 1 MB, and 300 hosts that asked for it together after a
 start of all ended watchers of 200 MB."""
 BUSY_STATUS = 503
-DIGEST_FIELD = "-digest"
 BAD_REQUEST_STATUS = 400
+DIGEST_FIELD = "-digest"
 """Suffix of the query field with the digest of a view."""
 MAX_HOSTS_ASKED = 2
 """Hosts that are asked for the same updates; one of them may have just stopped."""
