Look at an unreadable job again after an unexpected error

What callers saw: nothing yet. A job whose items were unreadable, and of which the last attempt raised an exception that is no error of the store, was neither run nor given up by its owner until the restart: readers got empty pages.

Cause: the job was noted as being tried, and only a decision removed the note.

Evidence: test_unexpected_error_does_not_leave_an_unreadable_job_out_for_ever fails before (200 with an empty page in place of 503 two minutes later).

--- a/gradepoint/jobs/worker.py
+++ b/gradepoint/jobs/worker.py
@@ -257,16 +257,22 @@
     async def _give_up_later(self, job_id: JobId) -> None:
         """Run an unreadable job of this host if it is readable later, or give it up."""
         await asyncio.sleep(UNREADABLE_JOB_S)
+        try:
+            await self._try_until_decided(job_id)
+        finally:
+            # After an unexpected error, the next sweep of this host begins anew.
+            self.unreadable_jobs.discard(job_id)
+
+    async def _try_until_decided(self, job_id: JobId) -> None:
         while True:
             try:
                 if await self._run_or_give_up(job_id):
-                    break
+                    return
             except KvError as error:
                 self.repository.note_unreadable(job_id, error)
                 if isinstance(error, KvUnreadable):
-                    break
+                    return
             await asyncio.sleep(COMMIT_RETRY_S)
-        self.unreadable_jobs.discard(job_id)
 
     async def _run_or_give_up(self, job_id: JobId) -> bool:
         """Return whether an unreadable job runs, or is not left to this host any more.
--- a/tests/test_jobs/test_jobs_overwritten.py
+++ b/tests/test_jobs/test_jobs_overwritten.py
@@ -267,6 +267,31 @@
     run_in_virtual_time(work)
 
 
+def test_unexpected_error_does_not_leave_an_unreadable_job_out_for_ever(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The job stayed noted as being tried, so that no later sweep of its owner ran it."""
+
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=1, targets=1)
+        put_lost_job(deployment, PARTS["no input"])
+        await restart_all(deployment)
+        worker = deployment.gateways[0].worker
+        await asyncio.sleep(SWEEP_INTERVAL_S)
+        assert worker.unreadable_jobs
+
+        async def fail(job_id: JobId) -> bool:
+            raise ZeroDivisionError
+
+        with monkeypatch.context() as patch:
+            patch.setattr(type(worker), "_run_or_give_up", lambda worker, job_id: fail(job_id))
+            await asyncio.sleep(UNREADABLE_JOB_S)
+        await asyncio.sleep(2 * UNREADABLE_JOB_S)
+        assert (await read_answer(deployment, 0, position=1)).status == 503
+
+    run_in_virtual_time(work)
+
+
 @pytest.mark.parametrize("raw", [*NO_RECORDS, b"\x81\x63\x93\x01\x91\xa1x\xa0"])
 def test_job_of_overwritten_texts_and_foreign_parts_is_run(raw: bytes) -> None:
     """Texts of unfinished items only save work, and keys of another writer between the parts of a
