--- a/tests/test_peers/test_peers_foreign_requests.py
+++ b/tests/test_peers/test_peers_foreign_requests.py
@@ -15,6 +15,7 @@
 from gradepoint.peers.presence import decode_presence
 from gradepoint.peers.watchers import ViewUpdates, Watchers
 from gradepoint.standins.virtual_time import run_virtual
+from gradepoint.util.tasks import TaskGroup
 
 NO_NUMBERS = ["", "x", "-1", "1.5", "\u00b2", "9" * 400, "9" * 10000]
 
@@ -77,6 +78,7 @@
             unread=set(),
             missed_at={},
             http=SimpleNamespace(send=send),
+            tasks=TaskGroup(),
             proofs=SimpleNamespace(receive=lambda *_: None),
             _find_offered=lambda *_: {},
         )
