Take no answer for cut because of its nesting

What callers saw: nothing yet; found in review.

Cause: the check whether an answer is complete took any error of decoding for a missing end.

Change: too deep a nesting is an error of its own, a kind of DecodingError. It says nothing about the end of an answer.

--- a/gradepoint/errors.py
+++ b/gradepoint/errors.py
@@ -494,6 +494,10 @@
     """Bytes from outside cannot be decoded, or not as the type that is expected."""
 
 
+class NestedTooDeeply(DecodingError):
+    """Bytes from outside are nested more deeply than any value that is accepted."""
+
+
 class KvError(Exception):
     """Base class of the failures of the key-value service."""
 
--- a/gradepoint/util/decoding.py
+++ b/gradepoint/util/decoding.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from ..errors import DecodingError
+from ..errors import DecodingError, NestedTooDeeply
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,8 +28,9 @@
 
 MAX_NESTING = 256
 """Most arrays and maps that may be open at the same time in a value."""
-FAILURES = (msgspec.MsgspecError, RecursionError, ValueError, OverflowError)
-"""Everything that a decoder raises; :class:`ValueError` covers text that is not UTF-8."""
+FAILURES = (msgspec.MsgspecError, ValueError, OverflowError)
+"""Everything that a decoder raises beside :class:`RecursionError`. :class:`ValueError` covers text
+that is not UTF-8."""
 
 TO_ARRAYS = bytes.maketrans(b"{}", b"[]")
 NO_BRACKETS = bytes(set(range(256)) - set(b"[]{}"))
@@ -65,10 +66,12 @@
     """
     try:
         value = msgspec.json.decode(raw, type=kind, strict=strict)
+    except RecursionError as error:
+        raise NestedTooDeeply(str(error)) from error
     except FAILURES as error:
         raise DecodingError(str(error)) from error
     if _is_json_nested_too_deeply(bytes(raw)):
-        raise DecodingError(f"nested more than {MAX_NESTING} levels deep")
+        raise NestedTooDeeply(f"nested more than {MAX_NESTING} levels deep")
     return value
 
 
@@ -86,6 +89,8 @@
     """
     try:
         value = msgspec.msgpack.decode(raw, type=kind)
+    except RecursionError as error:
+        raise NestedTooDeeply(str(error)) from error
     except FAILURES as error:
         raise DecodingError(str(error)) from error
     _check_msgpack_nesting(raw, value, kind)
@@ -103,6 +108,8 @@
     def decode(raw: Encoded) -> Any:
         try:
             value = decoder.decode(raw)
+        except RecursionError as error:
+            raise NestedTooDeeply(str(error)) from error
         except FAILURES as error:
             raise DecodingError(str(error)) from error
         _check_msgpack_nesting(raw, value, kind)
--- a/gradepoint/wire/target_client.py
+++ b/gradepoint/wire/target_client.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from ..errors import DecodingError, TargetFailure
+from ..errors import DecodingError, NestedTooDeeply, TargetFailure
 from ..util import decoding
 from . import sse
 from .http_client import BodyFraming, ClientResponse, ConnectFailed, HttpClient, ResponseBroken
@@ -182,6 +182,8 @@
         return False
     try:
         decoding.decode_json(answer.body)
+    except NestedTooDeeply:
+        return False
     except DecodingError:
         return True
     return False
--- a/tests/test_peers/test_peers_foreign_requests.py
+++ b/tests/test_peers/test_peers_foreign_requests.py
@@ -79,7 +79,6 @@
             missed_at={},
             tasks=TaskGroup(),
             http=SimpleNamespace(send=send),
-            tasks=TaskGroup(),
             proofs=SimpleNamespace(receive=lambda *_: None),
             _find_offered=lambda *_: {},
         )
--- a/tests/test_wire/test_wire_answer_ends.py
+++ b/tests/test_wire/test_wire_answer_ends.py
@@ -111,6 +111,7 @@
     [
         ("application/json", b'{"id": 1}', True),
         ("application/json; charset=utf-8", b'{"id": ', False),
+        ("application/json", b"[" * 300 + b"]" * 300, True),
         ("application/json", b"", False),
         ("text/event-stream", b"data: 1\n\n", True),
         ("text/event-stream", b"data: 1\n\ndata", False),
