--- a/gradepoint/jobs/adoption.py
+++ b/gradepoint/jobs/adoption.py
@@ -186,16 +186,17 @@
             self.sweep_requested.clear()
             if not await self._should_sweep():
                 continue
-            again = True
+            again, is_stuck = True, False
             if self.holds_lease():
                 try:
                     again = await self.sweep()
+                    is_stuck = self.is_stuck
                     retry_s = next_retry_s = SWEEP_RETRY_S
                 except KvError as error:
                     emit(events.ADOPTION_FAILED, reason=str(error))
                     retry_s = next_retry_s * rng.uniform(0.5, 1.0)
                     next_retry_s = min(MAX_SWEEP_RETRY_S, next_retry_s * 2)
-            if again and self.is_stuck:
+            if again and is_stuck:
                 await self._wait_for_request(MAX_SWEEP_RETRY_S)
                 await asyncio.sleep(retry_s)
                 self._force_sweep()
@@ -232,7 +233,7 @@
         await self.remind_owners(list(listing.stored.values()))
         live = self.live
         remaining = [row.id for row in listing.rows if row.released or row.owner not in live]
-        self.is_stuck = all(map(self._is_stuck, remaining))
+        self.is_stuck = bool(remaining) and all(map(self._is_stuck, remaining))
         if not remaining:
             self.shared = None
         return bool(remaining)
--- a/tests/test_jobs/test_jobs_adoption_faults.py
+++ b/tests/test_jobs/test_jobs_adoption_faults.py
@@ -7,10 +7,11 @@
 
 import pytest
 
-from gradepoint.errors import KvError, KvRejected, KvUncertain
-from gradepoint.jobs.adoption import MAX_SWEEP_RETRY_S, STUCK_AFTER_S
+from gradepoint.errors import KvError, KvRejected, KvUnavailable, KvUncertain
+from gradepoint.jobs.adoption import MAX_SWEEP_RETRY_S, STUCK_AFTER_S, SWEEP_RETRY_S
 from gradepoint.jobs.records import job_key
 from gradepoint.jobs.repository import JobRepository
+from gradepoint.util.clock import monotonic
 from tests.support.platform import Deployment, run_in_virtual_time, until
 
 if TYPE_CHECKING:
@@ -124,3 +125,25 @@
         assert len(await deployment.read_all_results("b-job")) == 2
 
     run_in_virtual_time(work)
+
+
+def test_sweep_that_failed_is_repeated_soon(monkeypatch: pytest.MonkeyPatch) -> None:
+    # The pause for jobs that no host can take over was made after each sweep that failed.
+    list_jobs = JobRepository.list_jobs
+    listed_at: list[float] = []
+
+    async def fail_first(self: JobRepository) -> Any:
+        listed_at.append(monotonic())
+        if len(listed_at) == 1:
+            raise KvUnavailable("no answer")
+        return await list_jobs(self)
+
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2, targets=1)
+        await until(lambda: all(gateway.adoption.shared is None for gateway in deployment.gateways))
+        monkeypatch.setattr(JobRepository, "list_jobs", fail_first)
+        await deployment.kill(deployment.gateways[0])
+        await until(lambda: len(listed_at) > 1)
+        assert listed_at[1] - listed_at[0] <= 2 * SWEEP_RETRY_S
+
+    run_in_virtual_time(work)
