Leave out one row that cannot be decoded, not the whole answer

What callers saw: after a restart of all processes, 503 to every call and no job done, for as long as a row stood below "servers/" whose key has half of a surrogate pair.

Cause: the answers of ranges, watches and refused transactions were decoded at once. JSON writers of several languages escape such a key as "\ud83d", which the decoder rejects, so that every read of the prefix ended in KvUncertain. The same held for one row with a field of another type, and for one value whose base64 is damaged; base64 with other characters in it was taken for another value.

Change: where an answer cannot be decoded at once, its rows are decoded one by one (decode_json_list). A row that cannot be decoded is left out, counted, and named once in the log; a value that is no base64 is omitted, so that its key can still be compared and written. The next page begins behind the last key that is text, or, on a page without any, behind the last key as the store sent it; pages that begin anew end the read. A watch goes on behind a change that it leaves out (WatchPage.last_change), also through another host. Revisions beyond 64 bits, which no message between hosts can carry, count as rows that cannot be decoded.

Ruled out: msgspec.Raw as the type of a row, since its decoder checks escapes in rows that it does not decode. Replacing such characters in keys, since the row would then stand under the key of another. Ordinary answers are decoded as before.

Not separated: rows of an answer that is no JSON, or that is itself nested too deeply; other writers choose keys and values, not the form of an answer. Callers of the read get KvUncertain, as before.

--- a/bench/platform/store.py
+++ b/bench/platform/store.py
@@ -8,19 +8,21 @@
 import asyncio
 import base64
 import itertools
+import json
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
+from urllib.parse import parse_qsl, urlsplit
 
 import msgspec
 
 from gradepoint.errors import KvRejected
 from gradepoint.kv.limits import check_transaction
-from gradepoint.kv.service import Delete, Expect, Put, Transaction, WatchEvent
+from gradepoint.kv.service import Delete, Expect, KeyValue, Put, Transaction, WatchEvent
 from gradepoint.standins.memory_kv import MemoryKv
 from gradepoint.util.clock import monotonic
 from gradepoint.wire.http_server import HttpServer
-from gradepoint.wire.http_types import Request, Response, json_response
+from gradepoint.wire.http_types import JSON_TYPE, Request, Response, json_response
 
 WATCH_POLL_S = 0.01
 """Seconds between two looks of a waiting watch at the history."""
@@ -100,6 +102,7 @@
     :ivar calls: number of calls by path, refused ones included.
     :ivar reads: limit of the rate of reads, watches and renewals; calls beyond it get 429.
     :ivar writes: limit of the rate of all other calls.
+    :ivar replaced_fields: by key, what answers say of a row in place of its fields.
     :ivar rejected: transactions that were refused because they exceed a limit, in order.
     """
 
@@ -114,6 +117,7 @@
     calls: dict[str, int] = field(default_factory=dict)
     reads: RateLimit = field(default_factory=lambda: RateLimit(READS_PER_S))
     writes: RateLimit = field(default_factory=lambda: RateLimit(WRITES_PER_S))
+    replaced_fields: dict[str, dict[str, Any]] = field(default_factory=dict)
     rejected: list[KvRejected] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -180,7 +184,7 @@
 
     async def _answer(self, request: Request, body: bytes) -> Response:
         self.keys.expire()
-        path, query = request.path, request.query
+        path, query = request.path, _read_query(request)
         if path == "/api/kv-key":
             return self._get(query["key_path"])
         if path == "/api/kv-range":
@@ -202,16 +206,16 @@
         item = self.keys.keys.get(key)
         if item is None:
             return Response(404)
-        return json_response({**_row(item), "timestamp": self.keys.revision})
+        return _json_response({**self._row(item), "timestamp": self.keys.revision})
 
     def _range(self, prefix: str, after: str) -> Response:
         names = sorted(name for name in self.keys.keys if name.startswith(prefix) and name > after)
         items = [self.keys.keys[name] for name in names[:PAGE_ITEMS]]
         sizes = itertools.accumulate(len(item.value) for item in items)
         fitting = sum(size <= PAGE_BYTES for size in sizes)
-        rows = [_row(item) for item in items[: max(1, fitting)]]
+        rows = [self._row(item) for item in items[: max(1, fitting)]]
         more = len(names) > len(rows)
-        return json_response({"items": rows, "has_more": more, "timestamp": self.keys.revision})
+        return _json_response({"items": rows, "has_more": more, "timestamp": self.keys.revision})
 
     async def _watch(self, query: dict[str, str]) -> Response:
         after = int(query["after_rev"])
@@ -240,8 +244,8 @@
             ):
                 return Response(410)
             if has_new_events or timed_out:
-                rows = [_event_row(event) for event in events]
-                return json_response({"events": rows, "timestamp": self.keys.revision})
+                rows = [{**_event_row(event), **self._replaced(event.key)} for event in events]
+                return _json_response({"events": rows, "timestamp": self.keys.revision})
             await asyncio.sleep(WATCH_POLL_S)
 
     def _transact(self, body: bytes) -> Response:
@@ -265,7 +269,13 @@
         result = self.keys.apply(transaction)
         if result.succeeded:
             return json_response({"rev": result.revision})
-        return json_response({"items": [_row(item) for item in result.current]}, 412)
+        return _json_response({"items": [self._row(item) for item in result.current]}, 412)
+
+    def _row(self, item: KeyValue) -> dict[str, Any]:
+        return {**_row(item), **self._replaced(item.key)}
+
+    def _replaced(self, key: str) -> dict[str, Any]:
+        return self.replaced_fields.get(key, {})
 
     def _grant_lease(self, ttl_ms: int) -> Response:
         self.keys.next_lease += 1
@@ -280,7 +290,18 @@
         return json_response({"ttl_ms": int(ttl * 1000)})
 
 
-def _row(item: Any) -> dict[str, Any]:
+def _read_query(request: Request) -> dict[str, str]:
+    """Return the fields of a query, in which keys need not be Unicode text."""
+    query = urlsplit(request.target).query
+    return dict(parse_qsl(query, keep_blank_values=True, errors="surrogatepass"))
+
+
+def _json_response(value: dict[str, Any], status: int = 200) -> Response:
+    """Return *value* as JSON, in which half of a surrogate pair is escaped."""
+    return Response(status, {"content-type": JSON_TYPE}, json.dumps(value).encode())
+
+
+def _row(item: KeyValue) -> dict[str, Any]:
     return {
         "key_path": item.key,
         "value": base64.b64encode(item.value).decode(),
--- a/gradepoint/kv/relay.py
+++ b/gradepoint/kv/relay.py
@@ -251,8 +251,8 @@
             page = await self._execute(WaitForChangesCall(prefix, revision, wait_s), WatchPage)
             for event in page.events:
                 yield event
-                revision = max(revision, event.revision)
-            if page.events:
+            former, revision = revision, page.find_next_start(revision)
+            if page.events or revision > former:
                 await asyncio.sleep(WATCH_BATCH_DELAY_S)
 
     async def read_over_new_connection(self, prefix: str) -> RangeResult:
--- a/gradepoint/kv/service.py
+++ b/gradepoint/kv/service.py
@@ -97,6 +97,8 @@
     """The pages of a range read so far, from which a refused read goes on.
 
     :ivar items: keys of the pages read so far, in order.
+    :ivar cursors: keys behind which the second and each later page begins, as the service sent
+        them.
     :ivar revision: revision of the store at the first page; 0 before it.
     :ivar size: bytes of the keys and kept values of these pages, and of their records.
     :ivar begun_at: monotonic time at which the first page was asked for. The keys contain every
@@ -105,6 +107,7 @@
 
     prefix: str
     items: list[KeyValue] = field(default_factory=list)
+    cursors: list[bytes] = field(default_factory=list)
     revision: int = 0
     size: int = 0
     begun_at: float = float("-inf")
@@ -112,6 +115,7 @@
     def clear(self) -> None:
         """Forget all pages."""
         self.items.clear()
+        self.cursors.clear()
         self.revision = self.size = 0
 
 
@@ -127,11 +131,19 @@
     """Changes returned by one long-polling call.
 
     :param revision: revision of the store. It does not prove that there was no other change up
-        to it: a watch may miss one, so the next call continues after the last change in *events*.
+        to it: a watch may miss one, so the next call continues after the last change.
+    :param last_change: revision of the last change that was received, also if it is left out of
+        *events* because it cannot be read; 0 if nothing was left out.
     """
 
     events: tuple[WatchEvent, ...]
     revision: int
+    last_change: int = 0
+
+    def find_next_start(self, revision: int) -> int:
+        """Return the revision after which the next call continues; *revision* is that of this
+        call."""
+        return max(revision, self.last_change, *(event.revision for event in self.events))
 
 
 class CallCounts(Struct):
--- a/gradepoint/platform/store.py
+++ b/gradepoint/platform/store.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import base64
+import binascii
 import random
 import sys
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import TYPE_CHECKING, Annotated, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
@@ -23,7 +24,7 @@
     KvUncertain,
 )
 from ..kv.limits import KvLimits, check_transaction
-from ..kv.omission import RowReader
+from ..kv.omission import RowReader, omit_value
 from ..kv.pace import BackgroundPace
 from ..kv.service import (
     CallCounts,
@@ -35,6 +36,7 @@
     WatchEvent,
     WatchPage,
 )
+from ..kv.unreadable import UnreadableRows
 from ..telemetry import metrics
 from ..telemetry.logs import emit
 from ..util import decoding
@@ -43,10 +45,11 @@
 from ..wire.http_client import ConnectFailed, HttpClient, ResponseBroken
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Sequence
 
     from ..kv.omission import RowLimits
     from ..kv.service import Transaction
+    from ..util.decoding import BadElement
 
 T = TypeVar("T")
 
@@ -89,30 +92,35 @@
 TCP_USER_TIMEOUT_MS = 2_000
 """Milliseconds that sent data may stay unacknowledged until the connection counts as broken."""
 
+MAX_NUMBER = (1 << 63) - 1
+"""Messages between hosts have integers of 64 bits."""
+Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+"""Revision, or id of a lease."""
+
 
 class _Item(msgspec.Struct):
     key_path: str
     value: str = ""
-    rev: int = 0
-    created: int = 0
-    lease: int = 0
+    rev: Number = 0
+    created: Number = 0
+    lease: Number = 0
     is_deleted: bool = False
 
 
 class _ItemAnswer(_Item):
-    timestamp: int = 0
+    timestamp: Number = 0
 
 
 class _RangeAnswer(msgspec.Struct):
     items: list[_Item]
     has_more: bool = False
     # The revision of the store, in spite of the name.
-    timestamp: int = 0
+    timestamp: Number = 0
 
 
 class _WatchAnswer(msgspec.Struct):
     events: list[_Item] = []
-    timestamp: int = 0
+    timestamp: Number = 0
 
 
 class _Expect(msgspec.Struct):
@@ -133,7 +141,7 @@
 
 
 class _TransactionAnswer(msgspec.Struct):
-    rev: int = 0
+    rev: Number = 0
 
 
 class _Conflict(msgspec.Struct):
@@ -145,7 +153,7 @@
 
 
 class _LeaseAnswer(msgspec.Struct):
-    lease: int = 0
+    lease: Number = 0
     ttl_ms: int = 0
 
 
@@ -161,6 +169,7 @@
     :param row_limits: which values of ranges and watches are kept.
     :ivar watch_s: seconds that a watch call waits for a change.
     :ivar max_range_s: seconds from the first page of a read within which a later page continues it.
+    :ivar unreadable: rows of answers that cannot be decoded.
     """
 
     def __init__(
@@ -186,6 +195,7 @@
         )
         self.max_range_bytes = max_range_bytes
         self.rows = RowReader(row_limits)
+        self.unreadable = UnreadableRows()
         self.limits = limits
         self.counts = CallCounts()
         self.pace = BackgroundPace()
@@ -198,7 +208,7 @@
         if status == 404:
             return None
         self._check_status(status, 200, "get", key)
-        return _read_item(_decode(body, _ItemAnswer))
+        return self._read_item(_decode(body, _ItemAnswer))
 
     async def range(self, prefix: str, limit: int = 0) -> RangeResult:
         """See :meth:`KeyValueService.range`; *revision* is that of the first page.
@@ -221,33 +231,39 @@
         self, read: PartialRange, limit: int = 0, *, fresh: bool = False
     ) -> RangeResult:
         found = read.items
-        query = {"path_prefix": read.prefix}
+        query: dict[str, str | bytes] = {"path_prefix": read.prefix}
         while True:
-            if found:
+            if read.cursors:
                 # In spite of its name, this field takes the last key of the page before.
-                query["after_rev"] = found[-1].key
+                query["after_rev"] = read.cursors[-1]
             else:
                 read.begun_at = monotonic()
             target = f"/api/kv-range?{urlencode(query)}"
             # Only the first page needs a new connection: it is idle then, and the client takes
             # the most recently used idle connection for the next page.
-            status, body = await self._read_page(target, fresh=fresh and not found)
+            status, body = await self._read_page(target, fresh=fresh and not read.cursors)
             retries = 0
-            while status == STATUS_OVER_RATE and found and retries < MAX_PAGE_RETRIES:
+            while status == STATUS_OVER_RATE and read.cursors and retries < MAX_PAGE_RETRIES:
                 # Reading from the first page again would cost the calls of all pages before.
                 retries += 1
                 await asyncio.sleep(random.uniform(*PAGE_RETRY_S))
                 status, body = await self._read_page(target)
             self._check_status(status, 200, "range", read.prefix)
-            page = _decode(body, _RangeAnswer)
+            page, bad = self._decode_rows(body, _RangeAnswer, "items")
             items, size = self._read_rows(page.items, read.size)
             if size > self.max_range_bytes:
                 reason = f"more than {self.max_range_bytes} bytes below {read.prefix}"
                 raise self._count_failure("range", KvTooLarge(reason))
             read.revision, read.size = read.revision or page.timestamp, size
             found.extend(items)
-            if not page.has_more or not items or (limit and len(found) >= limit):
+            is_empty = not page.items and not bad
+            if not page.has_more or is_empty or (limit and len(found) >= limit):
                 return RangeResult(tuple(found[:limit] if limit else found), read.revision)
+            cursor = _find_cursor(page.items, bad)
+            if not cursor or cursor in read.cursors:
+                reason = f"the pages below {read.prefix} do not go on behind {cursor!r}"
+                raise self._count_failure("range", KvUncertain(reason))
+            read.cursors.append(cursor)
 
     def _read_rows(self, rows: list[_Item], size: int) -> tuple[list[KeyValue], int]:
         """Decode and limit the rows of a page.
@@ -259,17 +275,49 @@
         for row in rows:
             item = self.rows.find_omitted(row.key_path, row.rev)
             if item is None:
-                item = self.rows.read(_read_item(row), size)
+                item = self._read_item(row, size)
             size += len(item.key) + len(item.value) + ROW_BYTES
             items.append(item)
         return items, size
 
     def _read_event(self, row: _Item) -> WatchEvent:
         if row.is_deleted:
+            self.unreadable.clear(row.key_path)
             return WatchEvent(row.key_path, None, row.rev)
-        item = self.rows.read(_read_item(row))
+        item = self._read_item(row, 0)
         return WatchEvent(item.key, item.value, item.revision)
 
+    def _decode_rows(self, body: bytes, kind: type[T], field: str) -> tuple[T, list[BadElement]]:
+        """Decode an answer without the rows in *field* that cannot be decoded; log these.
+
+        :raises KvUncertain: the answer cannot be decoded for another reason.
+        """
+        try:
+            answer, bad = decoding.decode_json_list(body, kind, [field], _Item)
+        except DecodingError as error:
+            raise KvUncertain(f"the store's answer cannot be read: {error}") from error
+        for row in bad:
+            key = _read_key(row)
+            shown = key.encode(errors="backslashreplace").decode()
+            reason = row.reason if shown == key else "key is no text"
+            self.unreadable.note(events.RECORD_UNREADABLE, shown, reason)
+        return answer, bad
+
+    def _read_item(self, row: _Item, kept_bytes: int | None = None) -> KeyValue:
+        """Return a row; a value that is no base64 is omitted, so that no reader accepts it.
+
+        :param kept_bytes: see :func:`~gradepoint.kv.omission.limit_row`; None to limit no value.
+        """
+        try:
+            value = binascii.a2b_base64(row.value, strict_mode=True)
+        except ValueError as error:
+            self.unreadable.note(events.RECORD_UNREADABLE, row.key_path, f"value: {error}")
+            return omit_value(_make_item(row, row.value.encode()))
+        if self.unreadable.reasons:
+            self.unreadable.clear(row.key_path)
+        item = _make_item(row, value)
+        return item if kept_bytes is None else self.rows.read(item, kept_bytes)
+
     async def _read_page(self, target: str, *, fresh: bool = False) -> tuple[int, bytes]:
         self.counts.reads += 1
         return await self._call("range", "GET", target, fresh=fresh)
@@ -288,8 +336,8 @@
         )
         status, body = await self._call("txn", "POST", "/api/kv-txn", msgspec.json.encode(call))
         if status == 412:
-            rows = _decode(body, _Conflict).items
-            current = tuple(_read_item(row) for row in rows if not row.is_deleted and row.rev)
+            rows = self._decode_rows(body, _Conflict, "items")[0].items
+            current = tuple(self._read_item(row) for row in rows if not row.is_deleted and row.rev)
             return TransactionResult(False, 0, current)
         if status == 404:
             raise KvLeaseLapsed("the lease of a write has lapsed")
@@ -309,13 +357,14 @@
             page = await self.wait_for_changes(prefix, revision, self.watch_s)
             for event in page.events:
                 yield event
-                revision = max(revision, event.revision)
+            revision = page.find_next_start(revision)
 
     async def wait_for_changes(self, prefix: str, revision: int, wait_s: float) -> WatchPage:
         """Return the changes below *prefix* after *revision* as soon as there are any.
 
         :param wait_s: seconds after which the store answers without changes.
-        :raises KvHistoryLost: the store no longer has the changes after *revision*.
+        :raises KvHistoryLost: the store no longer has the changes after *revision*, or it is not
+            known where the next call continues.
         """
         self.counts.watches += 1
         query = {"path_prefix": prefix, "after_rev": revision, "wait_ms": round(wait_s * 1000)}
@@ -328,8 +377,16 @@
         if status == 410:
             raise KvHistoryLost(f"changes after revision {revision} are forgotten")
         self._check_status(status, 200, "watch", prefix)
-        answer = _decode(body, _WatchAnswer)
-        return WatchPage(tuple(map(self._read_event, answer.events)), answer.timestamp)
+        answer, bad = self._decode_rows(body, _WatchAnswer, "events")
+        changes = tuple(map(self._read_event, answer.events))
+        last_change = max(map(_read_revision, bad), default=0)
+        if bad and not changes:
+            last_change = last_change or answer.timestamp
+        page = WatchPage(changes, answer.timestamp, last_change)
+        if bad and page.find_next_start(revision) <= revision:
+            # The same changes would be returned again at once.
+            raise KvHistoryLost("changes cannot be read and have no revision")
+        return page
 
     async def grant_lease(self, ttl_s: int) -> int:
         """See :meth:`KeyValueService.grant_lease`."""
@@ -423,17 +480,40 @@
         raise KvUncertain(f"the store's answer cannot be read: {error}") from error
 
 
-def _decode_value(text: str) -> bytes:
-    try:
-        return base64.b64decode(text)
-    except ValueError as error:
-        raise KvUncertain(f"the store's answer has a value that cannot be read: {error}") from error
-
-
 def _encode(value: bytes) -> str:
     return base64.b64encode(value).decode()
 
 
-def _read_item(item: Any) -> KeyValue:
-    value = _decode_value(item.value)
-    return KeyValue(item.key_path, value, item.rev, item.created, item.lease)
+def _make_item(row: _Item, value: bytes) -> KeyValue:
+    return KeyValue(row.key_path, value, row.rev, row.created, row.lease)
+
+
+def _find_cursor(rows: Sequence[_Item], bad: Sequence[BadElement]) -> bytes:
+    """Return the key behind which the next page begins; empty if no row has a key.
+
+    It is the last one that is text, since a store may reject any other in a query. The rows behind
+    it are read twice.
+    """
+    if rows:
+        return rows[-1].key_path.encode()
+    return _encode_key(next(filter(None, map(_read_key, reversed(bad))), ""))
+
+
+def _read_key(row: BadElement) -> str:
+    """Return the key of a row that cannot be decoded; empty without one."""
+    key = row.value.get("key_path") if isinstance(row.value, dict) else None
+    return key if isinstance(key, str) else ""
+
+
+def _encode_key(key: str) -> bytes:
+    """Return a key, which may have surrogates, as the store sent it."""
+    try:
+        return key.encode(errors="surrogateescape")
+    except UnicodeEncodeError:
+        return key.encode(errors="surrogatepass")
+
+
+def _read_revision(row: BadElement) -> int:
+    """Return the revision of a row that cannot be decoded; 0 if it has none."""
+    revision = row.value.get("rev") if isinstance(row.value, dict) else None
+    return revision if isinstance(revision, int) and 0 < revision <= MAX_NUMBER else 0
--- a/gradepoint/util/decoding.py
+++ b/gradepoint/util/decoding.py
@@ -11,15 +11,17 @@
 
 from __future__ import annotations
 
+import json
 from itertools import accumulate
 from typing import TYPE_CHECKING, Any, TypeVar, overload
 
 import msgspec
 
 from ..errors import DecodingError, NestedTooDeeply
+from .structs import Struct
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
     from types import UnionType
 
     Encoded = bytes | bytearray | memoryview | msgspec.Raw
@@ -32,6 +34,9 @@
 """Everything that a decoder raises beside :class:`RecursionError`. :class:`ValueError` covers text
 that is not UTF-8."""
 
+TOLERANT_DECODER = json.JSONDecoder(strict=False)
+"""Accepts halves of surrogate pairs and control characters in texts, which writers of several
+languages do not reject."""
 TO_ARRAYS = bytes.maketrans(b"{}", b"[]")
 NO_BRACKETS = bytes(set(range(256)) - set(b"[]{}"))
 DEPTH_STEPS = {ord("["): 1, ord("]"): -1}
@@ -75,6 +80,77 @@
     return value
 
 
+class BadElement(Struct, frozen=True):
+    """Element of a list that cannot be decoded as its type.
+
+    :param value: the element as :func:`load_json` returns it.
+    :param reason: why it cannot be decoded.
+    """
+
+    value: Any
+    reason: str
+
+
+def decode_json_list(
+    raw: Encoded, kind: type[T], path: Sequence[str], element: Any, *, strict: bool = True
+) -> tuple[T, list[BadElement]]:
+    """Decode a JSON object that has a list, without the elements that cannot be decoded.
+
+    :param kind: type of the object.
+    :param path: names of the fields that lead to the list.
+    :param element: type of the elements.
+    :param strict: as in :func:`decode_json`.
+    :returns: the object with all other elements, and the elements that are left out.
+    :raises DecodingError: the object cannot be decoded for another reason.
+    """
+    try:
+        return decode_json(raw, kind, strict=strict), []
+    except DecodingError as error:
+        failure = error
+    document = load_json(raw)
+    parent, elements = None, document
+    for name in path:
+        parent, elements = elements, elements.get(name) if isinstance(elements, dict) else None
+    if parent is None or not isinstance(elements, list):
+        raise failure
+    parent[path[-1]] = sound = []
+    bad = []
+    for value in elements:
+        try:
+            decode_json(_dump_json(value), element, strict=strict)
+        except DecodingError as error:
+            bad.append(BadElement(value, str(error)))
+        else:
+            sound.append(value)
+    return decode_json(_dump_json(document), kind, strict=strict), bad
+
+
+def load_json(raw: Encoded) -> Any:
+    """Decode JSON that has texts which are no Unicode.
+
+    :returns: the value; surrogates in its texts stand for halves of pairs, and for bytes that are
+        not UTF-8 (see :pep:`383`).
+    :raises DecodingError: *raw* is no JSON, or nested too deeply.
+    """
+    try:
+        return TOLERANT_DECODER.decode(bytes(raw).decode(errors="surrogateescape"))
+    except RecursionError as error:
+        raise NestedTooDeeply(str(error)) from error
+    except ValueError as error:
+        raise DecodingError(str(error)) from error
+
+
+def _dump_json(value: Any) -> bytes:
+    """Encode what :func:`load_json` returned; surrogates are escaped.
+
+    :raises DecodingError: it is nested too deeply.
+    """
+    try:
+        return json.dumps(value).encode()
+    except RecursionError as error:
+        raise NestedTooDeeply(str(error)) from error
+
+
 @overload
 def decode_msgpack(raw: Encoded) -> Any: ...
 @overload
--- a/tests/test_cmd/test_cmd_foreign_entries.py
+++ b/tests/test_cmd/test_cmd_foreign_entries.py
@@ -39,8 +39,13 @@
     await asyncio.gather(*waits)
 
 
-def test_programs_restarted_beside_a_nested_target_entry_serve_calls(tmp_path: Path) -> None:
-    # After the restart no program was ready, for as long as the entry stood.
+def check_restart(tmp_path: Path, key: str, suffix: bytes) -> None:
+    """Check that all calls are served after a restart of all programs beside an entry.
+
+    :param key: key of the entry.
+    :param suffix: end of its value, in place of the bracket that closes the entry of a target.
+    """
+
     async def work() -> None:
         store, target = PlatformStoreStandin(), TargetStandin("t0")
         address = await store.start()
@@ -53,7 +58,7 @@
             settings = {"host": f"host-{number}"}
             programs.append(Program("gateway", folder, address, settings))
         await start_all(programs)
-        store.put("servers/other", target.entry()[:-1] + NESTED_FIELD)
+        store.put(key, target.entry()[:-1] + suffix)
         for program in programs:
             program.kill()
         await start_all(programs)
@@ -67,3 +72,13 @@
     finally:
         for program in programs:
             program.kill()
+
+
+def test_programs_restarted_beside_a_nested_target_entry_serve_calls(tmp_path: Path) -> None:
+    # After the restart no program was ready, for as long as the entry stood.
+    check_restart(tmp_path, "servers/other", NESTED_FIELD)
+
+
+def test_programs_restarted_beside_a_key_that_is_no_text_serve_calls(tmp_path: Path) -> None:
+    # After the restart no program was ready, for as long as the entry stood.
+    check_restart(tmp_path, "servers/\ud83d", b"}")
--- a/tests/test_gateway/test_gateway_foreign_entries.py
+++ b/tests/test_gateway/test_gateway_foreign_entries.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 import msgspec
 import pytest
 
+from bench.platform.store import PAGE_ITEMS
 from bench.platform.target import TargetStandin
 from gradepoint.ids import HostName, Incarnation
 from gradepoint.peers.presence import HostPresence
@@ -131,6 +133,82 @@
     run_in_virtual_time(work)
 
 
+READ_PREFIXES = ("servers/", "op/", "gp/live/host/", "gp/live/data/", "gp/live/", "gp/job/")
+"""Prefixes below which gateways read all rows."""
+
+
+def put_keys_that_are_no_text(deployment: Deployment, count: int) -> None:
+    """Write rows, each of which has half of a surrogate pair in its key."""
+    entry = deployment.targets[0].entry()
+    for prefix in READ_PREFIXES:
+        for number in range(count):
+            for key in (f"{prefix}\ud83d{number:03d}", f"{prefix}0{number:03d}\udc00"):
+                deployment.store.put(key, entry)
+
+
+@pytest.mark.parametrize("count", [1, 2 * PAGE_ITEMS + 1])
+def test_keys_that_are_no_text_hide_no_other_row(count: int) -> None:
+    # After a restart no host read any target, and no call was served.
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2, targets=3)
+        put_keys_that_are_no_text(deployment, count)
+        await restart_all(deployment)
+        await check_targets_run(deployment, deployment.targets)
+        assert (await deployment.submit("job", 3)).status == 202
+        assert len(await deployment.read_all_results("job", gateway=1)) == 3
+
+    run_in_virtual_time(work)
+
+
+def test_job_of_a_lost_host_is_taken_over_beside_keys_that_are_no_text() -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=3, targets=2, event_interval_s=0.2)
+        assert (await deployment.submit("job", 3)).status == 202
+        put_keys_that_are_no_text(deployment, 1)
+        await deployment.kill(deployment.gateways[0])
+        results = await deployment.read_all_results("job", gateway=1)
+        assert len(results) == 3
+
+    run_in_virtual_time(work)
+
+
+def test_changes_behind_keys_that_are_no_text_are_in_force() -> None:
+    # The watch failed at the same change again and again; each change took a read of all keys.
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2, targets=1)
+        await deployment.wait_until_all_heard()
+        before = deployment.store.calls.get("/api/kv-range", 0)
+        for number in range(10):
+            put_keys_that_are_no_text(deployment, 1)
+            await deployment.configure(2 + number, None)
+            await asyncio.sleep(0.2)
+        await deployment.add_target(TargetStandin("new"))
+        await asyncio.sleep(1.0)
+        for gateway in deployment.gateways:
+            current = gateway.configuration.current
+            assert current is not None and current.version == 11
+            assert "new" in gateway.targets.by_id
+        # Proofs of the views read a few ranges in this time.
+        assert deployment.store.calls["/api/kv-range"] - before < 40
+
+    run_in_virtual_time(work)
+
+
+@pytest.mark.parametrize("fields", [{"value": "%%%%"}, {"rev": "7"}, {"key_path": None}], ids=str)
+def test_rows_of_answers_with_a_bad_field_hide_no_other_row(fields: dict[str, Any]) -> None:
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2, targets=3)
+        for prefix in READ_PREFIXES:
+            deployment.store.put(f"{prefix}0", deployment.targets[0].entry())
+            deployment.store.replaced_fields[f"{prefix}0"] = fields
+        await restart_all(deployment)
+        await check_targets_run(deployment, deployment.targets)
+        assert (await deployment.submit("job", 3)).status == 202
+        assert len(await deployment.read_all_results("job", gateway=1)) == 3
+
+    run_in_virtual_time(work)
+
+
 def test_presence_under_a_name_of_its_own_replaces_no_other_host() -> None:
     # Every host took the live owner of jobs for replaced, and ran its items again.
     async def work(deployment: Deployment) -> None:
--- a/tests/test_util/test_util_decoding.py
+++ b/tests/test_util/test_util_decoding.py
@@ -5,6 +5,7 @@
 import re
 import tracemalloc
 from collections.abc import Callable
+from contextlib import suppress
 from datetime import UTC
 from functools import partial
 from pathlib import Path
@@ -155,6 +156,67 @@
                 continue
 
 
+class Rows(msgspec.Struct):
+    """Record with a list."""
+
+    rows: list[Row]
+    end: int = 0
+
+
+def decode_rows(raw: bytes) -> tuple[Rows, list[decoding.BadElement]]:
+    """Decode an encoded list of records."""
+    return decoding.decode_json_list(b'{"rows":[%b],"end":1}' % raw, Rows, ["rows"], Row)
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        rb'{"name":"\ud83d"}',
+        rb'{"name":"a","\udc00":1}',
+        b'{"name":"\xff"}',
+        b'{"name":7}',
+        b"{}",
+        b"null",
+        b"NaN",
+        b'{"name":"a","other":' + b"[" * 300 + b"]" * 300 + b"}",
+    ],
+)
+def test_element_that_cannot_be_decoded_is_left_out_alone(bad: bytes) -> None:
+    sound = rb'{"name":"\ud83d\ude00"}'
+    document, left_out = decode_rows(b",".join([sound, bad, b'{"name":"b"}']))
+    assert document == Rows([Row("\U0001f600"), Row("b")], 1)
+    assert len(left_out) == 1
+
+
+@pytest.mark.parametrize("stack", STACK_DEPTHS)
+@pytest.mark.parametrize(
+    "raw", [b"[" * 100_000 + b"]" * 100_000, b"1" * 5000, rb'"\q"', b'{"name":"a"', b"\x00"]
+)
+def test_list_in_what_is_no_json_raises_the_error_of_decoding(raw: bytes, stack: int) -> None:
+    with pytest.raises(DecodingError):
+        call_below(stack, lambda: decode_rows(raw))
+
+
+@pytest.mark.parametrize("raw", [b"[]", b"{}", b'{"rows":{}}', b'{"rows":[{}],"end":"1"}'])
+def test_object_that_cannot_be_decoded_for_another_reason_is_refused(raw: bytes) -> None:
+    with pytest.raises(DecodingError):
+        decoding.decode_json_list(raw, Rows, ["rows"], Row)
+
+
+@pytest.mark.parametrize("depth", [200, 900, 960, 990, 1000])
+@pytest.mark.parametrize("stack", STACK_DEPTHS)
+def test_nested_element_raises_no_other_error(depth: int, stack: int) -> None:
+    # The decoder and the encoder stop at different depths.
+    bad = b'{"name":7,"other":' + b"[" * depth + b"]" * depth + b"}"
+
+    def decode() -> None:
+        with suppress(DecodingError):
+            document, _ = decode_rows(bad + b',{"name":"b"}')
+            assert document.rows == [Row("b")]
+
+    call_below(stack, decode)
+
+
 def test_no_other_module_calls_a_decoder() -> None:
     # Readers that did not expect one of a decoder's errors lost all rows behind a foreign one.
     found = [
