Leave out one row of an answer of etcd that cannot be decoded

What callers saw: nothing was reported. With one such row below a prefix, each read of it by the first tier failed, and its watch failed at the same change again and again.

Change: ranges and watches use decode_json_list. A read of that one key stays uncertain, since "no such key" would be untrue. The watch is a stream, so that it goes on by itself.

--- a/gradepoint/kv/etcd.py
+++ b/gradepoint/kv/etcd.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import base64
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import TYPE_CHECKING, Annotated, Any, TypeVar
 
 import msgspec
 
@@ -29,8 +29,9 @@
 from .unreadable import UnreadableRows
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Sequence
 
+    from ..util.decoding import BadElement
     from ..wire.http_client import ClientResponse
     from .service import Expect
 
@@ -48,16 +49,20 @@
 """Most bytes of a rejection's message that are kept for the log."""
 
 
+Revision = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+"""Number of 64 bits, as messages between hosts have."""
+
+
 class _Item(msgspec.Struct):
     key: bytes
     value: bytes = b""
-    mod_revision: int = 0
-    create_revision: int = 0
+    mod_revision: Revision = 0
+    create_revision: Revision = 0
     lease: int = 0
 
 
 class _Header(msgspec.Struct, frozen=True):
-    revision: int = 0
+    revision: Revision = 0
 
 
 class _RangeAnswer(msgspec.Struct):
@@ -118,8 +123,10 @@
     async def get(self, key: str) -> KeyValue | None:
         """See :meth:`KeyValueService.get`."""
         body = {"key": _encode(key)}
-        answer = await self._call("range", "/v3/kv/range", body, _RangeAnswer)
-        self.counts.reads += 1
+        answer, bad = await self._read(body)
+        if bad:
+            # The key exists, whatever it has.
+            raise self._count_failure("range", KvUncertain(f"unreadable row: {bad[0].reason}"))
         items = self._read_items(answer.kvs)
         return items[0] if items else None
 
@@ -130,8 +137,8 @@
             "range_end": _encode_bytes(prefix_end(prefix)),
             "limit": str(limit),
         }
-        answer = await self._call("range", "/v3/kv/range", body, _RangeAnswer)
-        self.counts.reads += 1
+        answer, bad = await self._read(body)
+        self._note_bad(bad, [])
         return RangeResult(self._read_items(answer.kvs), answer.header.revision)
 
     async def transact(self, transaction: Transaction) -> TransactionResult:
@@ -215,14 +222,45 @@
 
     def _read_watch_line(self, line: bytes) -> list[WatchEvent]:
         changes = []
-        for event in _decode(line, _WatchLine).result.events:
+        decoded, bad = _decode_list(line, _WatchLine, ["result", "events"], _Event)
+        self._note_bad(bad, ["kv"])
+        for event in decoded.result.events:
             item = self._read_item(event.kv)
             if item is not None:
                 value = None if event.type == "DELETE" else item.value
                 changes.append(WatchEvent(item.key, value, item.revision))
         return changes
 
+    def _note_bad(self, rows: list[BadElement], path: Sequence[str]) -> None:
+        """Log rows that cannot be decoded, and are left out.
+
+        :param path: names of the fields that lead to the row of a key.
+        """
+        for row in rows:
+            value = row.value
+            for name in [*path, "key"]:
+                value = value.get(name) if isinstance(value, dict) else None
+            # Shown as it was sent: it need not be base64.
+            self.unreadable.note(events.RECORD_UNREADABLE, ascii(value), row.reason)
+
+    async def _read(self, body: dict[str, Any]) -> tuple[_RangeAnswer, list[BadElement]]:
+        """Make a call that reads rows; return its answer, and the rows that it leaves out."""
+        raw = await self._fetch("range", "/v3/kv/range", body)
+        self.counts.reads += 1
+        try:
+            return _decode_list(raw, _RangeAnswer, ["kvs"], _Item)
+        except KvUncertain as error:
+            raise self._count_failure("range", error) from error
+
     async def _call(self, kind: str, path: str, body: dict[str, Any], answer_type: type[T]) -> T:
+        raw = await self._fetch(kind, path, body)
+        try:
+            return _decode(raw, answer_type)
+        except KvUncertain as error:
+            raise self._count_failure(kind, error) from error
+
+    async def _fetch(self, kind: str, path: str, body: dict[str, Any]) -> bytes:
+        """Make a call and return the body of its answer."""
         response = await self._send(kind, path, body)
         try:
             raw = await response.read()
@@ -242,10 +280,7 @@
             )
         if response.status != 200:
             raise self._count_failure(kind, KvUncertain(f"answered {response.status}"))
-        try:
-            return _decode(raw, answer_type)
-        except KvUncertain as error:
-            raise self._count_failure(kind, error) from error
+        return raw
 
     async def _send(self, kind: str, path: str, body: dict[str, Any]) -> ClientResponse:
         raw = msgspec.json.encode(body)
@@ -311,3 +346,18 @@
         return decoding.decode_json(raw, answer_type, strict=False)
     except DecodingError as error:
         raise KvUncertain(f"answer cannot be decoded: {error}") from error
+
+
+def _decode_list(
+    raw: bytes, answer_type: type[T], path: Sequence[str], element: Any
+) -> tuple[T, list[BadElement]]:
+    """Decode a JSON document without the rows that cannot be decoded.
+
+    :param path: names of the fields that lead to the rows.
+    :param element: type of a row.
+    :raises KvUncertain: it is cut or has another form.
+    """
+    try:
+        return decoding.decode_json_list(raw, answer_type, path, element, strict=False)
+    except DecodingError as error:
+        raise KvUncertain(f"answer cannot be decoded: {error}") from error
