Leave out one entry of the host list whose name is no text

What callers saw: nothing was reported. A control host that started beside such an entry knew no other host, and a running one kept its last list, as long as the entry stood.

Cause: entries were decoded one by one, but the decoder checks the escapes of texts that it only passes over, so that half of a surrogate pair failed the list as a whole.

Change: decode_json_list, which also replaces the code that decoded entries one by one.

--- a/gradepoint/fleet/host_list.py
+++ b/gradepoint/fleet/host_list.py
@@ -31,8 +31,7 @@
 class HostList(msgspec.Struct, frozen=True):
     """Response body of ``GET /hosts``."""
 
-    # Decoded one by one, so that an invalid entry does not invalidate the others.
-    hosts: list[msgspec.Raw]
+    hosts: list[ListedHost]
 
 
 class HostListClient:
@@ -53,16 +52,11 @@
             raw = await response.read()
             if response.status != 200:
                 return self.last_known
-            answer = decoding.decode_json(raw, HostList)
+            answer, bad = decoding.decode_json_list(raw, HostList, ["hosts"], ListedHost)
         except (ConnectFailed, ResponseBroken, DecodingError):
             return self.last_known
-        listed = [self._read_host(raw_row, index) for index, raw_row in enumerate(answer.hosts)]
-        self.last_known = {HostName(row.name): row.state for row in listed if row is not None}
+        for row in bad:
+            name = row.value.get("name") if isinstance(row.value, dict) else None
+            self.unreadable.note(events.HOST_UNREADABLE, f"/hosts: {name!a}", row.reason)
+        self.last_known = {HostName(row.name): row.state for row in answer.hosts}
         return self.last_known
-
-    def _read_host(self, raw: msgspec.Raw, index: int) -> ListedHost | None:
-        try:
-            return decoding.decode_json(raw, ListedHost)
-        except DecodingError as error:
-            self.unreadable.note(events.HOST_UNREADABLE, f"/hosts[{index}]", str(error))
-            return None
