Read texts of targets that are no Unicode with replacement characters

What callers saw: nothing was reported. In the first tier, an event with half of a surrogate pair, as targets send it where a character is split between two tokens, failed its stream or batch item; an answer without a length that had one counted as cut; a batch item got an error in place of its answer.

Cause: the decoder rejects JSON with such an escape, and bytes that are not UTF-8, and the whole answer failed for one character.

Change: events and answers are decoded with U+FFFD in place of what is no Unicode, as text decoders do. Whether JSON is cut no longer depends on its texts. The gateway passes answers on as bytes and does not decode them; nothing changes there.

Ruled out: joining the halves of two events to one character. Each event is passed on by itself, and its reader may count tokens by events.

--- a/gradepoint/batch/calls.py
+++ b/gradepoint/batch/calls.py
@@ -112,7 +112,7 @@
 
 def _decode_body(raw: bytes) -> Any:
     try:
-        return decoding.decode_json(raw)
+        return decoding.decode_json_text(raw)
     except DecodingError:
         return {"error": {"message": raw[:500].decode(errors="replace")}}
 
--- a/gradepoint/util/decoding.py
+++ b/gradepoint/util/decoding.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import json
+import re
 from itertools import accumulate
 from typing import TYPE_CHECKING, Any, TypeVar, overload
 
@@ -37,6 +38,7 @@
 TOLERANT_DECODER = json.JSONDecoder(strict=False)
 """Accepts halves of surrogate pairs and control characters in texts, which writers of several
 languages do not reject."""
+SURROGATE = re.compile("[\ud800-\udfff]")
 TO_ARRAYS = bytes.maketrans(b"{}", b"[]")
 NO_BRACKETS = bytes(set(range(256)) - set(b"[]{}"))
 DEPTH_STEPS = {ord("["): 1, ord("]"): -1}
@@ -80,6 +82,20 @@
     return value
 
 
+def decode_json_text(raw: Encoded) -> Any:
+    """Decode JSON with a replacement character in place of what is no Unicode in its texts.
+
+    :raises DecodingError: *raw* is no JSON, or nested too deeply.
+    """
+    try:
+        return decode_json(raw)
+    except NestedTooDeeply:
+        raise
+    except DecodingError:
+        text = _dump_json(load_json(raw), ensure_ascii=False)
+    return decode_json(SURROGATE.sub("\N{REPLACEMENT CHARACTER}", text).encode())
+
+
 class BadElement(Struct, frozen=True):
     """Element of a list that cannot be decoded as its type.
 
@@ -117,12 +133,12 @@
     bad = []
     for value in elements:
         try:
-            decode_json(_dump_json(value), element, strict=strict)
+            decode_json(_dump_json(value).encode(), element, strict=strict)
         except DecodingError as error:
             bad.append(BadElement(value, str(error)))
         else:
             sound.append(value)
-    return decode_json(_dump_json(document), kind, strict=strict), bad
+    return decode_json(_dump_json(document).encode(), kind, strict=strict), bad
 
 
 def load_json(raw: Encoded) -> Any:
@@ -140,13 +156,14 @@
         raise DecodingError(str(error)) from error
 
 
-def _dump_json(value: Any) -> bytes:
-    """Encode what :func:`load_json` returned; surrogates are escaped.
+def _dump_json(value: Any, *, ensure_ascii: bool = True) -> str:
+    """Encode what :func:`load_json` returned.
 
+    :param ensure_ascii: whether surrogates and other characters beyond ASCII are escaped.
     :raises DecodingError: it is nested too deeply.
     """
     try:
-        return json.dumps(value).encode()
+        return json.dumps(value, ensure_ascii=ensure_ascii)
     except RecursionError as error:
         raise NestedTooDeeply(str(error)) from error
 
--- a/gradepoint/wire/completion_events.py
+++ b/gradepoint/wire/completion_events.py
@@ -14,7 +14,7 @@
     :raises TargetFailure: it has another form.
     """
     try:
-        event = decoding.decode_json(payload)
+        event = decoding.decode_json_text(payload)
     except DecodingError as error:
         raise _make_failure(str(error)) from error
     if not isinstance(event, dict) or not isinstance(event.get("choices", []), list):
--- a/gradepoint/wire/target_client.py
+++ b/gradepoint/wire/target_client.py
@@ -181,7 +181,7 @@
     if content_type != JSON_TYPE:
         return False
     try:
-        decoding.decode_json(answer.body)
+        decoding.load_json(answer.body)
     except NestedTooDeeply:
         return False
     except DecodingError:
--- a/tests/test_batch/test_batch_foreign_answers.py
+++ b/tests/test_batch/test_batch_foreign_answers.py
@@ -8,7 +8,7 @@
 import pytest
 
 from gradepoint.batch.app import _parse_job_request
-from gradepoint.batch.calls import PartialText, _accumulate
+from gradepoint.batch.calls import PartialText, _accumulate, _decode_body
 from gradepoint.batch.feeder import read_load
 from gradepoint.batch.items import parse_line
 from gradepoint.batch.records import JobState
@@ -39,6 +39,15 @@
         _accumulate(event, PartialText())
 
 
+def test_text_with_half_of_a_surrogate_pair_is_read() -> None:
+    """Targets escape a character whose second half is in the next token. The item failed."""
+    partial = PartialText()
+    for text in (rb"a\ud83d", rb"\ude00b"):
+        _accumulate(b'{"choices":[{"text":"%b"}]}' % text, partial)
+    assert partial.text == "a\ufffd\ufffdb"
+    assert _decode_body(rb'{"text":"\ud83d"}') == {"text": "\ufffd"}
+
+
 def test_job_ends_beside_a_target_that_sends_no_events(monkeypatch: pytest.MonkeyPatch) -> None:
     sound = FakeStream.payloads
 
--- a/tests/test_util/test_util_decoding.py
+++ b/tests/test_util/test_util_decoding.py
@@ -156,6 +156,25 @@
                 continue
 
 
+@pytest.mark.parametrize(
+    ("raw", "text"),
+    [
+        (rb'"a\ud83d"', "a\ufffd"),
+        (rb'"\udc00\ud83d\ude00"', "\ufffd\U0001f600"),
+        (b'"a\xffb"', "a\ufffdb"),
+        (b'"a\tb"', "a\tb"),
+    ],
+)
+def test_text_that_is_no_unicode_is_read_with_replacement_characters(raw: bytes, text: str) -> None:
+    assert decoding.decode_json_text(b'{"a":[%b]}' % raw) == {"a": [text]}
+
+
+@pytest.mark.parametrize("raw", [b"", b'{"a"', b"NaN", rb'"\q"', b"[" * 300 + b"]" * 300])
+def test_text_that_is_no_json_raises_the_error_of_decoding(raw: bytes) -> None:
+    with pytest.raises(DecodingError):
+        decoding.decode_json_text(raw)
+
+
 class Rows(msgspec.Struct):
     """Record with a list."""
 
