--- a/bench/platform/store.py
+++ b/bench/platform/store.py
@@ -298,7 +298,10 @@
 
 def _json_response(value: dict[str, Any], status: int = 200) -> Response:
     """Return *value* as JSON, in which half of a surrogate pair is escaped."""
-    return Response(status, {"content-type": JSON_TYPE}, json.dumps(value).encode())
+    try:
+        return json_response(value, status)
+    except UnicodeEncodeError:
+        return Response(status, {"content-type": JSON_TYPE}, json.dumps(value).encode())
 
 
 def _row(item: KeyValue) -> dict[str, Any]:
