Keep large rows of targets without the fields that are not read

What callers saw: 503 to every call, from the first start on, where each target has 27 kB in fields of its own that gradepoint does not read.

Cause: rows of more than MAX_TARGET_BYTES (16 KiB) were omitted as foreign, whatever they hold.

Change: the limit applies to what is kept of a row. A larger value is shortened to the fields that are read, as soon as its page is decoded, and is omitted only if it is no entry of a target or still too large then.

Ruled out: a larger limit. 3,000 targets of 27 kB have 81 MB, and a host may have 150 MB. Ruled out as well: remembering shortened rows by revision, since a target writes its row again every second or two.

Not changed: hosts of the former version omit such rows, and their views differ from those of new hosts until they are replaced. The cost of reading a view is estimated from what is kept, and so too low with such rows.

--- a/gradepoint/cmd/gateway_program.py
+++ b/gradepoint/cmd/gateway_program.py
@@ -28,6 +28,7 @@
     job_dialect=jobs.PlatformJobDialect(),
     decode_configuration=configuration.decode_configuration,
     decode_target=targets.decode_target,
+    shorten_target=targets.shorten_target,
     read_target_name=targets.read_target_name,
     read_retired_host=retirement.read_retired_host,
     status_key=retirement.status_key,
--- a/gradepoint/gateway/parts.py
+++ b/gradepoint/gateway/parts.py
@@ -22,6 +22,8 @@
     :param dialect: headers of calls and answers.
     :param job_dialect: requests and answers of the job API.
     :param decode_target: decodes a target's row from its key and value.
+    :param shorten_target: returns a target's value without the fields that *decode_target* does not
+        use; raises :class:`~gradepoint.errors.DecodingError` if it is no such value.
     :param read_target_name: returns the target's name in a key.
     :param read_retired_host: returns the data host that a key orders to retire, or None.
     :param status_key: returns the key under which a data host is reported as empty.
@@ -35,6 +37,7 @@
     job_dialect: JobDialect
     decode_configuration: Callable[[bytes], Configuration]
     decode_target: Callable[[str, bytes], ListedTarget]
+    shorten_target: Callable[[bytes], bytes]
     read_target_name: Callable[[str], TargetName]
     read_retired_host: Callable[[str], HostName | None]
     status_key: Callable[[HostName], str]
--- a/gradepoint/gateway/row_limits.py
+++ b/gradepoint/gateway/row_limits.py
@@ -1,7 +1,7 @@
 """Limits of the values that a gateway keeps of the prefixes that it reads whole.
 
-A value of another writer is then a few bytes in memory. No program of ours and no target writes
-values near these limits.
+A value of another writer is then a few bytes in memory. No program of ours writes values near these
+limits.
 """
 
 from __future__ import annotations
@@ -23,7 +23,8 @@
     from .parts import PlatformAdapter
 
 MAX_TARGET_BYTES = 16 << 10
-"""A target's row has about 300 bytes; a deployment may add fields of its own."""
+"""A target's row has about 300 bytes. A deployment may add fields of its own, of any size; they are
+not kept of a larger row."""
 MAX_OPERATOR_BYTES = 4 << 10
 """Of an order of the operator only the key is used."""
 MAX_HELD_BYTES = 64 << 10
@@ -54,7 +55,7 @@
             MAX_OPERATOR_BYTES,
             lambda key, value: platform.read_retired_host(key) is not None,
         ),
-        RowLimit(platform.targets_prefix, MAX_TARGET_BYTES, is_target),
+        RowLimit(platform.targets_prefix, MAX_TARGET_BYTES, is_target, platform.shorten_target),
         *make_presence_limits(),
         RowLimit(HELD_PREFIX, MAX_HELD_BYTES, _is_held_row),
         RowLimit(VERSIONS_KEY, sys.maxsize, lambda key, value: True),
--- a/gradepoint/kv/omission.py
+++ b/gradepoint/kv/omission.py
@@ -1,7 +1,8 @@
-"""Values that cannot be rows of ours and are replaced by a hash as soon as their page is decoded.
+"""Bounds of the values that are kept of a prefix, applied as soon as their page is decoded.
 
 Another writer may leave thousands of values below a prefix that each host copies, each as large as
-the service takes. A host could not hold them in memory.
+the service takes. A host could not hold them in memory. A value that cannot be a row of ours is
+replaced by a hash, and a large one that can is shortened to what its readers use.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from .. import events
+from ..errors import DecodingError
 from ..util.structs import Struct, field
 from .service import KeyValue
 from .unreadable import UnreadableRows
@@ -33,24 +35,33 @@
     """Which values below a prefix are kept.
 
     :param prefix: beginning of the keys; a whole key if it does not end with a slash.
-    :param max_bytes: size in bytes of the largest value that is kept.
+    :param max_bytes: most bytes that are kept of a value.
     :param is_sound: whether the value of a key is kept where a range has more than
         :data:`MAX_UNCHECKED_BYTES`.
+    :param shorten: returns a larger value without the fields that no reader uses; raises
+        :class:`~gradepoint.errors.DecodingError` if it cannot be read. All hosts of one version
+        have to shorten a value to the same bytes. None to omit larger values.
     """
 
     prefix: str
     max_bytes: int
     is_sound: Callable[[str, bytes], bool]
+    shorten: Callable[[bytes], bytes] | None = None
 
     def applies_to(self, key: str) -> bool:
         """Return whether this is a limit of *key*."""
         return key.startswith(self.prefix) if self.prefix.endswith("/") else key == self.prefix
 
-    def allows(self, key: str, value: bytes, kept_bytes: int) -> bool:
-        """Return whether a value is kept; see :func:`limit_row`."""
+    def find_kept(self, key: str, value: bytes, kept_bytes: int) -> bytes | None:
+        """Return what is kept of a value, or None if it is omitted; see :func:`limit_row`."""
+        if len(value) > self.max_bytes and self.shorten is not None:
+            try:
+                value = self.shorten(value)
+            except DecodingError:
+                return None
         if len(value) > self.max_bytes:
-            return False
-        return kept_bytes <= MAX_UNCHECKED_BYTES or self.is_sound(key, value)
+            return None
+        return value if kept_bytes <= MAX_UNCHECKED_BYTES or self.is_sound(key, value) else None
 
 
 RowLimits = tuple[RowLimit, ...]
@@ -87,7 +98,7 @@
 
 
 def limit_row(limits: RowLimits, row: KeyValue, kept_bytes: int = 0) -> KeyValue:
-    """Return a row with its value, or with a hash of it if the limits do not allow the value.
+    """Return a row with what the limits allow of its value, or with a hash of the value.
 
     :param kept_bytes: bytes of the keys and values of the same range that are kept already.
     """
@@ -95,7 +106,12 @@
         return row
     for limit in limits:
         if limit.applies_to(row.key):
-            return row if limit.allows(row.key, row.value, kept_bytes) else omit_value(row)
+            value = limit.find_kept(row.key, row.value, kept_bytes)
+            if value is None:
+                return omit_value(row)
+            if value is row.value:
+                return row
+            return KeyValue(row.key, value, row.revision, row.created, row.lease)
     return row
 
 
@@ -135,10 +151,10 @@
         """
         is_imitation = row.value.startswith(OMITTED)
         kept = omit_value(row) if is_imitation else limit_row(self.limits, row, kept_bytes)
-        if kept is row:
+        if not is_omitted(kept.value):
             if self.remembered.pop(row.key, None) is not None:
                 self.unreadable.clear(row.key)
-            return row
+            return kept
         if len(self.remembered) >= MAX_REMEMBERED:
             self.remembered.clear()
         self.remembered[row.key] = kept
--- a/gradepoint/platform/targets.py
+++ b/gradepoint/platform/targets.py
@@ -74,6 +74,14 @@
     )
 
 
+def shorten_target(value: bytes) -> bytes:
+    """Return an entry without the fields of which :func:`decode_target` knows nothing.
+
+    :raises DecodingError: *value* is not a valid entry.
+    """
+    return msgspec.json.encode(decoding.decode_json(value, _Entry))
+
+
 def _check_name(name: TargetName, entry: _Entry) -> None:
     """Reject a name with which no call can be sent, or which is taken for another target."""
     if not HEADER_TEXT.fullmatch(name):
--- a/tests/test_gateway/test_gateway_foreign_entries.py
+++ b/tests/test_gateway/test_gateway_foreign_entries.py
@@ -10,6 +10,7 @@
 
 from bench.platform.store import PAGE_ITEMS
 from bench.platform.target import TargetStandin
+from gradepoint.gateway.targets import ListedState
 from gradepoint.ids import HostName, Incarnation
 from gradepoint.peers.presence import HostPresence
 from gradepoint.platform import jobs
@@ -209,6 +210,29 @@
     run_in_virtual_time(work)
 
 
+@pytest.mark.parametrize("size", [27_000, 700_000])
+def test_target_with_a_large_field_that_is_not_read_gets_calls(size: int) -> None:
+    # The row was set aside for its size: no call was served, from the first start on.
+    async def work(deployment: Deployment) -> None:
+        await deployment.start(gateways=2, targets=3)
+        for target in deployment.targets:
+            field = msgspec.json.encode(["x" * (size // 1000)] * 1000)
+            deployment.store.put(f"servers/{target.name}", add_field(target.entry(), field))
+        await restart_all(deployment)
+        await check_targets_run(deployment, deployment.targets)
+        rows = deployment.gateways[0].watchers.views["targets"].items.values()
+        assert all(len(row.value) < 400 for row in rows)
+        # Changes of such a row are in force, too.
+        gone = deployment.targets[0]
+        entry = gone.entry().replace(b'"ready"', b'"draining"')
+        deployment.store.put(f"servers/{gone.name}", add_field(entry, field))
+        await asyncio.sleep(1.0)
+        for gateway in deployment.gateways:
+            assert gateway.targets.by_id[gone.name].listed.state is ListedState.DRAINING
+
+    run_in_virtual_time(work)
+
+
 def test_presence_under_a_name_of_its_own_replaces_no_other_host() -> None:
     # Every host took the live owner of jobs for replaced, and ran its items again.
     async def work(deployment: Deployment) -> None:
--- a/tests/test_kv/test_kv_omission.py
+++ b/tests/test_kv/test_kv_omission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from gradepoint.errors import DecodingError
 from gradepoint.kv.omission import OMITTED, RowLimit, RowReader, is_omitted, limit_rows
 from gradepoint.kv.service import KeyValue, RangeResult, WatchEvent
 from gradepoint.kv.view import PrefixView
@@ -58,6 +59,33 @@
     assert reader.find_omitted("p/a", 1) is None
 
 
+def shorten(value: bytes) -> bytes:
+    """Return a value up to its first space; fail if it has none."""
+    if b" " not in value:
+        raise DecodingError("no space")
+    return value.partition(b" ")[0]
+
+
+def test_large_value_that_can_be_shortened_is_kept_in_short_form() -> None:
+    limits = (RowLimit("p/", 100, lambda key, value: value == b"sound", shorten),)
+    values = {
+        b"sound " + LARGE: b"sound",
+        b"sound " + b"x" * 10: b"sound " + b"x" * 10,
+        LARGE: None,
+        LARGE + b" ": None,
+    }
+    reader = RowReader(limits)
+    for value, kept in values.items():
+        row = KeyValue("p/a", value, 1)
+        read = reader.read(row)
+        assert is_omitted(read.value) if kept is None else read.value == kept
+        assert limit_rows(limits, (read,)) == [read]
+    # Beyond the bytes that are kept unchecked, the short form counts.
+    last = KeyValue("p/z", b"sound " + LARGE, 1)
+    rows = [KeyValue(f"p/{number:06d}", b"x" * 100, 1) for number in range(100_000)]
+    assert limit_rows(limits, (*rows, last))[-1].value == b"sound"
+
+
 def test_sound_rows_behind_many_others_are_kept() -> None:
     rows = [KeyValue(f"p/{number:06d}", b"x" * 100, 1) for number in range(100_000)]
     kept = limit_rows(LIMITS, (*rows, KeyValue("p/z", b"sound", 1), KeyValue("q", LARGE, 1)))
--- a/tests/test_platform/test_platform_targets.py
+++ b/tests/test_platform/test_platform_targets.py
@@ -11,7 +11,7 @@
 
 from gradepoint.errors import DecodingError
 from gradepoint.gateway.targets import ListedState
-from gradepoint.platform.targets import TARGETS_PREFIX, decode_target
+from gradepoint.platform.targets import TARGETS_PREFIX, decode_target, shorten_target
 
 KEY = TARGETS_PREFIX + "t0"
 ENTRY = {
@@ -49,6 +49,19 @@
     assert decode_target(KEY, encode(stage="both", models=[{"name": "m"}])).name == "t0"
 
 
+@pytest.mark.parametrize(
+    "changes", [{}, {"state": "draining"}, {"call_seq": 1 << 70}, {"cold_left_ms": 1.5e300}]
+)
+@pytest.mark.parametrize("dropped", ["born", "other"])
+def test_shortened_entry_says_the_same_of_its_target(changes: dict[str, Any], dropped: str) -> None:
+    entry = {**ENTRY, **changes, "other": ["x" * 1000] * 100}
+    del entry[dropped]
+    raw = msgspec.json.encode(entry)
+    short = shorten_target(raw)
+    assert decode_target(KEY, short) == decode_target(KEY, raw)
+    assert len(short) < 600 and shorten_target(short) == short
+
+
 @pytest.mark.parametrize("missing", sorted(set(ENTRY) - {"born"}))
 def test_entry_without_a_required_field_is_rejected(missing: str) -> None:
     entry = {name: value for name, value in ENTRY.items() if name != missing}
