Send a key that is no text back in the bytes of the answer

A page whose only row had the escaped key "\udcff" ended each read of its prefix.

Cause: in that row the surrogate was taken for a byte that is not UTF-8, which Python writes the same way, so that the next page was asked for behind the byte 0xFF.

Change: surrogates stand for bytes only in an answer that is not UTF-8; in any other one they were escaped. Drawn entries have names with half of a surrogate pair from now on, in tests and in the soak.

--- a/bench/foreign_entries.py
+++ b/bench/foreign_entries.py
@@ -48,7 +48,11 @@
 """Beginnings of the usual names: some are listed before and some behind the rows of gradepoint."""
 NAMES_EACH = 2
 """Number of names with each beginning. Few, so that the rows of a job meet under the same one."""
-ODD_NAMES = ("", "a b", "\u00e9", "..", "%2F", "x" * 100, "a/b/c", "\U0001f600", "a\nb", "0")
+ODD_NAMES = (
+    *("", "a b", "\u00e9", "..", "%2F", "x" * 100, "a/b/c", "\U0001f600", "a\nb", "0"),
+    *("\ud83d", "0\udc00", "\udcff"),
+)
+"""The last ones have half of a surrogate pair, and are no text."""
 ODD_SHARE = 0.2
 UNUSED_ADDRESS = "127.0.0.1:9"
 
--- a/gradepoint/platform/store.py
+++ b/gradepoint/platform/store.py
@@ -7,6 +7,7 @@
 import binascii
 import random
 import sys
+from contextlib import suppress
 from typing import TYPE_CHECKING, Annotated, TypeVar
 from urllib.parse import urlencode
 
@@ -259,7 +260,7 @@
             is_empty = not page.items and not bad
             if not page.has_more or is_empty or (limit and len(found) >= limit):
                 return RangeResult(tuple(found[:limit] if limit else found), read.revision)
-            cursor = _find_cursor(page.items, bad)
+            cursor = _find_cursor(page.items, bad, body)
             if not cursor or cursor in read.cursors:
                 reason = f"the pages below {read.prefix} do not go on behind {cursor!r}"
                 raise self._count_failure("range", KvUncertain(reason))
@@ -488,15 +489,15 @@
     return KeyValue(row.key_path, value, row.rev, row.created, row.lease)
 
 
-def _find_cursor(rows: Sequence[_Item], bad: Sequence[BadElement]) -> bytes:
-    """Return the key behind which the next page begins; empty if no row has a key.
+def _find_cursor(rows: Sequence[_Item], bad: Sequence[BadElement], body: bytes) -> bytes:
+    """Return the key behind which the page after that of *body* begins; empty if no row has a key.
 
     It is the last one that is text, since a store may reject any other in a query. The rows behind
     it are read twice.
     """
     if rows:
         return rows[-1].key_path.encode()
-    return _encode_key(next(filter(None, map(_read_key, reversed(bad))), ""))
+    return _encode_key(next(filter(None, map(_read_key, reversed(bad))), ""), body)
 
 
 def _read_key(row: BadElement) -> str:
@@ -505,12 +506,15 @@
     return key if isinstance(key, str) else ""
 
 
-def _encode_key(key: str) -> bytes:
-    """Return a key, which may have surrogates, as the store sent it."""
+def _encode_key(key: str, body: bytes) -> bytes:
+    """Return a key, which may have surrogates, as it stands in the answer with *body*."""
     try:
-        return key.encode(errors="surrogateescape")
-    except UnicodeEncodeError:
-        return key.encode(errors="surrogatepass")
+        body.decode()
+    except UnicodeDecodeError:
+        # Surrogates stand for bytes that are not UTF-8, unless the answer has escaped ones, too.
+        with suppress(UnicodeEncodeError):
+            return key.encode(errors="surrogateescape")
+    return key.encode(errors="surrogatepass")
 
 
 def _read_revision(row: BadElement) -> int:
--- a/tests/test_platform/test_platform_unreadable_rows.py
+++ b/tests/test_platform/test_platform_unreadable_rows.py
@@ -85,12 +85,13 @@
     with_store(work)
 
 
+@pytest.mark.parametrize("half", ["\ud83d", "\udcff"])
 @pytest.mark.parametrize("count", [1, PAGE_ITEMS - 1, PAGE_ITEMS, 2 * PAGE_ITEMS + 1])
-def test_pages_go_on_behind_keys_that_are_no_text(count: int) -> None:
+def test_pages_go_on_behind_keys_that_are_no_text(count: int, half: str) -> None:
     async def work(store: PlatformStoreStandin, client: PlatformStore) -> None:
         sound = [f"p/{number:03d}" for number in range(PAGE_ITEMS - 1)]
         behind = [f"p/\uffff{number:03d}" for number in range(PAGE_ITEMS + 1)]
-        for key in [*sound, *(f"p/\ud83d{number:03d}" for number in range(count)), *behind]:
+        for key in [*sound, *(f"p/{half}{number:03d}" for number in range(count)), *behind]:
             store.put(key, b"x")
         assert await read_keys(client) == [*sound, *behind]
 
