Begin a range anew whose pages do not go on

What callers saw: nothing. After pages that began anew, each further try of the read added the rows of the last page once more, until the pages were too old to be continued.

Change: the pages are forgotten before the read fails. test_pages_that_begin_anew_end_the_read checks it.

--- a/gradepoint/platform/store.py
+++ b/gradepoint/platform/store.py
@@ -262,6 +262,7 @@
                 return RangeResult(tuple(found[:limit] if limit else found), read.revision)
             cursor = _find_cursor(page.items, bad, body)
             if not cursor or cursor in read.cursors:
+                read.clear()
                 reason = f"the pages below {read.prefix} do not go on behind {cursor!r}"
                 raise self._count_failure("range", KvUncertain(reason))
             read.cursors.append(cursor)
--- a/tests/test_platform/test_platform_unreadable_rows.py
+++ b/tests/test_platform/test_platform_unreadable_rows.py
@@ -13,7 +13,7 @@
 from gradepoint.errors import KvUncertain
 from gradepoint.kv import unreadable
 from gradepoint.kv.omission import is_omitted
-from gradepoint.kv.service import Expect, Put, Transaction, WatchEvent
+from gradepoint.kv.service import Expect, PartialRange, Put, Transaction, WatchEvent
 from gradepoint.platform.store import PlatformStore
 from gradepoint.wire.http_types import Request, Response
 from tests.support.platform import until
@@ -113,9 +113,12 @@
             return Response(200, {}, pages[(calls - 1) % 2])
 
         store.server.handler = answer
+        read = PartialRange("p/")
         with pytest.raises(KvUncertain):
-            await client.range("p/")
+            await client.read_on(read)
         assert calls == 3
+        # The next try begins anew.
+        assert not read.items and not read.cursors
 
     with_store(work)
 
