--- a/tests/test_kv/test_kv_relay.py
+++ b/tests/test_kv/test_kv_relay.py
@@ -8,10 +8,12 @@
 
 import pytest
 
+from bench.platform.store import PlatformStoreStandin
 from gradepoint.errors import KvRejected
 from gradepoint.kv.limits import KvLimits
 from gradepoint.kv.relay import WATCH_BATCH_DELAY_S, RelayedKv
 from gradepoint.kv.service import Put, RangeResult, Transaction, WatchEvent, WatchPage
+from gradepoint.platform.store import PlatformStore
 from gradepoint.standins.memory_kv import KvFault, MemoryKv, MemoryKvClient
 from gradepoint.standins.virtual_time import run_virtual
 from gradepoint.wire.http_client import HttpClient
@@ -72,6 +74,39 @@
     run_virtual(work())
 
 
+def test_relayed_watch_goes_on_behind_a_change_that_cannot_be_read() -> None:
+    """Without the revision of that change, the host does not know where the watch goes on."""
+
+    async def work() -> None:
+        store = PlatformStoreStandin()
+        direct = PlatformStore(await store.start(), 0.3, 20.0)
+        server = HttpServer(RelayedKv(direct, HttpClient(), list).answer_peer)
+        await server.start("127.0.0.1", 0)
+        seen: list[str] = []
+
+        async def watch(kv: RelayedKv) -> None:
+            async for event in kv.watch("p/", 1):
+                seen.append(event.key)
+
+        with closing(direct.http), closing(HttpClient()) as http:
+            unreachable = PlatformStore("127.0.0.1:9", 0.3, 20.0)
+            cut_off = RelayedKv(unreachable, http, lambda: [f"127.0.0.1:{server.port}"])
+            watching = asyncio.ensure_future(watch(cut_off))
+            for key in ("p/a", "p/\ud83d", "p/b"):
+                store.put(key, b"x")
+                await asyncio.sleep(1.0)
+            store.put("p/\ud83d", b"y")
+            await asyncio.sleep(1.0)
+            assert not cut_off.reaches_store
+            assert seen == ["p/a", "p/b"]
+            assert store.calls["/api/kv-watch"] < 10
+            watching.cancel()
+        server.abort()
+        store.server.abort()
+
+    run_on_network(work(), 1)
+
+
 def test_refused_write_is_not_an_outage_and_keeps_its_key_through_a_relay() -> None:
     """A host that took a refusal for an outage sent all of its calls through other hosts."""
 
